Lay out the packages by life span with the interfaces between them

Cause: an empty repository; several parts are to be built side by side and need their common types first. Ruled out: one package for all types (every part would wait on it). Conclusion: the parts can be built against these.

--- /dev/null
+++ b/connection/upstream/upstream.go
@@ -0,0 +1,171 @@
+// Package upstream is the router's interface to the back ends: model engines
+// and the plain services beside them. The router depends on these interfaces
+// alone; one HTTP adapter carries them, so that other back ends can be put in
+// their place by one package.
+package upstream
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Errors of a call to an upstream. Each says by itself whether a byte of the
+// request can have reached the upstream.
+var (
+	// ErrNotSent means that no byte left for the upstream: no connection.
+	ErrNotSent = errors.New("upstream: not sent")
+	// ErrRefused means that the upstream answered that it did not run it.
+	ErrRefused = errors.New("upstream: refused before running")
+	// ErrBusy is an ErrRefused for want of room.
+	ErrBusy = errors.New("upstream: busy")
+	// ErrWrongVersion means that the upstream holds other weights than asked.
+	ErrWrongVersion = errors.New("upstream: other weights version")
+	// ErrBroken means that the call broke after the send began.
+	ErrBroken = errors.New("upstream: broken off")
+	// ErrOutOfOrder means a gap, a repeat or a foreign event in a stream.
+	ErrOutOfOrder = errors.New("upstream: event out of order")
+	// ErrUnknownStream means that the engine does not hold that stream.
+	ErrUnknownStream = errors.New("upstream: unknown stream")
+	// ErrStaleFencing means that the engine refused an order with an old fencing number.
+	ErrStaleFencing = errors.New("upstream: stale fencing number")
+)
+
+// Generation asks an engine for an answer.
+type Generation struct {
+	StreamID  string // chosen by the router, unique for every try
+	Model     string
+	Version   string // weights version; the engine refuses if it holds another
+	Adapter   string
+	Salt      string // separates workspaces in the engine's cache
+	Prompt    []Part
+	Continue  string // text of the answer that was sent already
+	MaxTokens int
+	Priority  int       // 0 is the most urgent
+	Deadline  time.Time // zero: none
+}
+
+// Part is one message of the prompt.
+type Part struct {
+	Role    string
+	Content string
+}
+
+// Head is what an engine says before the first token.
+type Head struct {
+	StreamID     string
+	Incarnation  uint64
+	Version      string
+	PromptTokens int
+	CachedTokens int
+}
+
+// Token is one event of a stream. Index counts from 0 without a gap.
+type Token struct {
+	Index  int
+	Text   string
+	Finish string // set on the last event alone: "stop" or "length"
+}
+
+// Stream is one answer on its way. It belongs to one goroutine, but for
+// Close.
+type Stream interface {
+	Head() Head
+	// Next gives the next token in order; io.EOF only after the token that
+	// carried Finish. Any other end is an error.
+	Next() (Token, error)
+	// Close releases the connection, unfinished or not.
+	Close() error
+}
+
+// Report is an engine's own account of its state.
+type Report struct {
+	Incarnation  uint64
+	Models       []LoadedModel
+	Role         string
+	At           time.Time
+	Slots        int
+	Running      int
+	Queued       int
+	QueuedTokens int
+	Loading      bool
+}
+
+// LoadedModel is one model with the version of its weights.
+type LoadedModel struct {
+	Model    string
+	Version  string
+	Adapters []string
+}
+
+// CacheEvents is a page of an engine's event stream.
+type CacheEvents struct {
+	Incarnation uint64
+	Next        uint64 // sequence to ask from the next time
+	Events      []CacheEvent
+}
+
+// CacheEvent says that a prefix was stored or evicted.
+type CacheEvent struct {
+	Sequence uint64
+	Stored   bool
+	Salt     string
+	Block    uint64 // hash of the prompt text up to the block's end
+	Tokens   int
+}
+
+// Order tells an engine to reach an absolute state. It never says "next" or
+// "one more", so that a repeated or late order does no other harm than to be
+// put right again.
+type Order struct {
+	Fencing uint64 // offset of the lease under which it is given
+	Model   string
+	Version string // load this version; empty: leave as it is
+	Adapter string
+	Role    string    // "serve", "drain"; empty: leave as it is
+	Expires time.Time // not to be begun after this
+}
+
+// Engine is a model engine.
+type Engine interface {
+	Generate(ctx context.Context, g Generation) (Stream, error)
+	// Resume goes on with a stream the engine still holds, after the event
+	// with index after (-1: from the start).
+	Resume(ctx context.Context, streamID string, after int) (Stream, error)
+	Cancel(ctx context.Context, streamID string) error
+	Report(ctx context.Context) (Report, error)
+	Events(ctx context.Context, from uint64) (CacheEvents, error)
+	Order(ctx context.Context, o Order) error
+	// Export gives the KV cache of a prompt as an opaque value.
+	Export(ctx context.Context, g Generation) ([]byte, error)
+	Import(ctx context.Context, kv []byte) error
+}
+
+// Call is a request to a plain service.
+type Call struct {
+	Method string
+	Path   string
+	Query  string
+	Header []Field
+	Body   []byte
+	Key    string // idempotency key, passed on; empty: none
+}
+
+// Field is one header field.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Reply is a plain service's answer, whole.
+type Reply struct {
+	Status int
+	Header []Field
+	Body   []byte
+}
+
+// Service is a plain service. Do sends the call once and never again by
+// itself, whatever the method.
+type Service interface {
+	Do(ctx context.Context, c Call) (Reply, error)
+}
--- /dev/null
+++ b/process/event/request.go
@@ -0,0 +1,13 @@
+package event
+
+// Events of single requests.
+const (
+	RequestPlaced Event = iota + 100
+	RequestAnswered
+	RequestRefused
+	RequestRetried
+	RequestFailed
+	StreamResumed
+	StreamContinued
+	StreamCancelled
+)
--- /dev/null
+++ b/request/placement/placement.go
@@ -0,0 +1,121 @@
+// Package placement decides which upstream engine serves a request. Its
+// decisions are functions of the request, the present time and this node's
+// picture of the upstreams, so that the same code runs in the router and in
+// the measurements in virtual time.
+package placement
+
+import (
+	"errors"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/prefix"
+)
+
+// ErrNoCandidate means that no upstream is eligible for the request.
+var ErrNoCandidate = errors.New("no eligible upstream")
+
+// Upstream is an engine as far as every node knows it alike, from the
+// configuration and the membership.
+type Upstream struct {
+	Name       string
+	DataCentre string
+	Slots      int           // requests that run in one batch
+	Prefill    float64       // prompt tokens a second that it computes alone
+	Decode     time.Duration // time between two output tokens
+}
+
+// Request is what a decision needs to know of a request.
+type Request struct {
+	Workspace  string
+	DataCentre string // of the node that decides
+	Chain      prefix.Chain
+	Output     int      // expected output tokens
+	Urgent     bool     // an interactive look-up, whose time to first token counts most
+	Excluded   []string // upstreams tried already, or not to be used for another reason
+}
+
+// Reason says what made a decision, for the decision log.
+type Reason uint8
+
+// Decision is the outcome of one placement.
+type Decision struct {
+	Upstream string
+	Reason   Reason
+	Cached   int           // prompt tokens expected in the upstream's cache
+	Wait     time.Duration // expected time to first token
+	Import   bool          // fetch the prefix from the store of kept KV cache first
+}
+
+// Answer is what the head of an upstream's answer tells about its cache.
+type Answer struct {
+	Incarnation  uint64 // changes when the engine restarts
+	Version      string // weights version that answered
+	PromptTokens int
+	CachedTokens int
+	FirstToken   time.Duration // measured from the send to the first token
+}
+
+// Load is an upstream's own report of its load; it comes with a lag.
+type Load struct {
+	Incarnation  uint64
+	Version      string
+	At           time.Time // when the upstream measured it
+	Running      int
+	Queued       int
+	QueuedTokens int // prompt tokens waiting to be computed
+}
+
+// CacheEvent is one entry of an upstream's event stream; entries are late
+// and some are lost.
+type CacheEvent struct {
+	Incarnation uint64
+	Sequence    uint64 // a gap means lost events
+	Stored      bool   // false: evicted
+	Level       uint64 // prefix.Level.ID
+	Tokens      int
+}
+
+// Summary is what a node tells its peers about its own traffic, a bounded
+// number of bytes whatever the size of the fleet.
+type Summary struct {
+	Node      string
+	At        time.Time
+	InFlight  []InFlight
+	HotLevels []HotLevel
+}
+
+// InFlight is a node's own unfinished work on one upstream.
+type InFlight struct {
+	Upstream string
+	Requests int
+	Tokens   int // prompt tokens not yet answered
+}
+
+// HotLevel is a prefix with much demand, as one node sees it.
+type HotLevel struct {
+	Level uint64
+	Rate  float64 // uncached-equivalent demand, engine-seconds a second
+}
+
+// Policy places requests and learns from what comes of them. One Policy
+// belongs to one node; its methods may be called from many goroutines.
+type Policy interface {
+	// SetUpstreams replaces the eligible upstreams.
+	SetUpstreams(now time.Time, upstreams []Upstream)
+	// Place decides; ErrNoCandidate if nothing is eligible.
+	Place(now time.Time, r Request) (Decision, error)
+	// Sent notes that r goes to the decided upstream.
+	Sent(now time.Time, r Request, d Decision)
+	// Answered notes the head of the answer, once for each Sent at most.
+	Answered(now time.Time, r Request, d Decision, a Answer)
+	// Finished notes the end of the request, whole or not, once for each Sent.
+	Finished(now time.Time, r Request, d Decision, ok bool)
+	// Loaded notes a load report.
+	Loaded(now time.Time, upstream string, l Load)
+	// Cached notes a cache event.
+	Cached(now time.Time, upstream string, e CacheEvent)
+	// Summarize gives what peers should know.
+	Summarize(now time.Time, node string) Summary
+	// Merge takes in a peer's summary.
+	Merge(now time.Time, s Summary)
+}
