Write kinds and states by name in JSON and YAML

Cause: config.Kind and config.State were numbers in every own format, so that an operator had to know the order of the constants. Ruled out: a second set of types for files only (logic that stands twice). Change: text methods on both; an unknown name is an error that lists the known ones. Conclusion: records, files and the operator interface say Engine, Draining.

--- a/version/config/config.go
+++ b/version/config/config.go
@@ -4,6 +4,8 @@
 package config
 
 import (
+	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -254,3 +256,33 @@
 
 // Horizon is how long the journal answers for an idempotency key.
 const Horizon = 15 * time.Minute
+
+// MarshalText gives the kind's name, so that records and files don't depend
+// on the order of the constants.
+func (k Kind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText reads a kind's name.
+func (k *Kind) UnmarshalText(text []byte) error {
+	return unmarshalName(k, text, Engine, Service)
+}
+
+// MarshalText gives the state's name.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads a state's name.
+func (s *State) UnmarshalText(text []byte) error {
+	return unmarshalName(s, text, Active, Draining, Retired)
+}
+
+// ErrUnknownName means that a text is none of an enum's names.
+var ErrUnknownName = errors.New("config: unknown name")
+
+func unmarshalName[E fmt.Stringer](into *E, text []byte, known ...E) error {
+	for _, e := range known {
+		if e.String() == string(text) {
+			*into = e
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is none of %v: %w", text, known, ErrUnknownName)
+}
