--- /dev/null
+++ b/request/prefix/chain_test.go
@@ -0,0 +1,154 @@
+package prefix
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+)
+
+var hidrantis = Identity{Workspace: "sofia", Model: "m"}
+
+func text(r *rand.Rand, n int) string {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte('a' + r.IntN(2))
+	}
+	return string(b)
+}
+
+// shared counts the levels that two chains have in common, and fails if they
+// are not the first of both.
+func shared(t *testing.T, a, b Chain) int {
+	t.Helper()
+	n := 0
+	for n < len(a) && n < len(b) && a[n].ID == b[n].ID {
+		n++
+	}
+	for _, l := range a[n:] {
+		if slices.ContainsFunc(b, func(m Level) bool { return m.ID == l.ID }) {
+			t.Fatalf("level %x is shared after one that is not", l.ID)
+		}
+	}
+	return n
+}
+
+func TestSharedLevelsAreSharedText(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for i := range 2000 {
+		content := text(r, 1+r.IntN(6000))
+		at := r.IntN(len(content))
+		other := content[:at] + "X" + content[at+1:]
+		msgs := []Message{{Role: "system", Content: text(r, r.IntN(3000))}, {Role: "user", Content: content}}
+		changed := []Message{msgs[0], {Role: "user", Content: other}}
+		a, b := FromMessages(hidrantis, msgs), FromMessages(hidrantis, changed)
+		n := shared(t, a, b)
+		before := len(msgs[0].Content) + at
+		for k, l := range a {
+			covers := k >= len(a)-1 || l.Tokens*BytesPerToken > before+BytesPerToken
+			if k < n && covers {
+				t.Fatalf("case %d: level %d of %d tokens is shared past the difference at byte %d", i, k, l.Tokens, before)
+			}
+			if k >= n && l.Tokens*BytesPerToken <= before {
+				t.Fatalf("case %d: level %d of %d tokens isn't shared before the difference at byte %d", i, k, l.Tokens, before)
+			}
+		}
+	}
+}
+
+func TestNoLevelIsSharedAcrossIdentities(t *testing.T) {
+	msgs := []Message{{Role: "system", Content: strings.Repeat("same text ", 2000)}}
+	a := FromMessages(hidrantis, msgs)
+	for _, id := range []Identity{
+		{Workspace: "plovdiv", Model: "m"},
+		{Workspace: "sofia", Model: "n"},
+		{Workspace: "sofia", Model: "m", Adapter: "x"},
+		{Workspace: "sofi", Model: "am"},
+		{Workspace: "sofiam"},
+	} {
+		if n := shared(t, a, FromMessages(id, msgs)); n != 0 {
+			t.Errorf("%+v shares %d levels", id, n)
+		}
+		if Salt(id, "1") == Salt(hidrantis, "1") {
+			t.Errorf("%+v has the salt of another identity", id)
+		}
+	}
+	if Salt(hidrantis, "1") == Salt(hidrantis, "2") {
+		t.Error("two weights versions have one salt")
+	}
+}
+
+func TestMessageBoundaryIsPartOfTheText(t *testing.T) {
+	half := strings.Repeat("x", FirstBlock)
+	for _, tt := range []struct {
+		name   string
+		a, b   []Message
+		shared int
+	}{
+		{"one message or two", []Message{{"u", half + half}}, []Message{{"u", half}, {"u", half}}, 1},
+		{"role", []Message{{"u", half}}, []Message{{"v", half}}, 0},
+		{"role or text", []Message{{"u", "v" + half}}, []Message{{"uv", half}}, 0},
+		{"empty message between", []Message{{"u", "a"}, {"u", "b"}}, []Message{{"u", "a"}, {"u", ""}, {"u", "b"}}, 1},
+	} {
+		if n := shared(t, FromMessages(hidrantis, tt.a), FromMessages(hidrantis, tt.b)); n != tt.shared {
+			t.Errorf("%s: %d shared levels, want %d", tt.name, n, tt.shared)
+		}
+	}
+}
+
+func TestNextTurnSharesTheLastLevel(t *testing.T) {
+	var msgs []Message
+	for turn := range 200 {
+		msgs = append(msgs, Message{Role: "user", Content: fmt.Sprint("question ", turn)})
+		now := FromMessages(hidrantis, msgs)
+		next := FromMessages(hidrantis, append(slices.Clone(msgs), Message{Role: "assistant", Content: "yes"}, Message{Role: "user", Content: "more"}))
+		if len(now) > MaxLevels || len(next) > MaxLevels {
+			t.Fatalf("turn %d: more than %d levels", turn, MaxLevels)
+		}
+		last := now[len(now)-1]
+		if !slices.Contains(next, last) {
+			t.Fatalf("turn %d: the next turn doesn't share the whole prompt", turn)
+		}
+	}
+}
+
+func FuzzFromMessages(f *testing.F) {
+	f.Add("sofia", "system", strings.Repeat("a", 5000), strings.Repeat("a", 4000)+"b", 3)
+	f.Add("", "", "", "", 100)
+	f.Fuzz(func(t *testing.T, workspace, role, one, two string, repeat int) {
+		id := Identity{Workspace: workspace}
+		var a, b []Message
+		for range repeat & 63 {
+			a = append(a, Message{Role: role, Content: one})
+			b = append(b, Message{Role: role, Content: one})
+		}
+		ca, cb := FromMessages(id, append(a, Message{role, one})), FromMessages(id, append(b, Message{role, two}))
+		n := shared(t, ca, cb)
+		if one == two && n != len(ca) || one != two && n == len(ca) && n == len(cb) {
+			t.Fatalf("%d levels shared of %d and %d", n, len(ca), len(cb))
+		}
+		for _, c := range []Chain{ca, cb} {
+			if len(c) > MaxLevels {
+				t.Fatalf("%d levels", len(c))
+			}
+			if !slices.IsSortedFunc(c, func(x, y Level) int { return x.Tokens - y.Tokens }) {
+				t.Fatal("a longer prefix has fewer tokens")
+			}
+		}
+	})
+}
+
+func BenchmarkFromMessages(b *testing.B) {
+	for _, size := range []int{1 << 10, 1 << 14, 1 << 18} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			part := strings.Repeat("p", size/4)
+			msgs := []Message{{"system", part}, {"system", part}, {"user", part}, {"user", part}}
+			b.SetBytes(int64(size))
+			b.ReportAllocs()
+			for b.Loop() {
+				FromMessages(hidrantis, msgs)
+			}
+		})
+	}
+}
