Add the calls between nodes over net/rpc

Cause: nodes need calls with deadlines, authentication and bounds, which net/rpc alone lacks: it has no deadlines, reads messages up to 1 GB, writes a late answer into a reply that the caller has taken back, and keeps a half-open connection for ever.

--- /dev/null
+++ b/connection/peer/server.go
@@ -0,0 +1,326 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/tls"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/process/event"
+)
+
+// ServerConfig sets a Server. Zero values mean the defaults.
+type ServerConfig struct {
+	Secrets          [][]byte    // accepted fleet secrets, the preferred one first
+	TLS              *tls.Config // nil: plain TCP
+	HandshakeTimeout time.Duration
+	MessageTimeout   time.Duration // from a message's first byte to its last, and for a write
+	IdleTimeout      time.Duration // between two messages
+	MaxConnections   int
+	MaxInFlight      int // calls at a time on one connection
+	MaxMessageBytes  int
+	Grace            time.Duration // for calls in progress when it closes
+	Logger           *zap.Logger   // nil: no log
+}
+
+func (c ServerConfig) withDefaults() ServerConfig {
+	c.HandshakeTimeout = orDefault(c.HandshakeTimeout, DefaultHandshakeTimeout)
+	c.MessageTimeout = orDefault(c.MessageTimeout, DefaultMessageTimeout)
+	c.IdleTimeout = orDefault(c.IdleTimeout, DefaultIdleTimeout)
+	c.MaxConnections = orDefault(c.MaxConnections, DefaultMaxConnections)
+	c.MaxInFlight = orDefault(c.MaxInFlight, DefaultMaxInFlight)
+	c.MaxMessageBytes = orDefault(c.MaxMessageBytes, DefaultMaxMessageBytes)
+	c.Grace = orDefault(c.Grace, DefaultGrace)
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	return c
+}
+
+// Server takes calls from peers. Its methods may be called from many
+// goroutines.
+type Server struct {
+	cfg      ServerConfig
+	rpc      *rpc.Server
+	counters counters
+
+	mu       sync.Mutex // guards the fields below
+	secrets  [][]byte
+	listener net.Listener
+	conns    map[*serverCodec]struct{}
+	pending  map[net.Conn]struct{} // in their handshake
+	closed   bool
+	done     sync.WaitGroup
+}
+
+// NewServer gives a server that accepts nothing before Start.
+func NewServer(cfg ServerConfig) (*Server, error) {
+	if err := checkSecrets(cfg.Secrets); err != nil {
+		return nil, err
+	}
+	return &Server{
+		cfg:     cfg.withDefaults(),
+		rpc:     rpc.NewServer(),
+		secrets: cfg.Secrets,
+		conns:   map[*serverCodec]struct{}{},
+		pending: map[net.Conn]struct{}{},
+	}, nil
+}
+
+// Register publishes the methods of rcvr that fit net/rpc as name.Method.
+func (s *Server) Register(name string, rcvr any) error {
+	if err := s.rpc.RegisterName(name, rcvr); err != nil {
+		return fmt.Errorf("peer service %s: %w", name, err)
+	}
+	return nil
+}
+
+// SetSecrets replaces the accepted secrets for connections to come.
+func (s *Server) SetSecrets(secrets [][]byte) error {
+	if err := checkSecrets(secrets); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.secrets = secrets
+	return nil
+}
+
+// Stats gives the counts up to now.
+func (s *Server) Stats() Stats { return s.counters.stats() }
+
+// Start listens on address, accepts in the background, and gives the
+// address with the port that was bound.
+func (s *Server) Start(address string) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", fmt.Errorf("peer listener: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.listener != nil {
+		l.Close()
+		return "", fmt.Errorf("peer listener on %s: already started or closed: %w", address, ErrClosed)
+	}
+	s.listener = l
+	s.done.Go(func() { s.accept(l) })
+	return l.Addr().String(), nil
+}
+
+func (s *Server) accept(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Out of descriptors, mostly: accepting again at once would only spin.
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.done.Go(func() { s.serve(conn) })
+	}
+}
+
+const acceptPause = 20 * time.Millisecond
+
+func (s *Server) serve(raw net.Conn) {
+	counted := newCountedConn(raw, &s.counters, s.cfg.MessageTimeout)
+	defer counted.Close()
+	var conn net.Conn = counted
+	if s.cfg.TLS != nil {
+		conn = tls.Server(counted, s.cfg.TLS)
+	}
+	if !s.begin(conn) {
+		s.refuse(raw, errTooMany)
+		return
+	}
+	err := serverHandshake(conn, s.currentSecrets(), s.cfg.HandshakeTimeout)
+	if err != nil {
+		s.end(conn)
+		s.refuse(raw, err)
+		return
+	}
+	codec := newServerCodec(conn, s)
+	if !s.promote(conn, codec) {
+		return
+	}
+	s.rpc.ServeCodec(codec)
+	s.mu.Lock()
+	delete(s.conns, codec)
+	s.mu.Unlock()
+}
+
+var errTooMany = errors.New("too many connections")
+
+func (s *Server) refuse(conn net.Conn, err error) {
+	s.counters.refused.Add(1)
+	event.Warn(s.cfg.Logger, event.PeerConnectionRefused,
+		zap.String("Address", conn.RemoteAddr().String()), zap.Error(err))
+}
+
+func (s *Server) currentSecrets() [][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.secrets
+}
+
+func (s *Server) begin(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns)+len(s.pending) >= s.cfg.MaxConnections {
+		return false
+	}
+	s.pending[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) end(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pending, conn)
+}
+
+func (s *Server) promote(conn net.Conn, codec *serverCodec) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pending, conn)
+	if s.closed {
+		return false
+	}
+	s.conns[codec] = struct{}{}
+	return true
+}
+
+// Close stops accepting, takes no further call on open connections, lets
+// the calls in progress answer within the grace, then cuts what is left.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	s.closed = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for conn := range s.pending {
+		conn.Close()
+	}
+	for codec := range s.conns {
+		codec.stopReading()
+	}
+	s.mu.Unlock()
+	cut := time.AfterFunc(s.cfg.Grace, s.cut)
+	defer cut.Stop()
+	s.done.Wait()
+	return nil
+}
+
+func (s *Server) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for codec := range s.conns {
+		codec.Close()
+	}
+}
+
+// serverCodec is net/rpc's gob codec with bounds on the bytes of a message,
+// the time it takes, the time between messages and the calls in progress.
+type serverCodec struct {
+	conn     net.Conn
+	server   *Server
+	limited  *limitedReader
+	dec      *gob.Decoder
+	enc      *gob.Encoder
+	buf      *bufio.Writer
+	slots    chan struct{} // one for each call in progress
+	stopping atomic.Bool
+}
+
+func newServerCodec(conn net.Conn, s *Server) *serverCodec {
+	limited := newLimitedReader(conn, s.cfg.MaxMessageBytes)
+	buf := bufio.NewWriter(conn)
+	return &serverCodec{
+		conn:    conn,
+		server:  s,
+		limited: limited,
+		dec:     gob.NewDecoder(limited),
+		enc:     gob.NewEncoder(buf),
+		buf:     buf,
+		slots:   make(chan struct{}, s.cfg.MaxInFlight),
+	}
+}
+
+// stopReading ends the connection after the calls in progress: net/rpc
+// waits for these once a header can't be read.
+func (c *serverCodec) stopReading() {
+	c.stopping.Store(true)
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (c *serverCodec) waitUntil(t time.Time) error {
+	if err := c.conn.SetReadDeadline(t); err != nil {
+		return err
+	}
+	if c.stopping.Load() {
+		return c.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return nil
+}
+
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	c.slots <- struct{}{}
+	err := c.readHeader(r)
+	if err != nil {
+		<-c.slots
+	}
+	return err
+}
+
+func (c *serverCodec) readHeader(r *rpc.Request) error {
+	if err := c.waitUntil(time.Now().Add(c.server.cfg.IdleTimeout)); err != nil {
+		return err
+	}
+	if _, err := c.limited.r.Peek(1); err != nil {
+		return err
+	}
+	if err := c.waitUntil(time.Now().Add(c.server.cfg.MessageTimeout)); err != nil {
+		return err
+	}
+	c.limited.reset()
+	return c.dec.Decode(r)
+}
+
+func (c *serverCodec) ReadRequestBody(body any) error {
+	err := c.dec.Decode(body)
+	if errors.Is(err, ErrTooLarge) {
+		// The rest of the message can't be skipped within the bound: what
+		// follows on this connection would be read as a header.
+		c.stopReading()
+	}
+	return err
+}
+
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	defer func() { <-c.slots }()
+	c.server.counters.calls.Add(1)
+	err := errors.Join(c.enc.Encode(r), c.enc.Encode(body))
+	if err == nil {
+		err = c.buf.Flush()
+	}
+	if err != nil {
+		c.conn.Close()
+	}
+	return err
+}
+
+func (c *serverCodec) Close() error { return c.conn.Close() }
--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -8,6 +8,38 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
+	_ = x[JournalLogFailed-400]
+	_ = x[JournalLogBack-401]
+	_ = x[JournalClaimAbandoned-402]
+	_ = x[JournalRecordUnread-403]
+	_ = x[PeerConnectionRefused-200]
+	_ = x[MemberJoined-201]
+	_ = x[MemberRestarted-202]
+	_ = x[MemberSuspected-203]
+	_ = x[MemberDied-204]
+	_ = x[MemberLeaving-205]
+	_ = x[MemberRefuted-206]
+	_ = x[MemberNameTaken-207]
+	_ = x[MemberPaused-208]
+	_ = x[VMListUnavailable-209]
+	_ = x[VMListAvailable-210]
+	_ = x[CertificateReloaded-211]
+	_ = x[CertificateReloadFailed-212]
+	_ = x[OperatorRefused-600]
+	_ = x[IntentStated-601]
+	_ = x[IntentRefused-602]
+	_ = x[PlanConfirmed-603]
+	_ = x[ConfirmationRefused-604]
+	_ = x[BootstrapTokenUsed-605]
+	_ = x[ProcessStarting-500]
+	_ = x[ListenerOpen-501]
+	_ = x[ProcessReady-502]
+	_ = x[ProcessLeaving-503]
+	_ = x[ProcessStopped-504]
+	_ = x[GraceExceeded-505]
+	_ = x[ProcessFailed-506]
+	_ = x[CertificateLoaded-507]
+	_ = x[CertificateFailed-508]
 	_ = x[RequestPlaced-100]
 	_ = x[RequestAnswered-101]
 	_ = x[RequestRefused-102]
@@ -18,14 +50,40 @@
 	_ = x[StreamCancelled-107]
 }
 
-const _Event_name = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelled"
+const (
+	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelled"
+	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailed"
+	_Event_name_2 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnread"
+	_Event_name_3 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedCertificateLoadedCertificateFailed"
+	_Event_name_4 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsed"
+)
 
-var _Event_index = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112}
+var (
+	_Event_index_0 = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112}
+	_Event_index_1 = [...]uint8{0, 21, 33, 48, 63, 73, 86, 99, 114, 126, 143, 158, 177, 200}
+	_Event_index_2 = [...]uint8{0, 16, 30, 51, 70}
+	_Event_index_3 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 110, 127}
+	_Event_index_4 = [...]uint8{0, 15, 27, 40, 53, 72, 90}
+)
 
 func (i Event) String() string {
-	idx := int(i) - 100
-	if i < 100 || idx >= len(_Event_index)-1 {
+	switch {
+	case 100 <= i && i <= 107:
+		i -= 100
+		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
+	case 200 <= i && i <= 212:
+		i -= 200
+		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
+	case 400 <= i && i <= 403:
+		i -= 400
+		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
+	case 500 <= i && i <= 508:
+		i -= 500
+		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
+	case 600 <= i && i <= 605:
+		i -= 600
+		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
+	default:
 		return "Event(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
-	return _Event_name[_Event_index[idx]:_Event_index[idx+1]]
 }
--- /dev/null
+++ b/process/event/journal.go
@@ -0,0 +1,16 @@
+package event
+
+// Events of the journal for requests that are not repeatable.
+const (
+	// JournalLogFailed: a read or an append of the journal failed; claims are
+	// refused until the log is back.
+	JournalLogFailed Event = iota + 400
+	// JournalLogBack: the journal reads the log again.
+	JournalLogBack
+	// JournalClaimAbandoned: a claim was not read back in time; this node
+	// will not send the request, and says so in the log once it can.
+	JournalClaimAbandoned
+	// JournalRecordUnread: a record of the journal could not be decoded and
+	// was skipped.
+	JournalRecordUnread
+)
--- /dev/null
+++ b/process/event/process.go
@@ -0,0 +1,23 @@
+package event
+
+// Events of the process.
+const (
+	// ProcessStarting: the settings are read and checked.
+	ProcessStarting Event = iota + 500
+	// ListenerOpen: a listener accepts connections at the address given.
+	ListenerOpen
+	// ProcessReady: the node takes requests; Lacks names what it still has to do without.
+	ProcessReady
+	// ProcessLeaving: the node was told to stop; readiness has turned, requests in flight run to their end.
+	ProcessLeaving
+	// ProcessStopped: the last request has ended and all listeners are closed.
+	ProcessStopped
+	// GraceExceeded: requests were still in flight at the end of Shutdown.Grace and were cut. To do: raise Shutdown.Grace above the longest stream.
+	GraceExceeded
+	// ProcessFailed: a part of the process failed and the process stops. To do: read Error; the platform should start the process again.
+	ProcessFailed
+	// CertificateLoaded: a listener's certificate was read, at the start or after its file changed.
+	CertificateLoaded
+	// CertificateFailed: a changed certificate can't be used; the one before stays in use. To do: mend the files named.
+	CertificateFailed
+)
