--- /dev/null
+++ b/request/journal/record.go
@@ -0,0 +1,78 @@
+package journal
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+)
+
+//go:generate go tool stringer -type=Outcome,Verdict -output=journal_string.go
+
+// Writer is one run of one node's process.
+type Writer struct {
+	Node        string
+	Incarnation uint64
+}
+
+// ClaimID names a claim; the writer never gives a sequence twice.
+type ClaimID struct {
+	Writer   Writer
+	Sequence uint64
+}
+
+// Outcome is how a claim ended.
+type Outcome uint8
+
+const (
+	// Open claims have not ended yet.
+	Open Outcome = iota
+	// Ran claims were sent, and the upstream answered.
+	Ran
+	// NotRun claims were never sent and never will be: the key is free.
+	NotRun
+	// Unclear claims were sent, and no answer came.
+	Unclear
+)
+
+// ClaimRecord asks for the right to run a key.
+type ClaimRecord struct {
+	ID      ClaimID
+	Key     KeyHash
+	Request RequestHash
+	KeyTime int64 // milliseconds since 1970
+}
+
+// OutcomeRecord says how a claim ended.
+type OutcomeRecord struct {
+	ID      ClaimID
+	Key     KeyHash
+	KeyTime int64 // milliseconds since 1970
+	Outcome Outcome
+	Status  int // HTTP status, if it ran
+}
+
+// Batch is one record of the log.
+type Batch struct {
+	// Stamp is the appender's clock before the append, in milliseconds.
+	Stamp int64
+	// Seen is the last offset that the appender had read at Stamp; 0: none.
+	// It bounds from above when those records were appended, which a record's
+	// own stamp can't: an append may be held up for minutes on its way.
+	Seen     platform.Offset
+	Claims   []ClaimRecord   `json:",omitempty"`
+	Outcomes []OutcomeRecord `json:",omitempty"`
+}
+
+func (b Batch) encode() ([]byte, error) { return json.Marshal(b) }
+
+func decodeBatch(body []byte) (Batch, error) {
+	var b Batch
+	if err := json.Unmarshal(body, &b); err != nil {
+		return Batch{}, fmt.Errorf("journal: decode batch: %w", err)
+	}
+	return b, nil
+}
+
+func millis(t time.Time) int64 { return t.UnixMilli() }
