--- /dev/null
+++ b/connection/caller/caller.go
@@ -0,0 +1,204 @@
+// Package caller is the callers' listener: an OpenAI-compatible interface
+// for generated text, a general path for plain services, and the health and
+// metrics paths beside them.
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/call"
+	"github.com/dunlinmill/dunlinmill/request/completion"
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Completions serves requests for generated text.
+type Completions interface {
+	Start(ctx context.Context, r completion.Request) (*completion.Answer, error)
+}
+
+// Calls serves requests to plain services.
+type Calls interface {
+	Do(ctx context.Context, r call.Request) (upstream.Reply, error)
+}
+
+// Directory answers who a caller is and what may be asked for.
+type Directory interface {
+	// Workspace gives the workspace of a key.
+	Workspace(secret string) (name string, ok bool)
+	Models() []string
+}
+
+// Presence says whether this node should get new connections.
+type Presence interface {
+	// Ready says whether the balancer should choose this node.
+	Ready() bool
+	// Leaving says whether callers should close their connections.
+	Leaving() bool
+}
+
+// Config bounds what one connection may cost.
+type Config struct {
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	// HeaderTimeout bounds the time to read a request, body included.
+	HeaderTimeout time.Duration
+	// IdleTimeout closes a kept-alive connection without a request.
+	IdleTimeout time.Duration
+	// StallTimeout is how long a caller may take to read one write.
+	StallTimeout time.Duration
+	// MaxConnections bounds the open connections.
+	MaxConnections int
+	// DefaultMaxTokens is the length of an answer that names none.
+	DefaultMaxTokens int
+}
+
+// Defaults of Config.
+const (
+	DefaultMaxBodyBytes   = 8 << 20
+	DefaultMaxHeaderBytes = 16 << 10
+	DefaultHeaderTimeout  = 20 * time.Second
+	DefaultIdleTimeout    = 60 * time.Second
+	DefaultStallTimeout   = 30 * time.Second
+	DefaultMaxConnections = 64 << 10
+	DefaultMaxTokens      = 256
+)
+
+// WithDefaults fills what is not set.
+func (c Config) WithDefaults() Config {
+	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&c.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setDefault(&c.HeaderTimeout, DefaultHeaderTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.StallTimeout, DefaultStallTimeout)
+	setDefault(&c.MaxConnections, DefaultMaxConnections)
+	setDefault(&c.DefaultMaxTokens, DefaultMaxTokens)
+	return c
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Listener is the callers' listener.
+type Listener struct {
+	cfg         Config
+	completions Completions
+	calls       Calls
+	directory   Directory
+	presence    Presence
+	log         *zap.Logger
+	app         *fiber.App
+}
+
+// Services are what a Listener serves from.
+type Services struct {
+	Completions Completions
+	Calls       Calls
+	Directory   Directory
+	Presence    Presence
+	Metrics     prometheus.Gatherer
+	Log         *zap.Logger
+}
+
+// NewListener builds a listener; Serve starts it.
+func NewListener(cfg Config, s Services) *Listener {
+	cfg = cfg.WithDefaults()
+	l := &Listener{
+		cfg:         cfg,
+		completions: s.Completions,
+		calls:       s.Calls,
+		directory:   s.Directory,
+		presence:    s.Presence,
+		log:         s.Log,
+	}
+	l.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             cfg.MaxBodyBytes,
+		ReadBufferSize:        cfg.MaxHeaderBytes,
+		ReadTimeout:           cfg.HeaderTimeout,
+		IdleTimeout:           cfg.IdleTimeout,
+		Concurrency:           cfg.MaxConnections,
+		ErrorHandler:          l.failed,
+		UnescapePath:          false,
+		CaseSensitive:         true,
+	})
+	l.routes(s.Metrics)
+	return l
+}
+
+func (l *Listener) routes(metrics prometheus.Gatherer) {
+	l.app.Use(l.closeWhenLeaving)
+	l.app.Get("/health", l.health)
+	l.app.Get("/ready", l.ready)
+	l.app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(metrics, promhttp.HandlerOpts{})))
+	l.app.Get("/v1/models", l.models)
+	l.app.Post("/v1/chat/completions", l.chat)
+	l.app.Post("/v1/completions", l.complete)
+	l.app.All("/services/:name/*", l.service)
+	l.app.Use(func(*fiber.Ctx) error { return failure.ErrNotFound })
+}
+
+// Serve takes connections from ln until Shutdown.
+func (l *Listener) Serve(ln net.Listener) error { return l.app.Listener(ln) }
+
+// Shutdown stops taking connections and waits for the requests in flight,
+// for up to grace.
+func (l *Listener) Shutdown(grace time.Duration) error {
+	return l.app.ShutdownWithTimeout(grace)
+}
+
+// closeWhenLeaving has kept-alive connections end with the answer in hand,
+// so that no caller sends its next request into a connection that closes.
+func (l *Listener) closeWhenLeaving(c *fiber.Ctx) error {
+	if l.presence.Leaving() {
+		c.Context().Response.SetConnectionClose()
+	}
+	return c.Next()
+}
+
+func (l *Listener) health(c *fiber.Ctx) error { return c.SendString("ok\n") }
+
+func (l *Listener) ready(c *fiber.Ctx) error {
+	if !l.presence.Ready() {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
+	}
+	return c.SendString("ready\n")
+}
+
+// failed answers every error with its typed form.
+func (l *Listener) failed(c *fiber.Ctx, err error) error {
+	return writeFailure(c, typed(err))
+}
+
+// typed makes the library's own errors ours. They all come before a handler
+// ran, so nothing was sent.
+func typed(err error) *failure.Error {
+	var fe *fiber.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return failure.ErrBodyTooLarge
+	case !errors.As(err, &fe):
+		return failure.From(err)
+	case fe.Code == fiber.StatusRequestEntityTooLarge:
+		return failure.ErrBodyTooLarge
+	case fe.Code == fiber.StatusRequestHeaderFieldsTooLarge:
+		return failure.ErrHeaderTooLarge
+	case fe.Code == fiber.StatusNotFound || fe.Code == fiber.StatusMethodNotAllowed:
+		return failure.ErrNotFound
+	}
+	return failure.ErrMalformedRequest.WithCause(err)
+}
--- /dev/null
+++ b/connection/caller/service.go
@@ -0,0 +1,78 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/request/call"
+)
+
+// notPassedOn are the header fields of one connection or of the router
+// itself; all others go to the service and back.
+var notPassedOn = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Authorization",
+	HeaderIdempotencyKey, HeaderRepeatable, HeaderKeyTime,
+}
+
+func passedOn(name string) bool {
+	for _, n := range notPassedOn {
+		if strings.EqualFold(n, name) {
+			return false
+		}
+	}
+	return true
+}
+
+// service passes a call on to a plain service.
+func (l *Listener) service(c *fiber.Ctx) error {
+	now := time.Now()
+	t, err := l.terms(c, now)
+	if err != nil {
+		return err
+	}
+	r := callRequest(c, t)
+	reply, err := l.calls.Do(context.Background(), r)
+	if err != nil {
+		event.Info(l.log, event.RequestRefused, zap.String("Request", r.ID),
+			zap.String("Workspace", r.Workspace), zap.String("Service", r.Service), zap.Error(err))
+		return err
+	}
+	for _, f := range reply.Header {
+		if passedOn(f.Name) {
+			c.Set(f.Name, f.Value)
+		}
+	}
+	return c.Status(reply.Status).Send(reply.Body)
+}
+
+// callRequest copies everything that it keeps: fiber reuses its memory.
+func callRequest(c *fiber.Ctx, t terms) call.Request {
+	var header []upstream.Field
+	for name, value := range c.Request().Header.All() {
+		if passedOn(string(name)) {
+			header = append(header, upstream.Field{Name: string(name), Value: string(value)})
+		}
+	}
+	return call.Request{
+		ID:         t.id,
+		Workspace:  t.workspace,
+		Service:    strings.Clone(c.Params("name")),
+		Method:     strings.Clone(c.Method()),
+		Path:       "/" + strings.Clone(c.Params("*")),
+		Query:      string(c.Request().URI().QueryString()),
+		Header:     header,
+		Body:       bytes.Clone(c.Body()),
+		Priority:   t.priority,
+		Deadline:   t.deadline,
+		Repeatable: t.repeat == repeatable,
+		Key:        t.key,
+	}
+}
--- /dev/null
+++ b/connection/caller/write.go
@@ -0,0 +1,84 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"github.com/dunlinmill/dunlinmill/request/failure"
+)
+
+// errorBody is the OpenAI-compatible form of a failure. The code is one of
+// package failure's; ran and retry_after are the router's additions.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message    string  `json:"message"`
+	Type       string  `json:"type"`
+	Code       string  `json:"code"`
+	Ran        string  `json:"ran"`
+	RetryAfter float64 `json:"retry_after,omitempty"` // seconds
+}
+
+func bodyOf(e *failure.Error) errorBody {
+	return errorBody{Error: errorDetail{
+		Message:    e.Message,
+		Type:       errorType(e.Status),
+		Code:       e.Code.String(),
+		Ran:        e.Ran.Text(),
+		RetryAfter: e.RetryAfter.Seconds(),
+	}}
+}
+
+func errorType(status int) string {
+	if status >= fiber.StatusInternalServerError {
+		return "server_error"
+	}
+	return "invalid_request_error"
+}
+
+func writeFailure(c *fiber.Ctx, e *failure.Error) error {
+	c.Set(HeaderRan, e.Ran.Text())
+	if e.RetryAfter > 0 {
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(wholeSeconds(e.RetryAfter)))
+	}
+	return c.Status(e.Status).JSON(bodyOf(e))
+}
+
+// wholeSeconds rounds up: a caller that comes back early is refused again.
+func wholeSeconds(d time.Duration) int {
+	return int(math.Ceil(d.Seconds()))
+}
+
+// writeEvent writes one server-sent event and flushes it.
+func writeEvent(w *bufio.Writer, name string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	if name != "" {
+		if _, err := w.WriteString("event: " + name + "\n"); err != nil {
+			return err
+		}
+	}
+	return writeData(w, data)
+}
+
+func writeData(w *bufio.Writer, data []byte) error {
+	if _, err := w.WriteString("data: "); err != nil {
+		return err
+	}
+	if _, err := w.Write(data); err != nil {
+		return err
+	}
+	if _, err := w.WriteString("\n\n"); err != nil {
+		return err
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/request/call/call.go
@@ -0,0 +1,54 @@
+// Package call serves one request to a plain service: it chooses an
+// instance, sends the call once, and says truthfully what became of it.
+package call
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/idempotency"
+)
+
+// Request is a caller's request, read and checked. Nothing in it points into
+// a connection's buffers.
+type Request struct {
+	ID        string
+	Workspace string
+	Service   string
+	Method    string
+	Path      string
+	Query     string
+	Header    []upstream.Field
+	Body      []byte
+	Priority  int
+	Deadline  time.Time // zero: none
+	// Repeatable says that the caller allows repeats whatever the method.
+	Repeatable bool
+	// Key is set if the request may run once at most.
+	Key idempotency.Key
+}
+
+// mayRepeat says whether the call may be sent again although it may have run.
+// A method that changes nothing may; any other only if the caller says so.
+func (r Request) mayRepeat() bool {
+	if r.Key.Set() {
+		return false
+	}
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return r.Repeatable
+}
+
+func (r Request) call() upstream.Call {
+	return upstream.Call{
+		Method: r.Method,
+		Path:   r.Path,
+		Query:  r.Query,
+		Header: r.Header,
+		Body:   r.Body,
+		Key:    r.Key.Value,
+	}
+}
--- /dev/null
+++ b/request/call/router.go
@@ -0,0 +1,309 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/limit"
+	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// View gives the configuration in force.
+type View interface {
+	Config() config.Config
+}
+
+// Upstreams is what this process knows of the service instances.
+type Upstreams interface {
+	// Service gives the client of an instance of the configuration.
+	Service(u config.Upstream) upstream.Service
+	// Usable says whether the instance is thought to be up.
+	Usable(now time.Time, name string) bool
+}
+
+// Guard frames each send with the limits, the ejection and the retry budget.
+type Guard interface {
+	// Excluded gives those instances that must not get a call now.
+	Excluded(now time.Time, names []string) []string
+	// Begin takes the place for one send; every true is followed by one End.
+	Begin(now time.Time, name string) bool
+	End(now time.Time, name string, s guard.Send)
+	// Request notes a call's first send.
+	Request(workspace, name string)
+	// Decide says what becomes of a call after a failed send.
+	Decide(now time.Time, a retry.Attempt) retry.Verdict
+	// InFlight is this node's own sends on the instance.
+	InFlight(name string) int
+}
+
+// Admission holds back or refuses calls beyond this node's capacity.
+type Admission interface {
+	AdmitCall(ctx context.Context, now time.Time, r Request) (release func(), err error)
+}
+
+// Journal sees to it that a not-repeatable call runs once at most.
+type Journal interface {
+	// BeginCall claims the call's key, or gives the answer it got before.
+	// The error is a *failure.Error.
+	BeginCall(ctx context.Context, now time.Time, r Request, deduplicates bool) (Claim, *upstream.Reply, error)
+}
+
+// Claim is the right to send a call once.
+type Claim interface {
+	// MaySend says whether the call may still be sent; true at most once.
+	MaySend(now time.Time) bool
+	// NotSent gives the key free: no byte has left and none will.
+	NotSent(now time.Time)
+	// Ran notes the answer.
+	Ran(now time.Time, reply upstream.Reply)
+	// Unknown notes that the call may have run.
+	Unknown(now time.Time)
+}
+
+// Config bounds one call's life.
+type Config struct {
+	// Timeout bounds one send with its answer.
+	Timeout time.Duration
+}
+
+// DefaultTimeout is Config's.
+const DefaultTimeout = 30 * time.Second
+
+// WithDefaults fills what is not set.
+func (c Config) WithDefaults() Config {
+	if c.Timeout == 0 {
+		c.Timeout = DefaultTimeout
+	}
+	return c
+}
+
+// Router serves calls to plain services. It lives as long as the process.
+type Router struct {
+	Config    Config
+	View      View
+	Upstreams Upstreams
+	Guard     Guard
+	Admission Admission
+	Journal   Journal
+	Log       *zap.Logger
+}
+
+// Do serves one call. The error is always a *failure.Error.
+func (rt *Router) Do(ctx context.Context, r Request) (upstream.Reply, error) {
+	now := time.Now()
+	instances, err := rt.instances(r)
+	if err != nil {
+		return upstream.Reply{}, err
+	}
+	release, err := rt.Admission.AdmitCall(ctx, now, r)
+	if err != nil {
+		return upstream.Reply{}, err
+	}
+	defer release()
+	s := &sending{rt: rt, r: r, instances: instances}
+	if !r.Key.Set() {
+		return s.sendAll(ctx)
+	}
+	return s.sendClaimed(ctx, now)
+}
+
+func (rt *Router) instances(r Request) ([]config.Upstream, error) {
+	cfg := rt.View.Config()
+	known := lo.SomeBy(lo.Values(cfg.Upstreams), func(u config.Upstream) bool {
+		return u.Kind == config.Service && u.Service == r.Service
+	})
+	if !known {
+		return nil, failure.ErrUnknownService.WithMessage("no service %q", r.Service)
+	}
+	instances := cfg.Services(r.Service)
+	if len(instances) == 0 {
+		return nil, failure.ErrNoUpstream.WithRetryAfter(retryAfter)
+	}
+	return instances, nil
+}
+
+// retryAfter is when to come back if nothing better is known.
+const retryAfter = time.Second
+
+// sending is one call on its way.
+type sending struct {
+	rt        *Router
+	r         Request
+	instances []config.Upstream
+	claim     Claim // nil for a call that may be repeated
+	attempts  int
+	sent      bool // a byte may have reached an instance
+	tried     []string
+}
+
+// sendClaimed claims the key before the send and tells the journal the end.
+func (s *sending) sendClaimed(ctx context.Context, now time.Time) (upstream.Reply, error) {
+	deduplicates := lo.EveryBy(s.instances, func(u config.Upstream) bool { return u.DeduplicatesKeys })
+	c, earlier, err := s.rt.Journal.BeginCall(ctx, now, s.r, deduplicates)
+	if err != nil {
+		return upstream.Reply{}, err
+	}
+	if earlier != nil {
+		return *earlier, nil
+	}
+	s.claim = c
+	reply, err := s.sendAll(ctx)
+	switch {
+	case err == nil:
+		c.Ran(time.Now(), reply)
+	case failure.From(err).Ran == failure.NotRun:
+		c.NotSent(time.Now())
+	default:
+		c.Unknown(time.Now())
+	}
+	return reply, err
+}
+
+func (s *sending) sendAll(ctx context.Context) (upstream.Reply, error) {
+	for {
+		now := time.Now()
+		if !s.r.Deadline.IsZero() && !now.Before(s.r.Deadline) {
+			return upstream.Reply{}, s.refusal(failure.ErrDeadlineExceeded, nil)
+		}
+		u, ok := s.choose(now)
+		if !ok {
+			return upstream.Reply{}, s.refusal(failure.ErrNoUpstream, nil)
+		}
+		if !s.rt.Guard.Begin(now, u.Name) {
+			// Another call took the last place: nothing was sent.
+			s.tried = append(s.tried, u.Name)
+			continue
+		}
+		reply, err := s.send(ctx, now, u)
+		if err == nil {
+			return reply, nil
+		}
+		if err := s.again(ctx, u.Name, err); err != nil {
+			return upstream.Reply{}, err
+		}
+	}
+}
+
+// choose takes the usable instance with the fewest of this node's calls,
+// leaving out those that were tried.
+func (s *sending) choose(now time.Time) (config.Upstream, bool) {
+	names := lo.Map(s.instances, func(u config.Upstream, _ int) string { return u.Name })
+	excluded := append(s.rt.Guard.Excluded(now, names), s.tried...)
+	open := lo.Filter(s.instances, func(u config.Upstream, _ int) bool {
+		return !lo.Contains(excluded, u.Name)
+	})
+	usable := lo.Filter(open, func(u config.Upstream, _ int) bool {
+		return s.rt.Upstreams.Usable(now, u.Name)
+	})
+	if len(usable) > 0 {
+		open = usable
+	}
+	if len(open) == 0 {
+		return config.Upstream{}, false
+	}
+	return lo.MinBy(open, func(a, b config.Upstream) bool {
+		return s.rt.Guard.InFlight(a.Name) < s.rt.Guard.InFlight(b.Name)
+	}), true
+}
+
+// send makes one send in the place that was taken for it.
+func (s *sending) send(ctx context.Context, now time.Time, u config.Upstream) (upstream.Reply, error) {
+	s.attempts++
+	if s.attempts == 1 {
+		s.rt.Guard.Request(s.r.Workspace, u.Name)
+	}
+	event.Info(s.rt.Log, event.RequestPlaced, zap.String("Request", s.r.ID),
+		zap.String("Workspace", s.r.Workspace), zap.String("Service", s.r.Service),
+		zap.String("Upstream", u.Name), zap.Int("Attempt", s.attempts))
+	reply, err := s.do(ctx, now, u)
+	took := time.Since(now)
+	s.rt.Guard.End(time.Now(), u.Name, guard.Send{Err: err, FirstToken: took})
+	if err != nil {
+		s.sent = s.sent || !surelyNotRun(err)
+		return reply, fmt.Errorf("upstream %s: %w", u.Name, err)
+	}
+	return reply, nil
+}
+
+func (s *sending) do(ctx context.Context, now time.Time, u config.Upstream) (upstream.Reply, error) {
+	if s.claim != nil && s.attempts == 1 && !s.claim.MaySend(now) {
+		return upstream.Reply{}, fmt.Errorf("claim is spent: %w", upstream.ErrRefused)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.patience(now))
+	defer cancel()
+	return s.rt.Upstreams.Service(u).Do(ctx, s.r.call())
+}
+
+func (s *sending) patience(now time.Time) time.Duration {
+	if s.r.Deadline.IsZero() {
+		return s.rt.Config.Timeout
+	}
+	return min(s.rt.Config.Timeout, s.r.Deadline.Sub(now))
+}
+
+// surelyNotRun holds for the errors after which no byte of the call can have
+// been acted on.
+func surelyNotRun(err error) bool {
+	return retry.Classify(err, 0) <= retry.WrongVersion
+}
+
+// again returns when the call may be sent once more after a failed send, or
+// the caller's error if it may not.
+func (s *sending) again(ctx context.Context, name string, cause error) error {
+	v := s.rt.Guard.Decide(time.Now(), retry.Attempt{
+		ID:         s.r.ID,
+		Workspace:  s.r.Workspace,
+		Upstream:   name,
+		Tries:      s.attempts,
+		Repeatable: s.r.mayRepeat(),
+		Fault:      retry.Classify(cause, 0),
+		SentBefore: s.sent,
+		Others:     s.others(name),
+		Deadline:   s.r.Deadline,
+		Cause:      cause,
+	})
+	event.Info(s.rt.Log, event.RequestRetried, zap.String("Request", s.r.ID),
+		zap.String("Upstream", name), zap.Int("Attempt", s.attempts),
+		zap.Stringer("Action", v.Action), zap.String("Reason", v.Reason), zap.Error(cause))
+	switch v.Action {
+	case retry.RetryElsewhere:
+		s.tried = append(s.tried, name)
+		return nil
+	case retry.RetrySame:
+		return s.pause(ctx, v.Wait)
+	}
+	return v.Err
+}
+
+func (s *sending) pause(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return s.refusal(failure.ErrCancelled, ctx.Err())
+	case <-time.After(wait):
+		return nil
+	}
+}
+
+// others counts the instances that were not tried yet, but for name.
+func (s *sending) others(name string) int {
+	return lo.CountBy(s.instances, func(u config.Upstream) bool {
+		return u.Name != name && !lo.Contains(s.tried, u.Name)
+	})
+}
+
+func (s *sending) refusal(e *failure.Error, cause error) error {
+	ran := failure.NotRun
+	if s.sent {
+		ran = failure.Unknown
+	}
+	return e.WithRan(ran).WithRetryAfter(limit.Spread(0, s.r.ID, retryAfter)).WithCause(cause)
+}
--- /dev/null
+++ b/request/completion/answer.go
@@ -0,0 +1,235 @@
+package completion
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// Answer is one answer on its way to the caller. It belongs to one goroutine.
+type Answer struct {
+	s       *start
+	visit   *visit
+	up      config.Upstream
+	gen     upstream.Generation
+	stream  upstream.Stream
+	cancel  context.CancelFunc
+	release func()
+	info    Info
+
+	pending  *upstream.Token // read ahead, not given out yet
+	last     int             // index in the present stream of the last token given out
+	count    int             // tokens given out over all streams
+	text     strings.Builder // all text given out, for a continuation elsewhere
+	resumes  int
+	finished bool
+	// resumeFailed says that the engine did not give the present stream back.
+	resumeFailed bool
+	failed       error // why the answer ended without its end
+	closed       bool
+}
+
+func newAnswer(s *start, v *visit, u config.Upstream, g upstream.Generation, stream upstream.Stream, cancel context.CancelFunc) *Answer {
+	h := stream.Head()
+	return &Answer{
+		s: s, visit: v, up: u, gen: g, stream: stream, cancel: cancel, last: -1,
+		release: func() {},
+		info: Info{
+			Upstream:     u.Name,
+			Version:      h.Version,
+			PromptTokens: h.PromptTokens,
+			CachedTokens: h.CachedTokens,
+			Attempts:     s.attempts,
+		},
+	}
+}
+
+// Info tells about the answer's head.
+func (a *Answer) Info() Info { return a.info }
+
+// first reads the first token ahead.
+func (a *Answer) first() error {
+	t, err := a.stream.Next()
+	if err != nil {
+		return fmt.Errorf("first token: %w", err)
+	}
+	a.pending = &t
+	return nil
+}
+
+// Next gives the next token; io.EOF after the one that carried Finish. Any
+// other error is a *failure.Error: the answer is not whole and must not look
+// so to the caller.
+func (a *Answer) Next() (Token, error) {
+	if a.finished {
+		return Token{}, io.EOF
+	}
+	for {
+		t, err := a.read()
+		if err == nil {
+			return a.give(t), nil
+		}
+		if err := a.mend(err); err != nil {
+			a.failed = err
+			return Token{}, err
+		}
+	}
+}
+
+func (a *Answer) read() (upstream.Token, error) {
+	if a.pending != nil {
+		t := *a.pending
+		a.pending = nil
+		return t, nil
+	}
+	t, err := a.stream.Next()
+	if errors.Is(err, io.EOF) {
+		// The engine's end without a token that carries Finish is a cut:
+		// passed on as an end, half an answer would look whole.
+		return t, upstream.ErrBroken
+	}
+	return t, err
+}
+
+func (a *Answer) give(t upstream.Token) Token {
+	a.last = t.Index
+	out := Token{Index: a.count, Text: t.Text, Finish: t.Finish}
+	a.count++
+	a.text.WriteString(t.Text)
+	if t.Finish != "" {
+		a.finished = true
+	}
+	return out
+}
+
+// mend brings a broken stream back: first on the same engine, which still
+// holds it if only the connection broke, then on another one that goes on
+// after the text given out.
+func (a *Answer) mend(cause error) error {
+	canResume := a.resumes < a.s.rt.Config.MaxResumes && !a.resumeFailed
+	if a.s.r.Key.Set() {
+		// Going on with the stream that the engine holds runs nothing again;
+		// anything else would.
+		if canResume && a.resume() {
+			return nil
+		}
+		return a.cut(cause)
+	}
+	v := a.s.decide(a.up.Name, cause, a.count, canResume)
+	switch v.Action {
+	case retry.Resume:
+		if a.resume() {
+			return nil
+		}
+		return a.mend(cause)
+	case retry.ContinueElsewhere, retry.RetryElsewhere:
+		return a.continueElsewhere(cause)
+	}
+	return a.cut(v.Err)
+}
+
+func (a *Answer) cut(cause error) error {
+	return failure.ErrStreamCut.WithRan(failure.Unknown).WithRetryAfter(retryAfter).WithCause(cause)
+}
+
+// resume asks the same engine for the rest of the same stream. An engine
+// that came back under its address has another incarnation and does not hold
+// the stream; the check here is for one that would claim so all the same.
+func (a *Answer) resume() bool {
+	a.resumes++
+	a.resumeFailed = true
+	ctx, cancel := context.WithCancel(context.Background())
+	timer := time.AfterFunc(a.s.rt.Config.ResumeTimeout, cancel)
+	stream, err := a.s.rt.Upstreams.Engine(a.up).Resume(ctx, a.gen.StreamID, a.last)
+	if err != nil || !timer.Stop() {
+		cancel()
+		return false
+	}
+	h := stream.Head()
+	if h.Incarnation != a.visit.incarnation || h.Version != a.info.Version {
+		_ = stream.Close()
+		cancel()
+		return false
+	}
+	a.replace(stream, cancel)
+	a.resumeFailed = false
+	event.Info(a.s.rt.Log, event.StreamResumed, zap.String("Request", a.s.r.ID),
+		zap.String("Upstream", a.up.Name), zap.Int("After", a.last))
+	return true
+}
+
+// continueElsewhere has another engine go on after the text that was given
+// out, under the same weights. Never for a not-repeatable request, which
+// would run twice.
+func (a *Answer) continueElsewhere(cause error) error {
+	a.visit.end(time.Now(), cause)
+	a.s.excluded = append(a.s.excluded, a.up.Name)
+	next, err := a.s.goOn(a.text.String(), a.count, a.info.Version)
+	if err != nil {
+		return a.cut(errors.Join(cause, err))
+	}
+	a.visit, a.up, a.gen = next.visit, next.up, next.gen
+	a.replace(next.stream, next.cancel)
+	a.pending = next.pending
+	a.last = -1
+	a.resumeFailed = false
+	event.Info(a.s.rt.Log, event.StreamContinued, zap.String("Request", a.s.r.ID),
+		zap.String("Upstream", a.up.Name), zap.Int("Tokens", a.count))
+	return nil
+}
+
+func (a *Answer) replace(stream upstream.Stream, cancel context.CancelFunc) {
+	a.drop()
+	a.stream, a.cancel = stream, cancel
+}
+
+func (a *Answer) drop() {
+	_ = a.stream.Close()
+	a.cancel()
+}
+
+// abandon ends a stream nobody reads, and the engine's work on it. The
+// connection's end alone does not stop an engine that keeps cut streams for
+// a resume; it would go on to the last token for nobody.
+func (a *Answer) abandon() {
+	a.drop()
+	ctx, cancel := context.WithTimeout(context.Background(), a.s.rt.Config.ResumeTimeout)
+	defer cancel()
+	if err := a.s.rt.Upstreams.Engine(a.up).Cancel(ctx, a.gen.StreamID); err != nil {
+		event.Info(a.s.rt.Log, event.StreamCancelled, zap.String("Request", a.s.r.ID), zap.Error(err))
+		return
+	}
+	event.Info(a.s.rt.Log, event.StreamCancelled, zap.String("Request", a.s.r.ID))
+}
+
+// Close ends the answer, whole or not, and gives back what it held. It may
+// be called more than once. A caller that went away is no failure of the
+// upstream and is not counted as one.
+func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	if a.finished {
+		a.drop()
+	} else {
+		a.abandon()
+	}
+	now := time.Now()
+	a.visit.end(now, a.failed)
+	if a.s.claim != nil {
+		a.s.claim.Sent(now, a.finished)
+	}
+	a.release()
+}
--- /dev/null
+++ b/request/completion/continue.go
@@ -0,0 +1,56 @@
+package completion
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/failure"
+)
+
+// goOn starts the rest of an answer on another engine that holds the same
+// weights version. Weights of another version would splice two models' texts.
+func (s *start) goOn(text string, count int, version string) (*Answer, error) {
+	now := time.Now()
+	p := s.rt.Policies.Policy(now, s.target.pool, s.r.Model, s.rt.candidates(now, s.target))
+	pr := s.placementRequest(now)
+	d, err := p.Place(now, pr)
+	if err != nil {
+		return nil, fmt.Errorf("place the rest: %w", err)
+	}
+	u, ok := s.rt.View.Config().Upstreams[d.Upstream]
+	if !ok {
+		return nil, failure.ErrNoUpstream
+	}
+	v, ok := s.visit(now, p, pr, d)
+	if !ok {
+		return nil, upstream.ErrBusy
+	}
+	s.attempts++
+	s.logPlacement(d)
+	g := s.generation(u)
+	g.Continue = text
+	g.MaxTokens -= count
+	if g.Version != version {
+		v.end(now, upstream.ErrWrongVersion)
+		return nil, upstream.ErrWrongVersion
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	timer := time.AfterFunc(s.patience(now), cancel)
+	defer timer.Stop()
+	stream, err := s.rt.Upstreams.Engine(u).Generate(ctx, g)
+	if err != nil {
+		cancel()
+		v.end(time.Now(), err)
+		return nil, err
+	}
+	a := newAnswer(s, v, u, g, stream, cancel)
+	if err := a.first(); err != nil {
+		a.abandon()
+		v.end(time.Now(), err)
+		return nil, err
+	}
+	v.answered(time.Now(), stream.Head(), time.Since(v.began))
+	return a, nil
+}
--- /dev/null
+++ b/request/completion/router.go
@@ -0,0 +1,130 @@
+package completion
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// View gives the configuration in force.
+type View interface {
+	Config() config.Config
+}
+
+// Upstreams is what this process knows of the engines.
+type Upstreams interface {
+	// Engine gives the client of an engine of the configuration.
+	Engine(u config.Upstream) upstream.Engine
+	// Version is the weights version that the engine holds of a model, as
+	// far as it has told; empty if it has not.
+	Version(name, model string) string
+	// Usable says whether the engine is thought to be up.
+	Usable(now time.Time, name string) bool
+}
+
+// Policies gives the placement policy of a pool's engines for one model.
+type Policies interface {
+	Policy(now time.Time, pool, model string, eligible []placement.Upstream) placement.Policy
+}
+
+// Admission holds back or refuses requests beyond this node's capacity.
+type Admission interface {
+	// Admit waits for a place; release gives it back. The error is a
+	// *failure.Error with the time to come back.
+	Admit(ctx context.Context, now time.Time, r Request, tokens int) (release func(), err error)
+}
+
+// Guard frames each send with the limits, the ejection and the retry budget.
+type Guard interface {
+	// Excluded gives those upstreams that must not get a request now.
+	Excluded(now time.Time, names []string) []string
+	// Begin takes the place for one send; every true is followed by one End.
+	Begin(now time.Time, name string) bool
+	End(now time.Time, name string, s guard.Send)
+	// Request notes a request's first send.
+	Request(workspace, name string)
+	// Decide says what becomes of a request after a failed send.
+	Decide(now time.Time, a retry.Attempt) retry.Verdict
+}
+
+// Journal sees to it that a not-repeatable request runs once at most.
+type Journal interface {
+	// Begin claims the request's key. The error is a *failure.Error.
+	Begin(ctx context.Context, now time.Time, r Request) (Claim, error)
+}
+
+// Claim is the right to send a request once.
+type Claim interface {
+	// MaySend says whether the request may still be sent; true at most once.
+	MaySend(now time.Time) bool
+	// NotSent gives the key free: no byte has left and none will.
+	NotSent(now time.Time)
+	// Sent notes that the request reached the upstream, and whether the
+	// whole answer came back.
+	Sent(now time.Time, whole bool)
+}
+
+// Observer counts what the router does.
+type Observer interface {
+	Answered(r Request, i Info, firstToken time.Duration)
+	Retried(r Request, a retry.Action)
+}
+
+// Config bounds one request's life.
+type Config struct {
+	DataCentre string
+	// HeadTimeout is how long an engine may take to the first token.
+	HeadTimeout time.Duration
+	// MaxResumes bounds the resumes of one answer.
+	MaxResumes int
+	// ResumeTimeout bounds each resume.
+	ResumeTimeout time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultHeadTimeout   = 30 * time.Second
+	DefaultMaxResumes    = 3
+	DefaultResumeTimeout = 2 * time.Second
+)
+
+// WithDefaults fills what is not set.
+func (c Config) WithDefaults() Config {
+	if c.HeadTimeout == 0 {
+		c.HeadTimeout = DefaultHeadTimeout
+	}
+	if c.MaxResumes == 0 {
+		c.MaxResumes = DefaultMaxResumes
+	}
+	if c.ResumeTimeout == 0 {
+		c.ResumeTimeout = DefaultResumeTimeout
+	}
+	return c
+}
+
+// Router serves completion requests. It lives as long as the process.
+type Router struct {
+	Config    Config
+	View      View
+	Upstreams Upstreams
+	Policies  Policies
+	Admission Admission
+	Guard     Guard
+	Journal   Journal
+	Observer  Observer
+	Log       *zap.Logger
+}
+
+// chain gives the request's prefix levels.
+func (rt *Router) chain(r Request) prefix.Chain {
+	id := prefix.Identity{Workspace: r.Workspace, Model: r.Model, Adapter: r.Adapter}
+	return prefix.FromMessages(id, r.Messages)
+}
--- /dev/null
+++ b/request/completion/start.go
@@ -0,0 +1,304 @@
+package completion
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/limit"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// Start sends the request and returns when its first token is there, so that
+// a failure before it still gets a status of its own. The error is always a
+// *failure.Error.
+func (rt *Router) Start(ctx context.Context, r Request) (*Answer, error) {
+	now := time.Now()
+	s := &start{rt: rt, r: r, began: now, chain: rt.chain(r)}
+	t, err := rt.target(r, s.chain)
+	if err != nil {
+		return nil, err
+	}
+	s.target = t
+	release, err := rt.Admission.Admit(ctx, now, r, s.chain.Tokens())
+	if err != nil {
+		return nil, err
+	}
+	a, err := s.claimed(ctx)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	a.release = release
+	return a, nil
+}
+
+// start is one request on its way to the first token.
+type start struct {
+	rt       *Router
+	r        Request
+	began    time.Time
+	chain    prefix.Chain
+	target   target
+	claim    Claim // nil for a repeatable request
+	sent     bool  // a byte may have reached an upstream
+	attempts int
+	excluded []string
+}
+
+// claimed gets the claim that a not-repeatable request needs before its send.
+func (s *start) claimed(ctx context.Context) (*Answer, error) {
+	if s.r.Key.Set() {
+		c, err := s.rt.Journal.Begin(ctx, s.began, s.r)
+		if err != nil {
+			return nil, err
+		}
+		s.claim = c
+	}
+	a, err := s.attemptAll(ctx)
+	if err != nil {
+		s.settle(err)
+		return nil, err
+	}
+	return a, nil
+}
+
+// settle tells the journal how a request without an answer ended.
+func (s *start) settle(err error) {
+	if s.claim == nil {
+		return
+	}
+	if failure.From(err).Ran == failure.NotRun {
+		s.claim.NotSent(time.Now())
+		return
+	}
+	s.claim.Sent(time.Now(), false)
+}
+
+func (s *start) attemptAll(ctx context.Context) (*Answer, error) {
+	for {
+		now := time.Now()
+		if s.late(now) {
+			return nil, s.refusal(failure.ErrDeadlineExceeded, nil)
+		}
+		a, name, err := s.attempt(ctx, now)
+		if err == nil {
+			return a, nil
+		}
+		if ctx.Err() != nil {
+			return nil, s.refusal(failure.ErrCancelled, ctx.Err())
+		}
+		if name == "" {
+			return nil, s.refusal(failure.ErrNoUpstream, err)
+		}
+		if err := s.again(ctx, name, err); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (s *start) late(now time.Time) bool {
+	return !s.r.Deadline.IsZero() && !now.Before(s.r.Deadline)
+}
+
+// again returns when the request may be sent once more after a failed send,
+// or the caller's error if it may not.
+func (s *start) again(ctx context.Context, name string, cause error) error {
+	v := s.decide(name, cause, 0, false)
+	switch v.Action {
+	case retry.RetryElsewhere:
+		s.excluded = append(s.excluded, name)
+		return nil
+	case retry.RetrySame:
+		return s.pause(ctx, v.Wait)
+	}
+	return v.Err
+}
+
+func (s *start) pause(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return s.refusal(failure.ErrCancelled, ctx.Err())
+	case <-time.After(wait):
+		return nil
+	}
+}
+
+// decide asks the retrier, with what is known of the failed send.
+func (s *start) decide(name string, cause error, passedOn int, canResume bool) retry.Verdict {
+	v := s.rt.Guard.Decide(time.Now(), retry.Attempt{
+		ID:         s.r.ID,
+		Workspace:  s.r.Workspace,
+		Upstream:   name,
+		Tries:      s.attempts,
+		Repeatable: !s.r.Key.Set(),
+		Fault:      retry.Classify(cause, passedOn),
+		SentBefore: s.sent,
+		CanResume:  canResume,
+		Others:     s.others(name),
+		Deadline:   s.r.Deadline,
+		Cause:      cause,
+	})
+	if v.Action != retry.GiveUp {
+		s.rt.Observer.Retried(s.r, v.Action)
+	}
+	event.Info(s.rt.Log, event.RequestRetried, zap.String("Request", s.r.ID),
+		zap.String("Upstream", name), zap.Int("Attempt", s.attempts),
+		zap.Stringer("Action", v.Action), zap.String("Reason", v.Reason), zap.Error(cause))
+	return v
+}
+
+// others counts the upstreams that were not tried yet, but for name.
+func (s *start) others(name string) int {
+	return lo.CountBy(s.target.upstreams, func(u config.Upstream) bool {
+		return u.Name != name && !lo.Contains(s.excluded, u.Name)
+	})
+}
+
+// surelyNotRun holds for the errors after which no byte of the request can
+// have been acted on.
+func surelyNotRun(err error) bool {
+	return retry.Classify(err, 0) <= retry.WrongVersion
+}
+
+// retryAfter is when to come back if nothing better is known.
+const retryAfter = time.Second
+
+func (s *start) refusal(e *failure.Error, cause error) error {
+	ran := failure.NotRun
+	if s.sent {
+		ran = failure.Unknown
+	}
+	wait := limit.Spread(0, s.r.ID, retryAfter)
+	return e.WithRan(ran).WithRetryAfter(wait).WithCause(cause)
+}
+
+// attempt makes one send. The name is of the upstream that was tried; empty
+// if there was none to try.
+func (s *start) attempt(ctx context.Context, now time.Time) (*Answer, string, error) {
+	p := s.rt.Policies.Policy(now, s.target.pool, s.r.Model, s.rt.candidates(now, s.target))
+	pr := s.placementRequest(now)
+	d, err := p.Place(now, pr)
+	if err != nil {
+		return nil, "", fmt.Errorf("place: %w", err)
+	}
+	u, ok := s.rt.View.Config().Upstreams[d.Upstream]
+	if !ok {
+		return nil, "", fmt.Errorf("upstream %q left: %w", d.Upstream, placement.ErrNoCandidate)
+	}
+	v, ok := s.visit(now, p, pr, d)
+	if !ok {
+		// Another request took the last place since the decision: nothing
+		// was sent, so this does not count as a try.
+		s.excluded = append(s.excluded, u.Name)
+		return s.attempt(ctx, now)
+	}
+	s.attempts++
+	s.logPlacement(d)
+	a, err := s.send(ctx, now, v, u)
+	if err != nil {
+		v.end(time.Now(), err)
+		return nil, u.Name, fmt.Errorf("upstream %s: %w", u.Name, err)
+	}
+	return a, u.Name, nil
+}
+
+func (s *start) logPlacement(d placement.Decision) {
+	event.Info(s.rt.Log, event.RequestPlaced, zap.String("Request", s.r.ID),
+		zap.String("Workspace", s.r.Workspace), zap.String("Model", s.r.Model),
+		zap.String("Upstream", d.Upstream), zap.Stringer("Reason", d.Reason),
+		zap.Int("CachedTokens", d.Cached), zap.Int("PromptTokens", s.chain.Tokens()),
+		zap.Duration("Wait", d.Wait), zap.Int("Attempt", s.attempts))
+}
+
+func (s *start) placementRequest(now time.Time) placement.Request {
+	names := lo.Map(s.target.upstreams, func(u config.Upstream, _ int) string { return u.Name })
+	return placement.Request{
+		Workspace:  s.r.Workspace,
+		DataCentre: s.rt.Config.DataCentre,
+		Chain:      s.chain,
+		Output:     s.r.MaxTokens,
+		Urgent:     s.r.Urgent(),
+		Excluded:   append(s.rt.Guard.Excluded(now, names), s.excluded...),
+	}
+}
+
+// send calls the engine and waits for the first token.
+func (s *start) send(ctx context.Context, now time.Time, v *visit, u config.Upstream) (*Answer, error) {
+	if s.claim != nil && !s.mayClaim(now) {
+		return nil, fmt.Errorf("claim is spent: %w", upstream.ErrRefused)
+	}
+	g := s.generation(u)
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(s.patience(now), cancel)
+	stream, err := s.rt.Upstreams.Engine(u).Generate(ctx, g)
+	if err != nil {
+		cancel()
+		s.sent = s.sent || !surelyNotRun(err)
+		return nil, err
+	}
+	s.sent = true
+	a := newAnswer(s, v, u, g, stream, cancel)
+	if err := a.first(); err != nil {
+		a.abandon()
+		return nil, err
+	}
+	timer.Stop()
+	s.answered(v, a)
+	return a, nil
+}
+
+// mayClaim asks the claim before the first send. Later sends happen only
+// after errors that prove that nothing ran, under the same claim.
+func (s *start) mayClaim(now time.Time) bool {
+	return s.attempts > 1 || s.claim.MaySend(now)
+}
+
+func (s *start) patience(now time.Time) time.Duration {
+	if s.r.Deadline.IsZero() {
+		return s.rt.Config.HeadTimeout
+	}
+	return min(s.rt.Config.HeadTimeout, s.r.Deadline.Sub(now))
+}
+
+func (s *start) generation(u config.Upstream) upstream.Generation {
+	version := s.rt.Upstreams.Version(u.Name, s.r.Model)
+	if !s.target.model.Accepts(version) {
+		version = s.target.model.Version
+	}
+	id := prefix.Identity{Workspace: s.r.Workspace, Model: s.r.Model, Adapter: s.r.Adapter}
+	parts := make([]upstream.Part, len(s.r.Messages))
+	for i, m := range s.r.Messages {
+		parts[i] = upstream.Part{Role: m.Role, Content: m.Content}
+	}
+	return upstream.Generation{
+		StreamID:  fmt.Sprintf("%s-%d", s.r.ID, s.attempts),
+		Model:     s.r.Model,
+		Version:   version,
+		Adapter:   s.r.Adapter,
+		Salt:      prefix.Salt(id, version),
+		Prompt:    parts,
+		MaxTokens: s.r.MaxTokens,
+		Priority:  s.r.Priority,
+		Deadline:  s.r.Deadline,
+	}
+}
+
+func (s *start) answered(v *visit, a *Answer) {
+	took := time.Since(s.began)
+	v.answered(time.Now(), a.stream.Head(), time.Since(v.began))
+	s.rt.Observer.Answered(s.r, a.info, took)
+	event.Info(s.rt.Log, event.RequestAnswered, zap.String("Request", s.r.ID),
+		zap.String("Upstream", a.info.Upstream), zap.String("Version", a.info.Version),
+		zap.Int("CachedTokens", a.info.CachedTokens), zap.Int("PromptTokens", a.info.PromptTokens),
+		zap.Duration("FirstToken", took), zap.Int("Attempts", a.info.Attempts))
+}
--- /dev/null
+++ b/request/completion/visit.go
@@ -0,0 +1,60 @@
+package completion
+
+import (
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+)
+
+// visit is one send to one upstream, from the decision to its end. It sees
+// to it that the policy and the guard hear of the end exactly once.
+type visit struct {
+	rt          *Router
+	policy      placement.Policy
+	request     placement.Request
+	decision    placement.Decision
+	began       time.Time
+	firstToken  time.Duration
+	incarnation uint64
+	ended       bool
+}
+
+// visit takes the place for a send; false if it was taken since the decision.
+func (s *start) visit(now time.Time, p placement.Policy, r placement.Request, d placement.Decision) (*visit, bool) {
+	if !s.rt.Guard.Begin(now, d.Upstream) {
+		return nil, false
+	}
+	if s.attempts == 0 {
+		s.rt.Guard.Request(s.r.Workspace, d.Upstream)
+	}
+	p.Sent(now, r, d)
+	return &visit{rt: s.rt, policy: p, request: r, decision: d, began: now}, true
+}
+
+func (v *visit) answered(now time.Time, h upstream.Head, firstToken time.Duration) {
+	v.firstToken = firstToken
+	v.incarnation = h.Incarnation
+	v.policy.Answered(now, v.request, v.decision, placement.Answer{
+		Incarnation:  h.Incarnation,
+		Version:      h.Version,
+		PromptTokens: h.PromptTokens,
+		CachedTokens: h.CachedTokens,
+		FirstToken:   firstToken,
+	})
+}
+
+func (v *visit) end(now time.Time, err error) {
+	if v.ended {
+		return
+	}
+	v.ended = true
+	v.policy.Finished(now, v.request, v.decision, err == nil)
+	v.rt.Guard.End(now, v.decision.Upstream, guard.Send{
+		Err:         err,
+		FirstToken:  v.firstToken,
+		Expected:    v.decision.Idle,
+		Incarnation: v.incarnation,
+	})
+}
--- /dev/null
+++ b/request/guard/guard.go
@@ -0,0 +1,181 @@
+// Package guard joins the limits, the ejection and the retry budget around
+// each send to an upstream, so that the request paths state a send's begin
+// and end once.
+package guard
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/ejection"
+	"github.com/dunlinmill/dunlinmill/request/limit"
+	"github.com/dunlinmill/dunlinmill/request/retry"
+)
+
+// Config sets a Guard.
+type Config struct {
+	Concurrency limit.ConcurrencyConfig
+	Ejection    ejection.Config
+	Retry       retry.Config
+}
+
+// DefaultConfig suits today's sites and larger ones.
+var DefaultConfig = Config{
+	Concurrency: limit.DefaultConcurrency,
+	Ejection:    ejection.Default,
+	Retry:       retry.Default,
+}
+
+// Guard stands between the request paths and the upstreams of one node. It
+// has a lock for its own count alone; its parts lock themselves, one after the
+// other, never one inside another.
+type Guard struct {
+	concurrency *limit.Concurrency[string]
+	detector    *ejection.Detector
+	retrier     *retry.Retrier
+
+	mu       sync.Mutex
+	inFlight map[string]int // own sends by upstream, none of them zero
+}
+
+// New starts without upstreams.
+func New(cfg Config) (*Guard, error) {
+	if err := errors.Join(cfg.Concurrency.Check(), cfg.Ejection.Check()); err != nil {
+		return nil, fmt.Errorf("guard: %w", err)
+	}
+	r, err := retry.New(cfg.Retry)
+	if err != nil {
+		return nil, fmt.Errorf("guard: %w", err)
+	}
+	return &Guard{
+		concurrency: limit.NewConcurrency[string](cfg.Concurrency),
+		detector:    ejection.New(cfg.Ejection),
+		retrier:     r,
+		inFlight:    map[string]int{},
+	}, nil
+}
+
+// SetUpstreams replaces the upstreams that are in the configuration.
+func (g *Guard) SetUpstreams(now time.Time, names []string) {
+	g.detector.SetUpstreams(now, names)
+	g.concurrency.Retain(names)
+}
+
+// Capacity is how many requests these upstreams may have from this node.
+func (g *Guard) Capacity(names []string) int {
+	return g.concurrency.Capacity(names)
+}
+
+// Excluded gives those of the upstreams that must not get a request now.
+func (g *Guard) Excluded(now time.Time, names []string) []string {
+	ejected := g.detector.Excluded(now)
+	full := lo.Filter(names, func(name string, _ int) bool { return !g.concurrency.Free(name) })
+	return append(ejected, full...)
+}
+
+// Begin takes the place for one send. False: another request took the last
+// one since the decision, which has to be made again. Every true is followed
+// by one End.
+func (g *Guard) Begin(now time.Time, name string) bool {
+	if !g.detector.Take(now, name) {
+		return false
+	}
+	ok := g.concurrency.Acquire(now, name)
+	if !ok {
+		g.detector.Release(now, name)
+		return false
+	}
+	g.count(name, 1)
+	return true
+}
+
+func (g *Guard) count(name string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight[name] += n
+	if g.inFlight[name] == 0 {
+		delete(g.inFlight, name)
+	}
+}
+
+// InFlight is this node's own sends on an upstream.
+func (g *Guard) InFlight(name string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight[name]
+}
+
+// Send is how one send ended.
+type Send struct {
+	// Err is nil for a whole answer and for a caller that went away.
+	Err error
+	// FirstToken is the time from the send to the first token; 0: none came.
+	FirstToken time.Duration
+	// Expected is that time on an idle upstream; 0: not known.
+	Expected    time.Duration
+	Incarnation uint64
+}
+
+// End gives the place back and learns from how the send ended.
+func (g *Guard) End(now time.Time, name string, s Send) {
+	g.count(name, -1)
+	g.concurrency.Release(now, name, limit.Result{
+		Outcome: outcome(s), FirstToken: s.FirstToken, Expected: s.Expected,
+	})
+	if tellsNothing(s) {
+		g.detector.Release(now, name)
+		return
+	}
+	g.detector.Observe(now, name, ejection.Sample{
+		Incarnation: s.Incarnation,
+		Failed:      s.Err != nil,
+		FirstToken:  s.FirstToken,
+		Expected:    s.Expected,
+	})
+}
+
+// tellsNothing holds for the ends that say nothing of an upstream's health:
+// a busy refusal, weights that are being changed, a caller that went away.
+func tellsNothing(s Send) bool {
+	return errors.Is(s.Err, upstream.ErrBusy) ||
+		errors.Is(s.Err, upstream.ErrWrongVersion) ||
+		errors.Is(s.Err, context.Canceled)
+}
+
+func outcome(s Send) limit.Outcome {
+	switch {
+	case s.Err == nil && s.FirstToken == 0:
+		return limit.Dropped
+	case s.Err == nil:
+		return limit.Served
+	case errors.Is(s.Err, upstream.ErrBusy):
+		return limit.Refused
+	case tellsNothing(s):
+		return limit.Dropped
+	}
+	return limit.Failed
+}
+
+// Restarted notes that an upstream runs under another incarnation.
+func (g *Guard) Restarted(now time.Time, name string, incarnation uint64) {
+	g.detector.Restarted(now, name, incarnation)
+}
+
+// State is how an upstream stands with this node.
+func (g *Guard) State(now time.Time, name string) ejection.State {
+	return g.detector.State(now, name)
+}
+
+// Request notes a request's first send, which pays for later retries.
+func (g *Guard) Request(workspace, name string) { g.retrier.Request(workspace, name) }
+
+// Decide says what becomes of a request after a failed send.
+func (g *Guard) Decide(now time.Time, a retry.Attempt) retry.Verdict {
+	return g.retrier.Decide(now, a)
+}
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -44,6 +44,7 @@
 	Cached   int           // prompt tokens expected in the upstream's cache
 	Wait     time.Duration // expected time to first token
 	Import   bool          // fetch the prefix from the store of kept KV cache first
+	Idle     time.Duration // time to first token that an idle upstream would take; 0: not estimated
 }
 
 // Answer is what the head of an upstream's answer tells about its cache.
