Place by hierarchical rendezvous hashing and a cost estimate

Replica sets of nested prefix levels, sized by demand, bound the candidates; among them the expected wait and recomputation decide.

--- /dev/null
+++ b/request/placement/affinity.go
@@ -0,0 +1,249 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/prefix"
+)
+
+// Affinity places requests where their prefix is cached, unless another
+// upstream is expected to answer at a lower cost. See docs/design/placement.md.
+type Affinity struct {
+	cfg Config
+
+	mu      sync.Mutex // guards all below
+	fleet   fleet
+	beliefs beliefs
+	demands table[demand]
+	peers   peers
+	rand    *rand.Rand
+	ticker  ticker
+
+	// Memory of single decisions, used again.
+	sizes   []int
+	rates   []float64
+	set     []scored
+	found   []candidate
+	outside []candidate
+}
+
+// New gives an Affinity policy.
+func New(cfg Config) *Affinity {
+	cfg = cfg.withDefaults()
+	return &Affinity{
+		cfg:     cfg,
+		fleet:   newFleet(),
+		beliefs: newBeliefs(cfg.Entries),
+		demands: newTable[demand](cfg.Levels),
+		peers:   newPeers(),
+		rand:    rand.New(rand.NewPCG(cfg.Seed, 0)),
+	}
+}
+
+// SetUpstreams implements Policy.
+func (a *Affinity) SetUpstreams(now time.Time, upstreams []Upstream) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ticker.at(now)
+	a.fleet.set(upstreams)
+}
+
+// Place implements Policy.
+func (a *Affinity) Place(now time.Time, r Request) (Decision, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at := a.ticker.at(now)
+	a.measure(at, r.Chain)
+	found := a.candidates(r, a.sizes)
+	if len(found) == 0 {
+		return Decision{}, ErrNoCandidate
+	}
+	best, bestPrice := a.price(now, at, r, found[0]), 0.0
+	bestPrice = best.total
+	for _, c := range found[1:] {
+		if p := a.price(now, at, r, c); p.total < bestPrice {
+			best, bestPrice = p, p.total
+		}
+	}
+	return best.decision(len(found)), nil
+}
+
+// measure fills in, for each level of the chain, the size of its replica set
+// and the requests a second under it.
+func (a *Affinity) measure(at tick, chain prefix.Chain) {
+	a.sizes, a.rates = a.sizes[:0], a.rates[:0]
+	most := max(1, len(a.fleet.eligible))
+	for _, l := range chain {
+		size, rate := 1, 0.0
+		if d, _ := a.demands.get(l.ID); d != nil {
+			d.decay(at)
+			cost := a.total(at, l.ID, float64(d.cost))
+			d.resize(at, cost, a.cfg.TargetLoad)
+			size = 1 << d.size
+			if d.cost > 0 {
+				rate = cost * float64(d.count/d.cost)
+			}
+		}
+		most = min(most, size)
+		a.sizes = append(a.sizes, most)
+		a.rates = append(a.rates, rate)
+	}
+}
+
+// total is the demand of all nodes for a level, in engine-seconds a second:
+// what the known nodes see, times their part of all nodes. Without word from
+// any peer, a node takes its own part for the mean.
+func (a *Affinity) total(at tick, level uint64, own float64) float64 {
+	seen := own/window(1, at) + a.peers.levels[level]
+	known := 1 + len(a.peers.last)
+	return seen * float64(max(a.cfg.Nodes, known)) / float64(known)
+}
+
+// Sent implements Policy.
+func (a *Affinity) Sent(now time.Time, r Request, d Decision) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at := a.ticker.at(now)
+	a.fleet.sent(now, r, d)
+	m := a.fleet.members[d.Upstream]
+	if m == nil {
+		return
+	}
+	a.addDemand(at, m, r)
+	// The next request with this prefix should follow this one and not be
+	// computed at a second place meanwhile.
+	for _, l := range r.Chain {
+		if _, ok := a.beliefs.age(m.engine.epoch, l.ID, at); !ok {
+			a.beliefs.note(m.engine.epoch, l.ID, at)
+		}
+	}
+}
+
+// addDemand counts the request under each of its levels, with what it costs
+// at an upstream that has the level cached. Misses don't count, or a set
+// that has just grown would seem to need to grow again.
+func (a *Affinity) addDemand(at tick, m *member, r Request) {
+	known := 0
+	for _, l := range r.Chain {
+		if d, _ := a.demands.get(l.ID); d != nil {
+			known = l.Tokens
+		}
+	}
+	answer := float64(r.Output) * m.Decode.Seconds() / float64(max(1, m.Slots))
+	for _, l := range r.Chain {
+		compute := float64(r.Chain.Tokens()-max(known, l.Tokens)) / max(1, m.Prefill)
+		a.demands.put(l.ID, at).add(at, answer+compute)
+	}
+}
+
+// Answered implements Policy.
+func (a *Affinity) Answered(now time.Time, r Request, d Decision, answer Answer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at := a.ticker.at(now)
+	a.fleet.answered(r, d)
+	m := a.fleet.members[d.Upstream]
+	if m == nil || !m.engine.observe(now, answer.Incarnation, answer.Version) {
+		return
+	}
+	cached := answer.CachedTokens
+	if answer.PromptTokens > 0 {
+		cached = cached * r.Chain.Tokens() / answer.PromptTokens
+	}
+	for _, l := range r.Chain {
+		if age, ok := a.beliefs.age(m.engine.epoch, l.ID, at); ok {
+			m.engine.retention = m.engine.retention.learn(age, l.Tokens <= cached)
+		}
+		a.beliefs.note(m.engine.epoch, l.ID, at)
+	}
+}
+
+// Finished implements Policy.
+func (a *Affinity) Finished(now time.Time, r Request, d Decision, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := a.fleet.members[d.Upstream]
+	if m == nil {
+		return
+	}
+	m.failures.note(now, ok)
+	if !ok {
+		for _, l := range r.Chain {
+			a.beliefs.drop(m.engine.epoch, l.ID)
+		}
+	}
+	a.fleet.finished(d)
+}
+
+// Loaded implements Policy.
+func (a *Affinity) Loaded(_ time.Time, upstream string, l Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := a.fleet.members[upstream]
+	if m != nil && m.engine.observe(l.At, l.Incarnation, l.Version) {
+		a.fleet.loaded(upstream, l)
+	}
+}
+
+// Cached implements Policy.
+func (a *Affinity) Cached(now time.Time, upstream string, e CacheEvent) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := a.fleet.members[upstream]
+	if m == nil || !m.engine.current(e.Incarnation) {
+		return
+	}
+	if !e.Stored {
+		a.beliefs.drop(m.engine.epoch, e.Level)
+		return
+	}
+	a.beliefs.note(m.engine.epoch, e.Level, a.ticker.at(now))
+}
+
+// Summarize implements Policy.
+func (a *Affinity) Summarize(now time.Time, node string) Summary {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at := a.ticker.at(now)
+	a.peers.expire(now)
+	s := Summary{Node: node, At: now, HotLevels: a.hotLevels(at)}
+	for _, m := range a.fleet.eligible {
+		if m.own > 0 {
+			s.InFlight = append(s.InFlight, InFlight{Upstream: m.Name, Requests: m.own, Tokens: m.tokens})
+		}
+	}
+	slices.SortStableFunc(s.InFlight, func(x, y InFlight) int { return cmp.Compare(y.Tokens, x.Tokens) })
+	s.InFlight = s.InFlight[:min(len(s.InFlight), maxInFlight)]
+	return s
+}
+
+// hotLevels gives the levels with the most demand from this node.
+func (a *Affinity) hotLevels(at tick) []HotLevel {
+	var hot []HotLevel
+	span := window(1, at)
+	for i := range a.demands.values {
+		d := &a.demands.values[i]
+		if a.demands.stamps[i] == 0 || seconds(d.at, at) > 2*demandLife {
+			continue
+		}
+		d.decay(at)
+		if rate := float64(d.cost) / span; rate > 0.01*a.cfg.TargetLoad {
+			hot = append(hot, HotLevel{Level: a.demands.keys[i], Rate: rate})
+		}
+	}
+	slices.SortFunc(hot, func(x, y HotLevel) int {
+		return cmp.Or(cmp.Compare(y.Rate, x.Rate), cmp.Compare(x.Level, y.Level))
+	})
+	return hot[:min(len(hot), maxHotLevels)]
+}
+
+// Merge implements Policy.
+func (a *Affinity) Merge(now time.Time, s Summary) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.peers.merge(now, s)
+}
--- /dev/null
+++ b/request/placement/config.go
@@ -0,0 +1,85 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// Config sets up a policy. The zero value of each field means its default.
+type Config struct {
+	// Nodes is how many nodes share the traffic, this one included. With it
+	// a node judges the whole demand from its own part.
+	Nodes int
+	// Seed feeds the choices that are meant to differ between nodes.
+	Seed uint64
+	// Weighing says what waiting and recomputing cost the users.
+	Weighing config.Weighing
+	// RemoteLatency is what a request to another data centre takes longer.
+	RemoteLatency time.Duration
+	// TargetLoad is the load that a member of a replica set is planned to get
+	// from the set's prefix, in engine-seconds a second. Beyond it the set
+	// is doubled.
+	TargetLoad float64
+	// ImportRate is how many tokens a second an engine imports from the store
+	// of kept KV cache; 0: there is no store.
+	ImportRate float64
+	// ImportLatency is what an import takes besides.
+	ImportLatency time.Duration
+	// Entries bounds the table of cache beliefs, over all upstreams.
+	Entries int
+	// Levels bounds the table of demands.
+	Levels int
+}
+
+const (
+	defaultNodes         = 8
+	defaultRemoteLatency = time.Millisecond
+	defaultTargetLoad    = 0.5
+	defaultImportLatency = 20 * time.Millisecond
+	defaultEntries       = 1 << 18
+	defaultLevels        = 1 << 16
+)
+
+// withDefaults gives a copy in which no field that needs a value is zero.
+func (c Config) withDefaults() Config {
+	if c.Nodes == 0 {
+		c.Nodes = defaultNodes
+	}
+	if c.Weighing == (config.Weighing{}) {
+		c.Weighing = config.DefaultWeighing
+	}
+	if c.RemoteLatency == 0 {
+		c.RemoteLatency = defaultRemoteLatency
+	}
+	if c.TargetLoad == 0 {
+		c.TargetLoad = defaultTargetLoad
+	}
+	if c.ImportLatency == 0 {
+		c.ImportLatency = defaultImportLatency
+	}
+	if c.Entries == 0 {
+		c.Entries = defaultEntries
+	}
+	if c.Levels == 0 {
+		c.Levels = defaultLevels
+	}
+	return c
+}
+
+// Named is a policy that the measurements compare under its name.
+type Named struct {
+	Name string
+	New  func(cfg Config) Policy
+}
+
+// Policies gives every policy of this package: the baselines first, then the
+// versions of Affinity in the order in which they came about.
+func Policies() []Named {
+	return []Named{
+		{Name: "Random", New: func(cfg Config) Policy { return NewRandom(cfg) }},
+		{Name: "LeastLoad", New: func(cfg Config) Policy { return NewLeastLoad(cfg) }},
+		{Name: "PlainHash", New: func(cfg Config) Policy { return NewPlainHash(cfg) }},
+		{Name: "Affinity", New: func(cfg Config) Policy { return New(cfg) }},
+	}
+}
--- /dev/null
+++ b/request/placement/fleet.go
@@ -0,0 +1,116 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// member is one upstream with what this node knows of its work. Members
+// outlive a change of the eligible upstreams, as long as they have work.
+type member struct {
+	Upstream
+	hash     uint64
+	eligible bool
+	own      int // own requests sent and not finished
+	tokens   int // their prompt tokens that are not answered yet
+	load     Load
+	sends    [recentSends]send // a ring
+	sendAt   int
+	engine   engineState
+	failures penalty
+}
+
+// fleet is the upstreams of one policy.
+type fleet struct {
+	members    map[string]*member
+	eligible   []*member // sorted by hash
+	generation uint64    // counts the changes of eligible
+}
+
+func newFleet() fleet { return fleet{members: map[string]*member{}} }
+
+// set replaces the eligible upstreams, and forgets the others once their
+// work is done.
+func (f *fleet) set(upstreams []Upstream) {
+	for _, m := range f.members {
+		m.eligible = false
+	}
+	f.eligible = f.eligible[:0:0]
+	for _, u := range upstreams {
+		m := f.members[u.Name]
+		if m == nil {
+			m = &member{hash: xxhash.Sum64String(u.Name)}
+			m.engine = newEngineState(m.hash)
+			f.members[u.Name] = m
+		}
+		m.Upstream = u
+		m.eligible = true
+		f.eligible = append(f.eligible, m)
+	}
+	slices.SortFunc(f.eligible, func(a, b *member) int { return compare(a.hash, b.hash) })
+	for name, m := range f.members {
+		if !m.eligible && m.own == 0 {
+			delete(f.members, name)
+		}
+	}
+	f.generation++
+}
+
+func (f *fleet) sent(now time.Time, r Request, d Decision) {
+	if m := f.members[d.Upstream]; m != nil {
+		m.own++
+		m.tokens += uncached(r, d)
+		m.noteSend(now, uncached(r, d))
+	}
+}
+
+func (f *fleet) answered(r Request, d Decision) {
+	if m := f.members[d.Upstream]; m != nil {
+		m.tokens = max(0, m.tokens-uncached(r, d))
+	}
+}
+
+func (f *fleet) finished(d Decision) {
+	m := f.members[d.Upstream]
+	if m == nil {
+		return
+	}
+	m.own = max(0, m.own-1)
+	if m.own == 0 && !m.eligible {
+		delete(f.members, d.Upstream)
+	}
+}
+
+func (f *fleet) loaded(upstream string, l Load) {
+	m := f.members[upstream]
+	if m != nil && l.At.After(m.load.At) {
+		m.load = l
+	}
+}
+
+// uncached is how many tokens of the prompt the upstream is expected to
+// compute.
+func uncached(r Request, d Decision) int { return max(0, r.Chain.Tokens()-d.Cached) }
+
+func compare(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// mix hashes two hashes into one.
+func mix(a, b uint64) uint64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	return x
+}
