Fold the configuration and its plans out of the log's records

Cause: nothing agreed between nodes; the configuration had types only. Change: typed records in batches, a pure fold with plans, lease and seen ids, plans made from intents, a follower that reads the log, asks peers and reads back what it appends. A record names the offset it was made at and is refused once that is 1,024 offsets ago, so that the bounded memory of ids is enough.

--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -48,22 +48,43 @@
 	_ = x[StreamResumed-105]
 	_ = x[StreamContinued-106]
 	_ = x[StreamCancelled-107]
+	_ = x[ConfigInForce-300]
+	_ = x[ConfigFromSnapshot-301]
+	_ = x[ConfigFromPeer-302]
+	_ = x[ConfigFromFile-303]
+	_ = x[ConfigLogLost-304]
+	_ = x[ConfigLogBack-305]
+	_ = x[ConfigGap-306]
+	_ = x[RecordSkipped-307]
+	_ = x[SnapshotMade-308]
+	_ = x[SnapshotFailed-309]
+	_ = x[LeaseTaken-310]
+	_ = x[LeaseLost-311]
+	_ = x[StepBegun-312]
+	_ = x[StepDone-313]
+	_ = x[StepFailed-314]
+	_ = x[PlanPaused-315]
+	_ = x[OrderGiven-316]
+	_ = x[OrderFailed-317]
+	_ = x[PlannerHeldUp-318]
 }
 
 const (
 	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelled"
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailed"
-	_Event_name_2 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnread"
-	_Event_name_3 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedCertificateLoadedCertificateFailed"
-	_Event_name_4 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsed"
+	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUp"
+	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnread"
+	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedCertificateLoadedCertificateFailed"
+	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsed"
 )
 
 var (
 	_Event_index_0 = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112}
 	_Event_index_1 = [...]uint8{0, 21, 33, 48, 63, 73, 86, 99, 114, 126, 143, 158, 177, 200}
-	_Event_index_2 = [...]uint8{0, 16, 30, 51, 70}
-	_Event_index_3 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 110, 127}
-	_Event_index_4 = [...]uint8{0, 15, 27, 40, 53, 72, 90}
+	_Event_index_2 = [...]uint8{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223}
+	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70}
+	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 110, 127}
+	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90}
 )
 
 func (i Event) String() string {
@@ -74,15 +95,18 @@
 	case 200 <= i && i <= 212:
 		i -= 200
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
+	case 300 <= i && i <= 318:
+		i -= 300
+		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
 	case 400 <= i && i <= 403:
 		i -= 400
-		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
+		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 500 <= i && i <= 508:
 		i -= 500
-		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
+		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	case 600 <= i && i <= 605:
 		i -= 600
-		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
+		return _Event_name_5[_Event_index_5[i]:_Event_index_5[i+1]]
 	default:
 		return "Event(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/version/config/apply.go
+++ b/version/config/apply.go
@@ -42,6 +42,8 @@
 		c.Workspaces = without(c.Workspaces, ch.RemoveWorkspace)
 	case ch.RemoveOperator != "":
 		c.Operators = without(c.Operators, ch.RemoveOperator)
+	case ch.RemoveModel != "":
+		c.Models = without(c.Models, ch.RemoveModel)
 	default:
 		return c, ErrEmptyChange
 	}
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -147,6 +147,7 @@
 	RemoveUpstream   string          `json:",omitempty"`
 	RemoveWorkspace  string          `json:",omitempty"`
 	RemoveOperator   string          `json:",omitempty"`
+	RemoveModel      string          `json:",omitempty"`
 }
 
 // UpstreamState sets an upstream's state alone.
--- /dev/null
+++ b/version/fold/confirm.go
@@ -0,0 +1,183 @@
+package fold
+
+import (
+	"slices"
+
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/version/config"
+	"github.com/dunlinmill/dunlinmill/version/record"
+)
+
+func (s State) propose(a at, b record.Propose) (State, *Refusal) {
+	p := b.Plan
+	if p.ID == "" || len(p.ID) > record.MaxID || len(p.Steps) == 0 {
+		return s, refuse(Invalid, "a plan needs an id of 1 to %d bytes and at least one step", record.MaxID)
+	}
+	if _, ok := s.Plans[p.ID]; ok {
+		return s, refuse(Invalid, "there is a plan %s already", p.ID)
+	}
+	if p.Base >= a.offset || p.Base+record.Window < a.offset {
+		return s, refuse(Expired, "plan %s was made at offset %d, too far from %d", p.ID, p.Base, a.offset)
+	}
+	plan := Plan{Plan: p, Proposed: a.offset, Status: Proposed}
+	return s.withPlan(plan.told(a, "proposed by %s", p.Operator)), nil
+}
+
+// confirm accepts a plan if nothing it touches has changed since the state it
+// was made from. Of two operators who race, the first in log order wins on
+// every node alike, and the other is told what came before.
+func (s State) confirm(a at, b record.Confirm) (State, *Refusal) {
+	p, ok := s.Plans[b.Plan]
+	if !ok {
+		return s, refuse(UnknownPlan, "there is no plan %q; it may be older than the plans that are kept", b.Plan)
+	}
+	if p.Status != Proposed {
+		r := refuse(WrongStatus, "plan %s is %s already", p.ID, p.Status)
+		r.By = &By{Plan: p.ID, Operator: p.By, Offset: p.Confirmed}
+		return s, r
+	}
+	if r := s.checkOvertaken(p, min(b.Base, p.Base)); r != nil {
+		return s, r
+	}
+	p.Confirmed, p.By, p.Status = a.offset, b.Operator, Running
+	p.Progress = make([]Step, len(p.Steps))
+	p = p.told(a, "confirmed by %s", b.Operator)
+	if p.Control != record.NoControl {
+		return s.control(a, p)
+	}
+	if len(s.Active()) >= MaxActive {
+		return s, refuse(Limit, "%d plans are under way, the most that may be", MaxActive)
+	}
+	if r := s.CheckCapacity(p.Plan); r != nil {
+		return s, r
+	}
+	p.Before = s.before(p.Touches)
+	return s.advanced(a, p)
+}
+
+func (s State) checkOvertaken(p Plan, base platform.Offset) *Refusal {
+	for _, object := range p.Touches {
+		if t := s.Touched[object]; t.Offset > base {
+			r := refuse(Overtaken, "%s was changed at offset %d by plan %s of %s, after offset %d that this plan was made from",
+				object, t.Offset, t.Plan, t.Operator, base)
+			r.By = &By{Plan: t.Plan, Operator: t.Operator, Offset: t.Offset}
+			return r
+		}
+	}
+	for _, other := range s.Active() {
+		for _, object := range p.Touches {
+			if slices.Contains(other.Touches, object) {
+				r := refuse(BusyObject, "%s is in the hands of plan %s of %s, %s since offset %d",
+					object, other.ID, other.By, other.Status, other.Confirmed)
+				r.By = &By{Plan: other.ID, Operator: other.By, Offset: other.Confirmed}
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// control pauses, resumes or aborts the plan that p is about.
+func (s State) control(a at, p Plan) (State, *Refusal) {
+	of, ok := s.Plans[p.Of]
+	if !ok {
+		return s, refuse(UnknownPlan, "there is no plan %q", p.Of)
+	}
+	of, r := of.controlled(a, p)
+	if r != nil {
+		r.By = &By{Plan: of.ID, Operator: of.By, Offset: of.Confirmed}
+		return s, r
+	}
+	for i := range p.Progress {
+		p.Progress[i].Status = Done
+	}
+	p.Status, p.Ended = Finished, a.offset
+	return s.withPlan(p).withPlan(of), nil
+}
+
+func (p Plan) controlled(a at, by Plan) (Plan, *Refusal) {
+	switch {
+	case by.Control == record.PausePlan && p.Status == Running:
+		p.Status, p.Reason = Paused, "paused by "+by.By
+		return p.told(a, "paused by %s", by.By), nil
+	case by.Control == record.ResumePlan && p.Status == Paused:
+		p.Status, p.Reason = Running, ""
+		p.Progress = slices.Clone(p.Progress)
+		for i := range p.Progress {
+			p.Progress[i].Tries = 0
+		}
+		return p.told(a, "resumed by %s", by.By), nil
+	case by.Control == record.AbortPlan && (p.Status == Proposed || p.Status == Running || p.Status == Paused):
+		p.Status, p.Reason = Aborting, "aborted by "+by.By
+		p = p.told(a, "aborted by %s", by.By)
+		return p.ended(a), nil
+	}
+	return p, refuse(WrongStatus, "plan %s is %s: no %s", p.ID, p.Status, by.Control)
+}
+
+// ended gives the plan its last status once nothing of it is left to do.
+func (p Plan) ended(a at) Plan {
+	switch {
+	case p.Status.Active() && len(p.Progress) > 0 && p.Stage() < 0:
+		p.Status, p.Ended, p.Reason = Finished, a.offset, ""
+		return p.told(a, "finished")
+	case p.Status == Aborting && p.begun() == 0:
+		p.Status, p.Ended = Aborted, a.offset
+		return p.told(a, "ended after %d of %d steps", p.DoneSteps(), len(p.Steps))
+	}
+	return p
+}
+
+// before gives the changes that set objects back to what they are now.
+func (s State) before(objects []string) []config.Change {
+	var changes []config.Change
+	for _, object := range objects {
+		changes = append(changes, s.restore(object))
+	}
+	return changes
+}
+
+func (s State) restore(object string) config.Change {
+	kind, name := record.SplitObject(object)
+	switch kind {
+	case record.KindModel:
+		if m, ok := s.Config.Models[name]; ok {
+			return config.Change{SetModel: &m}
+		}
+		return config.Change{RemoveModel: name}
+	case record.KindUpstream:
+		if u, ok := s.Config.Upstreams[name]; ok {
+			return config.Change{SetUpstream: &u}
+		}
+		return config.Change{RemoveUpstream: name}
+	case record.KindWorkspace:
+		if w, ok := s.Config.Workspaces[name]; ok {
+			return config.Change{SetWorkspace: &w}
+		}
+		return config.Change{RemoveWorkspace: name}
+	case record.KindOperator:
+		if o, ok := s.Config.Operators[name]; ok {
+			return config.Change{SetOperator: &o}
+		}
+		return config.Change{RemoveOperator: name}
+	}
+	w := s.Config.Weighing
+	return config.Change{SetWeighing: &w}
+}
+
+// exists says whether an object is in the configuration.
+func (s State) exists(object string) bool {
+	kind, name := record.SplitObject(object)
+	ok := true
+	switch kind {
+	case record.KindModel:
+		_, ok = s.Config.Models[name]
+	case record.KindUpstream:
+		_, ok = s.Config.Upstreams[name]
+	case record.KindWorkspace:
+		_, ok = s.Config.Workspaces[name]
+	case record.KindOperator:
+		_, ok = s.Config.Operators[name]
+	}
+	return ok
+}
--- /dev/null
+++ b/version/fold/lease.go
@@ -0,0 +1,61 @@
+package fold
+
+import (
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/version/lease"
+	"github.com/dunlinmill/dunlinmill/version/record"
+)
+
+func (s State) takeLease(a at, b record.TakeLease) (State, *Refusal) {
+	if b.Holder == "" {
+		return s, refuse(Invalid, "a lease without a holder")
+	}
+	if b.Prev != s.Lease.Version {
+		r := refuse(LeaseHeld, "the lease changed at offset %d, after %d; %s holds it", s.Lease.Version, b.Prev, s.Lease.Holder)
+		r.By = &By{Operator: s.Lease.Holder, Offset: s.Lease.Version}
+		return s, r
+	}
+	s.Lease = lease.Lease{Holder: b.Holder, Fencing: a.offset, Version: a.offset}
+	return s, nil
+}
+
+func (s State) renewLease(a at, b record.RenewLease) (State, *Refusal) {
+	if r := s.checkHolder(b.Holder, b.Fencing); r != nil {
+		return s, r
+	}
+	s.Lease.Version = a.offset
+	return s, nil
+}
+
+func (s State) releaseLease(a at, b record.ReleaseLease) (State, *Refusal) {
+	if r := s.checkHolder(b.Holder, b.Fencing); r != nil {
+		return s, r
+	}
+	s.Lease.Version = a.offset
+	s.Lease.Free = true
+	return s, nil
+}
+
+func (s State) checkHolder(holder string, fencing platform.Offset) *Refusal {
+	if s.Lease.Holder != holder {
+		return s.stale(fencing)
+	}
+	return s.checkFencing(fencing)
+}
+
+// checkFencing refuses records by a holder that was paused while another node
+// took the lease: it still believes that it holds it, and without this check
+// it would begin steps next to the new holder. Its number is the offset of
+// its own take, so that no clock is needed to tell the two apart.
+func (s State) checkFencing(fencing platform.Offset) *Refusal {
+	if s.Lease.Free || fencing == 0 || fencing != s.Lease.Fencing {
+		return s.stale(fencing)
+	}
+	return nil
+}
+
+func (s State) stale(fencing platform.Offset) *Refusal {
+	r := refuse(StaleFencing, "fencing number %d is not in force: %s holds the lease with %d", fencing, s.Lease.Holder, s.Lease.Fencing)
+	r.By = &By{Operator: s.Lease.Holder, Offset: s.Lease.Fencing}
+	return r
+}
--- /dev/null
+++ b/version/fold/step.go
@@ -0,0 +1,158 @@
+package fold
+
+import (
+	"slices"
+
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/version/config"
+	"github.com/dunlinmill/dunlinmill/version/record"
+)
+
+func (s State) beginStep(a at, b record.BeginStep) (State, *Refusal) {
+	p, r := s.stepOf(b.Plan, b.Step, b.Fencing)
+	if r != nil {
+		return s, r
+	}
+	if p.Status != Running || p.Progress[b.Step].Status != Pending || p.Steps[b.Step].Stage != p.Stage() {
+		return s, refuse(WrongStatus, "step %d of plan %s can't begin: the plan is %s, the step %s",
+			b.Step, p.ID, p.Status, p.Progress[b.Step].Status)
+	}
+	st := p.Steps[b.Step]
+	if r := s.checkBegin(p, st); r != nil {
+		return s, r
+	}
+	p = p.withStep(b.Step, func(x Step) Step {
+		x.Status, x.Begun = Begun, a.offset
+		return x
+	})
+	p = p.told(a, "step %d begun: %s", b.Step, st)
+	s, r = s.changed(a, beginChanges(st), p.touch(a))
+	if r != nil {
+		return s, r
+	}
+	return s.withPlan(p), nil
+}
+
+// checkBegin holds the bounds that span plans. A load that a paused or
+// aborted plan has begun counts until its step has ended, because the
+// upstream may be at it still.
+func (s State) checkBegin(p Plan, st record.Step) *Refusal {
+	if !st.Drains() {
+		return nil
+	}
+	if st.Action == record.LoadWeights {
+		if s.Loads() >= MaxLoads {
+			return refuse(Limit, "%d upstreams load weights already, the most that may at once", MaxLoads)
+		}
+		if p.loads() >= max(1, p.Parallel) {
+			return refuse(Limit, "plan %s may drain %d upstreams at once", p.ID, max(1, p.Parallel))
+		}
+	}
+	return s.checkDrain(st.Upstream)
+}
+
+func (s State) finishStep(a at, b record.FinishStep) (State, *Refusal) {
+	p, r := s.begunStep(b.Plan, b.Step, b.Fencing)
+	if r != nil {
+		return s, r
+	}
+	s, r = s.changed(a, doneChanges(s.Config, p.Plan, p.Steps[b.Step]), p.touch(a))
+	if r != nil {
+		return s, r
+	}
+	p = p.withStep(b.Step, func(x Step) Step {
+		x.Status = Done
+		return x
+	})
+	return s.advanced(a, p.told(a, "step %d done", b.Step))
+}
+
+func (s State) failStep(a at, b record.FailStep) (State, *Refusal) {
+	p, r := s.begunStep(b.Plan, b.Step, b.Fencing)
+	if r != nil {
+		return s, r
+	}
+	if st := p.Steps[b.Step]; b.Serving && st.Drains() {
+		s, r = s.changed(a, []config.Change{stateChange(st.Upstream, config.Active)}, p.touch(a))
+		if r != nil {
+			return s, r
+		}
+	}
+	p = p.withStep(b.Step, func(x Step) Step {
+		x.Status = Pending
+		x.Tries++
+		return x
+	})
+	p = p.told(a, "step %d failed: %s", b.Step, b.Reason)
+	if b.Pause && p.Status == Running {
+		p.Status, p.Reason = Paused, b.Reason
+		p = p.told(a, "paused: %s", b.Reason)
+	}
+	return s.withPlan(p.ended(a)), nil
+}
+
+// advanced carries out what the fold does by itself and ends the plan if
+// nothing is left.
+func (s State) advanced(a at, p Plan) (State, *Refusal) {
+	for {
+		i := p.nextAtOnce()
+		if i < 0 || p.Status == Aborting {
+			return s.withPlan(p.ended(a)), nil
+		}
+		var r *Refusal
+		s, r = s.changed(a, doneChanges(s.Config, p.Plan, p.Steps[i]), p.touch(a))
+		if r != nil {
+			return s, r
+		}
+		p = p.withStep(i, func(x Step) Step {
+			x.Status = Done
+			return x
+		})
+		p = p.told(a, "step %d done: %s", i, p.Steps[i])
+	}
+}
+
+func (p Plan) nextAtOnce() int {
+	stage := p.Stage()
+	for i, st := range p.Steps {
+		if st.Stage == stage && st.AtOnce() && p.Progress[i].Status != Done {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s State) stepOf(plan string, step int, fencing platform.Offset) (Plan, *Refusal) {
+	if r := s.checkFencing(fencing); r != nil {
+		return Plan{}, r
+	}
+	p, ok := s.Plans[plan]
+	if !ok {
+		return Plan{}, refuse(UnknownPlan, "there is no plan %q", plan)
+	}
+	if step < 0 || step >= len(p.Progress) {
+		return Plan{}, refuse(Invalid, "plan %s has no step %d under way", plan, step)
+	}
+	return p, nil
+}
+
+func (s State) begunStep(plan string, step int, fencing platform.Offset) (Plan, *Refusal) {
+	p, r := s.stepOf(plan, step, fencing)
+	if r != nil {
+		return p, r
+	}
+	if !p.Status.Active() || p.Progress[step].Status != Begun {
+		return p, refuse(WrongStatus, "step %d of plan %s is %s, the plan %s", step, plan, p.Progress[step].Status, p.Status)
+	}
+	return p, nil
+}
+
+func (p Plan) withStep(i int, change func(Step) Step) Plan {
+	p.Progress = slices.Clone(p.Progress)
+	p.Progress[i] = change(p.Progress[i])
+	return p
+}
+
+func (p Plan) touch(a at) Touch {
+	return Touch{Offset: a.offset, Plan: p.ID, Operator: p.By}
+}
--- /dev/null
+++ b/version/plan/plan.go
@@ -0,0 +1,146 @@
+// Package plan answers an operator's intent with a plan: what will be done in
+// words and steps, and what that does to capacity. It changes nothing and
+// asks nobody; the fold checks the plan again when it is confirmed.
+package plan
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/version/config"
+	"github.com/dunlinmill/dunlinmill/version/fold"
+	"github.com/dunlinmill/dunlinmill/version/record"
+)
+
+// Errors of intents that can't become a plan. Besides these, a *fold.Refusal
+// tells what the fold would refuse.
+var (
+	// ErrUnknown means that the intent names something that isn't there.
+	ErrUnknown = errors.New("plan: unknown")
+	// ErrNothing means that the intent holds already.
+	ErrNothing = errors.New("plan: nothing to do")
+	// ErrInvalid means that the intent itself is wrong.
+	ErrInvalid = errors.New("plan: invalid intent")
+)
+
+const (
+	// DefaultShiftSteps is in how many parts a workspace is shifted.
+	DefaultShiftSteps = 4
+	// MaxShiftSteps bounds the same.
+	MaxShiftSteps = 100
+	// DefaultDrainDeadline is how long a leaving upstream may finish its work.
+	DefaultDrainDeadline = 10 * time.Minute
+	// MaxSteps bounds the size of a plan's record.
+	MaxSteps = 4096
+)
+
+// Make answers an intent on a state. The plan has no name yet; see With.
+func Make(s *fold.State, in record.Intent, now time.Time) (record.Plan, error) {
+	p, err := build(s, in)
+	if err != nil {
+		return record.Plan{}, err
+	}
+	p.Base, p.Intent, p.Made = s.Offset, in, now.UTC()
+	if len(p.Steps) > MaxSteps {
+		return record.Plan{}, fmt.Errorf("%d steps, at most %d: %w", len(p.Steps), MaxSteps, ErrInvalid)
+	}
+	if err := check(s, p); err != nil {
+		return record.Plan{}, err
+	}
+	return p, nil
+}
+
+func build(s *fold.State, in record.Intent) (record.Plan, error) {
+	switch {
+	case in.ShiftWorkspace != nil:
+		return shift(s, *in.ShiftWorkspace)
+	case in.RetireUpstream != nil:
+		return retire(s, *in.RetireUpstream)
+	case in.RollOutWeights != nil:
+		return rollOut(s, *in.RollOutWeights)
+	case in.ChangeConfig != nil:
+		return change(s, in.ChangeConfig.Changes)
+	case in.Pause != nil:
+		return control(s, in.Pause.Plan, record.PausePlan)
+	case in.Resume != nil:
+		return control(s, in.Resume.Plan, record.ResumePlan)
+	case in.Abort != nil:
+		return control(s, in.Abort.Plan, record.AbortPlan)
+	case in.Undo != nil:
+		return undo(s, in.Undo.Plan)
+	}
+	return record.Plan{}, fmt.Errorf("no intent that this version knows: %w", ErrInvalid)
+}
+
+// check refuses early what the fold would refuse at the confirmation, and
+// what would leave the configuration with a fault that it hasn't now.
+func check(s *fold.State, p record.Plan) error {
+	if p.Control != record.NoControl {
+		return nil
+	}
+	for _, other := range s.Active() {
+		for _, object := range p.Touches {
+			if slices.Contains(other.Touches, object) {
+				return fmt.Errorf("%s is in the hands of plan %s of %s (%s): %w", object, other.ID, other.By, other.Status, fold.ErrBusyObject)
+			}
+		}
+	}
+	if err := s.Effect(p).Check(); err != nil && s.Projected().Check() == nil {
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	if r := s.CheckCapacity(p); r != nil {
+		return r
+	}
+	return nil
+}
+
+func change(s *fold.State, changes []config.Change) (record.Plan, error) {
+	if len(changes) == 0 {
+		return record.Plan{}, fmt.Errorf("no changes: %w", ErrInvalid)
+	}
+	p := record.Plan{Steps: []record.Step{{Action: record.ApplyChanges, Changes: changes}}}
+	c := s.Config
+	for i, ch := range changes {
+		next, err := c.WithChange(ch)
+		if err != nil {
+			return p, fmt.Errorf("change %d: %w: %w", i, ErrInvalid, err)
+		}
+		c = next
+		object := record.ObjectOf(ch)
+		if !slices.Contains(p.Touches, object) {
+			p.Touches = append(p.Touches, object)
+		}
+		p.Words = append(p.Words, words(s.Config, ch))
+	}
+	p.Capacity = compare(s.Config, c)
+	return p, nil
+}
+
+func control(s *fold.State, id string, c record.Control) (record.Plan, error) {
+	of, ok := s.Plans[id]
+	if !ok {
+		return record.Plan{}, fmt.Errorf("plan %q: %w", id, ErrUnknown)
+	}
+	if !allowed(of.Status, c) {
+		return record.Plan{}, fmt.Errorf("plan %s is %s: no %s: %w", id, of.Status, c, fold.ErrWrongStatus)
+	}
+	return record.Plan{
+		Control:  c,
+		Of:       id,
+		Steps:    []record.Step{{Action: record.ControlPlan}},
+		Words:    []string{fmt.Sprintf("%s %s, which has %d of %d steps done; steps begun are finished first", c, id, of.DoneSteps(), len(of.Steps))},
+		Capacity: []string{"as it is"},
+	}, nil
+}
+
+func allowed(s fold.Status, c record.Control) bool {
+	switch c {
+	case record.PausePlan:
+		return s == fold.Running
+	case record.ResumePlan:
+		return s == fold.Paused
+	}
+	return s == fold.Proposed || s == fold.Running || s == fold.Paused
+}
