Add the HTTP adapters and the stand-ins for the outside systems

The router's interfaces to engines, plain services and the platform had nothing behind them. fasthttp's own client was ruled out for sending: it sends again by itself after some failures, can't be stopped by a context and doesn't tell whether a byte has left. The exchange package sends each message once over its own kept-alive connections and leaves only reading and writing of messages to fasthttp.

--- /dev/null
+++ b/connection/upstream/overhttp/engine.go
@@ -0,0 +1,186 @@
+// Package overhttp reaches upstreams over HTTP/1.1: engines by JSON and
+// server-sent events, plain services as they are. Each method sends exactly
+// one request; whether to send again is the router's decision.
+package overhttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/connection/upstream/overhttp/exchange"
+)
+
+// Config bounds the calls to one upstream. Zero fields take the defaults.
+type Config = exchange.Config
+
+// Engine is the adapter of a model engine.
+type Engine struct {
+	client *exchange.Client
+}
+
+var _ upstream.Engine = (*Engine)(nil)
+
+// NewEngine makes the adapter of the engine at address, an IP:port.
+func NewEngine(address string, cfg Config) *Engine {
+	return &Engine{client: exchange.New(address, cfg)}
+}
+
+// Close closes the connections at rest; calls under way run to their end.
+func (e *Engine) Close() { e.client.Close() }
+
+// Generate sends g and gives the stream once the engine has said its head.
+func (e *Engine) Generate(ctx context.Context, g upstream.Generation) (upstream.Stream, error) {
+	s, err := e.open(ctx, PathGenerate, g, g.StreamID, 0)
+	if err != nil {
+		return nil, err
+	}
+	// Weights may have been changed since the request was placed. A token of
+	// other weights must not be passed on, so the head decides.
+	if g.Version != "" && s.head.Version != g.Version {
+		s.Close()
+		return nil, fmt.Errorf("engine %s answers with %q instead of %q: %w",
+			e.client.Address(), s.head.Version, g.Version, upstream.ErrWrongVersion)
+	}
+	return s, nil
+}
+
+// Resume goes on with a stream that the engine holds.
+func (e *Engine) Resume(ctx context.Context, streamID string, after int) (upstream.Stream, error) {
+	return e.openStream(ctx, PathResume, ResumeRequest{StreamID: streamID, After: after}, streamID, after+1)
+}
+
+func (e *Engine) openStream(ctx context.Context, path string, body any, id string, first int) (upstream.Stream, error) {
+	s, err := e.open(ctx, path, body, id, first)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Cancel stops a stream.
+func (e *Engine) Cancel(ctx context.Context, streamID string) error {
+	return e.call(ctx, fasthttp.MethodPost, PathCancel, CancelRequest{StreamID: streamID}, nil)
+}
+
+// Report asks for the engine's account of its state.
+func (e *Engine) Report(ctx context.Context) (upstream.Report, error) {
+	var r upstream.Report
+	err := e.call(ctx, fasthttp.MethodGet, PathReport, nil, &r)
+	return r, err
+}
+
+// Events asks for the cache events from a sequence number on.
+func (e *Engine) Events(ctx context.Context, from uint64) (upstream.CacheEvents, error) {
+	var events upstream.CacheEvents
+	err := e.call(ctx, fasthttp.MethodGet, PathEvents+"?From="+strconv.FormatUint(from, 10), nil, &events)
+	return events, err
+}
+
+// Order tells the engine to reach a state.
+func (e *Engine) Order(ctx context.Context, o upstream.Order) error {
+	return e.call(ctx, fasthttp.MethodPost, PathOrder, o, nil)
+}
+
+// Export gives the KV cache of a prompt as an opaque value.
+func (e *Engine) Export(ctx context.Context, g upstream.Generation) ([]byte, error) {
+	body, err := json.Marshal(g)
+	if err != nil {
+		return nil, fmt.Errorf("export from %s: %w: %w", e.client.Address(), upstream.ErrNotSent, err)
+	}
+	return e.send(ctx, fasthttp.MethodPost, PathExport, body)
+}
+
+// Import gives the engine a value that Export gave.
+func (e *Engine) Import(ctx context.Context, kv []byte) error {
+	_, err := e.send(ctx, fasthttp.MethodPost, PathImport, kv)
+	return err
+}
+
+// call exchanges JSON.
+func (e *Engine) call(ctx context.Context, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return fmt.Errorf("%s of %s: %w: %w", path, e.client.Address(), upstream.ErrNotSent, err)
+		}
+	}
+	answer, err := e.send(ctx, method, path, body)
+	if err != nil || out == nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return fmt.Errorf("answer to %s of %s: %w: %w", path, e.client.Address(), upstream.ErrBroken, err)
+	}
+	return nil
+}
+
+func (e *Engine) send(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	prepare(&req, method, e.client.Address(), path, body)
+	if err := e.client.Whole(ctx, &req, &resp); err != nil {
+		return nil, mapped(err)
+	}
+	if err := refusal(&resp, resp.Body()); err != nil {
+		return nil, fmt.Errorf("%s of %s: %w", path, e.client.Address(), err)
+	}
+	return resp.Body(), nil
+}
+
+func prepare(req *fasthttp.Request, method, address, path string, body []byte) {
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+}
+
+// mapped turns an error of the exchange into the router's.
+func mapped(err error) error {
+	if errors.Is(err, exchange.ErrNotSent) {
+		return fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+	}
+	return fmt.Errorf("%w: %w", upstream.ErrBroken, err)
+}
+
+// refusal gives the error of an answer that is not a success, nil for a
+// success. Only an explicit refusal says that the request did not run.
+func refusal(resp *fasthttp.Response, body []byte) error {
+	if resp.StatusCode() == fasthttp.StatusOK {
+		return nil
+	}
+	var r Refusal
+	if len(resp.Header.Peek(HeaderRefusal)) > 0 && json.Unmarshal(body, &r) == nil {
+		if err := refusalError(r); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("%w: status %d", upstream.ErrBroken, resp.StatusCode())
+}
+
+// refusalError wraps ErrRefused beside the particular error, since every
+// refusal says that the request did not run.
+func refusalError(r Refusal) error {
+	switch r.Code {
+	case CodeNotRun:
+		return fmt.Errorf("%w: %s", upstream.ErrRefused, r.Message)
+	case CodeBusy:
+		return fmt.Errorf("%w: %w: %s", upstream.ErrBusy, upstream.ErrRefused, r.Message)
+	case CodeWrongVersion:
+		return fmt.Errorf("%w: %w: %s", upstream.ErrWrongVersion, upstream.ErrRefused, r.Message)
+	case CodeUnknownStream:
+		return fmt.Errorf("%w: %s", upstream.ErrUnknownStream, r.Message)
+	case CodeStaleFencing:
+		return fmt.Errorf("%w: %w: %s", upstream.ErrStaleFencing, upstream.ErrRefused, r.Message)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -0,0 +1,225 @@
+// Package exchange sends one HTTP request over a kept-alive connection and
+// reads its answer, exactly once. fasthttp's own client is not used for it:
+// that client sends again by itself after some failures, can't be stopped by
+// a context, and doesn't tell whether a byte has left. The messages
+// themselves are read and written by fasthttp.
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+var (
+	// ErrNotSent means that no byte of the request has left.
+	ErrNotSent = errors.New("not sent")
+	// ErrBroken means that the exchange broke after the send began.
+	ErrBroken = errors.New("broken off")
+)
+
+// Defaults of Config.
+const (
+	DefaultDialTimeout  = time.Second
+	DefaultWriteTimeout = 5 * time.Second
+	DefaultReadTimeout  = 30 * time.Second
+	DefaultIdleTimeout  = 10 * time.Second
+	DefaultMaxIdle      = 64
+	DefaultMaxBody      = 64 << 20
+)
+
+// Config bounds an exchange. Zero fields take the defaults.
+type Config struct {
+	DialTimeout  time.Duration // to connect
+	WriteTimeout time.Duration // to send the whole request
+	ReadTimeout  time.Duration // longest silence while waiting for the next bytes
+	IdleTimeout  time.Duration // longest rest of a kept connection
+	MaxIdle      int           // connections kept at rest
+	MaxBody      int           // bytes of an answer that is read whole
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.DialTimeout, DefaultDialTimeout)
+	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.ReadTimeout, DefaultReadTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.MaxIdle, DefaultMaxIdle)
+	setDefault(&c.MaxBody, DefaultMaxBody)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Client exchanges messages with one address. Its methods may be called from
+// many goroutines.
+type Client struct {
+	cfg  Config
+	pool pool
+}
+
+// New makes a client of the upstream at address, an IP:port.
+func New(address string, cfg Config) *Client {
+	cfg = cfg.withDefaults()
+	return &Client{cfg: cfg, pool: pool{address: address, cfg: cfg}}
+}
+
+// Address is the IP:port that the client was made for.
+func (c *Client) Address() string { return c.pool.address }
+
+// Close closes the connections at rest and fails later exchanges. Exchanges
+// under way run to their end.
+func (c *Client) Close() { c.pool.close() }
+
+// Whole sends req once and reads the whole answer into resp. The memory of
+// resp belongs to the caller.
+func (c *Client) Whole(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	s, err := c.begin(ctx, req, resp)
+	if err != nil {
+		return err
+	}
+	if err := s.readBody(c.cfg.MaxBody); err != nil {
+		s.Close()
+		return s.broken("read answer", err)
+	}
+	s.complete = true
+	s.Close()
+	return nil
+}
+
+// Stream sends req once and reads the head of the answer into resp; the body
+// is read from the Stream. The caller closes it.
+func (c *Client) Stream(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*Stream, error) {
+	resp.StreamBody = true
+	s, err := c.begin(ctx, req, resp)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.readBody(0); err != nil {
+		s.Close()
+		return nil, s.broken("read answer", err)
+	}
+	s.body = resp.BodyStream()
+	return s, nil
+}
+
+// begin sends req and reads the answer's header.
+func (c *Client) begin(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*Stream, error) {
+	conn, err := c.pool.acquire(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w: %w", c.pool.address, ErrNotSent, err)
+	}
+	s := &Stream{client: c, ctx: ctx, conn: conn, resp: resp}
+	// Closing the connection is what wakes a reader whose caller went away,
+	// and what keeps a late answer from the next request.
+	s.release = context.AfterFunc(ctx, func() { conn.Close() })
+	if err := conn.send(req); err != nil {
+		s.Close()
+		return nil, s.broken("send", err)
+	}
+	if err := s.readHeader(); err != nil {
+		s.Close()
+		return nil, s.broken("read header", err)
+	}
+	if req.Header.IsHead() {
+		resp.SkipBody = true
+	}
+	return s, nil
+}
+
+// Stream is an answer whose body is being read. It belongs to one goroutine.
+type Stream struct {
+	client   *Client
+	ctx      context.Context
+	conn     *connection
+	resp     *fasthttp.Response
+	body     io.Reader
+	release  func() bool
+	complete bool
+	closed   bool
+}
+
+// Read gives the next bytes of the body; io.EOF only after the end that the
+// answer's framing announced.
+func (s *Stream) Read(p []byte) (int, error) {
+	n, err := s.body.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case err == io.EOF: // fasthttp wraps io.EOF for a body that was cut
+		s.complete = true
+		return n, io.EOF
+	default:
+		return n, s.broken("read body", err)
+	}
+}
+
+// Close gives the connection back if the answer was read to its end, and
+// closes it otherwise, so that no late byte reaches another request.
+func (s *Stream) Close() {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	abandoned := !s.release()
+	if !s.complete || abandoned || s.resp.ConnectionClose() || s.conn.br.Buffered() > 0 {
+		s.conn.Close()
+		return
+	}
+	s.client.pool.put(s.conn)
+}
+
+func (s *Stream) broken(step string, err error) error {
+	if ctxErr := s.ctx.Err(); ctxErr != nil {
+		err = ctxErr
+	}
+	return fmt.Errorf("%s %s: %w: %w", step, s.client.pool.address, ErrBroken, err)
+}
+
+func (s *Stream) readHeader() error {
+	for {
+		if err := s.resp.Header.Read(s.conn.br); err != nil {
+			return err
+		}
+		if s.resp.StatusCode() != fasthttp.StatusContinue {
+			return nil
+		}
+	}
+}
+
+// errUnframed is the error for a body that ends with the connection. Its end
+// can't be told from a cut, so a truncated answer would pass as whole.
+var errUnframed = errors.New("the answer has neither a length nor chunks")
+
+// lengthUnknown is fasthttp's ContentLength of such a body.
+const lengthUnknown = -2
+
+func (s *Stream) readBody(limit int) error {
+	if s.resp.SkipBody || bodiless(s.resp.StatusCode()) {
+		s.resp.SkipBody = true
+		return nil
+	}
+	length := s.resp.Header.ContentLength()
+	if length == lengthUnknown {
+		return errUnframed
+	}
+	if err := s.resp.ReadBody(s.conn.br, limit); err != nil {
+		return err
+	}
+	if length == -1 && !s.resp.StreamBody {
+		return s.resp.Header.ReadTrailer(s.conn.br)
+	}
+	return nil
+}
+
+func bodiless(status int) bool {
+	return status < fasthttp.StatusOK || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
--- /dev/null
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -0,0 +1,160 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// errClosed is the error of an exchange after Close.
+var errClosed = errors.New("client is closed")
+
+// pool keeps connections at rest, the last used one on top.
+type pool struct {
+	address string
+	cfg     Config
+
+	mu     sync.Mutex
+	idle   []*connection
+	closed bool
+}
+
+// acquire gives a connection at rest that is still open, or a new one.
+func (p *pool) acquire(ctx context.Context) (*connection, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	for {
+		c, err := p.pop()
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			return p.dial(ctx)
+		}
+		if c.usable(time.Now()) {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+func (p *pool) pop() (*connection, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errClosed
+	}
+	n := len(p.idle)
+	if n == 0 {
+		return nil, nil
+	}
+	c := p.idle[n-1]
+	p.idle[n-1] = nil
+	p.idle = p.idle[:n-1]
+	return c, nil
+}
+
+func (p *pool) dial(ctx context.Context) (*connection, error) {
+	d := net.Dialer{Timeout: p.cfg.DialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	c := &connection{Conn: nc, cfg: p.cfg}
+	c.br = bufio.NewReader(c)
+	c.bw = bufio.NewWriter(nc)
+	return c, nil
+}
+
+func (p *pool) put(c *connection) {
+	c.rested = time.Now()
+	p.mu.Lock()
+	var surplus *connection
+	switch {
+	case p.closed:
+		surplus = c
+	case len(p.idle) >= p.cfg.MaxIdle || (len(p.idle) > 0 && c.rested.Sub(p.idle[0].rested) > p.cfg.IdleTimeout):
+		// The bottom one has rested the longest.
+		surplus = p.idle[0]
+		copy(p.idle, p.idle[1:])
+		p.idle[len(p.idle)-1] = c
+	default:
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if surplus != nil {
+		surplus.Close()
+	}
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.closed = true
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// connection is a TCP connection with its buffers.
+type connection struct {
+	net.Conn
+	br     *bufio.Reader
+	bw     *bufio.Writer
+	cfg    Config
+	rested time.Time
+}
+
+// Read allows each read the full ReadTimeout, so that it bounds the silence
+// and not the length of an answer.
+func (c *connection) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.cfg.ReadTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *connection) send(req *fasthttp.Request) error {
+	if err := c.SetWriteDeadline(time.Now().Add(c.cfg.WriteTimeout)); err != nil {
+		return err
+	}
+	if err := req.Write(c.bw); err != nil {
+		return err
+	}
+	return c.bw.Flush()
+}
+
+// usable says whether a connection at rest is open and silent. Without this
+// look, a request on a connection that the upstream closed while it rested
+// breaks after the send, and nobody can tell whether it ran. Bytes that wait
+// there belong to no request; such a connection is not used either.
+func (c *connection) usable(now time.Time) bool {
+	if now.Sub(c.rested) > c.cfg.IdleTimeout {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = errno == syscall.EAGAIN
+		return true
+	})
+	return err == nil && silent
+}
--- /dev/null
+++ b/connection/upstream/overhttp/stream.go
@@ -0,0 +1,233 @@
+package overhttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/connection/upstream/overhttp/exchange"
+)
+
+// maxEventBytes bounds one line of a stream.
+const maxEventBytes = 64 << 10
+
+// stream reads one answer. Close may come from another goroutine than Next:
+// it only cancels the context, whose end closes the connection under the
+// reader, and waits for the reader to leave before the connection is given
+// back.
+type stream struct {
+	cancel context.CancelFunc
+	head   upstream.Head
+
+	mu     sync.Mutex // held by Next while it reads, and by Close at its end
+	body   *exchange.Stream
+	lines  *bufio.Reader
+	data   []byte // of the last event read
+	next   int    // index that the next token must have
+	ended  bool   // the token with Finish was given
+	err    error
+	closed bool
+}
+
+var _ upstream.Stream = (*stream)(nil)
+
+// open sends body and reads up to the head of the stream.
+func (e *Engine) open(ctx context.Context, path string, body any, id string, first int) (*stream, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("%s of %s: %w: %w", path, e.client.Address(), upstream.ErrNotSent, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	prepare(&req, fasthttp.MethodPost, e.client.Address(), path, data)
+	b, err := e.client.Stream(ctx, &req, &resp)
+	if err != nil {
+		cancel()
+		return nil, mapped(err)
+	}
+	s := &stream{cancel: cancel, body: b, lines: bufio.NewReaderSize(b, maxEventBytes), next: first}
+	if err := s.begin(&resp, id); err != nil {
+		s.Close()
+		return nil, fmt.Errorf("%s of %s: %w", path, e.client.Address(), err)
+	}
+	return s, nil
+}
+
+func (s *stream) begin(resp *fasthttp.Response, id string) error {
+	if resp.StatusCode() != fasthttp.StatusOK {
+		body, err := io.ReadAll(io.LimitReader(s.body, maxEventBytes))
+		if err != nil {
+			return fmt.Errorf("%w: %w", upstream.ErrBroken, err)
+		}
+		return refusal(resp, body)
+	}
+	name, data, err := s.readEvent()
+	if err != nil {
+		return err
+	}
+	if name != EventHead {
+		return fmt.Errorf("%w: %q in place of the head", upstream.ErrOutOfOrder, name)
+	}
+	if err := json.Unmarshal(data, &s.head); err != nil {
+		return fmt.Errorf("head: %w: %w", upstream.ErrBroken, err)
+	}
+	if s.head.StreamID != id {
+		return fmt.Errorf("%w: head of stream %q", upstream.ErrOutOfOrder, s.head.StreamID)
+	}
+	return nil
+}
+
+// Head gives what the engine said before the first token.
+func (s *stream) Head() upstream.Head { return s.head }
+
+// Next gives the next token. After an error it gives the same error again.
+func (s *stream) Next() (upstream.Token, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return upstream.Token{}, s.err
+	}
+	t, err := s.read()
+	if err != nil {
+		s.err = err
+		return upstream.Token{}, err
+	}
+	return t, nil
+}
+
+func (s *stream) read() (upstream.Token, error) {
+	if s.closed {
+		return upstream.Token{}, fmt.Errorf("%w: stream is closed", upstream.ErrBroken)
+	}
+	name, data, err := s.readEvent()
+	if err != nil {
+		return upstream.Token{}, err
+	}
+	switch {
+	case name == EventToken && !s.ended:
+		return s.token(data)
+	case name == EventEnd && s.ended:
+		return upstream.Token{}, s.end(data)
+	default:
+		return upstream.Token{}, fmt.Errorf("%w: event %q after token %d", upstream.ErrOutOfOrder, name, s.next-1)
+	}
+}
+
+func (s *stream) token(data []byte) (upstream.Token, error) {
+	var t TokenEvent
+	if err := json.Unmarshal(data, &t); err != nil {
+		return upstream.Token{}, fmt.Errorf("token: %w: %w", upstream.ErrBroken, err)
+	}
+	if t.StreamID != s.head.StreamID || t.Index != s.next {
+		return upstream.Token{}, fmt.Errorf("%w: token %d of stream %q in place of %d of %q",
+			upstream.ErrOutOfOrder, t.Index, t.StreamID, s.next, s.head.StreamID)
+	}
+	s.next++
+	s.ended = t.Finish != ""
+	return upstream.Token{Index: t.Index, Text: t.Text, Finish: t.Finish}, nil
+}
+
+// end checks the end mark and reads the body's own end, after which the
+// connection can serve another request.
+func (s *stream) end(data []byte) error {
+	var end EndEvent
+	if err := json.Unmarshal(data, &end); err != nil {
+		return fmt.Errorf("end: %w: %w", upstream.ErrBroken, err)
+	}
+	if end.StreamID != s.head.StreamID || end.Tokens != s.next {
+		return fmt.Errorf("%w: end of stream %q after %d tokens, %d were received",
+			upstream.ErrOutOfOrder, end.StreamID, end.Tokens, s.next)
+	}
+	if _, err := s.lines.ReadByte(); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: bytes after the end mark", upstream.ErrOutOfOrder)
+	}
+	return io.EOF
+}
+
+// Close releases the connection; an unfinished one is closed.
+func (s *stream) Close() error {
+	if !s.mu.TryLock() {
+		// The reader is in Next; the cancelled context wakes it.
+		s.cancel()
+		s.mu.Lock()
+	}
+	defer s.mu.Unlock()
+	s.closed = true
+	s.body.Close()
+	s.cancel()
+	return nil
+}
+
+var (
+	fieldEvent = []byte("event: ")
+	fieldData  = []byte("data: ")
+)
+
+// readEvent reads one server-sent event. The data is valid until the next
+// read.
+func (s *stream) readEvent() (name string, data []byte, err error) {
+	line, err := s.readLine()
+	if err != nil {
+		return "", nil, err
+	}
+	field, ok := bytes.CutPrefix(line, fieldEvent)
+	if !ok {
+		return "", nil, fmt.Errorf("%w: line %q in place of an event's name", upstream.ErrBroken, line)
+	}
+	name = eventName(field)
+	if line, err = s.readLine(); err != nil {
+		return "", nil, err
+	}
+	if data, ok = bytes.CutPrefix(line, fieldData); !ok {
+		return "", nil, fmt.Errorf("%w: line %q in place of an event's data", upstream.ErrBroken, line)
+	}
+	s.data = append(s.data[:0], data...) // the next read may overwrite the line
+	if line, err = s.readLine(); err != nil {
+		return "", nil, err
+	}
+	if len(line) > 0 {
+		return "", nil, fmt.Errorf("%w: line %q in place of an event's end", upstream.ErrBroken, line)
+	}
+	return name, s.data, nil
+}
+
+// eventName avoids an allocation for the known names.
+func eventName(field []byte) string {
+	switch string(field) {
+	case EventToken:
+		return EventToken
+	case EventHead:
+		return EventHead
+	case EventEnd:
+		return EventEnd
+	default:
+		return string(field)
+	}
+}
+
+func (s *stream) readLine() ([]byte, error) {
+	line, err := s.lines.ReadSlice('\n')
+	if err != nil {
+		// The body's end without an end mark is a truncated answer.
+		return nil, fmt.Errorf("%w: after token %d: %w", upstream.ErrBroken, s.next-1, unexpected(err))
+	}
+	return line[:len(line)-1], nil
+}
+
+// unexpected keeps io.EOF out of the errors of a cut stream: callers take
+// io.EOF for the end of a whole answer.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/standin/engine/schedule.go
@@ -0,0 +1,223 @@
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/connection/upstream/overhttp"
+)
+
+// queue is a heap of waiting streams, the most urgent first.
+type queue []*stream
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].g.Priority != q[j].g.Priority {
+		return q[i].g.Priority < q[j].g.Priority
+	}
+	return q[i].arrival < q[j].arrival
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push adds x, a *stream; it is for container/heap.
+func (q *queue) Push(x any) { *q = append(*q, x.(*stream)) }
+
+// Pop removes the last; it is for container/heap.
+func (q *queue) Pop() any {
+	old := *q
+	s := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	return s
+}
+
+func (q queue) tokens() int {
+	n := 0
+	for _, s := range q {
+		n += s.promptTokens
+	}
+	return n
+}
+
+// refuse gives the reason for not taking g, nil if it can be taken.
+func (e *Engine) refuse(g upstream.Generation) *overhttp.Refusal {
+	m, ok := e.model(g.Model)
+	switch {
+	case !ok:
+		return &overhttp.Refusal{Code: overhttp.CodeNotRun, Message: "no such model: " + g.Model}
+	case e.loading != nil:
+		return &overhttp.Refusal{Code: overhttp.CodeNotRun, Message: "loading weights"}
+	case g.Version != "" && g.Version != m.Version:
+		return &overhttp.Refusal{Code: overhttp.CodeWrongVersion, Message: "holds " + m.Version}
+	case e.role == RoleDrain:
+		return &overhttp.Refusal{Code: overhttp.CodeNotRun, Message: "draining"}
+	case e.running >= e.cfg.Slots && len(e.queue) >= e.cfg.Queue:
+		return &overhttp.Refusal{Code: overhttp.CodeBusy, Message: "queue is full"}
+	}
+	return nil
+}
+
+func (e *Engine) model(name string) (upstream.LoadedModel, bool) {
+	for _, m := range e.models {
+		if m.Model == name {
+			return m, true
+		}
+	}
+	return upstream.LoadedModel{}, false
+}
+
+// admit starts waiting streams while slots are free.
+func (e *Engine) admit(now time.Time) {
+	for e.running < e.cfg.Slots && len(e.queue) > 0 {
+		s := heap.Pop(&e.queue).(*stream)
+		if !s.g.Deadline.IsZero() && now.After(s.g.Deadline) {
+			s.refuse(overhttp.Refusal{Code: overhttp.CodeNotRun, Message: "deadline has passed in the queue"})
+			e.end(now, s)
+			continue
+		}
+		e.running++
+		e.counters.Runs++
+		ctx := e.ctx
+		run, cancel := context.WithCancel(ctx)
+		s.cancel = cancel
+		ready := e.prefill(now, s)
+		s.begin(e.head(s))
+		e.work.Add(1)
+		go func() {
+			defer e.work.Done()
+			defer cancel()
+			e.run(run, s, ready)
+			e.finish(ctx, s)
+		}()
+	}
+}
+
+// prefill computes the prompt's uncached tokens and gives the time when they
+// are done. The batch computes one prompt after another.
+func (e *Engine) prefill(now time.Time, s *stream) time.Time {
+	cached := e.cache.cached(s.blocks) * overhttp.BlockTokens
+	s.cachedTokens = min(cached, s.promptTokens)
+	uncached := s.promptTokens - s.cachedTokens
+	e.counters.PromptTokens += s.promptTokens
+	e.counters.CachedTokens += s.cachedTokens
+	e.counters.ComputedTokens += uncached
+	begin := now
+	if e.prefillFree.After(now) {
+		begin = e.prefillFree
+	}
+	seconds := float64(uncached) / e.cfg.PrefillRate * e.slow()
+	e.prefillFree = begin.Add(time.Duration(seconds * float64(time.Second)))
+	return e.prefillFree
+}
+
+func (e *Engine) head(s *stream) upstream.Head {
+	version := s.version
+	if e.fault.HeadVersion != "" {
+		version = e.fault.HeadVersion
+	}
+	return upstream.Head{
+		StreamID:     s.g.StreamID,
+		Incarnation:  e.incarnation,
+		Version:      version,
+		PromptTokens: s.promptTokens,
+		CachedTokens: s.cachedTokens,
+	}
+}
+
+// run produces the tokens of an admitted stream until ctx ends.
+func (e *Engine) run(ctx context.Context, s *stream, ready time.Time) {
+	if !pause(ctx, time.Until(ready)) {
+		return
+	}
+	e.mu.Lock()
+	if ctx.Err() == nil {
+		e.cache.store(time.Now(), s.g.Salt, s.blocks)
+	}
+	e.mu.Unlock()
+	for i, text := range s.tokens {
+		if !e.gate(ctx) || !pause(ctx, e.decode()) {
+			return
+		}
+		finish := ""
+		if i == len(s.tokens)-1 {
+			finish = s.finish
+		}
+		s.emit(upstream.Token{Index: i, Text: text, Finish: finish})
+	}
+}
+
+// finish frees the slot of a stream, unless its process has crashed.
+func (e *Engine) finish(ctx context.Context, s *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ctx.Err() != nil {
+		s.abandon()
+		return
+	}
+	now := time.Now()
+	e.running--
+	if !s.abandon() {
+		e.counters.Finished++
+	}
+	e.end(now, s)
+	e.admit(now)
+}
+
+// end keeps an ended stream for a while and forgets those that are too old.
+func (e *Engine) end(now time.Time, s *stream) {
+	s.endedAt = now
+	e.held = append(e.held, s)
+	for len(e.held) > 0 && (len(e.held) > maxHeld || now.Sub(e.held[0].endedAt) > e.cfg.Hold) {
+		if old := e.held[0]; e.streams[old.g.StreamID] == old {
+			delete(e.streams, old.g.StreamID)
+		}
+		e.held[0] = nil
+		e.held = e.held[1:]
+	}
+}
+
+// maxHeld bounds the ended streams that are kept.
+const maxHeld = 4096
+
+func (e *Engine) decode() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Duration(float64(e.cfg.Decode) * e.slow())
+}
+
+func (e *Engine) slow() float64 {
+	if e.fault.Slow > 0 {
+		return e.fault.Slow
+	}
+	return 1
+}
+
+// gate waits while the engine is frozen; false if ctx has ended.
+func (e *Engine) gate(ctx context.Context) bool {
+	e.mu.Lock()
+	thawed := e.thawed
+	e.mu.Unlock()
+	select {
+	case <-thawed:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// pause waits for d; false if ctx has ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
