--- a/request/failure/failure.go
+++ b/request/failure/failure.go
@@ -69,6 +69,7 @@
 	MalformedIntent
 	PlatformUnavailable
 	Cancelled
+	OutcomeUnknown
 )
 
 // Error is an immutable failure value. The With methods return changed
@@ -114,6 +115,7 @@
 	ErrMalformedIntent     = newError(MalformedIntent, http.StatusBadRequest, "the intent could not be read")
 	ErrPlatformUnavailable = newError(PlatformUnavailable, http.StatusServiceUnavailable, "the platform's log can't be reached")
 	ErrCancelled           = newError(Cancelled, 499, "the caller went away")
+	ErrOutcomeUnknown      = newError(OutcomeUnknown, http.StatusConflict, "a request with this Idempotency-Key was begun; whether it ran is not known").WithRan(Unknown)
 )
 
 func newError(c Code, status int, message string) *Error {
