--- a/request/call/call.go
+++ b/request/call/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/idempotency"
+	"github.com/dunlinmill/dunlinmill/request/journal"
 )
 
 // Request is a caller's request, read and checked. Nothing in it points into
@@ -52,3 +53,16 @@
 		Key:    r.Key.Value,
 	}
 }
+
+// entry is the call as the journal knows it. Two calls with one key must ask
+// for the same thing.
+func (r Request) entry(deduplicates bool) journal.Entry {
+	return journal.Entry{
+		Workspace:    r.Workspace,
+		Key:          r.Key.Value,
+		KeyTime:      r.Key.At,
+		Deduplicates: deduplicates,
+		Request: journal.HashRequest([]byte(r.Service), []byte(r.Method),
+			[]byte(r.Path), []byte(r.Query), r.Body),
+	}
+}
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -52,21 +53,9 @@
 
 // Journal sees to it that a not-repeatable call runs once at most.
 type Journal interface {
-	// BeginCall claims the call's key, or gives the answer it got before.
-	// The error is a *failure.Error.
-	BeginCall(ctx context.Context, now time.Time, r Request, deduplicates bool) (Claim, *upstream.Reply, error)
-}
-
-// Claim is the right to send a call once.
-type Claim interface {
-	// MaySend says whether the call may still be sent; true at most once.
-	MaySend(now time.Time) bool
-	// NotSent gives the key free: no byte has left and none will.
-	NotSent(now time.Time)
-	// Ran notes the answer.
-	Ran(now time.Time, reply upstream.Reply)
-	// Unknown notes that the call may have run.
-	Unknown(now time.Time)
+	// Begin claims the call's key, or gives the answer it got before. The
+	// error is a *failure.Error.
+	Begin(ctx context.Context, now time.Time, e journal.Entry) (*journal.Claim, *journal.Answer, error)
 }
 
 // Config bounds one call's life.
@@ -139,7 +128,7 @@
 	rt        *Router
 	r         Request
 	instances []config.Upstream
-	claim     Claim // nil for a call that may be repeated
+	claim     *journal.Claim // nil for a call that may be repeated
 	attempts  int
 	sent      bool // a byte may have reached an instance
 	tried     []string
@@ -148,7 +137,7 @@
 // sendClaimed claims the key before the send and tells the journal the end.
 func (s *sending) sendClaimed(ctx context.Context, now time.Time) (upstream.Reply, error) {
 	deduplicates := lo.EveryBy(s.instances, func(u config.Upstream) bool { return u.DeduplicatesKeys })
-	c, earlier, err := s.rt.Journal.BeginCall(ctx, now, s.r, deduplicates)
+	c, earlier, err := s.rt.Journal.Begin(ctx, now, s.r.entry(deduplicates))
 	if err != nil {
 		return upstream.Reply{}, err
 	}
@@ -156,6 +145,7 @@
 		return *earlier, nil
 	}
 	s.claim = c
+	defer func() { c.Close(time.Now()) }()
 	reply, err := s.sendAll(ctx)
 	switch {
 	case err == nil:
@@ -163,7 +153,7 @@
 	case failure.From(err).Ran == failure.NotRun:
 		c.NotSent(time.Now())
 	default:
-		c.Unknown(time.Now())
+		c.UnknownOutcome(time.Now())
 	}
 	return reply, err
 }
@@ -235,12 +225,16 @@
 }
 
 func (s *sending) do(ctx context.Context, now time.Time, u config.Upstream) (upstream.Reply, error) {
-	if s.claim != nil && s.attempts == 1 && !s.claim.MaySend(now) {
-		return upstream.Reply{}, fmt.Errorf("claim is spent: %w", upstream.ErrRefused)
+	if s.claim != nil && !s.claim.MayBegin(now) {
+		return upstream.Reply{}, fmt.Errorf("claim is over: %w", upstream.ErrRefused)
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.patience(now))
 	defer cancel()
-	return s.rt.Upstreams.Service(u).Do(ctx, s.r.call())
+	reply, err := s.rt.Upstreams.Service(u).Do(ctx, s.r.call())
+	if s.claim != nil && err != nil && surelyNotRun(err) {
+		s.claim.Reopen()
+	}
+	return reply, err
 }
 
 func (s *sending) patience(now time.Time) time.Duration {
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -34,6 +34,8 @@
 	text     strings.Builder // all text given out, for a continuation elsewhere
 	resumes  int
 	finished bool
+	finish   string // the last token's Finish
+	replayed *held  // an earlier request's answer; nil: this one's own
 	// resumeFailed says that the engine did not give the present stream back.
 	resumeFailed bool
 	failed       error // why the answer ended without its end
@@ -75,6 +77,9 @@
 	if a.finished {
 		return Token{}, io.EOF
 	}
+	if a.replayed != nil {
+		return a.nextReplayed(), nil
+	}
 	for {
 		t, err := a.read()
 		if err == nil {
@@ -107,9 +112,8 @@
 	out := Token{Index: a.count, Text: t.Text, Finish: t.Finish}
 	a.count++
 	a.text.WriteString(t.Text)
-	if t.Finish != "" {
-		a.finished = true
-	}
+	a.finish = t.Finish
+	a.finished = t.Finish != ""
 	return out
 }
 
@@ -221,6 +225,10 @@
 		return
 	}
 	a.closed = true
+	defer a.release()
+	if a.replayed != nil {
+		return
+	}
 	if a.finished {
 		a.drop()
 	} else {
@@ -229,7 +237,16 @@
 	now := time.Now()
 	a.visit.end(now, a.failed)
 	if a.s.claim != nil {
-		a.s.claim.Sent(now, a.finished)
+		a.settle(now)
+	}
+}
+
+// settle tells the journal how the request ended.
+func (a *Answer) settle(now time.Time) {
+	whole, err := a.hold()
+	if !a.finished || err != nil {
+		a.s.claim.UnknownOutcome(now)
+		return
 	}
-	a.release()
+	a.s.claim.Ran(now, whole)
 }
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -8,6 +8,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/retry"
@@ -57,19 +58,9 @@
 
 // Journal sees to it that a not-repeatable request runs once at most.
 type Journal interface {
-	// Begin claims the request's key. The error is a *failure.Error.
-	Begin(ctx context.Context, now time.Time, r Request) (Claim, error)
-}
-
-// Claim is the right to send a request once.
-type Claim interface {
-	// MaySend says whether the request may still be sent; true at most once.
-	MaySend(now time.Time) bool
-	// NotSent gives the key free: no byte has left and none will.
-	NotSent(now time.Time)
-	// Sent notes that the request reached the upstream, and whether the
-	// whole answer came back.
-	Sent(now time.Time, whole bool)
+	// Begin claims the request's key, or gives the answer it got before.
+	// The error is a *failure.Error.
+	Begin(ctx context.Context, now time.Time, e journal.Entry) (*journal.Claim, *journal.Answer, error)
 }
 
 // Observer counts what the router does.
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -11,6 +11,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
@@ -49,21 +50,25 @@
 	began    time.Time
 	chain    prefix.Chain
 	target   target
-	claim    Claim // nil for a repeatable request
-	sent     bool  // a byte may have reached an upstream
+	claim    *journal.Claim // nil for a repeatable request
+	sent     bool           // a byte may have reached an upstream
 	attempts int
 	excluded []string
 }
 
 // claimed gets the claim that a not-repeatable request needs before its send.
 func (s *start) claimed(ctx context.Context) (*Answer, error) {
-	if s.r.Key.Set() {
-		c, err := s.rt.Journal.Begin(ctx, s.began, s.r)
-		if err != nil {
-			return nil, err
-		}
-		s.claim = c
+	if !s.r.Key.Set() {
+		return s.attemptAll(ctx)
 	}
+	c, earlier, err := s.rt.Journal.Begin(ctx, s.began, s.r.entry())
+	if err != nil {
+		return nil, err
+	}
+	if earlier != nil {
+		return s.replay(*earlier)
+	}
+	s.claim = c
 	a, err := s.attemptAll(ctx)
 	if err != nil {
 		s.settle(err)
@@ -74,14 +79,11 @@
 
 // settle tells the journal how a request without an answer ended.
 func (s *start) settle(err error) {
-	if s.claim == nil {
-		return
-	}
 	if failure.From(err).Ran == failure.NotRun {
 		s.claim.NotSent(time.Now())
 		return
 	}
-	s.claim.Sent(time.Now(), false)
+	s.claim.UnknownOutcome(time.Now())
 }
 
 func (s *start) attemptAll(ctx context.Context) (*Answer, error) {
@@ -234,33 +236,41 @@
 
 // send calls the engine and waits for the first token.
 func (s *start) send(ctx context.Context, now time.Time, v *visit, u config.Upstream) (*Answer, error) {
-	if s.claim != nil && !s.mayClaim(now) {
-		return nil, fmt.Errorf("claim is spent: %w", upstream.ErrRefused)
+	if s.claim != nil && !s.claim.MayBegin(now) {
+		return nil, fmt.Errorf("claim is over: %w", upstream.ErrRefused)
 	}
 	g := s.generation(u)
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(s.patience(now), cancel)
 	stream, err := s.rt.Upstreams.Engine(u).Generate(ctx, g)
 	if err != nil {
+		timer.Stop()
 		cancel()
-		s.sent = s.sent || !surelyNotRun(err)
+		s.failedToSend(err)
 		return nil, err
 	}
 	s.sent = true
 	a := newAnswer(s, v, u, g, stream, cancel)
-	if err := a.first(); err != nil {
+	err = a.first()
+	timer.Stop()
+	if err != nil {
 		a.abandon()
 		return nil, err
 	}
-	timer.Stop()
 	s.answered(v, a)
 	return a, nil
 }
 
-// mayClaim asks the claim before the first send. Later sends happen only
-// after errors that prove that nothing ran, under the same claim.
-func (s *start) mayClaim(now time.Time) bool {
-	return s.attempts > 1 || s.claim.MaySend(now)
+// failedToSend notes what a send without an answer may have left behind. A
+// claim whose request surely did not run may be used for another send.
+func (s *start) failedToSend(err error) {
+	if !surelyNotRun(err) {
+		s.sent = true
+		return
+	}
+	if s.claim != nil {
+		s.claim.Reopen()
+	}
 }
 
 func (s *start) patience(now time.Time) time.Duration {
