--- a/request/limit/concurrency.go
+++ b/request/limit/concurrency.go
@@ -44,9 +44,8 @@
 	Tolerance float64
 	// Decrease is what the limit is multiplied with on congestion.
 	Decrease float64
-	// Pause is the shortest time between two decreases: answers to requests
-	// sent before a decrease would lower the limit for the same congestion
-	// again, down to the floor.
+	// Pause is the shortest time between two decreases by refusals: one
+	// burst of them is one congestion.
 	Pause time.Duration
 	// Window is how long the least slowdown is remembered.
 	Window time.Duration
@@ -112,7 +111,17 @@
 	return true
 }
 
-// Release gives a place back and learns from the result.
+// Answered learns from a first token as soon as it is there. A stream may go
+// on for a minute; what its end tells would be a minute old.
+func (c *Concurrency[K]) Answered(now time.Time, upstream K, firstToken, expected time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.get(upstream).learn(now, c.cfg, Result{Outcome: Served, FirstToken: firstToken, Expected: expected})
+}
+
+// Release gives a place back and learns from the result. FirstToken stays 0
+// if Answered has told it before; for a plain service it is the time to the
+// whole answer.
 func (c *Concurrency[K]) Release(now time.Time, upstream K, r Result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -195,25 +204,34 @@
 const smoothing = 0.2
 
 func (u *upstreamLimit) learn(now time.Time, cfg ConcurrencyConfig, r Result) {
-	switch r.Outcome {
-	case Refused:
-		u.lower(now, cfg)
-	case Served:
-		if u.congested(now, cfg, r) {
+	switch {
+	case r.Outcome == Refused:
+		if now.Sub(u.lowered) >= cfg.Pause {
 			u.lower(now, cfg)
-			return
 		}
-		u.raise(now, cfg)
+	case r.Outcome == Served && r.FirstToken > 0:
+		u.answered(now, cfg, r)
 	}
 }
 
-// lower cuts the limit, at most once in each Pause.
-func (u *upstreamLimit) lower(now time.Time, cfg ConcurrencyConfig) {
-	if now.Sub(u.lowered) < cfg.Pause {
+// answered learns from a time to first token. An answer to a request that
+// was sent before the last decrease tells of the load before it, and would
+// lower the limit again for the same congestion.
+func (u *upstreamLimit) answered(now time.Time, cfg ConcurrencyConfig, r Result) {
+	if now.Add(-r.FirstToken).Before(u.lowered) {
+		return
+	}
+	if u.congested(now, cfg, r) {
+		u.lower(now, cfg)
 		return
 	}
+	u.raise(now, cfg)
+}
+
+func (u *upstreamLimit) lower(now time.Time, cfg ConcurrencyConfig) {
 	u.lowered = now
 	u.limit = max(float64(cfg.Floor), u.limit*cfg.Decrease)
+	u.smooth = min(u.smooth, u.base())
 }
 
 // raise adds one for each full round. A limit that is not used is not
@@ -228,9 +246,6 @@
 // congested compares the smoothed slowdown with the least one of the last
 // one to two windows.
 func (u *upstreamLimit) congested(now time.Time, cfg ConcurrencyConfig, r Result) bool {
-	if r.FirstToken <= 0 {
-		return false
-	}
 	slowdown := r.FirstToken.Seconds()
 	if r.Expected > 0 {
 		slowdown /= r.Expected.Seconds()
@@ -246,9 +261,13 @@
 	if u.least[0] == 0 || u.smooth < u.least[0] {
 		u.least[0] = u.smooth
 	}
-	base := u.least[0]
+	return u.smooth > cfg.Tolerance*u.base()
+}
+
+// base is the least slowdown of this window and the one before.
+func (u *upstreamLimit) base() float64 {
 	if u.least[1] > 0 {
-		base = min(base, u.least[1])
+		return min(u.least[0], u.least[1])
 	}
-	return u.smooth > cfg.Tolerance*base
+	return u.least[0]
 }
--- a/request/limit/fair.go
+++ b/request/limit/fair.go
@@ -1,5 +1,7 @@
 package limit
 
+import "time"
+
 // class is the entries of one priority, shared between workspaces by
 // start-time fair queueing: each workspace is a flow whose entries get start
 // tags that grow by cost/weight, and the least start tag goes first. A
@@ -12,10 +14,11 @@
 	virtual float64     // start tag of the entry granted last
 	cost    float64     // of all waiting entries
 	weight  float64     // of all flows with waiting entries
-	pass    float64     // the class's own virtual time among the classes
-	n       int         // waiting entries
-	idle    int         // flows kept without entries
-	sweepAt int         // idle flows that start a sweep
+	drain   drain
+	pass    float64 // the class's own virtual time among the classes
+	n       int     // waiting entries
+	idle    int     // flows kept without entries
+	sweepAt int     // idle flows that start a sweep
 }
 
 // flow is the entries of one workspace in one class, the oldest first.
@@ -25,6 +28,7 @@
 	start           float64 // tag of the first entry
 	cost            float64
 	n               int
+	drain           drain
 	first, last     *Entry
 	inReady, inOver int
 }
@@ -67,6 +71,9 @@
 	f.cost += e.Cost
 	c.cost += e.Cost
 	c.n++
+	if c.n == 1 {
+		c.drain.since = e.arrived
+	}
 	if f.n > 1 {
 		c.over.fix(f.inOver)
 		return
@@ -75,6 +82,7 @@
 		c.idle--
 	}
 	f.weight = e.Weight
+	f.drain.since = e.arrived
 	f.start = max(f.start, c.virtual)
 	c.weight += f.weight
 	c.ready.push(f)
@@ -82,8 +90,10 @@
 }
 
 // grant takes the first entry out and makes its flow pay for it.
-func (c *class) grant(e *Entry) {
+func (c *class) grant(now time.Time, e *Entry) {
 	f := e.flow
+	c.drain.add(now, e.Cost)
+	f.drain.add(now, e.Cost)
 	c.virtual = f.start
 	f.start += e.Cost / f.weight
 	c.remove(e)
--- a/request/limit/queue.go
+++ b/request/limit/queue.go
@@ -16,7 +16,10 @@
 // strict order would let a workspace that marks all its work urgent starve
 // the others' batch work for good; these parts leave the urgent class so
 // much that its own work hardly waits.
-var classWeight = [Classes]float64{64, 16, 4, 1}
+var classWeight = [Classes]float64{256, 32, 8, 4}
+
+// allWeights is the sum of classWeight.
+const allWeights = 256 + 32 + 8 + 4
 
 // Ticket is a request that asks to be let in.
 type Ticket struct {
@@ -247,7 +250,7 @@
 		e := c.first()
 		q.pass = c.pass
 		c.pass += e.Cost / classWeight[e.Priority]
-		c.grant(e)
+		c.grant(now, e)
 		q.taken(e)
 		q.grant(now, e)
 		settled = append(settled, e)
