--- /dev/null
+++ b/cmd/dunlinmill/main.go
@@ -0,0 +1,25 @@
+// Command dunlinmill runs a node and is the operators' command line.
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/dunlinmill/dunlinmill/process/command"
+	"github.com/dunlinmill/dunlinmill/process/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	streams := command.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	code := command.Run(ctx, os.Args[1:], streams, serve)
+	stop()
+	os.Exit(code)
+}
+
+func serve(context.Context, settings.Settings) error {
+	return errors.New("serve: this build has no node")
+}
--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -12,19 +12,21 @@
 	_ = x[JournalLogBack-401]
 	_ = x[JournalClaimAbandoned-402]
 	_ = x[JournalRecordUnread-403]
+	_ = x[JournalOutcomeDropped-404]
 	_ = x[PeerConnectionRefused-200]
 	_ = x[MemberJoined-201]
 	_ = x[MemberRestarted-202]
 	_ = x[MemberSuspected-203]
 	_ = x[MemberDied-204]
-	_ = x[MemberLeaving-205]
-	_ = x[MemberRefuted-206]
-	_ = x[MemberNameTaken-207]
-	_ = x[MemberPaused-208]
-	_ = x[VMListUnavailable-209]
-	_ = x[VMListAvailable-210]
-	_ = x[CertificateReloaded-211]
-	_ = x[CertificateReloadFailed-212]
+	_ = x[MemberRecovered-205]
+	_ = x[MemberLeaving-206]
+	_ = x[MemberRefuted-207]
+	_ = x[MemberNameTaken-208]
+	_ = x[MemberPaused-209]
+	_ = x[VMListUnavailable-210]
+	_ = x[VMListAvailable-211]
+	_ = x[CertificateReloaded-212]
+	_ = x[CertificateReloadFailed-213]
 	_ = x[OperatorRefused-600]
 	_ = x[IntentStated-601]
 	_ = x[IntentRefused-602]
@@ -38,8 +40,6 @@
 	_ = x[ProcessStopped-504]
 	_ = x[GraceExceeded-505]
 	_ = x[ProcessFailed-506]
-	_ = x[CertificateLoaded-507]
-	_ = x[CertificateFailed-508]
 	_ = x[RequestPlaced-100]
 	_ = x[RequestAnswered-101]
 	_ = x[RequestRefused-102]
@@ -71,19 +71,19 @@
 
 const (
 	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelled"
-	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailed"
+	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailed"
 	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUp"
-	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnread"
-	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedCertificateLoadedCertificateFailed"
+	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDropped"
+	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailed"
 	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsed"
 )
 
 var (
 	_Event_index_0 = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112}
-	_Event_index_1 = [...]uint8{0, 21, 33, 48, 63, 73, 86, 99, 114, 126, 143, 158, 177, 200}
+	_Event_index_1 = [...]uint8{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215}
 	_Event_index_2 = [...]uint8{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223}
-	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70}
-	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 110, 127}
+	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91}
+	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93}
 	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90}
 )
 
@@ -92,16 +92,16 @@
 	case 100 <= i && i <= 107:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
-	case 200 <= i && i <= 212:
+	case 200 <= i && i <= 213:
 		i -= 200
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
 	case 300 <= i && i <= 318:
 		i -= 300
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
-	case 400 <= i && i <= 403:
+	case 400 <= i && i <= 404:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 500 <= i && i <= 508:
+	case 500 <= i && i <= 506:
 		i -= 500
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	case 600 <= i && i <= 605:
--- a/process/event/process.go
+++ b/process/event/process.go
@@ -16,8 +16,4 @@
 	GraceExceeded
 	// ProcessFailed: a part of the process failed and the process stops. To do: read Error; the platform should start the process again.
 	ProcessFailed
-	// CertificateLoaded: a listener's certificate was read, at the start or after its file changed.
-	CertificateLoaded
-	// CertificateFailed: a changed certificate can't be used; the one before stays in use. To do: mend the files named.
-	CertificateFailed
 )
--- /dev/null
+++ b/process/settings/settings.go
@@ -0,0 +1,171 @@
+// Package settings holds what one process is told at its start: its name,
+// its addresses, where the platform is, and its bounds. The settings are
+// decoded once, checked, and read-only after; everything that operators
+// change while the system runs is configuration, which comes from the
+// platform's log.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/process/document"
+)
+
+// Settings are the settings of one node.
+type Settings struct {
+	Node       string // name of this node, unique among all nodes
+	DataCentre string
+	Listen     Listen
+	Platform   Platform
+	Peers      Peers
+	Operators  Operators
+	Limits     Limits
+	Queue      Queue
+	Journal    Journal
+	Shutdown   Shutdown
+	Log        Log
+	// LastKnown is an optional configuration file that a node falls back to
+	// when it starts and reaches neither the log nor a peer.
+	LastKnown string
+}
+
+// Listen has one listener for each kind of client.
+type Listen struct {
+	Callers   Listener
+	Operators Listener
+	Peers     Listener
+}
+
+// Listener is one listening socket. Without TLS it speaks plain text.
+type Listener struct {
+	Address string // IP:port; port 0 takes a free one
+	TLS     TLS
+}
+
+// TLS names the certificate of a listener. The files are read again after
+// they have changed.
+type TLS struct {
+	CertFile string
+	KeyFile  string
+}
+
+// Enabled says whether a certificate is set.
+func (t TLS) Enabled() bool { return t.CertFile != "" }
+
+// Platform says where the platform's services listen, each as IP:port.
+type Platform struct {
+	Log         string
+	VMList      string
+	WeightStore string
+	Timeout     time.Duration // for one call
+}
+
+// Peers says how the nodes reach each other.
+type Peers struct {
+	// Seeds are peer listeners that are tried before the VM list is known.
+	Seeds []string
+	// Secret is shared by all nodes of a fleet; SecretFile is read instead.
+	Secret      string
+	SecretFile  string
+	CallTimeout time.Duration
+}
+
+// Operators settles who may state the first intents.
+type Operators struct {
+	// BootstrapToken is accepted only as long as the configuration has no
+	// operator; BootstrapTokenFile is read instead.
+	BootstrapToken     string
+	BootstrapTokenFile string
+}
+
+// Limits bounds what one client may take up.
+type Limits struct {
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	MaxConnections int
+	HeaderTimeout  time.Duration // to read a request whole
+	IdleTimeout    time.Duration // of a kept-alive connection
+	WriteTimeout   time.Duration // without progress towards the client
+}
+
+// Queue bounds the requests that wait for an upstream.
+type Queue struct {
+	Length  int
+	MaxWait time.Duration
+}
+
+// Journal settles the record of not-repeatable requests.
+type Journal struct {
+	Horizon    time.Duration // how long a key is answered for
+	BatchDelay time.Duration // how long a record may wait for others
+	// AppendsPerSecond is the part of the log's capacity that all nodes
+	// together may use for the journal.
+	AppendsPerSecond float64
+}
+
+// Shutdown settles how a node leaves.
+type Shutdown struct {
+	// Notice is how long readiness says "leaving" before the listener closes.
+	Notice time.Duration
+	// Grace is how long requests in flight may take after that.
+	Grace time.Duration
+}
+
+// Log settles what is written to the log.
+type Log struct {
+	Level string
+}
+
+// Load reads, decodes and checks a settings file. Overrides go before the
+// file. The error joins one document.Fault for each thing wrong.
+func Load(path string, overrides ...Override) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, data, overrides...)
+}
+
+// Parse is Load for a file that has been read already; file is the name that
+// faults bear.
+func Parse(file string, data []byte, overrides ...Override) (Settings, error) {
+	s := Default()
+	d := document.Decode(file, data, &s)
+	s.override(d, overrides)
+	s.readSecrets(d)
+	s.check(d)
+	if err := d.Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// Check says what is wrong with a settings file, all faults at once.
+func Check(path string) error {
+	_, err := Load(path)
+	return err
+}
+
+func (s *Settings) readSecrets(d *document.Decoded) {
+	readSecret(d, "Peers.Secret", &s.Peers.Secret, s.Peers.SecretFile)
+	readSecret(d, "Operators.BootstrapToken", &s.Operators.BootstrapToken, s.Operators.BootstrapTokenFile)
+}
+
+func readSecret(d *document.Decoded, path string, into *string, file string) {
+	if file == "" {
+		return
+	}
+	if *into != "" {
+		d.Fault(path+"File", "set beside "+path, "one of the two")
+		return
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		d.Fault(path+"File", err.Error(), "a file that this process can read")
+		return
+	}
+	*into = strings.TrimSpace(string(data))
+}
