Add the membership of nodes, thin

Cause: nodes must know each other without the platform, whose VM list lags both ways and has outages. Ruled out: heartbeats from all to all, whose bytes grow with the square of the nodes.

--- a/process/event/journal.go
+++ b/process/event/journal.go
@@ -13,4 +13,7 @@
 	// JournalRecordUnread: a record of the journal could not be decoded and
 	// was skipped.
 	JournalRecordUnread
+	// JournalOutcomeDropped: too many outcomes waited for the log, and the
+	// oldest was dropped; its key counts as unknown from now on.
+	JournalOutcomeDropped
 )
--- a/process/event/member.go
+++ b/process/event/member.go
@@ -4,7 +4,7 @@
 const (
 	// PeerConnectionRefused: a connection to the peer listener was refused, for its secret, its protocol or the limit on connections.
 	PeerConnectionRefused Event = iota + 200
-	// MemberJoined: a node was seen for the first time, or again after it was dead.
+	// MemberJoined: a node was seen for the first time.
 	MemberJoined
 	// MemberRestarted: a node came back as a new incarnation.
 	MemberRestarted
@@ -12,6 +12,8 @@
 	MemberSuspected
 	// MemberDied: a suspected node did not refute in time.
 	MemberDied
+	// MemberRecovered: a suspected or dead node was heard again, in the same incarnation.
+	MemberRecovered
 	// MemberLeaving: a node announced that it leaves, or the VM list says so.
 	MemberLeaving
 	// MemberRefuted: other nodes suspected this one, and it told them that it lives.
--- /dev/null
+++ b/process/member/evidence.go
@@ -0,0 +1,242 @@
+package member
+
+import (
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+)
+
+// heard takes in what a member said of itself over a connection of its own.
+func (t *Table) heard(now time.Time, r Record, offset uint64) {
+	if !r.valid() || r.Name == t.self.Name {
+		t.learn(now, r)
+		return
+	}
+	r.State = Alive
+	t.learn(now, r)
+	e := t.members[r.Name]
+	if e == nil || e.record.Incarnation != r.Incarnation {
+		return
+	}
+	e.heard = now
+	e.offset = max(e.offset, offset)
+	e.unreachable = false
+	if e.record.State != Alive && r.Heartbeat >= e.record.Heartbeat {
+		t.setState(now, e, Alive, Recovered)
+	}
+}
+
+// learn takes in one record, from whomever it comes.
+func (t *Table) learn(now time.Time, r Record) {
+	if !r.valid() {
+		return
+	}
+	if r.Name == t.self.Name {
+		t.refute(r)
+		return
+	}
+	e := t.members[r.Name]
+	switch {
+	case e == nil:
+		t.add(now, r)
+	case r.Incarnation > e.record.Incarnation:
+		t.restart(now, e, r)
+	case r.Incarnation < e.record.Incarnation:
+		t.correct(e)
+	default:
+		t.compare(now, e, r)
+	}
+}
+
+// refute answers a record about this node itself that is wrong: others
+// suspect it, or hold a newer incarnation than its own because its clock went
+// back over a restart or another node has its name. It takes a count that
+// outranks the record.
+func (t *Table) refute(r Record) {
+	switch {
+	case r.Incarnation > t.self.Incarnation:
+		t.self.Incarnation = r.Incarnation + 1
+		t.announceSelf()
+		t.note(r, NameTaken)
+	case r.Incarnation == t.self.Incarnation && r.State != Alive:
+		t.self.Heartbeat = max(t.self.Heartbeat, r.Heartbeat) + 1
+		t.announceSelf()
+		t.note(r, Refuted)
+	}
+}
+
+func (t *Table) add(now time.Time, r Record) {
+	if len(t.members) >= MaxMembers {
+		return
+	}
+	t.members[r.Name] = &entry{record: r, since: now}
+	t.dropCandidate(r.Address)
+	t.announce(r.Name)
+	if r.State != Dead {
+		t.note(r, Joined)
+	}
+}
+
+// restart replaces what was known of an earlier process by that name. It is
+// alive at once, whatever was believed of the former one.
+func (t *Table) restart(now time.Time, e *entry, r Record) {
+	*e = entry{record: r, since: now, listed: e.listed}
+	t.dropCandidate(r.Address)
+	t.forgetBlobs(r.Name)
+	t.announce(r.Name)
+	t.note(r, Restarted)
+}
+
+// compare merges a record of the same incarnation. The higher heartbeat is
+// the newer evidence. That a member is dead is never taken from others: it
+// starts this node's own suspicion, so that after a cut between data centres
+// the other side's verdict on members that live here kills none of them.
+func (t *Table) compare(now time.Time, e *entry, r Record) {
+	if r.Leaving && !e.record.Leaving {
+		e.record.Leaving = true
+		t.announce(r.Name)
+		t.note(r, Left)
+	}
+	newer := r.Heartbeat > e.record.Heartbeat
+	switch {
+	case r.State == Alive && newer:
+		e.record.Heartbeat = r.Heartbeat
+		if e.record.State != Alive {
+			t.setState(now, e, Alive, Recovered)
+		}
+	case r.State != Alive && r.Heartbeat < e.record.Heartbeat:
+		t.correct(e)
+	case r.State != Alive && (newer || e.record.State == Alive):
+		e.record.Heartbeat = r.Heartbeat
+		if e.record.State != Dead || newer && r.State == Suspect {
+			t.setState(now, e, Suspect, Suspected)
+		}
+	}
+}
+
+// correct has this node's newer evidence travel again, since somebody holds
+// older.
+func (t *Table) correct(e *entry) {
+	if _, ok := t.updates[e.record.Name]; !ok {
+		t.updates[e.record.Name] = 0
+	}
+}
+
+// attempt is a heartbeat on its way.
+type attempt struct {
+	target    Target
+	heartbeat uint64 // known of the target when it began
+	began     time.Time
+}
+
+// unanswered notes that the target answered neither this node nor those that
+// it asked. It does nothing if newer evidence came meanwhile, or if this
+// process stood still and could not have heard an answer.
+func (t *Table) unanswered(now time.Time, a attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.members[a.target.Name]
+	if e == nil {
+		t.deferCandidate(now, a.target.Address)
+		return
+	}
+	e.unreachable = true
+	t.version++
+	paused := now.Sub(a.began) > pauseIntervals*t.cfg.Interval
+	if paused || e.record.Heartbeat > a.heartbeat || e.heard.After(a.began) {
+		return
+	}
+	if e.record.State == Alive {
+		t.setState(now, e, Suspect, Suspected)
+	}
+}
+
+// reachedByOthers notes that peers reached what this node could not.
+func (t *Table) reachedByOthers(now time.Time, a attempt, r Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.members[a.target.Name]; e != nil {
+		e.unreachable = true
+		t.version++
+	}
+	r.State = Alive
+	t.learn(now, r)
+}
+
+// maxUrgent bounds the members that are waiting to be probed out of turn.
+const maxUrgent = 16
+
+// Report takes in the outcome of any other call to a member: a failure has it
+// probed next, out of turn.
+func (t *Table) Report(now time.Time, name string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.members[name]
+	if e == nil || e.record.State != Alive {
+		return
+	}
+	if ok {
+		e.heard = now
+		e.unreachable = false
+		return
+	}
+	if len(t.urgent) < maxUrgent {
+		t.urgent = append(t.urgent, name)
+	}
+}
+
+// SetVMs takes in the platform's VM list. A listed address that was never
+// heard from is only a candidate: the list goes on naming dead VMs. A member
+// that the list lacks stays: the list is late to name new VMs.
+func (t *Table) SetVMs(now time.Time, vms []platform.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := map[string]*entry{}
+	for _, e := range t.members {
+		// Of two processes that had the address, the later one has it now.
+		other := known[e.record.Address]
+		if e.record.State != Dead && (other == nil || other.record.Incarnation < e.record.Incarnation) {
+			known[e.record.Address] = e
+		}
+	}
+	listed := map[string]bool{}
+	for _, vm := range vms {
+		listed[vm.Address] = true
+		if e := known[vm.Address]; e != nil {
+			t.setListedLeaving(e, vm.Leaving)
+		} else if !vm.Leaving {
+			t.addCandidate(vm.Address)
+		}
+	}
+	for address, c := range t.candidates {
+		if !c.fixed && !listed[address] {
+			delete(t.candidates, address)
+		}
+	}
+}
+
+func (t *Table) addCandidate(address string) {
+	if address == "" || len(address) > MaxNameBytes || address == t.self.Address {
+		return
+	}
+	if t.candidates[address] == nil && len(t.candidates) < MaxCandidates {
+		t.candidates[address] = &candidate{}
+	}
+}
+
+// setListedLeaving marks a member whose VM the platform lists as leaving. The
+// mark holds for the incarnation that lived when the list began to say so: a
+// new process at the same address must not inherit it from a late list.
+func (t *Table) setListedLeaving(e *entry, leaving bool) {
+	began := leaving && !e.listed
+	e.listed = leaving
+	if began && !e.listedLeaving {
+		e.listedLeaving = true
+		t.version++
+		t.note(e.record, Left)
+	}
+	if !leaving && e.listedLeaving {
+		e.listedLeaving = false
+		t.version++
+	}
+}
