--- a/request/journal/claim.go
+++ b/request/journal/claim.go
@@ -28,8 +28,9 @@
 	deadline time.Time // zero: none
 	recorded bool
 
-	mu    sync.Mutex
-	stage stage
+	mu      sync.Mutex
+	stage   stage
+	outcome Outcome
 }
 
 // Recorded says whether the claim stands in the log. If not, the upstream
@@ -88,9 +89,17 @@
 func (c *Claim) end(now time.Time, o Outcome, a Answer) {
 	c.mu.Lock()
 	ended := c.stage == stageEnded
-	c.stage = stageEnded
+	if !ended {
+		c.stage, c.outcome = stageEnded, o
+	}
 	c.mu.Unlock()
 	if !ended {
 		c.journal.ended(now, c, o, a)
 	}
 }
+
+func (c *Claim) outcomeNow() Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outcome
+}
--- a/request/journal/health.go
+++ b/request/journal/health.go
@@ -16,6 +16,7 @@
 	logger  *zap.Logger
 	reads   direction
 	appends direction
+	claims  direction // claims that got no verdict in time, by whichever way
 }
 
 // direction is one kind of call to the log.
@@ -32,6 +33,7 @@
 		logger:  logger,
 		reads:   direction{name: "Read"},
 		appends: direction{name: "Append"},
+		claims:  direction{name: "Claim"},
 	}
 }
 
@@ -49,6 +51,22 @@
 	d.retryAt = now.Add(h.backoff)
 }
 
+// refuse says whether a claim has to be refused. While the log fails, one
+// claim passes in each pause, as the probe, and the others need not wait for
+// its end to hear what is the matter.
+func (d *direction) refuse(now time.Time, backoff time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.failed {
+		return false
+	}
+	if now.Before(d.retryAt) {
+		return true
+	}
+	d.retryAt = now.Add(backoff)
+	return false
+}
+
 // down says whether a claim has to be refused. After a pause one is let
 // through again: it is the probe for the appends. Reads probe themselves.
 func (h *health) down(now time.Time) bool {
--- a/request/journal/journal_test.go
+++ b/request/journal/journal_test.go
@@ -26,7 +26,7 @@
 	for _, change := range changes {
 		change(&s)
 	}
-	j, err := New(s, log, zap.NewNop())
+	j, err := New(s, log, Alone{}, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/request/journal/partition.go
+++ b/request/journal/partition.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,6 +35,8 @@
 	errFull = errors.New("journal: too many claims wait for the log")
 	// errUndecided means that the claim may be in the log, now or later.
 	errUndecided = errors.New("journal: the claim was not read back in time")
+	// errNotCovered means that the key is older than what was read back.
+	errNotCovered = errors.New("journal: the key is older than what was read back so far")
 	// errClosed means that the partition is no longer read here.
 	errClosed = errors.New("journal: partition closed")
 )
@@ -65,13 +68,13 @@
 	cancel   context.CancelFunc
 	stopped  chan struct{} // closed when nothing runs any more
 	wg       sync.WaitGroup
+	used     atomic.Int64 // when somebody last asked, in nanoseconds since 1970
 
 	mu       sync.Mutex
 	state    *State
 	pending  []ClaimRecord
 	outcomes []outcomeGroup
 	waiters  map[ClaimID]chan decision
-	used     time.Time
 }
 
 // newPartition starts to read and append; close stops it.
@@ -89,8 +92,8 @@
 		cancel:   cancel,
 		stopped:  make(chan struct{}),
 		waiters:  map[ClaimID]chan decision{},
-		used:     now,
 	}
+	p.used.Store(now.UnixNano())
 	p.wg.Go(func() { p.read(ctx) })
 	p.wg.Go(func() { p.write(ctx) })
 	return p
@@ -115,6 +118,7 @@
 // claim appends c unless its key is taken already, and waits until it has
 // been read back.
 func (p *partition) claim(ctx context.Context, now time.Time, c ClaimRecord) decision {
+	p.used.Store(now.UnixNano())
 	if err := p.opened(ctx, now); err != nil {
 		return decision{err: err}
 	}
@@ -154,7 +158,6 @@
 func (p *partition) enqueue(now time.Time, c ClaimRecord) (chan decision, decision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.used = now
 	if v, h := p.state.Look(c); v != Undecided {
 		return nil, decision{verdict: v, holder: h}
 	}
@@ -190,7 +193,8 @@
 }
 
 // record appends outcomes and waits until the log has taken them.
-func (p *partition) record(ctx context.Context, records []OutcomeRecord) error {
+func (p *partition) record(ctx context.Context, now time.Time, records []OutcomeRecord) error {
+	p.used.Store(now.UnixNano())
 	g := outcomeGroup{records: records, done: make(chan error, 1)}
 	p.mu.Lock()
 	p.outcomes = append(p.outcomes, g)
--- /dev/null
+++ b/request/journal/route.go
@@ -0,0 +1,210 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+	"golang.org/x/time/rate"
+)
+
+// maxReaders is how many readers a node asks before it does the work itself.
+// With one more than one, the death of a reader makes one other node append
+// in its place, not every node of the data centre.
+const maxReaders = 2
+
+// Member is a live node.
+type Member struct {
+	Name       string
+	DataCentre string
+	Address    string // IP:port of its peer listener
+}
+
+// Peers is what the journal needs of the other nodes.
+type Peers interface {
+	// Members gives the nodes thought to be live, this one among them.
+	Members() []Member
+	// Call calls a method of net/rpc at an address.
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Alone are the Peers of a single node.
+type Alone struct{}
+
+// Members gives none.
+func (Alone) Members() []Member { return nil }
+
+// Call always fails.
+func (Alone) Call(context.Context, string, string, any, any) error {
+	return errors.New("journal: no peers")
+}
+
+// readers gives the nodes of this data centre that append for a partition,
+// the best first, by rendezvous hashing. This node ends the list: behind it
+// nobody is asked.
+func (j *Journal) readers(now time.Time, partition int) []Member {
+	near := lo.Filter(j.peers.Members(), func(m Member, _ int) bool {
+		return m.DataCentre == j.settings.DataCentre && !j.avoided(now, m.Name)
+	})
+	slices.SortFunc(near, func(a, b Member) int {
+		return compareScores(score(partition, a.Name), score(partition, b.Name))
+	})
+	near = near[:min(len(near), maxReaders)]
+	for i, m := range near {
+		if m.Name == j.settings.Node {
+			return near[:i]
+		}
+	}
+	return near
+}
+
+func score(partition int, node string) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%d/%s", partition, node))
+}
+
+func compareScores(a, b uint64) int {
+	if a > b {
+		return -1
+	}
+	if a < b {
+		return 1
+	}
+	return 0
+}
+
+// avoided says whether a node failed a call a moment ago.
+func (j *Journal) avoided(now time.Time, node string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	until, ok := j.avoid[node]
+	if ok && !now.Before(until) {
+		delete(j.avoid, node)
+		return false
+	}
+	return ok
+}
+
+// call calls a peer, and avoids it as a reader for a while if it fails, so
+// that a half-open connection costs one request its time and not each.
+func (j *Journal) call(ctx context.Context, m Member, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, j.settings.PeerTimeout)
+	defer cancel()
+	err := j.peers.Call(ctx, m.Address, method, args, reply)
+	if err == nil {
+		return nil
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.avoid[m.Name] = time.Now().Add(j.settings.Backoff)
+	return fmt.Errorf("journal: %s at %s: %w", method, m.Name, err)
+}
+
+// decide gets the verdict on a claim: from a reader of its partition, else
+// by this node itself. The same claim may reach the log by several ways.
+func (j *Journal) decide(ctx context.Context, now time.Time, c ClaimRecord) decision {
+	if j.health.claims.refuse(now, j.settings.Backoff) {
+		return decision{err: errDown}
+	}
+	d := j.decideAnywhere(ctx, now, c)
+	if errors.Is(d.err, errUndecided) {
+		j.health.note(&j.health.claims, time.Now(), d.err)
+	} else if d.err == nil {
+		j.health.note(&j.health.claims, time.Now(), nil)
+	}
+	return d
+}
+
+func (j *Journal) decideAnywhere(ctx context.Context, now time.Time, c ClaimRecord) decision {
+	n := c.Key.partition(j.settings.Partitions)
+	asked := false
+	for _, m := range j.readers(now, n) {
+		req := ClaimRequest{Partition: n, Partitions: j.settings.Partitions, Claim: c, Wait: j.settings.PeerTimeout}
+		var resp ClaimResponse
+		if err := j.call(ctx, m, claimMethod, req, &resp); err == nil && resp.Verdict != Undecided {
+			return decision{verdict: resp.Verdict, holder: resp.Holder}
+		}
+		asked = true
+	}
+	d := j.claimHere(ctx, now, n, c)
+	if d.err != nil && asked {
+		d.err = errUndecided // a reader may have appended it
+	}
+	return d
+}
+
+// claimHere has this node append a claim and read it back.
+func (j *Journal) claimHere(ctx context.Context, now time.Time, n int, c ClaimRecord) decision {
+	p, err := j.partition(now, n)
+	if err != nil {
+		return decision{err: err}
+	}
+	return p.claim(ctx, now, c)
+}
+
+// record has outcomes appended, by a reader or by this node itself.
+func (j *Journal) record(ctx context.Context, now time.Time, n int, outcomes []OutcomeRecord) error {
+	for _, m := range j.readers(now, n) {
+		req := RecordRequest{Partition: n, Partitions: j.settings.Partitions, Outcomes: outcomes}
+		if j.call(ctx, m, recordMethod, req, &RecordResponse{}) == nil {
+			return nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, j.settings.ClaimTimeout)
+	defer cancel()
+	return j.recordHere(ctx, now, n, outcomes)
+}
+
+func (j *Journal) recordHere(ctx context.Context, now time.Time, n int, outcomes []OutcomeRecord) error {
+	p, err := j.partition(now, n)
+	if err != nil {
+		return err
+	}
+	return p.record(ctx, now, outcomes)
+}
+
+// appendRate gives how many appends a second one partition may make here:
+// each data centre has one appender per partition, and they share the budget.
+func (j *Journal) appendRate() rate.Limit {
+	dataCentres := len(lo.UniqBy(j.peers.Members(), func(m Member) string { return m.DataCentre }))
+	return rate.Limit(j.settings.AppendBudget / float64(j.settings.Partitions*max(dataCentres, 1)))
+}
+
+// partition gives the open partition, opening it if need be.
+func (j *Journal) partition(now time.Time, n int) (*partition, error) {
+	every := j.appendRate()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.closed {
+		return nil, errClosed
+	}
+	p := j.partitions[n]
+	if p == nil {
+		stream := fmt.Sprintf("%s-%d", j.settings.Stream, n)
+		p = newPartition(j.settings, stream, j.log, j.health, every, now)
+		j.partitions[n] = p
+	}
+	return p, nil
+}
+
+// tend adapts the open partitions to the members, and closes those that
+// nobody asks for.
+func (j *Journal) tend(now time.Time) {
+	every := j.appendRate()
+	var idle []*partition
+	j.mu.Lock()
+	for n, p := range j.partitions {
+		p.limiter.SetLimit(every)
+		if now.Sub(time.Unix(0, p.used.Load())) > j.settings.IdleAfter {
+			idle = append(idle, p)
+			delete(j.partitions, n)
+		}
+	}
+	j.mu.Unlock()
+	for _, p := range idle {
+		p.close()
+	}
+}
--- a/request/journal/settings.go
+++ b/request/journal/settings.go
@@ -43,6 +43,9 @@
 	// Backoff is the pause after the log has failed. It is also the
 	// RetryAfter of a refusal.
 	Backoff time.Duration
+	// ProgressFor is how long a claim whose writer can't be reached counts as
+	// in progress. Afterwards its outcome counts as unknown.
+	ProgressFor time.Duration
 	// IdleAfter is when a partition that nobody asks for is no longer read.
 	IdleAfter time.Duration
 	// AnswerBytes and AnswerAge bound the answers that are held for callers
@@ -70,6 +73,7 @@
 		PeerTimeout:  time.Second,
 		OutcomeDelay: 250 * time.Millisecond,
 		Backoff:      500 * time.Millisecond,
+		ProgressFor:  time.Minute,
 		IdleAfter:    2 * time.Minute,
 		AnswerBytes:  16 << 20,
 		AnswerAge:    5 * time.Minute,
@@ -96,7 +100,7 @@
 	}{
 		{"Horizon", s.Horizon}, {"MaxAhead", s.MaxAhead}, {"ClockSkew", s.ClockSkew},
 		{"ClaimTimeout", s.ClaimTimeout}, {"PeerTimeout", s.PeerTimeout}, {"OutcomeDelay", s.OutcomeDelay},
-		{"Backoff", s.Backoff}, {"IdleAfter", s.IdleAfter}, {"AnswerAge", s.AnswerAge},
+		{"Backoff", s.Backoff}, {"ProgressFor", s.ProgressFor}, {"IdleAfter", s.IdleAfter}, {"AnswerAge", s.AnswerAge},
 	} {
 		bad(d.value <= 0, "%s: must be above 0", d.name)
 	}
