Measure placement policies in virtual time, calm workload

Cause: which placement is good depends on queues, caches and partial pictures together; it has to be measured over the decision code itself. Ruled out: wall-clock runs against stand-ins (differ from run to run and take minutes); a cluster simulator (not needed for these questions). Change: one event queue, an engine model (slots, shared prefill, decode, prefix cache in limited memory), the two users' workloads, eight nodes with their own partial pictures, an oracle with the true state of all engines, and a command that prints the table.

--- /dev/null
+++ b/measure/engine/engine.go
@@ -0,0 +1,322 @@
+// Package engine models a model engine in virtual time: batch slots, a rate
+// of prefill that the prompts in work share, decode at a fixed pace, and a
+// prefix cache in limited memory.
+//
+// What the model leaves out: decode does not slow down with the batch,
+// unfinished prompts take no cache memory, and a prefix can be reused only
+// once the first prompt that brings it is computed whole.
+package engine
+
+import (
+	"math"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/measure/virtual"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/request/prefix"
+)
+
+// Config is an engine's size.
+type Config struct {
+	placement.Upstream
+	Version     string
+	CacheTokens int
+}
+
+// Job is one request on an engine. The callbacks run at the engine, in
+// virtual time; Ended follows every Submit exactly once.
+type Job struct {
+	Chain  prefix.Chain
+	Output int  // tokens
+	Urgent bool // goes before other work, in the queue and in prefill
+
+	Started func(cached int)
+	First   func(a placement.Answer)
+	Ended   func(ok bool)
+
+	cached int
+	left   float64       // prompt tokens still to compute
+	ends   time.Duration // end of decode, since the run's start
+	ended  bool
+}
+
+// Engine is one simulated engine.
+type Engine struct {
+	cfg   Config
+	clock *virtual.Clock
+
+	incarnation uint64
+	down        bool
+	failing     bool
+	slowdown    float64 // 1 is the normal speed
+
+	cache   *cache
+	urgent  []*Job // waiting for a slot
+	queue   []*Job // waiting for a slot
+	prefill []*Job // in a slot, prompt not yet computed
+	decode  []*Job // in a slot, answering
+
+	advanced time.Duration // up to when prefill has been accounted for
+	plan     uint64        // number of the latest planned end of prefill
+	busy     time.Duration // time with prefill work
+}
+
+// New makes an idle engine with an empty cache.
+func New(clock *virtual.Clock, cfg Config) *Engine {
+	return &Engine{
+		cfg:         cfg,
+		clock:       clock,
+		incarnation: 1,
+		slowdown:    1,
+		cache:       newCache(cfg.CacheTokens, 1),
+	}
+}
+
+// Config gives the engine's size.
+func (e *Engine) Config() Config { return e.cfg }
+
+// Down reports whether the engine refuses connections.
+func (e *Engine) Down() bool { return e.down }
+
+// Cached is the number of the chain's tokens in the cache now.
+func (e *Engine) Cached(chain prefix.Chain) int { return e.cache.cached(chain) }
+
+// Busy is how long the engine had prompts to compute.
+func (e *Engine) Busy() time.Duration {
+	e.advance()
+	return e.busy
+}
+
+// Submit takes a job into the queue. It reports false, and calls nothing, if
+// the engine is down or failing.
+func (e *Engine) Submit(j *Job) bool {
+	if e.down || e.failing {
+		return false
+	}
+	if j.Urgent {
+		e.urgent = append(e.urgent, j)
+	} else {
+		e.queue = append(e.queue, j)
+	}
+	e.admit()
+	return true
+}
+
+// Crash ends all work and loses the cache; the engine refuses connections
+// until Restart.
+func (e *Engine) Crash() {
+	e.advance()
+	e.down = true
+	lost := e.jobs()
+	e.urgent, e.queue, e.prefill, e.decode = nil, nil, nil, nil
+	e.plan++
+	for _, j := range lost {
+		e.end(j, false)
+	}
+}
+
+// Restart makes a crashed engine serve again, as a new incarnation.
+func (e *Engine) Restart() {
+	e.down = false
+	e.incarnation++
+	e.cache = newCache(e.cfg.CacheTokens, e.incarnation)
+}
+
+// SetFailing makes the engine answer every new request with an error at once.
+func (e *Engine) SetFailing(failing bool) { e.failing = failing }
+
+// SetSlowdown divides the prefill rate and stretches decode.
+func (e *Engine) SetSlowdown(factor float64) {
+	e.advance()
+	e.slowdown = factor
+	e.schedule()
+}
+
+// Load is the report that the engine would give now.
+func (e *Engine) Load() placement.Load {
+	e.advance()
+	tokens := 0.0
+	for _, j := range e.prefill {
+		tokens += j.left
+	}
+	for _, q := range [][]*Job{e.urgent, e.queue} {
+		for _, j := range q {
+			tokens += float64(j.Chain.Tokens() - e.cache.cached(j.Chain))
+		}
+	}
+	return placement.Load{
+		Incarnation:  e.incarnation,
+		Version:      e.cfg.Version,
+		At:           e.clock.Now(),
+		Running:      len(e.prefill) + len(e.decode),
+		Queued:       len(e.urgent) + len(e.queue),
+		QueuedTokens: int(tokens),
+	}
+}
+
+// TakeEvents gives the cache events since the last call.
+func (e *Engine) TakeEvents() []placement.CacheEvent {
+	events := e.cache.events
+	e.cache.events = nil
+	return events
+}
+
+func (e *Engine) jobs() []*Job {
+	var all []*Job
+	for _, list := range [][]*Job{e.urgent, e.queue, e.prefill, e.decode} {
+		all = append(all, list...)
+	}
+	return all
+}
+
+func (e *Engine) rate() float64 { return e.cfg.Prefill / e.slowdown }
+
+// active is the prompts that prefill works on: urgent ones keep all others
+// waiting.
+func (e *Engine) active() []*Job {
+	var urgent []*Job
+	for _, j := range e.prefill {
+		if j.Urgent {
+			urgent = append(urgent, j)
+		}
+	}
+	if len(urgent) > 0 {
+		return urgent
+	}
+	return e.prefill
+}
+
+// advance accounts for the prefill done since the last call.
+func (e *Engine) advance() {
+	now := e.clock.Elapsed()
+	passed := now - e.advanced
+	e.advanced = now
+	if passed <= 0 || len(e.prefill) == 0 {
+		return
+	}
+	e.busy += passed
+	active := e.active()
+	share := e.rate() * passed.Seconds() / float64(len(active))
+	for _, j := range active {
+		j.left -= share
+	}
+}
+
+// admit moves waiting jobs into free slots.
+func (e *Engine) admit() {
+	e.advance()
+	for len(e.prefill)+len(e.decode) < e.cfg.Slots {
+		j := e.next()
+		if j == nil {
+			break
+		}
+		e.start(j)
+	}
+	e.schedule()
+}
+
+func (e *Engine) next() *Job {
+	q := &e.urgent
+	if len(*q) == 0 {
+		q = &e.queue
+	}
+	if len(*q) == 0 {
+		return nil
+	}
+	j := (*q)[0]
+	*q = (*q)[1:]
+	return j
+}
+
+func (e *Engine) start(j *Job) {
+	j.cached = min(e.cache.cached(j.Chain), j.Chain.Tokens()-1)
+	j.left = float64(j.Chain.Tokens() - j.cached)
+	e.cache.touch(j.Chain)
+	e.prefill = append(e.prefill, j)
+	j.Started(j.cached)
+}
+
+// schedule plans the next end of prefill and drops the plan made before.
+func (e *Engine) schedule() {
+	e.plan++
+	active := e.active()
+	if len(active) == 0 {
+		return
+	}
+	least := math.Inf(1)
+	for _, j := range active {
+		least = min(least, j.left)
+	}
+	seconds := max(least, 0) * float64(len(active)) / e.rate()
+	plan := e.plan
+	wait := time.Duration(math.Ceil(seconds * float64(time.Second)))
+	e.clock.After(wait, func() {
+		if plan == e.plan {
+			e.computed()
+		}
+	})
+}
+
+// done is how few tokens may be left of a computed prompt; it covers the
+// rounding of times to nanoseconds.
+const done = 1e-3
+
+// computed moves the prompts that are computed on to decode.
+func (e *Engine) computed() {
+	e.advance()
+	var still []*Job
+	var ready []*Job
+	for _, j := range e.prefill {
+		if j.left > done {
+			still = append(still, j)
+		} else {
+			ready = append(ready, j)
+		}
+	}
+	e.prefill = still
+	for _, j := range ready {
+		e.cache.store(j.Chain)
+		e.decode = append(e.decode, j)
+		e.startDecode(j)
+	}
+	e.schedule()
+}
+
+func (e *Engine) startDecode(j *Job) {
+	step := e.step()
+	whole := step * time.Duration(max(j.Output, 1))
+	j.ends = e.clock.Elapsed() + whole
+	a := placement.Answer{
+		Incarnation:  e.incarnation,
+		Version:      e.cfg.Version,
+		PromptTokens: j.Chain.Tokens(),
+		CachedTokens: j.cached,
+	}
+	e.clock.After(step, func() {
+		if !j.ended {
+			j.First(a)
+		}
+	})
+	e.clock.After(whole, func() {
+		if j.ended {
+			return
+		}
+		e.decode = remove(e.decode, j)
+		e.end(j, true)
+		e.admit()
+	})
+}
+
+func (e *Engine) end(j *Job, ok bool) {
+	j.ended = true
+	j.Ended(ok)
+}
+
+func remove(jobs []*Job, j *Job) []*Job {
+	for i := range jobs {
+		if jobs[i] == j {
+			return append(jobs[:i], jobs[i+1:]...)
+		}
+	}
+	return jobs
+}
--- /dev/null
+++ b/measure/measure.go
@@ -0,0 +1,73 @@
+// Package measure runs the router's decision code against models of engines
+// and workloads in virtual time, and puts what comes of it in one table. A
+// run has one event queue, fixed seeds, no goroutines and no wall clock, so
+// that the same inputs give the same table.
+//
+// To measure a new placement policy, add it to placement.Policies; the table,
+// the command and the bounds take it from there by its name. A policy must
+// not use the wall clock, unseeded randomness or the order of a map.
+//
+// To add a scenario, append it to Scenarios.
+package measure
+
+import (
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/measure/workload"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+)
+
+// Policy is a placement policy to measure.
+type Policy struct {
+	Name string
+	// New makes the policy of one node. Only the oracle looks at the truth.
+	New func(u workload.User, node int, seed uint64, truth *Truth) placement.Policy
+}
+
+// Policies lists what the table compares: the oracle, then every policy of
+// package placement.
+func Policies() []Policy {
+	list := []Policy{Oracle()}
+	for _, named := range placement.Policies() {
+		list = append(list, fromPlacement(named))
+	}
+	return list
+}
+
+func fromPlacement(named placement.Named) Policy {
+	return Policy{
+		Name: named.Name,
+		New: func(u workload.User, node int, seed uint64, _ *Truth) placement.Policy {
+			return named.New(placement.Config{
+				Nodes:         u.Nodes,
+				Seed:          seed<<8 | uint64(node),
+				Weighing:      u.Weighing,
+				RemoteLatency: otherCentre - sameCentre,
+			})
+		},
+	}
+}
+
+// Lengths of the phases of a run.
+const (
+	warmUp  = 120 * time.Second // fills the caches; not counted
+	eventAt = 180 * time.Second // when a scenario's fault begins
+	runEnd  = 300 * time.Second
+)
+
+// Times on the wire and of the control traffic.
+const (
+	sameCentre     = 100 * time.Microsecond
+	otherCentre    = 500 * time.Microsecond
+	errorDelay     = 2 * time.Millisecond   // of an engine that fails fast
+	connectTimeout = 250 * time.Millisecond // of a connection into a cut data centre
+	noticeDelay    = 2 * time.Second        // until nodes take out a dead upstream
+	loadPeriod     = 250 * time.Millisecond
+	loadLag        = 100 * time.Millisecond
+	eventPeriod    = 50 * time.Millisecond
+	eventLag       = 100 * time.Millisecond
+	summaryPeriod  = time.Second
+)
+
+// maxAttempts bounds how often a request is placed.
+const maxAttempts = 3
--- /dev/null
+++ b/measure/workload/users.go
@@ -0,0 +1,124 @@
+package workload
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// The sizes of an engine, the same for both users.
+const (
+	engineSlots   = 32
+	enginePrefill = 8000 // tokens a second
+	engineDecode  = 20 * time.Millisecond
+	engineCache   = 240_000 // tokens
+)
+
+// nodes is the number of entry VMs of each user.
+const nodes = 8
+
+// Users gives both deployments.
+func Users() []User { return []User{Hidrantis(), Kovacsne()} }
+
+// Hidrantis is the register of hydrants: short urgent look-ups by
+// dispatchers, most of them in Sofia's context, beside inspections in the
+// field and audits that go through whole utilities.
+func Hidrantis() User {
+	centres := []string{"Iskar", "Vitosha", "Lozenets", "Mladost"}
+	return User{
+		Name:        "Hidrantis",
+		DataCentres: centres,
+		Nodes:       nodes,
+		Engines:     engines(centres, 12),
+		CacheTokens: engineCache,
+		Rate:        25,
+		Weighing:    config.Weighing{Wait: 2, Recompute: 1},
+		Kinds: []Kind{
+			{
+				Name: "Dispatch", Share: 0.50, Urgent: true, Hot: 0.5, Reread: 0.3,
+				Output: Range{20, 60}, Query: Range{60, 160},
+				record: Range{600, 2500}, skew: 0.9, count: 150,
+			},
+			{
+				Name: "Inspection", Share: 0.35, Hot: 0.15, Reread: 0.4,
+				Output: Range{80, 220}, Query: Range{200, 600},
+				record: Range{1000, 8000}, skew: 0.8, count: 250,
+			},
+			{
+				Name: "Audit", Share: 0.15, Sweep: true,
+				Output: Range{250, 500}, Query: Range{100, 300},
+				record: Range{1000, 8000}, count: 250,
+			},
+		},
+		workspaces: workspaces("Sofia", "Plovdiv", "Varna", "Burgas", "Ruse", "Pleven", "Sliven", "Dobrich"),
+	}
+}
+
+// Kovacsne keeps workers' training records: long records that are reread
+// all morning, drafts with long answers, and short checks of one code at the
+// gates, many of them against the same context.
+func Kovacsne() User {
+	centres := []string{"Budapest", "Kecskemet", "Szolnok"}
+	return User{
+		Name:        "Kovacsne",
+		DataCentres: centres,
+		Nodes:       nodes,
+		Engines:     engines(centres, 10),
+		CacheTokens: engineCache,
+		Rate:        23,
+		Weighing:    config.Weighing{Wait: 1, Recompute: 2},
+		Burst:       Burst{From: 150 * time.Second, To: 270 * time.Second, Kind: "GateCheck", Extra: 0.25},
+		Kinds: []Kind{
+			{
+				Name: "Draft", Share: 0.40, Reread: 0.75,
+				Output: Range{250, 500}, Query: Range{150, 500},
+				record: Range{3000, 8000}, skew: 0.6, count: 400,
+			},
+			{
+				Name: "GateCheck", Share: 0.45, Urgent: true, Hot: 0.6, Reread: 0.2,
+				Output: Range{8, 24}, Query: Range{30, 90},
+				record: Range{1000, 2000}, skew: 1.0, count: 200,
+			},
+			{
+				Name: "ExamResults", Share: 0.15, Reread: 0.2,
+				Output: Range{60, 160}, Query: Range{300, 1200},
+				record: Range{1000, 5000}, skew: 0.6, count: 400,
+			},
+		},
+		workspaces: workspaces("Epito", "Vasbeton", "Hegeszto", "Daru", "Allvany", "Burkolo", "Acs", "Kazan"),
+	}
+}
+
+// engines spreads n engines over the data centres.
+func engines(centres []string, n int) []placement.Upstream {
+	list := make([]placement.Upstream, n)
+	for i := range list {
+		list[i] = placement.Upstream{
+			Name:       fmt.Sprintf("runner-%02d", i+1),
+			DataCentre: centres[i%len(centres)],
+			Slots:      engineSlots,
+			Prefill:    enginePrefill,
+			Decode:     engineDecode,
+		}
+	}
+	return list
+}
+
+// workspaces gives eight workspaces, the first few large.
+func workspaces(names ...string) []workspace {
+	shares := []float64{0.32, 0.20, 0.15, 0.10, 0.08, 0.06, 0.05, 0.04}
+	contexts := []int{14, 9, 7, 5, 4, 4, 3, 3}
+	list := make([]workspace, len(names))
+	for i, name := range names {
+		list[i] = workspace{
+			name:     name,
+			share:    shares[i],
+			contexts: contexts[i],
+			preamble: Range{2000, 4000},
+			context:  Range{2000, 6000},
+		}
+	}
+	return list
+}
