Reject a streamed answer whose last chunk is missing

A body in chunks that ended between two chunks counted as whole: fasthttp's stream of a body gives plain io.EOF there. The test of broken framing saw 'error is <nil>' for it. A check of the end mark alone was ruled out, since it would leave the connection to be reused. The chunks of a stream are now read by the standard library's reader and the trailer after them is required.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -6,10 +6,12 @@
 package exchange
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net/http/httputil"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -98,16 +100,21 @@
 // Stream sends req once and reads the head of the answer into resp; the body
 // is read from the Stream. The caller closes it.
 func (c *Client) Stream(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*Stream, error) {
-	resp.StreamBody = true
 	s, err := c.begin(ctx, req, resp)
 	if err != nil {
 		return nil, err
 	}
-	if err := s.readBody(0); err != nil {
+	if s.chunked() {
+		// fasthttp's own reader of chunks takes a connection that ends
+		// between two chunks for the end of the body.
+		s.body = httputil.NewChunkedReader(s.conn.br)
+		return s, nil
+	}
+	if err := s.readBody(c.cfg.MaxBody); err != nil {
 		s.Close()
 		return nil, s.broken("read answer", err)
 	}
-	s.body = resp.BodyStream()
+	s.body = bytes.NewReader(resp.Body())
 	return s, nil
 }
 
@@ -151,10 +158,13 @@
 // answer's framing announced.
 func (s *Stream) Read(p []byte) (int, error) {
 	n, err := s.body.Read(p)
-	switch {
-	case err == nil:
+	if err == io.EOF && s.chunked() && !s.complete {
+		err = s.readTrailer()
+	}
+	switch err {
+	case nil:
 		return n, nil
-	case err == io.EOF: // fasthttp wraps io.EOF for a body that was cut
+	case io.EOF:
 		s.complete = true
 		return n, io.EOF
 	default:
@@ -162,6 +172,23 @@
 	}
 }
 
+// readTrailer reads what follows the last chunk; io.EOF if it is whole.
+func (s *Stream) readTrailer() error {
+	err := s.resp.Header.ReadTrailer(s.conn.br)
+	switch err {
+	case nil:
+		return io.EOF
+	case io.EOF:
+		return io.ErrUnexpectedEOF
+	default:
+		return err
+	}
+}
+
+func (s *Stream) chunked() bool {
+	return !s.resp.SkipBody && s.resp.Header.ContentLength() == lengthChunked
+}
+
 // Close gives the connection back if the answer was read to its end, and
 // closes it otherwise, so that no late byte reaches another request.
 func (s *Stream) Close() {
@@ -199,8 +226,11 @@
 // can't be told from a cut, so a truncated answer would pass as whole.
 var errUnframed = errors.New("the answer has neither a length nor chunks")
 
-// lengthUnknown is fasthttp's ContentLength of such a body.
-const lengthUnknown = -2
+// fasthttp's values of ContentLength for a body without one.
+const (
+	lengthChunked = -1
+	lengthUnknown = -2
+)
 
 func (s *Stream) readBody(limit int) error {
 	if s.resp.SkipBody || bodiless(s.resp.StatusCode()) {
@@ -214,7 +244,7 @@
 	if err := s.resp.ReadBody(s.conn.br, limit); err != nil {
 		return err
 	}
-	if length == -1 && !s.resp.StreamBody {
+	if length == lengthChunked {
 		return s.resp.Header.ReadTrailer(s.conn.br)
 	}
 	return nil
--- a/connection/upstream/overhttp/stream.go
+++ b/connection/upstream/overhttp/stream.go
@@ -16,8 +16,13 @@
 	"github.com/dunlinmill/dunlinmill/connection/upstream/overhttp/exchange"
 )
 
-// maxEventBytes bounds one line of a stream.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes bounds one line of a stream.
+	maxEventBytes = 64 << 10
+	// lineBuffer is enough for the lines of most tokens; longer ones are put
+	// together on the side. It is held for as long as a stream is open.
+	lineBuffer = 2 << 10
+)
 
 // stream reads one answer. Close may come from another goroutine than Next:
 // it only cancels the context, whose end closes the connection under the
@@ -54,7 +59,7 @@
 		cancel()
 		return nil, mapped(err)
 	}
-	s := &stream{cancel: cancel, body: b, lines: bufio.NewReaderSize(b, maxEventBytes), next: first}
+	s := &stream{cancel: cancel, body: b, lines: bufio.NewReaderSize(b, lineBuffer), next: first}
 	if err := s.begin(&resp, id); err != nil {
 		s.Close()
 		return nil, fmt.Errorf("%s of %s: %w", path, e.client.Address(), err)
@@ -214,8 +219,12 @@
 	}
 }
 
+// readLine gives a line without its end; it is valid until the next read.
 func (s *stream) readLine() ([]byte, error) {
 	line, err := s.lines.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line, err = s.readLongLine(line)
+	}
 	if err != nil {
 		// The body's end without an end mark is a truncated answer.
 		return nil, fmt.Errorf("%w: after token %d: %w", upstream.ErrBroken, s.next-1, unexpected(err))
@@ -223,6 +232,20 @@
 	return line[:len(line)-1], nil
 }
 
+func (s *stream) readLongLine(part []byte) ([]byte, error) {
+	line := append([]byte(nil), part...)
+	for len(line) <= maxEventBytes {
+		part, err := s.lines.ReadSlice('\n')
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+	return nil, errLongLine
+}
+
+var errLongLine = fmt.Errorf("a line is longer than %d bytes", maxEventBytes)
+
 // unexpected keeps io.EOF out of the errors of a cut stream: callers take
 // io.EOF for the end of a whole answer.
 func unexpected(err error) error {
--- a/standin/engine/counters.go
+++ b/standin/engine/counters.go
@@ -115,3 +115,13 @@
 	}
 	return upstream.Report{Incarnation: e.incarnation, Models: e.models, Role: e.role, Slots: e.cfg.Slots, At: now.Add(-lag)}
 }
+
+// Waiting gives how many generations wait for a slot.
+func (e *Engine) Waiting() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.queue)
+}
+
+// Connections gives how many connections are open.
+func (e *Engine) Connections() int { return e.listener.Connections() }
--- a/standin/listener/listener.go
+++ b/standin/listener/listener.go
@@ -80,6 +80,13 @@
 	return l.address
 }
 
+// Connections gives how many connections are open.
+func (l *Listener) Connections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // Cut closes every connection at once.
 func (l *Listener) Cut() {
 	l.mu.Lock()
