Read back just far enough first, and tell a silent reader from a refusal

A node that starts read the whole horizon before its first claim. It now begins where keys of the last 15 s can lie, serves those, and reads the rest beside it; older keys wait for that.

Readers answer a refusal as a value, so that an error of a call means that nobody answered. Before, a log outage made every node stop asking the reader and append for itself as soon as the log was back.

--- /dev/null
+++ b/request/journal/cluster_cases_test.go
@@ -0,0 +1,286 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/failure"
+)
+
+// fakeUpstream counts the arrivals of each key.
+type fakeUpstream struct {
+	mu       sync.Mutex
+	arrivals map[string]int
+}
+
+func (u *fakeUpstream) do(key string) Answer {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.arrivals == nil {
+		u.arrivals = map[string]int{}
+	}
+	u.arrivals[key]++
+	return Answer{Status: 200, Body: []byte("done " + key)}
+}
+
+func (u *fakeUpstream) count(key string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.arrivals[key]
+}
+
+// A trade school's retry arrives at another node after the first try ran. It
+// gets the first answer, asked from the node that holds it; once that is
+// gone, it hears that the request ran. Another body under the key is an
+// error of the caller, and so is another key time.
+func TestEarlierAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var u fakeUpstream
+		c := newCluster(t, newFakeLog(), 4, 2)
+		e := entryAt("key", time.Now())
+		claim, _, err := begin(c.node(0), e)
+		if err != nil || !claim.MayBegin(time.Now()) {
+			t.Fatal(err)
+		}
+		_, _, err = begin(c.node(1), e)
+		want(t, err, failure.ErrKeyInProgress, failure.Unknown)
+		claim.Ran(time.Now(), u.do(e.Key))
+		for i := range 4 {
+			_, a, err := begin(c.node(i), e)
+			if err != nil || a == nil || string(a.Body) != "done key" {
+				t.Fatalf("node %d: %v, %v", i, a, err)
+			}
+		}
+		other := e
+		other.Request = HashRequest([]byte("other"))
+		_, _, err = begin(c.node(2), other)
+		want(t, err, failure.ErrKeyReused, failure.NotRun)
+		other = e
+		other.KeyTime = e.KeyTime.Add(time.Second)
+		_, _, err = begin(c.node(2), other)
+		want(t, err, failure.ErrKeyReused, failure.NotRun)
+		time.Sleep(6 * time.Minute)
+		_, _, err = begin(c.node(3), e)
+		want(t, err, failure.ErrAlreadyRan, failure.Completed)
+	})
+}
+
+// A node dies with its claim in the log: before the send, or after it. Nobody
+// else can tell which, so the caller must not hear "not run", and no other
+// node may send. An upstream that deduplicates gets it once more.
+func TestWriterDies(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, newFakeLog(), 4, 2)
+			e := entryAt("key", time.Now())
+			if claim, _, err := begin(c.node(0), e); err != nil || !claim.MayBegin(time.Now()) {
+				t.Fatal(err)
+			}
+			c.kill(0)
+			if restarted {
+				c.start(c.members[0])
+				_, _, err := begin(c.node(0), e)
+				want(t, err, failure.ErrOutcomeUnknown, failure.Unknown)
+			} else {
+				_, _, err := begin(c.node(1), e)
+				want(t, err, failure.ErrKeyInProgress, failure.Unknown)
+			}
+			time.Sleep(2 * time.Minute)
+			_, _, err := begin(c.node(1), e)
+			want(t, err, failure.ErrOutcomeUnknown, failure.Unknown)
+			e.Deduplicates = true
+			claim, _, err := begin(c.node(2), e)
+			if err != nil || claim.Recorded() || !claim.MayBegin(time.Now()) {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
+// A node wins the claim and is paused for ten minutes right before the send.
+// Callers try again elsewhere all the while. A lease would have lapsed, and
+// both would send; here the claim stays with the paused node, which sends
+// when it wakes, and nobody else does.
+func TestWriterPausedBeforeSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var u fakeUpstream
+		c := newCluster(t, newFakeLog(), 4, 2)
+		e := entryAt("key", time.Now())
+		claim, _, err := c.node(0).Begin(context.Background(), time.Now(), e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.mu.Lock()
+		c.cut["n0"] = true // a paused process answers nobody
+		c.mu.Unlock()
+		for i := range 60 {
+			time.Sleep(10 * time.Second)
+			if other, _, err := begin(c.node(1+i%3), e); err == nil {
+				if other.MayBegin(time.Now()) {
+					u.do(e.Key)
+				}
+			} else if failure.From(err).Ran == failure.NotRun {
+				t.Fatalf("told that it did not run: %v", err)
+			}
+		}
+		if claim.MayBegin(time.Now()) {
+			u.do(e.Key)
+		}
+		if claim.MayBegin(time.Now()) {
+			t.Fatal("leave to send was given twice")
+		}
+		if n := u.count(e.Key); n != 1 {
+			t.Fatalf("%d arrivals", n)
+		}
+	})
+}
+
+// The first try finds no upstream, and its caller hears NotRun. The key is
+// free again: the next try runs, once, and a third one hears of that.
+func TestNotRunFreesKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var u fakeUpstream
+		c := newCluster(t, newFakeLog(), 4, 2)
+		e := entryAt("key", time.Now())
+		for i := range 3 {
+			claim, _, err := begin(c.node(i), e)
+			if err != nil {
+				t.Fatal(err)
+			}
+			claim.NotSent(time.Now())
+			if claim.MayBegin(time.Now()) {
+				t.Fatal("leave to send after the end")
+			}
+			time.Sleep(time.Second)
+		}
+		claim, _, err := begin(c.node(3), e)
+		if err != nil || !claim.MayBegin(time.Now()) {
+			t.Fatal(err)
+		}
+		claim.Ran(time.Now(), u.do(e.Key))
+		if _, a, err := begin(c.node(0), e); err != nil || a == nil {
+			t.Fatalf("%v, %v", a, err)
+		}
+	})
+}
+
+// A partition's reader dies, and the members still list it. Claims go on
+// through the next candidate, not through an append by every node.
+func TestReaderDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		c := newCluster(t, log, 8, 1, func(s *Settings) { s.Partitions = 1 })
+		ask, _ := c.node(0).readers(time.Now(), 0)
+		reader := 0
+		for i, m := range c.members {
+			if len(ask) > 0 && m.Name == ask[0].Name {
+				reader = i
+			}
+		}
+		c.kill(reader)
+		for i := range 8 {
+			if i == reader {
+				continue
+			}
+			claim, _, err := begin(c.node(i), entryAt(fmt.Sprint("key", i), time.Now()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			claim.Ran(time.Now(), Answer{Status: 200})
+		}
+		time.Sleep(time.Second)
+		open := 0
+		for i := range 8 {
+			j := c.node(i)
+			j.mu.Lock()
+			open += len(j.partitions)
+			j.mu.Unlock()
+		}
+		if open != 1 {
+			t.Fatalf("%d nodes read the partition", open)
+		}
+	})
+}
+
+// Appends whose answers are lost, with and without effect, and an append that
+// is held up and lands after its caller has given up. No key runs twice, and
+// no key stays taken by a claim that will never be sent.
+func TestLostAppendAnswers(t *testing.T) {
+	for name, effect := range map[string]func(n int) bool{
+		"applied":     func(int) bool { return true },
+		"not applied": func(int) bool { return false },
+		"in turn":     func(n int) bool { return n%4 < 2 },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			log := newFakeLog()
+			log.fault = func(_ string, n int) (bool, error) {
+				if n%2 == 0 {
+					return true, nil
+				}
+				return effect(n), context.DeadlineExceeded
+			}
+			c := newCluster(t, log, 4, 2)
+			var u fakeUpstream
+			for k := range 10 {
+				e := entryAt(fmt.Sprint("key", k), time.Now())
+				runEverywhere(c, &u, e, 40)
+				if n := u.count(e.Key); n != 1 {
+					t.Fatalf("%s: %d arrivals of %s", name, n, e.Key)
+				}
+			}
+		})
+	}
+}
+
+// runEverywhere tries a key at all nodes at once, and again until one says
+// that it ran, up to a number of rounds.
+func runEverywhere(c *cluster, u *fakeUpstream, e Entry, rounds int) {
+	var ran atomic.Bool
+	for range rounds {
+		var wg sync.WaitGroup
+		for i := range c.members {
+			wg.Go(func() {
+				claim, a, err := begin(c.node(i), e)
+				if err == nil && claim != nil && claim.MayBegin(time.Now()) {
+					claim.Ran(time.Now(), u.do(e.Key))
+				}
+				if a != nil {
+					ran.Store(true)
+				}
+			})
+		}
+		wg.Wait()
+		if ran.Load() {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// An append is held up on its way for a minute, and its caller has long been
+// refused. The claim then lands behind the writer's own NotRun. It must not
+// take the key, since nobody would ever send it or end it.
+func TestHeldUpAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		c := newCluster(t, log, 2, 1)
+		hold := make(chan struct{})
+		log.set(func() { log.hold = hold })
+		e := entryAt("key", time.Now())
+		_, _, err := begin(c.node(0), e)
+		want(t, err, failure.ErrJournalUnavailable, failure.Unknown)
+		log.set(func() { log.hold = nil })
+		time.Sleep(10 * time.Second) // the NotRun is in the log
+		close(hold)
+		time.Sleep(10 * time.Second)
+		claim, _, err := begin(c.node(1), e)
+		if err != nil || !claim.MayBegin(time.Now()) {
+			t.Fatalf("the key stays taken: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/request/journal/cluster_test.go
@@ -0,0 +1,146 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+)
+
+var errCut = errors.New("cut off")
+
+// cluster is a set of nodes over one log whose peer calls are plain method
+// calls, with a delay each way.
+type cluster struct {
+	t     *testing.T
+	log   platform.Log
+	delay time.Duration
+	calls atomic.Int64
+
+	mu      sync.Mutex
+	members []Member
+	nodes   map[string]*Journal
+	cut     map[string]bool
+	changes []func(*Settings)
+}
+
+// newCluster starts n nodes, spread over the data centres.
+func newCluster(t *testing.T, log platform.Log, n, dataCentres int, changes ...func(*Settings)) *cluster {
+	c := &cluster{
+		t: t, log: log, delay: 500 * time.Microsecond,
+		nodes: map[string]*Journal{}, cut: map[string]bool{}, changes: changes,
+	}
+	for i := range n {
+		name := fmt.Sprintf("n%d", i)
+		c.members = append(c.members, Member{Name: name, DataCentre: fmt.Sprint("dc", i%dataCentres), Address: name})
+	}
+	for _, m := range c.members {
+		c.start(m)
+	}
+	t.Cleanup(c.close)
+	return c
+}
+
+// start begins a new run of a node.
+func (c *cluster) start(m Member) *Journal {
+	s := DefaultSettings()
+	s.Node, s.DataCentre, s.Incarnation = m.Name, m.DataCentre, incarnations.Add(1)
+	for _, change := range c.changes {
+		change(&s)
+	}
+	j, err := New(s, c.log, clusterPeers{c, m.Name}, zap.NewNop())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[m.Name] = j
+	delete(c.cut, m.Name)
+	return j
+}
+
+func (c *cluster) node(i int) *Journal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[c.members[i].Name]
+}
+
+// kill ends a node without a word; its members entry lags.
+func (c *cluster) kill(i int) {
+	j := c.node(i)
+	c.mu.Lock()
+	c.cut[c.members[i].Name] = true
+	c.mu.Unlock()
+	j.cancel()
+	j.wg.Wait()
+	j.mu.Lock()
+	j.closed = true
+	j.unsent = nil
+	j.mu.Unlock()
+	_ = j.Close()
+}
+
+func (c *cluster) close() {
+	for i := range c.members {
+		_ = c.node(i).Close()
+	}
+}
+
+type clusterPeers struct {
+	c    *cluster
+	self string
+}
+
+func (p clusterPeers) Members() []Member { return p.c.members }
+
+func (p clusterPeers) Call(ctx context.Context, address, method string, args, reply any) error {
+	p.c.calls.Add(1)
+	p.c.mu.Lock()
+	j, cut := p.c.nodes[address], p.c.cut[address] || p.c.cut[p.self]
+	p.c.mu.Unlock()
+	if cut {
+		<-ctx.Done() // half open: nobody answers
+		return errCut
+	}
+	done := make(chan error, 1)
+	go func() {
+		time.Sleep(p.c.delay)
+		err := dispatch(j.Handler(), method, args, reply)
+		time.Sleep(p.c.delay)
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func dispatch(h *Handler, method string, args, reply any) error {
+	switch method {
+	case claimMethod:
+		var resp ClaimResponse
+		err := h.Claim(args.(ClaimRequest), &resp)
+		*reply.(*ClaimResponse) = resp
+		return err
+	case recordMethod:
+		var resp RecordResponse
+		err := h.Record(args.(RecordRequest), &resp)
+		*reply.(*RecordResponse) = resp
+		return err
+	case answerMethod:
+		var resp AnswerResponse
+		err := h.Answer(args.(AnswerRequest), &resp)
+		*reply.(*AnswerResponse) = resp
+		return err
+	}
+	return fmt.Errorf("no method %s", method)
+}
--- a/request/journal/handler.go
+++ b/request/journal/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -23,11 +24,52 @@
 	Wait       time.Duration // how long the sender waits
 }
 
-// ClaimResponse says what the log says. Undecided means that the reader
-// could not find out.
+// ClaimResponse says what the log says, or why the reader could not find out.
 type ClaimResponse struct {
 	Verdict Verdict
 	Holder  Holder
+	Failure Failure
+}
+
+// Failure says why a reader did not do what it was asked. It travels as a
+// value, so that an error of a call always means that nobody answered.
+type Failure uint8
+
+const (
+	// Done means that there was no failure.
+	Done Failure = iota
+	// Refused means that nothing was appended and nothing will be.
+	Refused
+	// Unsettled means that it may have been appended, or will be.
+	Unsettled
+	// Behind means that the reader has not read back far enough yet.
+	Behind
+)
+
+// failureOf gives the Failure of an error of this package.
+func failureOf(err error) Failure {
+	switch {
+	case err == nil:
+		return Done
+	case errors.Is(err, errNotCovered):
+		return Behind
+	case errors.Is(err, errDown), errors.Is(err, errFull), errors.Is(err, errClosed):
+		return Refused
+	}
+	return Unsettled
+}
+
+// err gives the error of this package that stands for a Failure.
+func (f Failure) err() error {
+	switch f {
+	case Done:
+		return nil
+	case Refused:
+		return errDown
+	case Behind:
+		return errNotCovered
+	}
+	return errUndecided
 }
 
 // RecordRequest asks a partition's reader to append outcomes.
@@ -37,8 +79,10 @@
 	Outcomes   []OutcomeRecord
 }
 
-// RecordResponse comes once the log has taken the outcomes.
-type RecordResponse struct{}
+// RecordResponse comes once the log has taken the outcomes, or has not.
+type RecordResponse struct {
+	Failure Failure
+}
 
 // AnswerRequest asks the writer of a claim how it stands.
 type AnswerRequest struct {
@@ -85,22 +129,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), min(req.Wait, j.settings.ClaimTimeout))
 	defer cancel()
 	d := j.claimHere(ctx, time.Now(), req.Partition, req.Claim)
-	if d.err != nil {
-		return d.err
-	}
-	resp.Verdict, resp.Holder = d.verdict, d.holder
+	resp.Verdict, resp.Holder, resp.Failure = d.verdict, d.holder, failureOf(d.err)
 	return nil
 }
 
 // Record appends outcomes for another node.
-func (h *Handler) Record(req RecordRequest, _ *RecordResponse) error {
+func (h *Handler) Record(req RecordRequest, resp *RecordResponse) error {
 	j := h.journal
 	if err := j.checkPartition(req.Partition, req.Partitions); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), j.settings.PeerTimeout)
 	defer cancel()
-	return j.recordHere(ctx, time.Now(), req.Partition, req.Outcomes)
+	resp.Failure = failureOf(j.recordHere(ctx, time.Now(), req.Partition, req.Outcomes))
+	return nil
 }
 
 // Answer says how a claim of this node stands.
--- a/request/journal/partition.go
+++ b/request/journal/partition.go
@@ -24,6 +24,9 @@
 	maxBatch = 512
 	// appendTimeout bounds one append.
 	appendTimeout = time.Second
+	// freshKeys is how old the keys are that a partition serves as soon as it
+	// is opened. Older ones wait until the rest of the horizon is read back.
+	freshKeys = 15 * time.Second
 	// expireEvery is how often keys past the horizon are looked for.
 	expireEvery = 10 * time.Second
 )
@@ -64,14 +67,16 @@
 	health   *health
 	limiter  *rate.Limiter
 	work     chan struct{} // holds one token when something is to be appended
-	ready    chan struct{} // closed once the state is complete
+	ready    chan struct{} // closed once the state serves fresh keys
 	cancel   context.CancelFunc
 	stopped  chan struct{} // closed when nothing runs any more
 	wg       sync.WaitGroup
+	expired  time.Time    // used by the reading goroutine alone
 	used     atomic.Int64 // when somebody last asked, in nanoseconds since 1970
 
 	mu       sync.Mutex
 	state    *State
+	filled   chan struct{} // closed once the state serves all keys, or is given up
 	pending  []ClaimRecord
 	outcomes []outcomeGroup
 	waiters  map[ClaimID]chan decision
@@ -122,6 +127,9 @@
 	if err := p.opened(ctx, now); err != nil {
 		return decision{err: err}
 	}
+	if err := p.coverage(ctx, c.KeyTime); err != nil {
+		return decision{err: err}
+	}
 	w, d := p.enqueue(now, c)
 	if w == nil {
 		return d
@@ -134,7 +142,7 @@
 	}
 }
 
-// opened waits until the state is complete, but not for a log that is down.
+// opened waits until the state serves fresh keys, but not for a log that is down.
 func (p *partition) opened(ctx context.Context, now time.Time) error {
 	select {
 	case <-p.ready:
@@ -329,61 +337,56 @@
 	}
 }
 
-// read opens the state and then follows the stream.
+// read opens the state and then follows the stream. Where the log has
+// trimmed what comes next, since this node was paused, it opens it anew.
 func (p *partition) read(ctx context.Context) {
-	for !p.open(ctx) {
+	for ctx.Err() == nil {
+		err := p.open(ctx)
+		for err == nil {
+			err = p.follow(ctx)
+		}
 		select {
 		case <-ctx.Done():
-			return
 		case <-time.After(p.settings.Backoff):
 		}
 	}
-	expired := time.Now()
-	for ctx.Err() == nil {
-		p.follow(ctx)
-		if now := time.Now(); now.Sub(expired) >= expireEvery {
-			p.mu.Lock()
-			p.state.Expire(millis(now))
-			p.mu.Unlock()
-			expired = now
-		}
-	}
-}
-
-// open finds where to begin.
-func (p *partition) open(ctx context.Context) bool {
-	now := time.Now()
-	covered := now.Add(-p.settings.Horizon - p.settings.ClockSkew)
-	from, err := seek(ctx, p.log, p.stream, millis(covered.Add(-p.settings.lead())))
-	if err != nil {
-		p.health.note(&p.health.reads, now, err)
-		return false
-	}
-	p.mu.Lock()
-	p.state = newState(p.settings, from, millis(covered))
-	p.mu.Unlock()
-	close(p.ready)
-	return true
 }
 
-// follow reads one page.
-func (p *partition) follow(ctx context.Context) {
+// follow reads one page. It gives an error only if the state has a gap.
+func (p *partition) follow(ctx context.Context) error {
 	p.mu.Lock()
 	from := p.state.next
 	p.mu.Unlock()
 	page, err := p.log.Read(ctx, p.stream, from, readLimit, readWait)
 	if ctx.Err() != nil {
-		return
+		return ctx.Err()
+	}
+	now := time.Now()
+	p.health.note(&p.health.reads, now, err)
+	if errors.Is(err, platform.ErrTrimmed) {
+		return err
 	}
-	p.health.note(&p.health.reads, time.Now(), err)
 	if err != nil {
 		select {
 		case <-ctx.Done():
 		case <-time.After(p.settings.Backoff):
 		}
-		return
+		return nil
 	}
 	p.apply(page)
+	p.expire(now)
+	return nil
+}
+
+// expire forgets keys past the horizon, now and then.
+func (p *partition) expire(now time.Time) {
+	if now.Sub(p.expired) < expireEvery {
+		return
+	}
+	p.expired = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Expire(millis(now))
 }
 
 func (p *partition) apply(page platform.Page) {
--- a/request/journal/record.go
+++ b/request/journal/record.go
@@ -8,7 +8,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 )
 
-//go:generate go tool stringer -type=Outcome,Verdict,Standing -output=journal_string.go
+//go:generate go tool stringer -type=Outcome,Verdict,Standing,Failure -output=journal_string.go
 
 // Writer is one run of one node's process.
 type Writer struct {
--- a/request/journal/route.go
+++ b/request/journal/route.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -43,39 +44,28 @@
 	return errors.New("journal: no peers")
 }
 
-// readers gives the nodes of this data centre that append for a partition,
-// the best first, by rendezvous hashing. This node ends the list: behind it
-// nobody is asked.
-func (j *Journal) readers(now time.Time, partition int) []Member {
+// readers gives the other nodes of this data centre to ask about a partition,
+// the best first, by rendezvous hashing, and whether this node is the next.
+func (j *Journal) readers(now time.Time, partition int) (ask []Member, self bool) {
 	near := lo.Filter(j.peers.Members(), func(m Member, _ int) bool {
 		return m.DataCentre == j.settings.DataCentre && !j.avoided(now, m.Name)
 	})
 	slices.SortFunc(near, func(a, b Member) int {
-		return compareScores(score(partition, a.Name), score(partition, b.Name))
+		return cmp.Compare(score(partition, b.Name), score(partition, a.Name))
 	})
 	near = near[:min(len(near), maxReaders)]
 	for i, m := range near {
 		if m.Name == j.settings.Node {
-			return near[:i]
+			return near[:i], true
 		}
 	}
-	return near
+	return near, false
 }
 
 func score(partition int, node string) uint64 {
 	return xxhash.Sum64String(fmt.Sprintf("%d/%s", partition, node))
 }
 
-func compareScores(a, b uint64) int {
-	if a > b {
-		return -1
-	}
-	if a < b {
-		return 1
-	}
-	return 0
-}
-
 // avoided says whether a node failed a call a moment ago.
 func (j *Journal) avoided(now time.Time, node string) bool {
 	j.mu.Lock()
@@ -118,22 +108,33 @@
 	return d
 }
 
+// decideAnywhere asks the readers in turn, and does the work itself only if
+// none answered. Where the readers answer that the log is down, this node
+// must not append instead: every node would, as soon as the log is back.
 func (j *Journal) decideAnywhere(ctx context.Context, now time.Time, c ClaimRecord) decision {
 	n := c.Key.partition(j.settings.Partitions)
-	asked := false
-	for _, m := range j.readers(now, n) {
+	readers, self := j.readers(now, n)
+	silent := 0
+	var last decision
+	for _, m := range readers {
 		req := ClaimRequest{Partition: n, Partitions: j.settings.Partitions, Claim: c, Wait: j.settings.PeerTimeout}
 		var resp ClaimResponse
-		if err := j.call(ctx, m, claimMethod, req, &resp); err == nil && resp.Verdict != Undecided {
-			return decision{verdict: resp.Verdict, holder: resp.Holder}
+		if j.call(ctx, m, claimMethod, req, &resp) != nil {
+			silent++
+			continue
+		}
+		last = decision{verdict: resp.Verdict, holder: resp.Holder, err: resp.Failure.err()}
+		if last.err == nil || errors.Is(last.err, errUndecided) {
+			return last
 		}
-		asked = true
 	}
-	d := j.claimHere(ctx, now, n, c)
-	if d.err != nil && asked {
-		d.err = errUndecided // a reader may have appended it
+	if self || silent == len(readers) {
+		last = j.claimHere(ctx, now, n, c)
 	}
-	return d
+	if last.err != nil && silent > 0 {
+		last.err = errUndecided // a reader that did not answer may have appended it
+	}
+	return last
 }
 
 // claimHere has this node append a claim and read it back.
@@ -147,12 +148,23 @@
 
 // record has outcomes appended, by a reader or by this node itself.
 func (j *Journal) record(ctx context.Context, now time.Time, n int, outcomes []OutcomeRecord) error {
-	for _, m := range j.readers(now, n) {
+	readers, self := j.readers(now, n)
+	silent := 0
+	err := errDown
+	for _, m := range readers {
 		req := RecordRequest{Partition: n, Partitions: j.settings.Partitions, Outcomes: outcomes}
-		if j.call(ctx, m, recordMethod, req, &RecordResponse{}) == nil {
+		var resp RecordResponse
+		if j.call(ctx, m, recordMethod, req, &resp) != nil {
+			silent++
+			continue
+		}
+		if err = resp.Failure.err(); err == nil {
 			return nil
 		}
 	}
+	if !self && silent < len(readers) {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, j.settings.ClaimTimeout)
 	defer cancel()
 	return j.recordHere(ctx, now, n, outcomes)
