Join the parts to a node that serve runs

Cause: the parts exist, nothing serves yet. Ruled out: wiring by hand in main (the demo and tests need the same node); one lock over all parts. Change: package node makes each part by do, serves in one run group and stops the parts in the reverse order; a rotation of engine reports and placement summaries travels on the heartbeats.

--- a/cmd/dunlinmill/main.go
+++ b/cmd/dunlinmill/main.go
@@ -3,12 +3,12 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/dunlinmill/dunlinmill/process/command"
+	"github.com/dunlinmill/dunlinmill/process/node"
 	"github.com/dunlinmill/dunlinmill/process/settings"
 )
 
@@ -20,6 +20,6 @@
 	os.Exit(code)
 }
 
-func serve(context.Context, settings.Settings) error {
-	return errors.New("serve: this build has no node")
+func serve(ctx context.Context, s settings.Settings) error {
+	return node.Run(ctx, s, os.Stderr)
 }
--- /dev/null
+++ b/process/node/admission.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/call"
+	"github.com/dunlinmill/dunlinmill/request/completion"
+	"github.com/dunlinmill/dunlinmill/request/limit"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
+)
+
+// admission lets requests in: first by their workspace's limits over all
+// nodes, then by this node's queue. Generated text and plain services have a
+// queue each, so that a slow service takes no place from a completion.
+type admission struct {
+	workspaces  *limit.Workspaces
+	completions *limit.Gate
+	calls       *limit.Gate
+	catalogue   *catalogue.Current
+}
+
+// Expected rates, for the share of capacity that one request takes up; a
+// request's real cost is known only at its end.
+const (
+	prefillRate = 8000.0 // prompt tokens a second
+	decodeRate  = 60.0   // output tokens a second
+)
+
+// urgenciesPerClass folds RFC 9218's eight urgencies into the queue's classes.
+const urgenciesPerClass = 8 / limit.Classes
+
+// Admit lets a completion in.
+func (a *admission) Admit(ctx context.Context, now time.Time, r completion.Request, tokens int) (func(), error) {
+	cost := float64(tokens)/prefillRate + float64(r.MaxTokens)/decodeRate
+	return a.admit(ctx, now, a.completions, limit.Ticket{
+		ID:        r.ID,
+		Workspace: r.Workspace,
+		Priority:  r.Priority / urgenciesPerClass,
+		Cost:      cost,
+		StartBy:   r.Deadline,
+	})
+}
+
+// AdmitCall lets a call to a plain service in.
+func (a *admission) AdmitCall(ctx context.Context, now time.Time, r call.Request) (func(), error) {
+	return a.admit(ctx, now, a.calls, limit.Ticket{
+		ID:        r.ID,
+		Workspace: r.Workspace,
+		Priority:  r.Priority / urgenciesPerClass,
+		Cost:      1,
+		StartBy:   r.Deadline,
+	})
+}
+
+func (a *admission) admit(ctx context.Context, now time.Time, g *limit.Gate, t limit.Ticket) (func(), error) {
+	if err := a.workspaces.Admit(now, t.Workspace, t.ID); err != nil {
+		return nil, err
+	}
+	t.Weight = a.catalogue.Catalogue().Config().Workspaces[t.Workspace].Weight
+	e, err := g.Wait(ctx, now, t)
+	if err != nil {
+		a.workspaces.Done(time.Now(), t.Workspace)
+		return nil, err
+	}
+	return func() {
+		done := time.Now()
+		g.Done(done, e)
+		a.workspaces.Done(done, t.Workspace)
+	}, nil
+}
--- /dev/null
+++ b/process/node/maintenance.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/connection/peer"
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/limit"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
+	"github.com/dunlinmill/dunlinmill/version/config"
+	"github.com/dunlinmill/dunlinmill/version/follower"
+)
+
+// Paces of the maintenance.
+const (
+	expireInterval   = 100 * time.Millisecond
+	exchangeInterval = time.Second
+)
+
+// Names of the values that nodes publish to each other.
+const (
+	placementValue = "Placement"
+	enginesValue   = "Engines"
+)
+
+// maintenance keeps the parts up to date with the configuration, the members
+// and each other. Its goroutines decide nothing by themselves.
+type maintenance struct {
+	node       string
+	members    *member.Runner
+	client     *peer.Client
+	follower   *follower.Follower
+	catalogue  *catalogue.Current
+	guard      *guard.Guard
+	workspaces *limit.Workspaces
+	admission  *admission
+	policies   *policies
+	inventory  *inventory.Inventory
+	metrics    *metric.Metrics
+
+	published int // turn of the rotation of engine statuses
+}
+
+func (n *Node) newMaintenance(i do.Injector) (*maintenance, error) {
+	m := &maintenance{
+		node:       n.settings.Node,
+		members:    do.MustInvoke[*member.Runner](i),
+		client:     do.MustInvoke[*peer.Client](i),
+		follower:   do.MustInvoke[*follower.Follower](i),
+		catalogue:  do.MustInvoke[*catalogue.Current](i),
+		guard:      do.MustInvoke[*guard.Guard](i),
+		workspaces: do.MustInvoke[*limit.Workspaces](i),
+		admission:  do.MustInvoke[*admission](i),
+		policies:   do.MustInvoke[*policies](i),
+		inventory:  do.MustInvoke[*inventory.Inventory](i),
+		metrics:    do.MustInvoke[*metric.Metrics](i),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	states, unsubscribe := m.follower.Subscribe()
+	var done sync.WaitGroup
+	done.Go(func() { every(ctx, expireInterval, m.expire) })
+	done.Go(func() { every(ctx, exchangeInterval, func(now time.Time) { m.exchange(ctx, now) }) })
+	done.Go(func() {
+		for range states {
+			m.configured(time.Now())
+		}
+	})
+	n.closers.add("maintenance", func() error {
+		cancel()
+		unsubscribe()
+		done.Wait()
+		return nil
+	})
+	return m, nil
+}
+
+func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			f(now)
+		}
+	}
+}
+
+// expire refuses the waiting requests that have become pointless.
+func (m *maintenance) expire(now time.Time) {
+	m.admission.completions.Expire(now)
+	m.admission.calls.Expire(now)
+	m.metrics.Queued(m.admission.completions.Waiting() + m.admission.calls.Waiting())
+}
+
+// configured takes a new configuration into the parts that keep lists of it.
+func (m *maintenance) configured(now time.Time) {
+	s := m.follower.State()
+	m.members.SetOffset(s.Offset)
+	m.workspaces.SetLimits(now, s.Config)
+	m.guard.SetUpstreams(now, lo.Keys(s.Config.Upstreams))
+	m.metrics.Configured(s.Config)
+	m.resize(now)
+}
+
+// resize fits the queues' places to what the upstreams take from this node.
+func (m *maintenance) resize(now time.Time) {
+	cfg := m.catalogue.Catalogue().Config()
+	names := func(k config.Kind) []string {
+		active := lo.PickBy(cfg.Upstreams, func(_ string, u config.Upstream) bool {
+			return u.Kind == k && u.State == config.Active
+		})
+		return lo.Keys(active)
+	}
+	m.admission.completions.SetCapacity(now, max(1, m.guard.Capacity(names(config.Engine))))
+	m.admission.calls.SetCapacity(now, max(1, m.guard.Capacity(names(config.Service))))
+}
+
+// exchange tells the peers about this node and takes in what they told.
+func (m *maintenance) exchange(ctx context.Context, now time.Time) {
+	live := m.members.Live(now)
+	m.workspaces.SetNodes(now, lo.Map(live, func(l member.Member, _ int) string { return l.Name }))
+	m.metrics.Peers(metric.Live, len(live)-1)
+	m.resize(now)
+	m.publishEngines(now)
+	m.publishPlacement(now)
+	m.learnEngines(now)
+	m.learnPlacement(now)
+	m.shareLimits(ctx, now, live)
+}
+
+// shareLimits tells the owners of limited workspaces of this node's demand.
+func (m *maintenance) shareLimits(ctx context.Context, now time.Time, live []member.Member) {
+	for _, s := range m.workspaces.Summaries(now) {
+		to, ok := lo.Find(live, func(l member.Member) bool { return l.Name == s.To })
+		if !ok {
+			continue
+		}
+		var g limit.Grants
+		if err := m.client.Call(ctx, to.Address, limitService+".Merge", s, &g); err != nil {
+			// Without an answer the grant lapses and this node takes its
+			// equal part of the limit.
+			continue
+		}
+		m.workspaces.Learn(now, g)
+	}
+}
+
+// published is one value under a name: as many entries as fit.
+type publishedEngines struct {
+	Engines []inventory.Status
+}
+
+// publishEngines tells the peers of the engines that this node asks, as many
+// as fit into one value, another part each time.
+func (m *maintenance) publishEngines(now time.Time) {
+	o := owner{members: m.members}
+	var own []inventory.Status
+	for _, u := range m.catalogue.Catalogue().Config().Upstreams {
+		if s, ok := m.inventory.Status(u.Name); ok && u.Kind == config.Engine && o.Owns(now, u) {
+			own = append(own, s)
+		}
+	}
+	if len(own) == 0 {
+		return
+	}
+	m.published++
+	start := m.published % len(own)
+	rotated := append(append([]inventory.Status{}, own[start:]...), own[:start]...)
+	fit(rotated, func(part []inventory.Status) bool {
+		return m.publish(now, enginesValue, publishedEngines{Engines: part})
+	})
+}
+
+// fit publishes the longest part that fits, found by halving.
+func fit[T any](all []T, publish func(part []T) bool) {
+	for n := len(all); n > 0; n /= 2 {
+		if publish(all[:n]) {
+			return
+		}
+	}
+}
+
+func (m *maintenance) publish(now time.Time, name string, value any) bool {
+	data, err := json.Marshal(value)
+	return err == nil && m.members.Publish(now, name, data) == nil
+}
+
+func (m *maintenance) learnEngines(now time.Time) {
+	for _, v := range m.members.Latest(enginesValue) {
+		var p publishedEngines
+		if json.Unmarshal(v.Value, &p) != nil {
+			continue // of a newer node, in a form this one can't read
+		}
+		for _, s := range p.Engines {
+			s.At = v.At // by this node's clock, not the other's
+			m.inventory.Learn(now, s)
+		}
+	}
+}
+
+// publishedPlacement is one node's traffic on one group of engines.
+type publishedPlacement struct {
+	Group   catalogue.Group
+	Summary placement.Summary
+}
+
+type publishedPlacements struct {
+	Groups []publishedPlacement
+}
+
+func (m *maintenance) publishPlacement(now time.Time) {
+	var all []publishedPlacement
+	m.policies.each(func(key catalogue.Group, p placement.Policy) {
+		all = append(all, publishedPlacement{Group: key, Summary: p.Summarize(now, m.node)})
+	})
+	fit(all, func(part []publishedPlacement) bool {
+		return m.publish(now, placementValue, publishedPlacements{Groups: part})
+	})
+}
+
+func (m *maintenance) learnPlacement(now time.Time) {
+	for _, v := range m.members.Latest(placementValue) {
+		var p publishedPlacements
+		if json.Unmarshal(v.Value, &p) != nil {
+			continue // of a newer node, in a form this one can't read
+		}
+		for _, g := range p.Groups {
+			g.Summary.At = v.At
+			m.policies.Policy(now, g.Group).Merge(now, g.Summary)
+		}
+	}
+}
--- /dev/null
+++ b/process/node/policies.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// policies keeps one placement policy for each group of engines. Its lock is
+// never held while a policy decides; a policy's own lock comes after it.
+type policies struct {
+	catalogue *catalogue.Current
+	usable    func(now time.Time, name string) bool
+	make      func() placement.Policy
+
+	mu     sync.Mutex
+	groups map[catalogue.Group]*group
+}
+
+// group is one policy with the list of engines it was last given.
+type group struct {
+	policy    placement.Policy
+	upstreams []placement.Upstream
+	refreshed time.Time
+	seen      *catalogue.Catalogue
+}
+
+// refreshInterval is how long a policy's list of usable engines may be old.
+// Sends to an engine that went down meanwhile fail and are retried.
+const refreshInterval = 250 * time.Millisecond
+
+func newPolicies(c *catalogue.Current, usable func(time.Time, string) bool, build func() placement.Policy) *policies {
+	return &policies{
+		catalogue: c,
+		usable:    usable,
+		make:      build,
+		groups:    map[catalogue.Group]*group{},
+	}
+}
+
+// Policy gives the policy of a group, with its list of engines up to date.
+func (p *policies) Policy(now time.Time, key catalogue.Group) placement.Policy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g, ok := p.groups[key]
+	if !ok {
+		g = &group{policy: p.make()}
+		p.groups[key] = g
+	}
+	c := p.catalogue.Catalogue()
+	if g.seen == c && now.Sub(g.refreshed) < refreshInterval {
+		return g.policy
+	}
+	g.seen, g.refreshed = c, now
+	_, list := c.Engines(key)
+	upstreams := p.upstreams(now, list)
+	if !slices.Equal(upstreams, g.upstreams) {
+		g.upstreams = upstreams
+		g.policy.SetUpstreams(now, upstreams)
+	}
+	return g.policy
+}
+
+// upstreams are those of the list that are thought to be up.
+func (p *policies) upstreams(now time.Time, list catalogue.List) []placement.Upstream {
+	usable := lo.Filter(list.Upstreams, func(u config.Upstream, _ int) bool {
+		return p.usable(now, u.Name)
+	})
+	if len(usable) == 0 {
+		// A picture in which everything is down is more likely to be wrong
+		// than right: a node that was frozen sees it for a moment.
+		usable = list.Upstreams
+	}
+	return lo.Map(usable, func(u config.Upstream, _ int) placement.Upstream {
+		return placement.Upstream{
+			Name:       u.Name,
+			DataCentre: u.DataCentre,
+			Slots:      u.Slots,
+			Prefill:    u.PrefillRate,
+		}
+	})
+}
+
+// each calls f for every policy, outside the lock.
+func (p *policies) each(f func(key catalogue.Group, policy placement.Policy)) {
+	p.mu.Lock()
+	groups := lo.MapValues(p.groups, func(g *group, _ catalogue.Group) placement.Policy { return g.policy })
+	p.mu.Unlock()
+	for key, policy := range groups {
+		f(key, policy)
+	}
+}
+
+// Learned passes an engine's report on to the policies that place on it.
+func (p *policies) Learned(now time.Time, s inventory.Status) {
+	if s.Failures > 0 || len(s.Models) == 0 {
+		return
+	}
+	l := placement.Load{
+		Incarnation:  s.Incarnation,
+		Version:      s.Models[0].Version,
+		At:           s.At,
+		Running:      s.Running,
+		Queued:       s.Queued,
+		QueuedTokens: s.QueuedTokens,
+	}
+	p.each(func(_ catalogue.Group, policy placement.Policy) { policy.Loaded(now, s.Upstream, l) })
+}
--- /dev/null
+++ b/process/node/provide.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"github.com/dunlinmill/dunlinmill/connection/peer"
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+	platformhttp "github.com/dunlinmill/dunlinmill/connection/platform/overhttp"
+	upstreamhttp "github.com/dunlinmill/dunlinmill/connection/upstream/overhttp"
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/journal"
+	"github.com/dunlinmill/dunlinmill/request/limit"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
+	"github.com/dunlinmill/dunlinmill/version/follower"
+	"github.com/dunlinmill/dunlinmill/version/keyring"
+)
+
+// provide registers how each part is made. A part is made when the first
+// other one asks for it.
+func (n *Node) provide() {
+	i := n.injector
+	do.Provide(i, n.newIdentity)
+	do.Provide(i, func(do.Injector) (*metric.Metrics, error) { return metric.New(), nil })
+	do.Provide(i, func(do.Injector) (*presence, error) { return &presence{}, nil })
+	do.Provide(i, n.newLog)
+	do.Provide(i, n.newPeerClient)
+	do.Provide(i, n.newPeerServer)
+	do.Provide(i, n.newMembers)
+	do.Provide(i, n.newFollower)
+	do.Provide(i, n.newView)
+	do.Provide(i, n.newCatalogue)
+	do.Provide(i, n.newDirectory)
+	do.Provide(i, n.newJournal)
+	do.Provide(i, n.newGuard)
+	do.Provide(i, n.newWorkspaces)
+	do.Provide(i, n.newAdmission)
+	do.Provide(i, n.newPolicies)
+	do.Provide(i, n.newInventory)
+	n.provideRequests()
+	do.Provide(i, n.newReport)
+	do.Provide(i, n.newMaintenance)
+}
+
+// identity tells this run of the process from all others.
+type identity struct {
+	incarnation int64  // start, in nanoseconds since 1970
+	seed        uint64 // of choices that should differ between nodes
+}
+
+func (n *Node) newIdentity(do.Injector) (identity, error) {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(n.settings.Node)) // never fails
+	return identity{incarnation: time.Now().UnixNano(), seed: h.Sum64()}, nil
+}
+
+func (n *Node) newLog(do.Injector) (platform.Log, error) {
+	l := platformhttp.NewLog(n.settings.Platform.Log, platformhttp.Config{})
+	n.closers.add("log client", func() error { l.Close(); return nil })
+	return l, nil
+}
+
+func (n *Node) secrets() [][]byte { return [][]byte{[]byte(n.settings.Peers.Secret)} }
+
+func (n *Node) newPeerClient(do.Injector) (*peer.Client, error) {
+	c, err := peer.NewClient(peer.ClientConfig{
+		Secrets:     n.secrets(),
+		CallTimeout: n.settings.Peers.CallTimeout,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("peer client: %w", err)
+	}
+	n.closers.add("peer client", c.Close)
+	return c, nil
+}
+
+// peerServer is the peers' listener with the address it is reached at.
+type peerServer struct {
+	*peer.Server
+	address string
+}
+
+func (n *Node) newPeerServer(do.Injector) (peerServer, error) {
+	s, err := peer.NewServer(peer.ServerConfig{Secrets: n.secrets(), Logger: n.log})
+	if err != nil {
+		return peerServer{}, fmt.Errorf("peer server: %w", err)
+	}
+	address, err := s.Start(n.settings.Listen.Peers.Address)
+	if err != nil {
+		return peerServer{}, fmt.Errorf("listener Peers: %w", err)
+	}
+	n.closers.add("peer server", s.Close)
+	return peerServer{Server: s, address: address}, nil
+}
+
+func (n *Node) newMembers(i do.Injector) (*member.Runner, error) {
+	s := do.MustInvoke[peerServer](i)
+	var list platform.VMList
+	if n.settings.Platform.VMList != "" {
+		l := platformhttp.NewVMList(n.settings.Platform.VMList, platformhttp.Config{})
+		n.closers.add("VM list client", func() error { l.Close(); return nil })
+		list = l
+	}
+	r, err := member.NewRunner(member.Config{
+		Name:        n.settings.Node,
+		Address:     s.address,
+		DataCentre:  n.settings.DataCentre,
+		Incarnation: do.MustInvoke[identity](i).incarnation,
+		Seeds:       n.settings.Peers.Seeds,
+	}, do.MustInvoke[*peer.Client](i), list, n.log)
+	if err != nil {
+		return nil, fmt.Errorf("membership: %w", err)
+	}
+	n.closers.add("membership", r.Close)
+	return r, s.Register(member.ServiceName, r.Service())
+}
+
+func (n *Node) newFollower(i do.Injector) (*follower.Follower, error) {
+	s := &sources{
+		members: do.MustInvoke[*member.Runner](i),
+		client:  do.MustInvoke[*peer.Client](i),
+		seeds:   n.settings.Peers.Seeds,
+	}
+	f := follower.New(follower.Config{LastKnown: n.settings.LastKnown},
+		do.MustInvoke[platform.Log](i), s.list, n.log)
+	n.closers.add("follower", f.Close)
+	return f, do.MustInvoke[peerServer](i).Register(relayService, follower.NewRelay(f))
+}
+
+func (n *Node) newView(i do.Injector) (view, error) {
+	return view{follower: do.MustInvoke[*follower.Follower](i)}, nil
+}
+
+func (n *Node) newCatalogue(i do.Injector) (*catalogue.Current, error) {
+	return catalogue.NewCurrent(do.MustInvoke[view](i)), nil
+}
+
+func (n *Node) newDirectory(i do.Injector) (directory, error) {
+	v := do.MustInvoke[view](i)
+	return directory{view: v, keys: keyring.NewCurrent(v)}, nil
+}
+
+func (n *Node) newJournal(i do.Injector) (*journal.Journal, error) {
+	s := journal.DefaultSettings()
+	s.Node = n.settings.Node
+	s.Incarnation = uint64(do.MustInvoke[identity](i).incarnation)
+	s.DataCentre = n.settings.DataCentre
+	s.Horizon = n.settings.Journal.Horizon
+	s.AppendBudget = n.settings.Journal.AppendsPerSecond
+	p := journalPeers{
+		members: do.MustInvoke[*member.Runner](i),
+		client:  do.MustInvoke[*peer.Client](i),
+	}
+	j, err := journal.New(s, do.MustInvoke[platform.Log](i), p, n.log)
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	n.closers.add("journal", j.Close)
+	return j, do.MustInvoke[peerServer](i).Register(journal.Service, j.Handler())
+}
+
+func (n *Node) newGuard(i do.Injector) (*guard.Guard, error) {
+	cfg := guard.DefaultConfig
+	cfg.Retry.Seed = do.MustInvoke[identity](i).seed
+	return guard.New(cfg)
+}
+
+func (n *Node) newWorkspaces(i do.Injector) (*limit.Workspaces, error) {
+	cfg := limit.DefaultWorkspaces
+	cfg.Node = n.settings.Node
+	cfg.Seed = do.MustInvoke[identity](i).seed
+	w := limit.NewWorkspaces(cfg)
+	return w, do.MustInvoke[peerServer](i).Register(limitService, &limitHandler{workspaces: w})
+}
+
+func (n *Node) newAdmission(i do.Injector) (*admission, error) {
+	cfg := limit.DefaultQueue
+	cfg.Seed = do.MustInvoke[identity](i).seed
+	cfg.MaxWaiting = n.settings.Queue.Length
+	cfg.MaxWait = n.settings.Queue.MaxWait
+	if err := cfg.Check(); err != nil {
+		return nil, fmt.Errorf("queue: %w", err)
+	}
+	return &admission{
+		workspaces:  do.MustInvoke[*limit.Workspaces](i),
+		completions: limit.NewGate(limit.NewQueue(cfg)),
+		calls:       limit.NewGate(limit.NewQueue(cfg)),
+		catalogue:   do.MustInvoke[*catalogue.Current](i),
+	}, nil
+}
+
+func (n *Node) newPolicies(i do.Injector) (*policies, error) {
+	v := do.MustInvoke[view](i)
+	id := do.MustInvoke[identity](i)
+	members := do.MustInvoke[*member.Runner](i)
+	build := func() placement.Policy {
+		return placement.New(placement.Config{
+			Nodes:    len(members.Live(time.Now())),
+			Seed:     id.seed,
+			Weighing: v.Config().Weighing,
+		})
+	}
+	usable := func(now time.Time, name string) bool {
+		return do.MustInvoke[*inventory.Inventory](n.injector).Usable(now, name)
+	}
+	return newPolicies(do.MustInvoke[*catalogue.Current](i), usable, build), nil
+}
+
+func (n *Node) newInventory(i do.Injector) (*inventory.Inventory, error) {
+	inv := inventory.New(inventory.Config{}, dialer{cfg: upstreamhttp.Config{}}, do.MustInvoke[view](i),
+		owner{members: do.MustInvoke[*member.Runner](i)}, do.MustInvoke[*policies](i))
+	n.closers.add("inventory", func() error { inv.Close(); return nil })
+	return inv, nil
+}
--- /dev/null
+++ b/process/node/report.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/connection/operator"
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/process/command"
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/version/config"
+	"github.com/dunlinmill/dunlinmill/version/follower"
+)
+
+// operatorView is the configuration as the operators' listener needs it.
+type operatorView struct {
+	view
+}
+
+// CaughtUp says whether this node has seen the log's end.
+func (v operatorView) CaughtUp() bool {
+	return !v.follower.Status(time.Now()).AsOf.IsZero()
+}
+
+// report gives this node's account of itself.
+type report struct {
+	node       string
+	dataCentre string
+	presence   *presence
+	follower   *follower.Follower
+	members    *member.Runner
+	inventory  *inventory.Inventory
+	guard      *guard.Guard
+	admission  *admission
+}
+
+func (n *Node) newReport(i do.Injector) (*report, error) {
+	return &report{
+		node:       n.settings.Node,
+		dataCentre: n.settings.DataCentre,
+		presence:   do.MustInvoke[*presence](i),
+		follower:   do.MustInvoke[*follower.Follower](i),
+		members:    do.MustInvoke[*member.Runner](i),
+		inventory:  do.MustInvoke[*inventory.Inventory](i),
+		guard:      do.MustInvoke[*guard.Guard](i),
+		admission:  do.MustInvoke[*admission](i),
+	}, nil
+}
+
+// Status describes the node at this moment.
+func (r *report) Status(context.Context) operator.Status {
+	now := time.Now()
+	s := r.follower.State()
+	f := r.follower.Status(now)
+	return operator.Status{
+		Node:       r.node,
+		DataCentre: r.dataCentre,
+		Version:    command.Version(),
+		Ready:      r.presence.Ready(),
+		Leaving:    r.presence.Leaving(),
+		Offset:     s.Offset,
+		ReadAt:     f.AsOf,
+		Lacks:      r.lacks(f, s.Config),
+		InFlight:   r.admission.completions.InFlight() + r.admission.calls.InFlight(),
+		Queued:     r.admission.completions.Waiting() + r.admission.calls.Waiting(),
+		LeaseOwner: s.Lease.Holder,
+		Peers:      r.peers(now),
+		Upstreams:  r.upstreams(now, s.Config),
+	}
+}
+
+// lacks names what the node has to do without.
+func (r *report) lacks(f follower.Status, cfg config.Config) []string {
+	var lacks []string
+	if !f.Current {
+		lacks = append(lacks, "log")
+	}
+	if cfg.Offset == 0 {
+		lacks = append(lacks, "configuration")
+	}
+	if len(r.members.Members(time.Now())) == 0 {
+		lacks = append(lacks, "peers")
+	}
+	return lacks
+}
+
+func (r *report) peers(now time.Time) []operator.PeerStatus {
+	return lo.Map(r.members.Members(now), func(m member.Member, _ int) operator.PeerStatus {
+		return operator.PeerStatus{
+			Node:       m.Name,
+			DataCentre: m.DataCentre,
+			State:      m.State.String(),
+			Offset:     platform.Offset(m.Offset),
+		}
+	})
+}
+
+func (r *report) upstreams(now time.Time, cfg config.Config) []operator.UpstreamStatus {
+	names := slices.Sorted(maps.Keys(cfg.Upstreams))
+	return lo.Map(names, func(name string, _ int) operator.UpstreamStatus {
+		u := cfg.Upstreams[name]
+		return operator.UpstreamStatus{
+			Name:       u.Name,
+			DataCentre: u.DataCentre,
+			Pool:       u.Pool,
+			State:      u.State.String(),
+			Usable:     r.inventory.Usable(now, name),
+			Models:     u.Models,
+			InFlight:   r.guard.InFlight(name),
+		}
+	})
+}
--- /dev/null
+++ b/process/node/requests.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"github.com/dunlinmill/dunlinmill/connection/caller"
+	"github.com/dunlinmill/dunlinmill/connection/operator"
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/request/call"
+	"github.com/dunlinmill/dunlinmill/request/completion"
+	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/journal"
+	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
+	"github.com/dunlinmill/dunlinmill/version/follower"
+)
+
+// provideRequests registers the request paths and the listeners before them.
+func (n *Node) provideRequests() {
+	do.Provide(n.injector, n.newCompletions)
+	do.Provide(n.injector, n.newCalls)
+	do.Provide(n.injector, n.newCallers)
+	do.Provide(n.injector, n.newOperators)
+}
+
+func (n *Node) newCompletions(i do.Injector) (*completion.Router, error) {
+	return &completion.Router{
+		Config:    completion.Config{DataCentre: n.settings.DataCentre}.WithDefaults(),
+		View:      do.MustInvoke[*catalogue.Current](i),
+		Upstreams: do.MustInvoke[*inventory.Inventory](i),
+		Policies:  do.MustInvoke[*policies](i),
+		Admission: do.MustInvoke[*admission](i),
+		Guard:     do.MustInvoke[*guard.Guard](i),
+		Journal:   do.MustInvoke[*journal.Journal](i),
+		Observer:  observer{metrics: do.MustInvoke[*metric.Metrics](i)},
+		Log:       n.log,
+	}, nil
+}
+
+func (n *Node) newCalls(i do.Injector) (*call.Router, error) {
+	return &call.Router{
+		Config:    call.Config{}.WithDefaults(),
+		View:      do.MustInvoke[*catalogue.Current](i),
+		Upstreams: do.MustInvoke[*inventory.Inventory](i),
+		Guard:     do.MustInvoke[*guard.Guard](i),
+		Admission: do.MustInvoke[*admission](i),
+		Journal:   do.MustInvoke[*journal.Journal](i),
+		Log:       n.log,
+	}, nil
+}
+
+func (n *Node) newCallers(i do.Injector) (*caller.Listener, error) {
+	l := n.settings.Limits
+	return caller.NewListener(caller.Config{
+		MaxBodyBytes:   l.MaxBodyBytes,
+		MaxHeaderBytes: l.MaxHeaderBytes,
+		HeaderTimeout:  l.HeaderTimeout,
+		IdleTimeout:    l.IdleTimeout,
+		StallTimeout:   l.WriteTimeout,
+		MaxConnections: l.MaxConnections,
+	}, caller.Services{
+		Completions: do.MustInvoke[*completion.Router](i),
+		Calls:       do.MustInvoke[*call.Router](i),
+		Directory:   do.MustInvoke[directory](i),
+		Presence:    do.MustInvoke[*presence](i),
+		Metrics:     do.MustInvoke[*metric.Metrics](i).Registry(),
+		Log:         n.log,
+	}), nil
+}
+
+func (n *Node) newOperators(i do.Injector) (*operator.Listener, error) {
+	return operator.NewListener(operator.Config{
+		BootstrapToken: n.settings.Operators.BootstrapToken,
+	}, operator.Services{
+		Planner:  &plans{follower: do.MustInvoke[*follower.Follower](i)},
+		View:     operatorView{view: do.MustInvoke[view](i)},
+		Reporter: do.MustInvoke[*report](i),
+		Log:      n.log,
+	}), nil
+}
+
+// observer counts what the completion path does.
+type observer struct {
+	metrics *metric.Metrics
+}
+
+// Answered counts the head of an answer.
+func (o observer) Answered(r completion.Request, i completion.Info, firstToken time.Duration) {
+	o.metrics.FirstToken(r.Workspace, firstToken)
+	o.metrics.Prompt(i.PromptTokens, i.CachedTokens)
+}
+
+// Retried counts what was done about a failed send.
+func (o observer) Retried(_ completion.Request, a retry.Action) {
+	switch a {
+	case retry.Resume:
+		o.metrics.Retried(metric.Resumed)
+	case retry.ContinueElsewhere:
+		o.metrics.Retried(metric.Continued)
+	default:
+		o.metrics.Retried(metric.Resent)
+	}
+}
