Add intents, plans, status and deployment files to the command line

Cause: operators drive the system only through intents and confirmations, and need to check what they publish before they publish it. Ruled out: an intent in JSON alone (durations in nanoseconds); reporting what seems missing in an object that could not be read (noise after the real fault). Change: process/deployment reads a whole deployment and turns it into changes; intent, plan, confirm and status; examples of both deployments.

--- a/connection/operator/listener.go
+++ b/connection/operator/listener.go
@@ -221,6 +221,9 @@
 // failed answers every error with its typed form.
 func (l *Listener) failed(c *fiber.Ctx, err error) error {
 	e := typed(err)
+	if e.Code == failure.Internal {
+		event.Error(l.log, event.OperatorCallFailed, zap.String("Path", c.Path()), zap.Error(e))
+	}
 	if e.RetryAfter > 0 {
 		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
--- a/process/command/check.go
+++ b/process/command/check.go
@@ -3,29 +3,54 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"regexp"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/dunlinmill/dunlinmill/process/deployment"
 	"github.com/dunlinmill/dunlinmill/process/settings"
 )
 
+// deploymentKey begins a line that only deployment files have.
+var deploymentKey = regexp.MustCompile(`(?m)^"?(Models|Upstreams|Workspaces|Weighing)"?:`)
+
 func (p program) checkCommand() *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "check",
 		ShortUsage: "dunlinmill check FILE",
-		ShortHelp:  "check a settings or configuration file",
+		ShortHelp:  "check a settings or deployment file",
 		LongHelp: help(`Reports every fault of a file at once, each with its line, the path of
-its key and what would be accepted. Exit code 1 if there is any.`,
-			"dunlinmill check examples/hidrantis/settings.yaml"),
+its key and what would be accepted. Exit code 1 if there is any.
+
+A file with Models, Upstreams, Workspaces or Weighing at its top is a
+deployment file, every other one is a settings file.`,
+			"dunlinmill check examples/hidrantis/settings.yaml",
+			"dunlinmill check examples/hidrantis/deployment.yaml"),
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) != 1 {
 				return usageError("check takes one file")
 			}
-			if err := settings.Check(args[0]); err != nil {
-				return err
-			}
-			_, err := fmt.Fprintf(p.streams.Out, "%s: settings are in order\n", args[0])
-			return err
+			return p.check(args[0])
 		},
 	}
 }
+
+func (p program) check(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("check: %w", err)
+	}
+	kind := "settings"
+	if deploymentKey.Match(data) {
+		kind = "deployment"
+		_, err = deployment.Parse(path, data)
+	} else {
+		_, err = settings.Parse(path, data)
+	}
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(p.streams.Out, "%s: %s in order\n", path, kind)
+	return err
+}
--- a/process/command/command.go
+++ b/process/command/command.go
@@ -115,8 +115,17 @@
 Every flag can be set in the environment: --token-file is
 DUNLINMILL_TOKEN_FILE. Exit codes: 0 done, 1 refused, 2 usage.`,
 			"dunlinmill serve --settings examples/hidrantis/settings.yaml"),
-		FlagSet:     flag.NewFlagSet("dunlinmill", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{p.serveCommand(), p.checkCommand(), p.versionCommand(), p.hashCommand()},
+		FlagSet: flag.NewFlagSet("dunlinmill", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{
+			p.serveCommand(),
+			p.intentCommand(),
+			p.planCommand(),
+			p.confirmCommand(),
+			p.statusCommand(),
+			p.checkCommand(),
+			p.hashCommand(),
+			p.versionCommand(),
+		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) == 0 {
 				return usageError("no command given; see dunlinmill --help")
--- a/process/document/document.go
+++ b/process/document/document.go
@@ -132,6 +132,14 @@
 	return slices.ContainsFunc(d.faults, func(err error) bool { return err.(Fault).Path == path })
 }
 
+// FaultyWithin says whether the value at path or anything in it has a fault.
+func (d *Decoded) FaultyWithin(path string) bool {
+	return slices.ContainsFunc(d.faults, func(err error) bool {
+		at := err.(Fault).Path
+		return at == path || strings.HasPrefix(at, path+".") || strings.HasPrefix(at, path+"[")
+	})
+}
+
 // Err joins all faults, in the order of their lines; nil if there are none.
 func (d *Decoded) Err() error {
 	slices.SortStableFunc(d.faults, func(a, b error) int { return a.(Fault).Line - b.(Fault).Line })
@@ -158,6 +166,8 @@
 		d.mapping(n, path, into)
 	case reflect.Slice:
 		d.sequence(n, path, into)
+	case reflect.Map:
+		d.table(n, path, into)
 	default:
 		d.scalar(n, path, into)
 	}
@@ -169,8 +179,18 @@
 		return
 	}
 	if err := u.UnmarshalText([]byte(n.Value)); err != nil {
-		d.add(n.Line, path, err.Error(), "")
+		d.add(n.Line, path, withoutSentinel(err), "")
+	}
+}
+
+// withoutSentinel gives an error's text without that of the sentinel it
+// wraps, which tells programs what the text before it tells people.
+func withoutSentinel(err error) string {
+	sentinel := errors.Unwrap(err)
+	if sentinel == nil {
+		return err.Error()
 	}
+	return strings.TrimSuffix(err.Error(), ": "+sentinel.Error())
 }
 
 func (d *Decoded) mapping(n *yaml.Node, path string, into reflect.Value) {
@@ -179,6 +199,31 @@
 		d.add(n.Line, path, "not a mapping", "the keys "+strings.Join(keys, ", "))
 		return
 	}
+	d.pairs(n, path, func(key, value *yaml.Node, at string) {
+		if !slices.Contains(keys, key.Value) {
+			d.add(key.Line, at, "unknown key", strings.Join(keys, ", "))
+			return
+		}
+		d.value(value, at, into.FieldByName(key.Value))
+	})
+}
+
+// table reads a mapping whose keys are names that the document chooses.
+func (d *Decoded) table(n *yaml.Node, path string, into reflect.Value) {
+	if n.Kind != yaml.MappingNode {
+		d.add(n.Line, path, "not a mapping", "names, each with its value")
+		return
+	}
+	into.Set(reflect.MakeMap(into.Type()))
+	d.pairs(n, path, func(key, value *yaml.Node, at string) {
+		item := reflect.New(into.Type().Elem()).Elem()
+		d.value(value, at, item)
+		into.SetMapIndex(reflect.ValueOf(key.Value), item)
+	})
+}
+
+// pairs calls each for every key of a mapping that isn't given twice.
+func (d *Decoded) pairs(n *yaml.Node, path string, each func(key, value *yaml.Node, at string)) {
 	seen := map[string]int{}
 	for i := 0; i+1 < len(n.Content); i += 2 {
 		key, value := n.Content[i], n.Content[i+1]
@@ -188,11 +233,7 @@
 			continue
 		}
 		seen[key.Value] = key.Line
-		if !slices.Contains(keys, key.Value) {
-			d.add(key.Line, at, "unknown key", strings.Join(keys, ", "))
-			continue
-		}
-		d.value(value, at, into.FieldByName(key.Value))
+		each(key, value, at)
 	}
 }
 
--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -33,6 +33,7 @@
 	_ = x[PlanConfirmed-603]
 	_ = x[ConfirmationRefused-604]
 	_ = x[BootstrapTokenUsed-605]
+	_ = x[OperatorCallFailed-606]
 	_ = x[ProcessStarting-500]
 	_ = x[ListenerOpen-501]
 	_ = x[ProcessReady-502]
@@ -75,7 +76,7 @@
 	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUp"
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDropped"
 	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailed"
-	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsed"
+	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsedOperatorCallFailed"
 )
 
 var (
@@ -84,7 +85,7 @@
 	_Event_index_2 = [...]uint8{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223}
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91}
 	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93}
-	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90}
+	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90, 108}
 )
 
 func (i Event) String() string {
@@ -104,7 +105,7 @@
 	case 500 <= i && i <= 506:
 		i -= 500
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
-	case 600 <= i && i <= 605:
+	case 600 <= i && i <= 606:
 		i -= 600
 		return _Event_name_5[_Event_index_5[i]:_Event_index_5[i+1]]
 	default:
--- a/process/event/operator.go
+++ b/process/event/operator.go
@@ -14,4 +14,6 @@
 	ConfirmationRefused
 	// BootstrapTokenUsed: the bootstrap token of the settings was accepted because no operator is configured yet. To do: configure an operator.
 	BootstrapTokenUsed
+	// OperatorCallFailed: an operator's call failed for the cause given. To do: report it with the cause.
+	OperatorCallFailed
 )
