--- a/request/journal/route.go
+++ b/request/journal/route.go
@@ -18,6 +18,10 @@
 // in its place, not every node of the data centre.
 const maxReaders = 2
 
+// avoidFor is how long a node that failed a call is not asked as a reader;
+// the members should have noticed by then.
+const avoidFor = 5 * time.Second
+
 // Member is a live node.
 type Member struct {
 	Name       string
@@ -89,7 +93,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.avoid[m.Name] = time.Now().Add(j.settings.Backoff)
+	j.avoid[m.Name] = time.Now().Add(avoidFor)
 	return fmt.Errorf("journal: %s at %s: %w", method, m.Name, err)
 }
 
