Carry out confirmed plans under a lease on the log

Cause: a confirmed plan of several steps was never begun. Ruled out: a planner that keeps its progress in memory (another node could not go on); trusting the answer to an order (it may be lost, and an old order may come late). Change: one goroutine per node; the lease holder begins a step on the log, looks at the upstream until the result holds, and ends the step on the log. Orders expire ten seconds after the last moment at which the holder was known to hold the lease; a new holder waits that long before it orders an engine that ignores fencing numbers.

--- a/version/fold/step.go
+++ b/version/fold/step.go
@@ -13,14 +13,10 @@
 	if r != nil {
 		return s, r
 	}
-	if p.Status != Running || p.Progress[b.Step].Status != Pending || p.Steps[b.Step].Stage != p.Stage() {
-		return s, refuse(WrongStatus, "step %d of plan %s can't begin: the plan is %s, the step %s",
-			b.Step, p.ID, p.Status, p.Progress[b.Step].Status)
-	}
-	st := p.Steps[b.Step]
-	if r := s.checkBegin(p, st); r != nil {
+	if r := s.CanBegin(p, b.Step); r != nil {
 		return s, r
 	}
+	st := p.Steps[b.Step]
 	p = p.withStep(b.Step, func(x Step) Step {
 		x.Status, x.Begun = Begun, a.offset
 		return x
@@ -33,10 +29,15 @@
 	return s.withPlan(p), nil
 }
 
-// checkBegin holds the bounds that span plans. A load that a paused or
-// aborted plan has begun counts until its step has ended, because the
-// upstream may be at it still.
-func (s State) checkBegin(p Plan, st record.Step) *Refusal {
+// CanBegin says what keeps a step from beginning now; nil: nothing. It holds
+// the bounds that span plans. A load that a paused or aborted plan has begun
+// counts until its step has ended, because the upstream may be at it still.
+func (s State) CanBegin(p Plan, step int) *Refusal {
+	if p.Status != Running || p.Progress[step].Status != Pending || p.Steps[step].Stage != p.Stage() {
+		return refuse(WrongStatus, "step %d of plan %s can't begin: the plan is %s, the step %s",
+			step, p.ID, p.Status, p.Progress[step].Status)
+	}
+	st := p.Steps[step]
 	if !st.Drains() {
 		return nil
 	}
--- a/version/lease/lease.go
+++ b/version/lease/lease.go
@@ -39,10 +39,14 @@
 // Takeable says whether l may be taken: it was given back, was never held,
 // or has shown no sign of its holder for ttl on this node's clock. A holder
 // that is merely paused loses nothing but the duty: its records carry an old
-// fencing number and the fold refuses them.
-func (w Watch) Takeable(l Lease, ttl time.Duration, now time.Time) bool {
+// fencing number and the fold refuses them. Every node waits its own stagger
+// longer, so that a large fleet doesn't append hundreds of takes at once.
+func (w Watch) Takeable(l Lease, ttl, stagger time.Duration, now time.Time) bool {
+	if w.since.IsZero() || w.version != l.Version {
+		return false
+	}
 	if l.Free || l.Version == 0 {
-		return true
+		return now.Sub(w.since) >= stagger
 	}
-	return w.version == l.Version && now.Sub(w.since) >= ttl
+	return now.Sub(w.since) >= ttl+stagger
 }
--- /dev/null
+++ b/version/planner/planner_test.go
@@ -0,0 +1,266 @@
+package planner
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/version/config"
+	"github.com/dunlinmill/dunlinmill/version/fold"
+	"github.com/dunlinmill/dunlinmill/version/follower"
+	"github.com/dunlinmill/dunlinmill/version/record"
+	"go.uber.org/zap"
+)
+
+func rollOut(version string) record.Intent {
+	return record.Intent{RollOutWeights: &record.RollOutWeights{Model: "m", Version: version}}
+}
+
+// Loads at all data centres become slow together. Two roll-outs of two
+// models, each within its own bound of two, are under way at once. The fold
+// must count the loads over all plans.
+func TestRollOutLoadsTwoAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 12)
+		s.addModel("n", 4)
+		s.planner("a", s.log)
+		s.planner("b", s.log)
+		s.confirm("p1", rollOut("v2"))
+		s.confirm("p2", record.Intent{RollOutWeights: &record.RollOutWeights{Model: "n", Version: "v2"}})
+		s.await("p1", fold.Finished, time.Hour)
+		s.await("p2", fold.Finished, time.Hour)
+		if s.fleet.most != fold.MaxLoads || s.fleet.loads() != 16 {
+			t.Fatalf("%d at once, %d loads", s.fleet.most, s.fleet.loads())
+		}
+		s.checkAll("v2")
+	})
+}
+
+// A roll-out stops with nobody knowing why. An engine breaks off its loads
+// half-way, again and again. The step must be tried anew, then the plan must
+// pause with the reason, go on when an operator resumes it, and end.
+func TestRollOutLoadFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 4)
+		s.fleet.engines["e01"].failing = 3
+		s.planner("a", s.log)
+		s.confirm("p1", rollOut("v2"))
+		p := s.await("p1", fold.Paused, time.Hour)
+		if p.Reason != "upstream e01 broke off the load" {
+			t.Fatalf("reason %q", p.Reason)
+		}
+		s.confirm("p2", record.Intent{Resume: &record.PlanRef{Plan: "p1"}})
+		s.await("p1", fold.Finished, time.Hour)
+		s.checkAll("v2")
+	})
+}
+
+// A plan stands still although nodes are up. The node that carried it out
+// died between ordering a load and reading it back. Another node must take
+// the lease, read the engine's state, and go on from there.
+func TestPlanGoesOnAtAnotherNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 4)
+		dead := &gatedLog{Log: s.log}
+		s.planner("a", dead)
+		s.confirm("p1", rollOut("v2"))
+		s.fleet.awaitLoad()
+		dead.shut()
+		defer dead.open()
+		s.planner("b", s.log)
+		s.await("p1", fold.Finished, time.Hour)
+		if s.fleet.loads() != 4 {
+			t.Fatalf("%d loads", s.fleet.loads())
+		}
+		s.checkAll("v2")
+	})
+}
+
+// An upstream that leaves cuts answers off, or stays for ever. Requests still
+// run on it when it is drained. It must get no new work at once, be retired
+// when it is empty, and at the deadline in any case.
+func TestRetireUpstream(t *testing.T) {
+	tests := []struct {
+		name    string
+		emptyAt time.Duration
+		want    time.Duration
+	}{
+		{"empty at once", 0, DefaultSettle},
+		{"empty later", time.Minute, time.Minute},
+		{"never empty", time.Hour, 5 * time.Minute},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t, 4)
+			s.fleet.engines["e00"].running = 1
+			s.planner("a", s.log)
+			time.Sleep(DefaultTTL)
+			s.confirm("p1", record.Intent{RetireUpstream: &record.RetireUpstream{Upstream: "e00", Deadline: 5 * time.Minute}})
+			begun := time.Now()
+			time.AfterFunc(tt.emptyAt, func() {
+				s.fleet.mu.Lock()
+				defer s.fleet.mu.Unlock()
+				s.fleet.engines["e00"].running = 0
+			})
+			time.Sleep(2 * time.Second)
+			if got := s.reg.State().Config.Upstreams["e00"].State; got != config.Draining {
+				t.Fatalf("%s: %s after 2 s", tt.name, got)
+			}
+			s.await("p1", fold.Finished, time.Hour)
+			if took := time.Since(begun); took < tt.want || took > tt.want+5*time.Second {
+				t.Errorf("%s: retired after %s", tt.name, took)
+			}
+		})
+	}
+}
+
+// Operators see two nodes carry out one plan. The holder is stopped for
+// longer than its lease between looking at an engine and ordering it; another
+// takes over and an operator undoes the roll-out; then the first goes on,
+// unaware, and sends its order. Engines that check fencing numbers refuse it
+// by its number, those that ignore them by the time at which it expired.
+func TestHolderStoppedUnaware(t *testing.T) {
+	for _, ignore := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t, 4)
+			s.fleet.ignore = ignore
+			reports, orders := &gate{}, &gate{}
+			s.plannerWith(Config{Node: "a"}, s.log, s.fleet.gated(reports, orders))
+			time.Sleep(2 * time.Minute) // a may order from the start
+			reports.shut()
+			s.confirm("p1", rollOut("v2"))
+			reports.awaitHeld()
+			s.planner("b", s.log)
+			s.fleet.awaitLoad()
+			s.confirm("p2", record.Intent{Abort: &record.PlanRef{Plan: "p1"}})
+			s.await("p1", fold.Aborted, time.Hour)
+			s.confirm("p3", record.Intent{Undo: &record.PlanRef{Plan: "p1"}})
+			s.await("p3", fold.Finished, time.Hour)
+			before := s.fleet.loads()
+			reports.open()
+			time.Sleep(10 * time.Minute)
+			s.checkAll("v1")
+			if s.fleet.loads() != before {
+				t.Errorf("ignore %t: the first holder's order began a load", ignore)
+			}
+		})
+	}
+}
+
+// An engine ends with weights that nobody wants any more. The holder's order
+// is late on its way, the holder shuts down and gives the lease back; the
+// next holder undoes the roll-out at once, and then the old order arrives, not
+// expired, at an engine that ignores fencing numbers. The next holder has to
+// wait until no old order can begin, and assert its own after that.
+func TestLateOrderAfterHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 4)
+		s.fleet.ignore, s.fleet.loadTime = true, 5*time.Second
+		cfg := Config{Node: "a", OrderLife: time.Minute}
+		reports, orders := &gate{}, &gate{}
+		orders.shut()
+		a := s.plannerWith(cfg, s.log, s.fleet.gated(reports, orders))
+		time.Sleep(2 * time.Minute) // a may order from the start
+		s.confirm("p1", rollOut("v2"))
+		orders.awaitHeld()
+		s.submit(follower.Draft{Body: record.ReleaseLease{Holder: a.holder, Fencing: s.reg.State().Lease.Fencing}})
+		s.plannerWith(Config{Node: "b", OrderLife: time.Minute}, s.log, s.fleet.find)
+		s.confirm("p2", record.Intent{Abort: &record.PlanRef{Plan: "p1"}})
+		time.AfterFunc(50*time.Second, orders.open)
+		s.await("p1", fold.Aborted, time.Hour)
+		s.confirm("p3", record.Intent{Undo: &record.PlanRef{Plan: "p1"}})
+		s.await("p3", fold.Finished, time.Hour)
+		time.Sleep(2 * time.Minute)
+		s.checkAll("v1")
+	})
+}
+
+// A shift and its way back: shares move in steps and end as they were.
+func TestShiftAndUndo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 4)
+		s.planner("a", s.log)
+		states, stop := s.reg.Subscribe()
+		defer stop()
+		s.confirm("p1", record.Intent{ShiftWorkspace: &record.ShiftWorkspace{Workspace: "sofia", To: "new", Steps: 2}})
+		seen := map[int]bool{}
+		for s.reg.State().Plans["p1"].Status != fold.Finished {
+			st := <-states
+			for _, sh := range st.Config.Workspaces["sofia"].Shares {
+				if sh.Pool == "new" {
+					seen[sh.Percent] = true
+				}
+			}
+		}
+		if len(seen) != 2 || !seen[50] || !seen[100] {
+			t.Fatalf("shares of new: %v", seen)
+		}
+		s.confirm("p2", record.Intent{Undo: &record.PlanRef{Plan: "p1"}})
+		s.await("p2", fold.Finished, time.Hour)
+		if sh := s.reg.State().Config.Workspaces["sofia"].Shares; len(sh) != 1 || sh[0] != (config.Share{Pool: "old", Percent: 100}) {
+			t.Fatalf("shares %v", sh)
+		}
+	})
+}
+
+// A caller's answer breaks off in a roll-out. Its request still runs on the
+// engine when the load is due. The load must wait for it, and if it never
+// ends the engine must serve again and the plan pause, nothing cut.
+func TestRollOutCutsNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 4)
+		s.fleet.engines["e00"].running = 1
+		s.planner("a", s.log)
+		s.confirm("p1", rollOut("v2"))
+		p := s.await("p1", fold.Paused, 2*time.Hour)
+		if p.Reason != "upstream e00 still runs 1 requests" || s.fleet.engines["e00"].version != "v1" {
+			t.Fatalf("%q, %q", p.Reason, s.fleet.engines["e00"].version)
+		}
+		if got := s.reg.State().Config.Upstreams["e00"].State; got != config.Active {
+			t.Fatalf("e00 is %s", got)
+		}
+	})
+}
+
+// warmer says that a pool is warm after some looks, or fails.
+type warmer struct {
+	looks int
+	err   error
+}
+
+func (w *warmer) Warm(context.Context, string, string) (bool, error) {
+	w.looks--
+	return w.looks < 0, w.err
+}
+
+// The first answers after a shift are slow. Requests follow to a pool whose
+// caches are still cold. The shares must not move before the pool is warm,
+// and if it can't be warmed the plan must pause with the reason.
+func TestShiftWaitsForWarmth(t *testing.T) {
+	tests := []struct {
+		w    *warmer
+		want fold.Status
+		most time.Duration
+	}{
+		{&warmer{looks: 100}, fold.Finished, 2 * time.Minute},
+		{&warmer{looks: 1 << 30}, fold.Paused, time.Hour},
+		{&warmer{looks: 1 << 30, err: errors.New("no route")}, fold.Paused, time.Hour},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t, 4)
+			p := New(Config{Node: "a"}, s.follower(s.log), s.log, s.fleet.find, tt.w, zap.NewNop())
+			t.Cleanup(func() { _ = p.Close() })
+			s.confirm("p1", record.Intent{ShiftWorkspace: &record.ShiftWorkspace{Workspace: "sofia", To: "new", Steps: 1}})
+			time.Sleep(40 * time.Second)
+			if got := s.reg.State().Config.Workspaces["sofia"].Shares; got[0].Pool != "old" {
+				t.Fatalf("shares are %v while the pool is cold", got)
+			}
+			if got := s.await("p1", tt.want, tt.most); got.Status == fold.Paused && got.Reason == "" {
+				t.Fatal("paused without a reason")
+			}
+		})
+	}
+}
