--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -94,7 +94,7 @@
 	queue       queue
 	arrivals    uint64 // orders the queue
 	running     int
-	prefillFree time.Time // when the batch has computed the prompts it holds
+	computing   chan struct{} // holds one entry while a prompt is computed
 	streams     map[string]*stream
 	held        []*stream // ended streams, the oldest first
 	fault       Fault
@@ -137,7 +137,7 @@
 	e.resetCache()
 	e.queue = nil
 	e.running = 0
-	e.prefillFree = time.Time{}
+	e.computing = make(chan struct{}, 1)
 	e.streams = map[string]*stream{}
 	e.held = nil
 	e.reports = nil
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -101,24 +101,29 @@
 // load reads the weights, waits for the work on the old ones to end, and
 // puts the new ones in their place.
 func (e *Engine) load(ctx context.Context, l *load) {
+	ok := e.readWeights(ctx)
+	for !e.endLoad(ctx, l, ok) {
+		if !pause(ctx, loadStep) {
+			return
+		}
+	}
+}
+
+// readWeights takes the time of a load; false if it failed half-way.
+func (e *Engine) readWeights(ctx context.Context) bool {
 	loads := weightstore.NewLoads(e.cfg.WeightStore, e.name())
 	defer loads.End()
 	for left := e.cfg.LoadTime; left > 0; {
 		step := min(left, loadStep)
 		if !e.gate(ctx) || !pause(ctx, step) {
-			return
+			return false
 		}
 		if e.present().FailLoads && left < e.cfg.LoadTime/2 {
-			e.endLoad(ctx, l, false)
-			return
+			return false
 		}
 		left -= e.progress(step, loads.Count(weightDeadline))
 	}
-	for !e.endLoad(ctx, l, true) {
-		if !pause(ctx, loadStep) {
-			return
-		}
-	}
+	return true
 }
 
 // progress is how far a load gets in step while others load too.
--- a/standin/engine/schedule.go
+++ b/standin/engine/schedule.go
@@ -79,37 +79,58 @@
 		}
 		e.running++
 		e.counters.Runs++
-		ctx := e.ctx
+		ctx, computing := e.ctx, e.computing
 		run, cancel := context.WithCancel(ctx)
 		s.cancel = cancel
-		ready := e.prefill(now, s)
-		s.begin(e.head(s))
 		e.work.Add(1)
 		go func() {
 			defer e.work.Done()
 			defer cancel()
-			e.run(run, s, ready)
+			if e.prefill(run, s, computing) {
+				e.generate(run, s)
+			}
 			e.finish(ctx, s)
 		}()
 	}
 }
 
-// prefill computes the prompt's uncached tokens and gives the time when they
-// are done. The batch computes one prompt after another.
-func (e *Engine) prefill(now time.Time, s *stream) time.Time {
+// prefill computes the prompt's uncached tokens, and says the head when it
+// begins. The batch computes one prompt after another, so that a prompt finds
+// what the one before has left in the cache.
+func (e *Engine) prefill(ctx context.Context, s *stream, computing chan struct{}) bool {
+	select {
+	case computing <- struct{}{}:
+		defer func() { <-computing }()
+	case <-ctx.Done():
+		return false
+	}
+	e.mu.Lock()
+	uncached := e.lookUp(s)
+	s.begin(e.head(s))
+	e.mu.Unlock()
+	seconds := float64(uncached) / e.cfg.PrefillRate
+	if !e.compute(ctx, time.Duration(seconds*float64(time.Second))) {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	e.cache.store(time.Now(), s.g.Salt, s.blocks)
+	return true
+}
+
+// lookUp finds the cached part of a prompt and gives how many tokens are to
+// be computed; the lock is held.
+func (e *Engine) lookUp(s *stream) int {
 	cached := e.cache.cached(s.blocks) * overhttp.BlockTokens
 	s.cachedTokens = min(cached, s.promptTokens)
 	uncached := s.promptTokens - s.cachedTokens
 	e.counters.PromptTokens += s.promptTokens
 	e.counters.CachedTokens += s.cachedTokens
 	e.counters.ComputedTokens += uncached
-	begin := now
-	if e.prefillFree.After(now) {
-		begin = e.prefillFree
-	}
-	seconds := float64(uncached) / e.cfg.PrefillRate * e.slow()
-	e.prefillFree = begin.Add(time.Duration(seconds * float64(time.Second)))
-	return e.prefillFree
+	return uncached
 }
 
 func (e *Engine) head(s *stream) upstream.Head {
@@ -126,18 +147,10 @@
 	}
 }
 
-// run produces the tokens of an admitted stream until ctx ends.
-func (e *Engine) run(ctx context.Context, s *stream, ready time.Time) {
-	if !pause(ctx, time.Until(ready)) {
-		return
-	}
-	e.mu.Lock()
-	if ctx.Err() == nil {
-		e.cache.store(time.Now(), s.g.Salt, s.blocks)
-	}
-	e.mu.Unlock()
+// generate produces the tokens until ctx ends.
+func (e *Engine) generate(ctx context.Context, s *stream) {
 	for i, text := range s.tokens {
-		if !e.gate(ctx) || !pause(ctx, e.decode()) {
+		if !e.compute(ctx, e.cfg.Decode) {
 			return
 		}
 		finish := ""
@@ -181,13 +194,26 @@
 // maxHeld bounds the ended streams that are kept.
 const maxHeld = 4096
 
-func (e *Engine) decode() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return time.Duration(float64(e.cfg.Decode) * e.slow())
+// computeStep is how soon a computation notices that a fault has changed.
+const computeStep = 20 * time.Millisecond
+
+// compute takes the time for work that takes d on a sound engine; false if
+// ctx has ended.
+func (e *Engine) compute(ctx context.Context, d time.Duration) bool {
+	for d > 0 {
+		slow := e.slow()
+		step := min(time.Duration(float64(d)*slow), computeStep)
+		if !e.gate(ctx) || !pause(ctx, step) {
+			return false
+		}
+		d -= max(time.Duration(float64(step)/slow), 1)
+	}
+	return e.gate(ctx)
 }
 
 func (e *Engine) slow() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.fault.Slow > 0 {
 		return e.fault.Slow
 	}
--- a/standin/listener/listener.go
+++ b/standin/listener/listener.go
@@ -31,12 +31,13 @@
 	ln      net.Listener
 	conns   map[net.Conn]struct{}
 	closed  bool
+	done    chan struct{} // closed by Close
 	serving sync.WaitGroup
 }
 
 // New makes a listener that has not been started.
 func New(h fasthttp.RequestHandler) *Listener {
-	return &Listener{handler: h, conns: map[net.Conn]struct{}{}}
+	return &Listener{handler: h, conns: map[net.Conn]struct{}{}, done: make(chan struct{})}
 }
 
 // Start listens on address and gives the address that was bound.
@@ -115,8 +116,9 @@
 	l.serving.Add(1)
 	go func() {
 		defer l.serving.Done()
-		time.Sleep(pause)
-		l.reopen(address)
+		if l.sleep(pause) {
+			l.reopen(address)
+		}
 	}()
 }
 
@@ -127,13 +129,30 @@
 			l.serve(ln)
 			return
 		}
-		time.Sleep(reopenPause)
+		if !l.sleep(reopenPause) {
+			return
+		}
+	}
+}
+
+// sleep waits for d; false if the listener was closed.
+func (l *Listener) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-l.done:
+		return false
 	}
 }
 
 // Close closes the port and every connection and waits for the servers.
 func (l *Listener) Close() {
 	l.mu.Lock()
+	if !l.closed {
+		close(l.done)
+	}
 	l.closed = true
 	if l.ln != nil {
 		l.ln.Close()
