Weigh holders, the wait of others, and a steep loss of cache entries

Beliefs fell with exp(-age), though a cache that evicts the least recently used keeps nearly all up to an age; the loss is steep now and its age learnt from answers. Ruled out: the assumption about replica sets (without it worse).

--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -20,8 +20,11 @@
 	beliefs beliefs
 	demands table[demand]
 	peers   peers
-	rand    *rand.Rand
-	ticker  ticker
+	// meanCompute is how many tokens a request had computed lately, averaged.
+	meanCompute float64
+	trust       float64 // how far assumptions about replica sets came true lately
+	rand        *rand.Rand
+	ticker      ticker
 
 	// Memory of single decisions, used again.
 	sizes   []int
@@ -31,16 +34,30 @@
 	outside []candidate
 }
 
+const (
+	// leastAssumed is how many tokens have to be assumed for the answer to
+	// say whether assumptions hold.
+	leastAssumed = 64
+	// trustStep is the weight of one answer in the trust.
+	trustStep = 0.05
+	// firstCompute is the mean of computed tokens before the first answer,
+	// and computeStep the weight of one answer in it.
+	firstCompute = 1000
+	computeStep  = 0.02
+)
+
 // New gives an Affinity policy.
 func New(cfg Config) *Affinity {
 	cfg = cfg.withDefaults()
 	return &Affinity{
-		cfg:     cfg,
-		fleet:   newFleet(),
-		beliefs: newBeliefs(cfg.Entries),
-		demands: newTable[demand](cfg.Levels),
-		peers:   newPeers(),
-		rand:    rand.New(rand.NewPCG(cfg.Seed, 0)),
+		cfg:         cfg,
+		fleet:       newFleet(),
+		beliefs:     newBeliefs(cfg.Entries),
+		demands:     newTable[demand](cfg.Levels),
+		peers:       newPeers(),
+		trust:       1,
+		meanCompute: firstCompute,
+		rand:        rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
 
@@ -58,7 +75,7 @@
 	defer a.mu.Unlock()
 	at := a.ticker.at(now)
 	a.measure(at, r.Chain)
-	found := a.candidates(r, a.sizes)
+	found := a.candidates(at, r)
 	if len(found) == 0 {
 		return Decision{}, ErrNoCandidate
 	}
@@ -117,8 +134,8 @@
 	// The next request with this prefix should follow this one and not be
 	// computed at a second place meanwhile.
 	for _, l := range r.Chain {
-		if _, ok := a.beliefs.age(m.engine.epoch, l.ID, at); !ok {
-			a.beliefs.note(m.engine.epoch, l.ID, at)
+		if _, ok := a.beliefs.age(m, l.ID, at); !ok {
+			a.beliefs.note(m, l.ID, at)
 		}
 	}
 }
@@ -154,11 +171,21 @@
 	if answer.PromptTokens > 0 {
 		cached = cached * r.Chain.Tokens() / answer.PromptTokens
 	}
+	a.learn(m, d.estimate, cached)
+	a.meanCompute += computeStep * (float64(r.Chain.Tokens()-cached) - a.meanCompute)
 	for _, l := range r.Chain {
-		if age, ok := a.beliefs.age(m.engine.epoch, l.ID, at); ok {
-			m.engine.retention = m.engine.retention.learn(age, l.Tokens <= cached)
-		}
-		a.beliefs.note(m.engine.epoch, l.ID, at)
+		a.beliefs.note(m, l.ID, at)
+	}
+}
+
+// learn holds the answer against what was expected.
+func (a *Affinity) learn(m *member, e estimate, cached int) {
+	if e.tokens > 0 {
+		m.engine.retention = m.engine.retention.learn(e.age, e.tokens <= cached)
+	}
+	if e.assumed >= leastAssumed {
+		right := min(max(0, float64(cached)-e.believed), e.assumed) / e.assumed
+		a.trust += trustStep * (right - a.trust)
 	}
 }
 
@@ -173,7 +200,7 @@
 	m.failures.note(now, ok)
 	if !ok {
 		for _, l := range r.Chain {
-			a.beliefs.drop(m.engine.epoch, l.ID)
+			a.beliefs.drop(m, l.ID)
 		}
 	}
 	a.fleet.finished(d)
@@ -198,10 +225,10 @@
 		return
 	}
 	if !e.Stored {
-		a.beliefs.drop(m.engine.epoch, e.Level)
+		a.beliefs.drop(m, e.Level)
 		return
 	}
-	a.beliefs.note(m.engine.epoch, e.Level, a.ticker.at(now))
+	a.beliefs.note(m, e.Level, a.ticker.at(now))
 }
 
 // Summarize implements Policy.
--- a/request/placement/belief.go
+++ b/request/placement/belief.go
@@ -1,56 +1,101 @@
 package placement
 
-import "math"
-
 const (
 	// firstRetention is how long a prefix is believed to stay in a cache, in
 	// seconds, until answers have told more.
-	firstRetention = 30.0
+	firstRetention = 60.0
 	leastRetention = 2.0
 	mostRetention  = 600.0
 	// forgetful is the age from which a belief says something about the
 	// retention, in seconds; younger ones may meet a prompt that is still
 	// being computed.
 	forgetful = 1.0
+	// retentionReach is how many times longer than the age of a belief that
+	// came true caches are taken to keep.
+	retentionReach = 1.5
+	// retentionStep is the weight of one answer.
+	retentionStep = 0.1
 )
 
-// beliefs is what the policy holds about the caches of all upstreams, in one
-// bounded table. The key is made of the level and the upstream's epoch, which
-// changes with its incarnation and its weights version: what was known before
-// can't be found any more, with nothing to sweep.
-type beliefs struct{ table table[struct{}] }
+// maxHolders is how many holders of one level are remembered by name. Of a
+// level that more upstreams hold, these are a sample; more than a decision
+// weighs are of no use.
+const maxHolders = 8
+
+// holders are the identifiers of upstreams believed to hold a level; 0 is
+// none.
+type holders [maxHolders]uint16
 
-func newBeliefs(n int) beliefs { return beliefs{newTable[struct{}](n)} }
+// beliefs is what the policy holds about the caches of all upstreams, in two
+// bounded tables. The key of the first is made of the level and the
+// upstream's epoch, which changes with its incarnation and its weights
+// version: what was known before can't be found any more, with nothing to
+// sweep. The second finds the upstreams of a level and is a hint to look into
+// the first.
+type beliefs struct {
+	known   table[struct{}]
+	holders table[holders]
+}
 
-func (b *beliefs) note(epoch, level uint64, at tick) { b.table.put(mix(level, epoch), at) }
+func newBeliefs(n int) beliefs {
+	return beliefs{known: newTable[struct{}](n), holders: newTable[holders](n / 2)}
+}
 
-func (b *beliefs) drop(epoch, level uint64) { b.table.drop(mix(level, epoch)) }
+func (b *beliefs) note(m *member, level uint64, at tick) {
+	b.known.put(mix(level, m.engine.epoch), at)
+	h := b.holders.put(level, at)
+	free := int(at) % maxHolders
+	for i, id := range h {
+		if id == m.id {
+			return
+		}
+		if id == 0 {
+			free = i
+		}
+	}
+	h[free] = m.id
+}
+
+func (b *beliefs) drop(m *member, level uint64) {
+	b.known.drop(mix(level, m.engine.epoch))
+	if h, _ := b.holders.get(level); h != nil {
+		for i, id := range h {
+			if id == m.id {
+				h[i] = 0
+			}
+		}
+	}
+}
 
 // age gives how long ago, in seconds, the level was known to be cached.
-func (b *beliefs) age(epoch, level uint64, at tick) (float64, bool) {
-	v, stamp := b.table.get(mix(level, epoch))
+func (b *beliefs) age(m *member, level uint64, at tick) (float64, bool) {
+	v, stamp := b.known.get(mix(level, m.engine.epoch))
 	if v == nil {
 		return 0, false
 	}
 	return seconds(stamp, at), true
 }
 
-// retention is how long an upstream's cache keeps what isn't used, in
-// seconds; it is learnt from the answers. A belief's weight falls with its
-// age by exp(-age/retention), so that each is perishable.
+// retention is the age, in seconds, at which half of the beliefs about an
+// upstream's cache have stopped being true. It is learnt from the answers.
+// Caches evict what was used longest ago, so that young beliefs hold almost
+// surely and old ones almost never: the chance falls steeply around the
+// retention.
 type retention float64
 
-func (r retention) keeps(age float64) float64 { return math.Exp(-age / float64(r)) }
+func (r retention) keeps(age float64) float64 {
+	x := age / float64(r)
+	return 1 / (1 + x*x*x*x)
+}
 
-// learn takes in that a prefix unused for age was still cached, or not.
+// learn takes in that a prefix not heard of for age was still cached, or not.
 func (r retention) learn(age float64, cached bool) retention {
-	if age < forgetful {
-		return r
-	}
-	if cached {
-		r += retention(0.05 * age)
-	} else {
-		r -= retention(0.25 * float64(r) * r.keeps(age))
+	switch {
+	case age < forgetful:
+	case cached && retentionReach*age > float64(r):
+		r += retention(retentionStep * (retentionReach*age - float64(r)))
+	case !cached && age < float64(r):
+		r -= retention(retentionStep * (float64(r) - age))
 	}
 	return min(max(r, leastRetention), mostRetention)
 }
--- a/request/placement/candidates.go
+++ b/request/placement/candidates.go
@@ -29,7 +29,7 @@
 // computes the same sets from the same sizes, with no state: a node that has
 // just started goes where its peers go. Where the sets of two nodes differ in
 // size, the smaller is part of the larger.
-func (a *Affinity) candidates(r Request, sizes []int) []candidate {
+func (a *Affinity) candidates(at tick, r Request) []candidate {
 	set := a.set[:0]
 	for _, m := range a.fleet.eligible {
 		if !slices.Contains(r.Excluded, m.Name) {
@@ -40,14 +40,14 @@
 	found := a.found[:0]
 	outside := a.outside[:0]
 	for i, l := range r.Chain {
-		if sizes[i] >= len(set) {
+		if a.sizes[i] >= len(set) {
 			continue
 		}
 		rank(set, l)
-		for _, s := range set[sizes[i]:min(sizes[i]+spill, len(set))] {
+		for _, s := range set[a.sizes[i]:min(a.sizes[i]+spill, len(set))] {
 			outside = append(outside, candidate{member: s.member, depth: i})
 		}
-		set = set[:sizes[i]]
+		set = set[:a.sizes[i]]
 	}
 	for _, s := range set[:min(len(set), maxCandidates)] {
 		found = append(found, candidate{member: s.member, depth: len(r.Chain)})
@@ -57,6 +57,9 @@
 			found = append(found, c)
 		}
 	}
+	if a.cfg.features.has(useHolders) {
+		found = a.addHolders(found, at, r)
+	}
 	found = a.addCold(found, r)
 	a.found, a.outside = found, outside
 	return found
@@ -75,13 +78,39 @@
 	slices.SortFunc(set, func(a, b scored) int { return compare(b.score, a.score) })
 }
 
+// addHolders adds the upstreams that are believed to hold the most of the
+// prompt.
+func (a *Affinity) addHolders(found []candidate, at tick, r Request) []candidate {
+	added := 0
+	for _, l := range slices.Backward(r.Chain) {
+		h, _ := a.beliefs.holders.get(l.ID)
+		if h == nil {
+			continue
+		}
+		for _, id := range h {
+			m := a.fleet.byID[id]
+			if m == nil || !m.eligible || added == maxHolders || slices.Contains(r.Excluded, m.Name) {
+				continue
+			}
+			if _, ok := a.beliefs.age(m, l.ID, at); ok && !has(found, m) {
+				found = append(found, candidate{member: m})
+				added++
+			}
+		}
+	}
+	return found
+}
+
+func has(found []candidate, m *member) bool {
+	return slices.ContainsFunc(found, func(c candidate) bool { return c.member == m })
+}
+
 // addCold adds upstreams at random, other ones in each node.
 func (a *Affinity) addCold(found []candidate, r Request) []candidate {
 	n := len(a.fleet.eligible)
 	for range min(coldChoices, n) {
 		m := a.fleet.eligible[a.rand.IntN(n)]
-		known := slices.ContainsFunc(found, func(c candidate) bool { return c.member == m })
-		if !known && !slices.Contains(r.Excluded, m.Name) {
+		if !has(found, m) && !slices.Contains(r.Excluded, m.Name) {
 			found = append(found, candidate{member: m})
 		}
 	}
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -30,6 +30,8 @@
 	Entries int
 	// Levels bounds the table of demands.
 	Levels int
+
+	features feature // 0: all
 }
 
 const (
@@ -64,6 +66,9 @@
 	if c.Levels == 0 {
 		c.Levels = defaultLevels
 	}
+	if c.features == 0 {
+		c.features = useAll
+	}
 	return c
 }
 
@@ -80,6 +85,35 @@
 		{Name: "Random", New: func(cfg Config) Policy { return NewRandom(cfg) }},
 		{Name: "LeastLoad", New: func(cfg Config) Policy { return NewLeastLoad(cfg) }},
 		{Name: "PlainHash", New: func(cfg Config) Policy { return NewPlainHash(cfg) }},
+		{Name: "Affinity1", New: version(useNone)},
+		{Name: "Affinity2", New: version(useHolders)},
+		{Name: "Affinity3", New: version(useHolders | useOthers)},
 		{Name: "Affinity", New: func(cfg Config) Policy { return New(cfg) }},
 	}
 }
+
+func version(f feature) func(Config) Policy {
+	return func(cfg Config) Policy {
+		cfg.features = f
+		return New(cfg)
+	}
+}
+
+// feature is a part of Affinity that earlier versions lack. Versions differ
+// by their features alone, so that the measurements compare the same code.
+type feature uint32
+
+const (
+	// useHolders weighs the upstreams that are believed to hold the prompt.
+	useHolders feature = 1 << iota
+	// useOthers counts what a computation adds to the wait of others.
+	useOthers
+	// useSteep takes a cache to keep prefixes for a certain time, and not to
+	// lose them at a constant rate.
+	useSteep
+
+	useAll  feature = 1<<iota - 1
+	useNone feature = 1 << 31
+)
+
+func (f feature) has(other feature) bool { return f&other != 0 }
--- a/request/placement/fleet.go
+++ b/request/placement/fleet.go
@@ -12,6 +12,7 @@
 type member struct {
 	Upstream
 	hash     uint64
+	id       uint16 // for tables; given again once the member is gone
 	eligible bool
 	own      int // own requests sent and not finished
 	tokens   int // their prompt tokens that are not answered yet
@@ -24,12 +25,12 @@
 
 // fleet is the upstreams of one policy.
 type fleet struct {
-	members    map[string]*member
-	eligible   []*member // sorted by hash
-	generation uint64    // counts the changes of eligible
+	members  map[string]*member
+	eligible []*member // sorted by hash
+	byID     []*member // 0 is nobody
 }
 
-func newFleet() fleet { return fleet{members: map[string]*member{}} }
+func newFleet() fleet { return fleet{members: map[string]*member{}, byID: make([]*member, 1)} }
 
 // set replaces the eligible upstreams, and forgets the others once their
 // work is done.
@@ -44,18 +45,35 @@
 			m = &member{hash: xxhash.Sum64String(u.Name)}
 			m.engine = newEngineState(m.hash)
 			f.members[u.Name] = m
+			f.number(m)
 		}
 		m.Upstream = u
 		m.eligible = true
 		f.eligible = append(f.eligible, m)
 	}
 	slices.SortFunc(f.eligible, func(a, b *member) int { return compare(a.hash, b.hash) })
-	for name, m := range f.members {
+	for _, m := range f.members {
 		if !m.eligible && m.own == 0 {
-			delete(f.members, name)
+			f.remove(m)
 		}
 	}
-	f.generation++
+}
+
+// number gives the member an identifier. One that is used again finds beliefs
+// of its former owner by name only, never by epoch.
+func (f *fleet) number(m *member) {
+	i := slices.Index(f.byID[1:], nil) + 1
+	if i == 0 {
+		i = len(f.byID)
+		f.byID = append(f.byID, nil)
+	}
+	f.byID[i] = m
+	m.id = uint16(i)
+}
+
+func (f *fleet) remove(m *member) {
+	f.byID[m.id] = nil
+	delete(f.members, m.Name)
 }
 
 func (f *fleet) sent(now time.Time, r Request, d Decision) {
@@ -79,7 +97,7 @@
 	}
 	m.own = max(0, m.own-1)
 	if m.own == 0 && !m.eligible {
-		delete(f.members, d.Upstream)
+		f.remove(m)
 	}
 }
 
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -45,6 +45,8 @@
 	Wait     time.Duration // expected time to first token
 	Import   bool          // fetch the prefix from the store of kept KV cache first
 	Idle     time.Duration // time to first token that an idle upstream would take; 0: not estimated
+
+	estimate estimate // what the answer is held against
 }
 
 // Answer is what the head of an upstream's answer tells about its cache.
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/request/prefix"
@@ -22,16 +23,19 @@
 	total  float64 // weighed seconds; the least is chosen
 	cached int     // expected tokens
 	wait   float64 // expected seconds to the first token
+	idle   float64 // the same without other work there
 	load   bool    // import from the store
 	warm   bool
 	member bool
+	known  estimate
 }
 
 // price estimates what the request costs at c: the wait for the first token
 // and the engine time spent on computing what isn't cached, each by its
 // weight, and the penalty for failures.
 func (a *Affinity) price(now time.Time, at tick, r Request, c candidate) price {
-	cached := a.expected(at, r.Chain, c)
+	e := a.estimate(at, r.Chain, c)
+	cached := e.believed + e.assumed
 	compute := (float64(r.Chain.Tokens()) - cached) / max(1, c.Prefill)
 	b := c.backlog(now, a.peers.work[c.Name])
 	queue := float64(b.tokens) / max(1, c.Prefill)
@@ -42,14 +46,23 @@
 	if c.DataCentre != r.DataCentre {
 		wait += a.cfg.RemoteLatency.Seconds()
 	}
+	// Each second of computing also holds up whatever waits there. Without
+	// this, a fleet that falls behind spreads every prefix to the shortest
+	// queue, computes the more for it, and never catches up.
+	others := float64(b.tokens) / max(1, a.meanCompute)
+	if !a.cfg.features.has(useOthers) {
+		others = 0
+	}
 	w := a.cfg.Weighing
 	return price{
 		candidate: c,
-		total:     w.Wait*(wait+c.failures.wait(now)) + w.Recompute*compute,
+		total:     w.Wait*(wait+compute*others+c.failures.wait(now)) + w.Recompute*compute,
 		cached:    int(cached),
 		wait:      wait,
+		idle:      compute + c.Decode.Seconds(),
 		warm:      cached >= warmPart*float64(r.Chain.Tokens()),
 		member:    c.depth == len(r.Chain),
+		known:     e,
 	}
 }
 
@@ -63,26 +76,47 @@
 	return float64(over) * service / float64(max(1, m.Slots))
 }
 
-// expected is how many tokens of the chain are in the upstream's cache, by
+// estimate is what a decision expects of an upstream's cache.
+type estimate struct {
+	believed float64 // tokens, from what is known of this cache
+	assumed  float64 // tokens more, as a member of replica sets has them
+	tokens   int     // of the longest prefix that is known, whatever its age
+	age      float64 // of that knowledge, in seconds
+}
+
+// estimate gives how many tokens of the chain are in the upstream's cache, by
 // what is known of it and, for a member of a level's replica set, by how
 // often requests of all nodes use the level there.
-func (a *Affinity) expected(at tick, chain prefix.Chain, c candidate) float64 {
-	sum, chance := 0.0, 0.0
-	for i := len(chain) - 1; i >= 0; i-- {
-		if age, ok := a.beliefs.age(c.engine.epoch, chain[i].ID, at); ok {
-			chance = max(chance, c.engine.retention.keeps(age))
+func (a *Affinity) estimate(at tick, chain prefix.Chain, c candidate) estimate {
+	e := estimate{}
+	known, either := 0.0, 0.0
+	for i, l := range slices.Backward(chain) {
+		if age, ok := a.beliefs.age(c.member, l.ID, at); ok {
+			if e.tokens == 0 {
+				e.tokens, e.age = l.Tokens, age
+			}
+			known = max(known, a.keeps(c.member, age))
 		}
+		either = max(either, known)
 		if i < c.depth {
 			perMember := a.rates[i] / float64(a.sizes[i])
-			chance = max(chance, 1-math.Exp(-perMember*float64(c.engine.retention)))
+			either = max(either, a.trust*(1-math.Exp(-perMember*float64(c.engine.retention))))
 		}
-		before := 0
+		own := float64(l.Tokens)
 		if i > 0 {
-			before = chain[i-1].Tokens
+			own -= float64(chain[i-1].Tokens)
 		}
-		sum += chance * float64(chain[i].Tokens-before)
+		e.believed += known * own
+		e.assumed += (either - known) * own
+	}
+	return e
+}
+
+func (a *Affinity) keeps(m *member, age float64) float64 {
+	if !a.cfg.features.has(useSteep) {
+		return math.Exp(-age / float64(m.engine.retention))
 	}
-	return sum
+	return m.engine.retention.keeps(age)
 }
 
 func (p price) decision(candidates int) Decision {
@@ -90,7 +124,9 @@
 		Upstream: p.Name,
 		Cached:   p.cached,
 		Wait:     time.Duration(p.wait * float64(time.Second)),
+		Idle:     time.Duration(p.idle * float64(time.Second)),
 		Import:   p.load,
+		estimate: p.known,
 	}
 	switch {
 	case candidates == 1:
