Make the catalogue of log events from the code

Cause: a page kept by hand says something else than the code after a week. Ruled out: levels in the comments (the calls decide them); a program of its own to write the page (the test has to read the same things). Change: a test reads the constants, their comments and the calls that log them, and compares docs/EVENTS.md; go generate writes the page with the same code. Every event has a meaning, every warning says what to do.

--- a/connection/operator/listener.go
+++ b/connection/operator/listener.go
@@ -166,7 +166,7 @@
 	defer cancel()
 	p, err := l.services.Planner.Propose(ctx, operatorOf(c), intent)
 	if err != nil {
-		event.Warn(l.log, event.IntentRefused, zap.String("Operator", operatorOf(c)), zap.Error(err))
+		event.Info(l.log, event.IntentRefused, zap.String("Operator", operatorOf(c)), zap.Error(err))
 		return err
 	}
 	event.Info(l.log, event.IntentStated, zap.String("Operator", operatorOf(c)), zap.String("Plan", p.ID))
@@ -207,7 +207,7 @@
 	id, operator := c.Params("id"), operatorOf(c)
 	p, err := l.services.Planner.Confirm(ctx, operator, id, confirmation.Base)
 	if err != nil {
-		event.Warn(l.log, event.ConfirmationRefused, zap.String("Operator", operator), zap.String("Plan", id), zap.Error(err))
+		event.Info(l.log, event.ConfirmationRefused, zap.String("Operator", operator), zap.String("Plan", id), zap.Error(err))
 		return err
 	}
 	event.Info(l.log, event.PlanConfirmed, zap.String("Operator", operator), zap.String("Plan", id), zap.Uint64("Offset", uint64(p.Confirmed)))
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -8,6 +8,7 @@
 )
 
 //go:generate go tool stringer -type=Event -output=event_string.go
+//go:generate go test -run ^TestCatalogue$ -update .
 
 // Event is the number of a log event. Each area has its own hundred and its
 // own file in this package.
--- a/process/event/journal.go
+++ b/process/event/journal.go
@@ -3,7 +3,7 @@
 // Events of the journal for requests that are not repeatable.
 const (
 	// JournalLogFailed: a read or an append of the journal failed; claims are
-	// refused until the log is back.
+	// refused until the log is back. To do: see to the platform; not-repeatable requests are refused meanwhile.
 	JournalLogFailed Event = iota + 400
 	// JournalLogBack: the journal reads the log again.
 	JournalLogBack
@@ -11,9 +11,9 @@
 	// will not send the request, and says so in the log once it can.
 	JournalClaimAbandoned
 	// JournalRecordUnread: a record of the journal could not be decoded and
-	// was skipped.
+	// was skipped. To do: bring this node to the version that wrote the record.
 	JournalRecordUnread
 	// JournalOutcomeDropped: too many outcomes waited for the log, and the
-	// oldest was dropped; its key counts as unknown from now on.
+	// oldest was dropped; its key counts as unknown from now on. To do: see to the platform; callers that ask for such a key are told Unknown.
 	JournalOutcomeDropped
 )
--- a/process/event/member.go
+++ b/process/event/member.go
@@ -2,32 +2,32 @@
 
 // Events of the connections between nodes, of membership and of certificates.
 const (
-	// PeerConnectionRefused: a connection to the peer listener was refused, for its secret, its protocol or the limit on connections.
+	// PeerConnectionRefused: a connection to the peer listener was refused, for its secret, its protocol or the limit on connections. To do: when it goes on, compare Peers.Secret and the program versions of the two nodes.
 	PeerConnectionRefused Event = iota + 200
-	// MemberJoined: a node was seen for the first time.
+	// MemberJoined: a node was seen for the first time. To do: nothing.
 	MemberJoined
-	// MemberRestarted: a node came back as a new incarnation.
+	// MemberRestarted: a node came back as a new incarnation. To do: nothing.
 	MemberRestarted
-	// MemberSuspected: a node did not answer, neither to this node nor through others.
+	// MemberSuspected: a node did not answer, neither to this node nor through others. To do: nothing for a single one; many at once are a cut network, see docs/OPERATING.md.
 	MemberSuspected
-	// MemberDied: a suspected node did not refute in time.
+	// MemberDied: a suspected node did not refute in time. To do: nothing if the VM was replaced; else find out why the VM is gone.
 	MemberDied
-	// MemberRecovered: a suspected or dead node was heard again, in the same incarnation.
+	// MemberRecovered: a suspected or dead node was heard again, in the same incarnation. To do: nothing.
 	MemberRecovered
-	// MemberLeaving: a node announced that it leaves, or the VM list says so.
+	// MemberLeaving: a node announced that it leaves, or the VM list says so. To do: nothing.
 	MemberLeaving
-	// MemberRefuted: other nodes suspected this one, and it told them that it lives.
+	// MemberRefuted: other nodes suspected this one, and it told them that it lives. To do: nothing.
 	MemberRefuted
-	// MemberNameTaken: another node uses this node's name, or this node's clock went back over a restart.
+	// MemberNameTaken: another node uses this node's name, or this node's clock went back over a restart. To do: give each node a name of its own.
 	MemberNameTaken
-	// MemberPaused: this node itself stood still for longer than its heartbeat allows.
+	// MemberPaused: this node itself stood still for longer than its heartbeat allows. To do: find out what stopped the VM; it may be short of processor time.
 	MemberPaused
-	// VMListUnavailable: the platform's VM list could not be read; membership goes on by evidence.
+	// VMListUnavailable: the platform's VM list could not be read; membership goes on by evidence. To do: see to the platform; nothing is lost meanwhile.
 	VMListUnavailable
 	// VMListAvailable: the platform's VM list can be read again.
 	VMListAvailable
 	// CertificateReloaded: a listener's certificate was replaced.
 	CertificateReloaded
-	// CertificateReloadFailed: a changed certificate could not be used; the former one stays.
+	// CertificateReloadFailed: a changed certificate could not be used; the former one stays. To do: mend the files named before the former certificate runs out.
 	CertificateReloadFailed
 )
--- /dev/null
+++ b/process/metric/metric_test.go
@@ -0,0 +1,103 @@
+package metric
+
+import (
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+func scrape(t *testing.T, m *Metrics) string {
+	t.Helper()
+	app := fiber.New()
+	app.Get("/metrics", m.Handler())
+	resp, err := app.Test(httptest.NewRequest("GET", "/metrics", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+func TestMetricsSayWhatHappened(t *testing.T) {
+	m := New()
+	m.Configured(config.New().WithOffset(7).WithWorkspace(config.Workspace{Name: "sofia", Weight: 8}))
+	m.Began()
+	m.Answered("sofia")
+	m.Answered("unknown")
+	m.Failed("sofia", failure.ErrOverloaded)
+	m.FirstToken("sofia", 400*time.Millisecond)
+	m.Prompt(1000, 900)
+	m.Retried(Resumed)
+	m.Queued(3)
+	m.LogRead(time.Unix(1000, 500e6), true)
+	m.Peers(Live, 5)
+	m.Journalled(OutcomeUnknown, 30*time.Millisecond)
+	text := scrape(t, m)
+	for _, want := range []string{
+		`dunlinmill_requests_total{class="sofia",outcome="Answered"} 1`,
+		`dunlinmill_requests_total{class="other",outcome="Answered"} 1`,
+		`dunlinmill_requests_total{class="sofia",outcome="Overloaded"} 1`,
+		`dunlinmill_refusals_total{code="Overloaded",ran="NotRun"} 1`,
+		`dunlinmill_first_token_seconds_bucket{class="sofia",le="0.5"} 1`,
+		`dunlinmill_prompt_tokens_total{from="cached"} 900`,
+		`dunlinmill_prompt_tokens_total{from="computed"} 100`,
+		`dunlinmill_retries_total{kind="Resumed"} 1`,
+		`dunlinmill_in_flight_requests 1`,
+		`dunlinmill_queued_requests 3`,
+		`dunlinmill_config_offset 7`,
+		`dunlinmill_config_read_timestamp_seconds 1000.5`,
+		`dunlinmill_log_reachable 1`,
+		`dunlinmill_peers{state="Live"} 5`,
+		`dunlinmill_journal_appends_total{result="OutcomeUnknown"} 1`,
+		`dunlinmill_journal_append_seconds_bucket{le="0.05"} 1`,
+	} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("%s is missing", want)
+		}
+	}
+	m.Ended()
+	m.LogRead(time.Unix(2000, 0), false)
+	text = scrape(t, m)
+	for _, want := range []string{"dunlinmill_in_flight_requests 0", "dunlinmill_log_reachable 0", "dunlinmill_config_read_timestamp_seconds 1000.5"} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("%s is missing", want)
+		}
+	}
+}
+
+// A node serves 1,500 workspaces and callers send any name. With a label
+// value for each, every node would hold a series for each workspace and
+// outcome, and a change of workspaces would leave its series behind for ever.
+func TestLabelsAreBounded(t *testing.T) {
+	m := New()
+	for round := range 3 {
+		cfg := config.New()
+		for i := range 1500 {
+			cfg = cfg.WithWorkspace(config.Workspace{Name: fmt.Sprintf("w%d-%04d", round, i), Weight: float64(i)})
+		}
+		m.Configured(cfg)
+		for name := range cfg.Workspaces {
+			m.Answered(name)
+		}
+		m.Answered("a name that nobody configured")
+	}
+	text := scrape(t, m)
+	if n := strings.Count(text, "dunlinmill_requests_total{"); n != MaxClasses+1 {
+		t.Errorf("%d series of requests, want %d", n, MaxClasses+1)
+	}
+	if !strings.Contains(text, `class="w2-1499"`) || strings.Contains(text, `class="w1-1499"`) {
+		t.Error("the classes are not those of the greatest weight in the configuration in force")
+	}
+}
