--- a/process/metric/metric_test.go
+++ b/process/metric/metric_test.go
@@ -85,7 +85,8 @@
 	for round := range 3 {
 		cfg := config.New()
 		for i := range 1500 {
-			cfg = cfg.WithWorkspace(config.Workspace{Name: fmt.Sprintf("w%d-%04d", round, i), Weight: float64(i)})
+			name := fmt.Sprintf("w%d-%04d", round, i)
+			cfg.Workspaces[name] = config.Workspace{Name: name, Weight: float64(i)}
 		}
 		m.Configured(cfg)
 		for name := range cfg.Workspaces {
