Measure placement under faults

Cause: the calm table says nothing of crashes, lost events, lagged load, restarts and cut data centres. Ruled out: leaving requests without an answer out of the percentiles (a policy that starves them would look better; they now count as waiting until the end of the run). Change: scenarios for lost events, lagged load, a hot shift, a crash, a crash under a heartbeat, a slow engine, one that fails fast, the restart of all nodes, and a cut data centre; ratios to the oracle, to the same policy in calm over the same arrivals, and to the hit rate before the fault.

--- a/measure/call.go
+++ b/measure/call.go
@@ -16,6 +16,7 @@
 	Refused  bool // no upstream was eligible
 	Failed   bool // given up after maxAttempts
 	Cut      bool // the engine crashed after the first token
+	Started  bool // an engine took it into a slot
 	Answered bool
 	First    time.Duration // from the arrival at the node to the first token there
 	Cached   int           // prompt tokens found in the engine's cache
@@ -78,6 +79,7 @@
 		Output: c.request.Output,
 		Urgent: c.request.Urgent,
 		Started: func(cached int) {
+			c.sample.Started = true
 			c.sample.Cached = cached
 			c.sample.Wasted = max(c.f.bestCached(c.n, r.Chain)-cached, 0)
 		},
@@ -98,7 +100,7 @@
 func (f *fleet) bestCached(n *node, chain prefix.Chain) int {
 	best := 0
 	for _, e := range f.engines {
-		if !e.Down() && f.reaches(n.centre, e.Config().DataCentre) {
+		if e.Serving() && f.reaches(n.centre, e.Config().DataCentre) {
 			best = max(best, e.Cached(chain))
 		}
 	}
--- a/measure/engine/engine.go
+++ b/measure/engine/engine.go
@@ -78,6 +78,9 @@
 // Down reports whether the engine refuses connections.
 func (e *Engine) Down() bool { return e.down }
 
+// Serving reports whether the engine takes new work.
+func (e *Engine) Serving() bool { return !e.down && !e.failing }
+
 // Cached is the number of the chain's tokens in the cache now.
 func (e *Engine) Cached(chain prefix.Chain) int { return e.cache.cached(chain) }
 
@@ -90,7 +93,7 @@
 // Submit takes a job into the queue. It reports false, and calls nothing, if
 // the engine is down or failing.
 func (e *Engine) Submit(j *Job) bool {
-	if e.down || e.failing {
+	if !e.Serving() {
 		return false
 	}
 	if j.Urgent {
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -154,7 +154,7 @@
 		return
 	}
 	lag := loadLag
-	if f.scenario.Lag > 0 && f.clock.Elapsed() >= eventAt {
+	if f.scenario.Lag > 0 {
 		lag = f.scenario.Lag
 	}
 	cfg := e.Config()
@@ -190,10 +190,7 @@
 }
 
 func (f *fleet) lost() bool {
-	if f.scenario.Loss == 0 || f.clock.Elapsed() < eventAt {
-		return false
-	}
-	return f.g.Float64() < f.scenario.Loss
+	return f.scenario.Loss > 0 && f.g.Float64() < f.scenario.Loss
 }
 
 // summarize sends the node's summary to each peer that it reaches.
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -6,11 +6,15 @@
 	"github.com/dunlinmill/dunlinmill/measure/workload"
 )
 
+// calm measures one policy in calm.
+func calm(u workload.User, p Policy, seed uint64) Row {
+	return Table([]workload.User{u}, Scenarios()[:1], []Policy{p}, seed)[0]
+}
+
 func TestRunsOfTheSameSeedAreEqual(t *testing.T) {
 	for _, u := range workload.Users() {
 		for _, p := range []Policy{Oracle(), testRandom()} {
-			a := Measure(u, Scenarios()[0], p, 7)
-			b := Measure(u, Scenarios()[0], p, 7)
+			a, b := calm(u, p, 7), calm(u, p, 7)
 			if a != b {
 				t.Errorf("%s, %s: two runs differ:\n%+v\n%+v", u.Name, p.Name, a, b)
 			}
@@ -18,14 +22,24 @@
 	}
 }
 
-func TestOracleIsAtLeastAsGoodAsPoliciesThatSeeNothing(t *testing.T) {
+func TestOracleAnswersSoonerThanPoliciesThatSeeNothing(t *testing.T) {
 	for _, u := range workload.Users() {
-		oracle := Measure(u, Scenarios()[0], Oracle(), 1)
+		oracle := calm(u, Oracle(), 1)
 		for _, p := range []Policy{testRandom(), testHash()} {
-			row := Measure(u, Scenarios()[0], p, 1)
+			row := calm(u, p, 1)
 			if row.First99 < oracle.First99 {
 				t.Errorf("%s: %s has p99 %v, the oracle %v", u.Name, p.Name, row.First99, oracle.First99)
 			}
 		}
 	}
 }
+
+func BenchmarkCalm(b *testing.B) {
+	for _, p := range Policies() {
+		b.Run(p.Name, func(b *testing.B) {
+			for b.Loop() {
+				Run(workload.Hidrantis(), Scenarios()[0], p, 1)
+			}
+		})
+	}
+}
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/measure/engine"
 	"github.com/dunlinmill/dunlinmill/measure/workload"
 )
 
@@ -20,9 +21,101 @@
 	From, To time.Duration
 }
 
+// The duration of faults that pass, and how far back the counted arrivals
+// of a scenario with a fault go.
+const (
+	downTime  = 10 * time.Second
+	quickDown = 300 * time.Millisecond // under a heartbeat
+	faultTime = 30 * time.Second
+	eventEnd  = eventAt + 60*time.Second
+	slowdown  = 4
+)
+
+// CalmName is the name of the scenario without faults.
+const CalmName = "Calm"
+
 // Scenarios lists all scenarios, calm first.
 func Scenarios() []Scenario {
 	return []Scenario{
-		{Name: "Calm", From: warmUp, To: runEnd},
+		{Name: CalmName, From: warmUp, To: runEnd},
+		{Name: "LostEvents", Loss: 0.3, From: warmUp, To: runEnd},
+		{Name: "LoadLag", Lag: 2 * time.Second, From: warmUp, To: runEnd},
+		{Name: "HotShift", From: eventAt, To: eventEnd,
+			Changes: []workload.Change{{At: eventAt, Shift: true, Boost: 0.2}}},
+		{Name: "Crash", From: eventAt, To: eventEnd,
+			Fault: func(f *fleet) { f.crash(f.mostUsed(), downTime) }},
+		{Name: "QuickCrash", From: eventAt, To: eventEnd,
+			Fault: func(f *fleet) { f.crash(f.mostUsed(), quickDown) }},
+		{Name: "SlowEngine", From: eventAt, To: eventEnd, Fault: slowEngine},
+		{Name: "FastErrors", From: eventAt, To: eventEnd, Fault: fastErrors},
+		{Name: "Restart", From: eventAt, To: eventEnd, Fault: (*fleet).restartNodes},
+		{Name: "CutCentre", From: eventAt, To: eventEnd, Fault: (*fleet).cutCentre},
+	}
+}
+
+// mostUsed is the engine with the most work: its loss hurts most.
+func (f *fleet) mostUsed() *engine.Engine {
+	most := f.engines[0]
+	for _, e := range f.engines[1:] {
+		if e.Load().Running > most.Load().Running {
+			most = e
+		}
 	}
+	return most
+}
+
+// crash takes an engine down for a time; nodes hear of it from the
+// membership after noticeDelay, if it lasts that long.
+func (f *fleet) crash(e *engine.Engine, down time.Duration) {
+	e.Crash()
+	f.clock.After(down, e.Restart)
+	if down > noticeDelay {
+		f.clock.After(noticeDelay, func() { f.exclude(e, true) })
+		f.clock.After(down+noticeDelay, func() { f.exclude(e, false) })
+	}
+}
+
+// exclude tells all nodes that the engine is out, or in again.
+func (f *fleet) exclude(e *engine.Engine, out bool) {
+	for _, n := range f.nodes {
+		n.excluded[e.Config().Name] = out
+		f.setUpstreams(n)
+	}
+}
+
+// slowEngine makes one engine slow; nothing but its answers and its load
+// reports tells of it.
+func slowEngine(f *fleet) {
+	e := f.mostUsed()
+	e.SetSlowdown(slowdown)
+	f.clock.After(faultTime, func() { e.SetSlowdown(1) })
+}
+
+// fastErrors makes one engine answer every request with an error at once. It
+// looks idle in its load reports, and the membership keeps it.
+func fastErrors(f *fleet) {
+	e := f.mostUsed()
+	e.SetFailing(true)
+	f.clock.After(faultTime, func() { e.SetFailing(false) })
+}
+
+// restartNodes replaces all nodes at once by ones that know nothing. Requests
+// in flight end with the processes that took them.
+func (f *fleet) restartNodes() {
+	for _, n := range f.nodes {
+		f.startNode(n)
+	}
+}
+
+// cutCentre cuts the first data centre off from the others, until the end.
+func (f *fleet) cutCentre() {
+	f.cut = f.user.DataCentres[0]
+	f.clock.After(noticeDelay, func() {
+		for _, n := range f.nodes {
+			for _, up := range f.user.Engines {
+				n.excluded[up.Name] = !f.reaches(n.centre, up.DataCentre)
+			}
+			f.setUpstreams(n)
+		}
+	})
 }
--- a/measure/table.go
+++ b/measure/table.go
@@ -18,8 +18,9 @@
 )
 
 var columns = []string{
-	"User", "Scenario", "Policy", "Requests", "HitRate", "/Oracle", "TTFT50", "TTFT99", "/Oracle",
-	"Urgent99", "/Oracle", "Wasted", "/Oracle", "Refused", "Failed", "Retried", "Busy", "SummaryBytes/s",
+	"User", "Scenario", "Policy", "Requests", "HitRate", "/Oracle", "TTFT50", "TTFT99", "/Oracle", "/Calm", "After5s/Calm",
+	"Urgent99", "/Oracle", "Wasted", "/Oracle", "Hit1000/Before", "Refused", "Failed", "Unanswered", "Cut", "Retried",
+	"Busy", "SummaryBytes/s",
 }
 
 // Write prints the rows. Ratios are to the oracle's row of the same user and
@@ -70,20 +71,35 @@
 }
 
 func cells(r, oracle Row) []string {
+	settled, restarted := "-", "-"
+	if r.Scenario != CalmName {
+		settled = ratio(float64(r.Settled99), float64(r.Calm.First99))
+		restarted = fmt.Sprintf("%.3f", r.HitRateAfter/r.HitRateBefore)
+	}
 	return []string{
 		r.User, r.Scenario, r.Policy,
 		fmt.Sprint(r.Requests),
 		fmt.Sprintf("%.4f", r.HitRate), ratio(r.HitRate, oracle.HitRate),
 		milliseconds(r.First50),
 		milliseconds(r.First99), ratio(float64(r.First99), float64(oracle.First99)),
+		ratio(float64(r.First99), float64(r.Calm.First99)), settled,
 		milliseconds(r.Urgent99), ratio(float64(r.Urgent99), float64(oracle.Urgent99)),
-		fmt.Sprint(r.Wasted), ratio(float64(r.Wasted), float64(oracle.Wasted)),
-		fmt.Sprint(r.Refused), fmt.Sprint(r.Failed), fmt.Sprint(r.Retried),
+		share(r.Wasted, r.Computed), ratio(float64(r.Wasted), float64(oracle.Wasted)),
+		restarted,
+		fmt.Sprint(r.Refused), fmt.Sprint(r.Failed), fmt.Sprint(r.Unanswered), fmt.Sprint(r.Cut), fmt.Sprint(r.Retried),
 		fmt.Sprintf("%.2f", r.Busy),
 		fmt.Sprintf("%.0f", r.SummaryBytes),
 	}
 }
 
+// share is tokens with their share of a whole.
+func share(part, whole int) string {
+	if whole == 0 {
+		return fmt.Sprint(part)
+	}
+	return fmt.Sprintf("%dk (%.1f%%)", part/1000, 100*float64(part)/float64(whole))
+}
+
 func ratio(x, of float64) string {
 	if of == 0 {
 		return "-"
--- a/measure/truth.go
+++ b/measure/truth.go
@@ -29,7 +29,7 @@
 	var options []Option
 	for _, e := range t.f.engines {
 		cfg := e.Config()
-		if e.Down() || !t.f.reaches(t.n.centre, cfg.DataCentre) {
+		if !e.Serving() || !t.f.reaches(t.n.centre, cfg.DataCentre) {
 			continue
 		}
 		fc := e.Forecast(chain, urgent)
