--- a/request/ejection/ejection.go
+++ b/request/ejection/ejection.go
@@ -1,14 +1,19 @@
 // Package ejection finds upstreams that fail or are slow beside their peers
 // and keeps work away from them for a while. It never keeps work away from
-// all of them: past a stated part it throttles instead, and where all fail
-// alike it does nothing, since then the fault lies elsewhere.
+// all that are eligible: past a stated part it lets a trickle through, and
+// where all fail alike it does nothing, since then the fault lies elsewhere.
 package ejection
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 //go:generate go tool stringer -type=State -output=ejection_string.go
@@ -19,10 +24,8 @@
 const (
 	// Healthy upstreams get work.
 	Healthy State = iota
-	// Throttled upstreams fail but may not be ejected, because too many
-	// others are; they get one request in each ThrottleInterval.
-	Throttled
-	// Ejected upstreams get nothing until their time is over.
+	// Ejected upstreams get nothing until their time is over, or a trickle if
+	// too many of those eligible are ejected.
 	Ejected
 	// Probing upstreams are over their time and get one request, whose
 	// outcome decides.
@@ -40,6 +43,9 @@
 	// of its peers', once SlowSamples answers of it count.
 	Slow        float64
 	SlowSamples float64
+	// SlowFor is how long it must stay that slow: when all grow slow
+	// together, those that answer first are no outliers.
+	SlowFor time.Duration
 	// SlowPeers is how many upstreams need a slowdown for a median to mean
 	// anything.
 	SlowPeers int
@@ -51,11 +57,12 @@
 	// Forgive is how long an upstream must be healthy for its ejections to
 	// be forgotten.
 	Forgive time.Duration
-	// MaxEjected is the part of the eligible upstreams that may be ejected
-	// at once.
+	// MaxEjected is the part of the eligible upstreams that is kept from all
+	// work at once. Of further ones each gets a trickle.
 	MaxEjected float64
-	// ThrottleInterval is the time between two requests to a throttled one.
-	ThrottleInterval time.Duration
+	// Trickle is the time between two requests to one of those. Their fast
+	// errors would make them look idle and draw all work.
+	Trickle time.Duration
 	// ProbeTime is how long a probe may stay without an outcome.
 	ProbeTime time.Duration
 }
@@ -63,10 +70,10 @@
 // Default suits today's dozen upstreams and larger fleets alike.
 var Default = Config{
 	Consecutive: 5, Ratio: 0.5, MinSamples: 10,
-	Slow: 4, SlowSamples: 8, SlowPeers: 4,
+	Slow: 4, SlowSamples: 8, SlowFor: 3 * time.Second, SlowPeers: 4,
 	HalfLife: 10 * time.Second,
 	Time:     5 * time.Second, MaxTime: 2 * time.Minute, Forgive: 5 * time.Minute,
-	MaxEjected: 1.0 / 3, ThrottleInterval: 200 * time.Millisecond, ProbeTime: 30 * time.Second,
+	MaxEjected: 1.0 / 3, Trickle: 2 * time.Second, ProbeTime: 30 * time.Second,
 }
 
 // ErrConfig means that a setting of this package is out of its range.
@@ -84,10 +91,11 @@
 	add(c.Ratio > 0 && c.Ratio <= 1, "Ratio must lie in (0, 1]")
 	add(c.Slow > 1, "Slow must be more than 1")
 	add(c.SlowPeers >= 2, "SlowPeers must be at least 2")
+	add(c.SlowFor >= 0, "SlowFor must not be negative")
 	add(c.HalfLife > 0, "HalfLife must be positive")
 	add(c.Time > 0 && c.MaxTime >= c.Time, "Time must be positive and MaxTime at least as long")
 	add(c.MaxEjected >= 0 && c.MaxEjected < 1, "MaxEjected must lie in [0, 1)")
-	add(c.ThrottleInterval > 0, "ThrottleInterval must be positive")
+	add(c.Trickle > 0, "Trickle must be positive")
 	add(c.ProbeTime > 0, "ProbeTime must be positive")
 	return errors.Join(faults...)
 }
@@ -112,14 +120,15 @@
 	cfg       Config
 	mu        sync.Mutex
 	all       map[string]*record
-	median    float64   // slowdown over all upstreams
-	medianOf  int       // how many had one
-	medianSet time.Time // when it was worked out
+	suspects  map[string]*record // those of all that aren't Healthy
+	median    float64            // slowdown over all upstreams
+	medianOf  int                // how many had one
+	medianSet time.Time          // when it was worked out
 }
 
 // New starts without upstreams.
 func New(cfg Config) *Detector {
-	return &Detector{cfg: cfg, all: map[string]*record{}}
+	return &Detector{cfg: cfg, all: map[string]*record{}, suspects: map[string]*record{}}
 }
 
 // SetUpstreams replaces the eligible upstreams; what is known of those that
@@ -136,6 +145,7 @@
 		keep[n] = r
 	}
 	d.all = keep
+	d.suspects = lo.PickBy(keep, func(_ string, r *record) bool { return r.state != Healthy })
 }
 
 // Restarted notes that an upstream runs under another incarnation: what was
@@ -143,45 +153,78 @@
 func (d *Detector) Restarted(now time.Time, upstream string, incarnation uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r, ok := d.all[upstream]; ok {
-		r.restarted(now, incarnation)
+	if r, ok := d.all[upstream]; ok && r.restarted(now, incarnation) {
+		delete(d.suspects, upstream)
 	}
 }
 
-// Excluded gives the upstreams that must not get a request now, for a
-// placement. It is never all of them: if all are suspect, none is excluded,
-// because then the fault lies elsewhere and work must go on.
+// Excluded is ExcludedAmong all upstreams of the detector.
 func (d *Detector) Excluded(now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.panics(now) {
+	return d.excluded(now, slices.Collect(maps.Keys(d.suspects)), len(d.all))
+}
+
+// ExcludedAmong gives those of the eligible upstreams that must not get a
+// request now, for a placement. It is never all of them.
+func (d *Detector) ExcludedAmong(now time.Time, eligible []string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.suspects) == 0 {
+		return nil
+	}
+	suspects := lo.Filter(eligible, func(n string, _ int) bool { return d.suspects[n] != nil })
+	return d.excluded(now, suspects, len(eligible))
+}
+
+func (d *Detector) excluded(now time.Time, suspects []string, eligible int) []string {
+	if len(suspects) == eligible {
+		for _, n := range suspects {
+			d.suspects[n].opened = now
+		}
 		return nil
 	}
-	var names []string
-	for n, r := range d.all {
-		if !r.open(now, d.cfg) {
-			names = append(names, n)
+	// Those that are out for the longest are kept out whole.
+	slices.SortFunc(suspects, func(a, b string) int {
+		return cmp.Or(d.suspects[b].until.Compare(d.suspects[a].until), cmp.Compare(a, b))
+	})
+	most := int(d.cfg.MaxEjected * float64(eligible))
+	var out []string
+	for i, n := range suspects {
+		r := d.suspects[n]
+		if r.open(now, d.cfg) {
+			continue
 		}
+		if i >= most && now.Sub(r.taken) >= d.cfg.Trickle {
+			r.opened = now
+			continue
+		}
+		out = append(out, n)
 	}
-	return names
+	return out
 }
 
-// Take takes the right to send one request to an upstream; it fails only if
+// opening is how long a placement may take between Excluded and Take.
+const opening = time.Second
+
+// Take takes the right to send one request to an upstream; it fails if
 // another request took the probe or the turn since Excluded was asked: then
 // the request is placed again. Every true is followed by one Observe or, if
 // it told nothing, one Release.
 func (d *Detector) Take(now time.Time, upstream string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r, ok := d.all[upstream]
-	if !ok || r.state == Healthy || d.panics(now) {
+	r, ok := d.suspects[upstream]
+	if !ok {
 		return true
 	}
-	if !r.open(now, d.cfg) {
-		return false
-	}
-	if r.state == Ejected {
+	if r.open(now, d.cfg) {
 		r.state = Probing
+		r.taken = now
+		return true
+	}
+	if r.state != Ejected || now.Sub(r.opened) >= opening {
+		return false
 	}
 	r.taken = now
 	return true
@@ -210,11 +253,18 @@
 		if r.incarnation != 0 && s.Incarnation < r.incarnation {
 			return r.state, r.state
 		}
-		r.restarted(now, s.Incarnation)
+		if r.restarted(now, s.Incarnation) {
+			delete(d.suspects, upstream)
+		}
 	}
 	before = r.state
 	r.note(now, d.cfg, s)
 	d.judge(now, r, s)
+	if r.state == Healthy {
+		delete(d.suspects, upstream)
+	} else {
+		d.suspects[upstream] = r
+	}
 	return before, r.state
 }
 
--- a/request/ejection/ejection_string.go
+++ b/request/ejection/ejection_string.go
@@ -9,14 +9,13 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Healthy-0]
-	_ = x[Throttled-1]
-	_ = x[Ejected-2]
-	_ = x[Probing-3]
+	_ = x[Ejected-1]
+	_ = x[Probing-2]
 }
 
-const _State_name = "HealthyThrottledEjectedProbing"
+const _State_name = "HealthyEjectedProbing"
 
-var _State_index = [...]uint8{0, 7, 16, 23, 30}
+var _State_index = [...]uint8{0, 7, 14, 21}
 
 func (i State) String() string {
 	idx := int(i) - 0
--- a/request/ejection/judge.go
+++ b/request/ejection/judge.go
@@ -1,9 +1,12 @@
 package ejection
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // record is what is known of one upstream.
@@ -14,23 +17,27 @@
 	good, bad   float64 // decayed counts
 	slow        float64 // smoothed slowdown
 	slowN       float64 // decayed count of slowdowns
+	slowSince   time.Time
+	forSlow     bool // ejected for slowness
 	seen        time.Time
 	healthy     time.Time // since when
 	until       time.Time // end of the ejection
-	taken       time.Time // of the probe or the throttled turn
+	taken       time.Time // of the last probe or turn of the trickle
+	opened      time.Time // when Excluded last let it through all the same
 	times       int       // ejections in a row
 }
 
-// restarted forgets the old incarnation's faults.
-func (r *record) restarted(now time.Time, incarnation uint64) {
+// restarted forgets the old incarnation's faults and says whether it did.
+func (r *record) restarted(now time.Time, incarnation uint64) bool {
 	if incarnation == r.incarnation {
-		return
+		return false
 	}
-	known := r.incarnation != 0
-	r.incarnation = incarnation
-	if known {
-		*r = record{incarnation: incarnation, seen: now, healthy: now}
+	if r.incarnation == 0 {
+		r.incarnation = incarnation
+		return false
 	}
+	*r = record{incarnation: incarnation, seen: now, healthy: now}
+	return true
 }
 
 // slowdownSmoothing is the weight of one answer in the slowdown.
@@ -63,8 +70,6 @@
 // open says whether a request may go there now.
 func (r *record) open(now time.Time, cfg Config) bool {
 	switch r.state {
-	case Throttled:
-		return now.Sub(r.taken) >= cfg.ThrottleInterval
 	case Ejected:
 		return !now.Before(r.until)
 	case Probing:
@@ -74,12 +79,13 @@
 	return true
 }
 
-// judge decides after a sample.
+// judge decides after a sample. What comes from an Ejected upstream was sent
+// before the ejection or in its trickle: a failure is no news.
 func (d *Detector) judge(now time.Time, r *record, s Sample) {
-	suspect := d.suspect(now, r)
+	bad := s.Failed || d.slowSample(s)
 	switch r.state {
 	case Healthy:
-		if suspect {
+		if d.suspect(now, r) {
 			d.eject(now, r)
 			return
 		}
@@ -87,17 +93,15 @@
 			r.times = 0
 		}
 	case Probing:
-		if s.Failed || d.slowSample(s) {
+		if bad {
 			d.eject(now, r)
 			return
 		}
 		r.recover(now)
-	case Throttled:
-		if !suspect {
+	case Ejected:
+		if !bad && now.Sub(r.opened) < d.cfg.ProbeTime {
 			r.recover(now)
-			return
 		}
-		d.eject(now, r)
 	}
 }
 
@@ -108,6 +112,7 @@
 	r.healthy = now
 	r.consecutive = 0
 	r.good, r.bad, r.slow, r.slowN = 0, 0, 0, 0
+	r.slowSince, r.forSlow = time.Time{}, false
 }
 
 func (d *Detector) suspect(now time.Time, r *record) bool {
@@ -117,11 +122,30 @@
 	if n := r.good + r.bad; n >= d.cfg.MinSamples && r.bad/n >= d.cfg.Ratio {
 		return true
 	}
-	if r.slowN < d.cfg.SlowSamples {
+	return d.outlier(now, r)
+}
+
+// outlier says whether an upstream is slow beside its peers. Slow ones still
+// serve: they are taken out only up to MaxEjected of all, or the few that are
+// left would be overloaded and grow slow in turn.
+func (d *Detector) outlier(now time.Time, r *record) bool {
+	d.refresh(now)
+	if r.slowN < d.cfg.SlowSamples || d.medianOf < d.cfg.SlowPeers || r.slow <= d.cfg.Slow*d.median {
+		r.slowSince = time.Time{}
 		return false
 	}
-	d.refresh(now)
-	return d.medianOf >= d.cfg.SlowPeers && r.slow > d.cfg.Slow*d.median
+	if r.slowSince.IsZero() {
+		r.slowSince = now
+	}
+	if now.Sub(r.slowSince) < d.cfg.SlowFor {
+		return false
+	}
+	out := lo.CountBy(slices.Collect(maps.Values(d.suspects)), func(r *record) bool { return r.forSlow })
+	if float64(out+1) > d.cfg.MaxEjected*float64(len(d.all)) {
+		return false
+	}
+	r.forSlow = true
+	return true
 }
 
 func (d *Detector) slowSample(s Sample) bool {
@@ -153,33 +177,10 @@
 	}
 }
 
-// eject takes an upstream out, for twice as long as the last time, or
-// throttles it if too many are out.
+// eject takes an upstream out, for twice as long as the last time.
 func (d *Detector) eject(now time.Time, r *record) {
-	out := 1
-	for _, other := range d.all {
-		if other != r && (other.state == Ejected || other.state == Probing) {
-			out++
-		}
-	}
-	if float64(out) > d.cfg.MaxEjected*float64(len(d.all)) {
-		r.state = Throttled
-		return
-	}
-	if r.state != Throttled || r.until.Before(now) {
-		r.times++
-	}
+	r.times++
 	r.state = Ejected
 	r.until = now.Add(min(d.cfg.MaxTime, d.cfg.Time<<min(r.times-1, 16)))
 	r.consecutive = 0
 }
-
-// panics says whether every upstream is suspect.
-func (d *Detector) panics(_ time.Time) bool {
-	for _, r := range d.all {
-		if r.state == Healthy {
-			return false
-		}
-	}
-	return true
-}
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -85,6 +85,9 @@
 	case WrongVersion:
 		return giveUp(cfg, a, "no other upstream has the weights")
 	case Busy:
+		if a.Return > cfg.Backoff.Max {
+			return giveUp(cfg, a, "the only upstream is busy for longer than a request is held")
+		}
 		wait := max(a.Return, cfg.Backoff.Wait(cfg.Seed, a.ID, a.Tries))
 		return Verdict{Action: RetrySame, Wait: wait, Reason: "the only upstream is busy"}
 	}
--- /dev/null
+++ b/request/retry/retry_test.go
@@ -0,0 +1,197 @@
+package retry
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/failure"
+)
+
+var start = time.Date(2026, 12, 2, 6, 0, 0, 0, time.UTC)
+
+func TestClassify(t *testing.T) {
+	tests := []struct {
+		err    error
+		tokens int
+		want   Fault
+	}{
+		{fmt.Errorf("e1: %w", upstream.ErrNotSent), 0, NotSent},
+		{upstream.ErrRefused, 0, Refused},
+		{fmt.Errorf("%w: %w", upstream.ErrRefused, upstream.ErrBusy), 0, Busy},
+		{upstream.ErrWrongVersion, 0, WrongVersion},
+		{upstream.ErrBroken, 0, BrokenBefore},
+		{upstream.ErrOutOfOrder, 0, BrokenBefore},
+		{errors.New("unknown"), 0, BrokenBefore},
+		{upstream.ErrBroken, 3, BrokenAfter},
+		{upstream.ErrNotSent, 3, BrokenAfter},
+	}
+	for _, tt := range tests {
+		if got := Classify(tt.err, tt.tokens); got != tt.want {
+			t.Errorf("%v after %d tokens: %v, want %v", tt.err, tt.tokens, got, tt.want)
+		}
+	}
+}
+
+// A not-repeatable call whose connection breaks must not be sent again: the
+// caller's inspection would be logged twice. It gets Unknown at once. One
+// that no upstream has got, or that each refused to run, may go elsewhere.
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name    string
+		a       Attempt
+		want    Action
+		code    failure.Code
+		ran     failure.Ran
+		hopeful bool // has a RetryAfter
+	}{
+		{"not sent", Attempt{Fault: NotSent, Others: 1}, RetryElsewhere, 0, 0, false},
+		{"refused", Attempt{Fault: Refused, Others: 1}, RetryElsewhere, 0, 0, false},
+		{"busy", Attempt{Fault: Busy, Others: 1}, RetryElsewhere, 0, 0, false},
+		{"other weights", Attempt{Fault: WrongVersion, Others: 1}, RetryElsewhere, 0, 0, false},
+		{"broken", Attempt{Fault: BrokenBefore, Others: 1}, GiveUp, failure.UpstreamFailed, failure.Unknown, false},
+		{"broken in the answer", Attempt{Fault: BrokenAfter, Others: 1, CanResume: true}, GiveUp, failure.StreamCut, failure.Unknown, false},
+		{"broken, then not sent", Attempt{Fault: NotSent, SentBefore: true, Tries: 4}, GiveUp, failure.NoUpstream, failure.Unknown, true},
+		{"never sent", Attempt{Fault: NotSent, Tries: 4}, GiveUp, failure.NoUpstream, failure.NotRun, true},
+		{"repeatable, broken", Attempt{Repeatable: true, Fault: BrokenBefore, Others: 1}, RetryElsewhere, 0, 0, false},
+		{"repeatable, broken, alone", Attempt{Repeatable: true, Fault: BrokenBefore}, RetrySame, 0, 0, false},
+		{"repeatable, stream held", Attempt{Repeatable: true, Fault: BrokenAfter, CanResume: true, Others: 1}, Resume, 0, 0, false},
+		{"repeatable, stream lost", Attempt{Repeatable: true, Fault: BrokenAfter, Others: 1}, ContinueElsewhere, 0, 0, false},
+		{"repeatable, stream lost, no such weights", Attempt{Repeatable: true, Fault: BrokenAfter}, GiveUp, failure.StreamCut, failure.Unknown, true},
+		{"no such weights", Attempt{Repeatable: true, Fault: WrongVersion}, GiveUp, failure.WeightsChanged, failure.Unknown, true},
+		{"too many tries", Attempt{Repeatable: true, Fault: BrokenBefore, Tries: 4, Others: 1}, GiveUp, failure.UpstreamFailed, failure.Unknown, true},
+		{"no time for another", Attempt{Repeatable: true, Fault: BrokenBefore, Others: 1, Expected: 2 * time.Second}, GiveUp, failure.DeadlineExceeded, failure.Unknown, true},
+		{"busy for long", Attempt{Fault: Busy, Return: 3 * time.Second}, GiveUp, failure.Overloaded, failure.Unknown, true},
+		{"no time to wait for a busy one", Attempt{Fault: Busy, Return: 2 * time.Second}, GiveUp, failure.DeadlineExceeded, failure.Unknown, true},
+		{"no time, nothing sent", Attempt{Fault: NotSent, Others: 1, Expected: 2 * time.Second}, GiveUp, failure.DeadlineExceeded, failure.NotRun, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.a.ID, tt.a.Tries, tt.a.Deadline = "r", max(1, tt.a.Tries), start.Add(time.Second)
+			v := Decide(start, Default, tt.a)
+			if v.Action != tt.want || v.Reason == "" {
+				t.Fatalf("%v because %q, want %v", v.Action, v.Reason, tt.want)
+			}
+			if v.Action != GiveUp {
+				return
+			}
+			if v.Err.Code != tt.code || v.Err.Ran != tt.ran || (v.Err.RetryAfter > 0) != tt.hopeful {
+				t.Errorf("%v, %v, back in %v", v.Err, v.Err.Ran, v.Err.RetryAfter)
+			}
+		})
+	}
+}
+
+// Over all combinations: a not-repeatable request is never sent again once it
+// may have run, a NotRun is never said once a byte was sent, no retry starts
+// too late, and a stream that has begun is never begun afresh.
+func TestDecideNeverBreaksAPromise(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range 100_000 {
+		a := Attempt{
+			ID: fmt.Sprint(rnd.IntN(50)), Tries: 1 + rnd.IntN(5), Repeatable: rnd.IntN(2) == 0,
+			Fault: Fault(rnd.IntN(6)), SentBefore: rnd.IntN(2) == 0, CanResume: rnd.IntN(2) == 0,
+			Others: rnd.IntN(3), Expected: time.Duration(rnd.IntN(1000)) * time.Millisecond,
+			Deadline: start.Add(time.Duration(rnd.IntN(2000)) * time.Millisecond),
+			Return:   time.Duration(rnd.IntN(1000)) * time.Millisecond,
+		}
+		v := Decide(start, Default, a)
+		mayHaveRun := a.Fault == BrokenBefore || a.Fault == BrokenAfter
+		switch {
+		case (v.Action == GiveUp) != (v.Err != nil):
+			t.Fatalf("%+v: %v with error %v", a, v.Action, v.Err)
+		case v.Action != GiveUp && !a.Repeatable && mayHaveRun:
+			t.Fatalf("%+v: sent twice by %v", a, v.Action)
+		case v.Action != GiveUp && start.Add(v.Wait+a.Expected).After(a.Deadline):
+			t.Fatalf("%+v: %v is too late", a, v.Action)
+		case v.Err != nil && v.Err.Ran == failure.NotRun && (a.SentBefore || a.Fault != NotSent):
+			t.Fatalf("%+v: NotRun, but it was sent", a)
+		case a.Fault == BrokenAfter && (v.Action == RetryElsewhere || v.Action == RetrySame):
+			t.Fatalf("%+v: %v would splice two answers", a, v.Action)
+		}
+	}
+}
+
+// Half of 12 upstreams fail every try, after having worked on it. Without a
+// budget each caller's request is tried up to 4 times, which is nearly twice
+// the load on upstreams that fail for load already. Callers get an error at
+// once instead, and the sends stay within 1.1 times the requests.
+func TestRetriesAddTenPercent(t *testing.T) {
+	r, err := New(Default)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rnd := rand.New(rand.NewPCG(7, 8))
+	const requests = 50_000
+	sends, served := 0, 0
+	for i := range requests {
+		workspace := fmt.Sprint("w", rnd.IntN(8))
+		a := Attempt{ID: fmt.Sprint(i), Workspace: workspace, Repeatable: true, Fault: BrokenBefore, Others: 11}
+		for {
+			u := rnd.IntN(12)
+			a.Upstream = fmt.Sprint("u", u)
+			a.Tries++
+			sends++
+			if a.Tries == 1 {
+				r.Request(workspace, a.Upstream)
+			}
+			if u < 6 {
+				served++
+				break
+			}
+			if r.Decide(start, a).Action == GiveUp {
+				break
+			}
+		}
+	}
+	t.Logf("%d requests, %d sends, %d served", requests, sends, served)
+	if most := requests*(1+Default.Ratio) + Default.Reserve; float64(sends) > most {
+		t.Errorf("%d sends for %d requests, want %.0f at most", sends, requests, most)
+	}
+	if served <= requests/2 {
+		t.Errorf("%d of %d served: nothing was retried", served, requests)
+	}
+}
+
+func TestBackoffSpreads(t *testing.T) {
+	b := Default.Backoff
+	for tries := 1; tries < 80; tries++ {
+		d := b.Wait(1, fmt.Sprint(tries), tries)
+		if d < b.Base/2 || d > b.Max || d != b.Wait(1, fmt.Sprint(tries), tries) {
+			t.Errorf("try %d waits %v", tries, d)
+		}
+	}
+}
+
+func TestHedgeOnlyShortUrgentRepeatable(t *testing.T) {
+	on := DefaultHedge
+	on.Enabled = true
+	h := Hedge{Urgent: true, Repeatable: true, Uncached: 100, Output: 20, Sent: start, Expected: 100 * time.Millisecond}
+	tests := []struct {
+		name   string
+		cfg    HedgeConfig
+		change func(*Hedge)
+		want   bool
+	}{
+		{"off by default", DefaultHedge, func(*Hedge) {}, false},
+		{"on", on, func(*Hedge) {}, true},
+		{"not repeatable", on, func(h *Hedge) { h.Repeatable = false }, false},
+		{"not urgent", on, func(h *Hedge) { h.Urgent = false }, false},
+		{"long prompt", on, func(h *Hedge) { h.Uncached = 5000 }, false},
+		{"long answer", on, func(h *Hedge) { h.Output = 500 }, false},
+		{"too late", on, func(h *Hedge) { h.Deadline = start.Add(350 * time.Millisecond) }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := h
+			tt.change(&h)
+			at, ok := HedgeAt(tt.cfg, h)
+			if ok != tt.want || ok && !at.Equal(start.Add(300*time.Millisecond)) {
+				t.Errorf("%v at %v, want %v", ok, at.Sub(start), tt.want)
+			}
+		})
+	}
+}
