--- a/request/journal/cluster_cases_test.go
+++ b/request/journal/cluster_cases_test.go
@@ -194,16 +194,72 @@
 			claim.Ran(time.Now(), Answer{Status: 200})
 		}
 		time.Sleep(time.Second)
-		open := 0
-		for i := range 8 {
-			j := c.node(i)
-			j.mu.Lock()
-			open += len(j.partitions)
-			j.mu.Unlock()
+		if n := c.openPartitions(); n != 1 {
+			t.Fatalf("%d nodes read the partition", n)
 		}
-		if open != 1 {
-			t.Fatalf("%d nodes read the partition", open)
+	})
+}
+
+// The log is down for a while, and every node's claims are refused. If each
+// node then took the work from its reader, all would append for themselves
+// once the log is back, and overrun it again.
+func TestOutageLeavesReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		c := newCluster(t, log, 8, 1, func(s *Settings) { s.Partitions = 1 })
+		log.set(func() { log.down = true })
+		for round := range 20 {
+			if round == 10 {
+				log.set(func() { log.down = false })
+				time.Sleep(3 * time.Second)
+			}
+			for i := range 8 {
+				claim, _, err := begin(c.node(i), entryAt(fmt.Sprint("key", round, i), time.Now()))
+				if round < 10 {
+					want(t, err, failure.ErrJournalUnavailable, failure.Unknown)
+					continue
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				claim.Ran(time.Now(), Answer{Status: 200})
+			}
+			time.Sleep(time.Second)
+		}
+		if n := c.openPartitions(); n > maxReaders {
+			t.Fatalf("%d nodes read the partition", n)
+		}
+	})
+}
+
+// A node restarts under its old name, and its new run numbers its claims from
+// the start again. A caller who repeats a key of the old run must not get the
+// answer to somebody else's request, nor a key of another workspace count as
+// its own.
+func TestRestartedWriterAndWorkspaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var u fakeUpstream
+		c := newCluster(t, newFakeLog(), 2, 2)
+		run := func(e Entry) {
+			claim, _, err := begin(c.node(0), e)
+			if err != nil || !claim.MayBegin(time.Now()) {
+				t.Fatal(err)
+			}
+			claim.Ran(time.Now(), u.do(e.Key))
+		}
+		old := entryAt("old", time.Now())
+		run(old)
+		time.Sleep(time.Second)
+		c.kill(0)
+		c.start(c.members[0])
+		run(entryAt("new", time.Now()))
+		for i := range 2 {
+			_, _, err := begin(c.node(i), old)
+			want(t, err, failure.ErrAlreadyRan, failure.Completed)
 		}
+		foreign := old
+		foreign.Workspace = "plovdiv"
+		run(foreign)
 	})
 }
 
--- a/request/journal/cluster_test.go
+++ b/request/journal/cluster_test.go
@@ -93,6 +93,18 @@
 	}
 }
 
+// openPartitions counts the partitions that nodes append to and read.
+func (c *cluster) openPartitions() int {
+	open := 0
+	for i := range c.members {
+		j := c.node(i)
+		j.mu.Lock()
+		open += len(j.partitions)
+		j.mu.Unlock()
+	}
+	return open
+}
+
 type clusterPeers struct {
 	c    *cluster
 	self string
--- a/request/journal/handler.go
+++ b/request/journal/handler.go
@@ -139,7 +139,7 @@
 	if err := j.checkPartition(req.Partition, req.Partitions); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), j.settings.PeerTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), j.readerWait())
 	defer cancel()
 	resp.Failure = failureOf(j.recordHere(ctx, time.Now(), req.Partition, req.Outcomes))
 	return nil
--- a/request/journal/open.go
+++ b/request/journal/open.go
@@ -13,6 +13,10 @@
 	fresh, err := p.seekState(ctx, now.Add(-freshKeys))
 	p.health.note(&p.health.reads, time.Now(), err)
 	if err != nil {
+		p.mu.Lock()
+		close(p.openFailed)
+		p.openFailed = make(chan struct{})
+		p.mu.Unlock()
 		return err
 	}
 	filled := make(chan struct{})
--- a/request/journal/partition.go
+++ b/request/journal/partition.go
@@ -74,29 +74,31 @@
 	expired  time.Time    // used by the reading goroutine alone
 	used     atomic.Int64 // when somebody last asked, in nanoseconds since 1970
 
-	mu       sync.Mutex
-	state    *State
-	filled   chan struct{} // closed once the state serves all keys, or is given up
-	pending  []ClaimRecord
-	outcomes []outcomeGroup
-	waiters  map[ClaimID]chan decision
+	mu         sync.Mutex
+	state      *State
+	openFailed chan struct{} // closed and replaced when the state could not be opened
+	filled     chan struct{} // closed once the state serves all keys, or is given up
+	pending    []ClaimRecord
+	outcomes   []outcomeGroup
+	waiters    map[ClaimID]chan decision
 }
 
 // newPartition starts to read and append; close stops it.
 func newPartition(s Settings, stream string, log platform.Log, h *health, every rate.Limit, now time.Time) *partition {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &partition{
-		settings: s,
-		stream:   stream,
-		log:      log,
-		logger:   h.logger,
-		health:   h,
-		limiter:  rate.NewLimiter(every, 2),
-		work:     make(chan struct{}, 1),
-		ready:    make(chan struct{}),
-		cancel:   cancel,
-		stopped:  make(chan struct{}),
-		waiters:  map[ClaimID]chan decision{},
+		settings:   s,
+		stream:     stream,
+		log:        log,
+		logger:     h.logger,
+		health:     h,
+		limiter:    rate.NewLimiter(every, 2),
+		work:       make(chan struct{}, 1),
+		ready:      make(chan struct{}),
+		cancel:     cancel,
+		stopped:    make(chan struct{}),
+		waiters:    map[ClaimID]chan decision{},
+		openFailed: make(chan struct{}),
 	}
 	p.used.Store(now.UnixNano())
 	p.wg.Go(func() { p.read(ctx) })
@@ -152,9 +154,14 @@
 	if p.health.down(now) {
 		return errDown
 	}
+	p.mu.Lock()
+	failed := p.openFailed
+	p.mu.Unlock()
 	select {
 	case <-p.ready:
 		return nil
+	case <-failed:
+		return errDown
 	case <-ctx.Done():
 		return errDown
 	case <-p.stopped:
--- a/request/journal/route.go
+++ b/request/journal/route.go
@@ -121,7 +121,7 @@
 	silent := 0
 	var last decision
 	for _, m := range readers {
-		req := ClaimRequest{Partition: n, Partitions: j.settings.Partitions, Claim: c, Wait: j.settings.PeerTimeout}
+		req := ClaimRequest{Partition: n, Partitions: j.settings.Partitions, Claim: c, Wait: j.readerWait()}
 		var resp ClaimResponse
 		if j.call(ctx, m, claimMethod, req, &resp) != nil {
 			silent++
@@ -141,6 +141,10 @@
 	return last
 }
 
+// readerWait is how long a reader may take. It ends before the call does, so
+// that a reader that waits for the log is not taken for a silent one.
+func (j *Journal) readerWait() time.Duration { return j.settings.PeerTimeout * 3 / 4 }
+
 // claimHere has this node append a claim and read it back.
 func (j *Journal) claimHere(ctx context.Context, now time.Time, n int, c ClaimRecord) decision {
 	p, err := j.partition(now, n)
