Compute the oldest prompt first in the measured engine

Ruled out: a lower arrival rate (hides the cause; engines that compute in chunks give the rate to the oldest prompt and look it up when its turn comes). Change: the oldest prompt takes the whole rate, urgent ones first, and is looked up in the cache when its prefill begins.

--- a/measure/engine/engine.go
+++ b/measure/engine/engine.go
@@ -1,9 +1,11 @@
 // Package engine models a model engine in virtual time: batch slots, a rate
-// of prefill that the prompts in work share, decode at a fixed pace, and a
-// prefix cache in limited memory.
+// of prefill that the prompts in the batch share, decode at a fixed pace, and
+// a prefix cache in limited memory. As in engines that compute prompts in
+// chunks, the oldest prompt takes the whole rate, urgent ones first, and a
+// prompt is looked up in the cache when its turn comes.
 //
-// What the model leaves out: decode does not slow down with the batch,
-// unfinished prompts take no cache memory, and a prefix can be reused only
+// What the model leaves out: decode does not slow down with the batch or with
+// prefill, prompts in work take no cache memory, a prefix can be reused only
 // once the first prompt that brings it is computed whole.
 package engine
 
@@ -34,8 +36,9 @@
 	First   func(a placement.Answer)
 	Ended   func(ok bool)
 
-	cached int
-	left   float64       // prompt tokens still to compute
+	begun  bool          // its prefill has begun
+	cached int           // prompt tokens found in the cache at that time
+	left   float64       // prompt tokens still to compute, once begun
 	ends   time.Duration // end of decode, since the run's start
 	ended  bool
 }
@@ -55,6 +58,7 @@
 	queue   []*Job // waiting for a slot
 	prefill []*Job // in a slot, prompt not yet computed
 	decode  []*Job // in a slot, answering
+	working *Job   // the one of prefill that is being computed
 
 	advanced time.Duration // up to when prefill has been accounted for
 	plan     uint64        // number of the latest planned end of prefill
@@ -111,7 +115,7 @@
 	e.advance()
 	e.down = true
 	lost := e.jobs()
-	e.urgent, e.queue, e.prefill, e.decode = nil, nil, nil, nil
+	e.urgent, e.queue, e.prefill, e.decode, e.working = nil, nil, nil, nil, nil
 	e.plan++
 	for _, j := range lost {
 		e.end(j, false)
@@ -139,12 +143,9 @@
 func (e *Engine) Load() placement.Load {
 	e.advance()
 	tokens := 0.0
-	for _, j := range e.prefill {
-		tokens += j.left
-	}
-	for _, q := range [][]*Job{e.urgent, e.queue} {
+	for _, q := range [][]*Job{e.urgent, e.queue, e.prefill} {
 		for _, j := range q {
-			tokens += float64(j.Chain.Tokens() - e.cache.cached(j.Chain))
+			tokens += e.toCompute(j)
 		}
 	}
 	return placement.Load{
@@ -174,19 +175,26 @@
 
 func (e *Engine) rate() float64 { return e.cfg.Prefill / e.slowdown }
 
-// active is the prompts that prefill works on: urgent ones keep all others
-// waiting.
-func (e *Engine) active() []*Job {
-	var urgent []*Job
+// active is the prompt that prefill works on: the oldest urgent one, or else
+// the oldest; nil if there is none.
+func (e *Engine) active() *Job {
 	for _, j := range e.prefill {
 		if j.Urgent {
-			urgent = append(urgent, j)
+			return j
 		}
 	}
-	if len(urgent) > 0 {
-		return urgent
+	if len(e.prefill) > 0 {
+		return e.prefill[0]
 	}
-	return e.prefill
+	return nil
+}
+
+// toCompute is how many prompt tokens of a job are still to be computed.
+func (e *Engine) toCompute(j *Job) float64 {
+	if j.begun {
+		return max(j.left, 0)
+	}
+	return float64(j.Chain.Tokens() - e.cache.cached(j.Chain))
 }
 
 // advance accounts for the prefill done since the last call.
@@ -194,15 +202,11 @@
 	now := e.clock.Elapsed()
 	passed := now - e.advanced
 	e.advanced = now
-	if passed <= 0 || len(e.prefill) == 0 {
+	if e.working == nil {
 		return
 	}
 	e.busy += passed
-	active := e.active()
-	share := e.rate() * passed.Seconds() / float64(len(active))
-	for _, j := range active {
-		j.left -= share
-	}
+	e.working.left -= e.rate() * passed.Seconds()
 }
 
 // admit moves waiting jobs into free slots.
@@ -213,7 +217,7 @@
 		if j == nil {
 			break
 		}
-		e.start(j)
+		e.prefill = append(e.prefill, j)
 	}
 	e.schedule()
 }
@@ -231,28 +235,29 @@
 	return j
 }
 
-func (e *Engine) start(j *Job) {
+// begin looks the prompt up in the cache and starts to compute the rest.
+func (e *Engine) begin(j *Job) {
+	if j.begun {
+		return
+	}
+	j.begun = true
 	j.cached = min(e.cache.cached(j.Chain), j.Chain.Tokens()-1)
 	j.left = float64(j.Chain.Tokens() - j.cached)
 	e.cache.touch(j.Chain)
-	e.prefill = append(e.prefill, j)
 	j.Started(j.cached)
 }
 
-// schedule plans the next end of prefill and drops the plan made before.
+// schedule picks the prompt to work on and plans the end of its prefill; the
+// plan made before is dropped.
 func (e *Engine) schedule() {
 	e.plan++
-	active := e.active()
-	if len(active) == 0 {
+	e.working = e.active()
+	if e.working == nil {
 		return
 	}
-	least := math.Inf(1)
-	for _, j := range active {
-		least = min(least, j.left)
-	}
-	seconds := max(least, 0) * float64(len(active)) / e.rate()
+	e.begin(e.working)
 	plan := e.plan
-	wait := time.Duration(math.Ceil(seconds * float64(time.Second)))
+	wait := time.Duration(math.Ceil(max(e.working.left, 0) / e.rate() * float64(time.Second)))
 	e.clock.After(wait, func() {
 		if plan == e.plan {
 			e.computed()
@@ -260,28 +265,14 @@
 	})
 }
 
-// done is how few tokens may be left of a computed prompt; it covers the
-// rounding of times to nanoseconds.
-const done = 1e-3
-
-// computed moves the prompts that are computed on to decode.
+// computed moves the prompt that is computed on to decode.
 func (e *Engine) computed() {
 	e.advance()
-	var still []*Job
-	var ready []*Job
-	for _, j := range e.prefill {
-		if j.left > done {
-			still = append(still, j)
-		} else {
-			ready = append(ready, j)
-		}
-	}
-	e.prefill = still
-	for _, j := range ready {
-		e.cache.store(j.Chain)
-		e.decode = append(e.decode, j)
-		e.startDecode(j)
-	}
+	j := e.working
+	e.prefill = remove(e.prefill, j)
+	e.cache.store(j.Chain)
+	e.decode = append(e.decode, j)
+	e.startDecode(j)
 	e.schedule()
 }
 
--- a/measure/engine/forecast.go
+++ b/measure/engine/forecast.go
@@ -20,39 +20,23 @@
 	e.advance()
 	cached := min(e.cache.cached(chain), chain.Tokens()-1)
 	work := float64(chain.Tokens() - cached)
-	ahead, delayed := 0.0, 0.0
-	for _, j := range e.prefill {
-		switch {
-		case urgent && !j.Urgent:
-			delayed += work
-		case !urgent && j.Urgent:
-			ahead += j.left
-		default:
-			shared := min(j.left, work)
-			ahead += shared
-			delayed += shared
+	ahead, delayed := 0.0, 0
+	for _, q := range [][]*Job{e.prefill, e.urgent, e.queue} {
+		for _, j := range q {
+			switch {
+			case j.Urgent || !urgent:
+				ahead += e.toCompute(j)
+			default:
+				delayed++
+			}
 		}
 	}
-	ahead += e.waiting(e.urgent)
-	if !urgent {
-		ahead += e.waiting(e.queue)
-	} else {
-		delayed += work * float64(len(e.queue))
-	}
 	first := seconds((work+ahead)/e.rate()) + e.step()
 	return Forecast{
 		Cached: cached,
 		First:  max(first, e.slotWait(urgent)+seconds(work/e.rate())+e.step()),
-		Others: seconds(delayed / e.rate()),
-	}
-}
-
-func (e *Engine) waiting(q []*Job) float64 {
-	tokens := 0.0
-	for _, j := range q {
-		tokens += float64(j.Chain.Tokens() - e.cache.cached(j.Chain))
+		Others: seconds(float64(delayed) * work / e.rate()),
 	}
-	return tokens
 }
 
 // slotWait is how long a new job would wait for a slot: until as many
