--- a/measure/workload/users.go
+++ b/measure/workload/users.go
@@ -33,7 +33,7 @@
 		Nodes:       nodes,
 		Engines:     engines(centres, 12),
 		CacheTokens: engineCache,
-		Rate:        25,
+		Rate:        27,
 		Weighing:    config.Weighing{Wait: 2, Recompute: 1},
 		Kinds: []Kind{
 			{
@@ -67,7 +67,7 @@
 		Nodes:       nodes,
 		Engines:     engines(centres, 10),
 		CacheTokens: engineCache,
-		Rate:        23,
+		Rate:        31,
 		Weighing:    config.Weighing{Wait: 1, Recompute: 2},
 		Burst:       Burst{From: 150 * time.Second, To: 270 * time.Second, Kind: "GateCheck", Extra: 0.25},
 		Kinds: []Kind{
