--- a/version/fold/capacity.go
+++ b/version/fold/capacity.go
@@ -89,6 +89,7 @@
 	before := s.Projected()
 	after := project(before, p, nil)
 	was, is := reaches(before), reaches(after)
+	samePools := maps.EqualFunc(was.pools, is.pools, maps.Equal)
 	for _, model := range slices.Sorted(maps.Keys(before.Models)) {
 		if _, kept := after.Models[model]; !kept {
 			continue
@@ -99,7 +100,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(after.Workspaces)) {
 		w, ok := before.Workspaces[name]
-		if !ok {
+		if !ok || samePools && slices.Equal(w.Shares, after.Workspaces[name].Shares) {
 			continue
 		}
 		if r := checkWorkspace(w, after.Workspaces[name], was, is); r != nil {
--- a/version/follower/relay.go
+++ b/version/follower/relay.go
@@ -109,9 +109,10 @@
 			zap.Uint64("FirstKept", uint64(first)), zap.Error(err))
 		return fmt.Errorf("follower: the log starts at %d: %w", first, err)
 	}
-	if f.install(s, FromLog) {
-		event.Info(f.logger, event.ConfigFromSnapshot, zap.Uint64("Offset", uint64(s.Offset)))
+	if !f.install(s, FromLog) {
+		return fmt.Errorf("follower: snapshot at %d: %w", s.Offset, errOlder)
 	}
+	event.Info(f.logger, event.ConfigFromSnapshot, zap.Uint64("Offset", uint64(s.Offset)))
 	return nil
 }
 
