Measure an oracle that knows caches exactly but queues only by reports

Cause: no router can have the oracle's picture; how much of a policy's distance to it is due to late load reports was unknown. Change: LaggedOracle, with true caches, the latest load reports and its own node's sends since.

--- a/measure/engine/forecast.go
+++ b/measure/engine/forecast.go
@@ -14,29 +14,53 @@
 	Others time.Duration // summed over the jobs present: what the new one adds to their times to first token
 }
 
-// Forecast tells what would come of a job. It knows the true state; no
-// router does.
-func (e *Engine) Forecast(chain prefix.Chain, urgent bool) Forecast {
+// Backlog is the prompt tokens that an engine has still to compute.
+type Backlog struct {
+	At     time.Time
+	Urgent float64 // tokens
+	Normal float64 // tokens
+	Jobs   int     // that are not urgent and wait for their first token
+}
+
+// Backlog tells the true backlog.
+func (e *Engine) Backlog() Backlog {
 	e.advance()
-	cached := min(e.cache.cached(chain), chain.Tokens()-1)
-	work := float64(chain.Tokens() - cached)
-	ahead, delayed := 0.0, 0
+	b := Backlog{At: e.clock.Now()}
 	for _, q := range [][]*Job{e.prefill, e.urgent, e.queue} {
 		for _, j := range q {
-			switch {
-			case j.Urgent || !urgent:
-				ahead += e.toCompute(j)
-			default:
-				delayed++
+			if j.Urgent {
+				b.Urgent += e.toCompute(j)
+				continue
 			}
+			b.Normal += e.toCompute(j)
+			b.Jobs++
 		}
 	}
-	first := seconds((work+ahead)/e.rate()) + e.step()
-	return Forecast{
-		Cached: cached,
-		First:  max(first, e.slotWait(urgent)+seconds(work/e.rate())+e.step()),
-		Others: seconds(float64(delayed) * work / e.rate()),
+	return b
+}
+
+// Forecast tells what would come of a job. It knows the true state; no
+// router does.
+func (e *Engine) Forecast(chain prefix.Chain, urgent bool) Forecast {
+	f := e.ForecastWith(e.Backlog(), chain, urgent)
+	work := seconds(float64(chain.Tokens()-f.Cached) / e.rate())
+	f.First = max(f.First, e.slotWait(urgent)+work+e.step())
+	return f
+}
+
+// ForecastWith is Forecast by the true cache, but with a backlog that may be
+// wrong.
+func (e *Engine) ForecastWith(b Backlog, chain prefix.Chain, urgent bool) Forecast {
+	cached := min(e.cache.cached(chain), chain.Tokens()-1)
+	work := float64(chain.Tokens() - cached)
+	f := Forecast{Cached: cached}
+	if urgent {
+		f.First = seconds((b.Urgent+work)/e.rate()) + e.step()
+		f.Others = seconds(float64(b.Jobs) * work / e.rate())
+		return f
 	}
+	f.First = seconds((b.Urgent+b.Normal+work)/e.rate()) + e.step()
+	return f
 }
 
 // slotWait is how long a new job would wait for a slot: until as many
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -22,10 +22,11 @@
 	seed     uint64
 	g        *rand.Rand // loss of events
 
-	engines []*engine.Engine
-	byName  map[string]int
-	nodes   []*node
-	cut     string // data centre that is cut off, if any
+	engines  []*engine.Engine
+	reported map[string]engine.Backlog // as of the latest load reports
+	byName   map[string]int
+	nodes    []*node
+	cut      string // data centre that is cut off, if any
 
 	samples []*Sample
 	bytes   int // summaries sent
@@ -84,6 +85,7 @@
 		seed:     seed,
 		g:        rand.New(rand.NewPCG(seed, 2)),
 		byName:   make(map[string]int),
+		reported: make(map[string]engine.Backlog),
 	}
 	for i, up := range u.Engines {
 		cfg := engine.Config{Upstream: up, Version: "v1", CacheTokens: u.CacheTokens}
@@ -159,7 +161,9 @@
 	}
 	cfg := e.Config()
 	l := e.Load()
+	b := e.Backlog()
 	f.clock.After(lag, func() {
+		f.reported[cfg.Name] = b
 		for _, n := range f.nodes {
 			if f.reaches(n.centre, cfg.DataCentre) {
 				n.policy.Loaded(f.clock.Now(), cfg.Name, l)
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -24,10 +24,10 @@
 	New func(u workload.User, node int, seed uint64, truth *Truth) placement.Policy
 }
 
-// Policies lists what the table compares: the oracle, then every policy of
+// Policies lists what the table compares: the oracles, then every policy of
 // package placement.
 func Policies() []Policy {
-	list := []Policy{Oracle()}
+	list := []Policy{Oracle(), LaggedOracle()}
 	for _, named := range placement.Policies() {
 		list = append(list, fromPlacement(named))
 	}
--- a/measure/truth.go
+++ b/measure/truth.go
@@ -4,10 +4,11 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/dunlinmill/dunlinmill/measure/engine"
 	"github.com/dunlinmill/dunlinmill/measure/workload"
 	"github.com/dunlinmill/dunlinmill/request/placement"
-	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -17,30 +18,11 @@
 	n *node
 }
 
-// Option is one upstream that could take a request, with what would come.
-type Option struct {
-	Upstream string
-	engine.Forecast
-	Computed time.Duration // prefill of the tokens that are not cached
-}
-
-// Options gives the upstreams that are up and reachable.
-func (t *Truth) Options(chain prefix.Chain, urgent bool) []Option {
-	var options []Option
-	for _, e := range t.f.engines {
-		cfg := e.Config()
-		if !e.Serving() || !t.f.reaches(t.n.centre, cfg.DataCentre) {
-			continue
-		}
-		fc := e.Forecast(chain, urgent)
-		uncached := float64(chain.Tokens() - fc.Cached)
-		options = append(options, Option{
-			Upstream: cfg.Name,
-			Forecast: fc,
-			Computed: time.Duration(uncached / cfg.Prefill * float64(time.Second)),
-		})
-	}
-	return options
+// engines gives those that are up and reachable.
+func (t *Truth) engines() []*engine.Engine {
+	return lo.Filter(t.f.engines, func(e *engine.Engine, _ int) bool {
+		return e.Serving() && t.f.reaches(t.n.centre, e.Config().DataCentre)
+	})
 }
 
 // OracleName is the name of the oracle's rows.
@@ -64,21 +46,25 @@
 }
 
 func (o *oracle) Place(now time.Time, r placement.Request) (placement.Decision, error) {
+	return o.place(r, func(e *engine.Engine) engine.Forecast { return e.Forecast(r.Chain, r.Urgent) })
+}
+
+// place picks the least cost by a forecast.
+func (o *oracle) place(r placement.Request, forecast func(e *engine.Engine) engine.Forecast) (placement.Decision, error) {
 	best := placement.Decision{}
 	least := 0.0
-	for _, option := range o.truth.Options(r.Chain, r.Urgent) {
-		if slices.Contains(r.Excluded, option.Upstream) {
+	for _, e := range o.truth.engines() {
+		cfg := e.Config()
+		if slices.Contains(r.Excluded, cfg.Name) {
 			continue
 		}
-		waiting := option.First + option.Others
-		cost := o.weighing.Wait*waiting.Seconds() + o.weighing.Recompute*option.Computed.Seconds()
+		fc := forecast(e)
+		computed := float64(r.Chain.Tokens()-fc.Cached) / cfg.Prefill
+		waiting := fc.First + fc.Others
+		cost := o.weighing.Wait*waiting.Seconds() + o.weighing.Recompute*computed
 		if best.Upstream == "" || cost < least {
 			least = cost
-			best = placement.Decision{
-				Upstream: option.Upstream,
-				Cached:   option.Cached,
-				Wait:     option.First,
-			}
+			best = placement.Decision{Upstream: cfg.Name, Cached: fc.Cached, Wait: fc.First}
 		}
 	}
 	if best.Upstream == "" {
