--- a/version/fakelog/fakelog.go
+++ b/version/fakelog/fakelog.go
@@ -22,6 +22,9 @@
 	LoseAppend
 	// Refuse has no effect and says so.
 	Refuse
+	// AppendTwice appends two copies and loses the answer, as a client library
+	// that repeats the call by itself may do.
+	AppendTwice
 )
 
 // Log keeps streams in memory. The zero value is ready to use.
@@ -59,11 +62,13 @@
 		return 0, platform.ErrOutcomeUnknown
 	}
 	s := l.stream(name)
-	offset := s.end()
-	s.records = append(s.records, platform.Record{Offset: offset, Body: append([]byte(nil), body...)})
+	offset := s.append(body)
+	if fault == AppendTwice {
+		s.append(body)
+	}
 	close(s.grown)
 	s.grown = make(chan struct{})
-	if fault == LoseAnswer {
+	if fault == LoseAnswer || fault == AppendTwice {
 		return 0, platform.ErrOutcomeUnknown
 	}
 	return offset, nil
@@ -151,4 +156,10 @@
 	return s
 }
 
+func (s *stream) append(body []byte) platform.Offset {
+	offset := s.end()
+	s.records = append(s.records, platform.Record{Offset: offset, Body: append([]byte(nil), body...)})
+	return offset
+}
+
 func (s *stream) end() platform.Offset { return s.first + platform.Offset(len(s.records)) }
