--- a/version/plan/undo.go
+++ b/version/plan/undo.go
@@ -19,12 +19,15 @@
 		return record.Plan{}, fmt.Errorf("plan %s only did %s to a plan: %w", id, of.Control, ErrInvalid)
 	case of.Status != fold.Finished && of.Status != fold.Aborted:
 		return record.Plan{}, fmt.Errorf("plan %s is %s; abort it first: %w", id, of.Status, fold.ErrWrongStatus)
-	case of.Confirmed == 0 || !touchedBy(s, of):
-		return record.Plan{}, fmt.Errorf("plan %s has changed nothing: %w", id, ErrNothing)
+	case of.Confirmed == 0:
+		return record.Plan{}, fmt.Errorf("plan %s was never confirmed: %w", id, ErrNothing)
 	}
 	if err := untouchedSince(s, of); err != nil {
 		return record.Plan{}, err
 	}
+	if !touchedBy(s, of) {
+		return record.Plan{}, fmt.Errorf("plan %s has changed nothing: %w", id, ErrNothing)
+	}
 	p, err := back(s, of)
 	if err != nil {
 		return p, err
