Tell apart known, coming and assumed cache entries; bind by an anchor

Cause: a prefix that a queued request would bring counted like one in the cache, and a silent cache of a replica like a full one. Now what is coming and what is assumed count by how far they came true, the latter by Bayes' rule from the part of the caches that the node hears of; the part of a backlog that a request waits for is learnt as well. A prefix binds requests to its own upstreams only from half of a typical prompt on, which a node that has just started finds like its peers; leaving the set costs 0.1 s.

--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -21,10 +21,14 @@
 	demands table[demand]
 	peers   peers
 	// meanCompute is how many tokens a request had computed lately, averaged.
-	meanCompute float64
-	trust       float64 // how far assumptions about replica sets came true lately
-	rand        *rand.Rand
-	ticker      ticker
+	meanCompute  float64
+	urgent       queueing // of urgent requests
+	normal       queueing // of the others
+	pendingTrust trust    // in prefixes that requests on their way will bring
+	coverage     coverage
+	typical      typical
+	rand         *rand.Rand
+	ticker       ticker
 
 	// Memory of single decisions, used again.
 	sizes   []int
@@ -35,11 +39,6 @@
 }
 
 const (
-	// leastAssumed is how many tokens have to be assumed for the answer to
-	// say whether assumptions hold.
-	leastAssumed = 64
-	// trustStep is the weight of one answer in the trust.
-	trustStep = 0.05
 	// firstCompute is the mean of computed tokens before the first answer,
 	// and computeStep the weight of one answer in it.
 	firstCompute = 1000
@@ -50,14 +49,16 @@
 func New(cfg Config) *Affinity {
 	cfg = cfg.withDefaults()
 	return &Affinity{
-		cfg:         cfg,
-		fleet:       newFleet(),
-		beliefs:     newBeliefs(cfg.Entries),
-		demands:     newTable[demand](cfg.Levels),
-		peers:       newPeers(),
-		trust:       1,
-		meanCompute: firstCompute,
-		rand:        rand.New(rand.NewPCG(cfg.Seed, 0)),
+		cfg:          cfg,
+		fleet:        newFleet(),
+		beliefs:      newBeliefs(cfg.Entries),
+		demands:      newTable[demand](cfg.Levels),
+		peers:        newPeers(),
+		urgent:       newQueueing(urgentQueue),
+		normal:       newQueueing(normalQueue),
+		pendingTrust: 1,
+		meanCompute:  firstCompute,
+		rand:         rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
 
@@ -94,18 +95,24 @@
 func (a *Affinity) measure(at tick, chain prefix.Chain) {
 	a.sizes, a.rates = a.sizes[:0], a.rates[:0]
 	most := max(1, len(a.fleet.eligible))
-	for _, l := range chain {
+	anchor := 0
+	if a.cfg.features.has(useAnchor) {
+		anchor = a.typical.anchor(chain)
+	}
+	for i, l := range chain {
 		size, rate := 1, 0.0
 		if d, _ := a.demands.get(l.ID); d != nil {
 			d.decay(at)
-			cost := a.total(at, l.ID, float64(d.cost))
+			cost := a.total(at, l.ID, d.settled())
 			d.resize(at, cost, a.cfg.TargetLoad)
 			size = 1 << d.size
 			if d.cost > 0 {
 				rate = cost * float64(d.count/d.cost)
 			}
 		}
-		most = min(most, size)
+		if i >= anchor {
+			most = min(most, size)
+		}
 		a.sizes = append(a.sizes, most)
 		a.rates = append(a.rates, rate)
 	}
@@ -130,13 +137,12 @@
 	if m == nil {
 		return
 	}
+	a.typical.learn(r.Chain)
 	a.addDemand(at, m, r)
 	// The next request with this prefix should follow this one and not be
 	// computed at a second place meanwhile.
 	for _, l := range r.Chain {
-		if _, ok := a.beliefs.age(m, l.ID, at); !ok {
-			a.beliefs.note(m, l.ID, at)
-		}
+		a.beliefs.expect(m, l.ID, at)
 	}
 }
 
@@ -172,6 +178,8 @@
 		cached = cached * r.Chain.Tokens() / answer.PromptTokens
 	}
 	a.learn(m, d.estimate, cached)
+	compute := float64(r.Chain.Tokens()-cached)/max(1, m.Prefill) + m.Decode.Seconds()
+	a.queueing(r).learn(answer.FirstToken, compute, d.estimate.queue)
 	a.meanCompute += computeStep * (float64(r.Chain.Tokens()-cached) - a.meanCompute)
 	for _, l := range r.Chain {
 		a.beliefs.note(m, l.ID, at)
@@ -183,10 +191,8 @@
 	if e.tokens > 0 {
 		m.engine.retention = m.engine.retention.learn(e.age, e.tokens <= cached)
 	}
-	if e.assumed >= leastAssumed {
-		right := min(max(0, float64(cached)-e.believed), e.assumed) / e.assumed
-		a.trust += trustStep * (right - a.trust)
-	}
+	a.pendingTrust.learn(float64(cached)-e.believed, e.pending)
+	a.coverage.learn(min(e.tokens, cached), cached)
 }
 
 // Finished implements Policy.
--- a/request/placement/belief.go
+++ b/request/placement/belief.go
@@ -26,6 +26,13 @@
 // none.
 type holders [maxHolders]uint16
 
+// belief is what is known of one level in one cache.
+type belief struct {
+	// pending says that a request that brings the level was sent there, and
+	// nothing has been heard of it yet.
+	pending bool
+}
+
 // beliefs is what the policy holds about the caches of all upstreams, in two
 // bounded tables. The key of the first is made of the level and the
 // upstream's epoch, which changes with its incarnation and its weights
@@ -33,16 +40,30 @@
 // sweep. The second finds the upstreams of a level and is a hint to look into
 // the first.
 type beliefs struct {
-	known   table[struct{}]
+	known   table[belief]
 	holders table[holders]
 }
 
 func newBeliefs(n int) beliefs {
-	return beliefs{known: newTable[struct{}](n), holders: newTable[holders](n / 2)}
+	return beliefs{known: newTable[belief](n), holders: newTable[holders](n / 2)}
 }
 
 func (b *beliefs) note(m *member, level uint64, at tick) {
-	b.known.put(mix(level, m.engine.epoch), at)
+	b.known.put(mix(level, m.engine.epoch), at).pending = false
+	b.addHolder(m, level, at)
+}
+
+// expect notes that a request on its way will bring the level.
+func (b *beliefs) expect(m *member, level uint64, at tick) {
+	key := mix(level, m.engine.epoch)
+	if v, _ := b.known.get(key); v != nil && !v.pending {
+		return
+	}
+	b.known.put(key, at).pending = true
+	b.addHolder(m, level, at)
+}
+
+func (b *beliefs) addHolder(m *member, level uint64, at tick) {
 	h := b.holders.put(level, at)
 	free := int(at) % maxHolders
 	for i, id := range h {
@@ -67,13 +88,13 @@
 	}
 }
 
-// age gives how long ago, in seconds, the level was known to be cached.
-func (b *beliefs) age(m *member, level uint64, at tick) (float64, bool) {
+// get gives what is known of a level, and how many seconds ago it was heard.
+func (b *beliefs) get(m *member, level uint64, at tick) (k belief, age float64, ok bool) {
 	v, stamp := b.known.get(mix(level, m.engine.epoch))
 	if v == nil {
-		return 0, false
+		return belief{}, 0, false
 	}
-	return seconds(stamp, at), true
+	return *v, seconds(stamp, at), true
 }
 
 // retention is the age, in seconds, at which half of the beliefs about an
--- a/request/placement/candidates.go
+++ b/request/placement/candidates.go
@@ -92,7 +92,7 @@
 			if m == nil || !m.eligible || added == maxHolders || slices.Contains(r.Excluded, m.Name) {
 				continue
 			}
-			if _, ok := a.beliefs.age(m, l.ID, at); ok && !has(found, m) {
+			if _, _, ok := a.beliefs.get(m, l.ID, at); ok && !has(found, m) {
 				found = append(found, candidate{member: m})
 				added++
 			}
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -88,6 +88,7 @@
 		{Name: "Affinity1", New: version(useNone)},
 		{Name: "Affinity2", New: version(useHolders)},
 		{Name: "Affinity3", New: version(useHolders | useOthers)},
+		{Name: "Affinity4", New: version(useHolders | useOthers | useSteep)},
 		{Name: "Affinity", New: func(cfg Config) Policy { return New(cfg) }},
 	}
 }
@@ -111,6 +112,8 @@
 	// useSteep takes a cache to keep prefixes for a certain time, and not to
 	// lose them at a constant rate.
 	useSteep
+	// useAnchor lets only prefixes of some length bind requests.
+	useAnchor
 
 	useAll  feature = 1<<iota - 1
 	useNone feature = 1 << 31
--- a/request/placement/demand.go
+++ b/request/placement/demand.go
@@ -6,6 +6,9 @@
 	// demandLife is the time over which demand is averaged, in seconds. A
 	// hot prefix is seen within it.
 	demandLife = 5.0
+	// leastWindow is the shortest time over which the first requests of a
+	// node are averaged, in seconds.
+	leastWindow = 2.0
 	// shrinkRatio is the part of a set's planned load under which it is
 	// halved; far enough under a half that it isn't doubled again at once.
 	shrinkRatio = 0.35
@@ -35,6 +38,15 @@
 	d.count++
 }
 
+// settled is the cost without that of one request, so that a single one is
+// not taken for a stream of them.
+func (d *demand) settled() float64 {
+	if d.count <= 1 {
+		return 0
+	}
+	return float64(d.cost * (1 - 1/d.count))
+}
+
 // resize moves the size towards the one that gives each member of the set
 // load engine-seconds a second at most: up at once, down with hysteresis.
 func (d *demand) resize(at tick, rate, load float64) {
@@ -64,5 +76,5 @@
 // than demandLife in a node that has just started, so that its figures are
 // right from the first requests on.
 func window(started, at tick) float64 {
-	return demandLife * (1 - math.Exp(-max(seconds(started, at), 0.5)/demandLife))
+	return demandLife * (1 - math.Exp(-max(seconds(started, at), leastWindow)/demandLife))
 }
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -9,9 +9,14 @@
 )
 
 const (
-	// urgentBacklog is the part of an upstream's backlog that an urgent
-	// request waits for; engines put it before other work.
-	urgentBacklog = 0.3
+	// homeChance is the chance that a member of a replica set has what nobody
+	// has been seen to ask for: other nodes may have sent it there before
+	// this one started.
+	homeChance = 0.5
+	// strayCost is what it has to gain, in seconds, to leave the replica
+	// set. Nodes that all see the same idle upstream in an old report would
+	// else meet there, and each stray copy pushes out others.
+	strayCost = 0.1
 	// warmPart is the part of a prompt that has to be expected in the cache
 	// for the decision's reason to say warm.
 	warmPart = 0.3
@@ -35,14 +40,12 @@
 // weight, and the penalty for failures.
 func (a *Affinity) price(now time.Time, at tick, r Request, c candidate) price {
 	e := a.estimate(at, r.Chain, c)
-	cached := e.believed + e.assumed
+	cached := a.cached(e)
 	compute := (float64(r.Chain.Tokens()) - cached) / max(1, c.Prefill)
 	b := c.backlog(now, a.peers.work[c.Name])
 	queue := float64(b.tokens) / max(1, c.Prefill)
-	if r.Urgent {
-		queue *= urgentBacklog
-	}
-	wait := queue + slotWait(r, c.member, b) + compute
+	e.queue = queue
+	wait := queue*a.queueing(r).part() + slotWait(r, c.member, b) + compute
 	if c.DataCentre != r.DataCentre {
 		wait += a.cfg.RemoteLatency.Seconds()
 	}
@@ -53,10 +56,14 @@
 	if !a.cfg.features.has(useOthers) {
 		others = 0
 	}
+	stray := 0.0
+	if a.cfg.features.has(useAnchor) && c.depth < len(r.Chain) {
+		stray = strayCost
+	}
 	w := a.cfg.Weighing
 	return price{
 		candidate: c,
-		total:     w.Wait*(wait+compute*others+c.failures.wait(now)) + w.Recompute*compute,
+		total:     w.Wait*(wait+compute*others+c.failures.wait(now)) + w.Recompute*compute + stray,
 		cached:    int(cached),
 		wait:      wait,
 		idle:      compute + c.Decode.Seconds(),
@@ -66,6 +73,13 @@
 	}
 }
 
+func (a *Affinity) queueing(r Request) *queueing {
+	if r.Urgent {
+		return &a.urgent
+	}
+	return &a.normal
+}
+
 // slotWait is the time until a slot is free, if all are taken.
 func slotWait(r Request, m *member, b backlog) float64 {
 	over := b.requests - m.Slots + 1
@@ -79,9 +93,16 @@
 // estimate is what a decision expects of an upstream's cache.
 type estimate struct {
 	believed float64 // tokens, from what is known of this cache
+	pending  float64 // tokens more, that requests on their way will bring
 	assumed  float64 // tokens more, as a member of replica sets has them
 	tokens   int     // of the longest prefix that is known, whatever its age
 	age      float64 // of that knowledge, in seconds
+	queue    float64 // seconds of computing that stand before the request
+}
+
+// cached is how many tokens to expect.
+func (a *Affinity) cached(e estimate) float64 {
+	return e.believed + float64(a.pendingTrust)*e.pending + e.assumed
 }
 
 // estimate gives how many tokens of the chain are in the upstream's cache, by
@@ -89,25 +110,32 @@
 // often requests of all nodes use the level there.
 func (a *Affinity) estimate(at tick, chain prefix.Chain, c candidate) estimate {
 	e := estimate{}
-	known, either := 0.0, 0.0
+	known, coming, either := 0.0, 0.0, 0.0 // chances, never falling towards shorter prefixes
 	for i, l := range slices.Backward(chain) {
-		if age, ok := a.beliefs.age(c.member, l.ID, at); ok {
+		k, age, ok := a.beliefs.get(c.member, l.ID, at)
+		switch {
+		case ok && k.pending:
+			coming = 1
+		case ok:
 			if e.tokens == 0 {
 				e.tokens, e.age = l.Tokens, age
 			}
 			known = max(known, a.keeps(c.member, age))
 		}
-		either = max(either, known)
-		if i < c.depth {
+		coming = max(coming, known)
+		if i < c.depth && a.sizes[i] < len(a.fleet.eligible) {
 			perMember := a.rates[i] / float64(a.sizes[i])
-			either = max(either, a.trust*(1-math.Exp(-perMember*float64(c.engine.retention))))
+			chance := max(homeChance, 1-math.Exp(-perMember*float64(c.engine.retention)))
+			either = max(either, a.coverage.unheard(chance))
 		}
+		either = max(either, coming)
 		own := float64(l.Tokens)
 		if i > 0 {
 			own -= float64(chain[i-1].Tokens)
 		}
 		e.believed += known * own
-		e.assumed += (either - known) * own
+		e.pending += (coming - known) * own
+		e.assumed += (either - coming) * own
 	}
 	return e
 }
