Notice in the engine stand-in that a caller has gone while it is silent

A write that fails is too late a sign, as a stream writes nothing before its first token. The same test could also cancel before the connection was made; it now waits until the request was read.

--- a/connection/upstream/overhttp/failure_test.go
+++ b/connection/upstream/overhttp/failure_test.go
@@ -189,7 +189,7 @@
 	e.Fault(engine.Fault{Frozen: true})
 	ctx, cancel := context.WithCancel(testContext(t))
 	go func() {
-		for e.Connections() == 0 {
+		for e.Counters().Requests == 0 {
 			time.Sleep(time.Millisecond)
 		}
 		cancel()
@@ -208,6 +208,9 @@
 		t.Errorf("between tokens: error is %v, want %v and %v", err, context.Canceled, upstream.ErrBroken)
 	}
 	s.Close()
+	if err := a.Cancel(testContext(t), "token"); err != nil {
+		t.Fatal(err)
+	}
 	s, err = a.Generate(testContext(t), generation("closed"))
 	if err != nil {
 		t.Fatal(err)
--- a/standin/engine/counters.go
+++ b/standin/engine/counters.go
@@ -9,6 +9,7 @@
 
 // Counters is what an engine has seen since New, over all its incarnations.
 type Counters struct {
+	Requests       int            // that were read, but for those that steer the stand-in
 	Arrivals       map[string]int // requests to generate that were read, by stream id
 	Runs           int            // generations that were admitted to the batch
 	Finished       int            // generations that ran to their end
@@ -79,7 +80,7 @@
 
 func (e *Engine) cancelOrphans(now time.Time) {
 	for _, s := range e.streams {
-		if s.orphaned(now, e.cfg.Orphan) && s.endedAt.IsZero() {
+		if s.endedAt.IsZero() && s.orphaned(now, e.cfg.Orphan) {
 			e.cancel(now, s)
 		}
 	}
@@ -122,6 +123,3 @@
 	defer e.mu.Unlock()
 	return len(e.queue)
 }
-
-// Connections gives how many connections are open.
-func (e *Engine) Connections() int { return e.listener.Connections() }
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -266,6 +266,19 @@
 	}
 }
 
+// A caller goes away without a word while its prompt is computed. The engine
+// must notice, or the work of everybody who hung up delays the others.
+func TestWorkForNobodyIsCancelled(t *testing.T) {
+	e, a := start(t, engine.Config{Orphan: time.Nanosecond})
+	e.Fault(engine.Fault{Slow: 1e9})
+	s, err := a.Generate(testContext(t), generation("g"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	until(t, "cancelled", func() bool { return e.Counters().Cancelled == 1 })
+}
+
 // A lease holder was paused; its order comes after one of its successor. An
 // engine that checks refuses it; one that doesn't, carries it out.
 func TestOldOrderIsRefusedWhereChecked(t *testing.T) {
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -24,7 +24,7 @@
 		listener.JSON(ctx, fasthttp.StatusOK, e.Counters())
 		return
 	}
-	life := e.life()
+	life := e.arrive()
 	if !e.gate(life) {
 		listener.Hang(ctx)
 		return
@@ -59,10 +59,12 @@
 	}
 }
 
-// life gives the context that ends with the present incarnation.
-func (e *Engine) life() context.Context {
+// arrive counts a request and gives the context that ends with the present
+// incarnation.
+func (e *Engine) arrive() context.Context {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.counters.Requests++
 	return e.ctx
 }
 
@@ -184,7 +186,8 @@
 
 // follow answers with a stream from a token on, once it has started.
 func (e *Engine) follow(ctx *fasthttp.RequestCtx, life context.Context, s *stream, first int, f Fault) {
-	s.join()
+	conn := ctx.Conn()
+	s.join(conn)
 	st := s.look()
 	for !st.started && st.refusal == nil && !st.abandoned {
 		select {
@@ -197,19 +200,18 @@
 	}
 	late := time.Duration(f.LateMillis) * time.Millisecond
 	if !pause(life, late) || !e.gate(life) || (st.abandoned && !st.started) {
-		s.leave(time.Now())
+		s.leave(time.Now(), conn)
 		listener.Hang(ctx)
 		return
 	}
 	if st.refusal != nil {
-		s.leave(time.Now())
+		s.leave(time.Now(), conn)
 		refusal(ctx, fasthttp.StatusServiceUnavailable, *st.refusal)
 		return
 	}
-	conn := ctx.Conn()
 	ctx.SetContentType("text/event-stream")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer func() { s.leave(time.Now()) }()
+		defer func() { s.leave(time.Now(), conn) }()
 		e.write(life, &writer{w: w, conn: conn, fault: f, id: s.g.StreamID}, s, first)
 	})
 }
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/connection/upstream/overhttp"
+	"github.com/dunlinmill/dunlinmill/standin/listener"
 )
 
 // stream is one answer, from its arrival until it is forgotten. Its own lock
@@ -31,7 +33,7 @@
 	sent      []upstream.Token
 	done      bool // the last token is there
 	abandoned bool // there will be no more
-	readers   int
+	readers   map[net.Conn]struct{}
 	left      time.Time // when the last reader left
 }
 
@@ -93,22 +95,32 @@
 	return true
 }
 
-func (s *stream) join() {
+func (s *stream) join(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.readers++
+	if s.readers == nil {
+		s.readers = map[net.Conn]struct{}{}
+	}
+	s.readers[c] = struct{}{}
 }
 
-func (s *stream) leave(now time.Time) {
+func (s *stream) leave(now time.Time, c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.readers--
+	delete(s.readers, c)
 	s.left = now
 }
 
-// orphaned says whether nobody has read the stream for so long.
+// orphaned says whether nobody has read the stream for so long. A reader
+// that went away while there was nothing to write is noticed here.
 func (s *stream) orphaned(now time.Time, after time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.readers == 0 && !s.left.IsZero() && now.Sub(s.left) > after
+	for c := range s.readers {
+		if listener.Gone(c) {
+			delete(s.readers, c)
+			s.left = now
+		}
+	}
+	return len(s.readers) == 0 && !s.left.IsZero() && now.Sub(s.left) >= after
 }
--- a/standin/listener/listener.go
+++ b/standin/listener/listener.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -81,13 +82,6 @@
 	return l.address
 }
 
-// Connections gives how many connections are open.
-func (l *Listener) Connections() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns)
-}
-
 // Cut closes every connection at once.
 func (l *Listener) Cut() {
 	l.mu.Lock()
@@ -186,6 +180,28 @@
 	once  sync.Once
 }
 
+// Gone says whether the other side of a connection has closed it.
+func Gone(c net.Conn) bool {
+	if tc, ok := c.(*conn); ok {
+		c = tc.Conn
+	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n == 0 && errno == nil || errno != nil && errno != syscall.EAGAIN
+	})
+	return gone || err != nil
+}
+
 // errCut is what a handler's write gives after Cut.
 var errCut = errors.New("connection was cut")
 
