Measure small limits over 40 s again

In the first minute idle nodes fill their stock of two credits each, 720 over all at a rate of 20 a second.

--- a/request/limit/workspace_test.go
+++ b/request/limit/workspace_test.go
@@ -261,8 +261,8 @@
 	for _, tt := range tests {
 		f := newFleet(tt.nodes, tt.poll, config.Limit{RequestsPerSecond: tt.limit})
 		f.load = slices.Repeat([]float64{tt.offered / float64(tt.nodes)}, tt.nodes)
-		f.run(40 * time.Second)
-		_, mean := f.sums(min(tt.limit, float64(lo.Sum(f.offered[20:]))/20), 20, 40, 10)
+		f.run(60 * time.Second)
+		_, mean := f.sums(min(tt.limit, float64(lo.Sum(f.offered[20:]))/40), 20, 60, 10)
 		t.Logf("%d nodes, %v of %v a second, asked every %v: let in %.3f", tt.nodes, tt.offered, tt.limit, tt.poll, mean)
 		if mean < tt.least || mean > tt.most {
 			t.Errorf("let in %.3f, want %.2f to %.2f", mean, tt.least, tt.most)
