--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -83,7 +83,7 @@
 		return
 	}
 	var f Fault
-	if !listener.Decode(ctx, &f) {
+	if !listener.DecodeKnown(ctx, &f) {
 		return
 	}
 	if !f.Crash && f.RefuseMillis == 0 {
--- a/standin/listener/answer.go
+++ b/standin/listener/answer.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"sync"
@@ -34,6 +35,19 @@
 	return true
 }
 
+// DecodeKnown is Decode for what steers a stand-in: a name that v doesn't
+// have is an error too, since a misspelt fault would leave the stand-in sound
+// and its test green.
+func DecodeKnown(ctx *fasthttp.RequestCtx, v any) bool {
+	d := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		ctx.Error("malformed body: "+err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
 // Hang closes the connection without an answer, after the request was read.
 func Hang(ctx *fasthttp.RequestCtx) {
 	ctx.HijackSetNoResponse(true)
--- a/standin/logservice/handler.go
+++ b/standin/logservice/handler.go
@@ -24,14 +24,14 @@
 	switch string(ctx.Path()) {
 	case listener.PathFault:
 		var f Fault
-		if listener.Decode(ctx, &f) {
+		if listener.DecodeKnown(ctx, &f) {
 			l.Fault(f)
 		}
 	case listener.PathCounters:
 		listener.JSON(ctx, fasthttp.StatusOK, l.Counters())
 	case PathTrim:
 		var r TrimRequest
-		if listener.Decode(ctx, &r) {
+		if listener.DecodeKnown(ctx, &r) {
 			l.Trim(r.Stream, r.Before)
 		}
 	case overhttp.PathAppend:
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -116,7 +116,7 @@
 	switch string(ctx.Path()) {
 	case listener.PathFault:
 		var f Fault
-		if listener.Decode(ctx, &f) {
+		if listener.DecodeKnown(ctx, &f) {
 			s.Fault(f)
 		}
 	case listener.PathCounters:
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -92,7 +92,7 @@
 		v.handleVMs(ctx)
 	case listener.PathFault:
 		var f Fault
-		if listener.Decode(ctx, &f) {
+		if listener.DecodeKnown(ctx, &f) {
 			v.Fault(f)
 		}
 	case listener.PathCounters:
@@ -105,7 +105,7 @@
 func (v *VMList) handleVMs(ctx *fasthttp.RequestCtx) {
 	if ctx.IsPost() {
 		var vms []platform.VM
-		if listener.Decode(ctx, &vms) {
+		if listener.DecodeKnown(ctx, &vms) {
 			v.Set(time.Now(), vms...)
 		}
 		return
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -126,7 +126,7 @@
 		listener.JSON(ctx, fasthttp.StatusOK, LoadsAnswer{w.count(time.Now(), string(ctx.QueryArgs().Peek("Engine")), ctx.IsPut())})
 	case listener.PathFault:
 		var f Fault
-		if listener.Decode(ctx, &f) {
+		if listener.DecodeKnown(ctx, &f) {
 			w.Fault(f)
 		}
 	case listener.PathCounters:
@@ -139,7 +139,7 @@
 func (w *WeightStore) handleVersions(ctx *fasthttp.RequestCtx) {
 	if ctx.IsPost() {
 		var r VersionsRequest
-		if listener.Decode(ctx, &r) {
+		if listener.DecodeKnown(ctx, &r) {
 			w.SetVersions(r.Model, r.Versions...)
 		}
 		return
