Set suspicions against signs of life by their age; doubt a lossy link

Cause: in virtual time half of the nodes needed 6.1 s, the last 22 s, to suspect a dead node at 360 nodes: a suspicion carried the heartbeat count that its maker knew, and any node that had seen a later count took it for refuted and told the others so. With 30% of messages lost, live nodes were declared dead (8 nodes: up to 6 times in 5 minutes), since most tries fail and each node suspected another in most rounds. Ruled out: a longer time to refute for all (it slows the calm case alike); patience per data centre (too few samples of each to learn the loss from). Change: records carry the age of their evidence; a suspect that is heard of gets its whole time again; a node much of whose heartbeats fail wants more failures and gives more time, except towards data centres that are cut off.

--- a/process/member/evidence.go
+++ b/process/member/evidence.go
@@ -8,20 +8,16 @@
 
 // heard takes in what a member said of itself over a connection of its own.
 func (t *Table) heard(now time.Time, r Record, offset uint64) {
-	if !r.valid() || r.Name == t.self.Name {
-		t.learn(now, r)
-		return
-	}
-	r.State = Alive
+	r.State, r.Age = Alive, 0
 	t.learn(now, r)
 	e := t.members[r.Name]
-	if e == nil || e.record.Incarnation != r.Incarnation {
+	if e == nil || e.record.Incarnation != r.Incarnation || r.Heartbeat < e.record.Heartbeat {
 		return
 	}
-	e.heard = now
+	e.heard, e.alive, e.misses = now, now, 0
 	e.offset = max(e.offset, offset)
 	e.unreachable = false
-	if e.record.State != Alive && r.Heartbeat >= e.record.Heartbeat {
+	if e.record.State != Alive {
 		t.setState(now, e, Alive, Recovered)
 	}
 }
@@ -65,11 +61,19 @@
 	}
 }
 
+func newEntry(now time.Time, r Record) *entry {
+	e := &entry{record: r, since: now, alive: r.at(now), patience: 1}
+	if r.State != Alive {
+		e.tried = r.at(now)
+	}
+	return e
+}
+
 func (t *Table) add(now time.Time, r Record) {
 	if len(t.members) >= MaxMembers {
 		return
 	}
-	t.members[r.Name] = &entry{record: r, since: now}
+	t.members[r.Name] = newEntry(now, r)
 	t.dropCandidate(r.Address)
 	t.announce(r.Name)
 	if r.State != Dead {
@@ -80,37 +84,61 @@
 // restart replaces what was known of an earlier process by that name. It is
 // alive at once, whatever was believed of the former one.
 func (t *Table) restart(now time.Time, e *entry, r Record) {
-	*e = entry{record: r, since: now, listed: e.listed}
+	listed := e.listed
+	*e = *newEntry(now, r)
+	e.listed = listed
 	t.dropCandidate(r.Address)
 	t.forgetBlobs(r.Name)
 	t.announce(r.Name)
 	t.note(r, Restarted)
 }
 
-// compare merges a record of the same incarnation. The higher heartbeat is
-// the newer evidence. That a member is dead is never taken from others: it
-// starts this node's own suspicion, so that after a cut between data centres
-// the other side's verdict on members that live here kills none of them.
+// compare merges a record of the same incarnation.
 func (t *Table) compare(now time.Time, e *entry, r Record) {
 	if r.Leaving && !e.record.Leaving {
 		e.record.Leaving = true
 		t.announce(r.Name)
 		t.note(r, Left)
 	}
-	newer := r.Heartbeat > e.record.Heartbeat
-	switch {
-	case r.State == Alive && newer:
-		e.record.Heartbeat = r.Heartbeat
-		if e.record.State != Alive {
-			t.setState(now, e, Alive, Recovered)
-		}
-	case r.State != Alive && r.Heartbeat < e.record.Heartbeat:
+	if r.State == Alive {
+		t.signOfLife(now, e, r)
+		return
+	}
+	t.suspicion(now, e, r)
+}
+
+// signOfLife clears a suspicion if the member said it later than the try
+// that failed.
+func (t *Table) signOfLife(now time.Time, e *entry, r Record) {
+	if r.Heartbeat <= e.record.Heartbeat {
+		return
+	}
+	e.record.Heartbeat = r.Heartbeat
+	if at := r.at(now); at.After(e.alive) {
+		e.alive = at
+	}
+	if e.record.State != Alive && e.alive.After(e.tried) {
+		t.setState(now, e, Alive, Recovered)
+	}
+}
+
+// suspicion takes in that others hold the member suspect or dead, unless
+// there was a sign of life since. That a member is dead is never taken from
+// others: it starts this node's own suspicion, so that after a cut between
+// data centres the other side's verdict on members that live here kills none
+// of them.
+func (t *Table) suspicion(now time.Time, e *entry, r Record) {
+	e.record.Heartbeat = max(e.record.Heartbeat, r.Heartbeat)
+	at := r.at(now)
+	if !at.After(e.alive) {
 		t.correct(e)
-	case r.State != Alive && (newer || e.record.State == Alive):
-		e.record.Heartbeat = r.Heartbeat
-		if e.record.State != Dead || newer && r.State == Suspect {
-			t.setState(now, e, Suspect, Suspected)
-		}
+		return
+	}
+	if at.After(e.tried) {
+		e.tried = at
+	}
+	if e.record.State == Alive {
+		t.setState(now, e, Suspect, Suspected)
 	}
 }
 
@@ -124,9 +152,8 @@
 
 // attempt is a heartbeat on its way.
 type attempt struct {
-	target    Target
-	heartbeat uint64 // known of the target when it began
-	began     time.Time
+	target Target
+	began  time.Time
 }
 
 // unanswered notes that the target answered neither this node nor those that
@@ -142,15 +169,51 @@
 	}
 	e.unreachable = true
 	t.version++
-	paused := now.Sub(a.began) > pauseIntervals*t.cfg.Interval
-	if paused || e.record.Heartbeat > a.heartbeat || e.heard.After(a.began) {
+	if paused := now.Sub(a.began) > pauseIntervals*t.cfg.Interval; paused || !a.began.After(e.alive) {
+		return
+	}
+	e.misses++
+	if e.record.State == Alive && e.misses < int(t.patience(e)) {
+		// With much loss every node would suspect another in most rounds, and
+		// the refutations alone would be more than the heartbeats can carry.
+		t.probeNext(e.record.Name)
 		return
 	}
+	e.tried = a.began
 	if e.record.State == Alive {
 		t.setState(now, e, Suspect, Suspected)
+		t.suspectNeighbours(e)
 	}
 }
 
+// neighbourProbes is how many members of a suspect's data centre are probed
+// out of turn.
+const neighbourProbes = 2
+
+// suspectNeighbours has more members of a suspect's data centre probed. Few
+// heartbeats go to other data centres; when one is lost as a whole, each of
+// its members would else wait for its turn.
+func (t *Table) suspectNeighbours(e *entry) {
+	if e.record.DataCentre == t.self.DataCentre {
+		return
+	}
+	for range neighbourProbes {
+		target, ok := t.random(func(o *entry) bool {
+			return o.record.State == Alive && o.record.DataCentre == e.record.DataCentre
+		})
+		if ok {
+			t.probeNext(target.Name)
+		}
+	}
+}
+
+// directFailed notes that a heartbeat itself got no answer.
+func (t *Table) directFailed(a attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteOutcome(a.target.Name, true)
+}
+
 // reachedByOthers notes that peers reached what this node could not.
 func (t *Table) reachedByOthers(now time.Time, a attempt, r Record) {
 	t.mu.Lock()
@@ -159,7 +222,7 @@
 		e.unreachable = true
 		t.version++
 	}
-	r.State = Alive
+	r.State, r.Age = Alive, 0
 	t.learn(now, r)
 }
 
@@ -180,6 +243,11 @@
 		e.unreachable = false
 		return
 	}
+	t.probeNext(name)
+}
+
+// probeNext has a member probed out of turn.
+func (t *Table) probeNext(name string) {
 	if len(t.urgent) < maxUrgent {
 		t.urgent = append(t.urgent, name)
 	}
--- a/process/member/member.go
+++ b/process/member/member.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,18 +62,31 @@
 )
 
 // Record is what one node tells another about a member. The member itself
-// counts Heartbeat up, so that of two records of one incarnation the one with
-// the higher count is the newer evidence, whatever way it took.
+// counts Heartbeat up, so that a sign of life outranks all that is older,
+// whatever way it took. A suspicion has no count of its own; it is set
+// against signs of life by Age, which travels in place of a time, so that
+// clocks that differ do no harm.
 type Record struct {
 	Name        string
 	Address     string // IP:port of its peer listener
 	DataCentre  string
 	Incarnation int64 // start of the process, in nanoseconds since 1970
 	Heartbeat   uint64
-	State       State // Alive, Suspect or Dead; Leaving is apart
+	State       State  // Alive, Suspect or Dead; Leaving is apart
+	Age         uint32 // of the evidence, in milliseconds: the sign of life, or the try that failed
 	Leaving     bool
 }
 
+// at gives the time of the evidence by this node's clock.
+func (r Record) at(now time.Time) time.Time {
+	return now.Add(-time.Duration(r.Age) * time.Millisecond)
+}
+
+func (r Record) withAge(d time.Duration) Record {
+	r.Age = uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+	return r
+}
+
 func (r Record) valid() bool {
 	return r.Name != "" && r.Address != "" && r.State <= Dead &&
 		len(r.Name) <= MaxNameBytes && len(r.Address) <= MaxNameBytes && len(r.DataCentre) <= MaxNameBytes
@@ -83,7 +97,7 @@
 	return recordOverhead + len(r.Name) + len(r.Address) + len(r.DataCentre)
 }
 
-const recordOverhead = 26
+const recordOverhead = 30
 
 // Member is one node as this one sees it; an immutable value.
 type Member struct {
--- a/process/member/message.go
+++ b/process/member/message.go
@@ -30,7 +30,7 @@
 // message makes the heartbeat for a peer in a data centre.
 func (t *Table) message(now time.Time, dataCentre string) Message {
 	m := Message{From: t.self, Offset: t.offset, Digest: t.digest()}
-	m.Updates = t.pickUpdates(t.cfg.MessageBytes / updateShare)
+	m.Updates = t.pickUpdates(now, t.cfg.MessageBytes/updateShare)
 	left := t.cfg.MessageBytes - m.From.size()
 	for _, r := range m.Updates {
 		left -= r.size()
@@ -72,16 +72,16 @@
 
 // sendLimit is how often one piece of news is sent on by each node: a few
 // times the rounds that an epidemic takes to reach n nodes.
-func sendLimit(n int) int { return 3 * (bits.Len(uint(n)) + 1) }
+func sendLimit(n int) int { return 2 * (bits.Len(uint(n)) + 1) }
 
 // pickUpdates takes the news that were sent least often.
-func (t *Table) pickUpdates(budget int) []Record {
+func (t *Table) pickUpdates(now time.Time, budget int) []Record {
 	limit := sendLimit(len(t.members))
 	names := slices.Sorted(maps.Keys(t.updates))
 	slices.SortStableFunc(names, func(a, b string) int { return t.updates[a] - t.updates[b] })
 	var picked []Record
 	for _, name := range names {
-		r, ok := t.recordOf(name)
+		r, ok := t.recordOf(now, name)
 		if !ok || t.updates[name] >= limit {
 			delete(t.updates, name)
 			continue
@@ -95,7 +95,7 @@
 	return picked
 }
 
-func (t *Table) recordOf(name string) (Record, bool) {
+func (t *Table) recordOf(now time.Time, name string) (Record, bool) {
 	if name == t.self.Name {
 		return t.self, true
 	}
@@ -103,7 +103,7 @@
 	if !ok {
 		return Record{}, false
 	}
-	return e.record, true
+	return e.outgoing(now), true
 }
 
 // digest tells two tables apart that hold other live members, without
@@ -127,12 +127,12 @@
 }
 
 // Snapshot gives all records.
-func (t *Table) Snapshot() Snapshot {
+func (t *Table) Snapshot(now time.Time) Snapshot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := Snapshot{Records: []Record{t.self}}
 	for _, name := range slices.Sorted(maps.Keys(t.members)) {
-		s.Records = append(s.Records, t.members[name].record)
+		s.Records = append(s.Records, t.members[name].outgoing(now))
 	}
 	return s
 }
@@ -154,6 +154,7 @@
 func (t *Table) answered(now time.Time, a attempt, m Message) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.noteOutcome(a.target.Name, false)
 	e := t.members[a.target.Name]
 	if a.target.Name == "" {
 		t.dropCandidate(a.target.Address)
--- a/process/member/round.go
+++ b/process/member/round.go
@@ -38,9 +38,10 @@
 	if !ok {
 		return false
 	}
-	a := p.table.begin(now, target)
+	a := attempt{target: target, began: now}
 	answer, err := p.network.Exchange(ctx, target.Address, p.table.MessageTo(now, target))
 	if err != nil {
+		p.table.directFailed(a)
 		p.askOthers(ctx, a)
 		return false
 	}
@@ -68,7 +69,7 @@
 }
 
 func (p *Prober) sync(ctx context.Context, target Target) {
-	s, err := p.network.Sync(ctx, target.Address, p.table.Snapshot())
+	s, err := p.network.Sync(ctx, target.Address, p.table.Snapshot(p.clock()))
 	if err == nil {
 		p.table.Merge(p.clock(), s)
 	}
--- a/process/member/table.go
+++ b/process/member/table.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -26,6 +25,7 @@
 	members    map[string]*entry
 	candidates map[string]*candidate // by address
 	urgent     []string              // names to probe next
+	near, far  link                  // to members in this data centre, and elsewhere
 	local      ring
 	remote     ring
 	updates    map[string]int // sends so far of records that others should hear
@@ -41,8 +41,12 @@
 type entry struct {
 	record        Record
 	offset        uint64
-	since         time.Time // of its present state
-	heard         time.Time
+	since         time.Time // of its present state, at this node
+	alive         time.Time // of the latest sign of life, whoever had it
+	tried         time.Time // of the latest try that failed, whoever made it
+	heard         time.Time // of the latest sign of life that this node had itself
+	patience      float64   // when it became suspect
+	misses        int       // tries of this node's that failed one after the other
 	unreachable   bool
 	listedLeaving bool // in the VM list, for this incarnation
 	listed        bool // leaving in the VM list when last read, any incarnation
@@ -55,6 +59,23 @@
 	return e.record.State
 }
 
+// quietSince is when a suspect's time began. A suspect that is heard of while
+// tries to reach it go on failing gets its whole time again.
+func (e *entry) quietSince() time.Time {
+	if e.alive.After(e.since) {
+		return e.alive
+	}
+	return e.since
+}
+
+// outgoing gives the record with the age of its evidence.
+func (e *entry) outgoing(now time.Time) Record {
+	if e.record.State == Alive {
+		return e.record.withAge(now.Sub(e.alive))
+	}
+	return e.record.withAge(now.Sub(e.tried))
+}
+
 func (e *entry) member() Member {
 	return Member{
 		Name:        e.record.Name,
@@ -230,11 +251,10 @@
 		return &t.view
 	}
 	v := view{version: t.version, until: now.Add(t.cfg.Interval), all: []Member{}}
-	timeout := t.suspectTimeout()
 	for _, name := range slices.Sorted(maps.Keys(t.members)) {
 		e := t.members[name]
 		m := e.member()
-		if out := e.since.Add(timeout); m.State == Suspect {
+		if out := e.quietSince().Add(t.suspectTimeout(e)); m.State == Suspect {
 			if !now.Before(out) {
 				m.State = Dead
 			} else if out.Before(v.until) {
@@ -252,14 +272,6 @@
 	return &t.view
 }
 
-// suspectTimeout is how long a member has to refute. A refutation takes as
-// many heartbeats as it takes news to reach everybody, which grows with the
-// logarithm of the members.
-func (t *Table) suspectTimeout() time.Duration {
-	n := float64(len(t.members) + 1)
-	return time.Duration(float64(t.cfg.SuspectTimeout) * max(1, math.Log10(n)))
-}
-
 // Tick counts this node's heartbeat and lets suspicions and dead members run
 // out. It is to be called once in each Interval.
 func (t *Table) Tick(now time.Time) {
@@ -268,10 +280,9 @@
 	t.notePause(now)
 	t.lastTick = now
 	t.self.Heartbeat++
-	timeout := t.suspectTimeout()
 	for name, e := range t.members {
 		switch {
-		case e.record.State == Suspect && now.Sub(e.since) >= timeout:
+		case e.record.State == Suspect && now.Sub(e.quietSince()) >= t.suspectTimeout(e):
 			t.setState(now, e, Dead, Died)
 		case e.record.State == Dead && now.Sub(e.since) >= t.cfg.DeadRetention:
 			delete(t.members, name)
@@ -308,6 +319,7 @@
 func (t *Table) setState(now time.Time, e *entry, s State, kind ChangeKind) {
 	e.record.State = s
 	e.since = now
+	e.patience = t.patience(e)
 	t.announce(e.record.Name)
 	t.note(e.record, kind)
 }
--- a/process/member/target.go
+++ b/process/member/target.go
@@ -38,6 +38,9 @@
 
 // Chances of a heartbeat out of the ring's order.
 const (
+	// outOfTurnShare: at most one heartbeat in so many goes to suspects, and
+	// one to members that calls failed to, so that the others keep their turn.
+	outOfTurnShare = 2
 	// suspectProbes is how many of all nodes try a suspect in each interval:
 	// enough that a live one is reached in time through much loss, and few
 	// enough that it isn't flooded.
@@ -55,8 +58,10 @@
 func (t *Table) NextTarget(now time.Time) (Target, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if target, ok := t.urgentTarget(); ok {
-		return target, true
+	if t.rnd.IntN(outOfTurnShare) == 0 {
+		if target, ok := t.urgentTarget(); ok {
+			return target, true
+		}
 	}
 	alone := t.count(func(e *entry) bool { return e.record.State != Dead }) == 0
 	if alone || t.rnd.IntN(candidateShare) == 0 {
@@ -69,7 +74,7 @@
 			return target, true
 		}
 	}
-	if t.rnd.IntN(len(t.members)+1) < suspectProbes {
+	if t.rnd.IntN(outOfTurnShare) == 0 && t.rnd.IntN(len(t.members)+1) < suspectProbes*outOfTurnShare {
 		if target, ok := t.random(func(e *entry) bool { return e.record.State == Suspect }); ok {
 			return target, true
 		}
@@ -214,17 +219,6 @@
 	return picked
 }
 
-// begin notes what is known of a target before a heartbeat goes to it.
-func (t *Table) begin(now time.Time, target Target) attempt {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a := attempt{target: target, began: now}
-	if e := t.members[target.Name]; e != nil {
-		a.heartbeat = e.record.Heartbeat
-	}
-	return a
-}
-
 // knows says whether address is a member's.
 func (t *Table) knows(address string) bool {
 	t.mu.Lock()
