Bound the chance of an assumed cache entry

Cause: with much demand for a prefix, the assumption that a member of its set has it went to 0.999 and outweighed a silent event stream, also for a member that had just come into the set.

--- a/request/placement/trust.go
+++ b/request/placement/trust.go
@@ -33,6 +33,10 @@
 // coverageStep is the weight of one answer in the coverage.
 const coverageStep = 0.02
 
+// mostAssumed bounds the chance of what is only assumed: even a much used
+// prefix isn't at a member that has just come into its replica set.
+const mostAssumed = 0.9
+
 // learn takes in that of the tokens found in a cache so many were known.
 func (c *coverage) learn(known, found int) {
 	if found >= leastAssumed {
@@ -44,7 +48,7 @@
 // heard of it, from the chance without regard to that (Bayes' rule): to a
 // node that hears all, silence says that it isn't there.
 func (c coverage) unheard(chance float64) float64 {
-	chance = min(chance, 0.999)
+	chance = min(chance, mostAssumed)
 	silent := chance * (1 - float64(c))
 	return silent / (silent + 1 - chance)
 }
