--- a/request/journal/cluster_test.go
+++ b/request/journal/cluster_test.go
@@ -23,6 +23,7 @@
 	log   platform.Log
 	delay time.Duration
 	calls atomic.Int64
+	bytes byteCounter // of the arguments and replies
 
 	mu      sync.Mutex
 	members []Member
@@ -123,8 +124,10 @@
 	}
 	done := make(chan error, 1)
 	go func() {
+		p.c.bytes.count(args)
 		time.Sleep(p.c.delay)
 		err := dispatch(j.Handler(), method, args, reply)
+		p.c.bytes.count(reply)
 		time.Sleep(p.c.delay)
 		done <- err
 	}()
--- a/request/journal/fold_test.go
+++ b/request/journal/fold_test.go
@@ -135,7 +135,15 @@
 // FuzzApply: whatever bytes stand in the log, a node goes on to the next
 // record, and what can't be read changes no key.
 func FuzzApply(f *testing.F) {
-	f.Add([]byte(`{"Stamp":1,"Claims":[{"Key":[1]}]}`))
+	for _, b := range []Batch{
+		{Stamp: 1, Claims: []ClaimRecord{{Key: KeyHash{8}, ID: ClaimID{Sequence: 1}}}},
+		{Stamp: 1, Outcomes: []OutcomeRecord{{Key: KeyHash{9}, ID: ClaimID{Sequence: 1}, Outcome: NotRun}}},
+	} {
+		body, _ := b.encode()
+		f.Add(body)
+		f.Add(body[:len(body)-8])
+	}
+	f.Add([]byte(`{"Stamp":1,"Writers":["n/1"],"Claims":"AQEB"}`))
 	f.Add([]byte(`{"Stamp":1,"Unknown":{"Field":2}}`))
 	f.Add([]byte("\x00"))
 	f.Fuzz(func(t *testing.T, body []byte) {
--- a/request/journal/journal.go
+++ b/request/journal/journal.go
@@ -31,6 +31,7 @@
 	health   *health
 	answers  *answers
 	sequence atomic.Uint64
+	assigned atomic.Pointer[assignment]
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 
@@ -63,6 +64,7 @@
 		running:    map[uint64]*Claim{},
 		avoid:      map[string]time.Time{},
 	}
+	j.assign()
 	j.wg.Go(func() { j.sendOutcomes(ctx) })
 	return j, nil
 }
--- a/request/journal/key.go
+++ b/request/journal/key.go
@@ -40,6 +40,8 @@
 	return h.Sum(nil)
 }
 
+func millis(t time.Time) int64 { return t.UnixMilli() }
+
 // partition gives the partition of a key among n.
 func (k KeyHash) partition(n int) int {
 	return int(binary.BigEndian.Uint64(k[:8]) % uint64(n))
--- a/request/journal/record.go
+++ b/request/journal/record.go
@@ -1,10 +1,6 @@
 package journal
 
 import (
-	"encoding/json"
-	"fmt"
-	"time"
-
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 )
 
@@ -61,18 +57,6 @@
 	// It bounds from above when those records were appended, which a record's
 	// own stamp can't: an append may be held up for minutes on its way.
 	Seen     platform.Offset
-	Claims   []ClaimRecord   `json:",omitempty"`
-	Outcomes []OutcomeRecord `json:",omitempty"`
+	Claims   []ClaimRecord
+	Outcomes []OutcomeRecord
 }
-
-func (b Batch) encode() ([]byte, error) { return json.Marshal(b) }
-
-func decodeBatch(body []byte) (Batch, error) {
-	var b Batch
-	if err := json.Unmarshal(body, &b); err != nil {
-		return Batch{}, fmt.Errorf("journal: decode batch: %w", err)
-	}
-	return b, nil
-}
-
-func millis(t time.Time) int64 { return t.UnixMilli() }
--- a/request/journal/route.go
+++ b/request/journal/route.go
@@ -1,27 +1,14 @@
 package journal
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/samber/lo"
 	"golang.org/x/time/rate"
 )
 
-// maxReaders is how many readers a node asks before it does the work itself.
-// With one more than one, the death of a reader makes one other node append
-// in its place, not every node of the data centre.
-const maxReaders = 2
-
-// avoidFor is how long a node that failed a call is not asked as a reader;
-// the members should have noticed by then.
-const avoidFor = 5 * time.Second
-
 // Member is a live node.
 type Member struct {
 	Name       string
@@ -48,40 +35,6 @@
 	return errors.New("journal: no peers")
 }
 
-// readers gives the other nodes of this data centre to ask about a partition,
-// the best first, by rendezvous hashing, and whether this node is the next.
-func (j *Journal) readers(now time.Time, partition int) (ask []Member, self bool) {
-	near := lo.Filter(j.peers.Members(), func(m Member, _ int) bool {
-		return m.DataCentre == j.settings.DataCentre && !j.avoided(now, m.Name)
-	})
-	slices.SortFunc(near, func(a, b Member) int {
-		return cmp.Compare(score(partition, b.Name), score(partition, a.Name))
-	})
-	near = near[:min(len(near), maxReaders)]
-	for i, m := range near {
-		if m.Name == j.settings.Node {
-			return near[:i], true
-		}
-	}
-	return near, false
-}
-
-func score(partition int, node string) uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%d/%s", partition, node))
-}
-
-// avoided says whether a node failed a call a moment ago.
-func (j *Journal) avoided(now time.Time, node string) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	until, ok := j.avoid[node]
-	if ok && !now.Before(until) {
-		delete(j.avoid, node)
-		return false
-	}
-	return ok
-}
-
 // call calls a peer, and avoids it as a reader for a while if it fails, so
 // that a half-open connection costs one request its time and not each.
 func (j *Journal) call(ctx context.Context, m Member, method string, args, reply any) error {
@@ -186,16 +139,8 @@
 	return p.record(ctx, now, outcomes)
 }
 
-// appendRate gives how many appends a second one partition may make here:
-// each data centre has one appender per partition, and they share the budget.
-func (j *Journal) appendRate() rate.Limit {
-	dataCentres := len(lo.UniqBy(j.peers.Members(), func(m Member) string { return m.DataCentre }))
-	return rate.Limit(j.settings.AppendBudget / float64(j.settings.Partitions*max(dataCentres, 1)))
-}
-
 // partition gives the open partition, opening it if need be.
 func (j *Journal) partition(now time.Time, n int) (*partition, error) {
-	every := j.appendRate()
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.closed {
@@ -204,16 +149,24 @@
 	p := j.partitions[n]
 	if p == nil {
 		stream := fmt.Sprintf("%s-%d", j.settings.Stream, n)
+		every := rate.Limit(j.assigned.Load().appendRate(j.settings.AppendBudget))
 		p = newPartition(j.settings, stream, j.log, j.health, every, now)
 		j.partitions[n] = p
 	}
 	return p, nil
 }
 
+// assign divides the partitions among the members of the moment.
+func (j *Journal) assign() {
+	a := assign(j.peers.Members(), j.settings.DataCentre, j.settings.Partitions)
+	j.assigned.Store(&a)
+}
+
 // tend adapts the open partitions to the members, and closes those that
 // nobody asks for.
 func (j *Journal) tend(now time.Time) {
-	every := j.appendRate()
+	j.assign()
+	every := rate.Limit(j.assigned.Load().appendRate(j.settings.AppendBudget))
 	var idle []*partition
 	j.mu.Lock()
 	for n, p := range j.partitions {
--- a/request/journal/settings.go
+++ b/request/journal/settings.go
@@ -16,7 +16,8 @@
 	// Node is this node's name, as its peers know it.
 	Node string
 	// Incarnation tells this run of the process from an earlier one under
-	// the same name. Any number that does not come twice will do.
+	// the same name. It must not come twice; the time of the start in
+	// milliseconds will do.
 	Incarnation uint64
 	// DataCentre is where this node stands.
 	DataCentre string
