Bound what one bad record and one dead holder can do

Cause: a record that makes the fold panic would stop every node and again after each restart; when a holder dies every node takes the lease at once; 512 held records had no bound in bytes. Change: a panic in the fold refuses the record (the state before it is whole, as states are never changed in place); a fuzz target of raw bodies; held records bounded to 4 MB; the spread of takes is tested. The engines' own check of the number taken out as well: the expiry of orders alone still keeps the old holder's order out, and the other way round.

--- a/version/fold/apply.go
+++ b/version/fold/apply.go
@@ -63,7 +63,16 @@
 
 func rememberable(id string) bool { return id != "" && len(id) <= record.MaxID }
 
-func (s State) accept(a at) (State, *Refusal) {
+// accept judges one record. Safeguard: a record that makes the fold panic
+// would stop every node, and again after each restart, until the log has
+// trimmed it. As a state is never changed in place, refusing the record
+// leaves the one before whole.
+func (s State) accept(a at) (next State, refusal *Refusal) {
+	defer func() {
+		if v := recover(); v != nil {
+			next, refusal = s, refuse(Invalid, "record %s of type %s can't be applied: %v", a.record.ID, a.record.Type, v)
+		}
+	}()
 	if !rememberable(a.record.ID) {
 		return s, refuse(Invalid, "a record's id has %d bytes, 1 to %d allowed", len(a.record.ID), record.MaxID)
 	}
--- a/version/fold/fuzz_test.go
+++ b/version/fold/fuzz_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
@@ -148,6 +149,46 @@
 	})
 }
 
+// All nodes stop at one record and again after each restart. A writer with a
+// fault appended a body that no version meant. Whatever it holds, the fold
+// must take it in and a node that reads it from a snapshot end equal.
+func FuzzApplyBody(f *testing.F) {
+	h := newHistory(f, 1)
+	h.append(record.TakeLease{Holder: "a"})
+	h.tryPlan(retire("e0"))
+	f.Add("Propose", `{"Plan":{"ID":"p9","Steps":[{"Action":4,"Stage":-1,"Upstream":"x"}]}}`)
+	f.Add("Confirm", `{"Plan":"p0","Base":3}`)
+	f.Add("BeginStep", `{"Plan":"p0","Step":-1,"Fencing":2}`)
+	f.Add("Bootstrap", `{"Changes":[{}]}`)
+	f.Fuzz(func(t *testing.T, typ, body string) {
+		if !json.Valid([]byte(body)) {
+			return
+		}
+		r := record.Record{ID: "fuzz", Type: record.Type(typ), Base: h.state.Offset, Body: json.RawMessage(body)}
+		confirm := record.Record{ID: "after", Type: record.TypeConfirm, Base: h.state.Offset, Body: json.RawMessage(`{"Plan":"p9"}`)}
+		raw, err := record.Encode([]record.Record{r, confirm})
+		if err != nil {
+			t.Fatal(err)
+		}
+		next, outcomes, err := h.state.Apply(platform.Record{Offset: h.state.Offset + 1, Body: raw})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, o := range outcomes {
+			if o.Refusal != nil && strings.Contains(o.Refusal.Reason, "can't be applied") {
+				t.Fatal(o.Refusal)
+			}
+		}
+		packed, err := snapshot.Encode(&next)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s, err := snapshot.Decode(packed); err != nil || encoded(t, *s) != encoded(t, next) {
+			t.Fatalf("after a snapshot: %v", err)
+		}
+	})
+}
+
 func replay(t *testing.T, s fold.State, records []platform.Record) fold.State {
 	t.Helper()
 	for _, r := range records {
--- a/version/follower/follower.go
+++ b/version/follower/follower.go
@@ -252,7 +252,7 @@
 // publish makes s the state in force. mu is held.
 func (f *Follower) publish(s *fold.State, origin Origin) {
 	old := f.state.Load()
-	f.recent = f.recent[max(0, len(f.recent)-maxRecent):]
+	f.recent = newest(f.recent)
 	f.state.Store(s)
 	f.origin = origin
 	close(f.changed)
--- a/version/follower/follower_test.go
+++ b/version/follower/follower_test.go
@@ -381,7 +381,8 @@
 	}
 	near, far := net.Pipe()
 	go server.ServeConn(far)
-	client := rpc.NewClient(near)
+	counted := &countedConn{Conn: near}
+	client := rpc.NewClient(counted)
 	defer func() { _ = client.Close() }()
 	for _, applied := range []platform.Offset{0, 1} {
 		var resp follower.NewerResponse
@@ -392,4 +393,30 @@
 			t.Errorf("after %d: %+v", applied, resp)
 		}
 	}
+	before := counted.bytes.Load()
+	const calls = 100
+	for range calls {
+		if err := client.Call("Relay.Newer", follower.NewerRequest{Applied: 1}, &follower.NewerResponse{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Logf("%d bytes both ways for a call without news", (counted.bytes.Load()-before)/calls)
+}
+
+// countedConn counts the bytes of both directions.
+type countedConn struct {
+	net.Conn
+	bytes atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
 }
--- a/version/follower/relay.go
+++ b/version/follower/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 const (
 	// maxRecent is how many applied records are held for peers.
 	maxRecent = 512
+	// maxRecentBytes bounds their size together.
+	maxRecentBytes = 4 << 20
 	// maxRelayBytes bounds the records of one answer, but for a single one.
 	maxRelayBytes = 256 << 10
 )
@@ -101,6 +104,19 @@
 	return append([]platform.Record(nil), f.recent[from:to]...), offset, f.asOf
 }
 
+// newest gives the last records within both bounds.
+func newest(records []platform.Record) []platform.Record {
+	from, size := len(records), 0
+	for from > 0 && len(records)-from < maxRecent {
+		size += len(records[from-1].Body)
+		if size > maxRecentBytes {
+			break
+		}
+		from--
+	}
+	return slices.Clone(records[from:])
+}
+
 // catchUp goes on from a snapshot when the log has trimmed what comes next.
 func (f *Follower) catchUp(ctx context.Context, first platform.Offset) error {
 	s, err := snapshot.Latest(ctx, f.log, first-1)
--- a/version/planner/fake_test.go
+++ b/version/planner/fake_test.go
@@ -124,8 +124,12 @@
 
 // newSite sets up n engines of model m with version v1, half of them in pool
 // old, half in pool new.
-func newSite(t *testing.T, n int) *site {
-	s := &site{t: t, log: &fakelog.Log{}, fleet: &fleet{engines: map[string]*engine{}, loadTime: 30 * time.Second}}
+func newSite(t *testing.T, n int) *site { return newSiteOf(t, n, false) }
+
+// newSiteOf says whether the engines check fencing numbers, and the
+// configuration says so too.
+func newSiteOf(t *testing.T, n int, checks bool) *site {
+	s := &site{t: t, log: &fakelog.Log{}, fleet: &fleet{engines: map[string]*engine{}, loadTime: 30 * time.Second, ignore: !checks}}
 	b := record.Bootstrap{Changes: []config.Change{
 		{SetModel: &config.Model{Name: "m", Version: "v1"}},
 		{SetWorkspace: &config.Workspace{Name: "sofia", Shares: []config.Share{{Pool: "old", Percent: 100}}}},
@@ -134,7 +138,7 @@
 		name := fmt.Sprintf("e%02d", i)
 		s.fleet.engines[name] = &engine{f: s.fleet, model: "m", version: "v1"}
 		b.Changes = append(b.Changes, config.Change{SetUpstream: &config.Upstream{
-			Name: name, Pool: []string{"old", "new"}[i%2], Address: "127.0.0.1:1", Models: []string{"m"}, Slots: 8,
+			Name: name, Pool: []string{"old", "new"}[i%2], Address: "127.0.0.1:1", Models: []string{"m"}, Slots: 8, ChecksFencing: checks,
 		}})
 	}
 	s.reg = s.follower(s.log)
@@ -307,3 +311,19 @@
 	e.orders.pass()
 	return e.Engine.Order(ctx, o)
 }
+
+// slowLog answers after 100 ms.
+type slowLog struct{ platform.Log }
+
+const slowness = 100 * time.Millisecond
+
+func (l *slowLog) Append(ctx context.Context, stream string, body []byte) (platform.Offset, error) {
+	time.Sleep(slowness / 2)
+	defer time.Sleep(slowness / 2)
+	return l.Log.Append(ctx, stream, body)
+}
+
+func (l *slowLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+	defer time.Sleep(slowness)
+	return l.Log.Read(ctx, stream, from, limit, wait)
+}
--- a/version/planner/planner_test.go
+++ b/version/planner/planner_test.go
@@ -122,10 +122,9 @@
 // unaware, and sends its order. Engines that check fencing numbers refuse it
 // by its number, those that ignore them by the time at which it expired.
 func TestHolderStoppedUnaware(t *testing.T) {
-	for _, ignore := range []bool{false, true} {
+	for _, checks := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			s := newSite(t, 4)
-			s.fleet.ignore = ignore
+			s := newSiteOf(t, 4, checks)
 			reports, orders := &gate{}, &gate{}
 			s.plannerWith(Config{Node: "a"}, s.log, s.fleet.gated(reports, orders))
 			time.Sleep(2 * time.Minute) // a may order from the start
@@ -143,7 +142,7 @@
 			time.Sleep(10 * time.Minute)
 			s.checkAll("v1")
 			if s.fleet.loads() != before {
-				t.Errorf("ignore %t: the first holder's order began a load", ignore)
+				t.Errorf("checks %t: the first holder's order began a load", checks)
 			}
 		})
 	}
@@ -157,7 +156,7 @@
 func TestLateOrderAfterHandover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 4)
-		s.fleet.ignore, s.fleet.loadTime = true, 5*time.Second
+		s.fleet.loadTime = 5 * time.Second
 		cfg := Config{Node: "a", OrderLife: time.Minute}
 		reports, orders := &gate{}, &gate{}
 		orders.shut()
@@ -264,3 +263,32 @@
 		})
 	}
 }
+
+// The log is flooded when a holder dies: every node of a large fleet takes
+// the lease in the same moment. Takes are spread, and a node that has heard
+// of another's take leaves it. Answers of the log take 100 ms here.
+func TestTakesAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 64
+		s := newSite(t, 4)
+		slow := &slowLog{Log: s.log}
+		for range nodes {
+			s.planner("node", slow)
+		}
+		time.Sleep(time.Minute)
+		lease := s.reg.State().Lease
+		if lease.Holder == "" {
+			t.Fatal("nobody holds the lease")
+		}
+		takes := 0
+		for _, o := range s.reg.State().Seen {
+			if o.Refusal != nil && o.Refusal.Code == fold.LeaseHeld {
+				takes++
+			}
+		}
+		t.Logf("%d nodes, lease free: %d takes refused; %d appends in the first minute", nodes, takes, s.log.Appends())
+		if takes > nodes/4 {
+			t.Errorf("%d of %d nodes tried in vain", takes, nodes)
+		}
+	})
+}
