Bound what a node takes for an upstream's normal state

Cause: 8 nodes that start together on one upstream with room for 64 have only ever seen it overloaded; the nodes whose first answers were slow kept that as their measure: the limits summed up to 101, 1 to 36 each, after a minute. Change: where the expected time to first token is known, the least slowdown counts as 2 at most. One node is as before. The test covers 8 nodes on one upstream; benchmarks of retries and ejection are added.

--- /dev/null
+++ b/request/ejection/bench_test.go
@@ -0,0 +1,33 @@
+package ejection
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkExcluded is the question before a placement, with a tenth of the
+// upstreams ejected, and the sample after it.
+func BenchmarkExcluded(b *testing.B) {
+	for _, n := range []int{12, 100, 400, 1700} {
+		for _, ejected := range []int{0, n / 10} {
+			b.Run(fmt.Sprint(n, "/", ejected), func(b *testing.B) {
+				d := New(Default)
+				names := make([]string, n)
+				for i := range names {
+					names[i] = fmt.Sprint("u", i)
+				}
+				d.SetUpstreams(start, names)
+				for _, name := range names[:ejected] {
+					fail(d, start, name, Default.Consecutive)
+				}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now := start.Add(time.Duration(i) * time.Microsecond)
+					d.ExcludedAmong(now, names)
+					d.Observe(now, names[n-1], Sample{FirstToken: time.Second, Expected: time.Second})
+				}
+			})
+		}
+	}
+}
--- a/request/limit/concurrency.go
+++ b/request/limit/concurrency.go
@@ -261,9 +261,18 @@
 	if u.least[0] == 0 || u.smooth < u.least[0] {
 		u.least[0] = u.smooth
 	}
-	return u.smooth > cfg.Tolerance*u.base()
+	base := u.base()
+	if r.Expected > 0 {
+		base = min(base, mostBase)
+	}
+	return u.smooth > cfg.Tolerance*base
 }
 
+// mostBase bounds the least slowdown where the expected time is known. A node
+// that has only ever seen an upstream overloaded, by its peers, would take
+// that for its normal state.
+const mostBase = 2
+
 // base is the least slowdown of this window and the one before.
 func (u *upstreamLimit) base() float64 {
 	if u.least[1] > 0 {
--- a/request/limit/concurrency_test.go
+++ b/request/limit/concurrency_test.go
@@ -13,15 +13,31 @@
 // and up again, or callers wait in the engine's queue, where no priority of
 // ours counts, or engines stand idle.
 func TestConcurrencyFollowsTheRoom(t *testing.T) {
-	for _, refuses := range []bool{true, false} {
-		c := NewConcurrency[string](DefaultConcurrency)
-		e := &engine{c: c, refuses: refuses, rnd: rand.New(rand.NewPCG(3, 4)), now: start}
-		for _, phase := range []struct{ room, least, most int }{{32, 24, 48}, {8, 5, 14}, {32, 24, 48}} {
-			e.run(phase.room, 60*time.Second)
-			got := c.Limit("e")
-			t.Logf("refuses %v, room %d: limit %d", refuses, phase.room, got)
-			if got < phase.least || got > phase.most {
-				t.Errorf("refuses %v, room %d: limit %d, want %d to %d", refuses, phase.room, got, phase.least, phase.most)
+	tests := []struct {
+		nodes   int
+		refuses bool
+		room    []int // one after the other
+	}{
+		{1, true, []int{32, 8, 32}},
+		{1, false, []int{32, 8, 32}},
+		{8, true, []int{64, 16, 64}},
+		{8, false, []int{64, 16, 64}},
+	}
+	for _, tt := range tests {
+		e := &engine{refuses: tt.refuses, rnd: rand.New(rand.NewPCG(3, 4)), now: start}
+		for range tt.nodes {
+			e.limits = append(e.limits, NewConcurrency[string](DefaultConcurrency))
+		}
+		for _, room := range tt.room {
+			e.run(room, 60*time.Second)
+			sum, least, most := 0, DefaultConcurrency.Ceiling, 0
+			for _, c := range e.limits {
+				sum += c.Limit("e")
+				least, most = min(least, c.Limit("e")), max(most, c.Limit("e"))
+			}
+			t.Logf("%d nodes, refuses %v, room %d: sum of the limits %d, %d to %d each", tt.nodes, tt.refuses, room, sum, least, most)
+			if sum < room*3/4 || sum > room*3/2 || least*8 < most {
+				t.Errorf("%d nodes, refuses %v, room %d: sum of the limits %d, %d to %d each", tt.nodes, tt.refuses, room, sum, least, most)
 			}
 		}
 	}
@@ -30,15 +46,16 @@
 // engine serves room requests at once, each for about a second, first token
 // after 100 ms; beyond that it refuses, or the first token waits for a slot.
 type engine struct {
-	c       *Concurrency[string]
+	limits  []*Concurrency[string] // of the nodes
 	refuses bool
 	rnd     *rand.Rand
 	now     time.Time
-	firsts  []first
-	ends    []time.Time
+	firsts  []happening
+	ends    []happening
 }
 
-type first struct {
+type happening struct {
+	node  int
 	at    time.Time
 	after time.Duration
 }
@@ -47,34 +64,40 @@
 func (e *engine) run(room int, d time.Duration) {
 	for end := e.now.Add(d); e.now.Before(end); e.now = e.now.Add(10 * time.Millisecond) {
 		e.finish()
-		for e.c.Acquire(e.now, "e") {
-			busy := len(e.ends)
-			if e.refuses && busy >= room {
-				e.c.Release(e.now, "e", Result{Outcome: Refused})
-				break
+		for _, i := range e.rnd.Perm(len(e.limits)) {
+			for e.limits[i].Acquire(e.now, "e") && e.accept(i, room) {
 			}
-			wait := time.Duration(max(0, busy-room+1)) * time.Second / time.Duration(room)
-			hold := time.Duration((0.5 + e.rnd.Float64()) * float64(time.Second))
-			after := wait + 100*time.Millisecond
-			e.firsts = append(e.firsts, first{e.now.Add(after), after})
-			e.ends = append(e.ends, e.now.Add(after+hold))
 		}
 	}
 }
 
+func (e *engine) accept(node, room int) bool {
+	busy := len(e.ends)
+	if e.refuses && busy >= room {
+		e.limits[node].Release(e.now, "e", Result{Outcome: Refused})
+		return false
+	}
+	wait := time.Duration(max(0, busy-room+1)) * time.Second / time.Duration(room)
+	hold := time.Duration((0.5 + e.rnd.Float64()) * float64(time.Second))
+	after := wait + 100*time.Millisecond
+	e.firsts = append(e.firsts, happening{node, e.now.Add(after), after})
+	e.ends = append(e.ends, happening{node, e.now.Add(after + hold), 0})
+	return true
+}
+
 func (e *engine) finish() {
-	e.firsts = slices.DeleteFunc(e.firsts, func(f first) bool {
+	e.firsts = slices.DeleteFunc(e.firsts, func(f happening) bool {
 		if f.at.After(e.now) {
 			return false
 		}
-		e.c.Answered(e.now, "e", f.after, 100*time.Millisecond)
+		e.limits[f.node].Answered(e.now, "e", f.after, 100*time.Millisecond)
 		return true
 	})
-	e.ends = slices.DeleteFunc(e.ends, func(end time.Time) bool {
-		if end.After(e.now) {
+	e.ends = slices.DeleteFunc(e.ends, func(f happening) bool {
+		if f.at.After(e.now) {
 			return false
 		}
-		e.c.Release(e.now, "e", Result{})
+		e.limits[f.node].Release(e.now, "e", Result{})
 		return true
 	})
 }
