Run heartbeats beside one that waits, and send news after a failure

Cause: a heartbeat to a dead peer waits 1.5 s, during which the node sent no other and so kept the suspicion to itself; rounds also went to the suspect again in the ring's order, on top of its own share. Change: up to four rounds at a time, a second heartbeat after a failed one, no suspects in the ring; values can be kept within a data centre, and their age travels in milliseconds.

--- a/process/member/blob.go
+++ b/process/member/blob.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -13,7 +14,8 @@
 	Node    string
 	Name    string
 	Version uint64 // grows with each Publish, over restarts too
-	Age     time.Duration
+	Age     uint32 // milliseconds
+	Local   bool   // not to leave the node's data centre
 	Value   []byte
 }
 
@@ -34,6 +36,7 @@
 	version uint64
 	at      time.Time
 	value   []byte
+	local   bool
 	sends   int
 }
 
@@ -48,21 +51,34 @@
 
 // Publish replaces this node's value under a name. It goes out with each
 // heartbeat to come; peers pass it on within the bytes of a message, so the
-// more nodes publish and the larger the values, the older they are elsewhere.
+// more nodes publish and the larger the values, the older they are elsewhere,
+// in other data centres first.
 func (t *Table) Publish(now time.Time, name string, value []byte) error {
-	if len(value) > MaxBlobBytes || len(name) > MaxNameBytes {
-		return fmt.Errorf("publish %q with %d bytes, at most %d: %w", name, len(value), MaxBlobBytes, ErrTooLarge)
+	return t.publish(now, name, heldBlob{value: value})
+}
+
+// PublishLocal is Publish for the nodes of this data centre alone, which
+// leaves more bytes for those who gain by the value.
+func (t *Table) PublishLocal(now time.Time, name string, value []byte) error {
+	return t.publish(now, name, heldBlob{value: value, local: true})
+}
+
+func (t *Table) publish(now time.Time, name string, b heldBlob) error {
+	if len(b.value) > MaxBlobBytes || len(name) > MaxNameBytes {
+		return fmt.Errorf("publish %q with %d bytes, at most %d: %w", name, len(b.value), MaxBlobBytes, ErrTooLarge)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := blobKey{node: t.self.Name, name: name}
-	version := uint64(t.self.Incarnation)
-	if b := t.blobs[key]; b != nil {
-		version = max(version, b.version+1)
+	b.version = uint64(t.self.Incarnation)
+	if former := t.blobs[key]; former != nil {
+		b.version = max(b.version, former.version+1)
 	} else if t.blobNames(t.self.Name) >= MaxBlobNames {
 		return fmt.Errorf("publish %q beside %d others: %w", name, MaxBlobNames, ErrTooMany)
 	}
-	t.blobs[key] = &heldBlob{version: version, at: now, value: slices.Clone(value)}
+	b.at = now
+	b.value = slices.Clone(b.value)
+	t.blobs[key] = &b
 	return nil
 }
 
@@ -108,7 +124,8 @@
 	if held == nil && t.blobNames(b.Node) >= MaxBlobNames {
 		return
 	}
-	t.blobs[key] = &heldBlob{version: b.Version, at: now.Add(-max(b.Age, 0)), value: b.Value}
+	at := now.Add(-time.Duration(b.Age) * time.Millisecond)
+	t.blobs[key] = &heldBlob{version: b.Version, at: at, value: b.Value, local: b.Local}
 }
 
 func (t *Table) forgetBlobs(node string) {
@@ -141,11 +158,14 @@
 )
 
 func (t *Table) classOf(k blobKey, dataCentre string) class {
-	if k.node == t.self.Name {
+	local := t.blobs[k].local
+	if k.node == t.self.Name && (!local || dataCentre == t.self.DataCentre) {
 		return ownValue
 	}
 	e := t.members[k.node]
 	switch {
+	case local && dataCentre != t.self.DataCentre:
+		return uselessValue
 	case e == nil || e.record.State == Dead:
 		return uselessValue
 	case e.record.DataCentre != dataCentre:
@@ -209,5 +229,6 @@
 func (t *Table) send(now time.Time, k blobKey) Blob {
 	b := t.blobs[k]
 	b.sends++
-	return Blob{Node: k.node, Name: k.name, Version: b.version, Age: max(now.Sub(b.at), 0), Value: b.value}
+	age := uint32(min(max(now.Sub(b.at).Milliseconds(), 0), math.MaxUint32))
+	return Blob{Node: k.node, Name: k.name, Version: b.version, Age: age, Local: b.local, Value: b.value}
 }
--- a/process/member/round.go
+++ b/process/member/round.go
@@ -28,11 +28,17 @@
 	return &Prober{table: t, network: n, clock: clock}
 }
 
-// Round sends one heartbeat. If the peer does not answer, a few others are
-// asked to probe it, since the fault may lie between the two nodes alone;
-// only if these get no answer either is it suspected. It gives false if
-// there was nobody to send to or no answer came.
+// Round sends one heartbeat, and after a failure another: the first has just
+// made news that would else wait for the next round. It gives false if there
+// was nobody to send to or no answer came.
 func (p *Prober) Round(ctx context.Context) bool {
+	return p.beat(ctx) || p.beat(ctx)
+}
+
+// beat sends one heartbeat. If the peer does not answer, a few others are
+// asked to probe it, since the fault may lie between the two nodes alone;
+// only if these get no answer either is it suspected.
+func (p *Prober) beat(ctx context.Context) bool {
 	now := p.clock()
 	target, ok := p.table.NextTarget(now)
 	if !ok {
--- a/process/member/runner.go
+++ b/process/member/runner.go
@@ -5,9 +5,11 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/event"
@@ -96,13 +98,25 @@
 // as often.
 const joinShare = 8
 
+// maxRounds is how many rounds run at a time. A round that waits for a dead
+// peer takes longer than an interval and must not hold up the next.
+const maxRounds = 4
+
 func (r *Runner) probe(ctx context.Context, p *Prober) {
-	interval := r.cfg.Interval
-	joined := false
+	var joined atomic.Bool
+	var rounds errgroup.Group
+	rounds.SetLimit(maxRounds)
+	defer rounds.Wait()
+	round := func() error {
+		if p.Round(ctx) {
+			joined.Store(true)
+		}
+		return nil
+	}
 	for {
-		wait := interval
-		if !joined {
-			wait = interval / joinShare
+		wait := r.cfg.Interval
+		if !joined.Load() {
+			wait /= joinShare
 		}
 		// Spread, or nodes started together would all send at the same moment.
 		wait = wait*9/10 + rand.N(wait/5)
@@ -111,10 +125,10 @@
 			return
 		case <-r.wake:
 			for range leaveRounds {
-				p.Round(ctx)
+				rounds.TryGo(round)
 			}
 		case <-time.After(wait):
-			joined = p.Round(ctx) || joined
+			rounds.TryGo(round)
 		}
 	}
 }
--- a/process/member/target.go
+++ b/process/member/target.go
@@ -97,7 +97,7 @@
 	usable := func(local bool) func(string) bool {
 		return func(name string) bool {
 			e := t.members[name]
-			return e != nil && e.record.State != Dead && (e.record.DataCentre == t.self.DataCentre) == local
+			return e != nil && e.record.State == Alive && t.isNear(e) == local
 		}
 	}
 	next := func(r *ring, local bool) (Target, bool) {
