Look for removed objects at every 64th offset only

Cause: each record went through all objects to forget removed ones. Change: pure in the offset, so still the same on every node; a test that a removal is remembered while a plan made before it may be confirmed.

--- a/version/fold/apply.go
+++ b/version/fold/apply.go
@@ -199,16 +199,18 @@
 	return s
 }
 
+// pruneEvery is at which offsets removed objects are looked for, as the look
+// goes through all objects.
+const pruneEvery = 64
+
 // prunedTouches forgets removed objects once no plan that may still be
 // confirmed was made before the removal: plans older than the window are
 // refused when they are proposed.
 func (s State) prunedTouches() State {
-	oldest := s.Offset
-	if oldest > record.Window {
-		oldest -= record.Window
-	} else {
+	if s.Offset <= record.Window || s.Offset%pruneEvery != 0 {
 		return s
 	}
+	oldest := s.Offset - record.Window
 	for _, p := range s.Plans {
 		if p.Status == Proposed {
 			oldest = min(oldest, p.Base)
--- a/version/fold/fold_test.go
+++ b/version/fold/fold_test.go
@@ -238,6 +238,34 @@
 	}
 }
 
+// A removed workspace comes back. A plan about it was made before the
+// removal and is confirmed hours later. The removal must be remembered as long
+// as such a plan may be confirmed, and forgotten after that.
+func TestRemovalRemembered(t *testing.T) {
+	h := newHistory(t, 2)
+	old := h.plan("p1", "ana", limit("w0", 1))
+	remove := record.Intent{ChangeConfig: &record.ChangeConfig{Changes: []config.Change{{RemoveWorkspace: "w0"}}}}
+	if err := h.confirm(h.plan("p2", "boris", remove)); err != nil {
+		t.Fatal(err)
+	}
+	pass := func() {
+		for range record.Window + 64 {
+			h.append(record.TakeLease{Holder: "a", Prev: h.state.Lease.Version})
+		}
+	}
+	pass()
+	if err := h.confirm(old); !errors.Is(err, fold.ErrOvertaken) {
+		t.Fatalf("the old plan: %v", err)
+	}
+	if err := h.confirm(h.plan("p3", "ana", record.Intent{Abort: &record.PlanRef{Plan: "p1"}})); err != nil {
+		t.Fatal(err)
+	}
+	pass()
+	if _, ok := h.state.Touched[record.Object(record.KindWorkspace, "w0")]; ok {
+		t.Error("the removal is remembered for ever")
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	h := newHistory(t, 1)
 	running := h.plan("p1", "ana", retire("e0"))
