--- a/version/follower/follower_test.go
+++ b/version/follower/follower_test.go
@@ -273,4 +273,3 @@
 		})
 	}
 }
-
