--- a/connection/upstream/overhttp/failure_test.go
+++ b/connection/upstream/overhttp/failure_test.go
@@ -185,7 +185,7 @@
 // The engine freezes with the connection open, before the head or between
 // tokens. The caller goes away, and must be let go though no byte comes.
 func TestCancelledCallerIsLetGo(t *testing.T) {
-	e, a := startEngine(t, engine.Config{Decode: -1}, overhttp.Config{})
+	e, a := startEngine(t, engine.Config{Decode: -1, Orphan: time.Nanosecond}, overhttp.Config{})
 	e.Fault(engine.Fault{Frozen: true})
 	ctx, cancel := context.WithCancel(testContext(t))
 	go func() {
--- a/connection/upstream/overhttp/service.go
+++ b/connection/upstream/overhttp/service.go
@@ -35,7 +35,7 @@
 	if err := s.client.Whole(ctx, &req, &resp); err != nil {
 		return upstream.Reply{}, mapped(err)
 	}
-	if len(resp.Header.Peek(HeaderRefusal)) > 0 {
+	if len(resp.Header.Peek(HeaderRefusal)) > 0 && resp.StatusCode() != fasthttp.StatusOK {
 		return upstream.Reply{}, fmt.Errorf("service %s: %w", s.client.Address(), refusal(&resp, resp.Body()))
 	}
 	return reply(&resp), nil
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -79,14 +81,15 @@
 // page gives the events from a sequence number on that are older than until.
 func (c *cache) page(from uint64, until time.Time) (events []upstream.CacheEvent, next uint64) {
 	next = from
-	for _, t := range c.events {
+	first, _ := slices.BinarySearchFunc(c.events, from, func(t timedEvent, from uint64) int {
+		return cmp.Compare(t.event.Sequence, from)
+	})
+	for _, t := range c.events[first:] {
 		if t.at.After(until) {
 			return events, next
 		}
-		if t.event.Sequence >= from {
-			events = append(events, t.event)
-			next = t.event.Sequence + 1
-		}
+		events = append(events, t.event)
+		next = t.event.Sequence + 1
 	}
 	return events, max(next, c.next)
 }
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -141,6 +141,8 @@
 	tokens, finish, ok := remaining(g)
 	switch {
 	case r != nil:
+	case e.closed:
+		r = &overhttp.Refusal{Code: overhttp.CodeNotRun, Message: "closed"}
 	case !ok:
 		r = &overhttp.Refusal{Code: overhttp.CodeNotRun, Message: "Continue is not an opening of the answer"}
 	case g.StreamID == "" || e.streams[g.StreamID] != nil:
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -45,6 +45,9 @@
 		e.counters.StaleOrders++
 		return &overhttp.Refusal{Code: overhttp.CodeStaleFencing, Message: fmt.Sprintf("%d is lower than %d", o.Fencing, e.fencing)}
 	}
+	if e.closed {
+		return &overhttp.Refusal{Code: overhttp.CodeNotRun, Message: "closed"}
+	}
 	if !o.Expires.IsZero() && now.After(o.Expires) {
 		return &overhttp.Refusal{Code: overhttp.CodeNotRun, Message: "the order has expired"}
 	}
