Measure the whole path with its queue, limits, ejection and retries

Cause: the table showed placement alone; what serve runs puts the queue, the concurrency limits, ejection and the retry budget around it, and overload and retry storms were not measured at all. Ruled out: running package completion itself (needs goroutines and the wall clock); the harness makes the same calls of guard and queue in its order. Change: the policy "Serve" is the whole path around the latest placement policy; callers have deadlines, priorities and come back when told to; scenarios for overload at twice capacity, with callers that come back, one large workspace, half of the engines failing, and a data centre's engines lost. Goodput counts the work of requests with a first token in time, by what their kind costs the oracle in calm.

--- a/measure/engine/engine.go
+++ b/measure/engine/engine.go
@@ -109,6 +109,23 @@
 	return true
 }
 
+// Cancel takes a job out before its first token; nothing is called any more.
+func (e *Engine) Cancel(j *Job) {
+	if j.ended {
+		return
+	}
+	e.advance()
+	j.ended = true
+	e.urgent = remove(e.urgent, j)
+	e.queue = remove(e.queue, j)
+	e.prefill = remove(e.prefill, j)
+	e.decode = remove(e.decode, j)
+	if e.working == j {
+		e.working = nil
+	}
+	e.admit()
+}
+
 // Crash ends all work and loses the cache; the engine refuses connections
 // until Restart.
 func (e *Engine) Crash() {
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -9,8 +9,18 @@
 
 // Scenario is what happens in a run beside the calm workload.
 type Scenario struct {
-	Name    string
-	Changes []workload.Change
+	Name string
+	// Admission puts the scenario into the table of limits and retries.
+	Admission bool
+	Changes   []workload.Change
+	// Load is the arrivals from eventAt on as a multiple of capacity; 0
+	// means those of calm.
+	Load float64
+	// Flood is the same, but what goes beyond calm comes from the largest
+	// workspace alone.
+	Flood float64
+	// Returns is how often a refused caller comes back.
+	Returns int
 	// Loss is the share of cache events that each node misses.
 	Loss float64
 	// Lag is how old a load report is when it arrives; 0 means the usual.
@@ -50,6 +60,41 @@
 		{Name: "FastErrors", From: eventAt, To: eventEnd, Fault: fastErrors},
 		{Name: "Restart", From: eventAt, To: eventEnd, Fault: (*fleet).restartNodes},
 		{Name: "CutCentre", From: eventAt, To: eventEnd, Fault: (*fleet).cutCentre},
+		{Name: "Overload", Admission: true, From: eventAt, To: eventEnd, Load: 2},
+		{Name: "Returning", Admission: true, From: eventAt, To: eventEnd, Load: 2, Returns: 3},
+		{Name: "LargeWorkspace", Admission: true, From: eventAt, To: eventEnd, Flood: 2},
+		{Name: "HalfFailing", Admission: true, From: eventAt, To: eventEnd, Fault: halfFailing},
+		{Name: "CentreLost", Admission: true, From: eventAt, To: eventEnd, Fault: centreLost},
+	}
+}
+
+// changes is what happens to the user's workload.
+func (s Scenario) changes(u workload.User) []workload.Change {
+	switch {
+	case s.Load > 0:
+		return []workload.Change{{At: eventAt, Rate: s.Load / u.CalmLoad}}
+	case s.Flood > 0:
+		return []workload.Change{{At: eventAt, Flood: s.Flood/u.CalmLoad - 1}}
+	}
+	return s.Changes
+}
+
+// halfFailing makes every other engine answer with errors at once.
+func halfFailing(f *fleet) {
+	for i, e := range f.engines {
+		if i%2 == 0 {
+			e.SetFailing(true)
+			f.clock.After(faultTime, func() { e.SetFailing(false) })
+		}
+	}
+}
+
+// centreLost crashes all engines of the first data centre.
+func centreLost(f *fleet) {
+	for _, e := range f.engines {
+		if e.Config().DataCentre == f.user.DataCentres[0] {
+			f.crash(e, faultTime)
+		}
 	}
 }
 
--- /dev/null
+++ b/measure/serving.go
@@ -0,0 +1,211 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/limit"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/request/retry"
+)
+
+// serving is what a node has besides its placement policy on the whole path:
+// the queue before, and the limits, ejection and retries around each send.
+// The order of the calls is that of package completion, which itself needs
+// goroutines and the wall clock.
+type serving struct {
+	guard   *guard.Guard
+	queue   *limit.Queue
+	waiting map[*limit.Entry]*call
+}
+
+// Serve is the whole path that serve runs, with the given policy.
+func Serve(named placement.Named) Policy {
+	p := fromPlacement(named)
+	p.Name = ServeName
+	p.serves = true
+	return p
+}
+
+// ServeName is the name of the rows of the whole path.
+const ServeName = "Serve"
+
+// Defaults of the node's settings and request paths.
+const (
+	queueLength  = 512
+	queueMaxWait = 5 * time.Second
+	headTimeout  = 30 * time.Second
+	resizePeriod = time.Second
+	expirePeriod = 100 * time.Millisecond
+)
+
+func newServing(seed uint64) *serving {
+	g := guard.DefaultConfig
+	g.Retry.Seed = seed
+	q := limit.DefaultQueue
+	q.Seed = seed
+	q.MaxWaiting = queueLength
+	q.MaxWait = queueMaxWait
+	made, err := guard.New(g)
+	if err != nil {
+		panic(fmt.Errorf("measure: %w", err))
+	}
+	return &serving{guard: made, queue: limit.NewQueue(q), waiting: make(map[*limit.Entry]*call)}
+}
+
+// maintain does what a process does from time to time, also while it drains.
+func (f *fleet) maintain(n *node, s *serving) {
+	f.clock.Every(resizePeriod, func() { f.resize(n, s) })
+	f.clock.Every(expirePeriod, func() { f.settle(s, s.queue.Expire(f.clock.Now())) })
+}
+
+// resize fits the queue's places to what the upstreams take from this node.
+func (f *fleet) resize(n *node, s *serving) {
+	capacity := max(1, s.guard.Capacity(f.names()))
+	f.settle(s, s.queue.SetCapacity(f.clock.Now(), capacity))
+}
+
+func (f *fleet) settle(s *serving, entries []*limit.Entry) {
+	for _, e := range entries {
+		c := s.waiting[e]
+		delete(s.waiting, e)
+		if e.State == limit.Granted {
+			c.begin()
+			continue
+		}
+		c.refuse(e.Err)
+	}
+}
+
+// Expected rates, for the share of capacity that one request takes up.
+const (
+	prefillRate = 8000.0 // prompt tokens a second
+	decodeRate  = 60.0   // output tokens a second
+)
+
+// offer asks the queue to let the request in.
+func (c *call) offer() {
+	chain, output := c.request.Chain, c.request.Output
+	e, settled := c.serving.queue.Offer(c.now(), limit.Ticket{
+		ID:        c.id(),
+		Workspace: c.request.Workspace,
+		Priority:  c.request.Class,
+		Cost:      float64(chain.Tokens())/prefillRate + float64(output)/decodeRate,
+		StartBy:   c.deadline(),
+	})
+	c.entry = e
+	c.serving.waiting[e] = c
+	c.f.settle(c.serving, settled)
+}
+
+func (c *call) id() string { return strconv.FormatUint(c.request.ID, 10) }
+
+func (c *call) deadline() time.Time {
+	return c.now().Add(c.request.Deadline - (c.f.clock.Elapsed() - c.arrived))
+}
+
+// begin places a request that was let in.
+func (c *call) begin() {
+	if !c.now().Before(c.deadline()) {
+		c.release()
+		c.refuse(failure.ErrDeadlineExceeded)
+		return
+	}
+	c.place()
+}
+
+// release gives the place in the queue back.
+func (c *call) release() {
+	if c.serving != nil {
+		c.f.settle(c.serving, c.serving.queue.Done(c.now(), c.entry))
+	}
+}
+
+// refuse is the caller's refusal; the caller comes back when it was told to,
+// if the scenario has it so.
+func (c *call) refuse(err *failure.Error) {
+	s := c.sample
+	s.Refused = true
+	s.Decided = c.f.clock.Elapsed() - c.arrived
+	if s.Returned >= c.f.scenario.Returns || err.RetryAfter == 0 {
+		return
+	}
+	c.f.clock.After(err.RetryAfter, func() {
+		s.Refused = false
+		s.Returned++
+		c.f.begin(c.request, s)
+	})
+}
+
+func (c *call) patience() time.Duration {
+	return min(headTimeout, c.deadline().Sub(c.now()))
+}
+
+// timeout gives up on an upstream that has sent no token in time.
+func (v *visit) timeout() {
+	if v.ended || v.first > 0 {
+		return
+	}
+	if v.job != nil {
+		v.e.Cancel(v.job)
+	}
+	v.end(context.Canceled)
+}
+
+// endServing tells the guard of the end and asks it what comes next.
+func (v *visit) endServing(err error) {
+	c := v.c
+	c.serving.guard.End(c.now(), v.d.Upstream, guard.Send{
+		Err:         err,
+		FirstToken:  v.first,
+		Expected:    v.d.Idle,
+		Incarnation: v.incarnation,
+	})
+	switch {
+	case err == nil:
+		c.release()
+	case v.first > 0:
+		c.release()
+		c.sample.Cut = true
+	default:
+		c.again(v, err)
+	}
+}
+
+// again sends a failed request once more, or gives it up.
+func (c *call) again(v *visit, cause error) {
+	verdict := c.serving.guard.Decide(c.now(), retry.Attempt{
+		ID:         c.id(),
+		Workspace:  c.request.Workspace,
+		Upstream:   v.d.Upstream,
+		Tries:      c.sample.Sends,
+		Repeatable: true,
+		Fault:      retry.Classify(cause, 0),
+		Others:     c.others(v.d.Upstream),
+		Deadline:   c.deadline(),
+		Cause:      cause,
+	})
+	switch verdict.Action {
+	case retry.RetryElsewhere:
+		c.excluded = append(c.excluded, v.d.Upstream)
+		c.begin()
+	case retry.RetrySame:
+		c.f.clock.After(verdict.Wait, c.begin)
+	default:
+		c.release()
+		c.sample.Failed = true
+	}
+}
+
+// others counts the upstreams that were not tried yet, but for name.
+func (c *call) others(name string) int {
+	return lo.CountBy(c.n.eligible, func(n string) bool {
+		return n != name && !lo.Contains(c.excluded, n)
+	})
+}
--- a/measure/workload/workload.go
+++ b/measure/workload/workload.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -22,6 +23,9 @@
 	Chain     prefix.Chain
 	Output    int // tokens
 	Urgent    bool
+	ID        uint64
+	Class     int           // of limit's priorities; 0 is the most urgent
+	Deadline  time.Duration // for the first token, from the arrival
 }
 
 // User is a deployment with its workload.
@@ -32,9 +36,12 @@
 	Engines     []placement.Upstream
 	CacheTokens int     // of each engine
 	Rate        float64 // requests a second, in calm
-	Kinds       []Kind
-	Burst       Burst // part of the calm workload
-	Weighing    config.Weighing
+	// CalmLoad is the part of the engines' prefill time that the oracle needs
+	// for the calm workload. Capacity is the calm workload divided by it.
+	CalmLoad float64
+	Kinds    []Kind
+	Burst    Burst // part of the calm workload
+	Weighing config.Weighing
 
 	workspaces []workspace
 }
@@ -44,8 +51,11 @@
 	Name   string
 	Share  float64 // of the requests
 	Urgent bool
-	Output Range // tokens
-	Query  Range // tokens of the prompt that no other prompt has
+	Class  int // of limit's priorities
+	// Deadline is how long callers wait for the first token.
+	Deadline time.Duration
+	Output   Range // tokens
+	Query    Range // tokens of the prompt that no other prompt has
 	// Reread is the share of requests that take up one of the records that
 	// were read last.
 	Reread float64
@@ -95,6 +105,15 @@
 	// Boost is the share of all requests that go to the hot context on top
 	// of those that do in calm; 0 means no change.
 	Boost float64
+	// Flood is the rate of further requests of the largest workspace, as a
+	// factor on the calm arrival rate of all; 0 means no change.
+	Flood float64
+}
+
+// Small reports whether a workspace is among the smaller half.
+func (u User) Small(name string) bool {
+	i := slices.IndexFunc(u.workspaces, func(w workspace) bool { return w.name == name })
+	return i >= len(u.workspaces)/2
 }
 
 // mix is the finalizer of splitmix64: a fixed hash of small integers.
