Repair engines that come back without the weights in force

Cause: once a step had ended nobody looked at the engine again; one that restarted with its first weights was lost capacity, as its answers are refused by their version. Ruled out: loads outside plans (another holder wouldn't count them). Change: the lease holder goes round the active engines in two minutes and states a plan for one that lacks the weights twice, two at most at a time.

--- a/version/fold/capacity.go
+++ b/version/fold/capacity.go
@@ -163,13 +163,17 @@
 }
 
 // checkDrain refuses to take an upstream out of service now if a model would
-// have no other active engine at this moment.
-func (s State) checkDrain(upstream string) *Refusal {
+// have no other active engine at this moment. The model for which an upstream
+// is repaired doesn't count, as the upstream doesn't serve it.
+func (s State) checkDrain(p Plan, upstream string) *Refusal {
 	u := s.Config.Upstreams[upstream]
 	if u.Kind != config.Engine {
 		return nil
 	}
 	for _, model := range u.Models {
+		if p.Intent.RepairUpstream != nil && model == p.Model {
+			continue
+		}
 		others := slices.DeleteFunc(s.Config.Engines(model), func(o config.Upstream) bool { return o.Name == upstream })
 		if len(others) == 0 {
 			return refuse(Capacity, "model %s has no other active engine than %s at present", model, upstream)
--- a/version/fold/step.go
+++ b/version/fold/step.go
@@ -49,7 +49,7 @@
 			return refuse(Limit, "plan %s may drain %d upstreams at once", p.ID, max(1, p.Parallel))
 		}
 	}
-	return s.checkDrain(st.Upstream)
+	return s.checkDrain(p, st.Upstream)
 }
 
 func (s State) finishStep(a at, b record.FinishStep) (State, *Refusal) {
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -60,6 +60,8 @@
 		return retire(s, *in.RetireUpstream)
 	case in.RollOutWeights != nil:
 		return rollOut(s, *in.RollOutWeights)
+	case in.RepairUpstream != nil:
+		return repair(s, *in.RepairUpstream)
 	case in.ChangeConfig != nil:
 		return change(s, in.ChangeConfig.Changes)
 	case in.Pause != nil:
--- a/version/plan/undo.go
+++ b/version/plan/undo.go
@@ -63,6 +63,8 @@
 
 func back(s *fold.State, of fold.Plan) (record.Plan, error) {
 	switch of.Steps[len(of.Steps)-1].Action {
+	case record.LoadWeights:
+		return record.Plan{}, fmt.Errorf("plan %s repaired an upstream and changed nothing agreed on: %w", of.ID, ErrInvalid)
 	case record.SettleVersion:
 		return rollOut(s, record.RollOutWeights{Model: of.Model, Version: modelBefore(of)})
 	case record.ShiftShares:
--- a/version/plan/upstream.go
+++ b/version/plan/upstream.go
@@ -77,6 +77,26 @@
 	return p, nil
 }
 
+// repair changes nothing that was agreed on: it loads what is in force. It
+// needs no other engine of the model, as the one to repair doesn't serve it.
+func repair(s *fold.State, in record.RepairUpstream) (record.Plan, error) {
+	u, ok := s.Config.Upstreams[in.Upstream]
+	if !ok || u.State == config.Retired {
+		return record.Plan{}, fmt.Errorf("upstream %q: %w", in.Upstream, ErrUnknown)
+	}
+	m, ok := s.Config.Models[in.Model]
+	if !ok || !slices.Contains(u.Models, in.Model) {
+		return record.Plan{}, fmt.Errorf("model %q of upstream %s: %w", in.Model, u.Name, ErrUnknown)
+	}
+	return record.Plan{
+		Model: m.Name, Version: m.Version, Parallel: 1,
+		Touches:  []string{record.Object(record.KindUpstream, u.Name)},
+		Steps:    []record.Step{{Action: record.LoadWeights, Upstream: u.Name}},
+		Words:    []string{fmt.Sprintf("upstream %s is drained, loaded with %s %s again and activated", u.Name, m.Name, m.Version)},
+		Capacity: []string{"as it is"},
+	}, nil
+}
+
 // loaders are the engines that a roll-out has to reach. Those that are
 // drained are among them: an aborted roll-out may have left them so.
 func loaders(c config.Config, model string) []config.Upstream {
--- a/version/planner/duty.go
+++ b/version/planner/duty.go
@@ -60,6 +60,7 @@
 	p.duty = duty{}
 	clear(p.steps)
 	clear(p.notBefore)
+	p.repair = rounds{}
 }
 
 // release gives the lease back, so that another node needn't wait for TTL.
--- a/version/planner/fake_test.go
+++ b/version/planner/fake_test.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// restart gives an engine the weights that it is started with.
+func (f *fleet) restart(name, version string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[name].version = version
+}
+
 func (f *fleet) loads() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/version/planner/planner.go
+++ b/version/planner/planner.go
@@ -5,10 +5,10 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/version/fold"
@@ -56,6 +56,9 @@
 	// LoadInterval is the least time between two loads begun: the weight
 	// store's rate limit. 0: none.
 	LoadInterval time.Duration
+	// RepairInterval is the time between two looks at every active engine for
+	// the weights in force.
+	RepairInterval time.Duration
 	// MaxTries is how often a step is tried before its plan is paused.
 	MaxTries int
 	// CallTimeout bounds each call to an upstream.
@@ -75,7 +78,9 @@
 	DefaultLoadTimeout   = 15 * time.Minute
 	DefaultWarmTimeout   = 2 * time.Minute
 	DefaultMaxTries      = 3
-	DefaultCallTimeout   = 2 * time.Second
+	// DefaultRepairInterval makes 14 looks a second at 1,700 engines.
+	DefaultRepairInterval = 2 * time.Minute
+	DefaultCallTimeout    = 2 * time.Second
 )
 
 const (
@@ -108,6 +113,7 @@
 	lastLoad  time.Time
 	made      snapshot.Made
 	snapAfter time.Time
+	repair    rounds
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -145,9 +151,7 @@
 		steps:     map[stepKey]*attempt{},
 		notBefore: map[stepKey]time.Time{},
 	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(p.holder))
-	p.stagger = cfg.TTL / staggers * time.Duration(h.Sum32()%1000) / 1000
+	p.stagger = cfg.TTL / staggers * time.Duration(xxhash.Sum64String(cfg.Node)%1000) / 1000
 	return p
 }
 
@@ -181,6 +185,7 @@
 	}
 	p.snapshot(ctx, now)
 	p.work(ctx, now)
+	p.repairDue(ctx, now)
 }
 
 func (c Config) withDefaults() Config {
@@ -192,6 +197,7 @@
 	orDefault(&c.DrainDeadline, DefaultDrainDeadline)
 	orDefault(&c.LoadTimeout, DefaultLoadTimeout)
 	orDefault(&c.WarmTimeout, DefaultWarmTimeout)
+	orDefault(&c.RepairInterval, DefaultRepairInterval)
 	orDefault(&c.MaxTries, DefaultMaxTries)
 	orDefault(&c.CallTimeout, DefaultCallTimeout)
 	orDefault(&c.Snapshots, snapshot.DefaultPolicy)
--- a/version/planner/planner_test.go
+++ b/version/planner/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -264,6 +265,59 @@
 	}
 }
 
+// A third of the capacity is missing after a power cut, and nobody knows why.
+// Engines came back with the weights that they were started with, long before
+// the roll-out. They must be loaded with those in force, two at once, and a
+// model's only engine as well.
+func TestRepairAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 6)
+		s.addModel("n", 1)
+		s.planner("a", s.log)
+		s.confirm("p1", rollOut("v2"))
+		s.await("p1", fold.Finished, time.Hour)
+		before := s.fleet.loads()
+		for _, name := range []string{"e00", "e02", "e03"} {
+			s.fleet.restart(name, "v1")
+		}
+		s.fleet.restart("n00", "")
+		time.Sleep(20 * time.Minute)
+		c := s.reg.State().Config
+		for name, e := range s.fleet.engines {
+			if want := c.Models[e.model].Version; e.version != want || c.Upstreams[name].State != config.Active {
+				t.Errorf("%s has %q, want %q, and is %s", name, e.version, want, c.Upstreams[name].State)
+			}
+		}
+		if got := s.fleet.loads() - before; got != 4 || s.fleet.most > fold.MaxLoads {
+			t.Errorf("%d loads, %d at once", got, s.fleet.most)
+		}
+	})
+}
+
+// A plan is half understood. Nodes of a newer version wrote a record that
+// this node skips, and this node holds the lease. It must give it back.
+func TestHolderThatSkippedARecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 4)
+		s.planner("old", s.log)
+		time.Sleep(20 * time.Second)
+		if l := s.reg.State().Lease; l.Free || l.Holder == "" {
+			t.Fatalf("lease %+v", l)
+		}
+		body, err := record.Encode([]record.Record{{ID: "x", Type: "Later", Base: s.reg.State().Offset, Body: []byte("{}")}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.log.Append(t.Context(), record.Stream, body); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		if l := s.reg.State().Lease; !l.Free {
+			t.Fatalf("lease %+v", l)
+		}
+	})
+}
+
 // The log is flooded when a holder dies: every node of a large fleet takes
 // the lease in the same moment. Takes are spread, and a node that has heard
 // of another's take leaves it. Answers of the log take 100 ms here.
@@ -272,8 +326,8 @@
 		const nodes = 64
 		s := newSite(t, 4)
 		slow := &slowLog{Log: s.log}
-		for range nodes {
-			s.planner("node", slow)
+		for i := range nodes {
+			s.planner(fmt.Sprint("node-", i), slow)
 		}
 		time.Sleep(time.Minute)
 		lease := s.reg.State().Lease
--- a/version/record/plan.go
+++ b/version/record/plan.go
@@ -18,6 +18,7 @@
 	RetireUpstream *RetireUpstream `json:",omitempty"`
 	RollOutWeights *RollOutWeights `json:",omitempty"`
 	ChangeConfig   *ChangeConfig   `json:",omitempty"`
+	RepairUpstream *RepairUpstream `json:",omitempty"`
 	Pause          *PlanRef        `json:",omitempty"`
 	Resume         *PlanRef        `json:",omitempty"`
 	Abort          *PlanRef        `json:",omitempty"`
@@ -45,6 +46,13 @@
 	Version string
 }
 
+// RepairUpstream brings one engine back to the weights in force. The planner
+// states it by itself when an engine has come back without them.
+type RepairUpstream struct {
+	Upstream string
+	Model    string
+}
+
 // ChangeConfig is any daily change, in force as a whole or not at all.
 type ChangeConfig struct {
 	Changes []config.Change
