--- a/request/journal/codec.go
+++ b/request/journal/codec.go
@@ -20,9 +20,10 @@
 // the bytes that every reader has to read. A later version that needs more
 // adds a field here; older nodes skip it.
 type wireBatch struct {
-	Stamp   int64
-	Seen    platform.Offset
-	Writers []Writer `json:",omitempty"`
+	Stamp    int64
+	Seen     platform.Offset
+	Appender Writer   `json:",omitzero"`
+	Writers  []Writer `json:",omitempty"`
 	// Claims has per claim: the place of its writer in Writers, its sequence,
 	// its age (Stamp less KeyTime), and the hashes of key and request.
 	Claims []byte `json:",omitempty"`
@@ -48,7 +49,7 @@
 }
 
 func (b Batch) encode() ([]byte, error) {
-	w := wireBatch{Stamp: b.Stamp, Seen: b.Seen}
+	w := wireBatch{Stamp: b.Stamp, Seen: b.Seen, Appender: b.Appender}
 	t := writerTable{places: map[Writer]uint64{}}
 	for _, c := range b.Claims {
 		w.Claims = b.appendHead(w.Claims, &t, c.ID, c.KeyTime)
@@ -76,7 +77,7 @@
 	if err := json.Unmarshal(body, &w); err != nil {
 		return Batch{}, fmt.Errorf("journal: decode batch: %w", err)
 	}
-	b := Batch{Stamp: w.Stamp, Seen: w.Seen}
+	b := Batch{Stamp: w.Stamp, Seen: w.Seen, Appender: w.Appender}
 	claims := rowReader{Reader: bytes.NewReader(w.Claims), batch: &w}
 	for claims.more() {
 		c := ClaimRecord{}
--- a/request/journal/earlier.go
+++ b/request/journal/earlier.go
@@ -69,7 +69,7 @@
 
 // standing says how a claim of this node stands.
 func (j *Journal) standing(now time.Time, id ClaimID) AnswerResponse {
-	if id.Writer != j.writer() {
+	if id.Writer != j.settings.writer() {
 		return AnswerResponse{Standing: Forgotten}
 	}
 	if a, ok := j.answers.get(now, id.Sequence); ok {
--- a/request/journal/journal.go
+++ b/request/journal/journal.go
@@ -126,7 +126,7 @@
 		deadline: deadline,
 		recorded: true,
 		record: ClaimRecord{
-			ID:      ClaimID{Writer: j.writer(), Sequence: j.sequence.Add(1)},
+			ID:      ClaimID{Writer: j.settings.writer(), Sequence: j.sequence.Add(1)},
 			Key:     hashKey(e.Workspace, e.Key),
 			Request: e.Request,
 			KeyTime: millis(keyTime),
@@ -134,10 +134,6 @@
 	}
 }
 
-func (j *Journal) writer() Writer {
-	return Writer{Node: j.settings.Node, Incarnation: j.settings.Incarnation}
-}
-
 // unavailable is for a claim on which the log gave no verdict. This node will
 // not send, but an earlier try may have run elsewhere; only the log could
 // tell, so the failure says Unknown.
--- a/request/journal/load_test.go
+++ b/request/journal/load_test.go
@@ -59,6 +59,9 @@
 // long asks for the whole table of docs/design/journal.md.
 var long = flag.Bool("long", false, "play longer loads, and 360 nodes")
 
+// only picks the loads of one rate out of the table.
+var only = flag.Int("only", -1, "play only the loads of so many calls a second")
+
 func loadSeconds() int {
 	if *long {
 		return 20
@@ -146,10 +149,14 @@
 			loadCase{360, 7, 380, time.Millisecond, d.Partitions, 400},
 			loadCase{8, 4, 20, time.Millisecond, d.Partitions, d.AppendBudget},
 			loadCase{8, 4, 80, time.Millisecond, d.Partitions, d.AppendBudget},
+			loadCase{8, 1, 80, time.Millisecond, d.Partitions, d.AppendBudget},
 		)
 	}
 	t.Log("nodes DCs calls/s log partitions budget | appends/s, log B/call, peer calls/s, peer B/call, added median, p99, failed")
 	for _, l := range cases {
+		if *only >= 0 && l.callsPerSecond != *only {
+			continue
+		}
 		r := playLoad(t, l)
 		t.Logf("%d %d %d %v %d %.0f | %.0f %.0f %.0f %.0f %v %v %d", l.nodes, l.dataCentres, l.callsPerSecond, l.logDelay,
 			l.partitions, l.budget, r.appends, r.bytes, r.peerCalls, r.peerBytes,
--- a/request/journal/partition.go
+++ b/request/journal/partition.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/event"
@@ -65,7 +64,6 @@
 	log      platform.Log
 	logger   *zap.Logger
 	health   *health
-	limiter  *rate.Limiter
 	work     chan struct{} // holds one token when something is to be appended
 	ready    chan struct{} // closed once the state serves fresh keys
 	cancel   context.CancelFunc
@@ -75,6 +73,7 @@
 	used     atomic.Int64 // when somebody last asked, in nanoseconds since 1970
 
 	mu         sync.Mutex
+	share      *share // its limiter is used without the mutex
 	state      *State
 	openFailed chan struct{} // closed and replaced when the state could not be opened
 	filled     chan struct{} // closed once the state serves all keys, or is given up
@@ -84,7 +83,7 @@
 }
 
 // newPartition starts to read and append; close stops it.
-func newPartition(s Settings, stream string, log platform.Log, h *health, every rate.Limit, now time.Time) *partition {
+func newPartition(s Settings, stream string, log platform.Log, h *health, now time.Time) *partition {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &partition{
 		settings:   s,
@@ -92,7 +91,7 @@
 		log:        log,
 		logger:     h.logger,
 		health:     h,
-		limiter:    rate.NewLimiter(every, 2),
+		share:      newShare(s),
 		work:       make(chan struct{}, 1),
 		ready:      make(chan struct{}),
 		cancel:     cancel,
@@ -248,7 +247,7 @@
 			return
 		case <-p.work:
 		}
-		if err := p.limiter.Wait(ctx); err != nil {
+		if err := p.share.limiter.Wait(ctx); err != nil {
 			return
 		}
 		p.flush(ctx)
@@ -292,7 +291,7 @@
 func (p *partition) take(now time.Time) (Batch, []outcomeGroup) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := Batch{Stamp: millis(now)}
+	b := Batch{Stamp: millis(now), Appender: p.settings.writer()}
 	if p.state != nil {
 		b.Seen = p.state.next - 1
 	}
@@ -380,7 +379,7 @@
 		}
 		return nil
 	}
-	p.apply(page)
+	p.apply(now, page)
 	p.expire(now)
 	return nil
 }
@@ -396,15 +395,17 @@
 	p.state.Expire(millis(now))
 }
 
-func (p *partition) apply(page platform.Page) {
+func (p *partition) apply(now time.Time, page platform.Page) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.share.adapt(now)
 	for _, r := range page.Records {
 		b, err := p.state.Apply(r)
 		if err != nil {
 			event.Warn(p.logger, event.JournalRecordUnread, zap.Uint64("Offset", uint64(r.Offset)), zap.Error(err))
 			continue
 		}
+		p.share.note(now, b.Appender)
 		for _, c := range b.Claims {
 			if v, h := p.state.Look(c); v != Undecided {
 				p.decide(c.ID, decision{verdict: v, holder: h})
--- a/request/journal/readers.go
+++ b/request/journal/readers.go
@@ -22,17 +22,14 @@
 
 // assignment gives for each partition the nodes of this data centre in the
 // order in which they are asked to read it.
-type assignment struct {
-	readers     [][]Member
-	dataCentres int
-}
+type assignment [][]Member
 
 // assign ranks the nodes of a data centre for each partition by rendezvous
 // hashing. A node that is the first for one partition is passed over for the
 // next as long as there are others, so that no node has to read two. Nodes
 // that see other members may come to another result, which does no harm.
 func assign(members []Member, dataCentre string, partitions int) assignment {
-	a := assignment{dataCentres: len(lo.UniqBy(members, func(m Member) string { return m.DataCentre }))}
+	var a assignment
 	near := lo.Filter(members, func(m Member, _ int) bool { return m.DataCentre == dataCentre })
 	taken := map[string]int{}
 	for n := range partitions {
@@ -43,7 +40,7 @@
 		if len(ranked) > 0 {
 			taken[ranked[0].Name]++
 		}
-		a.readers = append(a.readers, ranked)
+		a = append(a, ranked)
 	}
 	return a
 }
@@ -52,16 +49,10 @@
 	return xxhash.Sum64String(strconv.Itoa(partition) + "/" + node)
 }
 
-// appendRate gives how many appends a second one partition may make here:
-// each data centre has one appender per partition, and they share the budget.
-func (a assignment) appendRate(budget float64) float64 {
-	return budget / float64(len(a.readers)*max(a.dataCentres, 1))
-}
-
 // readers gives the other nodes of this data centre to ask about a partition,
 // the best first, and whether this node is the next.
 func (j *Journal) readers(now time.Time, partition int) (ask []Member, self bool) {
-	for _, m := range j.assigned.Load().readers[partition] {
+	for _, m := range (*j.assigned.Load())[partition] {
 		if len(ask) == maxReaders {
 			break
 		}
--- a/request/journal/record.go
+++ b/request/journal/record.go
@@ -56,7 +56,9 @@
 	// Seen is the last offset that the appender had read at Stamp; 0: none.
 	// It bounds from above when those records were appended, which a record's
 	// own stamp can't: an append may be held up for minutes on its way.
-	Seen     platform.Offset
+	Seen platform.Offset
+	// Appender is who appended the batch, whoever wrote its claims.
+	Appender Writer
 	Claims   []ClaimRecord
 	Outcomes []OutcomeRecord
 }
--- a/request/journal/route.go
+++ b/request/journal/route.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 // Member is a live node.
@@ -149,8 +147,7 @@
 	p := j.partitions[n]
 	if p == nil {
 		stream := fmt.Sprintf("%s-%d", j.settings.Stream, n)
-		every := rate.Limit(j.assigned.Load().appendRate(j.settings.AppendBudget))
-		p = newPartition(j.settings, stream, j.log, j.health, every, now)
+		p = newPartition(j.settings, stream, j.log, j.health, now)
 		j.partitions[n] = p
 	}
 	return p, nil
@@ -162,15 +159,12 @@
 	j.assigned.Store(&a)
 }
 
-// tend adapts the open partitions to the members, and closes those that
-// nobody asks for.
+// tend divides the partitions anew and closes those that nobody asks for.
 func (j *Journal) tend(now time.Time) {
 	j.assign()
-	every := rate.Limit(j.assigned.Load().appendRate(j.settings.AppendBudget))
 	var idle []*partition
 	j.mu.Lock()
 	for n, p := range j.partitions {
-		p.limiter.SetLimit(every)
 		if now.Sub(time.Unix(0, p.used.Load())) > j.settings.IdleAfter {
 			idle = append(idle, p)
 			delete(j.partitions, n)
--- a/request/journal/settings.go
+++ b/request/journal/settings.go
@@ -112,6 +112,8 @@
 	return errors.Join(faults...)
 }
 
+func (s Settings) writer() Writer { return Writer{Node: s.Node, Incarnation: s.Incarnation} }
+
 // lead is how much earlier than a key's time, by the clock of any node, the
 // first claim of that key can have been appended.
 func (s Settings) lead() time.Duration { return s.MaxAhead + 2*s.ClockSkew }
