Repair an engine only for weights it holds wrongly, or if it holds none

Cause: a model that is absent beside others counted as lacking; an engine too small for all of its models would be loaded with them by turns.

--- a/version/planner/repair.go
+++ b/version/planner/repair.go
@@ -116,13 +116,22 @@
 	return lacking
 }
 
+// lacks gives a model that the engine holds in other weights than accepted,
+// or its first model if it holds none. A model that is merely absent beside
+// others doesn't count: an engine may be too small for all of its models, and
+// would be loaded with them by turns.
 func lacks(c config.Config, name string, r upstream.Report) string {
-	if r.Loading {
+	models := c.Upstreams[name].Models
+	if r.Loading || len(models) == 0 {
 		return ""
 	}
-	for _, model := range c.Upstreams[name].Models {
-		if m, ok := c.Models[model]; ok && !accepted(m, r) {
-			return model
+	if len(r.Models) == 0 {
+		return models[0]
+	}
+	for _, l := range r.Models {
+		m, ok := c.Models[l.Model]
+		if ok && slices.Contains(models, l.Model) && !accepted(m, r) {
+			return l.Model
 		}
 	}
 	return ""
