Check a plan for the faults that it adds; pause after early empty answers

Cause: a fault from the start switched the check of every later plan off, and a log that answers an empty read at once would be asked without pause. Change: faults are compared before and after; 50 ms between early empty answers. Seen before: the check of a bad change was passed over (the old condition is false as soon as the configuration has any fault).

--- a/version/config/check.go
+++ b/version/config/check.go
@@ -16,7 +16,10 @@
 
 // Check gives all faults of a configuration at once, each with its place; nil
 // if there are none.
-func (c Config) Check() error {
+func (c Config) Check() error { return errors.Join(c.Faults()...) }
+
+// Faults gives the same one by one.
+func (c Config) Faults() []error {
 	var faults []error
 	fault := func(format string, args ...any) {
 		faults = append(faults, fmt.Errorf(format+": %w", append(args, ErrInvalid)...))
@@ -35,7 +38,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.Operators)) {
 		checkKeys("Operators."+name+".Tokens", c.Operators[name].Tokens, fault)
 	}
-	return errors.Join(faults...)
+	return faults
 }
 
 type faulter func(format string, args ...any)
--- a/version/follower/follower.go
+++ b/version/follower/follower.go
@@ -190,6 +190,7 @@
 	next := f.State().Offset + 1
 	call, cancel := context.WithTimeout(ctx, f.cfg.PollWait+f.cfg.CallTimeout)
 	defer cancel()
+	asked := time.Now()
 	page, err := f.log.Read(call, record.Stream, next, pageLimit, f.cfg.PollWait)
 	if errors.Is(err, platform.ErrTrimmed) {
 		return f.catchUp(call, page.First)
@@ -204,6 +205,9 @@
 		return err
 	}
 	f.contact(time.Now(), f.State().Offset+1 >= page.End, FromLog)
+	if len(page.Records) == 0 && time.Since(asked) < f.cfg.PollWait/2 {
+		sleep(ctx, backoffFirst) // a log that doesn't hold back empty answers
+	}
 	return nil
 }
 
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -89,8 +89,8 @@
 			}
 		}
 	}
-	if err := s.Effect(p).Check(); err != nil && s.Projected().Check() == nil {
-		return fmt.Errorf("%w: %w", ErrInvalid, err)
+	if faults := added(s.Projected().Faults(), s.Effect(p).Faults()); len(faults) > 0 {
+		return fmt.Errorf("%w: %w", ErrInvalid, errors.Join(faults...))
 	}
 	if r := s.CheckCapacity(p); r != nil {
 		return r
@@ -98,6 +98,16 @@
 	return nil
 }
 
+// added gives the faults that weren't there before: a fault of long ago must
+// not keep operators from changing something else.
+func added(before, after []error) []error {
+	old := map[string]bool{}
+	for _, f := range before {
+		old[f.Error()] = true
+	}
+	return slices.DeleteFunc(after, func(f error) bool { return old[f.Error()] })
+}
+
 func change(s *fold.State, changes []config.Change) (record.Plan, error) {
 	if len(changes) == 0 {
 		return record.Plan{}, fmt.Errorf("no changes: %w", ErrInvalid)
--- a/version/plan/plan_test.go
+++ b/version/plan/plan_test.go
@@ -138,6 +138,23 @@
 	}
 }
 
+// No change can be made any more, or none is checked any more, because one
+// thing was wrong from the start. Only new faults must count.
+func TestOldFaultDoesNotCount(t *testing.T) {
+	s := state(t)
+	s.Config = s.Config.WithModel(config.Model{Name: "broken"})
+	limit := func(n int) record.Intent {
+		ch := config.Change{SetLimit: &config.WorkspaceLimit{Workspace: "sofia", Limit: config.Limit{InFlight: n}}}
+		return record.Intent{ChangeConfig: &record.ChangeConfig{Changes: []config.Change{ch}}}
+	}
+	if _, err := plan.Make(s, limit(5), now); err != nil {
+		t.Errorf("a good change: %v", err)
+	}
+	if _, err := plan.Make(s, limit(-5), now); !errors.Is(err, plan.ErrInvalid) {
+		t.Errorf("a bad change: %v", err)
+	}
+}
+
 // An undo takes away what another operator was told is in force. He changed
 // the same workspace after the plan that is undone. The undo must be refused
 // and say by whom, and without such a change it must set back exactly.
