--- a/connection/upstream/overhttp/bench_test.go
+++ b/connection/upstream/overhttp/bench_test.go
@@ -18,23 +18,23 @@
 func canned(tokens int) []byte {
 	var b bytes.Buffer
 	b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-	event := func(name string, v any) {
+	event := func(index int, name string, v any) {
 		data, err := json.Marshal(v)
 		if err != nil {
 			panic(err)
 		}
-		text := fmt.Sprintf("event: %s\ndata: %s\n\n", name, data)
+		text := fmt.Sprintf("id: %s\nevent: %s\ndata: %s\n\n", overhttp.AppendEventID(nil, "g", index), name, data)
 		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(text), text)
 	}
-	event(overhttp.EventHead, upstream.Head{StreamID: "g", Version: "v1"})
+	event(0, overhttp.EventHead, upstream.Head{StreamID: "g", Version: "v1"})
 	for i := range tokens {
-		t := overhttp.TokenEvent{StreamID: "g", Index: i, Text: "word "}
+		t := overhttp.TokenEvent{Text: "word "}
 		if i == tokens-1 {
 			t.Finish = "stop"
 		}
-		event(overhttp.EventToken, t)
+		event(i, overhttp.EventToken, t)
 	}
-	event(overhttp.EventEnd, overhttp.EndEvent{StreamID: "g", Tokens: tokens})
+	event(tokens, overhttp.EventEnd, overhttp.EndEvent{Tokens: tokens})
 	b.WriteString("0\r\n\r\n")
 	return b.Bytes()
 }
--- a/connection/upstream/overhttp/stream.go
+++ b/connection/upstream/overhttp/stream.go
@@ -35,7 +35,10 @@
 	mu     sync.Mutex // held by Next while it reads, and by Close at its end
 	body   *exchange.Stream
 	lines  *bufio.Reader
+	id     []byte // of the last event read
 	data   []byte // of the last event read
+	token  TokenEvent
+	want   []byte // id that the next event must have
 	next   int    // index that the next token must have
 	ended  bool   // the token with Finish was given
 	err    error
@@ -88,7 +91,7 @@
 	if s.head.StreamID != id {
 		return fmt.Errorf("%w: head of stream %q", upstream.ErrOutOfOrder, s.head.StreamID)
 	}
-	return nil
+	return s.checkID()
 }
 
 // Head gives what the engine said before the first token.
@@ -117,9 +120,12 @@
 	if err != nil {
 		return upstream.Token{}, err
 	}
+	if err := s.checkID(); err != nil {
+		return upstream.Token{}, err
+	}
 	switch {
 	case name == EventToken && !s.ended:
-		return s.token(data)
+		return s.decodeToken(data)
 	case name == EventEnd && s.ended:
 		return upstream.Token{}, s.end(data)
 	default:
@@ -127,18 +133,26 @@
 	}
 }
 
-func (s *stream) token(data []byte) (upstream.Token, error) {
-	var t TokenEvent
-	if err := json.Unmarshal(data, &t); err != nil {
-		return upstream.Token{}, fmt.Errorf("token: %w: %w", upstream.ErrBroken, err)
+// checkID compares the last event's id with the one that is due: a gap, a
+// repeat and an event of another stream all differ.
+func (s *stream) checkID() error {
+	s.want = AppendEventID(s.want[:0], s.head.StreamID, s.next)
+	if !bytes.Equal(s.id, s.want) {
+		return fmt.Errorf("%w: %q in place of %q", upstream.ErrOutOfOrder, s.id, s.want)
 	}
-	if t.StreamID != s.head.StreamID || t.Index != s.next {
-		return upstream.Token{}, fmt.Errorf("%w: token %d of stream %q in place of %d of %q",
-			upstream.ErrOutOfOrder, t.Index, t.StreamID, s.next, s.head.StreamID)
+	return nil
+}
+
+func (s *stream) decodeToken(data []byte) (upstream.Token, error) {
+	t := &s.token // reused, since each decoded value would go to the heap
+	*t = TokenEvent{}
+	if err := json.Unmarshal(data, t); err != nil {
+		return upstream.Token{}, fmt.Errorf("token: %w: %w", upstream.ErrBroken, err)
 	}
+	index := s.next
 	s.next++
 	s.ended = t.Finish != ""
-	return upstream.Token{Index: t.Index, Text: t.Text, Finish: t.Finish}, nil
+	return upstream.Token{Index: index, Text: t.Text, Finish: t.Finish}, nil
 }
 
 // end checks the end mark and reads the body's own end, after which the
@@ -148,9 +162,8 @@
 	if err := json.Unmarshal(data, &end); err != nil {
 		return fmt.Errorf("end: %w: %w", upstream.ErrBroken, err)
 	}
-	if end.StreamID != s.head.StreamID || end.Tokens != s.next {
-		return fmt.Errorf("%w: end of stream %q after %d tokens, %d were received",
-			upstream.ErrOutOfOrder, end.StreamID, end.Tokens, s.next)
+	if end.Tokens != s.next {
+		return fmt.Errorf("%w: end after %d tokens, %d were received", upstream.ErrOutOfOrder, end.Tokens, s.next)
 	}
 	if _, err := s.lines.ReadByte(); !errors.Is(err, io.EOF) {
 		return fmt.Errorf("%w: bytes after the end mark", upstream.ErrOutOfOrder)
@@ -173,30 +186,29 @@
 }
 
 var (
+	fieldID    = []byte("id: ")
 	fieldEvent = []byte("event: ")
 	fieldData  = []byte("data: ")
 )
 
-// readEvent reads one server-sent event. The data is valid until the next
-// read.
+// readEvent reads one server-sent event; its id goes to s.id. The data is
+// valid until the next read.
 func (s *stream) readEvent() (name string, data []byte, err error) {
-	line, err := s.readLine()
+	value, err := s.readField(fieldID)
 	if err != nil {
 		return "", nil, err
 	}
-	field, ok := bytes.CutPrefix(line, fieldEvent)
-	if !ok {
-		return "", nil, fmt.Errorf("%w: line %q in place of an event's name", upstream.ErrBroken, line)
-	}
-	name = eventName(field)
-	if line, err = s.readLine(); err != nil {
+	s.id = append(s.id[:0], value...)
+	if value, err = s.readField(fieldEvent); err != nil {
 		return "", nil, err
 	}
-	if data, ok = bytes.CutPrefix(line, fieldData); !ok {
-		return "", nil, fmt.Errorf("%w: line %q in place of an event's data", upstream.ErrBroken, line)
+	name = eventName(value)
+	if value, err = s.readField(fieldData); err != nil {
+		return "", nil, err
 	}
-	s.data = append(s.data[:0], data...) // the next read may overwrite the line
-	if line, err = s.readLine(); err != nil {
+	s.data = append(s.data[:0], value...)
+	line, err := s.readLine()
+	if err != nil {
 		return "", nil, err
 	}
 	if len(line) > 0 {
@@ -205,6 +217,20 @@
 	return name, s.data, nil
 }
 
+// readField reads a line and gives what follows prefix; it is valid until the
+// next read.
+func (s *stream) readField(prefix []byte) ([]byte, error) {
+	line, err := s.readLine()
+	if err != nil {
+		return nil, err
+	}
+	value, ok := bytes.CutPrefix(line, prefix)
+	if !ok {
+		return nil, fmt.Errorf("%w: line %q in place of the field %q", upstream.ErrBroken, line, prefix)
+	}
+	return value, nil
+}
+
 // eventName avoids an allocation for the known names.
 func eventName(field []byte) string {
 	switch string(field) {
--- a/connection/upstream/overhttp/wire.go
+++ b/connection/upstream/overhttp/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,25 +25,32 @@
 const HeaderKey = "Idempotency-Key"
 
 // Names of the server-sent events of a stream: one head, the tokens, one end.
+// Each event has the fields id, event and data, in this order. The id is by
+// AppendEventID; it names the stream, so that an event of another stream
+// is noticed, and it stands outside the data, so that it can be compared
+// without being decoded.
 const (
 	EventHead  = "Head"  // data: upstream.Head
 	EventToken = "Token" // data: TokenEvent
 	EventEnd   = "End"   // data: EndEvent
 )
 
-// TokenEvent is one token of a stream. It names its stream, so that an event
-// of another stream is noticed.
+// TokenEvent is the data of one token.
 type TokenEvent struct {
-	StreamID string
-	Index    int
-	Text     string
-	Finish   string `json:",omitempty"`
+	Text   string
+	Finish string `json:",omitempty"`
 }
 
-// EndEvent is the mark after the last token.
+// EndEvent is the mark after the last token. Its id is one past the last.
 type EndEvent struct {
-	StreamID string
-	Tokens   int // index of the last token, plus one
+	Tokens int // index of the last token, plus one
+}
+
+// AppendEventID appends the id of a stream's event to dst.
+func AppendEventID(dst []byte, streamID string, index int) []byte {
+	dst = append(dst, streamID...)
+	dst = append(dst, ' ')
+	return strconv.AppendInt(dst, int64(index), 10)
 }
 
 // ResumeRequest asks for the rest of a stream.
--- a/standin/engine/write.go
+++ b/standin/engine/write.go
@@ -26,12 +26,13 @@
 	conn  net.Conn
 	fault Fault
 	id    string
-	sent  int // tokens so far
+	sent  int    // tokens so far
+	buf   []byte // of the event being written
 }
 
 // write follows s from a token on until its end.
 func (e *Engine) write(life context.Context, w *writer, s *stream, first int) {
-	if w.event(overhttp.EventHead, s.look().head) != nil || w.w.Flush() != nil {
+	if w.event(w.id, first, overhttp.EventHead, s.look().head) != nil || w.w.Flush() != nil {
 		return
 	}
 	next := first
@@ -45,7 +46,7 @@
 		}
 		next = len(st.sent)
 		if st.done {
-			w.event(overhttp.EventEnd, overhttp.EndEvent{StreamID: w.id, Tokens: next}) //nolint:errcheck // the caller is gone
+			w.event(w.id, next, overhttp.EventEnd, overhttp.EndEvent{Tokens: next}) //nolint:errcheck // the caller is gone
 			return
 		}
 		if st.abandoned || w.w.Flush() != nil {
@@ -68,20 +69,19 @@
 // token writes one token, or what a fault makes of it.
 func (w *writer) token(t upstream.Token) error {
 	w.sent++
-	event := overhttp.TokenEvent{StreamID: w.id, Index: t.Index, Text: t.Text, Finish: t.Finish}
+	event := overhttp.TokenEvent{Text: t.Text, Finish: t.Finish}
 	if w.sent != w.fault.SkipToken {
-		if err := w.event(overhttp.EventToken, event); err != nil {
+		if err := w.event(w.id, t.Index, overhttp.EventToken, event); err != nil {
 			return err
 		}
 	}
 	if w.sent == w.fault.DuplicateToken {
-		if err := w.event(overhttp.EventToken, event); err != nil {
+		if err := w.event(w.id, t.Index, overhttp.EventToken, event); err != nil {
 			return err
 		}
 	}
 	if w.sent == w.fault.ForeignAfter {
-		foreign := overhttp.TokenEvent{StreamID: "foreign", Index: t.Index + 1, Text: "foreign "}
-		if err := w.event(overhttp.EventToken, foreign); err != nil {
+		if err := w.event("foreign", t.Index+1, overhttp.EventToken, overhttp.TokenEvent{Text: "foreign "}); err != nil {
 			return err
 		}
 	}
@@ -97,15 +97,16 @@
 	return nil
 }
 
-func (w *writer) event(name string, v any) error {
+func (w *writer) event(id string, index int, name string, v any) error {
 	data, err := json.Marshal(v)
 	if err != nil {
 		return err
 	}
-	for _, part := range [...]string{"event: ", name, "\ndata: "} {
-		w.w.WriteString(part) //nolint:errcheck // the last write tells
-	}
-	w.w.Write(data) //nolint:errcheck // the last write tells
-	_, err = w.w.WriteString("\n\n")
+	w.buf = append(w.buf[:0], "id: "...)
+	w.buf = overhttp.AppendEventID(w.buf, id, index)
+	w.buf = append(append(w.buf, "\nevent: "...), name...)
+	w.buf = append(append(w.buf, "\ndata: "...), data...)
+	w.buf = append(w.buf, "\n\n"...)
+	_, err = w.w.Write(w.buf)
 	return err
 }
