Refuse at once what waits without any capacity, and all in bounded time

Cause: an entry without a latest start of its own waited for good if no place came free; with all upstreams lost nobody was told. Change: SetCapacity(0) refuses all that wait; an entry waits for twice MaxWait at most. Seen first: still Waiting a second after the loss.

--- a/request/limit/queue.go
+++ b/request/limit/queue.go
@@ -56,10 +56,11 @@
 	Err   *failure.Error // set if Rejected; its Ran is NotRun, always
 
 	arrived    time.Time
+	latest     time.Time // StartBy, or twice MaxWait if that is sooner
 	granted    time.Time
 	flow       *flow
 	prev, next *Entry
-	index      int // in the heap of StartBy
+	index      int // in the heap by latest
 	settled    chan struct{}
 }
 
@@ -113,7 +114,7 @@
 func NewQueue(cfg QueueConfig) *Queue {
 	q := &Queue{cfg: cfg, capacity: cfg.Capacity}
 	q.starts = heap[*Entry]{
-		less: func(a, b *Entry) bool { return a.StartBy.Before(b.StartBy) },
+		less: func(a, b *Entry) bool { return a.latest.Before(b.latest) },
 		move: func(e *Entry, i int) { e.index = i },
 	}
 	for i := range q.classes {
@@ -126,7 +127,10 @@
 // settled may include others: one that was displaced, or that is overdue.
 func (q *Queue) Offer(now time.Time, t Ticket) (*Entry, []*Entry) {
 	settled := q.Expire(now)
-	e := &Entry{Ticket: t.normal(), arrived: now, index: -1}
+	e := &Entry{Ticket: t.normal(), arrived: now, latest: now.Add(2 * q.cfg.MaxWait), index: -1}
+	if !t.StartBy.IsZero() && t.StartBy.Before(e.latest) {
+		e.latest = t.StartBy
+	}
 	if q.inFlight < q.capacity && q.waiting == 0 {
 		q.grant(now, e)
 		return e, append(settled, e)
@@ -172,20 +176,34 @@
 }
 
 // SetCapacity sets how many entries may be granted at once, the sum of what
-// the upstreams take, and lets in what it makes room for.
+// the upstreams take, and lets in what it makes room for. Without any capacity nothing waits.
 func (q *Queue) SetCapacity(now time.Time, n int) []*Entry {
 	q.capacity = max(0, n)
+	if q.capacity == 0 {
+		return q.shed(forever, func(*Entry) bool { return true })
+	}
 	return q.fill(now, q.Expire(now))
 }
 
 // Expire refuses the entries whose latest useful start has passed.
 func (q *Queue) Expire(now time.Time) []*Entry {
+	return q.shed(0, func(e *Entry) bool { return !now.Before(e.latest) })
+}
+
+// shed refuses entries, the one with the soonest latest start first, as long
+// as they are hopeless. They are told to come back after wait at least; 0
+// means that their time is over, anything else that capacity is lost.
+func (q *Queue) shed(wait time.Duration, hopeless func(*Entry) bool) []*Entry {
 	var settled []*Entry
-	for q.starts.len() > 0 && !now.Before(q.starts.top().StartBy) {
+	for q.starts.len() > 0 && hopeless(q.starts.top()) {
 		e := q.starts.top()
-		wait := q.expected(e)
+		back := max(wait, q.expected(e))
 		q.remove(e)
-		q.reject(e, failure.ErrDeadlineExceeded.WithRetryAfter(q.retryAfter(e, wait)))
+		err := failure.ErrOverloaded
+		if wait == 0 && e.latest.Equal(e.StartBy) {
+			err = failure.ErrDeadlineExceeded
+		}
+		q.reject(e, err.WithRetryAfter(q.retryAfter(e, back)))
 		settled = append(settled, e)
 	}
 	return settled
@@ -225,9 +243,7 @@
 		c.pass = max(c.pass, q.pass)
 	}
 	c.push(e)
-	if !e.StartBy.IsZero() {
-		q.starts.push(e)
-	}
+	q.starts.push(e)
 	q.waiting++
 }
 
@@ -237,9 +253,7 @@
 }
 
 func (q *Queue) taken(e *Entry) {
-	if e.index >= 0 {
-		q.starts.remove(e.index)
-	}
+	q.starts.remove(e.index)
 	q.waiting--
 }
 
--- a/request/limit/queue_test.go
+++ b/request/limit/queue_test.go
@@ -204,6 +204,33 @@
 	}
 }
 
+// All upstreams are lost while callers without a deadline wait. They must get
+// their refusal at once, and those that wait behind a place that is never
+// given back must get it in bounded time; without a latest start of their own
+// nothing would ever wake them.
+func TestNobodyWaitsForNothing(t *testing.T) {
+	cfg := DefaultQueue
+	cfg.Capacity = 1
+	for _, lost := range []bool{true, false} {
+		q := NewQueue(cfg)
+		q.Offer(start, Ticket{ID: "running", Workspace: "w"})
+		e, _ := q.Offer(start, Ticket{ID: "waiting", Workspace: "w"})
+		now, settled := start.Add(2*cfg.MaxWait), []*Entry(nil)
+		if lost {
+			now = start.Add(time.Second)
+			settled = q.SetCapacity(now, 0)
+		} else {
+			settled = q.Expire(now)
+		}
+		if e.State != Rejected || len(settled) != 1 || q.Waiting() != 0 {
+			t.Fatalf("lost %v: %v after %v, %d wait", lost, e.State, now.Sub(start), q.Waiting())
+		}
+		if e.Err.Code != failure.Overloaded || e.Err.RetryAfter < cfg.MinReturn {
+			t.Errorf("lost %v: %v, back in %v", lost, e.Err, e.Err.RetryAfter)
+		}
+	}
+}
+
 // A caller sees one final answer whatever races: the grant, the deadline and
 // the caller's leaving come at the same time, and a place granted to a caller
 // who has gone would be lost for good.
