Make the place to begin independent of any node's clock

Cause: Seen meant that the records up to it were in the log by the stamp's time. A reader whose clock is ten minutes behind says that of a claim made a moment ago; a node that starts begins behind it, and a retry runs again. Change: Seen now names records of which none has a higher stamp, which holds by the records alone: a batch is stamped no earlier than its claims' keys can have been accepted, and names no records where its clock is behind those read by more than clocks may differ.

Also warns if the log trims records that a fresh node needs, and if stamps are in the future; the partition's reading and appending have their own files.

--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -13,6 +13,8 @@
 	_ = x[JournalClaimAbandoned-402]
 	_ = x[JournalRecordUnread-403]
 	_ = x[JournalOutcomeDropped-404]
+	_ = x[JournalRetentionShort-405]
+	_ = x[JournalClocksDiffer-406]
 	_ = x[PeerConnectionRefused-200]
 	_ = x[MemberJoined-201]
 	_ = x[MemberRestarted-202]
@@ -75,7 +77,7 @@
 	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelled"
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailed"
 	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepaired"
-	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDropped"
+	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
 	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailed"
 	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsedOperatorCallFailed"
 )
@@ -84,7 +86,7 @@
 	_Event_index_0 = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112}
 	_Event_index_1 = [...]uint8{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215}
 	_Event_index_2 = [...]uint8{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239}
-	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91}
+	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
 	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93}
 	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90, 108}
 )
@@ -100,7 +102,7 @@
 	case 300 <= i && i <= 319:
 		i -= 300
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
-	case 400 <= i && i <= 404:
+	case 400 <= i && i <= 406:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 500 <= i && i <= 506:
--- a/process/event/journal.go
+++ b/process/event/journal.go
@@ -16,4 +16,11 @@
 	// JournalOutcomeDropped: too many outcomes waited for the log, and the
 	// oldest was dropped; its key counts as unknown from now on. To do: see to the platform; callers that ask for such a key are told Unknown.
 	JournalOutcomeDropped
+	// JournalRetentionShort: the log trims records that a node which starts
+	// would need to know keys within the horizon. They could run again there:
+	// raise the log's retention or lower the horizon.
+	JournalRetentionShort
+	// JournalClocksDiffer: a record was stamped further in the future than
+	// clocks may differ. The named node's clock is ahead, or this one's behind.
+	JournalClocksDiffer
 )
--- a/request/journal/codec.go
+++ b/request/journal/codec.go
@@ -148,12 +148,14 @@
 // incarnationBase is the base in which an incarnation is written.
 const incarnationBase = 36
 
-// MarshalText gives the node's name and, behind the last slash, the
-// incarnation.
-func (w Writer) MarshalText() ([]byte, error) {
-	return []byte(w.Node + "/" + strconv.FormatUint(w.Incarnation, incarnationBase)), nil
+// String gives the node's name and, behind the last slash, the incarnation.
+func (w Writer) String() string {
+	return w.Node + "/" + strconv.FormatUint(w.Incarnation, incarnationBase)
 }
 
+// MarshalText gives what String gives.
+func (w Writer) MarshalText() ([]byte, error) { return []byte(w.String()), nil }
+
 // UnmarshalText reads what MarshalText gives.
 func (w *Writer) UnmarshalText(text []byte) error {
 	s := string(text)
--- a/request/journal/open.go
+++ b/request/journal/open.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// freshKeys is how old the keys are that a partition serves as soon as it is
+// opened. Older ones wait until the rest of the horizon is read back.
+const freshKeys = 15 * time.Second
+
 // open reads back just far enough to serve fresh keys and returns, so that a
 // node that starts serves at once; the rest of the horizon is read back
 // beside it.
@@ -37,11 +41,13 @@
 // seekState gives a state that is complete for keys made at covered or later
 // once it has been read up to the present.
 func (p *partition) seekState(ctx context.Context, covered time.Time) (*State, error) {
-	from, err := seek(ctx, p.log, p.stream, millis(covered.Add(-p.settings.lead())))
+	from, latest, err := seek(ctx, p.log, p.stream, millis(covered.Add(-p.settings.lead())))
 	if err != nil {
 		return nil, err
 	}
-	return newState(p.settings, from, millis(covered)), nil
+	s := newState(p.settings, from, millis(covered))
+	s.latest = latest
+	return s, nil
 }
 
 // fill reads the stream from further back into a second state, and puts that
--- a/request/journal/partition.go
+++ b/request/journal/partition.go
@@ -11,23 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
-	"github.com/dunlinmill/dunlinmill/process/event"
-)
-
-const (
-	// readLimit is how many records one read asks for.
-	readLimit = 256
-	// readWait is how long a read waits for the next record.
-	readWait = time.Second
-	// maxBatch bounds the claims, and the outcomes, of one record.
-	maxBatch = 512
-	// appendTimeout bounds one append.
-	appendTimeout = time.Second
-	// freshKeys is how old the keys are that a partition serves as soon as it
-	// is opened. Older ones wait until the rest of the horizon is read back.
-	freshKeys = 15 * time.Second
-	// expireEvery is how often keys past the horizon are looked for.
-	expireEvery = 10 * time.Second
 )
 
 var (
@@ -69,7 +52,9 @@
 	cancel   context.CancelFunc
 	stopped  chan struct{} // closed when nothing runs any more
 	wg       sync.WaitGroup
-	expired  time.Time    // used by the reading goroutine alone
+	marks    retentionMarks // used by the reading goroutine alone, as the two below
+	expired  time.Time
+	warned   time.Time
 	used     atomic.Int64 // when somebody last asked, in nanoseconds since 1970
 
 	mu         sync.Mutex
@@ -239,102 +224,6 @@
 	}
 }
 
-// write appends what has gathered, as often as the budget allows.
-func (p *partition) write(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-p.work:
-		}
-		if err := p.share.limiter.Wait(ctx); err != nil {
-			return
-		}
-		p.flush(ctx)
-	}
-}
-
-// flush appends one batch.
-func (p *partition) flush(ctx context.Context) {
-	b, groups := p.take(time.Now())
-	if len(b.Claims)+len(b.Outcomes) == 0 {
-		return
-	}
-	body, err := b.encode()
-	if err == nil {
-		actx, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err = p.log.Append(actx, p.stream, body)
-		cancel()
-	}
-	for _, g := range groups {
-		g.done <- err
-	}
-	p.health.note(&p.health.appends, time.Now(), err)
-	if err == nil {
-		return
-	}
-	if errors.Is(err, platform.ErrUnavailable) {
-		p.refuse(b.Claims)
-		return
-	}
-	// The answer was lost. The claims may be in the log, and are appended
-	// once more if they are not read back soon: the fold knows a copy by its
-	// id, so that a claim can't lose against itself.
-	select {
-	case <-ctx.Done():
-	case <-time.After(p.settings.Backoff):
-	}
-	p.requeue(b.Claims)
-}
-
-// take gives the next batch.
-func (p *partition) take(now time.Time) (Batch, []outcomeGroup) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	b := Batch{Stamp: millis(now), Appender: p.settings.writer()}
-	if p.state != nil {
-		b.Seen = p.state.next - 1
-	}
-	n := min(len(p.pending), maxBatch)
-	b.Claims = append(b.Claims, p.pending[:n]...)
-	p.pending = append(p.pending[:0], p.pending[n:]...)
-	var groups []outcomeGroup
-	for len(p.outcomes) > 0 && len(b.Outcomes) < maxBatch {
-		b.Outcomes = append(b.Outcomes, p.outcomes[0].records...)
-		groups = append(groups, p.outcomes[0])
-		p.outcomes = p.outcomes[1:]
-	}
-	if len(p.pending)+len(p.outcomes) > 0 {
-		p.signal()
-	}
-	return b, groups
-}
-
-// refuse answers claims of which the log has taken nothing.
-func (p *partition) refuse(claims []ClaimRecord) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range claims {
-		p.decide(c.ID, decision{err: errDown})
-	}
-}
-
-// requeue puts the claims that somebody still waits for in front again.
-func (p *partition) requeue(claims []ClaimRecord) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var again []ClaimRecord
-	for _, c := range claims {
-		if p.waiters[c.ID] != nil {
-			again = append(again, c)
-		}
-	}
-	p.pending = append(again, p.pending...)
-	if len(again) > 0 {
-		p.signal()
-	}
-}
-
 // decide answers one waiting claim. The caller holds the mutex.
 func (p *partition) decide(id ClaimID, d decision) {
 	if w := p.waiters[id]; w != nil {
@@ -342,74 +231,3 @@
 		delete(p.waiters, id)
 	}
 }
-
-// read opens the state and then follows the stream. Where the log has
-// trimmed what comes next, since this node was paused, it opens it anew.
-func (p *partition) read(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := p.open(ctx)
-		for err == nil {
-			err = p.follow(ctx)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(p.settings.Backoff):
-		}
-	}
-}
-
-// follow reads one page. It gives an error only if the state has a gap.
-func (p *partition) follow(ctx context.Context) error {
-	p.mu.Lock()
-	from := p.state.next
-	p.mu.Unlock()
-	page, err := p.log.Read(ctx, p.stream, from, readLimit, readWait)
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	now := time.Now()
-	p.health.note(&p.health.reads, now, err)
-	if errors.Is(err, platform.ErrTrimmed) {
-		return err
-	}
-	if err != nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(p.settings.Backoff):
-		}
-		return nil
-	}
-	p.apply(now, page)
-	p.expire(now)
-	return nil
-}
-
-// expire forgets keys past the horizon, now and then.
-func (p *partition) expire(now time.Time) {
-	if now.Sub(p.expired) < expireEvery {
-		return
-	}
-	p.expired = now
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.state.Expire(millis(now))
-}
-
-func (p *partition) apply(now time.Time, page platform.Page) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	defer p.share.adapt(now)
-	for _, r := range page.Records {
-		b, err := p.state.Apply(r)
-		if err != nil {
-			event.Warn(p.logger, event.JournalRecordUnread, zap.Uint64("Offset", uint64(r.Offset)), zap.Error(err))
-			continue
-		}
-		p.share.note(now, b.Appender)
-		for _, c := range b.Claims {
-			if v, h := p.state.Look(c); v != Undecided {
-				p.decide(c.ID, decision{verdict: v, holder: h})
-			}
-		}
-	}
-}
--- a/request/journal/record.go
+++ b/request/journal/record.go
@@ -51,11 +51,13 @@
 
 // Batch is one record of the log.
 type Batch struct {
-	// Stamp is the appender's clock before the append, in milliseconds.
+	// Stamp is the appender's clock before the append, in milliseconds, or
+	// higher if the claims or the records up to Seen ask for it.
 	Stamp int64
-	// Seen is the last offset that the appender had read at Stamp; 0: none.
-	// It bounds from above when those records were appended, which a record's
-	// own stamp can't: an append may be held up for minutes on its way.
+	// Seen is an offset up to which the appender had read, and no record up
+	// to there has a higher Stamp; 0: none. A node that starts may begin
+	// behind it. A record's own stamp would not do: an append may be held up
+	// for minutes on its way.
 	Seen platform.Offset
 	// Appender is who appended the batch, whoever wrote its claims.
 	Appender Writer
--- a/request/journal/seek.go
+++ b/request/journal/seek.go
@@ -8,31 +8,32 @@
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 )
 
-// seek finds an offset of the stream before which every record was appended
-// earlier than the given time, in milliseconds. It reads some 20 records,
+// seek finds an offset of the stream behind all records with a stamp of
+// before or later, in milliseconds, but for records that the log has trimmed.
+// It gives the highest stamp that it met, too. It reads some 20 records,
 // however long the stream is.
 //
 // A record's own stamp proves nothing about its neighbours, since an append
-// may be held up on its way. What its writer had read by then does: all up to
-// Batch.Seen was in the log at Batch.Stamp.
-func seek(ctx context.Context, log platform.Log, stream string, before int64) (platform.Offset, error) {
+// may be held up on its way. Its Seen does: no record up to there has a
+// higher stamp.
+func seek(ctx context.Context, log platform.Log, stream string, before int64) (from platform.Offset, latest int64, err error) {
 	page, err := log.Read(ctx, stream, 1, 1, 0)
 	if err != nil && !errors.Is(err, platform.ErrTrimmed) {
-		return 0, fmt.Errorf("journal: seek in %s: %w", stream, err)
+		return 0, 0, fmt.Errorf("journal: seek in %s: %w", stream, err)
 	}
-	first := max(page.First, 1)
-	page, err = log.Read(ctx, stream, first, 1, 0)
+	from = max(page.First, 1)
+	page, err = log.Read(ctx, stream, from, 1, 0)
 	if err != nil {
-		return 0, fmt.Errorf("journal: seek in %s: %w", stream, err)
+		return 0, 0, fmt.Errorf("journal: seek in %s: %w", stream, err)
 	}
-	from := first
-	low, high := first, page.End
+	low, high := from, page.End
 	for low < high {
 		mid := low + (high-low)/2
 		b, err := batchAt(ctx, log, stream, mid)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
+		latest = max(latest, b.Stamp)
 		if b.Stamp >= before {
 			high = mid
 			continue
@@ -40,7 +41,7 @@
 		from = max(from, b.Seen+1)
 		low = mid + 1
 	}
-	return from, nil
+	return from, latest, nil
 }
 
 // batchAt reads one record; one that can't be decoded counts as the zero
