Close the connection of a stream that broke its own order

An engine that mixes up one answer could mix up the next. Only whole answers leave their connection behind now.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -189,6 +189,13 @@
 	return !s.resp.SkipBody && s.resp.Header.ContentLength() == lengthChunked
 }
 
+// Abandon is Close for an answer that the caller doesn't trust: it closes the
+// connection in any case.
+func (s *Stream) Abandon() {
+	s.complete = false
+	s.Close()
+}
+
 // Close gives the connection back if the answer was read to its end, and
 // closes it otherwise, so that no late byte reaches another request.
 func (s *Stream) Close() {
--- a/connection/upstream/overhttp/stream.go
+++ b/connection/upstream/overhttp/stream.go
@@ -43,6 +43,7 @@
 	ended  bool   // the token with Finish was given
 	err    error
 	closed bool
+	whole  bool // the answer was read to its end, as a stream or a refusal
 }
 
 var _ upstream.Stream = (*stream)(nil)
@@ -76,6 +77,7 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", upstream.ErrBroken, err)
 		}
+		s.whole = true
 		return refusal(resp, body)
 	}
 	name, data, err := s.readEvent()
@@ -168,10 +170,13 @@
 	if _, err := s.lines.ReadByte(); !errors.Is(err, io.EOF) {
 		return fmt.Errorf("%w: bytes after the end mark", upstream.ErrOutOfOrder)
 	}
+	s.whole = true
 	return io.EOF
 }
 
-// Close releases the connection; an unfinished one is closed.
+// Close releases the connection. Only that of a whole answer is kept: an
+// engine that breaks the order of one stream is not trusted with the framing
+// of the next.
 func (s *stream) Close() error {
 	if !s.mu.TryLock() {
 		// The reader is in Next; the cancelled context wakes it.
@@ -180,7 +185,11 @@
 	}
 	defer s.mu.Unlock()
 	s.closed = true
-	s.body.Close()
+	if s.whole {
+		s.body.Close()
+	} else {
+		s.body.Abandon()
+	}
 	s.cancel()
 	return nil
 }
