--- a/process/command/command_test.go
+++ b/process/command/command_test.go
@@ -58,6 +58,9 @@
 		case strings.Contains(r.URL.Path, "overtaken"):
 			w.WriteHeader(http.StatusConflict)
 			_, _ = fmt.Fprint(w, `{"Code":"PlanOvertaken","Ran":"NotRun","Message":"overtaken by plan p0 of anna"}`)
+		case strings.Contains(r.URL.Path, "lost"):
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = fmt.Fprint(w, `{"Code":"OutcomeUnknown","Ran":"Unknown","Message":"the log's answer was lost"}`)
 		case strings.Contains(r.URL.Path, "garbled"):
 			_, _ = fmt.Fprint(w, `<html>`)
 		case r.URL.Path == "/plans":
@@ -124,6 +127,7 @@
 		{"confirm without base", []string{"confirm", "p1"}, "", ExitUsage, []string{"confirm takes a plan's ID and its BASE"}},
 		{"confirm with a bad base", []string{"confirm", "p1", "now"}, "", ExitUsage, []string{`BASE: "now" is not an offset`}},
 		{"confirm overtaken", []string{"confirm", "--server", url, "--token-file", token, "overtaken", "7"}, "", ExitRefused, []string{"PlanOvertaken: overtaken by plan p0 of anna"}},
+		{"confirm with a lost answer", []string{"confirm", "--server", url, "--token-file", token, "lost", "7"}, "", ExitRefused, []string{"may have been accepted; see: dunlinmill plan lost"}},
 		{"confirm without answer", []string{"confirm", "--server", "http://127.0.0.1:1", "--token-file", token, "p1", "7"}, "", ExitRefused, []string{"may have been accepted; see: dunlinmill plan p1"}},
 	}
 	for _, tt := range tests {
--- a/process/command/plan.go
+++ b/process/command/plan.go
@@ -13,6 +13,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/operator"
 	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/request/failure"
 )
 
 func (p program) planCommand() *ffcli.Command {
@@ -101,7 +102,7 @@
 	}
 	defer c.Close()
 	plan, err := c.Confirm(id, base)
-	if errors.Is(err, operator.ErrUnreachable) {
+	if outcomeUnknown(err) {
 		return fmt.Errorf("%w\nthe confirmation may have been accepted; see: dunlinmill plan %s", err, id)
 	}
 	if err != nil {
@@ -111,6 +112,15 @@
 	return err
 }
 
+// outcomeUnknown says whether a call that failed may have taken effect.
+func outcomeUnknown(err error) bool {
+	var f *operator.Failure
+	if errors.As(err, &f) {
+		return f.Ran == failure.Unknown.Text()
+	}
+	return errors.Is(err, operator.ErrUnreachable)
+}
+
 // printPlan writes a plan as text. Errors of the writer are left: there is
 // nowhere else to report them.
 func printPlan(w io.Writer, p operator.Plan) {
