--- a/request/journal/answers.go
+++ b/request/journal/answers.go
@@ -79,6 +79,12 @@
 	}
 }
 
+func (a *answers) size() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.bytes
+}
+
 func answerSize(a Answer) int {
 	return answerOverhead + len(a.Body) + lo.SumBy(a.Header, func(f upstream.Field) int { return len(f.Name) + len(f.Value) })
 }
--- a/request/journal/append.go
+++ b/request/journal/append.go
@@ -86,10 +86,12 @@
 
 // stamp gives a batch its time, and names in Seen the records that have no
 // higher stamp. Nodes that start rely on this to begin behind them, so it has
-// to hold by the records alone, however wrong this node's clock is:
-//   - no claim is stamped earlier than its key can first have been accepted;
-//   - where this clock is behind the stamps that it has read by more than
-//     clocks may differ, nothing is said about those records.
+// to hold by the records alone, however wrong this node's clock is. Hence no
+// claim is stamped earlier than its key can first have been accepted.
+//
+// Where this clock is behind the stamps that it has read by more than clocks
+// may differ, one of them is wrong. Then nothing is said about those records:
+// a stamp that is raised to theirs would carry one wrong clock on for ever.
 //
 // The caller holds the mutex.
 func (p *partition) stamp(now time.Time, b *Batch) {
--- a/request/journal/journal.go
+++ b/request/journal/journal.go
@@ -31,6 +31,7 @@
 	health   *health
 	answers  *answers
 	sequence atomic.Uint64
+	counts   counts
 	assigned atomic.Pointer[assignment]
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -103,6 +104,7 @@
 	cctx, cancel := context.WithTimeout(ctx, j.settings.ClaimTimeout)
 	defer cancel()
 	d := j.decide(cctx, now, c.record)
+	j.counts.add(d)
 	switch {
 	case d.err != nil:
 		return j.unavailable(ctx, now, c, e, d.err)
