--- /dev/null
+++ b/load/client.go
@@ -0,0 +1,271 @@
+// Package load plays callers: it sends requests shaped like the two users'
+// workloads, checks that each caller got the whole answer to its own
+// request, and adds up what came of them.
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Errors of one request.
+var (
+	// ErrNotWhole means that an answer ended without its end mark and
+	// without an error event.
+	ErrNotWhole = errors.New("load: answer not whole")
+	// ErrWrong means that an answer is not the one to this request.
+	ErrWrong = errors.New("load: wrong answer")
+	// ErrConnection means that the connection failed.
+	ErrConnection = errors.New("load: connection failed")
+)
+
+// Refusal is the router's typed error as a caller reads it.
+type Refusal struct {
+	Status     int
+	Code       string
+	Ran        string
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Error gives the code and the message.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%d %s (%s): %s", r.Status, r.Code, r.Ran, r.Message)
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Chat is one request for generated text.
+type Chat struct {
+	Key       string // of the workspace
+	Model     string
+	Messages  []Message
+	MaxTokens int
+	Urgency   int
+	Timeout   time.Duration // 0: none
+}
+
+// Answer is what came of a Chat.
+type Answer struct {
+	Text         string
+	Tokens       int
+	FirstToken   time.Duration
+	PromptTokens int
+	CachedTokens int
+	Upstream     string
+}
+
+// Client is many callers behind one balancer, which deals requests out to
+// the nodes in turn.
+type Client struct {
+	http  *http.Client
+	nodes []string // base URLs
+	turn  atomic.Uint64
+}
+
+// NewClient gives callers of the nodes at these IP:port addresses.
+func NewClient(addresses []string) *Client {
+	t := &http.Transport{MaxIdleConnsPerHost: maxIdle, MaxIdleConns: maxIdle * len(addresses)}
+	c := &Client{http: &http.Client{Transport: t}}
+	for _, a := range addresses {
+		c.nodes = append(c.nodes, "http://"+a)
+	}
+	return c
+}
+
+// maxIdle is how many connections to one node are kept.
+const maxIdle = 256
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// next is the node that the balancer chooses.
+func (c *Client) next() string {
+	return c.nodes[int(c.turn.Add(1))%len(c.nodes)]
+}
+
+type chatBody struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+// Stream sends a chat to the next node and reads its stream to the end.
+func (c *Client) Stream(ctx context.Context, r Chat) (Answer, error) {
+	body, err := json.Marshal(chatBody{Model: r.Model, Messages: r.Messages, MaxTokens: r.MaxTokens, Stream: true})
+	if err != nil {
+		return Answer{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.next()+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+r.Key)
+	req.Header.Set("Priority", "u="+strconv.Itoa(r.Urgency))
+	if r.Timeout > 0 {
+		req.Header.Set("Request-Timeout", strconv.FormatFloat(r.Timeout.Seconds(), 'f', 3, 64))
+	}
+	began := time.Now()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrConnection, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return Answer{}, refusal(resp)
+	}
+	a := Answer{Upstream: resp.Header.Get("Dunlinmill-Upstream")}
+	return a, a.read(resp.Body, began)
+}
+
+type errorBody struct {
+	Error struct {
+		Message    string  `json:"message"`
+		Code       string  `json:"code"`
+		Ran        string  `json:"ran"`
+		RetryAfter float64 `json:"retry_after"`
+	} `json:"error"`
+}
+
+func refusal(resp *http.Response) error {
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrConnection, err)
+	}
+	return refusalOf(resp.StatusCode, data)
+}
+
+func refusalOf(status int, data []byte) error {
+	var b errorBody
+	if err := json.Unmarshal(data, &b); err != nil || b.Error.Code == "" {
+		return fmt.Errorf("%w: error without a code: %d %.100q", ErrWrong, status, data)
+	}
+	return &Refusal{
+		Status:     status,
+		Code:       b.Error.Code,
+		Ran:        b.Error.Ran,
+		Message:    b.Error.Message,
+		RetryAfter: time.Duration(b.Error.RetryAfter * float64(time.Second)),
+	}
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta        Message `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens int `json:"prompt_tokens"`
+		Details      struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// doneMark ends a whole stream.
+const doneMark = "[DONE]"
+
+// read reads server-sent events up to the end mark.
+func (a *Answer) read(r io.Reader, began time.Time) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxEvent)
+	var text strings.Builder
+	finished := false
+	event := ""
+	for scanner.Scan() {
+		line := scanner.Text()
+		if name, ok := strings.CutPrefix(line, "event: "); ok {
+			event = name
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		switch {
+		case !ok:
+			continue
+		case event == "error":
+			return refusalOf(http.StatusOK, []byte(data))
+		case data == doneMark && finished:
+			a.Text = text.String()
+			return nil
+		}
+		end, err := a.add(data, &text, began)
+		if err != nil {
+			return err
+		}
+		finished = finished || end
+	}
+	if err := scanner.Err(); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotWhole, err)
+	}
+	return ErrNotWhole
+}
+
+// maxEvent bounds one server-sent event.
+const maxEvent = 1 << 20
+
+func (a *Answer) add(data string, text *strings.Builder, began time.Time) (end bool, err error) {
+	var c chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil || len(c.Choices) != 1 {
+		return false, fmt.Errorf("%w: event %.100q", ErrWrong, data)
+	}
+	if a.Tokens == 0 {
+		a.FirstToken = time.Since(began)
+	}
+	a.Tokens++
+	text.WriteString(c.Choices[0].Delta.Content)
+	if c.Usage != nil {
+		a.PromptTokens = c.Usage.PromptTokens
+		a.CachedTokens = c.Usage.Details.CachedTokens
+	}
+	return c.Choices[0].FinishReason != nil, nil
+}
+
+// Call is one call to a plain service.
+type Call struct {
+	Key            string // of the workspace
+	Service        string
+	Path           string
+	Body           []byte
+	IdempotencyKey string // empty: the call may be repeated
+}
+
+// Do sends a call to the next node.
+func (c *Client) Do(ctx context.Context, r Call) ([]byte, error) {
+	url := c.next() + "/services/" + r.Service + r.Path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+r.Key)
+	if r.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", `"`+r.IdempotencyKey+`"`)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrConnection, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusal(resp)
+	}
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotWhole, err)
+	}
+	return data, nil
+}
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -71,8 +71,13 @@
 	done.Go(func() { every(ctx, expireInterval, m.expire) })
 	done.Go(func() { every(ctx, exchangeInterval, func(now time.Time) { m.exchange(ctx, now) }) })
 	done.Go(func() {
-		for range states {
-			m.configured(time.Now())
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-states:
+				m.configured(time.Now())
+			}
 		}
 	})
 	n.closers.add("maintenance", func() error {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/settings"
 	"github.com/dunlinmill/dunlinmill/version/follower"
+	"github.com/dunlinmill/dunlinmill/version/planner"
 )
 
 // firstConfigWait is how long a start waits for a configuration before it
@@ -79,6 +80,9 @@
 	if _, err := do.Invoke[*maintenance](n.injector); err != nil {
 		return err
 	}
+	if _, err := do.Invoke[*planner.Planner](n.injector); err != nil {
+		return err
+	}
 	var err error
 	if n.callers, err = n.open("Callers", n.settings.Listen.Callers); err != nil {
 		return err
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -10,6 +10,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/peer"
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	platformhttp "github.com/dunlinmill/dunlinmill/connection/platform/overhttp"
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	upstreamhttp "github.com/dunlinmill/dunlinmill/connection/upstream/overhttp"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
@@ -19,8 +20,10 @@
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
+	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/follower"
 	"github.com/dunlinmill/dunlinmill/version/keyring"
+	"github.com/dunlinmill/dunlinmill/version/planner"
 )
 
 // provide registers how each part is made. A part is made when the first
@@ -45,6 +48,7 @@
 	do.Provide(i, n.newPolicies)
 	do.Provide(i, n.newInventory)
 	n.provideRequests()
+	do.Provide(i, n.newPlanner)
 	do.Provide(i, n.newReport)
 	do.Provide(i, n.newMaintenance)
 }
@@ -219,3 +223,20 @@
 	n.closers.add("inventory", func() error { inv.Close(); return nil })
 	return inv, nil
 }
+
+// newPlanner starts this node's planner; it works while it holds the lease.
+func (n *Node) newPlanner(i do.Injector) (*planner.Planner, error) {
+	v := do.MustInvoke[view](i)
+	inv := do.MustInvoke[*inventory.Inventory](i)
+	engines := func(name string) (upstream.Engine, bool) {
+		u, ok := v.Config().Upstreams[name]
+		if !ok || u.Kind != config.Engine {
+			return nil, false
+		}
+		return inv.Engine(u), true
+	}
+	p := planner.New(planner.Config{Node: n.settings.Node, Settle: n.settings.Plans.Settle},
+		do.MustInvoke[*follower.Follower](i), do.MustInvoke[platform.Log](i), engines, nil, n.log)
+	n.closers.add("planner", p.Close)
+	return p, nil
+}
--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -125,6 +125,7 @@
 	checkRange(d, "Queue.MaxWait", s.Queue.MaxWait, time.Millisecond, MaxWait)
 	checkRange(d, "Journal.Horizon", s.Journal.Horizon, time.Minute, MaxHorizon)
 	checkRange(d, "Journal.BatchDelay", s.Journal.BatchDelay, 0, time.Second)
+	checkRange(d, "Plans.Settle", s.Plans.Settle, 0, MaxWait)
 	checkRange(d, "Shutdown.Notice", s.Shutdown.Notice, 0, time.Minute)
 	checkRange(d, "Shutdown.Grace", s.Shutdown.Grace, 0, MaxWait)
 }
--- a/process/settings/default.go
+++ b/process/settings/default.go
@@ -22,6 +22,7 @@
 	DefaultJournalHorizon   = config.Horizon
 	DefaultBatchDelay       = 5 * time.Millisecond
 	DefaultAppendsPerSecond = 100.0
+	DefaultPlansSettle      = 8 * time.Second
 	DefaultShutdownNotice   = 2 * time.Second
 	DefaultShutdownGrace    = 60 * time.Second
 	DefaultLogLevel         = "info"
@@ -46,6 +47,7 @@
 			BatchDelay:       DefaultBatchDelay,
 			AppendsPerSecond: DefaultAppendsPerSecond,
 		},
+		Plans:    Plans{Settle: DefaultPlansSettle},
 		Shutdown: Shutdown{Notice: DefaultShutdownNotice, Grace: DefaultShutdownGrace},
 		Log:      Log{Level: DefaultLogLevel},
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -25,6 +25,7 @@
 	Limits     Limits
 	Queue      Queue
 	Journal    Journal
+	Plans      Plans
 	Shutdown   Shutdown
 	Log        Log
 	// LastKnown is an optional configuration file that a node falls back to
@@ -106,6 +107,13 @@
 	AppendsPerSecond float64
 }
 
+// Plans settles how confirmed plans are carried out.
+type Plans struct {
+	// Settle is how long a change may take to be in force everywhere; the
+	// next step of a plan waits for it.
+	Settle time.Duration
+}
+
 // Shutdown settles how a node leaves.
 type Shutdown struct {
 	// Notice is how long readiness says "leaving" before the listener closes.
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -178,7 +179,8 @@
 // would run twice.
 func (a *Answer) continueElsewhere(cause error) error {
 	a.visit.end(time.Now(), cause)
-	a.s.excluded = append(a.s.excluded, a.up.Name)
+	a.s.failed = append(a.s.failed, a.up.Name)
+	a.s.excluded = slices.Clone(a.s.failed)
 	next, err := a.s.goOn(a.text.String(), a.count, a.info.Version)
 	if err != nil {
 		return a.cut(errors.Join(cause, err))
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -13,13 +13,13 @@
 // weights version. Weights of another version would splice two models' texts.
 func (s *start) goOn(text string, count int, version string) (*Answer, error) {
 	now := time.Now()
-	p := s.rt.Policies.Policy(now, s.target.pool, s.r.Model, s.rt.candidates(now, s.target))
+	p := s.rt.Policies.Policy(now, s.target.group)
 	pr := s.placementRequest(now)
 	d, err := p.Place(now, pr)
 	if err != nil {
 		return nil, fmt.Errorf("place the rest: %w", err)
 	}
-	u, ok := s.rt.View.Config().Upstreams[d.Upstream]
+	u, ok := s.rt.View.Catalogue().Config().Upstreams[d.Upstream]
 	if !ok {
 		return nil, failure.ErrNoUpstream
 	}
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -12,12 +12,13 @@
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
 // View gives the configuration in force.
 type View interface {
-	Config() config.Config
+	Catalogue() *catalogue.Catalogue
 }
 
 // Upstreams is what this process knows of the engines.
@@ -27,13 +28,11 @@
 	// Version is the weights version that the engine holds of a model, as
 	// far as it has told; empty if it has not.
 	Version(name, model string) string
-	// Usable says whether the engine is thought to be up.
-	Usable(now time.Time, name string) bool
 }
 
-// Policies gives the placement policy of a pool's engines for one model.
+// Policies gives the placement policy of a group of engines.
 type Policies interface {
-	Policy(now time.Time, pool, model string, eligible []placement.Upstream) placement.Policy
+	Policy(now time.Time, g catalogue.Group) placement.Policy
 }
 
 // Admission holds back or refuses requests beyond this node's capacity.
@@ -47,6 +46,8 @@
 type Guard interface {
 	// Excluded gives those upstreams that must not get a request now.
 	Excluded(now time.Time, names []string) []string
+	// Full says whether waiting a little for a place may help.
+	Full(names []string) bool
 	// Begin takes the place for one send; every true is followed by one End.
 	Begin(now time.Time, name string) bool
 	End(now time.Time, name string, s guard.Send)
@@ -76,6 +77,9 @@
 	HeadTimeout time.Duration
 	// MaxResumes bounds the resumes of one answer.
 	MaxResumes int
+	// PlaceWait is how long an admitted request waits for a place on one of
+	// its own engines; the queue before it knows only the sum of all places.
+	PlaceWait time.Duration
 	// ResumeTimeout bounds each resume.
 	ResumeTimeout time.Duration
 }
@@ -84,6 +88,7 @@
 const (
 	DefaultHeadTimeout   = 30 * time.Second
 	DefaultMaxResumes    = 3
+	DefaultPlaceWait     = time.Second
 	DefaultResumeTimeout = 2 * time.Second
 )
 
@@ -95,6 +100,9 @@
 	if c.MaxResumes == 0 {
 		c.MaxResumes = DefaultMaxResumes
 	}
+	if c.PlaceWait == 0 {
+		c.PlaceWait = DefaultPlaceWait
+	}
 	if c.ResumeTimeout == 0 {
 		c.ResumeTimeout = DefaultResumeTimeout
 	}
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -53,7 +54,10 @@
 	claim    *journal.Claim // nil for a repeatable request
 	sent     bool           // a byte may have reached an upstream
 	attempts int
-	excluded []string
+	excluded []string // not to be tried in the present attempt
+	failed   []string // the part of excluded that a send failed on
+	// placeless is since when there has been no free place; zero: not yet.
+	placeless time.Time
 }
 
 // claimed gets the claim that a not-repeatable request needs before its send.
@@ -100,7 +104,10 @@
 			return nil, s.refusal(failure.ErrCancelled, ctx.Err())
 		}
 		if name == "" {
-			return nil, s.refusal(failure.ErrNoUpstream, err)
+			if err := s.awaitPlace(ctx, now, err); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		if err := s.again(ctx, name, err); err != nil {
 			return nil, err
@@ -108,6 +115,26 @@
 	}
 }
 
+// placePoll is the time between two looks for a free place. Only requests that
+// the queue has let in look, so their number is bounded.
+const placePoll = 5 * time.Millisecond
+
+// awaitPlace returns when the request may look for an upstream again, or the
+// caller's error if there is none to wait for.
+func (s *start) awaitPlace(ctx context.Context, now time.Time, cause error) error {
+	if !s.rt.Guard.Full(s.target.list.Names) {
+		return s.refusal(failure.ErrNoUpstream, cause)
+	}
+	if s.placeless.IsZero() {
+		s.placeless = now
+	}
+	if now.Sub(s.placeless) >= s.rt.Config.PlaceWait {
+		return s.refusal(failure.ErrOverloaded, cause)
+	}
+	s.excluded = s.failed
+	return s.pause(ctx, placePoll)
+}
+
 func (s *start) late(now time.Time) bool {
 	return !s.r.Deadline.IsZero() && !now.Before(s.r.Deadline)
 }
@@ -118,7 +145,8 @@
 	v := s.decide(name, cause, 0, false)
 	switch v.Action {
 	case retry.RetryElsewhere:
-		s.excluded = append(s.excluded, name)
+		s.failed = append(s.failed, name)
+		s.excluded = slices.Clone(s.failed)
 		return nil
 	case retry.RetrySame:
 		return s.pause(ctx, v.Wait)
@@ -161,8 +189,8 @@
 
 // others counts the upstreams that were not tried yet, but for name.
 func (s *start) others(name string) int {
-	return lo.CountBy(s.target.upstreams, func(u config.Upstream) bool {
-		return u.Name != name && !lo.Contains(s.excluded, u.Name)
+	return lo.CountBy(s.target.list.Names, func(n string) bool {
+		return n != name && !lo.Contains(s.excluded, n)
 	})
 }
 
@@ -187,13 +215,13 @@
 // attempt makes one send. The name is of the upstream that was tried; empty
 // if there was none to try.
 func (s *start) attempt(ctx context.Context, now time.Time) (*Answer, string, error) {
-	p := s.rt.Policies.Policy(now, s.target.pool, s.r.Model, s.rt.candidates(now, s.target))
+	p := s.rt.Policies.Policy(now, s.target.group)
 	pr := s.placementRequest(now)
 	d, err := p.Place(now, pr)
 	if err != nil {
 		return nil, "", fmt.Errorf("place: %w", err)
 	}
-	u, ok := s.rt.View.Config().Upstreams[d.Upstream]
+	u, ok := s.rt.View.Catalogue().Config().Upstreams[d.Upstream]
 	if !ok {
 		return nil, "", fmt.Errorf("upstream %q left: %w", d.Upstream, placement.ErrNoCandidate)
 	}
@@ -223,14 +251,13 @@
 }
 
 func (s *start) placementRequest(now time.Time) placement.Request {
-	names := lo.Map(s.target.upstreams, func(u config.Upstream, _ int) string { return u.Name })
 	return placement.Request{
 		Workspace:  s.r.Workspace,
 		DataCentre: s.rt.Config.DataCentre,
 		Chain:      s.chain,
 		Output:     s.r.MaxTokens,
 		Urgent:     s.r.Urgent(),
-		Excluded:   append(s.rt.Guard.Excluded(now, names), s.excluded...),
+		Excluded:   append(s.rt.Guard.Excluded(now, s.target.list.Names), s.excluded...),
 	}
 }
 
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -79,6 +79,12 @@
 	return append(ejected, full...)
 }
 
+// Full says whether any of the upstreams is kept out only because this node's
+// limit for it is used up, so that waiting a little helps.
+func (g *Guard) Full(names []string) bool {
+	return lo.SomeBy(names, func(name string) bool { return !g.concurrency.Free(name) })
+}
+
 // Begin takes the place for one send. False: another request took the last
 // one since the decision, which has to be made again. Every true is followed
 // by one End.
