Take incarnations as unordered, and keep an only upstream open

Cause: an answer with a smaller incarnation was dropped as late, but the numbers have no order: an engine that came back with a smaller one would never have been judged again. And while an only upstream was being probed, Take refused everybody else. Change: the incarnation before is remembered and its answers are dropped; an upstream that was let through for want of others is open to all. Seen first: the smaller number left the upstream Ejected; the only upstream was closed 6 s after its ejection.

--- a/request/ejection/ejection.go
+++ b/request/ejection/ejection.go
@@ -223,7 +223,7 @@
 		r.taken = now
 		return true
 	}
-	if r.state != Ejected || now.Sub(r.opened) >= opening {
+	if now.Sub(r.opened) >= opening {
 		return false
 	}
 	r.taken = now
@@ -250,7 +250,8 @@
 		return Healthy, Healthy
 	}
 	if s.Incarnation != 0 {
-		if r.incarnation != 0 && s.Incarnation < r.incarnation {
+		// A late answer of the incarnation before; the numbers have no order.
+		if s.Incarnation == r.previous {
 			return r.state, r.state
 		}
 		if r.restarted(now, s.Incarnation) {
--- a/request/ejection/judge.go
+++ b/request/ejection/judge.go
@@ -13,6 +13,7 @@
 type record struct {
 	state       State
 	incarnation uint64
+	previous    uint64 // incarnation before; 0: none known
 	consecutive int
 	good, bad   float64 // decayed counts
 	slow        float64 // smoothed slowdown
@@ -36,7 +37,7 @@
 		r.incarnation = incarnation
 		return false
 	}
-	*r = record{incarnation: incarnation, seen: now, healthy: now}
+	*r = record{incarnation: incarnation, previous: r.incarnation, seen: now, healthy: now}
 	return true
 }
 
--- a/request/limit/queue.go
+++ b/request/limit/queue.go
@@ -176,7 +176,8 @@
 }
 
 // SetCapacity sets how many entries may be granted at once, the sum of what
-// the upstreams take, and lets in what it makes room for. Without any capacity nothing waits.
+// the upstreams take, and lets in what it makes room for. Without any
+// capacity nothing waits.
 func (q *Queue) SetCapacity(now time.Time, n int) []*Entry {
 	q.capacity = max(0, n)
 	if q.capacity == 0 {
