--- a/request/journal/earlier.go
+++ b/request/journal/earlier.go
@@ -30,7 +30,7 @@
 	case h.Outcome == Ran, r.Standing == Answered:
 		return nil, nil, failure.ErrAlreadyRan.WithCause(err)
 	case r.Standing == InProgress, err != nil && millis(now)-h.Stamp < j.settings.ProgressFor.Milliseconds():
-		return nil, nil, failure.ErrKeyInProgress.WithRetryAfter(j.settings.Backoff).WithCause(err)
+		return nil, nil, failure.ErrKeyInProgress.WithRetryAfter(j.settings.retryAfter(c.record.Key)).WithCause(err)
 	}
 	return j.unclear(c, e, err)
 }
--- a/request/journal/journal.go
+++ b/request/journal/journal.go
@@ -116,7 +116,7 @@
 	case d.verdict == NotCovered:
 		return j.unavailable(ctx, now, c, e, errNotCovered)
 	case d.holder.ID == ClaimID{}: // freed just now; this claim was spent on it
-		return nil, nil, failure.ErrKeyInProgress.WithRetryAfter(j.settings.Backoff)
+		return nil, nil, failure.ErrKeyInProgress.WithRetryAfter(j.settings.retryAfter(c.record.Key))
 	}
 	return j.earlier(cctx, now, c, e, d.holder)
 }
@@ -154,5 +154,5 @@
 	case ctx.Err() != nil:
 		f = failure.ErrDeadlineExceeded
 	}
-	return nil, nil, f.WithRan(failure.Unknown).WithRetryAfter(j.settings.Backoff).WithCause(cause)
+	return nil, nil, f.WithRan(failure.Unknown).WithRetryAfter(j.settings.retryAfter(c.record.Key)).WithCause(cause)
 }
--- a/request/journal/outage_test.go
+++ b/request/journal/outage_test.go
@@ -30,8 +30,18 @@
 		if waited := time.Since(before); waited > 10*time.Millisecond {
 			t.Fatalf("refused after %v", waited)
 		}
-		if failure.From(err).RetryAfter == 0 {
-			t.Fatal("no RetryAfter")
+		returns := map[time.Duration]bool{}
+		for i := range 20 {
+			_, _, err := begin(j, entryAt(string(rune('a'+i)), time.Now()))
+			want(t, err, failure.ErrJournalUnavailable, failure.Unknown)
+			after := failure.From(err).RetryAfter
+			if after < j.settings.RetryAfter || after > 2*j.settings.RetryAfter {
+				t.Fatalf("RetryAfter %v", after)
+			}
+			returns[after] = true
+		}
+		if len(returns) < 15 {
+			t.Fatalf("%d of 20 callers come back at a time of their own", len(returns))
 		}
 		d := e
 		d.Deduplicates = true
--- a/request/journal/settings.go
+++ b/request/journal/settings.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"time"
@@ -41,9 +42,11 @@
 	PeerTimeout time.Duration
 	// OutcomeDelay is how long outcomes are gathered before they are sent on.
 	OutcomeDelay time.Duration
-	// Backoff is the pause after the log has failed. It is also the
-	// RetryAfter of a refusal.
+	// Backoff is the pause after the log has failed.
 	Backoff time.Duration
+	// RetryAfter is the least that a refused caller is asked to wait, and half
+	// of the most: it is spread by the key, so that not all come back at once.
+	RetryAfter time.Duration
 	// ProgressFor is how long a claim whose writer can't be reached counts as
 	// in progress. Afterwards its outcome counts as unknown.
 	ProgressFor time.Duration
@@ -74,6 +77,7 @@
 		PeerTimeout:  800 * time.Millisecond,
 		OutcomeDelay: 250 * time.Millisecond,
 		Backoff:      500 * time.Millisecond,
+		RetryAfter:   time.Second,
 		ProgressFor:  time.Minute,
 		IdleAfter:    2 * time.Minute,
 		AnswerBytes:  16 << 20,
@@ -101,7 +105,7 @@
 	}{
 		{"Horizon", s.Horizon}, {"MaxAhead", s.MaxAhead}, {"ClockSkew", s.ClockSkew},
 		{"ClaimTimeout", s.ClaimTimeout}, {"PeerTimeout", s.PeerTimeout}, {"OutcomeDelay", s.OutcomeDelay},
-		{"Backoff", s.Backoff}, {"ProgressFor", s.ProgressFor}, {"IdleAfter", s.IdleAfter}, {"AnswerAge", s.AnswerAge},
+		{"Backoff", s.Backoff}, {"RetryAfter", s.RetryAfter}, {"ProgressFor", s.ProgressFor}, {"IdleAfter", s.IdleAfter}, {"AnswerAge", s.AnswerAge},
 	} {
 		bad(d.value <= 0, "%s: must be above 0", d.name)
 	}
@@ -117,3 +121,8 @@
 // lead is how much earlier than a key's time, by the clock of any node, the
 // first claim of that key can have been appended.
 func (s Settings) lead() time.Duration { return s.MaxAhead + 2*s.ClockSkew }
+
+func (s Settings) retryAfter(k KeyHash) time.Duration {
+	spread := binary.BigEndian.Uint16(k[:])
+	return s.RetryAfter + s.RetryAfter*time.Duration(spread)/(1<<16)
+}
