Say what an owner's exchange costs at 360 nodes, and what was tried

Cause: asks for one workspace that all nodes use meet at one owner. Tried and reverted: a least time between two asks of a node that grows with the number of nodes.

--- a/request/limit/bench_test.go
+++ b/request/limit/bench_test.go
@@ -181,6 +181,27 @@
 	return float64(buf.Len())
 }
 
+// BenchmarkMerge is one node's ask for one workspace, which all nodes ask for.
+func BenchmarkMerge(b *testing.B) {
+	for _, nodes := range []int{8, 32, 120, 360} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			w, _ := limited(1)
+			asks := make([]Summary, nodes)
+			for i := range asks {
+				asks[i] = Summary{Node: fmt.Sprint("node", i), Demands: []Demand{{Workspace: "workspace0", Credits: 1, Places: 1}}}
+			}
+			w.SetNodes(start, []string{"a"})
+			w.all["workspace0"].limit.InFlight = 10_000
+			l := &ledger{parts: map[string]part{}}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				s := asks[i%nodes]
+				w.give(start, l, w.all["workspace0"].limit, s.Node, s.Demands[0])
+			}
+		})
+	}
+}
+
 func heapBytes() float64 {
 	runtime.GC()
 	runtime.GC()
@@ -209,6 +230,18 @@
 		b.ReportMetric((heapBytes()-before)/n, "queue-bytes/workspace-waiting")
 		runtime.KeepAlive(q)
 
+		const nodes = 2000
+		o, _ := limited(1)
+		o.SetNodes(start, names[:nodes])
+		o.nodes = []string{"a"}
+		before = heapBytes()
+		l := &ledger{parts: map[string]part{}}
+		for _, name := range names[:nodes] {
+			o.give(start, l, o.all["workspace0"].limit, name, Demand{Workspace: "workspace0", Credits: 1, Places: 1})
+		}
+		b.ReportMetric((heapBytes()-before)/nodes, "ledger-bytes/node")
+		runtime.KeepAlive(l)
+
 		before = heapBytes()
 		c := NewConcurrency[string](DefaultConcurrency)
 		for _, name := range names {
