--- a/process/member/round.go
+++ b/process/member/round.go
@@ -32,7 +32,10 @@
 // made news that would else wait for the next round. It gives false if there
 // was nobody to send to or no answer came.
 func (p *Prober) Round(ctx context.Context) bool {
-	return p.beat(ctx) || p.beat(ctx)
+	if p.beat(ctx) {
+		return true
+	}
+	return p.beat(ctx)
 }
 
 // beat sends one heartbeat. If the peer does not answer, a few others are
