--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -89,6 +89,7 @@
 		{Name: "Affinity2", New: version(useHolders)},
 		{Name: "Affinity3", New: version(useHolders | useOthers)},
 		{Name: "Affinity4", New: version(useHolders | useOthers | useSteep)},
+		{Name: "Affinity5", New: version(useHolders | useOthers | useSteep | useAnchor)},
 		{Name: "Affinity", New: func(cfg Config) Policy { return New(cfg) }},
 	}
 }
@@ -114,6 +115,8 @@
 	useSteep
 	// useAnchor lets only prefixes of some length bind requests.
 	useAnchor
+	// useShrink draws reported backlogs to their mean with their age.
+	useShrink
 
 	useAll  feature = 1<<iota - 1
 	useNone feature = 1 << 31
--- a/request/placement/fleet.go
+++ b/request/placement/fleet.go
@@ -28,6 +28,7 @@
 	members  map[string]*member
 	eligible []*member // sorted by hash
 	byID     []*member // 0 is nobody
+	queued   int       // prompt tokens that wait, by the last reports of all
 }
 
 func newFleet() fleet { return fleet{members: map[string]*member{}, byID: make([]*member, 1)} }
@@ -72,6 +73,7 @@
 }
 
 func (f *fleet) remove(m *member) {
+	f.queued -= m.load.QueuedTokens
 	f.byID[m.id] = nil
 	delete(f.members, m.Name)
 }
@@ -104,6 +106,7 @@
 func (f *fleet) loaded(upstream string, l Load) {
 	m := f.members[upstream]
 	if m != nil && l.At.After(m.load.At) {
+		f.queued += l.QueuedTokens - m.load.QueuedTokens
 		m.load = l
 	}
 }
@@ -132,3 +135,6 @@
 	x ^= x >> 32
 	return x
 }
+
+// meanQueued is the mean of the reported prompt tokens that wait.
+func (f *fleet) meanQueued() float64 { return float64(f.queued) / float64(max(1, len(f.members))) }
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -41,8 +41,12 @@
 func (a *Affinity) price(now time.Time, at tick, r Request, c candidate) price {
 	e := a.estimate(at, r.Chain, c)
 	cached := a.cached(e)
+	mean := a.fleet.meanQueued()
+	if !a.cfg.features.has(useShrink) {
+		mean = -1
+	}
 	compute := (float64(r.Chain.Tokens()) - cached) / max(1, c.Prefill)
-	b := c.backlog(now, a.peers.work[c.Name])
+	b := c.backlog(now, a.peers.work[c.Name], mean)
 	queue := float64(b.tokens) / max(1, c.Prefill)
 	e.queue = queue
 	wait := queue*a.queueing(r).part() + slotWait(r, c.member, b) + compute
