Ask a reader again with the same claim when the log is slow

A claim failed if its reader could not settle it within one call, 600 ms, though the caller had more time and the log was only slow. Seen before: JournalUnavailable at 250 ms a call of the log; now served, once.

--- a/request/journal/cluster_cases_test.go
+++ b/request/journal/cluster_cases_test.go
@@ -340,3 +340,26 @@
 		}
 	})
 }
+
+// The log takes a quarter of a second for each call, longer in all than a
+// node waits for one answer of its reader. It asks again with the same claim,
+// and the request is served, late and once.
+func TestSlowLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var u fakeUpstream
+		log := newFakeLog()
+		log.delay = 250 * time.Millisecond
+		c := newCluster(t, log, 4, 1)
+		for i := range 4 {
+			e := entryAt(fmt.Sprint("key", i), time.Now())
+			claim, _, err := begin(c.node(i), e)
+			if err != nil || !claim.MayBegin(time.Now()) {
+				t.Fatal(err)
+			}
+			claim.Ran(time.Now(), u.do(e.Key))
+		}
+		if n := c.openPartitions(); n > 4 {
+			t.Fatalf("%d partitions are read for 4 keys", n)
+		}
+	})
+}
--- a/request/journal/route.go
+++ b/request/journal/route.go
@@ -72,15 +72,13 @@
 	silent := 0
 	var last decision
 	for _, m := range readers {
-		req := ClaimRequest{Partition: n, Partitions: j.settings.Partitions, Claim: c, Wait: j.readerWait()}
-		var resp ClaimResponse
-		if j.call(ctx, m, claimMethod, req, &resp) != nil {
+		d, answered := j.askReader(ctx, m, n, c)
+		if !answered {
 			silent++
 			continue
 		}
-		last = decision{verdict: resp.Verdict, holder: resp.Holder, err: resp.Failure.err()}
-		if last.err == nil || errors.Is(last.err, errUndecided) {
-			return last
+		if last = d; d.err == nil || errors.Is(d.err, errUndecided) {
+			return d
 		}
 	}
 	if self || silent == len(readers) {
@@ -92,6 +90,22 @@
 	return last
 }
 
+// askReader asks one reader about a claim, again if the log is too slow for
+// one call, and says whether it answered.
+func (j *Journal) askReader(ctx context.Context, m Member, n int, c ClaimRecord) (d decision, answered bool) {
+	req := ClaimRequest{Partition: n, Partitions: j.settings.Partitions, Claim: c, Wait: j.readerWait()}
+	for {
+		var resp ClaimResponse
+		if j.call(ctx, m, claimMethod, req, &resp) != nil {
+			return decision{}, false
+		}
+		d = decision{verdict: resp.Verdict, holder: resp.Holder, err: resp.Failure.err()}
+		if ctx.Err() != nil || !errors.Is(d.err, errUndecided) {
+			return d, true
+		}
+	}
+}
+
 // readerWait is how long a reader may take. It ends before the call does, so
 // that a reader that waits for the log is not taken for a silent one.
 func (j *Journal) readerWait() time.Duration { return j.settings.PeerTimeout * 3 / 4 }
