Warm a pool before a shift; learn limits at the first token; TLS by settings

Cause: the planner had nobody to warm a pool; the concurrency limit heard of a first token only at the stream's end; ejection counted its third over all upstreams instead of the eligible ones; limits were exchanged once a second only; the callers' path of plain services still listed upstreams per request. Ruled out for the warming: exporting and importing KV (two providers' engines need not share a format). Change: package recent remembers a workspace's openings, the warmer has the new pool compute them; guard.Answered; limits exchanged as soon as they run out; TLS of all listeners with reload. Kept, as the promise to callers of a cold pool with large prompts needs it; its gain is still to be measured.

--- a/process/node/admission.go
+++ b/process/node/admission.go
@@ -38,10 +38,21 @@
 		Workspace: r.Workspace,
 		Priority:  r.Priority / urgenciesPerClass,
 		Cost:      cost,
-		StartBy:   r.Deadline,
+		StartBy:   startBy(now, r.Deadline, cost),
 	})
 }
 
+// startBy is the latest useful start of a request that runs for so many
+// seconds. A request whose time is too short from the outset by this estimate
+// still gets half of it: the estimate may be wrong.
+func startBy(now, deadline time.Time, seconds float64) time.Time {
+	if deadline.IsZero() {
+		return deadline
+	}
+	run := time.Duration(seconds * float64(time.Second))
+	return deadline.Add(-min(run, deadline.Sub(now)/2))
+}
+
 // AdmitCall lets a call to a plain service in.
 func (a *admission) AdmitCall(ctx context.Context, now time.Time, r call.Request) (func(), error) {
 	return a.admit(ctx, now, a.calls, limit.Ticket{
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -25,6 +25,9 @@
 const (
 	expireInterval   = 100 * time.Millisecond
 	exchangeInterval = time.Second
+	// limitPoll is the time between two looks at whether this node's part of
+	// a workspace's limit runs out before the next exchange.
+	limitPoll = 100 * time.Millisecond
 )
 
 // Names of the values that nodes publish to each other.
@@ -48,7 +51,8 @@
 	inventory  *inventory.Inventory
 	metrics    *metric.Metrics
 
-	published int // turn of the rotation of engine statuses
+	shared    time.Time // last exchange of limits; of one goroutine alone
+	published int       // turn of the rotation of engine statuses
 }
 
 func (n *Node) newMaintenance(i do.Injector) (*maintenance, error) {
@@ -69,6 +73,7 @@
 	states, unsubscribe := m.follower.Subscribe()
 	var done sync.WaitGroup
 	done.Go(func() { every(ctx, expireInterval, m.expire) })
+	done.Go(func() { every(ctx, limitPoll, func(now time.Time) { m.shareLimits(ctx, now) }) })
 	done.Go(func() { every(ctx, exchangeInterval, func(now time.Time) { m.exchange(ctx, now) }) })
 	done.Go(func() {
 		for {
@@ -142,11 +147,16 @@
 	m.publishPlacement(now)
 	m.learnEngines(now)
 	m.learnPlacement(now)
-	m.shareLimits(ctx, now, live)
 }
 
-// shareLimits tells the owners of limited workspaces of this node's demand.
-func (m *maintenance) shareLimits(ctx context.Context, now time.Time, live []member.Member) {
+// shareLimits tells the owners of limited workspaces of this node's demand,
+// once in each exchange interval, or as soon as its part runs out.
+func (m *maintenance) shareLimits(ctx context.Context, now time.Time) {
+	if now.Sub(m.shared) < exchangeInterval && !m.workspaces.Due() {
+		return
+	}
+	m.shared = now
+	live := m.members.Live(now)
 	for _, s := range m.workspaces.Summaries(now) {
 		to, ok := lo.Find(live, func(l member.Member) bool { return l.Name == s.To })
 		if !ok {
@@ -154,8 +164,7 @@
 		}
 		var g limit.Grants
 		if err := m.client.Call(ctx, to.Address, limitService+".Merge", s, &g); err != nil {
-			// Without an answer the grant lapses and this node takes its
-			// equal part of the limit.
+			m.workspaces.Missed(now, s)
 			continue
 		}
 		m.workspaces.Learn(now, g)
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -15,10 +15,12 @@
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/request/recent"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/follower"
@@ -34,6 +36,7 @@
 	do.Provide(i, func(do.Injector) (*metric.Metrics, error) { return metric.New(), nil })
 	do.Provide(i, func(do.Injector) (*presence, error) { return &presence{}, nil })
 	do.Provide(i, n.newLog)
+	do.Provide(i, n.newPeerMaterial)
 	do.Provide(i, n.newPeerClient)
 	do.Provide(i, n.newPeerServer)
 	do.Provide(i, n.newMembers)
@@ -48,6 +51,8 @@
 	do.Provide(i, n.newPolicies)
 	do.Provide(i, n.newInventory)
 	n.provideRequests()
+	do.Provide(i, n.newRecent)
+	do.Provide(i, n.newWarmer)
 	do.Provide(i, n.newPlanner)
 	do.Provide(i, n.newReport)
 	do.Provide(i, n.newMaintenance)
@@ -73,9 +78,11 @@
 
 func (n *Node) secrets() [][]byte { return [][]byte{[]byte(n.settings.Peers.Secret)} }
 
-func (n *Node) newPeerClient(do.Injector) (*peer.Client, error) {
+func (n *Node) newPeerClient(i do.Injector) (*peer.Client, error) {
+	m := do.MustInvoke[peerMaterial](i)
 	c, err := peer.NewClient(peer.ClientConfig{
 		Secrets:     n.secrets(),
+		TLS:         m.client(),
 		CallTimeout: n.settings.Peers.CallTimeout,
 	})
 	if err != nil {
@@ -91,8 +98,12 @@
 	address string
 }
 
-func (n *Node) newPeerServer(do.Injector) (peerServer, error) {
-	s, err := peer.NewServer(peer.ServerConfig{Secrets: n.secrets(), Logger: n.log})
+func (n *Node) newPeerServer(i do.Injector) (peerServer, error) {
+	cfg, err := do.MustInvoke[peerMaterial](i).server()
+	if err != nil {
+		return peerServer{}, fmt.Errorf("peer server: %w", err)
+	}
+	s, err := peer.NewServer(peer.ServerConfig{Secrets: n.secrets(), TLS: cfg, Logger: n.log})
 	if err != nil {
 		return peerServer{}, fmt.Errorf("peer server: %w", err)
 	}
@@ -179,6 +190,7 @@
 func (n *Node) newWorkspaces(i do.Injector) (*limit.Workspaces, error) {
 	cfg := limit.DefaultWorkspaces
 	cfg.Node = n.settings.Node
+	cfg.Poll = limitPoll
 	cfg.Seed = do.MustInvoke[identity](i).seed
 	w := limit.NewWorkspaces(cfg)
 	return w, do.MustInvoke[peerServer](i).Register(limitService, &limitHandler{workspaces: w})
@@ -236,7 +248,16 @@
 		return inv.Engine(u), true
 	}
 	p := planner.New(planner.Config{Node: n.settings.Node, Settle: n.settings.Plans.Settle},
-		do.MustInvoke[*follower.Follower](i), do.MustInvoke[platform.Log](i), engines, nil, n.log)
+		do.MustInvoke[*follower.Follower](i), do.MustInvoke[platform.Log](i), engines,
+		do.MustInvoke[*warmer](i), n.log)
 	n.closers.add("planner", p.Close)
 	return p, nil
 }
+
+func (n *Node) newRecent(do.Injector) (*recent.Table, error) { return recent.New(recent.Config{}) }
+
+func (n *Node) newWarmer(i do.Injector) (*warmer, error) {
+	w := newWarmer(do.MustInvoke[*recent.Table](i), do.MustInvoke[*completion.Router](i).Warm)
+	n.closers.add("warmer", w.Close)
+	return w, nil
+}
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -13,6 +13,7 @@
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
+	"github.com/dunlinmill/dunlinmill/request/recent"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/follower"
@@ -35,6 +36,7 @@
 		Admission: do.MustInvoke[*admission](i),
 		Guard:     do.MustInvoke[*guard.Guard](i),
 		Journal:   do.MustInvoke[*journal.Journal](i),
+		Recent:    do.MustInvoke[*recent.Table](i),
 		Observer:  observer{metrics: do.MustInvoke[*metric.Metrics](i)},
 		Log:       n.log,
 	}, nil
--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -91,6 +91,9 @@
 		checkFile(d, path+".TLS.CertFile", l.TLS.CertFile)
 		checkFile(d, path+".TLS.KeyFile", l.TLS.KeyFile)
 	}
+	if l.TLS.AuthorityFile != "" {
+		checkFile(d, path+".TLS.AuthorityFile", l.TLS.AuthorityFile)
+	}
 }
 
 func (s *Settings) checkPlatform(d *document.Decoded) {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -51,6 +51,9 @@
 type TLS struct {
 	CertFile string
 	KeyFile  string
+	// AuthorityFile holds the authorities that sign the certificates of the
+	// other side; needed for Listen.Peers, whose both ends show one.
+	AuthorityFile string
 }
 
 // Enabled says whether a certificate is set.
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -15,12 +15,13 @@
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
 // View gives the configuration in force.
 type View interface {
-	Config() config.Config
+	Catalogue() *catalogue.Catalogue
 }
 
 // Upstreams is what this process knows of the service instances.
@@ -105,19 +106,15 @@
 	return s.sendClaimed(ctx, now)
 }
 
-func (rt *Router) instances(r Request) ([]config.Upstream, error) {
-	cfg := rt.View.Config()
-	known := lo.SomeBy(lo.Values(cfg.Upstreams), func(u config.Upstream) bool {
-		return u.Kind == config.Service && u.Service == r.Service
-	})
-	if !known {
-		return nil, failure.ErrUnknownService.WithMessage("no service %q", r.Service)
-	}
-	instances := cfg.Services(r.Service)
-	if len(instances) == 0 {
-		return nil, failure.ErrNoUpstream.WithRetryAfter(retryAfter)
+func (rt *Router) instances(r Request) (catalogue.List, error) {
+	l, known := rt.View.Catalogue().Services(r.Service)
+	switch {
+	case !known:
+		return l, failure.ErrUnknownService.WithMessage("no service %q", r.Service)
+	case len(l.Names) == 0:
+		return l, failure.ErrNoUpstream.WithRetryAfter(limit.Spread(0, r.ID, retryAfter))
 	}
-	return instances, nil
+	return l, nil
 }
 
 // retryAfter is when to come back if nothing better is known.
@@ -127,7 +124,7 @@
 type sending struct {
 	rt        *Router
 	r         Request
-	instances []config.Upstream
+	instances catalogue.List
 	claim     *journal.Claim // nil for a call that may be repeated
 	attempts  int
 	sent      bool // a byte may have reached an instance
@@ -136,7 +133,7 @@
 
 // sendClaimed claims the key before the send and tells the journal the end.
 func (s *sending) sendClaimed(ctx context.Context, now time.Time) (upstream.Reply, error) {
-	deduplicates := lo.EveryBy(s.instances, func(u config.Upstream) bool { return u.DeduplicatesKeys })
+	deduplicates := lo.EveryBy(s.instances.Upstreams, func(u config.Upstream) bool { return u.DeduplicatesKeys })
 	c, earlier, err := s.rt.Journal.Begin(ctx, now, s.r.entry(deduplicates))
 	if err != nil {
 		return upstream.Reply{}, err
@@ -186,9 +183,8 @@
 // choose takes the usable instance with the fewest of this node's calls,
 // leaving out those that were tried.
 func (s *sending) choose(now time.Time) (config.Upstream, bool) {
-	names := lo.Map(s.instances, func(u config.Upstream, _ int) string { return u.Name })
-	excluded := append(s.rt.Guard.Excluded(now, names), s.tried...)
-	open := lo.Filter(s.instances, func(u config.Upstream, _ int) bool {
+	excluded := append(s.rt.Guard.Excluded(now, s.instances.Names), s.tried...)
+	open := lo.Filter(s.instances.Upstreams, func(u config.Upstream, _ int) bool {
 		return !lo.Contains(excluded, u.Name)
 	})
 	usable := lo.Filter(open, func(u config.Upstream, _ int) bool {
@@ -289,8 +285,8 @@
 
 // others counts the instances that were not tried yet, but for name.
 func (s *sending) others(name string) int {
-	return lo.CountBy(s.instances, func(u config.Upstream) bool {
-		return u.Name != name && !lo.Contains(s.tried, u.Name)
+	return lo.CountBy(s.instances.Names, func(n string) bool {
+		return n != name && !lo.Contains(s.tried, n)
 	})
 }
 
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -27,6 +27,11 @@
 	Key idempotency.Key
 }
 
+// identity is what the request's cached prefixes belong to.
+func (r Request) identity() prefix.Identity {
+	return prefix.Identity{Workspace: r.Workspace, Model: r.Model, Adapter: r.Adapter}
+}
+
 // mostUrgent is the highest priority number that still counts as a look-up
 // somebody waits for.
 const mostUrgent = 2
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -50,6 +50,7 @@
 	Full(names []string) bool
 	// Begin takes the place for one send; every true is followed by one End.
 	Begin(now time.Time, name string) bool
+	Answered(now time.Time, name string, firstToken, expected time.Duration)
 	End(now time.Time, name string, s guard.Send)
 	// Request notes a request's first send.
 	Request(workspace, name string)
@@ -70,6 +71,11 @@
 	Retried(r Request, a retry.Action)
 }
 
+// Recent remembers what workspaces ask, for a pool that they are shifted to.
+type Recent interface {
+	Note(now time.Time, id prefix.Identity, messages []prefix.Message)
+}
+
 // Config bounds one request's life.
 type Config struct {
 	DataCentre string
@@ -118,12 +124,12 @@
 	Admission Admission
 	Guard     Guard
 	Journal   Journal
+	Recent    Recent
 	Observer  Observer
 	Log       *zap.Logger
 }
 
 // chain gives the request's prefix levels.
 func (rt *Router) chain(r Request) prefix.Chain {
-	id := prefix.Identity{Workspace: r.Workspace, Model: r.Model, Adapter: r.Adapter}
-	return prefix.FromMessages(id, r.Messages)
+	return prefix.FromMessages(r.identity(), r.Messages)
 }
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -31,6 +31,7 @@
 		return nil, err
 	}
 	s.target = t
+	rt.Recent.Note(now, r.identity(), r.Messages)
 	release, err := rt.Admission.Admit(ctx, now, r, s.chain.Tokens())
 	if err != nil {
 		return nil, err
@@ -312,7 +313,6 @@
 	if !s.target.model.Accepts(version) {
 		version = s.target.model.Version
 	}
-	id := prefix.Identity{Workspace: s.r.Workspace, Model: s.r.Model, Adapter: s.r.Adapter}
 	parts := make([]upstream.Part, len(s.r.Messages))
 	for i, m := range s.r.Messages {
 		parts[i] = upstream.Part{Role: m.Role, Content: m.Content}
@@ -322,7 +322,7 @@
 		Model:     s.r.Model,
 		Version:   version,
 		Adapter:   s.r.Adapter,
-		Salt:      prefix.Salt(id, version),
+		Salt:      prefix.Salt(s.r.identity(), version),
 		Prompt:    parts,
 		MaxTokens: s.r.MaxTokens,
 		Priority:  s.r.Priority,
--- a/request/completion/visit.go
+++ b/request/completion/visit.go
@@ -36,6 +36,7 @@
 func (v *visit) answered(now time.Time, h upstream.Head, firstToken time.Duration) {
 	v.firstToken = firstToken
 	v.incarnation = h.Incarnation
+	v.rt.Guard.Answered(now, v.decision.Upstream, firstToken, v.decision.Idle)
 	v.policy.Answered(now, v.request, v.decision, placement.Answer{
 		Incarnation:  h.Incarnation,
 		Version:      h.Version,
@@ -55,6 +56,7 @@
 		Err:         err,
 		FirstToken:  v.firstToken,
 		Expected:    v.decision.Idle,
+		Streamed:    v.firstToken > 0,
 		Incarnation: v.incarnation,
 	})
 }
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -72,9 +72,10 @@
 	return g.concurrency.Capacity(names)
 }
 
-// Excluded gives those of the upstreams that must not get a request now.
+// Excluded gives those of the upstreams that must not get a request now. The
+// ejected ones among them are never all of them.
 func (g *Guard) Excluded(now time.Time, names []string) []string {
-	ejected := g.detector.Excluded(now)
+	ejected := g.detector.ExcludedAmong(now, names)
 	full := lo.Filter(names, func(name string, _ int) bool { return !g.concurrency.Free(name) })
 	return append(ejected, full...)
 }
@@ -117,6 +118,12 @@
 	return g.inFlight[name]
 }
 
+// Answered learns from the first token, long before a stream's end: a limit
+// that heard of a slow first token only then would go on rising meanwhile.
+func (g *Guard) Answered(now time.Time, name string, firstToken, expected time.Duration) {
+	g.concurrency.Answered(now, name, firstToken, expected)
+}
+
 // Send is how one send ended.
 type Send struct {
 	// Err is nil for a whole answer and for a caller that went away.
@@ -124,16 +131,16 @@
 	// FirstToken is the time from the send to the first token; 0: none came.
 	FirstToken time.Duration
 	// Expected is that time on an idle upstream; 0: not known.
-	Expected    time.Duration
+	Expected time.Duration
+	// Streamed says that Answered has told of the first token already.
+	Streamed    bool
 	Incarnation uint64
 }
 
 // End gives the place back and learns from how the send ended.
 func (g *Guard) End(now time.Time, name string, s Send) {
 	g.count(name, -1)
-	g.concurrency.Release(now, name, limit.Result{
-		Outcome: outcome(s), FirstToken: s.FirstToken, Expected: s.Expected,
-	})
+	g.concurrency.Release(now, name, result(s))
 	if tellsNothing(s) {
 		g.detector.Release(now, name)
 		return
@@ -146,6 +153,15 @@
 	})
 }
 
+// result is the part of a Send that the concurrency limit learns from.
+func result(s Send) limit.Result {
+	r := limit.Result{Outcome: outcome(s), FirstToken: s.FirstToken, Expected: s.Expected}
+	if s.Streamed {
+		r.FirstToken = 0
+	}
+	return r
+}
+
 // tellsNothing holds for the ends that say nothing of an upstream's health:
 // a busy refusal, weights that are being changed, a caller that went away.
 func tellsNothing(s Send) bool {
