--- a/process/event/request.go
+++ b/process/event/request.go
@@ -2,20 +2,20 @@
 
 // Events of single requests.
 const (
-	// RequestPlaced: a request was given to the upstream named, for the reason named; Cached is how many prompt tokens are expected in its cache.
+	// RequestPlaced: an upstream was chosen for a request, for the reason given; CachedTokens is what its cache is expected to hold.
 	RequestPlaced Event = iota + 100
-	// RequestAnswered: the whole answer was sent; CachedTokens is what the engine said it had cached.
+	// RequestAnswered: the first token has come; CachedTokens is what the engine says it had cached.
 	RequestAnswered
-	// RequestRefused: the request got an error and did not run.
+	// RequestRefused: the caller got a typed error before any answer.
 	RequestRefused
-	// RequestRetried: the request is tried on another upstream, as no byte of its answer has been sent.
+	// RequestRetried: a send failed, and Action says what is done about it. To do: when it goes on for one upstream, look at that upstream.
 	RequestRetried
-	// RequestFailed: the request got an error and ran, or may have run.
+	// RequestFailed: an answer ended before its end mark, and the caller was told so, or had gone.
 	RequestFailed
-	// StreamResumed: a cut stream goes on from the same engine.
+	// StreamResumed: the same engine went on with a stream after its connection broke.
 	StreamResumed
-	// StreamContinued: another engine goes on with the text that was sent so far.
+	// StreamContinued: another engine goes on after the text that was passed on.
 	StreamContinued
-	// StreamCancelled: the caller went away and the engine was told to stop.
+	// StreamCancelled: the engine was told to stop a stream that nobody reads.
 	StreamCancelled
 )
--- a/process/event/version.go
+++ b/process/event/version.go
@@ -40,6 +40,6 @@
 	OrderFailed
 	// PlannerHeldUp says that a record of the planner could not be written or was refused. To do: nothing for a single one; when it goes on, see to the platform.
 	PlannerHeldUp
-	// UpstreamRepaired says that an engine lacks the weights in force and is loaded with them again.
+	// UpstreamRepaired says that an engine lacks the weights in force and is loaded with them again. To do: find out why the engine lost its weights when it goes on; it is being put right.
 	UpstreamRepaired
 )
--- a/process/node/secure.go
+++ b/process/node/secure.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/transport"
