Exchange whole tables by bytes, sooner while they bring much

Cause: when 360 nodes started at once from two addresses, not all knew all within a minute: whole tables were exchanged every 41 s at that size, and news alone carries 16 records a message. Ruled out: more sends of each piece of news, which kept every message full for five minutes after a start. Change: the time between two exchanges grows with the table so that its bytes a second don't, and is a quarter after one that brought much.

--- a/process/member/bench_test.go
+++ b/process/member/bench_test.go
@@ -187,3 +187,22 @@
 	b.ReportMetric(float64(exchange()), "B/exchange")
 	b.ReportMetric(float64(first-second), "B/connection")
 }
+
+// BenchmarkColdStart gives, in virtual time, how long it takes until all know
+// all when a whole fleet starts at once from two addresses.
+func BenchmarkColdStart(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(fmt.Sprintf("nodes=%d", s.nodes), func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet(b, 1, s.dataCentres, 0)
+				for i := range s.nodes {
+					f.add(fmt.Sprintf("node-%03d", i), fmt.Sprintf("dc-%d", i%s.dataCentres))
+				}
+				took := f.settle()
+				bytes := lo.SumBy(f.nodes, func(n *node) int { return n.bytes })
+				b.ReportMetric(took.Seconds(), "s-all-known")
+				b.ReportMetric(float64(bytes)/took.Seconds()/float64(s.nodes), "B/s/node")
+			}
+		})
+	}
+}
--- a/process/member/member.go
+++ b/process/member/member.go
@@ -145,16 +145,15 @@
 	Incarnation int64    // start of this process, in nanoseconds since 1970
 	Seeds       []string // peer addresses to try besides the VM list
 
-	Interval        time.Duration // between two heartbeats of this node
-	ProbeTimeout    time.Duration // of one heartbeat
-	IndirectProbes  int           // peers asked to probe what did not answer
-	SuspectTimeout  time.Duration // time to refute among up to ten nodes; grows with log10
-	RemoteShare     int           // one heartbeat in so many goes to another data centre
-	DeadRetention   time.Duration // how long a dead member is remembered and tried again
-	MessageBytes    int           // about the most that one heartbeat carries
-	VMListInterval  time.Duration
-	RandomSeed      uint64 // 0: from the incarnation
-	RefreshInterval time.Duration
+	Interval       time.Duration // between two heartbeats of this node
+	ProbeTimeout   time.Duration // of one heartbeat
+	IndirectProbes int           // peers asked to probe what did not answer
+	SuspectTimeout time.Duration // time to refute among up to ten nodes; grows with log10
+	RemoteShare    int           // one heartbeat in so many goes to another data centre
+	DeadRetention  time.Duration // how long a dead member is remembered and tried again
+	MessageBytes   int           // about the most that one heartbeat carries
+	VMListInterval time.Duration
+	RandomSeed     uint64 // 0: from the incarnation
 }
 
 func (c Config) withDefaults() Config {
@@ -166,7 +165,6 @@
 	c.DeadRetention = orDefault(c.DeadRetention, 30*time.Minute)
 	c.MessageBytes = orDefault(c.MessageBytes, 2048)
 	c.VMListInterval = orDefault(c.VMListInterval, 5*c.Interval)
-	c.RefreshInterval = orDefault(c.RefreshInterval, 5*c.Interval)
 	c.RandomSeed = orDefault(c.RandomSeed, uint64(c.Incarnation))
 	return c
 }
--- a/process/member/message.go
+++ b/process/member/message.go
@@ -137,20 +137,39 @@
 	return s
 }
 
-// Merge takes in a peer's snapshot.
+// Merge takes in a peer's snapshot. While a good part of it is new, as when a
+// whole fleet starts at once, the next exchange need not wait long.
 func (t *Table) Merge(now time.Time, s Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.version
 	for _, r := range s.Records[:min(len(s.Records), MaxMembers)] {
 		t.learn(now, r)
 	}
+	if learnt := t.version - before; learnt*learntShare >= uint64(len(s.Records)) {
+		t.nextSync = now.Add(t.refreshInterval() / learningHaste)
+	}
 }
 
+// learningHaste is how many times sooner tables are exchanged again after one
+// that brought much.
+const learningHaste = 4
+
+// refreshInterval is the least time between two exchanges of whole tables
+// that this node begins. It grows with their size, so that their bytes a
+// second don't.
+func (t *Table) refreshInterval() time.Duration {
+	return max(t.cfg.Interval, time.Duration(len(t.members))*t.cfg.Interval/refreshMembers)
+}
+
+// learntShare: one part in so many of a snapshot is a good part of it.
+const learntShare = 16
+
 // answered takes in the answer to a heartbeat and says whether the whole
 // tables should be compared. News travels a bounded number of times; a node
 // that missed it all, because it is new, was frozen or was cut off, would
 // never hear it. Its digest differs, so it asks for everything, but no more
-// often than the refresh interval, which grows with the size of the tables.
+// often than the refresh interval.
 func (t *Table) answered(now time.Time, a attempt, m Message) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -161,14 +180,14 @@
 	}
 	wasDead := e == nil || e.record.State == Dead
 	t.merge(now, m)
-	every := t.cfg.RefreshInterval * time.Duration(1+len(t.members)/refreshMembers)
-	if m.Digest == t.digest() || !wasDead && now.Sub(t.lastSync) < every {
+	if m.Digest == t.digest() || !wasDead && now.Before(t.nextSync) {
 		return false
 	}
-	t.lastSync = now
+	t.nextSync = now.Add(t.refreshInterval())
 	return true
 }
 
-// refreshMembers is how many members add one RefreshInterval to the time
-// between two exchanges of whole tables.
-const refreshMembers = 50
+// refreshMembers is how many members add one Interval to the time between two
+// exchanges of whole tables. A record takes about 65 bytes, and both ends send
+// theirs.
+const refreshMembers = 16
--- a/process/member/table.go
+++ b/process/member/table.go
@@ -31,7 +31,7 @@
 	updates    map[string]int // sends so far of records that others should hear
 	blobs      map[blobKey]*heldBlob
 	lastTick   time.Time
-	lastSync   time.Time
+	nextSync   time.Time // whole tables are not exchanged before
 	changes    []Change
 	version    uint64
 	view       view
@@ -311,7 +311,7 @@
 			e.since = e.since.Add(gap)
 		}
 	}
-	t.lastSync = time.Time{}
+	t.nextSync = time.Time{}
 	t.version++
 	t.note(t.self, Paused)
 }
