--- a/process/node/operators.go
+++ b/process/node/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -19,12 +20,16 @@
 // plans answers the operators' intents through the log.
 type plans struct {
 	follower *follower.Follower
+	weights  platform.WeightStore
 }
 
 // Propose makes a plan and puts it on the log, so that any node can show and
 // confirm it.
 func (p *plans) Propose(ctx context.Context, operator string, in record.Intent) (fold.Plan, error) {
 	now := time.Now()
+	if err := p.checkWeights(ctx, in); err != nil {
+		return fold.Plan{}, err
+	}
 	made, err := plan.Make(p.follower.State(), in, now)
 	if err != nil {
 		return fold.Plan{}, refusal(err)
@@ -36,6 +41,26 @@
 	return p.Plan(ctx, made.ID)
 }
 
+// weightStoreTimeout bounds the look-up of a weights version.
+const weightStoreTimeout = 2 * time.Second
+
+// checkWeights refuses a roll-out of weights that the store does not have. If
+// the store can't be asked the plan is made all the same: the loads would fail
+// and pause it, and nothing is activated without its weights.
+func (p *plans) checkWeights(ctx context.Context, in record.Intent) error {
+	if in.RollOutWeights == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, weightStoreTimeout)
+	defer cancel()
+	versions, err := p.weights.Versions(ctx, in.RollOutWeights.Model)
+	if err != nil || slices.Contains(versions, in.RollOutWeights.Version) {
+		return nil
+	}
+	return failure.ErrMalformedIntent.WithMessage("the weight store has no version %q of model %q, but %q",
+		in.RollOutWeights.Version, in.RollOutWeights.Model, versions)
+}
+
 // Plans gives all plans that are kept.
 func (p *plans) Plans(context.Context) ([]fold.Plan, error) {
 	return p.follower.State().PlanList(), nil
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -36,6 +36,7 @@
 	do.Provide(i, func(do.Injector) (*metric.Metrics, error) { return metric.New(), nil })
 	do.Provide(i, func(do.Injector) (*presence, error) { return &presence{}, nil })
 	do.Provide(i, n.newLog)
+	do.Provide(i, n.newWeightStore)
 	do.Provide(i, n.newPeerMaterial)
 	do.Provide(i, n.newPeerClient)
 	do.Provide(i, n.newPeerServer)
@@ -71,11 +72,24 @@
 }
 
 func (n *Node) newLog(do.Injector) (platform.Log, error) {
-	l := platformhttp.NewLog(n.settings.Platform.Log, platformhttp.Config{})
+	l := platformhttp.NewLog(n.settings.Platform.Log, n.platformConfig(follower.DefaultPollWait))
 	n.closers.add("log client", func() error { l.Close(); return nil })
 	return l, nil
 }
 
+// platformConfig bounds the calls to a service of the platform, which may hold
+// back an answer for a stated time.
+func (n *Node) platformConfig(held time.Duration) platformhttp.Config {
+	t := n.settings.Platform.Timeout
+	return platformhttp.Config{DialTimeout: t, WriteTimeout: t, ReadTimeout: t + held}
+}
+
+func (n *Node) newWeightStore(do.Injector) (platform.WeightStore, error) {
+	w := platformhttp.NewWeightStore(n.settings.Platform.WeightStore, n.platformConfig(0))
+	n.closers.add("weight store client", func() error { w.Close(); return nil })
+	return w, nil
+}
+
 func (n *Node) secrets() [][]byte { return [][]byte{[]byte(n.settings.Peers.Secret)} }
 
 func (n *Node) newPeerClient(i do.Injector) (*peer.Client, error) {
@@ -119,7 +133,7 @@
 	s := do.MustInvoke[peerServer](i)
 	var list platform.VMList
 	if n.settings.Platform.VMList != "" {
-		l := platformhttp.NewVMList(n.settings.Platform.VMList, platformhttp.Config{})
+		l := platformhttp.NewVMList(n.settings.Platform.VMList, n.platformConfig(0))
 		n.closers.add("VM list client", func() error { l.Close(); return nil })
 		list = l
 	}
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -7,6 +7,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/caller"
 	"github.com/dunlinmill/dunlinmill/connection/operator"
+	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/request/call"
@@ -77,7 +78,7 @@
 	return operator.NewListener(operator.Config{
 		BootstrapToken: n.settings.Operators.BootstrapToken,
 	}, operator.Services{
-		Planner:  &plans{follower: do.MustInvoke[*follower.Follower](i)},
+		Planner:  &plans{follower: do.MustInvoke[*follower.Follower](i), weights: do.MustInvoke[platform.WeightStore](i)},
 		View:     operatorView{view: do.MustInvoke[view](i)},
 		Reporter: do.MustInvoke[*report](i),
 		Log:      n.log,
--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -127,7 +127,6 @@
 	checkRange(d, "Limits.WriteTimeout", s.Limits.WriteTimeout, time.Millisecond, MaxWait)
 	checkRange(d, "Queue.MaxWait", s.Queue.MaxWait, time.Millisecond, MaxWait)
 	checkRange(d, "Journal.Horizon", s.Journal.Horizon, time.Minute, MaxHorizon)
-	checkRange(d, "Journal.BatchDelay", s.Journal.BatchDelay, 0, time.Second)
 	checkRange(d, "Plans.Settle", s.Plans.Settle, 0, MaxWait)
 	checkRange(d, "Shutdown.Notice", s.Shutdown.Notice, 0, time.Minute)
 	checkRange(d, "Shutdown.Grace", s.Shutdown.Grace, 0, MaxWait)
--- a/process/settings/default.go
+++ b/process/settings/default.go
@@ -20,7 +20,6 @@
 	DefaultQueueLength      = 512
 	DefaultQueueMaxWait     = 5 * time.Second
 	DefaultJournalHorizon   = config.Horizon
-	DefaultBatchDelay       = 5 * time.Millisecond
 	DefaultAppendsPerSecond = 100.0
 	DefaultPlansSettle      = 8 * time.Second
 	DefaultShutdownNotice   = 2 * time.Second
@@ -44,7 +43,6 @@
 		Queue: Queue{Length: DefaultQueueLength, MaxWait: DefaultQueueMaxWait},
 		Journal: Journal{
 			Horizon:          DefaultJournalHorizon,
-			BatchDelay:       DefaultBatchDelay,
 			AppendsPerSecond: DefaultAppendsPerSecond,
 		},
 		Plans:    Plans{Settle: DefaultPlansSettle},
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -103,8 +103,7 @@
 
 // Journal settles the record of not-repeatable requests.
 type Journal struct {
-	Horizon    time.Duration // how long a key is answered for
-	BatchDelay time.Duration // how long a record may wait for others
+	Horizon time.Duration // how long a key is answered for
 	// AppendsPerSecond is the part of the log's capacity that all nodes
 	// together may use for the journal.
 	AppendsPerSecond float64
