Let claims wait for their turn within the append budget

With appends 560 ms apart, 7 data centres and 16 partitions or half of the budget, 511 and 399 of 7,600 calls failed in the load test: a claim that had not got its turn in 600 ms was answered as if the log were down. The reader now says that it is queued, and is asked again. Seen before: TestSmallBudget fails with JournalUnavailable.

--- a/request/journal/cluster_cases_test.go
+++ b/request/journal/cluster_cases_test.go
@@ -341,6 +341,22 @@
 	})
 }
 
+// The budget lets a partition append once a second, longer than a node waits
+// for one answer of its reader. Claims wait for their turn, and none fails.
+func TestSmallBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		c := newCluster(t, log, 4, 1, func(s *Settings) { s.Partitions, s.AppendBudget = 1, 1 })
+		for i := range 20 {
+			claim, _, err := begin(c.node(i%4), entryAt(fmt.Sprint("key", i), time.Now()))
+			if err != nil || !claim.MayBegin(time.Now()) {
+				t.Fatalf("call %d: %v", i, err)
+			}
+			claim.Ran(time.Now(), Answer{Status: 200})
+		}
+	})
+}
+
 // The log takes a quarter of a second for each call, longer in all than a
 // node waits for one answer of its reader. It asks again with the same claim,
 // and the request is served, late and once.
--- a/request/journal/handler.go
+++ b/request/journal/handler.go
@@ -42,6 +42,8 @@
 	Refused
 	// Unsettled means that it may have been appended, or will be.
 	Unsettled
+	// Queued means that it did not get its turn yet: nothing was appended.
+	Queued
 	// Behind means that the reader has not read back far enough yet.
 	Behind
 )
@@ -53,6 +55,8 @@
 		return Done
 	case errors.Is(err, errNotCovered):
 		return Behind
+	case errors.Is(err, errQueued):
+		return Queued
 	case errors.Is(err, errDown), errors.Is(err, errFull), errors.Is(err, errClosed):
 		return Refused
 	}
@@ -66,6 +70,8 @@
 		return nil
 	case Refused:
 		return errDown
+	case Queued:
+		return errQueued
 	case Behind:
 		return errNotCovered
 	}
--- a/request/journal/journal_string.go
+++ b/request/journal/journal_string.go
@@ -76,12 +76,13 @@
 	_ = x[Done-0]
 	_ = x[Refused-1]
 	_ = x[Unsettled-2]
-	_ = x[Behind-3]
+	_ = x[Queued-3]
+	_ = x[Behind-4]
 }
 
-const _Failure_name = "DoneRefusedUnsettledBehind"
+const _Failure_name = "DoneRefusedUnsettledQueuedBehind"
 
-var _Failure_index = [...]uint8{0, 4, 11, 20, 26}
+var _Failure_index = [...]uint8{0, 4, 11, 20, 26, 32}
 
 func (i Failure) String() string {
 	idx := int(i) - 0
--- a/request/journal/partition.go
+++ b/request/journal/partition.go
@@ -16,6 +16,9 @@
 var (
 	// errDown means that the log fails and that nothing was appended.
 	errDown = errors.New("journal: the log is down")
+	// errQueued means that the claim still waited for its turn within the
+	// append budget: nothing was appended.
+	errQueued = errors.New("journal: the claim did not get its turn in time")
 	// errFull means that too many claims wait for the log already.
 	errFull = errors.New("journal: too many claims wait for the log")
 	// errUndecided means that the claim may be in the log, now or later.
@@ -185,7 +188,7 @@
 	for i, c := range p.pending {
 		if c.ID == id {
 			p.pending = append(p.pending[:i], p.pending[i+1:]...)
-			return decision{err: errDown}
+			return decision{err: errQueued}
 		}
 	}
 	return decision{err: errUndecided}
--- a/request/journal/route.go
+++ b/request/journal/route.go
@@ -90,8 +90,8 @@
 	return last
 }
 
-// askReader asks one reader about a claim, again if the log is too slow for
-// one call, and says whether it answered.
+// askReader asks one reader about a claim, again if the log or the claim's
+// turn to be appended is too slow for one call, and says whether it answered.
 func (j *Journal) askReader(ctx context.Context, m Member, n int, c ClaimRecord) (d decision, answered bool) {
 	req := ClaimRequest{Partition: n, Partitions: j.settings.Partitions, Claim: c, Wait: j.readerWait()}
 	for {
@@ -100,7 +100,8 @@
 			return decision{}, false
 		}
 		d = decision{verdict: resp.Verdict, holder: resp.Holder, err: resp.Failure.err()}
-		if ctx.Err() != nil || !errors.Is(d.err, errUndecided) {
+		again := errors.Is(d.err, errUndecided) || errors.Is(d.err, errQueued)
+		if !again || ctx.Err() != nil {
 			return d, true
 		}
 	}
