--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -47,6 +47,15 @@
 	Leaving() bool
 }
 
+// Counter counts requests for the metrics.
+type Counter interface {
+	Began()
+	Ended()
+	// Answered and Failed count a request's end, once for each.
+	Answered(workspace string)
+	Failed(workspace string, e *failure.Error)
+}
+
 // Config bounds what one connection may cost.
 type Config struct {
 	MaxBodyBytes   int
@@ -100,6 +109,7 @@
 	calls       Calls
 	directory   Directory
 	presence    Presence
+	counter     Counter
 	log         *zap.Logger
 	app         *fiber.App
 }
@@ -110,6 +120,7 @@
 	Calls       Calls
 	Directory   Directory
 	Presence    Presence
+	Counter     Counter
 	Metrics     prometheus.Gatherer
 	Log         *zap.Logger
 }
@@ -123,6 +134,7 @@
 		calls:       s.Calls,
 		directory:   s.Directory,
 		presence:    s.Presence,
+		counter:     s.Counter,
 		log:         s.Log,
 	}
 	l.app = fiber.New(fiber.Config{
--- a/connection/caller/completions.go
+++ b/connection/caller/completions.go
@@ -107,8 +107,10 @@
 	if err != nil {
 		return err
 	}
+	l.counter.Began()
 	a, err := l.completions.Start(context.Background(), r)
 	if err != nil {
+		l.ended(r.Workspace, err)
 		event.Info(l.log, event.RequestRefused, zap.String("Request", r.ID),
 			zap.String("Workspace", r.Workspace), zap.Error(err))
 		return err
@@ -123,6 +125,16 @@
 	return w.whole(c)
 }
 
+// ended counts a request's end.
+func (l *Listener) ended(workspace string, err error) {
+	l.counter.Ended()
+	if err != nil {
+		l.counter.Failed(workspace, failure.From(err))
+		return
+	}
+	l.counter.Answered(workspace)
+}
+
 func (l *Listener) completionRequest(c *fiber.Ctx, t terms, messages func(completionBody) ([]prefix.Message, error)) (completion.Request, bool, error) {
 	var b completionBody
 	if err := json.Unmarshal(c.Body(), &b); err != nil {
@@ -179,23 +191,29 @@
 // whole collects the answer and writes it at once.
 func (w writer) whole(c *fiber.Ctx) error {
 	defer w.a.Close()
-	var text strings.Builder
-	n := 0
-	finish := ""
+	text, finish, n, err := w.collect()
+	w.l.ended(w.r.Workspace, err)
+	if err != nil {
+		return err
+	}
+	return c.JSON(w.form.whole(w, text, finish, usageOf(w.a.Info(), n)))
+}
+
+// collect reads the answer to its end.
+func (w writer) collect() (text, finish string, tokens int, err error) {
+	var b strings.Builder
 	for {
 		t, err := w.a.Next()
 		if errors.Is(err, io.EOF) {
-			break
+			return b.String(), finish, tokens, nil
 		}
 		if err != nil {
-			return err
+			return "", "", tokens, err
 		}
-		text.WriteString(t.Text)
+		b.WriteString(t.Text)
 		finish = t.Finish
-		n++
+		tokens++
 	}
-	u := usageOf(w.a.Info(), n)
-	return c.JSON(w.form.whole(w, text.String(), finish, u))
 }
 
 // stream writes the answer as it comes. It runs after the handler has
@@ -206,7 +224,9 @@
 	conn := c.Context().Conn()
 	c.Context().SetBodyStreamWriter(func(b *bufio.Writer) {
 		defer w.a.Close()
-		if err := w.copy(b, conn); err != nil {
+		err := w.copy(b, conn)
+		w.l.ended(w.r.Workspace, err)
+		if err != nil {
 			event.Info(w.l.log, event.RequestFailed, zap.String("Request", w.r.ID),
 				zap.String("Workspace", w.r.Workspace), zap.Error(err))
 		}
--- a/connection/caller/service.go
+++ b/connection/caller/service.go
@@ -39,7 +39,9 @@
 		return err
 	}
 	r := callRequest(c, t)
+	l.counter.Began()
 	reply, err := l.calls.Do(context.Background(), r)
+	l.ended(r.Workspace, err)
 	if err != nil {
 		event.Info(l.log, event.RequestRefused, zap.String("Request", r.ID),
 			zap.String("Workspace", r.Workspace), zap.String("Service", r.Service), zap.Error(err))
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -141,7 +141,7 @@
 func (m *maintenance) exchange(ctx context.Context, now time.Time) {
 	live := m.members.Live(now)
 	m.workspaces.SetNodes(now, lo.Map(live, func(l member.Member, _ int) string { return l.Name }))
-	m.metrics.Peers(metric.Live, len(live)-1)
+	m.measure(now)
 	m.resize(now)
 	m.publishEngines(now)
 	m.publishPlacement(now)
@@ -149,6 +149,29 @@
 	m.learnPlacement(now)
 }
 
+// measure sets the metrics that are states, not counts.
+func (m *maintenance) measure(now time.Time) {
+	s := m.follower.Status(now)
+	m.metrics.LogRead(s.AsOf, s.Current)
+	counts := map[metric.PeerState]int{metric.Live: 0, metric.Unreachable: 0, metric.Leaving: 0}
+	for _, p := range m.members.Members(now) {
+		counts[peerState(p)]++
+	}
+	for state, n := range counts {
+		m.metrics.Peers(state, n)
+	}
+}
+
+func peerState(p member.Member) metric.PeerState {
+	switch {
+	case p.State == member.Leaving:
+		return metric.Leaving
+	case p.State == member.Alive && !p.Unreachable:
+		return metric.Live
+	}
+	return metric.Unreachable
+}
+
 // shareLimits tells the owners of limited workspaces of this node's demand,
 // once in each exchange interval, or as soon as its part runs out.
 func (m *maintenance) shareLimits(ctx context.Context, now time.Time) {
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -71,10 +71,10 @@
 	return identity{incarnation: time.Now().UnixNano(), seed: h.Sum64()}, nil
 }
 
-func (n *Node) newLog(do.Injector) (platform.Log, error) {
+func (n *Node) newLog(i do.Injector) (platform.Log, error) {
 	l := platformhttp.NewLog(n.settings.Platform.Log, n.platformConfig(follower.DefaultPollWait))
 	n.closers.add("log client", func() error { l.Close(); return nil })
-	return l, nil
+	return meteredLog{Log: l, metrics: do.MustInvoke[*metric.Metrics](i)}, nil
 }
 
 // platformConfig bounds the calls to a service of the platform, which may hold
@@ -179,6 +179,7 @@
 func (n *Node) newJournal(i do.Injector) (*journal.Journal, error) {
 	s := journal.DefaultSettings()
 	s.Node = n.settings.Node
+	s.Stream = journalStream
 	s.Incarnation = uint64(do.MustInvoke[identity](i).incarnation)
 	s.DataCentre = n.settings.DataCentre
 	s.Horizon = n.settings.Journal.Horizon
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -69,6 +69,7 @@
 		Calls:       do.MustInvoke[*call.Router](i),
 		Directory:   do.MustInvoke[directory](i),
 		Presence:    do.MustInvoke[*presence](i),
+		Counter:     do.MustInvoke[*metric.Metrics](i),
 		Metrics:     do.MustInvoke[*metric.Metrics](i).Registry(),
 		Log:         n.log,
 	}), nil
