--- a/process/event/catalogue_test.go
+++ b/process/event/catalogue_test.go
@@ -55,6 +55,8 @@
 		switch {
 		case e.meaning == "":
 			t.Errorf("%d %s has no doc comment", e.number, e.name)
+		case len(e.levels) == 0:
+			t.Errorf("%d %s is logged nowhere", e.number, e.name)
 		case (e.levels["warn"] || e.levels["error"]) && e.toDo == "":
 			t.Errorf(`%d %s is logged as %s; its comment needs "To do: ..."`, e.number, e.name, levelNames(e))
 		}
@@ -140,24 +142,29 @@
 	}
 }
 
-// levelsOfFile notes the level of each event that a file logs directly. An
-// event that it names elsewhere, in a table for instance, has all levels
-// whose functions the file names without calling them.
+// levelsOfFile notes the level of each event that a file logs by a call, of
+// this package's functions or of a helper named for the level. An event that
+// the file names elsewhere, in a table for instance, has all levels whose
+// functions the file names without calling them.
 func levelsOfFile(f *ast.File, entries map[string]*entry) {
 	direct := map[*ast.SelectorExpr]bool{}
 	ast.Inspect(f, func(n ast.Node) bool {
 		call, ok := n.(*ast.CallExpr)
-		if !ok || len(call.Args) < 2 {
+		if !ok {
 			return true
 		}
-		function, argument := ofEvent(call.Fun), ofEvent(call.Args[1])
-		if function == nil || logFunctions[function.Sel.Name] == "" {
+		level := levelOfCall(call)
+		if level == "" {
 			return true
 		}
-		direct[function] = true
-		if argument != nil && entries[argument.Sel.Name] != nil {
-			direct[argument] = true
-			entries[argument.Sel.Name].levels[logFunctions[function.Sel.Name]] = true
+		if function := ofEvent(call.Fun); function != nil {
+			direct[function] = true
+		}
+		for _, a := range call.Args {
+			if s := ofEvent(a); s != nil && entries[s.Sel.Name] != nil {
+				direct[s] = true
+				entries[s.Sel.Name].levels[level] = true
+			}
 		}
 		return true
 	})
@@ -182,6 +189,20 @@
 	}
 }
 
+// levelOfCall gives the level that a call's function is named for, or "".
+func levelOfCall(call *ast.CallExpr) string {
+	function, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return ""
+	}
+	for name, level := range logFunctions {
+		if strings.EqualFold(function.Sel.Name, name) {
+			return level
+		}
+	}
+	return ""
+}
+
 // ofEvent gives the selector event.X, or nil.
 func ofEvent(e ast.Expr) *ast.SelectorExpr {
 	s, ok := e.(*ast.SelectorExpr)
--- a/process/event/journal.go
+++ b/process/event/journal.go
@@ -17,10 +17,10 @@
 	// oldest was dropped; its key counts as unknown from now on. To do: see to the platform; callers that ask for such a key are told Unknown.
 	JournalOutcomeDropped
 	// JournalRetentionShort: the log trims records that a node which starts
-	// would need to know keys within the horizon. They could run again there:
+	// would need to know keys within the horizon. They could run again there. To do:
 	// raise the log's retention or lower the horizon.
 	JournalRetentionShort
 	// JournalClocksDiffer: a record was stamped further in the future than
-	// clocks may differ. The named node's clock is ahead, or this one's behind.
+	// clocks may differ. The named node's clock is ahead, or this one's behind. To do: set the clock of the VM named right.
 	JournalClocksDiffer
 )
