Bound what foreign messages can do to the membership

Cause: a count near the end of its range, from a faulty peer, would have wrapped this node's own count to 0, after which no refutation of it counts. Seen before: the node's count went up with each message, past the bound that others accept.

--- a/process/member/evidence.go
+++ b/process/member/evidence.go
@@ -45,17 +45,17 @@
 }
 
 // refute answers a record about this node itself that is wrong: others
-// suspect it, or hold a newer incarnation than its own because its clock went
-// back over a restart or another node has its name. It takes a count that
-// outranks the record.
+// suspect it, or hold a later count than it has given, or a newer incarnation
+// than its own, because its clock went back over a restart or another node
+// has its name. It takes a count that outranks the record.
 func (t *Table) refute(r Record) {
 	switch {
 	case r.Incarnation > t.self.Incarnation:
 		t.self.Incarnation = r.Incarnation + 1
 		t.announceSelf()
 		t.note(r, NameTaken)
-	case r.Incarnation == t.self.Incarnation && r.State != Alive:
-		t.self.Heartbeat = max(t.self.Heartbeat, r.Heartbeat) + 1
+	case r.Incarnation == t.self.Incarnation && (r.State != Alive || r.Heartbeat > t.self.Heartbeat):
+		t.outrank(r.Heartbeat)
 		t.announceSelf()
 		t.note(r, Refuted)
 	}
@@ -69,6 +69,19 @@
 	return e
 }
 
+// outrank takes a count above another. A count that no node can have reached
+// came of a fault, and going above it would soon end; a new incarnation
+// starts to count afresh.
+func (t *Table) outrank(heartbeat uint64) {
+	switch {
+	case heartbeat >= maxCount/2:
+		t.self.Incarnation++
+		t.self.Heartbeat = 0
+	case heartbeat >= t.self.Heartbeat:
+		t.self.Heartbeat = heartbeat + 1
+	}
+}
+
 func (t *Table) add(now time.Time, r Record) {
 	if len(t.members) >= MaxMembers {
 		return
--- a/process/member/member.go
+++ b/process/member/member.go
@@ -87,8 +87,12 @@
 	return r
 }
 
+// maxCount bounds what is taken for a heartbeat count or an incarnation: the
+// next higher number must exist for the member to refute with.
+const maxCount = 1 << 62
+
 func (r Record) valid() bool {
-	return r.Name != "" && r.Address != "" && r.State <= Dead &&
+	return r.Heartbeat < maxCount && r.Incarnation < maxCount && r.Name != "" && r.Address != "" && r.State <= Dead &&
 		len(r.Name) <= MaxNameBytes && len(r.Address) <= MaxNameBytes && len(r.DataCentre) <= MaxNameBytes
 }
 
