Charge a copy outside the replica set by what it computes

Cause: after a restart of all nodes the largest losses were prefixes whose upstream had been chosen by load at their first use, and kept since; a node without memory looks at the replica set. A place outside the set now has to gain 0.25 s and the time computed there again.

--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -90,6 +90,7 @@
 		{Name: "Affinity3", New: version(useHolders | useOthers)},
 		{Name: "Affinity4", New: version(useHolders | useOthers | useSteep)},
 		{Name: "Affinity5", New: version(useHolders | useOthers | useSteep | useAnchor)},
+		{Name: "Affinity6", New: version(useHolders | useOthers | useSteep | useAnchor | useShrink)},
 		{Name: "Affinity", New: func(cfg Config) Policy { return New(cfg) }},
 	}
 }
@@ -117,6 +118,8 @@
 	useAnchor
 	// useShrink draws reported backlogs to their mean with their age.
 	useShrink
+	// useStray makes copies outside the replica set cost more.
+	useStray
 
 	useAll  feature = 1<<iota - 1
 	useNone feature = 1 << 31
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -16,7 +16,11 @@
 	// strayCost is what it has to gain, in seconds, to leave the replica
 	// set. Nodes that all see the same idle upstream in an old report would
 	// else meet there, and each stray copy pushes out others.
-	strayCost = 0.1
+	strayCost = 0.25
+	// strayCompute is what it has to gain besides for each second that is to
+	// be computed there: the copy stays, and draws later requests to a place
+	// that a node which has just started doesn't look for.
+	strayCompute = 1.0
 	// warmPart is the part of a prompt that has to be expected in the cache
 	// for the decision's reason to say warm.
 	warmPart = 0.3
@@ -64,6 +68,9 @@
 	if a.cfg.features.has(useAnchor) && c.depth < len(r.Chain) {
 		stray = strayCost
 	}
+	if a.cfg.features.has(useStray) && c.depth < len(r.Chain) {
+		stray += strayCompute * compute
+	}
 	w := a.cfg.Weighing
 	return price{
 		candidate: c,
