--- a/request/journal/outcome.go
+++ b/request/journal/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,18 +56,26 @@
 	}
 }
 
+// flushOutcomes sends what has gathered, all partitions at once: each waits
+// for its turn within the append budget.
 func (j *Journal) flushOutcomes(ctx context.Context, now time.Time) {
+	var wg sync.WaitGroup
 	for n, records := range j.takeOutcomes(now) {
-		err := j.record(ctx, now, n, records)
-		j.mu.Lock()
-		if err != nil {
-			j.unsent = append(j.unsent, records...)
-		} else {
-			for _, r := range records {
-				j.drop(r)
-			}
-		}
-		j.mu.Unlock()
+		wg.Go(func() { j.flushPartition(ctx, now, n, records) })
+	}
+	wg.Wait()
+}
+
+func (j *Journal) flushPartition(ctx context.Context, now time.Time, n int, records []OutcomeRecord) {
+	err := j.record(ctx, now, n, records)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if err != nil {
+		j.unsent = append(j.unsent, records...)
+		return
+	}
+	for _, r := range records {
+		j.drop(r)
 	}
 }
 
