--- a/process/member/message.go
+++ b/process/member/message.go
@@ -176,7 +176,7 @@
 	t.noteOutcome(a.target.Name, false)
 	e := t.members[a.target.Name]
 	if a.target.Name == "" {
-		t.dropCandidate(a.target.Address)
+		t.candidateAnswered(now, a.target.Address)
 	}
 	wasDead := e == nil || e.record.State == Dead
 	t.merge(now, m)
--- a/process/member/runner_test.go
+++ b/process/member/runner_test.go
@@ -1,18 +1,28 @@
 package member
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/dunlinmill/dunlinmill/connection/peer"
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/process/event"
 )
 
 var testSecrets = [][]byte{[]byte("a-secret-of-the-tests")}
 
 // startRunner gives a running node over real connections.
 func startRunner(t *testing.T, cfg Config) *Runner {
+	t.Helper()
+	return startListed(t, cfg, nil, zap.NewNop())
+}
+
+func startListed(t *testing.T, cfg Config, list platform.VMList, logger *zap.Logger) *Runner {
 	t.Helper()
 	server, err := peer.NewServer(peer.ServerConfig{Secrets: testSecrets})
 	if err != nil {
@@ -28,7 +38,7 @@
 	cfg.Incarnation = time.Now().UnixNano()
 	cfg.Interval = 20 * time.Millisecond
 	cfg.ProbeTimeout = 5 * time.Second
-	r, err := NewRunner(cfg, client, nil, zap.NewNop())
+	r, err := NewRunner(cfg, client, list, logger)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,3 +87,39 @@
 	b.Leave()
 	eventually(t, "B gets no new work", func() bool { return len(a.Live(time.Now())) == 2 })
 }
+
+// listWithOutage names one VM until it is switched off.
+type listWithOutage struct {
+	address string
+	off     atomic.Bool
+}
+
+func (l *listWithOutage) VMs(context.Context) ([]platform.VM, error) {
+	if l.off.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return []platform.VM{{Name: "A", Address: l.address, DataCentre: "one"}}, nil
+}
+
+// The platform goes down. The nodes must go on knowing each other and hear of
+// a leaving one, and the log must say once that the list is missing.
+func TestMembershipOutlivesThePlatform(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	a := startRunner(t, Config{Name: "A", DataCentre: "one"})
+	list := &listWithOutage{address: a.Self().Address}
+	b := startListed(t, Config{Name: "B", DataCentre: "one"}, list, zap.New(core))
+	eventually(t, "they meet by the list", func() bool { return len(a.Live(time.Now())) == 2 && len(b.Live(time.Now())) == 2 })
+	list.off.Store(true)
+	eventually(t, "the outage is logged", func() bool {
+		return logs.FilterMessage(event.VMListUnavailable.String()).Len() == 1
+	})
+	if n := len(b.Live(time.Now())); n != 2 {
+		t.Errorf("%d members in the outage", n)
+	}
+	a.Leave()
+	eventually(t, "B hears that A leaves", func() bool { return len(b.Live(time.Now())) == 1 })
+	list.off.Store(false)
+	eventually(t, "the end of the outage is logged", func() bool {
+		return logs.FilterMessage(event.VMListAvailable.String()).Len() == 1
+	})
+}
--- a/process/member/target.go
+++ b/process/member/target.go
@@ -189,6 +189,15 @@
 	}
 }
 
+// candidateAnswered leaves alone an address under which a member answered that
+// goes by another, such as this node itself.
+func (t *Table) candidateAnswered(now time.Time, address string) {
+	t.dropCandidate(address)
+	if c := t.candidates[address]; c != nil {
+		c.next = now.Add(maxCandidateDelay * t.cfg.Interval)
+	}
+}
+
 // maxCandidateDelay bounds the time between two tries of a listed address
 // that does not answer; the list may name dead VMs for long.
 const maxCandidateDelay = 64
