--- a/process/document/document.go
+++ b/process/document/document.go
@@ -5,9 +5,12 @@
 package document
 
 import (
+	"bytes"
+	"cmp"
 	"encoding"
 	"errors"
 	"fmt"
+	"io"
 	"reflect"
 	"regexp"
 	"slices"
@@ -73,18 +76,34 @@
 		d.add(0, "", fmt.Sprintf("%d bytes long", len(data)), fmt.Sprintf("up to %d bytes", MaxBytes))
 		return d
 	}
-	var root yaml.Node
-	if err := yaml.Unmarshal(data, &root); err != nil {
+	root, err := parse(data)
+	if err != nil {
 		d.syntaxFault(err)
 		return d
 	}
-	if len(root.Content) == 0 {
-		return d
+	if root != nil {
+		d.value(root, "", reflect.ValueOf(into).Elem())
 	}
-	d.value(root.Content[0], "", reflect.ValueOf(into).Elem())
 	return d
 }
 
+// parse gives the one document's root; nil if the data holds none.
+func parse(data []byte) (*yaml.Node, error) {
+	var document, second yaml.Node
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	err := decoder.Decode(&document)
+	if errors.Is(err, io.EOF) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := decoder.Decode(&second); !errors.Is(err, io.EOF) {
+		return nil, cmp.Or(err, errors.New("more than one document"))
+	}
+	return document.Content[0], nil
+}
+
 // yaml.v3 says the line of a syntax error only in its text, and for some
 // errors it is the line before.
 var syntaxLine = regexp.MustCompile(`^yaml: line (\d+): `)
