Test the order of evidence and reported failures

Cause: which evidence wins was tested only through whole fleets. Change: two tables of records that meet in each order, and a reported failure that is probed out of turn and decides nothing by itself.

--- /dev/null
+++ b/process/member/evidence_test.go
@@ -0,0 +1,62 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// A caller's request to a node fails, long before that node's turn to be
+// probed. The report must have it probed within a few heartbeats, and must not
+// by itself take the node out: the fault may be the request's.
+func TestReportedFailureIsProbedSoon(t *testing.T) {
+	f := newFleet(t, 1, 2, 30)
+	f.settle()
+	table := f.nodes[0].table
+	table.Report(f.now, "node-017", false)
+	if m, _ := lo.Find(table.Live(f.now), func(m Member) bool { return m.Name == "node-017" }); m.State != Alive {
+		t.Errorf("a report alone made it %v", m.State)
+	}
+	for i := range 16 {
+		if target, ok := table.NextTarget(f.now); ok && target.Name == "node-017" {
+			return
+		} else if i == 15 {
+			t.Error("not probed within 16 heartbeats")
+		}
+	}
+}
+
+// Two nodes hold other news of a third: one tried in vain at the start of a
+// second, the other heard it at the end of that second. Whichever comes first,
+// both must end with the later evidence, or they would correct each other for
+// ever.
+func TestLaterEvidenceWinsInEachOrder(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	base := Record{Name: "B", Address: "127.0.0.1:2", DataCentre: "one", Incarnation: 1, Heartbeat: 10}
+	heard := base
+	heard.Heartbeat, heard.Age = 12, 100
+	tried := base
+	tried.State, tried.Heartbeat, tried.Age = Suspect, 11, 900
+	later := tried
+	later.Age = 50
+	for _, c := range []struct {
+		name    string
+		records []Record
+		want    State
+	}{
+		{"heard after the try", []Record{tried, heard}, Alive},
+		{"the same, crossed", []Record{heard, tried}, Alive},
+		{"tried after it was heard", []Record{heard, later}, Suspect},
+		{"the same, crossed", []Record{later, heard}, Suspect},
+		{"dead for others", []Record{heard, func() Record { d := later; d.State = Dead; return d }()}, Suspect},
+	} {
+		table := lo.Must(NewTable(Config{Name: "A", Address: "127.0.0.1:1", DataCentre: "one", Incarnation: 1}, now.Add(-time.Minute)))
+		old := base
+		old.Age = 30_000
+		table.Merge(now, Snapshot{Records: append([]Record{old}, c.records...)})
+		if got := table.Members(now)[0].State; got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
