Hash groups of upstreams, bound the events, test the policy

Cause: a decision hashed all upstreams. Now 32 fixed groups are hashed by weighted rendezvous and then the members of the first ones; the number of groups is fixed as every order hangs on it. Found by a test: a request that failed without an answer left its prompt in the upstream's backlog for ever (10,700 tokens in the test). It is taken out when the request ends.

--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -30,7 +30,10 @@
 	rand         *rand.Rand
 	ticker       ticker
 
+	events eventBudget
+
 	// Memory of single decisions, used again.
+	round   uint64
 	sizes   []int
 	rates   []float64
 	set     []scored
@@ -80,14 +83,13 @@
 	if len(found) == 0 {
 		return Decision{}, ErrNoCandidate
 	}
-	best, bestPrice := a.price(now, at, r, found[0]), 0.0
-	bestPrice = best.total
+	best := a.price(now, at, r, found[0])
 	for _, c := range found[1:] {
-		if p := a.price(now, at, r, c); p.total < bestPrice {
-			best, bestPrice = p, p.total
+		if p := a.price(now, at, r, c); p.total < best.total {
+			best = p
 		}
 	}
-	return best.decision(len(found)), nil
+	return a.fleet.decision(best.decision(len(found))), nil
 }
 
 // measure fills in, for each level of the chain, the size of its replica set
@@ -168,7 +170,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	at := a.ticker.at(now)
-	a.fleet.answered(r, d)
+	a.fleet.answered(d)
 	m := a.fleet.members[d.Upstream]
 	if m == nil || !m.engine.observe(now, answer.Incarnation, answer.Version) {
 		return
@@ -227,7 +229,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	m := a.fleet.members[upstream]
-	if m == nil || !m.engine.current(e.Incarnation) {
+	if m == nil || !m.engine.current(e.Incarnation) || !a.events.take(now) {
 		return
 	}
 	if !e.Stored {
--- a/request/placement/baseline.go
+++ b/request/placement/baseline.go
@@ -34,10 +34,10 @@
 }
 
 // Answered implements Policy.
-func (b *baseline) Answered(_ time.Time, r Request, d Decision, _ Answer) {
+func (b *baseline) Answered(_ time.Time, _ Request, d Decision, _ Answer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fleet.answered(r, d)
+	b.fleet.answered(d)
 }
 
 // Finished implements Policy.
@@ -82,7 +82,7 @@
 	if found == nil {
 		return Decision{}, ErrNoCandidate
 	}
-	return Decision{Upstream: found.Name, Reason: Chosen}, nil
+	return b.fleet.decision(Decision{Upstream: found.Name, Reason: Chosen}), nil
 }
 
 // Random places each request anywhere.
--- /dev/null
+++ b/request/placement/bench_test.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// tracked is how many prefixes the benchmarks have the policy know.
+const tracked = 1 << 20
+
+// rate is the requests a second of one of 360 nodes.
+const rate = 21
+
+// filled is a policy that knows tracked prefixes at n runners, from requests
+// that came in evenly up to now.
+func filled(n int) (*Affinity, []Request) {
+	a := started(Config{Nodes: 360, Entries: tracked, Levels: tracked}, n)
+	g := rand.New(rand.NewPCG(1, 1))
+	const count = tracked / 3
+	var requests []Request
+	a.ticker.base = epoch.Add(-count * time.Second / rate)
+	for i := range uint64(count) {
+		at := a.ticker.at(epoch.Add(time.Duration(i-count) * time.Second / rate))
+		c := prompt(i%1500, i%6000/1500, i, i)
+		for _, l := range c[:3] {
+			a.beliefs.note(a.fleet.eligible[g.IntN(n)], l.ID, at)
+			a.demands.put(l.ID, at).add(at, 0.02)
+		}
+		if i%256 == 0 {
+			requests = append(requests, request(c))
+		}
+	}
+	return a, requests
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{12, 100, 400, 1700} {
+		a, requests := filled(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				if _, err := a.Place(epoch, requests[i%len(requests)]); err != nil {
+					b.Fatal(err)
+				}
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkRequest is a request's whole way through the policy.
+func BenchmarkRequest(b *testing.B) {
+	for _, n := range []int{12, 1700} {
+		a, requests := filled(n)
+		now := epoch
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				r := requests[i%len(requests)]
+				d, err := a.Place(now, r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				a.Sent(now, r, d)
+				a.Answered(now, r, d, Answer{Incarnation: 1, Version: "v1", PromptTokens: r.Chain.Tokens(), CachedTokens: d.Cached})
+				a.Finished(now, r, d, true)
+				i++
+			}
+		})
+	}
+}
+
+func BenchmarkCached(b *testing.B) {
+	a, requests := filled(1700)
+	upstreams := runners(1700)
+	for _, u := range upstreams {
+		a.Loaded(epoch, u.Name, Load{Incarnation: 1, Version: "v1", At: epoch})
+	}
+	i := 0
+	for b.Loop() {
+		e := CacheEvent{Incarnation: 1, Stored: i%2 == 0, Level: requests[i%len(requests)].Chain[2].ID}
+		a.Cached(epoch.Add(time.Duration(i)*time.Millisecond), upstreams[i%len(upstreams)].Name, e)
+		i++
+	}
+}
+
+func BenchmarkSummarize(b *testing.B) {
+	a, _ := filled(1700)
+	for b.Loop() {
+		a.Summarize(epoch.Add(time.Second), "node")
+	}
+}
+
+// BenchmarkMemory gives the bytes per tracked prefix, with one holder each.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		a, _ := filled(12)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/tracked, "B/prefix")
+		runtime.KeepAlive(a)
+	}
+}
--- a/request/placement/candidates.go
+++ b/request/placement/candidates.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-
-	"github.com/dunlinmill/dunlinmill/request/prefix"
 )
 
 const (
@@ -30,25 +28,31 @@
 // just started goes where its peers go. Where the sets of two nodes differ in
 // size, the smaller is part of the larger.
 func (a *Affinity) candidates(at tick, r Request) []candidate {
+	a.exclude(r.Excluded)
 	set := a.set[:0]
-	for _, m := range a.fleet.eligible {
-		if !slices.Contains(r.Excluded, m.Name) {
-			set = append(set, scored{member: m})
-		}
-	}
-	a.set = set
 	found := a.found[:0]
 	outside := a.outside[:0]
+	bound := false // set holds the members of some level
 	for i, l := range r.Chain {
-		if a.sizes[i] >= len(set) {
+		if a.sizes[i] >= len(a.fleet.eligible) || bound && a.sizes[i] >= len(set) {
 			continue
 		}
-		rank(set, l)
-		for _, s := range set[a.sizes[i]:min(a.sizes[i]+spill, len(set))] {
+		if bound {
+			rank(set, l)
+		} else {
+			set = a.fleet.skeleton.first(set, l, a.sizes[i]+spill, a.excluded)
+			bound = true
+		}
+		size := min(a.sizes[i], len(set))
+		for _, s := range set[size:min(size+spill, len(set))] {
 			outside = append(outside, candidate{member: s.member, depth: i})
 		}
-		set = set[:a.sizes[i]]
+		set = set[:size]
+	}
+	if !bound && len(r.Chain) > 0 {
+		set = a.fleet.skeleton.first(set, r.Chain[len(r.Chain)-1], maxCandidates, a.excluded)
 	}
+	a.set = set
 	for _, s := range set[:min(len(set), maxCandidates)] {
 		found = append(found, candidate{member: s.member, depth: len(r.Chain)})
 	}
@@ -60,24 +64,23 @@
 	if a.cfg.features.has(useHolders) {
 		found = a.addHolders(found, at, r)
 	}
-	found = a.addCold(found, r)
+	found = a.addCold(found)
 	a.found, a.outside = found, outside
 	return found
 }
 
-// scored is a member with its rendezvous hash for some level.
-type scored struct {
-	*member
-	score uint64
-}
-
-func rank(set []scored, l prefix.Level) {
-	for i := range set {
-		set[i].score = mix(l.ID, set[i].hash)
+// exclude marks the members that this decision may not choose.
+func (a *Affinity) exclude(names []string) {
+	a.round++
+	for _, name := range names {
+		if m := a.fleet.members[name]; m != nil {
+			m.excluded = a.round
+		}
 	}
-	slices.SortFunc(set, func(a, b scored) int { return compare(b.score, a.score) })
 }
 
+func (a *Affinity) excluded(m *member) bool { return m.excluded == a.round }
+
 // addHolders adds the upstreams that are believed to hold the most of the
 // prompt.
 func (a *Affinity) addHolders(found []candidate, at tick, r Request) []candidate {
@@ -89,7 +92,7 @@
 		}
 		for _, id := range h {
 			m := a.fleet.byID[id]
-			if m == nil || !m.eligible || added == maxHolders || slices.Contains(r.Excluded, m.Name) {
+			if m == nil || !m.eligible || added == maxHolders || a.excluded(m) {
 				continue
 			}
 			if _, _, ok := a.beliefs.get(m, l.ID, at); ok && !has(found, m) {
@@ -106,11 +109,11 @@
 }
 
 // addCold adds upstreams at random, other ones in each node.
-func (a *Affinity) addCold(found []candidate, r Request) []candidate {
+func (a *Affinity) addCold(found []candidate) []candidate {
 	n := len(a.fleet.eligible)
 	for range min(coldChoices, n) {
 		m := a.fleet.eligible[a.rand.IntN(n)]
-		if !has(found, m) && !slices.Contains(r.Excluded, m.Name) {
+		if !has(found, m) && !a.excluded(m) {
 			found = append(found, candidate{member: m})
 		}
 	}
--- a/request/placement/fleet.go
+++ b/request/placement/fleet.go
@@ -14,8 +14,9 @@
 	hash     uint64
 	id       uint16 // for tables; given again once the member is gone
 	eligible bool
-	own      int // own requests sent and not finished
-	tokens   int // their prompt tokens that are not answered yet
+	excluded uint64 // the last decision that may not choose it
+	own      int    // own requests sent and not finished
+	tokens   int    // their prompt tokens that are not answered yet
 	load     Load
 	sends    [recentSends]send // a ring
 	sendAt   int
@@ -25,13 +26,22 @@
 
 // fleet is the upstreams of one policy.
 type fleet struct {
-	members  map[string]*member
-	eligible []*member // sorted by hash
-	byID     []*member // 0 is nobody
-	queued   int       // prompt tokens that wait, by the last reports of all
+	members    map[string]*member
+	eligible   []*member // sorted by hash
+	skeleton   skeleton
+	byID       []*member      // 0 is nobody
+	queued     int            // prompt tokens that wait, by the last reports of all
+	unanswered map[uint64]int // prompt tokens of own requests, by decision
+	decisions  uint64
 }
 
-func newFleet() fleet { return fleet{members: map[string]*member{}, byID: make([]*member, 1)} }
+func newFleet() fleet {
+	return fleet{
+		members:    map[string]*member{},
+		byID:       make([]*member, 1),
+		unanswered: map[uint64]int{},
+	}
+}
 
 // set replaces the eligible upstreams, and forgets the others once their
 // work is done.
@@ -53,6 +63,7 @@
 		f.eligible = append(f.eligible, m)
 	}
 	slices.SortFunc(f.eligible, func(a, b *member) int { return compare(a.hash, b.hash) })
+	f.skeleton = newSkeleton(f.eligible)
 	for _, m := range f.members {
 		if !m.eligible && m.own == 0 {
 			f.remove(m)
@@ -79,20 +90,29 @@
 }
 
 func (f *fleet) sent(now time.Time, r Request, d Decision) {
-	if m := f.members[d.Upstream]; m != nil {
-		m.own++
-		m.tokens += uncached(r, d)
-		m.noteSend(now, uncached(r, d))
+	m := f.members[d.Upstream]
+	if m == nil {
+		return
 	}
+	tokens := uncached(r, d)
+	m.own++
+	m.tokens += tokens
+	m.noteSend(now, tokens)
+	f.unanswered[d.id] = tokens
 }
 
-func (f *fleet) answered(r Request, d Decision) {
+// answered takes the request's tokens out of the upstream's backlog. A
+// request that fails without an answer is taken out when it ends: its tokens
+// would else look like a queue there for ever.
+func (f *fleet) answered(d Decision) {
 	if m := f.members[d.Upstream]; m != nil {
-		m.tokens = max(0, m.tokens-uncached(r, d))
+		m.tokens -= f.unanswered[d.id]
 	}
+	delete(f.unanswered, d.id)
 }
 
 func (f *fleet) finished(d Decision) {
+	f.answered(d)
 	m := f.members[d.Upstream]
 	if m == nil {
 		return
@@ -111,6 +131,13 @@
 	}
 }
 
+// decision numbers a decision.
+func (f *fleet) decision(d Decision) Decision {
+	f.decisions++
+	d.id = f.decisions
+	return d
+}
+
 // uncached is how many tokens of the prompt the upstream is expected to
 // compute.
 func uncached(r Request, d Decision) int { return max(0, r.Chain.Tokens()-d.Cached) }
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -46,6 +46,7 @@
 	Import   bool          // fetch the prefix from the store of kept KV cache first
 	Idle     time.Duration // time to first token that an idle upstream would take; 0: not estimated
 
+	id       uint64   // of the decision within its policy
 	estimate estimate // what the answer is held against
 }
 
