Expect a whole decode step, so that limits don't fall to one

Cause: the test over real processes took 70 s for 1,500 short answers. The nodes' concurrency limits fell to 1 for each engine within a second and stayed there, although the engines had 64 slots each and idled; most callers were refused with times to come back of up to 60 s. A node told its placement no decode time, so for a cached prompt the expected time to first token was next to nothing, and each answer looked many times too slow. Ruled out: the kills (the same without any); the queue (its capacity is the sum of the limits); the engines (nothing waited there). Change: the placement gets the decode time that admission reckons with; it also prices the wait for a slot with it, which was free before. And the least slowdown that was seen counts as 1 at least: without that, the new unit test ends at a limit of 3 of 16. What remains is that the first callers of a burst may be told to come back after more than 10 s: the queue reckons with the slowest rate until it has seen some answers.

--- a/process/node/admission.go
+++ b/process/node/admission.go
@@ -24,7 +24,7 @@
 // request's real cost is known only at its end.
 const (
 	prefillRate = 8000.0 // prompt tokens a second
-	decodeRate  = 60.0   // output tokens a second
+	decodeRate  = 60     // output tokens a second
 )
 
 // urgenciesPerClass folds RFC 9218's eight urgencies into the queue's classes.
--- a/process/node/policies.go
+++ b/process/node/policies.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// decodeTime is the time between two tokens that an engine is taken to need.
+// Without it a wait for a slot would cost a placement nothing, and a prompt
+// that is cached whole would be expected after no time at all: any answer
+// would look many times too slow, and the concurrency limits fall to one.
+const decodeTime = time.Second / decodeRate
+
 // Policy gives the policy of a group, with its list of engines up to date.
 func (p *policies) Policy(now time.Time, key catalogue.Group) placement.Policy {
 	p.mu.Lock()
@@ -84,6 +90,7 @@
 			DataCentre: u.DataCentre,
 			Slots:      u.Slots,
 			Prefill:    u.PrefillRate,
+			Decode:     decodeTime,
 		}
 	})
 }
--- a/request/limit/concurrency.go
+++ b/request/limit/concurrency.go
@@ -263,11 +263,17 @@
 	}
 	base := u.base()
 	if r.Expected > 0 {
-		base = min(base, mostBase)
+		base = min(max(base, leastBase), mostBase)
 	}
 	return u.smooth > cfg.Tolerance*base
 }
 
+// leastBase bounds it the other way. An upstream that was once many times
+// faster than expected is not congested when it takes what was expected: a
+// few milliseconds more, from a busy machine, would lower its limit for as
+// long as the fast answers are remembered.
+const leastBase = 1
+
 // mostBase bounds the least slowdown where the expected time is known. A node
 // that has only ever seen an upstream overloaded, by its peers, would take
 // that for its normal state.
--- a/request/limit/concurrency_test.go
+++ b/request/limit/concurrency_test.go
@@ -132,3 +132,27 @@
 		})
 	}
 }
+
+// A node refuses most of its callers although the upstream is hardly used.
+// The first answers, to cached prompts on an idle machine, came in a third of
+// the expected time; later ones take what was expected, which is three times
+// the least that was seen, and each of them lowered the limit, down to one.
+func TestConcurrencyKeepsAnUpstreamThatIsAsFastAsExpected(t *testing.T) {
+	const expected = 15 * time.Millisecond
+	c := NewConcurrency[string](DefaultConcurrency)
+	now := start
+	answer := func(took time.Duration) {
+		c.Acquire(now, "e")
+		now = now.Add(took)
+		c.Release(now, "e", Result{FirstToken: took, Expected: expected})
+	}
+	for range 20 {
+		answer(expected / 3)
+	}
+	for range 1000 {
+		answer(expected)
+	}
+	if got := c.Limit("e"); got < DefaultConcurrency.Initial {
+		t.Errorf("limit is %d, began with %d", got, DefaultConcurrency.Initial)
+	}
+}
