Hold a lost data centre dead without the patience for lossy links

Cause: after the loss of a data centre, heartbeats to it fail and raise the patience for all members elsewhere: 29 s (32 nodes) to 44 s (128) until all held all of it dead. Ruled out: patience per data centre, for want of samples (tried before). Change: where several members and none alive are known of a data centre, this node's own connection alone sets the patience. Seen without the safeguard: TestLostDataCentre not within 18 s.

--- a/process/member/bench_test.go
+++ b/process/member/bench_test.go
@@ -206,3 +206,46 @@
 		})
 	}
 }
+
+// BenchmarkLostDataCentre gives, in virtual time, how long after the loss of
+// a whole data centre the others suspect or hold dead half and all of its
+// nodes, and the most bytes that a node carries meanwhile.
+func BenchmarkLostDataCentre(b *testing.B) {
+	for _, s := range fleetSizes[1:] {
+		b.Run(fmt.Sprintf("nodes=%d", s.nodes), func(b *testing.B) {
+			for b.Loop() {
+				f := sizedFleet(b, s.nodes, s.dataCentres)
+				f.run(4 * time.Minute)
+				lost := lo.Filter(f.nodes, func(n *node, _ int) bool { return n.dc == "dc-1" })
+				lo.ForEach(lost, func(n *node, _ int) { n.down = true })
+				lo.ForEach(f.nodes, func(n *node, _ int) { n.bytes = 0 })
+				began := f.now
+				since := func() float64 { return f.now.Sub(began).Seconds() }
+				f.until(lost, 0.5, Suspect)
+				b.ReportMetric(since(), "s-suspect-half")
+				f.until(lost, 1, Suspect)
+				b.ReportMetric(since(), "s-suspect-all")
+				f.until(lost, 1, Dead)
+				b.ReportMetric(since(), "s-dead-all")
+				most := lo.Max(lo.Map(f.running(), func(n *node, _ int) int { return n.bytes }))
+				b.ReportMetric(float64(most)/since(), "B/s/node-max")
+			}
+		})
+	}
+}
+
+// until runs until the nodes that run hold a part of the lost ones suspect or
+// dead.
+func (f *fleet) until(lost []*node, part float64, s State) {
+	running := f.running()
+	f.runUntil(2*time.Minute, "lost nodes known", func() bool {
+		pairs := lo.SumBy(running, func(n *node) int {
+			held := lo.KeyBy(n.table.Members(f.now), func(m Member) string { return m.Name })
+			return lo.CountBy(lost, func(l *node) bool {
+				m, ok := held[l.name]
+				return !ok || m.State == Dead || m.State == s
+			})
+		})
+		return float64(pairs) >= part*float64(len(running)*len(lost))
+	})
+}
--- a/process/member/link.go
+++ b/process/member/link.go
@@ -60,17 +60,35 @@
 // cut there is nothing to wait for; without a link to its own data centre,
 // this node should doubt itself.
 func (t *Table) patience(e *entry) float64 {
-	if t.isNear(e) || t.far.run >= cutRun {
+	if t.isNear(e) || t.far.run >= cutRun || t.isLost(e.record.DataCentre) {
 		return t.near.patience()
 	}
 	return max(t.near.patience(), t.far.patience())
 }
 
+// lostMembers is how many suspect or dead members without a live one among
+// them mean that a data centre is lost, and not only hard to reach.
+const lostMembers = 3
+
+func (t *Table) isLost(dataCentre string) bool {
+	silent := 0
+	for _, e := range t.members {
+		if e.record.DataCentre != dataCentre {
+			continue
+		}
+		if e.record.State == Alive {
+			return false
+		}
+		silent++
+	}
+	return silent >= lostMembers
+}
+
 // suspectTimeout is how long a member has to refute. A refutation takes as
 // many heartbeats as it takes news to reach everybody, which grows with the
 // logarithm of the members.
 func (t *Table) suspectTimeout(e *entry) time.Duration {
 	n := float64(len(t.members) + 1)
-	factor := max(1, math.Log10(n)) * max(e.patience, t.patience(e))
+	factor := max(1, math.Log10(n)) * t.patience(e)
 	return time.Duration(float64(t.cfg.SuspectTimeout) * factor)
 }
--- a/process/member/member_test.go
+++ b/process/member/member_test.go
@@ -222,6 +222,21 @@
 	t.Logf("healed in %v", healed)
 }
 
+// A whole data centre loses its power. The others see many of their heartbeats
+// fail, which looks like a lossy link and makes them patient; but where nobody
+// of several members answers there is nothing to be patient for.
+func TestLostDataCentre(t *testing.T) {
+	f := newFleet(t, 1, 4, 4)
+	f.settle()
+	f.run(20 * time.Second)
+	lost := lo.Filter(f.nodes, func(n *node, _ int) bool { return n.dc == "dc-1" })
+	lo.ForEach(lost, func(n *node, _ int) { n.down = true })
+	f.runUntil(18*time.Second, "all hold them dead", func() bool { return f.all(f.running(), Dead, names(lost)...) })
+	if !f.all(f.running(), Alive, names(f.running())...) {
+		t.Error("others are no longer alive")
+	}
+}
+
 // All nodes of a data centre are killed and started again at the same moment.
 // The new processes know two addresses from their settings; the others hold
 // the former processes. All must know all new processes within seconds, and
--- a/process/member/target.go
+++ b/process/member/target.go
@@ -94,29 +94,30 @@
 }
 
 func (t *Table) ringTarget() (Target, bool) {
-	usable := func(local bool) func(string) bool {
-		return func(name string) bool {
-			e := t.members[name]
-			return e != nil && e.record.State == Alive && t.isNear(e) == local
-		}
-	}
-	next := func(r *ring, local bool) (Target, bool) {
-		all := func() []string { return t.names(func(e *entry) bool { return usable(local)(e.record.Name) }) }
-		name, ok := r.next(t.rnd, all, usable(local))
-		if !ok {
-			return Target{}, false
-		}
-		return t.members[name].target(), true
-	}
 	if t.rnd.IntN(t.cfg.RemoteShare) == 0 {
-		if target, ok := next(&t.remote, false); ok {
+		if target, ok := t.nextIn(&t.remote, false); ok {
 			return target, true
 		}
 	}
-	if target, ok := next(&t.local, true); ok {
+	if target, ok := t.nextIn(&t.local, true); ok {
 		return target, true
 	}
-	return next(&t.remote, false)
+	return t.nextIn(&t.remote, false)
+}
+
+// nextIn gives the next live member of a ring, of this data centre or of the
+// others.
+func (t *Table) nextIn(r *ring, near bool) (Target, bool) {
+	match := func(e *entry) bool { return e.record.State == Alive && t.isNear(e) == near }
+	usable := func(name string) bool {
+		e := t.members[name]
+		return e != nil && match(e)
+	}
+	name, ok := r.next(t.rnd, func() []string { return t.names(match) }, usable)
+	if !ok {
+		return Target{}, false
+	}
+	return t.members[name].target(), true
 }
 
 func (e *entry) target() Target {
