Refuse each kind of bad input in its own way, and silence with silence

Over real processes: 21 bad calls of callers, 24 bad command lines, 9 bad calls of operators; each has its own code or exit code, says that nothing ran, and names the fault; nothing arrives at an engine or service, and the log's offset stays.

Found by the streams' test: a node answered 400 on a connection that had been opened in advance and stayed silent for the header timeout. An HTTP library takes that for the answer to the request it writes just then. Seen before: the new test reads "HTTP/1.1 400 Bad Request" from a silent connection. Change: such a connection is closed without an answer, as the standard library's server does; a request whose body is late still gets its typed error.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -193,9 +193,19 @@
 
 // failed answers every error with its typed form.
 func (l *Listener) failed(c *fiber.Ctx, err error) error {
+	if errors.Is(err, fiber.ErrRequestTimeout) && len(c.Request().Header.RawHeaders()) == 0 {
+		return closeSilently(c)
+	}
 	return writeFailure(c, typed(err))
 }
 
+// closeSilently ends a connection on which no request came in time. Callers'
+// libraries open connections in advance: an error sent on one of them would
+// be taken for the answer to the sound request that they send just then.
+func closeSilently(c *fiber.Ctx) error {
+	return c.Context().Conn().SetWriteDeadline(time.Unix(1, 0))
+}
+
 // typed makes the library's own errors ours. They all come before a handler
 // ran, so nothing was sent.
 func typed(err error) *failure.Error {
--- /dev/null
+++ b/e2e/input_test.go
@@ -0,0 +1,259 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// small is a site for tests that need no load.
+var small = layout{
+	engines:     []string{oldPool + " dc-1", newPool + " dc-1"},
+	engineFlags: standard.engineFlags,
+	nodes:       1,
+	settings:    "Limits: {MaxBodyBytes: 65536, MaxHeaderBytes: 8192, HeaderTimeout: 1s}\n",
+}
+
+// badCall is a call to a node that has to be refused.
+type badCall struct {
+	name   string
+	method string
+	path   string
+	body   string
+	header []string // names and values in turn
+	key    string   // of the workspace; empty: alpha's
+	status int
+	code   string
+	words  string // part of the message
+}
+
+const (
+	chatPath    = "/v1/chat/completions"
+	soundChat   = `{"model":"base","messages":[{"role":"user","content":"hello"}],"max_tokens":3}`
+	servicePath = "/services/records/inspections"
+)
+
+var badCalls = []badCall{
+	{name: "malformed JSON", path: chatPath, body: `{"model":`, status: 400, code: "MalformedRequest", words: "JSON"},
+	{name: "JSON of the wrong type", path: chatPath, body: `{"model":5}`, status: 400, code: "MalformedRequest", words: "model"},
+	{name: "no model", path: chatPath, body: `{"messages":[]}`, status: 400, code: "MalformedRequest", words: "model: is missing"},
+	{name: "no messages", path: chatPath, body: `{"model":"base","messages":[]}`, status: 400, code: "MalformedRequest", words: "messages: from 1 to"},
+	{name: "negative length", path: chatPath, body: strings.Replace(soundChat, ":3}", ":-3}", 1), status: 400, code: "MalformedRequest", words: "max_tokens"},
+	{name: "several answers", path: chatPath, body: `{"model":"base","n":2}`, status: 400, code: "MalformedRequest", words: "n: only 1"},
+	{name: "unknown model", path: chatPath, body: strings.Replace(soundChat, "base", "nothing", 1), status: 404, code: "UnknownModel", words: `"nothing"`},
+	{name: "wrong key", path: chatPath, body: soundChat, key: "no-such-key", status: 401, code: "Unauthenticated", words: "key is missing or not known"},
+	{name: "missing key", path: chatPath, body: soundChat, key: "-", status: 401, code: "Unauthenticated", words: "key is missing or not known"},
+	{name: "oversized body", path: chatPath, body: strings.Repeat("x", 70_000), status: 413, code: "BodyTooLarge", words: "body is larger"},
+	{name: "oversized header", path: chatPath, body: soundChat, header: []string{"X-Long", strings.Repeat("x", 9000)}, status: 431, code: "HeaderTooLarge", words: "headers are larger"},
+	{name: "bad priority", path: chatPath, body: soundChat, header: []string{"Priority", "u=9"}, status: 400, code: "MalformedRequest", words: "Priority: u has to be from 0 to 7"},
+	{name: "bad timeout", path: chatPath, body: soundChat, header: []string{"Request-Timeout", "soon"}, status: 400, code: "MalformedRequest", words: "Request-Timeout: has to be a positive"},
+	{name: "timeout of zero", path: chatPath, body: soundChat, header: []string{"Request-Timeout", "0"}, status: 400, code: "MalformedRequest", words: "Request-Timeout"},
+	{name: "bad repeatable mark", path: servicePath, header: []string{"Dunlinmill-Repeatable", "no"}, status: 400, code: "MalformedRequest", words: "has to be ?0 or ?1"},
+	{name: "not repeatable without a key", path: servicePath, header: []string{"Dunlinmill-Repeatable", "?0"}, status: 400, code: "KeyRequired", words: "needs an Idempotency-Key"},
+	{name: "key that tells no time", path: servicePath, header: []string{"Idempotency-Key", `"inspection-7"`}, status: 400, code: "KeyInvalid"},
+	{name: "bad time of a key", path: servicePath, header: []string{"Idempotency-Key", `"inspection-7"`, "Dunlinmill-Key-Time", "today"}, status: 400, code: "KeyInvalid", words: "RFC 3339"},
+	{name: "unknown service", path: "/services/nothing/x", status: 404, code: "UnknownService", words: `"nothing"`},
+	{name: "unknown path", path: "/v2/chat", status: 404, code: "NotFound", words: "no such path"},
+	{name: "wrong method", method: http.MethodGet, path: chatPath, status: 404, code: "NotFound", words: "no such path"},
+}
+
+// Each kind of bad input gets its own error, says that nothing ran, and
+// nothing of it arrives anywhere.
+func TestBadCallsAreRefusedEachInItsOwnWay(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, small)
+	for _, tt := range badCalls {
+		resp, body := s.callBadly(t, tt)
+		var e struct {
+			Error struct{ Code, Message, Ran string }
+		}
+		if err := json.Unmarshal(body, &e); err != nil {
+			t.Errorf("%s: %d %.200q: %v", tt.name, resp.StatusCode, body, err)
+			continue
+		}
+		got := e.Error
+		if resp.StatusCode != tt.status || got.Code != tt.code || got.Ran != "NotRun" || got.Message == "" || !strings.Contains(got.Message, tt.words) {
+			t.Errorf("%s: %d %+v; want %d %s with %q", tt.name, resp.StatusCode, got, tt.status, tt.code, tt.words)
+		}
+		if ran := resp.Header.Get("Dunlinmill-Ran"); ran != "NotRun" {
+			t.Errorf("%s: Dunlinmill-Ran is %q", tt.name, ran)
+		}
+	}
+	for i := range s.engines {
+		if n := len(s.engineCounters(i).Arrivals); n > 0 {
+			t.Errorf("%d requests arrived at %s", n, engineName(i))
+		}
+	}
+	if n := s.serviceCounters().Total; n > 0 {
+		t.Errorf("%d calls arrived at the service", n)
+	}
+}
+
+func (s *site) callBadly(t *testing.T, b badCall) (*http.Response, []byte) {
+	t.Helper()
+	method := b.method
+	if method == "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequest(method, "http://"+s.nodes[0].callers+b.path, bytes.NewReader([]byte(b.body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	switch b.key {
+	case "":
+		req.Header.Set("Authorization", "Bearer "+keyOf(alpha))
+	case "-":
+	default:
+		req.Header.Set("Authorization", "Bearer "+b.key)
+	}
+	for i := 0; i+1 < len(b.header); i += 2 {
+		req.Header.Set(b.header[i], b.header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatalf("%s: %v", b.name, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("%s: %v", b.name, err)
+	}
+	return resp, body
+}
+
+// A caller's sound request is answered with 400 although nothing is wrong
+// with it. HTTP libraries open connections in advance; the node sent an error
+// on one that had been silent for the header timeout, and the library took it
+// for the answer to the request that it wrote just then.
+func TestSilentConnectionEndsWithoutAnAnswer(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, small)
+	conn, err := net.Dial("tcp", s.nodes[0].callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if data, err := io.ReadAll(conn); len(data) > 0 || err != nil {
+		t.Errorf("got %q, %v", data, err)
+	}
+}
+
+// badLine is a command line that has to fail.
+type badLine struct {
+	name string
+	args []string
+	code int
+	want []string // parts of standard error
+}
+
+const threeFaults = `Node: entry-1
+DataCentre: Sofia
+Listen: {Callers: {Address: here}, Operators: {Address: "127.0.0.1:0"}, Peers: {Address: "127.0.0.1:0"}}
+More: 1
+`
+
+// Each wrong command line names what is wrong, and nothing changes.
+func TestBadCommandLinesAreRefusedEachInItsOwnWay(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, small)
+	s.write("wrong", "no-such-token")
+	s.write("settings.yaml", threeFaults)
+	s.write("misspelt.yaml", "ShiftWorkspase: {Workspace: alpha, To: new}\n")
+	s.write("broken.yaml", "ShiftWorkspace: [\n")
+	file := func(name string) string { return s.dir + "/" + name }
+	server := "http://" + s.nodes[0].operators
+	node := func(verb, token string, more ...string) []string {
+		return append([]string{verb, "--server", server, "--token-file", file(token)}, more...)
+	}
+	tests := []badLine{
+		{"nothing", nil, 2, []string{"no command given"}},
+		{"unknown subcommand", []string{"serv"}, 2, []string{`unknown command "serv"`}},
+		{"unknown flag", []string{"serve", "--setings", "x"}, 2, []string{"-setings"}},
+		{"serve without settings", []string{"serve"}, 2, []string{"--settings is missing"}},
+		{"settings with three faults", []string{"serve", "--settings", file("settings.yaml")}, 1, []string{":2: DataCentre:", ":3: Listen.Callers.Address:", ":4: More: unknown key"}},
+		{"the same, checked", []string{"check", file("settings.yaml")}, 1, []string{":2: DataCentre:", ":3: Listen.Callers.Address:", ":4: More: unknown key"}},
+		{"no such settings", []string{"serve", "--settings", file("none.yaml")}, 1, []string{"none.yaml: no such file"}},
+		{"no token", []string{"status", "--server", server}, 2, []string{"--token-file is missing"}},
+		{"wrong token", node("status", "wrong"), 1, []string{"Unauthenticated", "token is missing or not known"}},
+		{"wrong token for an intent", node("intent", "wrong", "--shift-workspace", alpha, "--to", newPool), 1, []string{"Unauthenticated"}},
+		{"bootstrap token once operators are there", node("status", "bootstrap"), 1, []string{"Unauthenticated"}},
+		{"unknown plan", node("plan", "anna", "no-such-plan"), 1, []string{"UnknownPlan", "no-such-plan"}},
+		{"confirmation of an unknown plan", node("confirm", "anna", "no-such-plan", "1"), 1, []string{"UnknownPlan", "no-such-plan"}},
+		{"confirmation without a base", node("confirm", "anna", "p1"), 2, []string{"a plan's ID and its BASE"}},
+		{"base that is no number", node("confirm", "anna", "p1", "x"), 2, []string{`BASE: "x" is not an offset`}},
+		{"no intent", node("intent", "anna"), 2, []string{"state one intent"}},
+		{"two intents", node("intent", "anna", "--pause", "p1", "--abort", "p1"), 2, []string{"state one intent"}},
+		{"half an intent", node("intent", "anna", "--shift-workspace", alpha), 2, []string{"--shift-workspace and --to belong together"}},
+		{"misspelt intent", node("intent", "anna", "--file", file("misspelt.yaml")), 1, []string{":1: ShiftWorkspase: unknown key"}},
+		{"broken intent", node("intent", "anna", "--file", file("broken.yaml")), 1, []string{"broken.yaml"}},
+		{"unknown workspace", node("intent", "anna", "--shift-workspace", "nobody", "--to", newPool), 1, []string{"MalformedIntent", `"nobody"`}},
+		{"unknown pool", node("intent", "anna", "--shift-workspace", alpha, "--to", "nowhere"), 1, []string{"MalformedIntent", `"nowhere"`}},
+		{"unknown upstream", node("intent", "anna", "--retire-upstream", "engine-9"), 1, []string{"MalformedIntent", `"engine-9"`}},
+		{"unreachable node", []string{"status", "--server", "http://127.0.0.1:1", "--token-file", file("anna")}, 1, []string{"127.0.0.1:1", "refused"}},
+	}
+	before, err := s.status(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range tests {
+		r := command(t, "", tt.args...)
+		if r.code != tt.code || r.out != "" {
+			t.Errorf("%s: exit code %d, output %q, %s", tt.name, r.code, r.out, r.err)
+		}
+		for _, want := range tt.want {
+			if !strings.Contains(r.err, want) {
+				t.Errorf("%s: %q is not in %q", tt.name, want, r.err)
+			}
+		}
+	}
+	after, err := s.status(0)
+	if err != nil || after.Offset != before.Offset {
+		t.Errorf("offset was %d and is %d, %v", before.Offset, after.Offset, err)
+	}
+}
+
+// operatorCalls are bad calls past the command line, which would not make
+// them.
+var operatorCalls = []badCall{
+	{name: "malformed intent", path: "/intents", body: `{"ShiftWorkspace":`, status: 400, code: "MalformedIntent"},
+	{name: "intent with an unknown name", path: "/intents", body: `{"Shift":{}}`, status: 400, code: "MalformedIntent", words: "Shift"},
+	{name: "empty intent", path: "/intents", body: `{}`, status: 400, code: "MalformedIntent"},
+	{name: "malformed confirmation", path: "/plans/p1/confirm", body: `{"Base":"x"}`, status: 400, code: "MalformedRequest"},
+	{name: "unknown plan", path: "/plans/p1/confirm", body: `{"Base":1}`, status: 404, code: "UnknownPlan", words: "p1"},
+	{name: "unknown path", path: "/nothing", status: 404, code: "NotFound"},
+	{name: "wrong token", path: "/intents", body: `{}`, key: "no-such-token", status: 401, code: "Unauthenticated"},
+	{name: "caller's key", path: "/intents", body: `{}`, key: keyOf(alpha), status: 401, code: "Unauthenticated"},
+	{name: "oversized body", path: "/intents", body: strings.Repeat("x", 5<<20), status: 413, code: "BodyTooLarge"},
+}
+
+func TestBadCallsOfOperatorsAreRefused(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, small)
+	for _, tt := range operatorCalls {
+		token := tt.key
+		if token == "" {
+			token = tokenOf("anna")
+		}
+		req, err := http.NewRequest(http.MethodPost, "http://"+s.nodes[0].operators+tt.path, strings.NewReader(tt.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+token)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Errorf("%s: %v", tt.name, err)
+			continue
+		}
+		var e struct{ Code, Ran, Message string }
+		err = json.NewDecoder(resp.Body).Decode(&e)
+		_ = resp.Body.Close()
+		if got := fmt.Sprint(resp.StatusCode, " ", e.Code, " ", e.Ran); err != nil || got != fmt.Sprint(tt.status, " ", tt.code, " NotRun") || !strings.Contains(e.Message, tt.words) {
+			t.Errorf("%s: %s %q, %v; want %d %s", tt.name, got, e.Message, err, tt.status, tt.code)
+		}
+	}
+}
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -43,6 +43,7 @@
 	engines     []string // pool and data centre of each
 	engineFlags []string
 	nodes       int
+	settings    string // more of the nodes' settings
 }
 
 // standard is the site of most tests: three engines, one plain service and
@@ -148,7 +149,7 @@
 Plans: {Settle: 500ms}
 Shutdown: {Notice: 500ms, Grace: 30s}
 `, nodeName(i), dataCentre(i), n.callers, n.operators, n.peers,
-		s.log.address, s.vms.address, s.weights.address, secret, bootstrap)
+		s.log.address, s.vms.address, s.weights.address, secret, bootstrap) + s.layout.settings
 }
 
 // write writes a file into the site's folder, and gives its path.
