Let the refusal of an oversized body arrive

Cause: the listener answered 413 and closed while the client was still writing; closing with unread bytes resets the connection, and the client sees that instead of the answer. Ruled out: closing only the write side, which the HTTP library gives no hook for.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
@@ -196,7 +197,11 @@
 	if errors.Is(err, fiber.ErrRequestTimeout) && len(c.Request().Header.RawHeaders()) == 0 {
 		return closeSilently(c)
 	}
-	return writeFailure(c, typed(err))
+	e := typed(err)
+	if e.Code == failure.BodyTooLarge {
+		transport.Drain(c.Context().Conn())
+	}
+	return writeFailure(c, e)
 }
 
 // closeSilently ends a connection on which no request came in time. Callers'
--- a/connection/operator/listener.go
+++ b/connection/operator/listener.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -221,6 +222,9 @@
 // failed answers every error with its typed form.
 func (l *Listener) failed(c *fiber.Ctx, err error) error {
 	e := typed(err)
+	if e.Code == failure.BodyTooLarge {
+		transport.Drain(c.Context().Conn())
+	}
 	if e.Code == failure.Internal {
 		event.Error(l.log, event.OperatorCallFailed, zap.String("Path", c.Path()), zap.Error(e))
 	}
--- a/e2e/input_test.go
+++ b/e2e/input_test.go
@@ -49,6 +49,7 @@
 	{name: "wrong key", path: chatPath, body: soundChat, key: "no-such-key", status: 401, code: "Unauthenticated", words: "key is missing or not known"},
 	{name: "missing key", path: chatPath, body: soundChat, key: "-", status: 401, code: "Unauthenticated", words: "key is missing or not known"},
 	{name: "oversized body", path: chatPath, body: strings.Repeat("x", 70_000), status: 413, code: "BodyTooLarge", words: "body is larger"},
+	{name: "far oversized body", path: chatPath, body: strings.Repeat("x", 12<<20), status: 413, code: "BodyTooLarge", words: "body is larger"},
 	{name: "oversized header", path: chatPath, body: soundChat, header: []string{"X-Long", strings.Repeat("x", 9000)}, status: 431, code: "HeaderTooLarge", words: "headers are larger"},
 	{name: "bad priority", path: chatPath, body: soundChat, header: []string{"Priority", "u=9"}, status: 400, code: "MalformedRequest", words: "Priority: u has to be from 0 to 7"},
 	{name: "bad timeout", path: chatPath, body: soundChat, header: []string{"Request-Timeout", "soon"}, status: 400, code: "MalformedRequest", words: "Request-Timeout: has to be a positive"},
