Bound the figures of the table by a YAML file that a test checks

Cause: a change could make the figures worse without anybody seeing it. Ruled out: bounds in the test's code (the command could not print them); bounds on ratios to the oracle (both sides of them move).

--- a/cmd/dunlinmill-measure/main.go
+++ b/cmd/dunlinmill-measure/main.go
@@ -52,7 +52,7 @@
 	user := flags.String("user", "", "users")
 	policy := flags.String("policy", "", `policies; "all" for earlier versions of ours too`)
 	seed := flags.Uint64("seed", 1, "first of the seeds that are pooled in a row")
-	format := flags.String("format", string(measure.Text), "text or markdown")
+	format := flags.String("format", string(measure.Text), "text, markdown, or bounds for the lines of bounds.yaml")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("DUNLINMILL_MEASURE")); err != nil {
 		return err
 	}
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -41,8 +41,12 @@
 	slowdown  = 4
 )
 
-// CalmName is the name of the scenario without faults.
-const CalmName = "Calm"
+// CalmName is the scenario without faults, and RestartName the one that
+// replaces all nodes.
+const (
+	CalmName    = "Calm"
+	RestartName = "Restart"
+)
 
 // Scenarios lists all scenarios, calm first.
 func Scenarios() []Scenario {
@@ -58,7 +62,7 @@
 			Fault: func(f *fleet) { f.crash(f.mostUsed(), quickDown) }},
 		{Name: "SlowEngine", From: eventAt, To: eventEnd, Fault: slowEngine},
 		{Name: "FastErrors", From: eventAt, To: eventEnd, Fault: fastErrors},
-		{Name: "Restart", From: eventAt, To: eventEnd, Fault: (*fleet).restartNodes},
+		{Name: RestartName, From: eventAt, To: eventEnd, Fault: (*fleet).restartNodes},
 		{Name: "CutCentre", From: eventAt, To: eventEnd, Fault: (*fleet).cutCentre},
 		{Name: "Overload", Admission: true, From: eventAt, To: eventEnd, Load: 2},
 		{Name: "Returning", Admission: true, From: eventAt, To: eventEnd, Load: 2, Returns: 3},
--- a/measure/table.go
+++ b/measure/table.go
@@ -17,6 +17,8 @@
 const (
 	Text     Format = "text"
 	Markdown Format = "markdown"
+	// YAML is the form of bounds.yaml.
+	YAML Format = "bounds"
 )
 
 // column is one column of a table. The oracle is the row of the same user
@@ -77,8 +79,12 @@
 // Write prints the rows, those of placement and those of limits and retries
 // each in a table of its own.
 func Write(w io.Writer, rows []Row, format Format) error {
-	if format != Text && format != Markdown {
-		return fmt.Errorf("measure: no format %q; there are %s, %s", format, Text, Markdown)
+	switch format {
+	case Text, Markdown:
+	case YAML:
+		return WriteBounds(w, SetBounds(rows))
+	default:
+		return fmt.Errorf("measure: no format %q; there are %s, %s, %s", format, Text, Markdown, YAML)
 	}
 	admission, placed := lo.FilterReject(rows, func(r Row, _ int) bool { return r.Admission })
 	var b strings.Builder
