--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -220,6 +220,40 @@
 	}
 }
 
+func TestLoadReportIsOld(t *testing.T) {
+	e, a := start(t, engine.Config{})
+	e.Fault(engine.Fault{Slow: 1e9})
+	s, err := a.Generate(testContext(t), generation("g"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for _, tt := range []struct {
+		lag     time.Duration
+		running int
+	}{{0, 1}, {time.Hour, 0}} {
+		e.Fault(engine.Fault{Slow: 1e9, LoadLagMillis: int(tt.lag.Milliseconds())})
+		if r, err := a.Report(testContext(t)); err != nil || r.Running != tt.running || time.Since(r.At) < tt.lag {
+			t.Errorf("lag %s: got %+v, %v", tt.lag, r, err)
+		}
+	}
+}
+
+// The port is closed for a while. Callers learn that nothing was sent, and
+// find the same engine, with its cache, when it is open again.
+func TestRefusedConnectionsLoseNothing(t *testing.T) {
+	e, a := start(t, engine.Config{Decode: -1})
+	before, _ := run(t, a, generation("1"))
+	e.Fault(engine.Fault{RefuseMillis: 50})
+	if _, err := a.Generate(testContext(t), generation("2")); err != nil && !errors.Is(err, upstream.ErrNotSent) {
+		t.Errorf("error is %v, want %v", err, upstream.ErrNotSent)
+	}
+	until(t, "open again", func() bool { _, err := a.Report(testContext(t)); return err == nil })
+	if after, _ := run(t, a, generation("3")); after.Incarnation != before.Incarnation || after.CachedTokens == 0 {
+		t.Errorf("after: %+v, before: %+v", after, before)
+	}
+}
+
 func TestUrgentGoesFirstAndCancelledNever(t *testing.T) {
 	e, a := start(t, engine.Config{Slots: 1})
 	e.Fault(engine.Fault{Slow: 1e9})
