--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -12,7 +12,7 @@
 	// homeChance is the chance that a member of a replica set has what nobody
 	// has been seen to ask for: other nodes may have sent it there before
 	// this one started.
-	homeChance = 0.5
+	homeChance = 0.65
 	// strayCost is what it has to gain, in seconds, to leave the replica
 	// set. Nodes that all see the same idle upstream in an old report would
 	// else meet there, and each stray copy pushes out others.
