--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -323,6 +323,14 @@
 	return engine.Answer(parts, c.MaxTokens)
 }
 
+// chatOf is a short chat of one workspace.
+func chatOf(workspace string, n int) load.Chat {
+	return load.Chat{
+		Key: keyOf(workspace), Model: model, MaxTokens: 10, Urgency: 3,
+		Messages: []load.Message{{Role: "user", Content: fmt.Sprintf("question %d of %s", n, workspace)}},
+	}
+}
+
 // workload is a load of both workspaces.
 var workload = load.Workload{
 	Name:       "e2e",
--- a/e2e/streams_test.go
+++ b/e2e/streams_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -79,26 +80,52 @@
 // crowd is many callers that each send one request after the other, all at
 // the same time.
 type crowd struct {
-	done     atomic.Int64 // requests
-	outcomes chan outcome
-	wait     sync.WaitGroup
+	done atomic.Int64 // requests
+	stop atomic.Bool
+	wait sync.WaitGroup
+
+	mu       sync.Mutex
+	outcomes []outcome
 }
 
-// send starts callers over all nodes.
+// send starts callers over all nodes that send so many requests each.
 func (s *site) send(callers, requests int, seed uint64) *crowd {
-	c := &crowd{outcomes: make(chan outcome, callers*requests)}
+	return s.gather(callers, requests, 0, seed)
+}
+
+// stream starts callers over all nodes that send until they are stopped.
+func (s *site) stream(callers int, seed uint64) *crowd {
+	return s.gather(callers, math.MaxInt, pause, seed)
+}
+
+// pause is a steady caller's time between two requests.
+const pause = 5 * time.Millisecond
+
+func (s *site) gather(callers, requests int, pause time.Duration, seed uint64) *crowd {
+	c := &crowd{}
 	for i := range callers {
 		c.wait.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(i)))
-			for n := range requests {
-				c.outcomes <- s.ask(context.Background(), i+n, workload.Next(random))
-				c.done.Add(1)
+			for n := 0; n < requests && !c.stop.Load(); n++ {
+				c.add(s.ask(context.Background(), i+n, workload.Next(random)))
+				time.Sleep(pause)
 			}
 		})
 	}
+	s.t.Cleanup(func() {
+		c.stop.Store(true)
+		c.wait.Wait()
+	})
 	return c
 }
 
+func (c *crowd) add(o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+	c.done.Add(1)
+}
+
 // awaitDone waits until so many requests have ended.
 func (c *crowd) awaitDone(t *testing.T, n int64) {
 	t.Helper()
@@ -113,12 +140,13 @@
 // all waits for all callers.
 func (c *crowd) all() []outcome {
 	c.wait.Wait()
-	close(c.outcomes)
-	var all []outcome
-	for o := range c.outcomes {
-		all = append(all, o)
-	}
-	return all
+	return c.outcomes
+}
+
+// stopAll lets each caller finish its request, and waits for them.
+func (c *crowd) stopAll() []outcome {
+	c.stop.Store(true)
+	return c.all()
 }
 
 // truthful says whether an error is a typed one with all its parts.
