--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -107,6 +107,10 @@
 		{"placement", placementSlopes},
 		{"configuration", configurationSlopes},
 		{"journal", journalSlopes},
+		{"limits", limitSlopes},
+		{"health", healthSlopes},
+		{"engines", engineSlopes},
+		{"platform", platformSlopes},
 	}
 }
 
--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -98,10 +98,12 @@
 			return nil, err
 		}
 	}
+	var all member.Snapshot
 	for _, n := range f.nodes {
-		for _, other := range f.nodes {
-			n.table.Merge(f.now, member.Snapshot{Records: []member.Record{other.self()}})
-		}
+		all.Records = append(all.Records, n.self())
+	}
+	for _, n := range f.nodes {
+		n.table.Merge(f.now, all)
 	}
 	return f, nil
 }
--- a/capacity/membership.go
+++ b/capacity/membership.go
@@ -33,7 +33,7 @@
 // minutes, so that after valueSeconds the held ones are in balance.
 const (
 	newsSeconds  = 30
-	newsNodes    = 1.5
+	newsNodes    = 2
 	valueSeconds = 125
 	countSeconds = 10
 	spendSeconds = 5
@@ -102,7 +102,7 @@
 // settle lets the news of the start pass and then has every node publish its
 // values each second.
 func (f *memberFleet) settle() error {
-	f.run(newsSeconds + int(float64(len(f.nodes))/newsNodes))
+	f.run(newsSeconds + len(f.nodes)/newsNodes)
 	value := bytes.Repeat([]byte{1}, valueBytes)
 	var published error
 	f.publish = func(now time.Time, n *memberNode) {
