Refuse at once by the expected wait, not by a limit on requests in flight

The concurrency limit followed the time to first token; what queues is prompts to compute, but the places are held by streams, so the limit fell below what the drafts hold and pushed requests to cold engines. Ruled out: the queue before it (its capacity is the sum of the limits); the placement (bare it has the good figures); ejection (off made no difference to the refusals' number in the first trial, which only changed the limit). Change: busy refusals alone lower an engine's limit; package shedding refuses a request whose expected wait is over a part of its patience, a part that shrinks while many are over it, by the workspace's share. A guard each for engines and plain services. A plan refused while it is made says so.

--- a/measure/call.go
+++ b/measure/call.go
@@ -40,8 +40,11 @@
 	entry    *limit.Entry
 	request  workload.Request
 	arrived  time.Duration
-	excluded []string
-	sample   *Sample
+	excluded []string // for the next decision
+	failed   []string // that a send failed on
+	// placeless is since when every upstream was full; 0: not yet.
+	placeless time.Duration
+	sample    *Sample
 }
 
 // arrive takes in a request at its node.
@@ -72,8 +75,15 @@
 	for {
 		r := c.placementRequest()
 		d, err := c.policy.Place(c.now(), r)
+		if err != nil && c.serving != nil {
+			c.awaitPlace()
+			return
+		}
 		if err != nil {
-			c.noUpstream()
+			c.sample.Refused = true
+			return
+		}
+		if c.serving != nil && c.shed(r, d) {
 			return
 		}
 		if c.serving == nil || c.serving.guard.Begin(c.now(), d.Upstream) {
@@ -100,12 +110,6 @@
 	}
 }
 
-func (c *call) noUpstream() {
-	c.release()
-	c.sample.Refused = true
-	c.sample.Decided = c.f.clock.Elapsed() - c.arrived
-}
-
 // visit is one send to one upstream. It ends once.
 type visit struct {
 	c           *call
@@ -205,6 +209,9 @@
 	a.FirstToken = v.first
 	c.sample.Answered = true
 	c.sample.First = c.f.clock.Elapsed() - c.arrived
+	if c.serving != nil {
+		c.serving.guard.Answered(c.now(), v.d.Upstream, v.first, v.d.Idle)
+	}
 	c.policy.Answered(c.now(), v.r, v.d, a)
 }
 
--- a/measure/serving.go
+++ b/measure/serving.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/samber/lo"
 
+	"github.com/dunlinmill/dunlinmill/process/settings"
+	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
 )
 
 // serving is what a node has besides its placement policy on the whole path:
@@ -22,6 +26,7 @@
 type serving struct {
 	guard   *guard.Guard
 	queue   *limit.Queue
+	shedder *shedding.Shedder
 	waiting map[*limit.Entry]*call
 }
 
@@ -36,27 +41,31 @@
 // ServeName is the name of the rows of the whole path.
 const ServeName = "Serve"
 
-// Defaults of the node's settings and request paths.
+// How often a node does things; see process/node and package completion.
 const (
-	queueLength  = 512
-	queueMaxWait = 5 * time.Second
-	headTimeout  = 30 * time.Second
+	placePoll    = 5 * time.Millisecond
 	resizePeriod = time.Second
 	expirePeriod = 100 * time.Millisecond
 )
 
 func newServing(seed uint64) *serving {
-	g := guard.DefaultConfig
+	g := guard.ForEngines
 	g.Retry.Seed = seed
 	q := limit.DefaultQueue
 	q.Seed = seed
-	q.MaxWaiting = queueLength
-	q.MaxWait = queueMaxWait
+	q.MaxWaiting = settings.DefaultQueueLength
+	q.MaxWait = settings.DefaultQueueMaxWait
 	made, err := guard.New(g)
 	if err != nil {
 		panic(fmt.Errorf("measure: %w", err))
 	}
-	return &serving{guard: made, queue: limit.NewQueue(q), waiting: make(map[*limit.Entry]*call)}
+	sh := shedding.Default
+	sh.Seed = seed
+	shedder, err := shedding.New(sh)
+	if err != nil {
+		panic(fmt.Errorf("measure: %w", err))
+	}
+	return &serving{guard: made, shedder: shedder, queue: limit.NewQueue(q), waiting: make(map[*limit.Entry]*call)}
 }
 
 // maintain does what a process does from time to time, also while it drains.
@@ -91,13 +100,14 @@
 
 // offer asks the queue to let the request in.
 func (c *call) offer() {
-	chain, output := c.request.Chain, c.request.Output
+	cost := float64(c.request.Chain.Tokens())/prefillRate + float64(c.request.Output)/decodeRate
+	run := time.Duration(cost * float64(time.Second))
 	e, settled := c.serving.queue.Offer(c.now(), limit.Ticket{
 		ID:        c.id(),
 		Workspace: c.request.Workspace,
 		Priority:  c.request.Class,
-		Cost:      float64(chain.Tokens())/prefillRate + float64(output)/decodeRate,
-		StartBy:   c.deadline(),
+		Cost:      cost,
+		StartBy:   c.deadline().Add(-min(run, c.request.Deadline/2)),
 	})
 	c.entry = e
 	c.serving.waiting[e] = c
@@ -120,6 +130,45 @@
 	c.place()
 }
 
+// awaitPlace looks for an upstream again in a while, if it is only this node's
+// limits that keep them all out.
+func (c *call) awaitPlace() {
+	now := c.f.clock.Elapsed()
+	if !c.serving.guard.Full(c.n.eligible) {
+		c.release()
+		c.refuse(failure.ErrNoUpstream)
+		return
+	}
+	if c.placeless == 0 {
+		c.placeless = now
+	}
+	if now-c.placeless >= completion.DefaultPlaceWait {
+		c.release()
+		c.refuse(failure.ErrOverloaded)
+		return
+	}
+	c.excluded = slices.Clone(c.failed)
+	c.f.clock.After(placePoll, c.begin)
+}
+
+// shed refuses a request that would wait too long for its first token.
+func (c *call) shed(r placement.Request, d placement.Decision) bool {
+	err := c.serving.shedder.Decide(c.now(), shedding.Ask{
+		ID:           c.id(),
+		Workspace:    c.request.Workspace,
+		Urgent:       c.request.Urgent,
+		Wait:         d.Wait,
+		FirstTokenBy: c.deadline(),
+	})
+	if err == nil {
+		c.serving.shedder.Sent(c.now(), c.request.Workspace, 0, r.Chain.Tokens()-d.Cached)
+		return false
+	}
+	c.release()
+	c.refuse(err)
+	return true
+}
+
 // release gives the place in the queue back.
 func (c *call) release() {
 	if c.serving != nil {
@@ -144,7 +193,7 @@
 }
 
 func (c *call) patience() time.Duration {
-	return min(headTimeout, c.deadline().Sub(c.now()))
+	return min(completion.DefaultHeadTimeout, c.deadline().Sub(c.now()))
 }
 
 // timeout gives up on an upstream that has sent no token in time.
@@ -165,6 +214,7 @@
 		Err:         err,
 		FirstToken:  v.first,
 		Expected:    v.d.Idle,
+		Streamed:    v.first > 0,
 		Incarnation: v.incarnation,
 	})
 	switch {
@@ -193,7 +243,8 @@
 	})
 	switch verdict.Action {
 	case retry.RetryElsewhere:
-		c.excluded = append(c.excluded, v.d.Upstream)
+		c.failed = append(c.failed, v.d.Upstream)
+		c.excluded = slices.Clone(c.failed)
 		c.begin()
 	case retry.RetrySame:
 		c.f.clock.After(verdict.Wait, c.begin)
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -13,7 +13,6 @@
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/metric"
-	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
@@ -44,7 +43,7 @@
 	client     *peer.Client
 	follower   *follower.Follower
 	catalogue  *catalogue.Current
-	guard      *guard.Guard
+	guards     guards
 	workspaces *limit.Workspaces
 	admission  *admission
 	policies   *policies
@@ -62,7 +61,7 @@
 		client:     do.MustInvoke[*peer.Client](i),
 		follower:   do.MustInvoke[*follower.Follower](i),
 		catalogue:  do.MustInvoke[*catalogue.Current](i),
-		guard:      do.MustInvoke[*guard.Guard](i),
+		guards:     do.MustInvoke[guards](i),
 		workspaces: do.MustInvoke[*limit.Workspaces](i),
 		admission:  do.MustInvoke[*admission](i),
 		policies:   do.MustInvoke[*policies](i),
@@ -119,22 +118,24 @@
 	s := m.follower.State()
 	m.members.SetOffset(s.Offset)
 	m.workspaces.SetLimits(now, s.Config)
-	m.guard.SetUpstreams(now, lo.Keys(s.Config.Upstreams))
+	m.guards.engines.SetUpstreams(now, m.names(config.Engine))
+	m.guards.services.SetUpstreams(now, m.names(config.Service))
 	m.metrics.Configured(s.Config)
 	m.resize(now)
 }
 
 // resize fits the queues' places to what the upstreams take from this node.
 func (m *maintenance) resize(now time.Time) {
+	m.admission.completions.SetCapacity(now, max(1, m.guards.engines.Capacity(m.names(config.Engine))))
+	m.admission.calls.SetCapacity(now, max(1, m.guards.services.Capacity(m.names(config.Service))))
+}
+
+// names are the active upstreams of a kind.
+func (m *maintenance) names(k config.Kind) []string {
 	cfg := m.catalogue.Catalogue().Config()
-	names := func(k config.Kind) []string {
-		active := lo.PickBy(cfg.Upstreams, func(_ string, u config.Upstream) bool {
-			return u.Kind == k && u.State == config.Active
-		})
-		return lo.Keys(active)
-	}
-	m.admission.completions.SetCapacity(now, max(1, m.guard.Capacity(names(config.Engine))))
-	m.admission.calls.SetCapacity(now, max(1, m.guard.Capacity(names(config.Service))))
+	return lo.Keys(lo.PickBy(cfg.Upstreams, func(_ string, u config.Upstream) bool {
+		return u.Kind == k && u.State == config.Active
+	}))
 }
 
 // exchange tells the peers about this node and takes in what they told.
--- a/process/node/operators.go
+++ b/process/node/operators.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/samber/lo"
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/request/failure"
@@ -99,7 +100,7 @@
 		return failure.ErrPlanOvertaken.WithMessage("%s", overtaken(err)).WithCause(err)
 	case errors.Is(err, fold.ErrUnknownPlan):
 		return failure.ErrUnknownPlan.WithCause(err)
-	case errors.As(err, &r):
+	case errors.As(err, &r), refusedByFold(err):
 		return failure.ErrPlanRefused.WithMessage("%s", overtaken(err)).WithCause(err)
 	case errors.Is(err, plan.ErrUnknown), errors.Is(err, plan.ErrInvalid), errors.Is(err, plan.ErrNothing):
 		return failure.ErrMalformedIntent.WithMessage("%v", err).WithCause(err)
@@ -109,6 +110,13 @@
 	return failure.ErrPlatformUnavailable.WithRetryAfter(platformRetryAfter).WithCause(err)
 }
 
+// refusedByFold holds for the refusals that a plan meets while it is made,
+// which bear a sentinel of the fold and no Refusal.
+func refusedByFold(err error) bool {
+	return lo.SomeBy([]error{fold.ErrBusyObject, fold.ErrCapacity, fold.ErrWrongStatus, fold.ErrInvalid, fold.ErrLimit},
+		func(sentinel error) bool { return errors.Is(err, sentinel) })
+}
+
 // overtaken tells a refusal with what came first.
 func overtaken(err error) string {
 	var r *fold.Refusal
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -21,6 +21,7 @@
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/recent"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/follower"
@@ -46,7 +47,8 @@
 	do.Provide(i, n.newCatalogue)
 	do.Provide(i, n.newDirectory)
 	do.Provide(i, n.newJournal)
-	do.Provide(i, n.newGuard)
+	do.Provide(i, n.newGuards)
+	do.Provide(i, n.newShedder)
 	do.Provide(i, n.newWorkspaces)
 	do.Provide(i, n.newAdmission)
 	do.Provide(i, n.newPolicies)
@@ -196,10 +198,28 @@
 	return j, do.MustInvoke[peerServer](i).Register(journal.Service, j.Handler())
 }
 
-func (n *Node) newGuard(i do.Injector) (*guard.Guard, error) {
-	cfg := guard.DefaultConfig
-	cfg.Retry.Seed = do.MustInvoke[identity](i).seed
-	return guard.New(cfg)
+// guards stand before the two kinds of upstreams.
+type guards struct {
+	engines  *guard.Guard
+	services *guard.Guard
+}
+
+func (n *Node) newGuards(i do.Injector) (guards, error) {
+	engines, services := guard.ForEngines, guard.ForServices
+	engines.Retry.Seed = do.MustInvoke[identity](i).seed
+	services.Retry.Seed = do.MustInvoke[identity](i).seed
+	e, err := guard.New(engines)
+	if err != nil {
+		return guards{}, err
+	}
+	s, err := guard.New(services)
+	return guards{engines: e, services: s}, err
+}
+
+func (n *Node) newShedder(i do.Injector) (*shedding.Shedder, error) {
+	cfg := shedding.Default
+	cfg.Seed = do.MustInvoke[identity](i).seed
+	return shedding.New(cfg)
 }
 
 func (n *Node) newWorkspaces(i do.Injector) (*limit.Workspaces, error) {
--- a/process/node/report.go
+++ b/process/node/report.go
@@ -14,7 +14,6 @@
 	"github.com/dunlinmill/dunlinmill/process/command"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
-	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/follower"
 )
@@ -37,7 +36,7 @@
 	follower   *follower.Follower
 	members    *member.Runner
 	inventory  *inventory.Inventory
-	guard      *guard.Guard
+	guards     guards
 	admission  *admission
 }
 
@@ -49,7 +48,7 @@
 		follower:   do.MustInvoke[*follower.Follower](i),
 		members:    do.MustInvoke[*member.Runner](i),
 		inventory:  do.MustInvoke[*inventory.Inventory](i),
-		guard:      do.MustInvoke[*guard.Guard](i),
+		guards:     do.MustInvoke[guards](i),
 		admission:  do.MustInvoke[*admission](i),
 	}, nil
 }
@@ -113,7 +112,7 @@
 			State:      u.State.String(),
 			Usable:     r.inventory.Usable(now, name),
 			Models:     u.Models,
-			InFlight:   r.guard.InFlight(name),
+			InFlight:   r.guards.engines.InFlight(name) + r.guards.services.InFlight(name),
 		}
 	})
 }
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -12,10 +12,10 @@
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
-	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/recent"
 	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/follower"
 )
@@ -35,7 +35,8 @@
 		Upstreams: do.MustInvoke[*inventory.Inventory](i),
 		Policies:  do.MustInvoke[*policies](i),
 		Admission: do.MustInvoke[*admission](i),
-		Guard:     do.MustInvoke[*guard.Guard](i),
+		Guard:     do.MustInvoke[guards](i).engines,
+		Shedder:   do.MustInvoke[*shedding.Shedder](i),
 		Journal:   do.MustInvoke[*journal.Journal](i),
 		Recent:    do.MustInvoke[*recent.Table](i),
 		Observer:  observer{metrics: do.MustInvoke[*metric.Metrics](i)},
@@ -48,7 +49,7 @@
 		Config:    call.Config{}.WithDefaults(),
 		View:      do.MustInvoke[*catalogue.Current](i),
 		Upstreams: do.MustInvoke[*inventory.Inventory](i),
-		Guard:     do.MustInvoke[*guard.Guard](i),
+		Guard:     do.MustInvoke[guards](i).services,
 		Admission: do.MustInvoke[*admission](i),
 		Journal:   do.MustInvoke[*journal.Journal](i),
 		Log:       n.log,
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"go.uber.org/zap"
@@ -148,12 +149,17 @@
 }
 
 func (s *site) router() *Router {
-	g, err := guard.New(guard.DefaultConfig)
+	g, err := guard.New(guard.ForEngines)
+	if err != nil {
+		panic(err)
+	}
+	sh, err := shedding.New(shedding.Default)
 	if err != nil {
 		panic(err)
 	}
 	return &Router{
-		Config: Config{}.WithDefaults(), View: s, Upstreams: s, Policies: s, Admission: s,
+		Shedder: sh,
+		Config:  Config{}.WithDefaults(), View: s, Upstreams: s, Policies: s, Admission: s,
 		Guard: g, Journal: s.once, Recent: s, Observer: s, Log: zap.NewNop(),
 	}
 }
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -7,11 +7,13 @@
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
@@ -58,6 +60,14 @@
 	Decide(now time.Time, a retry.Attempt) retry.Verdict
 }
 
+// Shedder refuses requests that would wait too long for their first token.
+type Shedder interface {
+	// Decide gives nil if the request may be sent, else its final answer.
+	Decide(now time.Time, a shedding.Ask) *failure.Error
+	// Sent notes the prompt tokens that a request has an engine compute.
+	Sent(now time.Time, workspace string, weight float64, tokens int)
+}
+
 // Journal sees to it that a not-repeatable request runs once at most.
 type Journal interface {
 	// Begin claims the request's key, or gives the answer it got before.
@@ -123,6 +133,7 @@
 	Policies  Policies
 	Admission Admission
 	Guard     Guard
+	Shedder   Shedder
 	Journal   Journal
 	Recent    Recent
 	Observer  Observer
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -104,6 +106,9 @@
 		if ctx.Err() != nil {
 			return nil, s.refusal(failure.ErrCancelled, ctx.Err())
 		}
+		if errors.Is(err, failure.ErrOverloaded) {
+			return nil, err
+		}
 		if name == "" {
 			if err := s.awaitPlace(ctx, now, err); err != nil {
 				return nil, err
@@ -226,6 +231,9 @@
 	if !ok {
 		return nil, "", fmt.Errorf("upstream %q left: %w", d.Upstream, placement.ErrNoCandidate)
 	}
+	if err := s.shed(now, d); err != nil {
+		return nil, "", err
+	}
 	v, ok := s.visit(now, p, pr, d)
 	if !ok {
 		// Another request took the last place since the decision: nothing
@@ -243,6 +251,44 @@
 	return a, u.Name, nil
 }
 
+// shed gives the final answer of a request that would wait too long for its
+// first token at the best upstream there is. A first token that comes too late
+// has cost the engine as much as one in time.
+func (s *start) shed(now time.Time, d placement.Decision) error {
+	a := shedding.Ask{
+		ID:        s.r.ID,
+		Workspace: s.r.Workspace,
+		Weight:    s.weight(),
+		Urgent:    s.r.Urgent(),
+		Wait:      d.Wait,
+	}
+	if !s.r.Deadline.IsZero() {
+		a.FirstTokenBy = s.r.Deadline.Add(-s.decoding(now))
+	}
+	err := s.rt.Shedder.Decide(now, a)
+	if err == nil {
+		s.rt.Shedder.Sent(now, s.r.Workspace, a.Weight, s.chain.Tokens()-d.Cached)
+		return nil
+	}
+	if s.sent {
+		return err.WithRan(failure.Unknown)
+	}
+	return err
+}
+
+// decoding is the time that the answer needs after its first token, at most
+// half of what is left: the answer may be shorter than its limit.
+func (s *start) decoding(now time.Time) time.Duration {
+	return min(time.Duration(s.r.MaxTokens)*tokenTime, s.r.Deadline.Sub(now)/2)
+}
+
+// tokenTime is the usual time between two tokens.
+const tokenTime = 20 * time.Millisecond
+
+func (s *start) weight() float64 {
+	return s.rt.View.Catalogue().Config().Workspaces[s.r.Workspace].Weight
+}
+
 func (s *start) logPlacement(d placement.Decision) {
 	event.Info(s.rt.Log, event.RequestPlaced, zap.String("Request", s.r.ID),
 		zap.String("Workspace", s.r.Workspace), zap.String("Model", s.r.Model),
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -25,13 +25,32 @@
 	Retry       retry.Config
 }
 
-// DefaultConfig suits today's sites and larger ones.
-var DefaultConfig = Config{
+// ForServices is the setting for plain services.
+var ForServices = Config{
 	Concurrency: limit.DefaultConcurrency,
 	Ejection:    ejection.Default,
 	Retry:       retry.Default,
 }
 
+// ForEngines is the setting for model engines, before which package shedding
+// judges the waits.
+var ForEngines = Config{
+	Concurrency: engineConcurrency(),
+	Ejection:    ejection.Default,
+	Retry:       retry.Default,
+}
+
+// engineInitial is the limit of an engine that has not refused anything yet;
+// engines have batches of 8 to 256 and a queue of their own behind them.
+const engineInitial = 64
+
+func engineConcurrency() limit.ConcurrencyConfig {
+	c := limit.DefaultConcurrency
+	c.Initial = engineInitial
+	c.OnlyRefusals = true
+	return c
+}
+
 // Guard stands between the request paths and the upstreams of one node. It
 // has a lock for its own count alone; its parts lock themselves, one after the
 // other, never one inside another.
--- a/request/limit/concurrency.go
+++ b/request/limit/concurrency.go
@@ -49,6 +49,11 @@
 	Pause time.Duration
 	// Window is how long the least slowdown is remembered.
 	Window time.Duration
+	// OnlyRefusals has busy refusals alone lower the limit. It is for model
+	// engines: their time to first token grows with the prompts that wait to
+	// be computed, while the places in flight are held by answers being
+	// streamed, so that a limit lowered by the one locks out the other.
+	OnlyRefusals bool
 }
 
 // DefaultConcurrency suits engines with batches of 8 to 256.
@@ -221,7 +226,7 @@
 	if now.Add(-r.FirstToken).Before(u.lowered) {
 		return
 	}
-	if u.congested(now, cfg, r) {
+	if !cfg.OnlyRefusals && u.congested(now, cfg, r) {
 		u.lower(now, cfg)
 		return
 	}
--- /dev/null
+++ b/request/shedding/shedding.go
@@ -0,0 +1,274 @@
+// Package shedding refuses requests, at once, that would wait too long for
+// their first token. A limit on the number of requests in flight can't do
+// that for model engines: what queues there is prompts to compute, and a
+// request that streams its answer takes next to none of it. The placement's
+// estimate of the wait is the measure instead; see docs/design/shedding.md.
+package shedding
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/limit"
+)
+
+// ErrConfig means that a setting of this package is out of its range.
+var ErrConfig = errors.New("shedding: setting out of range")
+
+// Config sets a Shedder.
+type Config struct {
+	Seed uint64 // of the RetryAfter jitter; another on each node
+	// Urgent and Other are the part of a request's patience that the expected
+	// wait may take under overload. They leave room for the error of the
+	// estimate, and the smaller one keeps the queue short that urgent
+	// requests have to pass.
+	Urgent float64
+	Other  float64
+	// Calm is the part without overload: a burst that the upstreams work off
+	// by themselves is no reason to refuse anybody.
+	Calm float64
+	// Low and High are the parts of the recent requests whose wait is over
+	// Urgent or Other: up to Low it is calm, from High on it is overload, and
+	// between them the allowed part goes from the one to the other. A burst
+	// passes; a queue that stands raises it until the requests that make it
+	// stand are refused.
+	Low  float64
+	High float64
+	// UrgentPatience and OtherPatience are how long a request without a
+	// deadline is taken to wait for its first token.
+	UrgentPatience time.Duration
+	OtherPatience  time.Duration
+	// LeastFactor is what the part is multiplied with for a workspace that
+	// takes far more than its share; one that takes less gets up to
+	// MostFactor times the part.
+	LeastFactor float64
+	MostFactor  float64
+	// Memory is the time in which what a workspace took is forgotten to a
+	// third.
+	Memory time.Duration
+	// MinReturn is the shortest RetryAfter before the spread.
+	MinReturn time.Duration
+	// MaxWorkspaces bounds the workspaces that are remembered.
+	MaxWorkspaces int
+}
+
+// Default is the setting that the measurements chose.
+var Default = Config{
+	Urgent: 0.2, Other: 0.12, Calm: 0.8, Low: 0.2, High: 0.4,
+	UrgentPatience: 3 * time.Second, OtherPatience: 15 * time.Second,
+	LeastFactor: 0.5, MostFactor: 2,
+	Memory: 5 * time.Second, MinReturn: 200 * time.Millisecond,
+	MaxWorkspaces: 4096,
+}
+
+// Check gives every fault of the settings.
+func (c Config) Check() error {
+	var faults []error
+	add := func(ok bool, what string) {
+		if !ok {
+			faults = append(faults, fmt.Errorf("%s: %w", what, ErrConfig))
+		}
+	}
+	add(c.Urgent > 0 && c.Urgent <= 1, "Urgent must lie between 0 and 1")
+	add(c.Other > 0 && c.Other <= 1, "Other must lie between 0 and 1")
+	add(c.Calm > 0 && c.Calm <= 1, "Calm must lie between 0 and 1")
+	add(c.Low >= 0 && c.Low < c.High && c.High <= 1, "Low and High must lie between 0 and 1 in this order")
+	add(c.UrgentPatience > 0, "UrgentPatience must be positive")
+	add(c.OtherPatience > 0, "OtherPatience must be positive")
+	add(c.LeastFactor > 0 && c.LeastFactor <= 1, "LeastFactor must lie between 0 and 1")
+	add(c.MostFactor >= 1, "MostFactor must be at least 1")
+	add(c.Memory > 0, "Memory must be positive")
+	add(c.MinReturn > 0, "MinReturn must be positive")
+	add(c.MaxWorkspaces >= 1, "MaxWorkspaces must be at least 1")
+	return errors.Join(faults...)
+}
+
+// Ask is a request about to be sent.
+type Ask struct {
+	ID        string
+	Workspace string
+	Weight    float64 // of the workspace, from the configuration; 0 counts as 1
+	Urgent    bool
+	// Wait is the expected time to the first token at the upstream chosen.
+	Wait time.Duration
+	// FirstTokenBy is the latest useful first token; zero: the patience of
+	// its kind, from now.
+	FirstTokenBy time.Time
+}
+
+// Shedder decides for one node. mu guards all of it.
+type Shedder struct {
+	cfg Config
+
+	mu         sync.Mutex
+	workspaces map[string]*usage
+	total      decaying
+	asks       decaying  // requests
+	over       decaying  // of them, those with a wait over Urgent or Other
+	weights    float64   // of the workspaces with usage, as of counted
+	counted    time.Time // when they were last added up
+}
+
+// New starts without usage.
+func New(cfg Config) (*Shedder, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	return &Shedder{cfg: cfg, workspaces: map[string]*usage{}}, nil
+}
+
+// usage is what one workspace took lately.
+type usage struct {
+	decaying
+	weight float64
+}
+
+// decaying is a sum whose parts lose their weight with age.
+type decaying struct {
+	value float64
+	at    time.Time
+}
+
+func (d decaying) now(now time.Time, memory time.Duration) float64 {
+	return d.value * math.Exp(-now.Sub(d.at).Seconds()/memory.Seconds())
+}
+
+func (d *decaying) add(now time.Time, memory time.Duration, v float64) {
+	d.value = d.now(now, memory) + v
+	d.at = now
+}
+
+// Decide gives nil if the request may be sent, else its final answer: it was
+// not run, and when to come back.
+func (s *Shedder) Decide(now time.Time, a Ask) *failure.Error {
+	allowed := s.allowed(now, a)
+	if a.Wait <= allowed {
+		return nil
+	}
+	back := limit.Spread(s.cfg.Seed, a.ID, max(s.cfg.MinReturn, a.Wait-allowed))
+	return failure.ErrOverloaded.WithRetryAfter(back).
+		WithCause(fmt.Errorf("expected wait %s, allowed %s", a.Wait, allowed))
+}
+
+// allowed is the longest wait with which the request is sent.
+func (s *Shedder) allowed(now time.Time, a Ask) time.Duration {
+	patience := float64(s.patience(now, a))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tight := s.factor(now, a) * s.part(a)
+	s.note(now, float64(a.Wait) > tight*patience)
+	overload := s.overload(now)
+	return time.Duration((s.cfg.Calm + overload*(min(tight, s.cfg.Calm)-s.cfg.Calm)) * patience)
+}
+
+// note counts a request for the measure of overload.
+func (s *Shedder) note(now time.Time, over bool) {
+	s.asks.add(now, s.cfg.Memory, 1)
+	if over {
+		s.over.add(now, s.cfg.Memory, 1)
+	}
+}
+
+// overload is 0 in calm and 1 under full overload.
+func (s *Shedder) overload(now time.Time) float64 {
+	part := s.over.now(now, s.cfg.Memory) / s.asks.now(now, s.cfg.Memory)
+	return min(1, max(0, (part-s.cfg.Low)/(s.cfg.High-s.cfg.Low)))
+}
+
+func (s *Shedder) part(a Ask) float64 {
+	if a.Urgent {
+		return s.cfg.Urgent
+	}
+	return s.cfg.Other
+}
+
+func (s *Shedder) patience(now time.Time, a Ask) time.Duration {
+	switch {
+	case !a.FirstTokenBy.IsZero():
+		return a.FirstTokenBy.Sub(now)
+	case a.Urgent:
+		return s.cfg.UrgentPatience
+	}
+	return s.cfg.OtherPatience
+}
+
+// Sent notes the prompt tokens that a request has an upstream compute.
+func (s *Shedder) Sent(now time.Time, workspace string, weight float64, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, ok := s.workspaces[workspace]
+	if !ok {
+		s.makeRoom(now)
+		u = &usage{}
+		s.workspaces[workspace] = u
+	}
+	u.weight = weightOf(weight)
+	u.add(now, s.cfg.Memory, float64(tokens))
+	s.total.add(now, s.cfg.Memory, float64(tokens))
+}
+
+func weightOf(w float64) float64 {
+	if w <= 0 {
+		return 1
+	}
+	return w
+}
+
+// factor compares what the workspace took lately with its share among those
+// that took anything. Without it a large workspace's requests, being more,
+// keep the small ones' waiting as long as its own.
+func (s *Shedder) factor(now time.Time, a Ask) float64 {
+	u, ok := s.workspaces[a.Workspace]
+	total := s.total.now(now, s.cfg.Memory)
+	if !ok || total <= 0 {
+		return s.cfg.MostFactor
+	}
+	s.count(now)
+	took := u.now(now, s.cfg.Memory) / total
+	fair := weightOf(a.Weight) / max(s.weights, weightOf(a.Weight))
+	return min(s.cfg.MostFactor, max(s.cfg.LeastFactor, fair/max(took, math.SmallestNonzeroFloat32)))
+}
+
+// countInterval is how old the sum of the weights may be: adding them up for
+// each request would cost more than the decision itself.
+const countInterval = 500 * time.Millisecond
+
+// activePart is the part of the total below which a workspace doesn't count
+// as one that takes anything.
+const activePart = 0.001
+
+func (s *Shedder) count(now time.Time) {
+	if now.Sub(s.counted) < countInterval {
+		return
+	}
+	s.counted = now
+	s.weights = 0
+	least := activePart * s.total.now(now, s.cfg.Memory)
+	for name, u := range s.workspaces {
+		v := u.now(now, s.cfg.Memory)
+		switch {
+		case v >= least:
+			s.weights += u.weight
+		case v < 1:
+			delete(s.workspaces, name)
+		}
+	}
+}
+
+// makeRoom forgets the workspace that took least, if there are too many.
+func (s *Shedder) makeRoom(now time.Time) {
+	if len(s.workspaces) < s.cfg.MaxWorkspaces {
+		return
+	}
+	least, name := math.Inf(1), ""
+	for n, u := range s.workspaces {
+		if v := u.now(now, s.cfg.Memory); v < least || v == least && n < name {
+			least, name = v, n
+		}
+	}
+	delete(s.workspaces, name)
+}
--- /dev/null
+++ b/request/shedding/shedding_test.go
@@ -0,0 +1,118 @@
+package shedding
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/failure"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func shedder(t testing.TB) *Shedder {
+	t.Helper()
+	s, err := New(Default)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		name string
+		ask  Ask
+		took map[string]int // prompt tokens by workspace
+		shed bool
+	}{
+		{"nothing known", Ask{Workspace: "a", Wait: time.Second, FirstTokenBy: start.Add(10 * time.Second)}, nil, false},
+		{"even shares, short wait", Ask{Workspace: "a", Wait: time.Second, FirstTokenBy: start.Add(10 * time.Second)},
+			map[string]int{"a": 100, "b": 100}, false},
+		{"even shares, long wait", Ask{Workspace: "a", Wait: 2 * time.Second, FirstTokenBy: start.Add(10 * time.Second)},
+			map[string]int{"a": 100, "b": 100}, true},
+		{"over its share", Ask{Workspace: "a", Wait: time.Second, FirstTokenBy: start.Add(10 * time.Second)},
+			map[string]int{"a": 900, "b": 100}, true},
+		{"over its share, but heavier", Ask{Workspace: "a", Weight: 9, Wait: time.Second, FirstTokenBy: start.Add(10 * time.Second)},
+			map[string]int{"a": 900, "b": 100}, false},
+		{"under its share, long wait", Ask{Workspace: "b", Wait: 2 * time.Second, FirstTokenBy: start.Add(10 * time.Second)},
+			map[string]int{"a": 900, "b": 100}, false},
+		{"urgent without a deadline", Ask{Workspace: "a", Urgent: true, Wait: 500 * time.Millisecond},
+			map[string]int{"a": 100, "b": 100}, false},
+		{"urgent without a deadline, long wait", Ask{Workspace: "a", Urgent: true, Wait: time.Second},
+			map[string]int{"a": 100, "b": 100}, true},
+		{"deadline past", Ask{Workspace: "a", Wait: time.Millisecond, FirstTokenBy: start.Add(-time.Second)}, nil, true},
+	}
+	for _, c := range cases {
+		s := shedder(t)
+		for w, tokens := range c.took {
+			s.Sent(start, w, c.ask.Weight*boolTo(w == c.ask.Workspace), tokens)
+		}
+		err := s.Decide(start, c.ask)
+		if (err != nil) != c.shed {
+			t.Errorf("%s: %v, want shed %v", c.name, err, c.shed)
+		}
+		if err != nil && (!errors.Is(err, failure.ErrOverloaded) || err.Ran != failure.NotRun || err.RetryAfter < Default.MinReturn) {
+			t.Errorf("%s: refusal %v, ran %v, come back in %s", c.name, err, err.Ran, err.RetryAfter)
+		}
+	}
+}
+
+func boolTo(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func TestUsageIsForgotten(t *testing.T) {
+	s := shedder(t)
+	s.Sent(start, "a", 1, 1_000_000)
+	s.Sent(start, "b", 1, 10_000)
+	ask := Ask{Workspace: "a", Wait: time.Second, FirstTokenBy: start.Add(10 * time.Second)}
+	if s.Decide(start, ask) == nil {
+		t.Error("a workspace far over its share was not refused")
+	}
+	later := start.Add(time.Minute)
+	s.Sent(later, "a", 1, 100)
+	s.Sent(later, "b", 1, 100)
+	ask.FirstTokenBy = later.Add(10 * time.Second)
+	if err := s.Decide(later, ask); err != nil {
+		t.Errorf("a minute later: %v", err)
+	}
+}
+
+func TestWorkspacesAreBounded(t *testing.T) {
+	cfg := Default
+	cfg.MaxWorkspaces = 10
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 100 {
+		s.Sent(start, fmt.Sprint(i), 1, i+1)
+	}
+	if len(s.workspaces) != 10 {
+		t.Errorf("%d workspaces are remembered, want 10", len(s.workspaces))
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{8, 1500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := shedder(b)
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprint(i)
+				s.Sent(start, names[i], 1, 1000)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := start.Add(time.Duration(i) * time.Microsecond)
+				_ = s.Decide(now, Ask{ID: "x", Workspace: names[i%n], Wait: time.Millisecond})
+				s.Sent(now, names[i%n], 1, 1000)
+			}
+		})
+	}
+}
