--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -23,6 +23,8 @@
 
 const pollInterval = 20 * time.Millisecond
 
+const sigterm = syscall.SIGTERM
+
 // await polls until f gives nil, and fails the test with its last error.
 func await(t *testing.T, what string, f func() error) {
 	t.Helper()
--- a/process/event/event.go
+++ b/process/event/event.go
@@ -5,6 +5,7 @@
 
 import (
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 //go:generate go tool stringer -type=Event -output=event_string.go
@@ -17,8 +18,16 @@
 // Number is the event's number in the log.
 func (e Event) Number() int { return int(e) }
 
+// fields puts the number first, and has the library's own name for an error
+// begin with a capital as all names in the log do.
 func fields(e Event, f []zap.Field) []zap.Field {
-	return append([]zap.Field{zap.Int("Event", e.Number())}, f...)
+	all := append([]zap.Field{zap.Int("Event", e.Number())}, f...)
+	for i := range all {
+		if all[i].Type == zapcore.ErrorType && all[i].Key == "error" {
+			all[i].Key = "Error"
+		}
+	}
+	return all
 }
 
 // Info logs a numbered event that needs nobody's attention.
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -110,11 +110,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("listener %s: %w", name, err)
 	}
-	event.Info(n.log, event.ListenerOpen, zap.String("Listener", name),
-		zap.String("Address", ln.Addr().String()), zap.Bool("TLS", l.TLS.Enabled()))
+	n.announceListener(name, ln.Addr().String(), l.TLS.Enabled())
 	return ln, nil
 }
 
+func (n *Node) announceListener(name, address string, tls bool) {
+	event.Info(n.log, event.ListenerOpen, zap.String("Listener", name),
+		zap.String("Address", address), zap.Bool("TLS", tls))
+}
+
 // Run serves until ctx ends. The order of the actors is the order in which
 // they are stopped: callers first, since their requests need all the rest.
 func (n *Node) Run(ctx context.Context) error {
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -128,6 +128,7 @@
 		return peerServer{}, fmt.Errorf("listener Peers: %w", err)
 	}
 	n.closers.add("peer server", s.Close)
+	n.announceListener("Peers", address, cfg != nil)
 	return peerServer{Server: s, address: address}, nil
 }
 
