--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -191,7 +191,7 @@
 	cfg := e.Config()
 	f.clock.After(eventLag, func() {
 		for _, n := range f.nodes {
-			if !f.reaches(n.centre, cfg.DataCentre) {
+			if !f.reaches(n.centre, cfg.DataCentre) || f.scenario.Near && n.centre != cfg.DataCentre {
 				continue
 			}
 			for _, event := range events {
@@ -215,7 +215,7 @@
 		panic(fmt.Errorf("measure: summary of %s: %w", n.name, err))
 	}
 	for _, peer := range f.nodes {
-		if peer == n || !f.reaches(n.centre, peer.centre) {
+		if peer == n || f.scenario.Silent || !f.reaches(n.centre, peer.centre) {
 			continue
 		}
 		f.bytes += n.encoded.bytes
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -23,6 +23,11 @@
 	Returns int
 	// Loss is the share of cache events that each node misses.
 	Loss float64
+	// Near gives each node the cache events of its own data centre's engines
+	// alone.
+	Near bool
+	// Silent keeps the nodes' summaries from their peers.
+	Silent bool
 	// Lag is how old a load report is when it arrives; 0 means the usual.
 	Lag time.Duration
 	// Fault acts on the fleet at eventAt.
@@ -53,6 +58,9 @@
 	return []Scenario{
 		{Name: CalmName, From: warmUp, To: runEnd},
 		{Name: "LostEvents", Loss: 0.3, From: warmUp, To: runEnd},
+		{Name: "NearEvents", Near: true, From: warmUp, To: runEnd},
+		{Name: "NoEvents", Loss: 1, From: warmUp, To: runEnd},
+		{Name: "NoSummaries", Silent: true, From: warmUp, To: runEnd},
 		{Name: "LoadLag", Lag: 2 * time.Second, From: warmUp, To: runEnd},
 		{Name: "HotShift", From: eventAt, To: eventEnd,
 			Changes: []workload.Change{{At: eventAt, Shift: true, Boost: 0.2}}},
