Don't tell callers that their key is wrong before there is any key

Cause: a node that starts with neither log nor peers knows no key, and answered 401 Unauthenticated to every caller, which callers take as final; and GET /ready said yes, so that the balancer sent them there. Change: such a node answers PlatformUnavailable with a time to come back, and is ready only once it has a configuration. Seen before by the bare serve's test: ready 200 and Unauthenticated. Ruled out: waiting in the start until there is a configuration; the first intent needs a node that has none.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -38,6 +38,8 @@
 	// Workspace gives the workspace of a key.
 	Workspace(secret string) (name string, ok bool)
 	Models() []string
+	// Configured says whether there is a configuration at all.
+	Configured() bool
 }
 
 // Presence says whether this node should get new connections.
@@ -186,7 +188,7 @@
 func (l *Listener) health(c *fiber.Ctx) error { return c.SendString("ok\n") }
 
 func (l *Listener) ready(c *fiber.Ctx) error {
-	if !l.presence.Ready() {
+	if !l.presence.Ready() || !l.directory.Configured() {
 		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
 	}
 	return c.SendString("ready\n")
--- a/connection/caller/completions.go
+++ b/connection/caller/completions.go
@@ -259,8 +259,8 @@
 }
 
 func (l *Listener) models(c *fiber.Ctx) error {
-	if _, ok := l.directory.Workspace(bearer(c)); !ok {
-		return failure.ErrUnauthenticated
+	if _, err := l.workspace(c); err != nil {
+		return err
 	}
 	list := modelList{Object: "list"}
 	for _, m := range l.directory.Models() {
--- a/connection/caller/header.go
+++ b/connection/caller/header.go
@@ -68,12 +68,10 @@
 func (l *Listener) terms(c *fiber.Ctx, now time.Time) (terms, error) {
 	t := terms{id: uuid.NewString()}
 	c.Set(HeaderRequestID, t.id)
-	w, ok := l.directory.Workspace(bearer(c))
-	if !ok {
-		return t, failure.ErrUnauthenticated
-	}
-	t.workspace = w
 	var err error
+	if t.workspace, err = l.workspace(c); err != nil {
+		return t, err
+	}
 	if t.priority, err = urgency(c.Get(HeaderPriority)); err != nil {
 		return t, err
 	}
@@ -83,6 +81,24 @@
 	return t.withKey(c)
 }
 
+// unconfiguredRetryAfter is when to come back to a node that has just started.
+const unconfiguredRetryAfter = time.Second
+
+// workspace finds the workspace of a request's key. A node that has no
+// configuration yet knows no key at all; to callers it must not say that
+// theirs is wrong, after which they would not come back.
+func (l *Listener) workspace(c *fiber.Ctx) (string, error) {
+	w, ok := l.directory.Workspace(bearer(c))
+	switch {
+	case ok:
+		return w, nil
+	case !l.directory.Configured():
+		return "", failure.ErrPlatformUnavailable.WithMessage("this node has no configuration yet").
+			WithRetryAfter(unconfiguredRetryAfter)
+	}
+	return "", failure.ErrUnauthenticated
+}
+
 func bearer(c *fiber.Ctx) string {
 	scheme, secret, ok := strings.Cut(c.Get(fiber.HeaderAuthorization), " ")
 	if !ok || !strings.EqualFold(scheme, "Bearer") {
--- a/e2e/start_test.go
+++ b/e2e/start_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"github.com/dunlinmill/dunlinmill/load"
 )
 
 // line is what the tests read of a line of a node's log.
@@ -82,10 +84,20 @@
 			t.Errorf("no line about the listener %s", name)
 		}
 	}
-	// It has no configuration, and refuses truthfully instead of hanging.
+	// It has no configuration and so knows no key. A caller who was told that
+	// its key is wrong would not come back, and the balancer must not choose
+	// this node.
 	if err := get(a[0], "/health", nil); err != nil {
 		t.Errorf("health: %v", err)
 	}
+	if err := get(a[0], "/ready", nil); err == nil || err.Error() != "503 Service Unavailable" {
+		t.Errorf("ready: %v", err)
+	}
+	_, err := load.NewClient(a[:1]).Stream(t.Context(), chatOf(alpha, 1))
+	var r *load.Refusal
+	if !errors.As(err, &r) || r.Code != "PlatformUnavailable" || r.Ran != "NotRun" || r.RetryAfter == 0 {
+		t.Errorf("a caller got %v", err)
+	}
 }
 
 // A node that starts while all is there says at which offset it is.
--- a/process/node/directory.go
+++ b/process/node/directory.go
@@ -34,6 +34,9 @@
 	return slices.Sorted(maps.Keys(d.view.Config().Models))
 }
 
+// Configured says whether there is a configuration at all.
+func (d directory) Configured() bool { return d.view.Config().Offset > 0 }
+
 // presence is whether this node wants new connections.
 type presence struct {
 	ready   atomic.Bool
