--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -16,7 +16,7 @@
 	// strayCost is what it has to gain, in seconds, to leave the replica
 	// set. Nodes that all see the same idle upstream in an old report would
 	// else meet there, and each stray copy pushes out others.
-	strayCost = 0.25
+	strayCost = 0.05
 	// strayCompute is what it has to gain besides for each second that is to
 	// be computed there: the copy stays, and draws later requests to a place
 	// that a node which has just started doesn't look for.
