Measure what a policy is worth on answers and late load reports alone

Cause: the calm rows feed every engine's cache events to every node, but serve calls Policy.Cached nowhere, and engines' load reaches most nodes only through the peer that asks the engine once a second; the table said nothing of that state. Change: the scenario AnswersOnly, without events and with reports 2 s old.

--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -60,6 +60,9 @@
 		{Name: "LostEvents", Loss: 0.3, From: warmUp, To: runEnd},
 		{Name: "NearEvents", Near: true, From: warmUp, To: runEnd},
 		{Name: "NoEvents", Loss: 1, From: warmUp, To: runEnd},
+		// What serve gives a policy as long as it reads no event streams and
+		// hears of engines through the peers that ask them.
+		{Name: "AnswersOnly", Loss: 1, Lag: 2 * time.Second, From: warmUp, To: runEnd},
 		{Name: "NoSummaries", Silent: true, From: warmUp, To: runEnd},
 		{Name: "LoadLag", Lag: 2 * time.Second, From: warmUp, To: runEnd},
 		{Name: "HotShift", From: eventAt, To: eventEnd,
