Tell peers what answers say about caches, on the heartbeats

Cause: the measurement fed every node every engine's cache events, and serve read none: the table promised what serve did not do. And a placement summary as JSON did not fit into a published value, so that none was sent. Ruled out: all events at all nodes (over a node's share of the network by far); an owner per engine (it can't tell levels from block hashes). Change: package cachenews; nodes on the whole path of the measurement get it in place of events; summaries in a binary form that always fits; values stay in the data centre from 32 nodes on.

--- a/measure/call.go
+++ b/measure/call.go
@@ -213,6 +213,7 @@
 		c.serving.guard.Answered(c.now(), v.d.Upstream, v.first, v.d.Idle)
 	}
 	c.policy.Answered(c.now(), v.r, v.d, a)
+	c.n.noteNews(c.now(), v.d.Upstream, v.r.Chain, a)
 }
 
 // end is the end of the send, whole or not.
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinmill/dunlinmill/measure/engine"
 	"github.com/dunlinmill/dunlinmill/measure/virtual"
 	"github.com/dunlinmill/dunlinmill/measure/workload"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 )
 
@@ -40,6 +41,7 @@
 	name     string
 	centre   string
 	policy   placement.Policy
+	news     cachenews.Book  // what its answers said about caches
 	serving  *serving        // nil on the bare path
 	excluded map[string]bool // upstreams known to be out
 	eligible []string        // the others
@@ -191,7 +193,7 @@
 	cfg := e.Config()
 	f.clock.After(eventLag, func() {
 		for _, n := range f.nodes {
-			if !f.reaches(n.centre, cfg.DataCentre) || f.scenario.Near && n.centre != cfg.DataCentre {
+			if n.serving != nil || !f.reaches(n.centre, cfg.DataCentre) || f.scenario.Near && n.centre != cfg.DataCentre {
 				continue
 			}
 			for _, event := range events {
@@ -228,4 +230,5 @@
 		})
 	}
 	n.encoded.bytes = 0
+	f.tellNews(n)
 }
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
@@ -33,6 +36,7 @@
 const (
 	placementValue = "Placement"
 	enginesValue   = "Engines"
+	newsValue      = "Caches"
 )
 
 // maintenance keeps the parts up to date with the configuration, the members
@@ -49,9 +53,11 @@
 	policies   *policies
 	inventory  *inventory.Inventory
 	metrics    *metric.Metrics
+	news       *cachenews.Book
 
-	shared    time.Time // last exchange of limits; of one goroutine alone
-	published int       // turn of the rotation of engine statuses
+	shared    time.Time            // last exchange of limits; of one goroutine alone
+	published int                  // turn of the rotations
+	told      map[string]time.Time // publication of the latest news taken in, by node
 }
 
 func (n *Node) newMaintenance(i do.Injector) (*maintenance, error) {
@@ -67,6 +73,8 @@
 		policies:   do.MustInvoke[*policies](i),
 		inventory:  do.MustInvoke[*inventory.Inventory](i),
 		metrics:    do.MustInvoke[*metric.Metrics](i),
+		news:       do.MustInvoke[*cachenews.Book](i),
+		told:       map[string]time.Time{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	states, unsubscribe := m.follower.Subscribe()
@@ -144,10 +152,14 @@
 	m.workspaces.SetNodes(now, lo.Map(live, func(l member.Member, _ int) string { return l.Name }))
 	m.measure(now)
 	m.resize(now)
+	m.published++
 	m.publishEngines(now)
 	m.publishPlacement(now)
+	m.publish(now, newsValue, m.news.Value(now, member.MaxBlobBytes))
+	names := m.upstreamNames()
 	m.learnEngines(now)
-	m.learnPlacement(now)
+	m.learnPlacement(now, names)
+	m.learnNews(now, names)
 }
 
 // measure sets the metrics that are states, not counts.
@@ -213,11 +225,11 @@
 	if len(own) == 0 {
 		return
 	}
-	m.published++
 	start := m.published % len(own)
 	rotated := append(append([]inventory.Status{}, own[start:]...), own[:start]...)
 	fit(rotated, func(part []inventory.Status) bool {
-		return m.publish(now, enginesValue, publishedEngines{Engines: part})
+		data, err := json.Marshal(publishedEngines{Engines: part})
+		return err == nil && m.publish(now, enginesValue, data)
 	})
 }
 
@@ -230,9 +242,23 @@
 	}
 }
 
-func (m *maintenance) publish(now time.Time, name string, value any) bool {
-	data, err := json.Marshal(value)
-	return err == nil && m.members.Publish(now, name, data) == nil
+// wideNodes is up to how many live nodes values go to all data centres. Beyond,
+// they stay in their own: told to all, they would be too old by the time they
+// have come round, see docs/design/membership.md.
+const wideNodes = 32
+
+// publish replaces this node's value under a name; false if it is too large.
+func (m *maintenance) publish(now time.Time, name string, value []byte) bool {
+	if len(m.members.Live(now)) > wideNodes {
+		return m.members.PublishLocal(now, name, value) == nil
+	}
+	return m.members.Publish(now, name, value) == nil
+}
+
+// upstreamNames gives the names behind the ids that nodes tell each other.
+func (m *maintenance) upstreamNames() map[cachenews.UpstreamID]string {
+	return lo.MapEntries(m.catalogue.Catalogue().Config().Upstreams,
+		func(name string, _ config.Upstream) (cachenews.UpstreamID, string) { return cachenews.IDOf(name), name })
 }
 
 func (m *maintenance) learnEngines(now time.Time) {
@@ -248,35 +274,53 @@
 	}
 }
 
-// publishedPlacement is one node's traffic on one group of engines.
-type publishedPlacement struct {
-	Group   catalogue.Group
-	Summary placement.Summary
-}
-
-type publishedPlacements struct {
-	Groups []publishedPlacement
-}
-
+// publishPlacement tells the peers of this node's work, one group of engines
+// each time, in turn.
 func (m *maintenance) publishPlacement(now time.Time) {
-	var all []publishedPlacement
-	m.policies.each(func(key catalogue.Group, p placement.Policy) {
-		all = append(all, publishedPlacement{Group: key, Summary: p.Summarize(now, m.node)})
-	})
-	fit(all, func(part []publishedPlacement) bool {
-		return m.publish(now, placementValue, publishedPlacements{Groups: part})
-	})
+	type turn struct {
+		key    catalogue.Group
+		policy placement.Policy
+	}
+	var all []turn
+	m.policies.each(func(key catalogue.Group, p placement.Policy) { all = append(all, turn{key, p}) })
+	if len(all) == 0 {
+		return
+	}
+	slices.SortFunc(all, func(a, b turn) int { return cmp.Compare(groupID(a.key), groupID(b.key)) })
+	t := all[m.published%len(all)]
+	m.publish(now, placementValue, encodeSummary(t.key, t.policy.Summarize(now, m.node)))
 }
 
-func (m *maintenance) learnPlacement(now time.Time) {
+func (m *maintenance) learnPlacement(now time.Time, names map[cachenews.UpstreamID]string) {
+	groups := map[uint64]placement.Policy{}
+	m.policies.each(func(key catalogue.Group, p placement.Policy) { groups[groupID(key)] = p })
 	for _, v := range m.members.Latest(placementValue) {
-		var p publishedPlacements
-		if json.Unmarshal(v.Value, &p) != nil {
-			continue // of a newer node, in a form this one can't read
+		id, s, err := decodeSummary(v.Value, names)
+		p, ok := groups[id]
+		if err != nil || !ok {
+			continue // in a newer node's form, or of engines this node has not used
 		}
-		for _, g := range p.Groups {
-			g.Summary.At = v.At
-			m.policies.Policy(now, g.Group).Merge(now, g.Summary)
+		s.Node, s.At = v.Node, v.At
+		p.Merge(now, s)
+	}
+}
+
+// learnNews takes in what the peers' answers said about caches.
+func (m *maintenance) learnNews(now time.Time, names map[cachenews.UpstreamID]string) {
+	var entries []cachenews.Entry
+	for _, v := range m.members.Latest(newsValue) {
+		told, err := cachenews.Decode(v.Value)
+		if err != nil || !v.At.After(m.told[v.Node]) {
+			continue // in a newer node's form, or taken in before
 		}
+		m.told[v.Node] = v.At
+		entries = append(entries, told...)
 	}
+	m.policies.each(func(_ catalogue.Group, p placement.Policy) {
+		for _, e := range entries {
+			if name, ok := names[e.Upstream]; ok {
+				p.Cached(now, name, e.Event())
+			}
+		}
+	})
 }
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
@@ -54,6 +55,7 @@
 	do.Provide(i, n.newPolicies)
 	do.Provide(i, n.newInventory)
 	n.provideRequests()
+	do.Provide(i, func(do.Injector) (*cachenews.Book, error) { return &cachenews.Book{}, nil })
 	do.Provide(i, n.newRecent)
 	do.Provide(i, n.newWarmer)
 	do.Provide(i, n.newPlanner)
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -10,6 +10,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/journal"
@@ -39,6 +40,7 @@
 		Shedder:   do.MustInvoke[*shedding.Shedder](i),
 		Journal:   do.MustInvoke[*journal.Journal](i),
 		Recent:    do.MustInvoke[*recent.Table](i),
+		News:      do.MustInvoke[*cachenews.Book](i),
 		Observer:  observer{metrics: do.MustInvoke[*metric.Metrics](i)},
 		Log:       n.log,
 	}, nil
--- /dev/null
+++ b/process/node/summary_test.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
+)
+
+var testGroup = catalogue.Group{Pool: "old", Model: "base"}
+
+func summary(inFlight, hot int) (placement.Summary, map[cachenews.UpstreamID]string) {
+	var s placement.Summary
+	names := map[cachenews.UpstreamID]string{}
+	for i := range inFlight {
+		name := fmt.Sprintf("runner-%d", i)
+		names[cachenews.IDOf(name)] = name
+		s.InFlight = append(s.InFlight, placement.InFlight{Upstream: name, Requests: i, Tokens: 1000 * i})
+	}
+	for i := range hot {
+		s.HotLevels = append(s.HotLevels, placement.HotLevel{Level: uint64(i) << 40, Rate: 0.5})
+	}
+	return s, names
+}
+
+func TestSummaryComesBackWhole(t *testing.T) {
+	s, names := summary(12, 32)
+	id, got, err := decodeSummary(encodeSummary(testGroup, s), names)
+	if err != nil || id != groupID(testGroup) || !reflect.DeepEqual(got, s) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
+// A summary of a large fleet has to fit into one value whatever there is to
+// tell: one that does not fit is not published at all, and the peers would
+// place as if this node sent nothing.
+func TestSummaryFits(t *testing.T) {
+	s, names := summary(500, 500)
+	b := encodeSummary(testGroup, s)
+	if len(b) > member.MaxBlobBytes {
+		t.Errorf("%d bytes, at most %d fit", len(b), member.MaxBlobBytes)
+	}
+	_, got, err := decodeSummary(b, names)
+	if err != nil || len(got.InFlight) != mostInFlight || len(got.HotLevels) < 30 {
+		t.Errorf("%d upstreams, %d hot levels, %v", len(got.InFlight), len(got.HotLevels), err)
+	}
+}
+
+func FuzzDecodeSummary(f *testing.F) {
+	s, names := summary(3, 3)
+	f.Add(encodeSummary(testGroup, s))
+	f.Add([]byte{1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, _, err := decodeSummary(b, names); err != nil && !errors.Is(err, errSummary) {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/request/cachenews/cachenews_test.go
@@ -0,0 +1,68 @@
+package cachenews
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/request/prefix"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+var chain = prefix.Chain{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 300}, {ID: 3, Tokens: 350}}
+
+func TestValue(t *testing.T) {
+	cases := []struct {
+		name   string
+		cached int
+		later  time.Duration
+		most   int
+		want   []uint64 // levels
+	}{
+		{"nothing was cached", 0, 0, 1024, []uint64{3, 2, 1}},
+		{"the first level was", 100, 0, 1024, []uint64{3, 2}},
+		{"all was", 350, 0, 1024, nil},
+		{"room for two", 0, 0, 2*entryBytes + 1, []uint64{3, 2}},
+		{"too old", 0, time.Minute, 1024, nil},
+	}
+	for _, c := range cases {
+		var b Book
+		b.Note(start, "runner-1", chain, placement.Answer{Incarnation: 7, CachedTokens: c.cached})
+		entries, err := Decode(b.Value(start.Add(c.later), c.most))
+		if err != nil || len(entries) != len(c.want) {
+			t.Errorf("%s: %d entries, %v, want %d", c.name, len(entries), err, len(c.want))
+			continue
+		}
+		for i, e := range entries {
+			if e.Level != c.want[i] || e.Incarnation != 7 || e.Upstream != IDOf("runner-1") {
+				t.Errorf("%s: entry %d is %+v", c.name, i, e)
+			}
+		}
+	}
+}
+
+func TestRingIsBounded(t *testing.T) {
+	var b Book
+	for range 10 * ring {
+		b.Note(start, "runner-1", chain, placement.Answer{})
+	}
+	if n := len(b.Value(start, 1<<20)) / entryBytes; n != ring {
+		t.Errorf("%d entries, want %d", n, ring)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(make([]byte, entryBytes))
+	f.Add([]byte{1, 2, 3})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		entries, err := Decode(value)
+		switch {
+		case err != nil && !errors.Is(err, ErrMalformed):
+			t.Fatal(err)
+		case err == nil && len(entries)*entryBytes != len(value):
+			t.Fatalf("%d entries of %d bytes", len(entries), len(value))
+		}
+	})
+}
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/placement"
@@ -160,7 +161,7 @@
 	return &Router{
 		Shedder: sh,
 		Config:  Config{}.WithDefaults(), View: s, Upstreams: s, Policies: s, Admission: s,
-		Guard: g, Journal: s.once, Recent: s, Observer: s, Log: zap.NewNop(),
+		Guard: g, Journal: s.once, Recent: s, News: &cachenews.Book{}, Observer: s, Log: zap.NewNop(),
 	}
 }
 
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -86,6 +86,11 @@
 	Note(now time.Time, id prefix.Identity, messages []prefix.Message)
 }
 
+// News keeps what answers say about the engines' caches, for the peers.
+type News interface {
+	Note(now time.Time, upstream string, chain prefix.Chain, a placement.Answer)
+}
+
 // Config bounds one request's life.
 type Config struct {
 	DataCentre string
@@ -136,6 +141,7 @@
 	Shedder   Shedder
 	Journal   Journal
 	Recent    Recent
+	News      News
 	Observer  Observer
 	Log       *zap.Logger
 }
--- a/request/completion/visit.go
+++ b/request/completion/visit.go
@@ -37,13 +37,15 @@
 	v.firstToken = firstToken
 	v.incarnation = h.Incarnation
 	v.rt.Guard.Answered(now, v.decision.Upstream, firstToken, v.decision.Idle)
-	v.policy.Answered(now, v.request, v.decision, placement.Answer{
+	a := placement.Answer{
 		Incarnation:  h.Incarnation,
 		Version:      h.Version,
 		PromptTokens: h.PromptTokens,
 		CachedTokens: h.CachedTokens,
 		FirstToken:   firstToken,
-	})
+	}
+	v.policy.Answered(now, v.request, v.decision, a)
+	v.rt.News.Note(now, v.decision.Upstream, v.request.Chain, a)
 }
 
 func (v *visit) end(now time.Time, err error) {
