Import a prefix that others had, where that is sooner

Cause: Decision.Import was never set. The estimate weighs an import from the store of kept KV cache against computing, for the part of the prompt that other requests had within the last seconds; off unless Config.ImportRate says how fast the store is.

--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -36,6 +36,7 @@
 	round   uint64
 	sizes   []int
 	rates   []float64
+	shared  int // tokens of the longest prefix that other requests had lately
 	set     []scored
 	found   []candidate
 	outside []candidate
@@ -93,9 +94,9 @@
 }
 
 // measure fills in, for each level of the chain, the size of its replica set
-// and the requests a second under it.
+// and the requests a second under it, and how much of the chain is shared.
 func (a *Affinity) measure(at tick, chain prefix.Chain) {
-	a.sizes, a.rates = a.sizes[:0], a.rates[:0]
+	a.sizes, a.rates, a.shared = a.sizes[:0], a.rates[:0], 0
 	most := max(1, len(a.fleet.eligible))
 	anchor := 0
 	if a.cfg.features.has(useAnchor) {
@@ -105,6 +106,9 @@
 		size, rate := 1, 0.0
 		if d, _ := a.demands.get(l.ID); d != nil {
 			d.decay(at)
+			if d.count > 1 {
+				a.shared = l.Tokens
+			}
 			cost := a.total(at, l.ID, d.settled())
 			d.resize(at, cost, a.cfg.TargetLoad)
 			size = 1 << d.size
--- a/request/placement/affinity_test.go
+++ b/request/placement/affinity_test.go
@@ -270,6 +270,40 @@
 	}
 }
 
+// The engine that has a record fails. Its successor can import the record
+// from the store in a part of the time that it would compute it, but only
+// what somebody had before can be there.
+func TestImportsWhatOthersHad(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		rate   float64 // of the store, tokens a second
+		before int     // requests with the record before
+		want   bool
+	}{
+		{"no store", 0, 5, false},
+		{"fast store", 80000, 5, true},
+		{"store slower than prefill", 4000, 5, false},
+		{"never asked before", 80000, 0, false},
+	} {
+		a := started(Config{Nodes: 1, ImportRate: tt.rate}, 12)
+		engines := caches{}
+		var excluded []string
+		for i := range tt.before {
+			d := engines.serve(t, a, epoch, request(prompt(1, 1, 1, uint64(i))))
+			excluded = append(excluded, d.Upstream)
+		}
+		r := request(prompt(1, 1, 1, 99))
+		r.Excluded = excluded
+		d, err := a.Place(epoch.Add(time.Second), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d.Import != tt.want || (d.Reason == Import) != tt.want {
+			t.Errorf("%s: import is %v, reason %v", tt.name, d.Import, d.Reason)
+		}
+	}
+}
+
 func TestNoCandidate(t *testing.T) {
 	for _, n := range Policies() {
 		p := n.New(Config{})
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -29,14 +29,14 @@
 // price is what a request would cost at one upstream.
 type price struct {
 	candidate
-	total  float64 // weighed seconds; the least is chosen
-	cached int     // expected tokens
-	wait   float64 // expected seconds to the first token
-	idle   float64 // the same without other work there
-	load   bool    // import from the store
-	warm   bool
-	member bool
-	known  estimate
+	total   float64 // weighed seconds; the least is chosen
+	cached  int     // expected tokens
+	wait    float64 // expected seconds to the first token
+	idle    float64 // the same without other work there
+	fetched bool    // imports from the store
+	warm    bool
+	inSet   bool
+	known   estimate
 }
 
 // price estimates what the request costs at c: the wait for the first token
@@ -45,15 +45,15 @@
 func (a *Affinity) price(now time.Time, at tick, r Request, c candidate) price {
 	e := a.estimate(at, r.Chain, c)
 	cached := a.cached(e)
+	compute, fetch := a.fetch(cached, float64(r.Chain.Tokens()), c.member)
 	mean := a.fleet.meanQueued()
 	if !a.cfg.features.has(useShrink) {
 		mean = -1
 	}
-	compute := (float64(r.Chain.Tokens()) - cached) / max(1, c.Prefill)
 	b := c.backlog(now, a.peers.work[c.Name], mean)
 	queue := float64(b.tokens) / max(1, c.Prefill)
 	e.queue = queue
-	wait := queue*a.queueing(r).part() + slotWait(r, c.member, b) + compute
+	wait := queue*a.queueing(r).part() + slotWait(r, c.member, b) + fetch + compute
 	if c.DataCentre != r.DataCentre {
 		wait += a.cfg.RemoteLatency.Seconds()
 	}
@@ -77,9 +77,10 @@
 		total:     w.Wait*(wait+compute*others+c.failures.wait(now)) + w.Recompute*compute + stray,
 		cached:    int(cached),
 		wait:      wait,
-		idle:      compute + c.Decode.Seconds(),
+		idle:      fetch + compute + c.Decode.Seconds(),
+		fetched:   fetch > 0,
 		warm:      cached >= warmPart*float64(r.Chain.Tokens()),
-		member:    c.depth == len(r.Chain),
+		inSet:     c.depth == len(r.Chain),
 		known:     e,
 	}
 }
@@ -91,6 +92,22 @@
 	return &a.normal
 }
 
+// fetch gives the seconds that an upstream computes for a prompt and the
+// seconds that an import from the store takes before, 0 for none. Only what
+// other requests had lately may be in the store; it is imported if that is
+// sooner than to compute it.
+func (a *Affinity) fetch(cached, tokens float64, m *member) (compute, fetch float64) {
+	prefill := max(1, m.Prefill)
+	missing := float64(a.shared) - cached
+	if a.cfg.ImportRate > 0 && missing > 0 {
+		fetch = a.cfg.ImportLatency.Seconds() + missing/a.cfg.ImportRate
+		if fetch < missing/prefill {
+			return (tokens - cached - missing) / prefill, fetch
+		}
+	}
+	return (tokens - cached) / prefill, 0
+}
+
 // slotWait is the time until a slot is free, if all are taken.
 func slotWait(r Request, m *member, b backlog) float64 {
 	over := b.requests - m.Slots + 1
@@ -164,15 +181,15 @@
 		Cached:   p.cached,
 		Wait:     time.Duration(p.wait * float64(time.Second)),
 		Idle:     time.Duration(p.idle * float64(time.Second)),
-		Import:   p.load,
+		Import:   p.fetched,
 		estimate: p.known,
 	}
 	switch {
 	case candidates == 1:
 		d.Reason = Fallback
-	case p.load:
+	case p.fetched:
 		d.Reason = Import
-	case !p.member:
+	case !p.inSet:
 		d.Reason = Spread
 	case p.warm:
 		d.Reason = WarmReplica
