--- a/demo/demo.go
+++ b/demo/demo.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/connection/operator"
+	"github.com/dunlinmill/dunlinmill/load"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/keyring"
 	"github.com/dunlinmill/dunlinmill/version/record"
@@ -33,7 +34,7 @@
 
 // Report is what the demo found.
 type Report struct {
-	Users    []UserReport
+	Users    []load.Row
 	Calls    int // not-repeatable calls that were made
 	Doubled  int // of them, how many ran more than once
 	LostCall int // of them, how many got neither an answer nor a typed error
--- a/demo/workload.go
+++ b/demo/workload.go
@@ -7,7 +7,6 @@
 	"io"
 	"strings"
 	"sync"
-	"text/tabwriter"
 	"time"
 
 	"github.com/google/uuid"
@@ -55,7 +54,7 @@
 		addresses[i] = n.Addresses().Callers
 	}
 	w := &workload{client: load.NewClient(addresses)}
-	for i, l := range []load.Workload{hidrantisLoad(), kovacsneLoad()} {
+	for i, l := range []load.Workload{load.Hidrantis(model, tenants(hidrantis)), load.Kovacsne(model, tenants(kovacsne))} {
 		r := &load.Result{}
 		w.users = append(w.users, user{name: l.Name, result: r, run: load.Run{
 			Client: w.client, Workload: l, Expect: expect, Callers: cfg.Callers,
@@ -65,22 +64,6 @@
 	return w
 }
 
-func hidrantisLoad() load.Workload {
-	return load.Workload{
-		Name: hidrantis, Workspaces: tenants(hidrantis), Model: model,
-		Levels: [3]int{120, 160, 60}, Groups: 12, Records: 200,
-		Urgent: 0.7, LookupTokens: 12, DraftTokens: 40,
-	}
-}
-
-func kovacsneLoad() load.Workload {
-	return load.Workload{
-		Name: kovacsne, Workspaces: tenants(kovacsne), Model: model,
-		Levels: [3]int{100, 120, 300}, Groups: 10, Records: 60,
-		Urgent: 0.3, LookupTokens: 8, DraftTokens: 80,
-	}
-}
-
 func tenants(user string) []load.Tenant {
 	return lo.Map(names(user), func(name string, i int) load.Tenant {
 		return load.Tenant{Workspace: name, Key: keyOf(name), Share: shares[i]}
@@ -137,12 +120,6 @@
 	w.calls.Add(load.Answer{}, err)
 }
 
-// UserReport is what one user got.
-type UserReport struct {
-	User   string
-	Totals load.Totals
-}
-
 // report adds up, with what arrived at the service's stand-in.
 func (w *workload) report(s *site) Report {
 	r := Report{Calls: len(w.keys), LostCall: w.lost}
@@ -153,26 +130,15 @@
 		}
 	}
 	for _, u := range w.users {
-		r.Users = append(r.Users, UserReport{User: u.name, Totals: u.result.Totals()})
+		r.Users = append(r.Users, load.Row{User: u.name, Totals: u.result.Totals()})
 	}
 	return r
 }
 
-// print writes the table.
+// print writes the table. An output that fails is the reader's own loss.
 func (r Report) print(out io.Writer) {
-	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "\nuser\tserved\trefused\tlost\twrong\thit rate\tTTFT median\tTTFT p99\trecomputed tokens")
-	for _, u := range r.Users {
-		x := u.Totals
-		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.3f\t%s\t%s\t%d\n", u.User, x.Served, x.Refused, x.Lost, x.Wrong,
-			x.HitRate, x.Median.Round(time.Millisecond/10), x.P99.Round(time.Millisecond/10), x.Recomputed)
-	}
-	_ = t.Flush()
+	_, _ = fmt.Fprintln(out)
+	_ = load.PrintTable(out, r.Users)
 	_, _ = fmt.Fprintf(out, "not-repeatable calls: %d, each sent twice; doubled %d, lost %d\n", r.Calls, r.Doubled, r.LostCall)
 	_, _ = fmt.Fprintf(out, "migration: plan %s is %s\n", r.Plan.ID, r.Plan.Status)
-	for _, u := range r.Users {
-		for _, err := range u.Totals.Failures {
-			_, _ = fmt.Fprintf(out, "  %s: %v\n", u.User, err)
-		}
-	}
 }
--- /dev/null
+++ b/load/users.go
@@ -0,0 +1,20 @@
+package load
+
+// Hidrantis is short look-ups of hydrants by dispatchers, most of them in few
+// contexts, beside longer reports.
+func Hidrantis(model string, tenants []Tenant) Workload {
+	return Workload{
+		Name: "hidrantis", Workspaces: tenants, Model: model,
+		Levels: [3]int{120, 160, 60}, Groups: 12, Records: 200,
+		Urgent: 0.7, LookupTokens: 12, DraftTokens: 40,
+	}
+}
+
+// Kovacsne is drafts over long training records, beside short checks.
+func Kovacsne(model string, tenants []Tenant) Workload {
+	return Workload{
+		Name: "kovacsne", Workspaces: tenants, Model: model,
+		Levels: [3]int{100, 120, 300}, Groups: 10, Records: 60,
+		Urgent: 0.3, LookupTokens: 8, DraftTokens: 80,
+	}
+}
