Give each port once in a run of the tests over processes

Each call drew a port at random and gave it back before the process had bound it, so that two processes, of one run or of two side by side, could be given the same. Ruled out: the service itself (its log is empty, it never listened). Change: ports are given in order from a start that depends on the process. Conclusion: a repeat of the failure was not forced.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -12,6 +11,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -168,20 +168,34 @@
 	lastPort  = 32000
 )
 
-// freeAddresses gives addresses that nothing listens on.
+// ports gives each port once in a run: a process that was just started may not
+// have taken its port yet, and the next one would be given the same. Runs side
+// by side start at different places.
+var ports = struct {
+	mu   sync.Mutex
+	next int
+}{next: firstPort + os.Getpid()*portStride%(lastPort-firstPort)}
+
+// portStride is more than one run takes.
+const portStride = 997
+
+// freeAddresses gives addresses that nothing listens on and that no other call
+// was given.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
 	var addresses []string
-	for port := firstPort + rand.IntN(lastPort-firstPort); len(addresses) < n; port++ {
-		if port >= lastPort {
-			port = firstPort
+	for len(addresses) < n {
+		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		if ports.next++; ports.next >= lastPort {
+			ports.next = firstPort
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
 		ln, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
-		defer func() { _ = ln.Close() }() // held until all are found, so that they differ
+		_ = ln.Close()
 		addresses = append(addresses, address)
 	}
 	return addresses
