Notice callers that go away while their request waits

Cause: a node learned that a caller had gone only from a failed write. A request that waited for its first token, or between two tokens, held its place in the queue and its slot in the engine for nobody: in the test (one slot, 20 s a token) the work of ten vanished callers was still there after 40 s. Ruled out: the engine's own notice of a closed connection; the node's connection to it stays open meanwhile. Change: one goroutine looks at the connections of waiting requests four times a second, without reading from them, and ends the request's context; that ends the wait in the queue, the wait for the head and the stream, keeps it from being resumed or continued elsewhere, counts as no failure of the engine, and tells the engine to stop. A request that may run once at most runs on, since its caller may come back with its key.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -115,6 +115,7 @@
 	counter     Counter
 	log         *zap.Logger
 	app         *fiber.App
+	watcher     watcher
 }
 
 // Services are what a Listener serves from.
--- a/connection/caller/completions.go
+++ b/connection/caller/completions.go
@@ -108,8 +108,10 @@
 		return err
 	}
 	l.counter.Began()
-	a, err := l.completions.Start(context.Background(), r)
+	ctx, stop := l.whileWanted(c, r)
+	a, err := l.completions.Start(ctx, r)
 	if err != nil {
+		stop()
 		l.ended(r.Workspace, err)
 		event.Info(l.log, event.RequestRefused, zap.String("Request", r.ID),
 			zap.String("Workspace", r.Workspace), zap.Error(err))
@@ -118,7 +120,7 @@
 	info := a.Info()
 	c.Set(HeaderUpstream, info.Upstream)
 	c.Set(HeaderCachedTokens, strconv.Itoa(info.CachedTokens))
-	w := writer{l: l, form: f, r: r, a: a, created: now.Unix()}
+	w := writer{l: l, form: f, r: r, a: a, created: now.Unix(), stop: stop}
 	if stream {
 		return w.stream(c)
 	}
@@ -135,6 +137,16 @@
 	l.counter.Answered(workspace)
 }
 
+// whileWanted gives a context that ends when the caller goes away. The answer
+// to a request that may run once at most is wanted all the same: the caller
+// may come back for it with its key.
+func (l *Listener) whileWanted(c *fiber.Ctx, r completion.Request) (context.Context, func()) {
+	if r.Key.Set() {
+		return context.Background(), func() {}
+	}
+	return l.watcher.watch(c.Context().Conn())
+}
+
 func (l *Listener) completionRequest(c *fiber.Ctx, t terms, messages func(completionBody) ([]prefix.Message, error)) (completion.Request, bool, error) {
 	var b completionBody
 	if err := json.Unmarshal(c.Body(), &b); err != nil {
@@ -186,11 +198,18 @@
 	r       completion.Request
 	a       *completion.Answer
 	created int64
+	stop    func() // ends the watch of the caller
+}
+
+// end gives back what the answer held.
+func (w writer) end() {
+	w.a.Close()
+	w.stop()
 }
 
 // whole collects the answer and writes it at once.
 func (w writer) whole(c *fiber.Ctx) error {
-	defer w.a.Close()
+	defer w.end()
 	text, finish, n, err := w.collect()
 	w.l.ended(w.r.Workspace, err)
 	if err != nil {
@@ -223,7 +242,7 @@
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	conn := c.Context().Conn()
 	c.Context().SetBodyStreamWriter(func(b *bufio.Writer) {
-		defer w.a.Close()
+		defer w.end()
 		err := w.copy(b, conn)
 		w.l.ended(w.r.Workspace, err)
 		if err != nil {
--- /dev/null
+++ b/e2e/leave_test.go
@@ -0,0 +1,182 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// unhurried has streams that outlast the notice of a node that leaves.
+var unhurried = layout{
+	engines:     standard.engines,
+	engineFlags: []string{"--slots", "64", "--prefill-rate", "200000", "--cache-tokens", "200000", "--decode", "30ms"},
+	nodes:       4,
+	settings:    "Limits: {HeaderTimeout: 5s}\n",
+}
+
+// balancer knows which nodes are ready, as the platform's does.
+type balancer struct {
+	site  *site
+	ready []atomic.Bool
+	turn  atomic.Uint64
+}
+
+func (s *site) balance(ctx context.Context) *balancer {
+	b := &balancer{site: s, ready: make([]atomic.Bool, len(s.nodes))}
+	for i := range s.nodes {
+		b.ready[i].Store(true)
+		go func() {
+			for ctx.Err() == nil {
+				b.ready[i].Store(get(s.nodes[i].callers, "/ready", nil) == nil)
+				time.Sleep(pollInterval)
+			}
+		}()
+	}
+	return b
+}
+
+// next gives the next ready node.
+func (b *balancer) next() int {
+	for {
+		i := int(b.turn.Add(1)) % len(b.ready)
+		if b.ready[i].Load() {
+			return i
+		}
+	}
+}
+
+// steady sends chats through the balancer until it is stopped, over
+// connections that are kept alive. A connection that was refused was not
+// accepted, so the balancer tries the next node.
+func (s *site) steady(callers int, b *balancer) *crowd {
+	c := &crowd{}
+	for i := range callers {
+		c.wait.Go(func() {
+			random := rand.New(rand.NewPCG(5, uint64(i)))
+			for !c.stop.Load() {
+				chat := workload.Next(random)
+				node := b.next()
+				err := s.askOnce(context.Background(), node, chat)
+				if !errors.Is(err, syscall.ECONNREFUSED) {
+					c.add(outcome{tries: []attempt{{node: node, err: err}}, err: err})
+				}
+				time.Sleep(pause)
+			}
+		})
+	}
+	s.t.Cleanup(func() { c.stopAll() })
+	return c
+}
+
+// Callers see streams cut and connections reset whenever nodes are replaced,
+// 450 times a day. The node that is told to stop closes its listener and its
+// connections while streams run, and while callers on kept-alive connections
+// are sending their next request. It has to turn its readiness first, answer
+// with "Connection: close", and let what it accepted run to its end.
+func TestLeavingNodesCutNoRequest(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name   string
+		leaves [][]int // nodes that leave at once, one after the other
+	}{
+		{"one after the other", [][]int{{0}, {1}, {2}, {3}}},
+		{"a whole data centre", [][]int{{0, 2}}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, unhurried)
+			c := s.steady(40, s.balance(t.Context()))
+			c.awaitDone(t, 40)
+			for _, nodes := range tt.leaves {
+				s.replace(c, nodes)
+			}
+			c.awaitDone(t, c.done.Load()+40)
+			for _, o := range c.stopAll() {
+				if o.err != nil {
+					t.Errorf("%s: %v", nodeName(o.tries[0].node), o.err)
+				}
+			}
+		})
+	}
+}
+
+// replace has nodes leave at the same moment, and starts them again.
+func (s *site) replace(c *crowd, nodes []int) {
+	for _, i := range nodes {
+		s.nodes[i].signal(syscall.SIGTERM)
+	}
+	for _, i := range nodes {
+		if err := s.nodes[i].awaitEnd(); err != nil {
+			s.t.Errorf("%s ended with %v", nodeName(i), err)
+		}
+		if slices.ContainsFunc(s.nodes[i].lines(), func(l line) bool { return l.Name == "GraceExceeded" }) {
+			s.t.Errorf("%s cut requests", nodeName(i))
+		}
+		s.nodes[i].start()
+	}
+	for _, i := range nodes {
+		s.awaitReady(s.nodes[i])
+	}
+	c.awaitDone(s.t, c.done.Load()+20)
+}
+
+// A caller that goes away leaves its stream running: nobody reads it, and it
+// takes a slot of the engine that others wait for. The node has to notice and
+// cancel the work, although an engine that has nothing to send for a while
+// gives it no reason to write to the caller.
+func TestVanishedCallersFreeTheEngine(t *testing.T) {
+	t.Parallel()
+	l := small
+	// One slot, and an answer of at least 8 tokens takes longer than the test
+	// waits for anything: only cancelled work frees it in time.
+	l.engineFlags = []string{"--slots", "1", "--queue", "100", "--prefill-rate", "200000", "--decode", "20s", "--orphan", "10m"}
+	s := newSite(t, l)
+	ctx, vanish := context.WithCancel(t.Context())
+	gone := make(chan error, 10)
+	for i := range cap(gone) {
+		go func() {
+			_, err := s.nodes[0].client.Stream(ctx, chatOf(alpha, i))
+			gone <- err
+		}()
+	}
+	await(t, "work in the engine", func() error { return s.work(0) })
+	vanish()
+	for range cap(gone) {
+		if err := <-gone; err == nil {
+			t.Error("an answer was whole although its caller went away")
+		}
+	}
+	await(t, "end of the work", func() error {
+		if s.work(0) == nil {
+			return errors.New("work is left")
+		}
+		return nil
+	})
+	if c := s.engineCounters(0); c.Cancelled == 0 || c.Finished > 0 {
+		t.Errorf("cancelled %d, finished %d", c.Cancelled, c.Finished)
+	}
+	await(t, "idle node", func() error {
+		st, err := s.status(0)
+		if err == nil && st.InFlight+st.Queued > 0 {
+			err = errors.New("requests are left")
+		}
+		return err
+	})
+}
+
+// work gives an error if an engine has nothing to do.
+func (s *site) work(engine int) error {
+	var r struct{ Running, Queued int }
+	if err := get(s.engines[engine].address, "/report", &r); err != nil {
+		return err
+	}
+	if r.Running+r.Queued == 0 {
+		return errors.New("idle")
+	}
+	return nil
+}
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -122,6 +122,9 @@
 // holds it if only the connection broke, then on another one that goes on
 // after the text given out.
 func (a *Answer) mend(cause error) error {
+	if gone := a.s.ctx.Err(); gone != nil {
+		return failure.ErrCancelled.WithRan(failure.Unknown).WithCause(gone)
+	}
 	canResume := a.resumes < a.s.rt.Config.MaxResumes && !a.resumeFailed
 	if a.s.r.Key.Set() {
 		// Going on with the stream that the engine holds runs nothing again;
@@ -154,7 +157,7 @@
 func (a *Answer) resume() bool {
 	a.resumes++
 	a.resumeFailed = true
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(a.s.ctx)
 	timer := time.AfterFunc(a.s.rt.Config.ResumeTimeout, cancel)
 	stream, err := a.s.rt.Upstreams.Engine(a.up).Resume(ctx, a.gen.StreamID, a.last)
 	if err != nil || !timer.Stop() {
@@ -205,18 +208,10 @@
 	a.cancel()
 }
 
-// abandon ends a stream nobody reads, and the engine's work on it. The
-// connection's end alone does not stop an engine that keeps cut streams for
-// a resume; it would go on to the last token for nobody.
+// abandon ends a stream nobody reads, and the engine's work on it.
 func (a *Answer) abandon() {
 	a.drop()
-	ctx, cancel := context.WithTimeout(context.Background(), a.s.rt.Config.ResumeTimeout)
-	defer cancel()
-	if err := a.s.rt.Upstreams.Engine(a.up).Cancel(ctx, a.gen.StreamID); err != nil {
-		event.Info(a.s.rt.Log, event.StreamCancelled, zap.String("Request", a.s.r.ID), zap.Error(err))
-		return
-	}
-	event.Info(a.s.rt.Log, event.StreamCancelled, zap.String("Request", a.s.r.ID))
+	a.s.cancelWork(a.up, a.gen.StreamID)
 }
 
 // Close ends the answer, whole or not, and gives back what it held. It may
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -36,7 +36,7 @@
 		v.end(now, upstream.ErrWrongVersion)
 		return nil, upstream.ErrWrongVersion
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(s.ctx)
 	timer := time.AfterFunc(s.patience(now), cancel)
 	defer timer.Stop()
 	stream, err := s.rt.Upstreams.Engine(u).Generate(ctx, g)
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -24,10 +24,11 @@
 
 // Start sends the request and returns when its first token is there, so that
 // a failure before it still gets a status of its own. The error is always a
-// *failure.Error.
+// *failure.Error. The end of ctx means that the caller went away; it ends the
+// answer too.
 func (rt *Router) Start(ctx context.Context, r Request) (*Answer, error) {
 	now := time.Now()
-	s := &start{rt: rt, r: r, began: now, chain: rt.chain(r)}
+	s := &start{rt: rt, ctx: ctx, r: r, began: now, chain: rt.chain(r)}
 	t, err := rt.target(r, s.chain)
 	if err != nil {
 		return nil, err
@@ -50,6 +51,7 @@
 // start is one request on its way to the first token.
 type start struct {
 	rt       *Router
+	ctx      context.Context // ends when the caller goes away
 	r        Request
 	began    time.Time
 	chain    prefix.Chain
@@ -244,6 +246,9 @@
 	s.attempts++
 	s.logPlacement(d)
 	a, err := s.send(ctx, now, v, u)
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", ctx.Err(), err)
+	}
 	if err != nil {
 		v.end(time.Now(), err)
 		return nil, u.Name, fmt.Errorf("upstream %s: %w", u.Name, err)
@@ -321,6 +326,9 @@
 		timer.Stop()
 		cancel()
 		s.failedToSend(err)
+		if s.ctx.Err() != nil {
+			s.cancelWork(u, g.StreamID)
+		}
 		return nil, err
 	}
 	s.sent = true
@@ -335,6 +343,19 @@
 	return a, nil
 }
 
+// cancelWork tells an engine that nobody waits for a stream any more. The
+// connection's end alone does not stop an engine that keeps cut streams for a
+// resume; it would go on to the last token for nobody.
+func (s *start) cancelWork(u config.Upstream, streamID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.rt.Config.ResumeTimeout)
+	defer cancel()
+	fields := []zap.Field{zap.String("Request", s.r.ID)}
+	if err := s.rt.Upstreams.Engine(u).Cancel(ctx, streamID); err != nil {
+		fields = append(fields, zap.Error(err))
+	}
+	event.Info(s.rt.Log, event.StreamCancelled, fields...)
+}
+
 // failedToSend notes what a send without an answer may have left behind. A
 // claim whose request surely did not run may be used for another send.
 func (s *start) failedToSend(err error) {
--- a/request/completion/visit.go
+++ b/request/completion/visit.go
@@ -1,6 +1,8 @@
 package completion
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
@@ -53,7 +55,9 @@
 		return
 	}
 	v.ended = true
-	v.policy.Finished(now, v.request, v.decision, err == nil)
+	// A caller that went away is no failure of the upstream.
+	good := err == nil || errors.Is(err, context.Canceled)
+	v.policy.Finished(now, v.request, v.decision, good)
 	v.rt.Guard.End(now, v.decision.Upstream, guard.Send{
 		Err:         err,
 		FirstToken:  v.firstToken,
