Measure the slopes of failures, peers, metrics, logs and serving

Change: a rack, a data centre and a region link are lost in virtual time; a fleet of journals and one of followers run in real time over one log; one whole node serves streams from a stand-in on loopback, less what the same streams cost straight from the stand-in.

Ruled out: fewer and longer streams (the stand-in's answers have at most 64 tokens, so that lengths of 64 to 512 gave a slope of -1.4 us a token); 256 streams opened at once, which the node refused in part.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -104,6 +104,7 @@
 func groups() []group {
 	return []group{
 		{"membership", membershipSlopes},
+		{"failures", faultSlopes},
 		{"placement", placementSlopes},
 		{"configuration", configurationSlopes},
 		{"journal", journalSlopes},
@@ -111,6 +112,11 @@
 		{"health", healthSlopes},
 		{"engines", engineSlopes},
 		{"platform", platformSlopes},
+		{"peers", peerSlopes},
+		{"journal's fleet", journalFleetSlopes},
+		{"changes in force", forceSlopes},
+		{"metrics", metricSlopes},
+		{"serving", servingSlopes},
 	}
 }
 
--- a/capacity/configuration.go
+++ b/capacity/configuration.go
@@ -87,6 +87,15 @@
 
 func newSite(workspaces, runners int) *site {
 	s := &site{state: fold.New()}
+	s.apply(s.encode(firstConfig(workspaces, runners)))
+	for range record.Window {
+		s.apply(s.encode(record.TakeLease{Holder: "node-001", Prev: s.state.Lease.Version}))
+	}
+	return s
+}
+
+// firstConfig sets everything.
+func firstConfig(workspaces, runners int) record.Bootstrap {
 	b := record.Bootstrap{}
 	for i := range Models {
 		b.Changes = append(b.Changes, config.Change{SetModel: &config.Model{Name: fmt.Sprint("model-", i), Version: "2026-11-01"}})
@@ -97,11 +106,7 @@
 	for i := range workspaces {
 		b.Changes = append(b.Changes, config.Change{SetWorkspace: lo.ToPtr(workspace(i))})
 	}
-	s.apply(s.encode(b))
-	for range record.Window {
-		s.apply(s.encode(record.TakeLease{Holder: "node-001", Prev: s.state.Lease.Version}))
-	}
-	return s
+	return b
 }
 
 func runner(i int) config.Upstream {
--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -70,6 +70,8 @@
 	counting bool
 	bytes    int // in and out of all nodes
 	messages int
+	// cut says which nodes can't reach each other; nil: none.
+	cut func(a, b *memberNode) bool
 	// publish is called before each heartbeat of a node.
 	publish func(now time.Time, n *memberNode)
 }
@@ -81,6 +83,7 @@
 	dataCentre string
 	table      *member.Table
 	prober     *member.Prober
+	down       bool
 }
 
 // newMemberFleet gives nodes that know each other already.
@@ -89,7 +92,7 @@
 		now:     time.Unix(1_800_000_000, 0),
 		address: map[string]*memberNode{},
 		size: newGobSize(member.Message{Updates: make([]member.Record, 1), Blobs: make([]member.Blob, 1)},
-			member.Snapshot{Records: make([]member.Record, 1)}),
+			member.Snapshot{Records: make([]member.Record, 1)}, member.Record{}),
 		publish: func(time.Time, *memberNode) {},
 	}
 	rnd := rand.New(rand.NewPCG(1, 1))
@@ -139,6 +142,9 @@
 	for range seconds {
 		for _, n := range f.nodes {
 			f.now = f.now.Add(step)
+			if n.down {
+				continue
+			}
 			f.publish(f.now, n)
 			n.table.Tick(f.now)
 			n.prober.Round(context.Background())
@@ -154,11 +160,20 @@
 	}
 }
 
+// reach gives the node at an address, if it can be reached from this one.
+func (n *memberNode) reach(address string) (*memberNode, error) {
+	peer := n.fleet.address[address]
+	if peer == nil || peer.down || n.fleet.cut != nil && n.fleet.cut(n, peer) {
+		return nil, errNobody
+	}
+	return peer, nil
+}
+
 // Exchange implements member.Network.
 func (n *memberNode) Exchange(_ context.Context, address string, m member.Message) (member.Message, error) {
-	peer := n.fleet.address[address]
-	if peer == nil {
-		return member.Message{}, errNobody
+	peer, err := n.reach(address)
+	if err != nil {
+		return member.Message{}, err
 	}
 	n.fleet.carry(m)
 	answer := peer.table.Receive(n.fleet.now, m)
@@ -166,16 +181,26 @@
 	return answer, nil
 }
 
-// Indirect implements member.Network; without faults nobody asks for it.
-func (n *memberNode) Indirect(context.Context, []member.Target, string) (member.Record, error) {
+// Indirect implements member.Network.
+func (n *memberNode) Indirect(_ context.Context, helpers []member.Target, address string) (member.Record, error) {
+	for _, h := range helpers {
+		helper, err := n.reach(h.Address)
+		if err != nil {
+			continue
+		}
+		if peer, err := helper.reach(address); err == nil {
+			n.fleet.carry(peer.self())
+			return peer.self(), nil
+		}
+	}
 	return member.Record{}, errNobody
 }
 
 // Sync implements member.Network.
 func (n *memberNode) Sync(_ context.Context, address string, s member.Snapshot) (member.Snapshot, error) {
-	peer := n.fleet.address[address]
-	if peer == nil {
-		return member.Snapshot{}, errNobody
+	peer, err := n.reach(address)
+	if err != nil {
+		return member.Snapshot{}, err
 	}
 	n.fleet.carry(s)
 	answer := peer.table.Snapshot(n.fleet.now)
