Give each run of the process tests a range of ports of its own

Cause: the service could not listen, as the address was in use: a run side by side had started at an overlapping place. Ruled out: connections in TIME_WAIT (they don't keep a listener out). Change: a run holds a range by listening on its first port.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -169,15 +169,30 @@
 )
 
 // ports gives each port once in a run: a process that was just started may not
-// have taken its port yet, and the next one would be given the same. Runs side
-// by side start at different places.
-var ports = struct {
-	mu   sync.Mutex
-	next int
-}{next: firstPort + os.Getpid()*portStride%(lastPort-firstPort)}
+// have taken its port yet, and the next one would be given the same. A run has
+// a range for itself, which it holds by listening on the range's first port, so
+// that runs side by side don't meet.
+var ports struct {
+	mu    sync.Mutex
+	guard net.Listener
+	next  int
+}
+
+// portRange is more than one run takes.
+const portRange = 1000
 
-// portStride is more than one run takes.
-const portStride = 997
+// takeRange finds a range that no other run holds. Its caller holds ports.mu.
+func takeRange(t *testing.T) {
+	t.Helper()
+	for first := firstPort; first < lastPort; first += portRange {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			ports.guard, ports.next = ln, first+1
+			return
+		}
+	}
+	t.Fatal("every range of ports is held by another run")
+}
 
 // freeAddresses gives addresses that nothing listens on and that no other call
 // was given.
@@ -185,12 +200,13 @@
 	t.Helper()
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
+	if ports.guard == nil {
+		takeRange(t)
+	}
 	var addresses []string
 	for len(addresses) < n {
 		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
-		if ports.next++; ports.next >= lastPort {
-			ports.next = firstPort
-		}
+		ports.next++
 		ln, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
