Keep callers who give up early from counting as faults

Cause: a caller whose deadline ended before its claim was read back, or who went away, made its node refuse everybody's claims for half a second, take the reader for silent for 5 s, and append beside it. Change: what ends with the caller's own time is not counted, and no other reader is asked without time left. Also: a claim that a reader could not settle in one call and had not queued in the next counts as unsettled, so that its writer ends it in the log.

--- a/request/journal/cluster_cases_test.go
+++ b/request/journal/cluster_cases_test.go
@@ -341,6 +341,29 @@
 	})
 }
 
+// Callers give up within half a millisecond, before any claim can be read back.
+// If the node took that for a fault of the log or of the reader, it would
+// refuse everybody else, or append for itself beside the reader.
+func TestImpatientCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, newFakeLog(), 8, 1, func(s *Settings) { s.Partitions = 1 })
+		for i := range 40 {
+			ctx, cancel := context.WithTimeout(context.Background(), 400*time.Microsecond)
+			_, _, err := c.node(i%8).Begin(ctx, time.Now(), entryAt(fmt.Sprint("impatient", i), time.Now()))
+			cancel()
+			want(t, err, failure.ErrDeadlineExceeded, failure.Unknown)
+			claim, _, err := begin(c.node(i%8), entryAt(fmt.Sprint("patient", i), time.Now()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			claim.Ran(time.Now(), Answer{Status: 200})
+		}
+		if n := c.openPartitions(); n != 1 {
+			t.Fatalf("%d nodes read the partition", n)
+		}
+	})
+}
+
 // The budget lets a partition append once a second, longer than a node waits
 // for one answer of its reader. Claims wait for their turn, and none fails.
 func TestSmallBudget(t *testing.T) {
--- a/request/journal/journal.go
+++ b/request/journal/journal.go
@@ -105,6 +105,10 @@
 	defer cancel()
 	d := j.decide(cctx, now, c.record)
 	j.counts.add(d)
+	// A caller who gives up early says nothing about the log.
+	if ctx.Err() == nil {
+		j.noteClaim(time.Now(), d.err)
+	}
 	switch {
 	case d.err != nil:
 		return j.unavailable(ctx, now, c, e, d.err)
@@ -114,7 +118,7 @@
 	case d.verdict == Expired:
 		return nil, nil, failure.ErrKeyExpired
 	case d.verdict == NotCovered:
-		return j.unavailable(ctx, now, c, e, errNotCovered)
+		return j.unavailable(ctx, now, c, e, errUndecided) // it may be in the log
 	case d.holder.ID == ClaimID{}: // freed just now; this claim was spent on it
 		return nil, nil, failure.ErrKeyInProgress.WithRetryAfter(j.settings.retryAfter(c.record.Key))
 	}
--- a/request/journal/route.go
+++ b/request/journal/route.go
@@ -34,14 +34,18 @@
 }
 
 // call calls a peer, and avoids it as a reader for a while if it fails, so
-// that a half-open connection costs one request its time and not each.
+// that a half-open connection costs one request its time and not each. A call
+// that ends early since its caller gave up says nothing about the peer.
 func (j *Journal) call(ctx context.Context, m Member, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, j.settings.PeerTimeout)
+	cctx, cancel := context.WithTimeout(ctx, j.settings.PeerTimeout)
 	defer cancel()
-	err := j.peers.Call(ctx, m.Address, method, args, reply)
+	err := j.peers.Call(cctx, m.Address, method, args, reply)
 	if err == nil {
 		return nil
 	}
+	if ctx.Err() != nil {
+		return fmt.Errorf("journal: %s at %s: %w", method, m.Name, ctx.Err())
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.avoid[m.Name] = time.Now().Add(avoidFor)
@@ -54,13 +58,14 @@
 	if j.health.claims.refuse(now, j.settings.Backoff) {
 		return decision{err: errDown}
 	}
-	d := j.decideAnywhere(ctx, now, c)
-	if errors.Is(d.err, errUndecided) {
-		j.health.note(&j.health.claims, time.Now(), d.err)
-	} else if d.err == nil {
-		j.health.note(&j.health.claims, time.Now(), nil)
+	return j.decideAnywhere(ctx, now, c)
+}
+
+// noteClaim remembers whether claims get a verdict in time.
+func (j *Journal) noteClaim(now time.Time, err error) {
+	if err == nil || errors.Is(err, errUndecided) {
+		j.health.note(&j.health.claims, now, err)
 	}
-	return d
 }
 
 // decideAnywhere asks the readers in turn, and does the work itself only if
@@ -73,6 +78,9 @@
 	var last decision
 	for _, m := range readers {
 		d, answered := j.askReader(ctx, m, n, c)
+		if !answered && ctx.Err() != nil {
+			return decision{err: errUndecided} // no time is left to find out
+		}
 		if !answered {
 			silent++
 			continue
@@ -94,12 +102,17 @@
 // turn to be appended is too slow for one call, and says whether it answered.
 func (j *Journal) askReader(ctx context.Context, m Member, n int, c ClaimRecord) (d decision, answered bool) {
 	req := ClaimRequest{Partition: n, Partitions: j.settings.Partitions, Claim: c, Wait: j.readerWait()}
+	unsettled := false
 	for {
 		var resp ClaimResponse
 		if j.call(ctx, m, claimMethod, req, &resp) != nil {
 			return decision{}, false
 		}
 		d = decision{verdict: resp.Verdict, holder: resp.Holder, err: resp.Failure.err()}
+		unsettled = unsettled || errors.Is(d.err, errUndecided)
+		if d.err != nil && unsettled {
+			d.err = errUndecided // an earlier call's claim may reach the log
+		}
 		again := errors.Is(d.err, errUndecided) || errors.Is(d.err, errQueued)
 		if !again || ctx.Err() != nil {
 			return d, true
