--- a/request/journal/claim.go
+++ b/request/journal/claim.go
@@ -34,7 +34,9 @@
 }
 
 // Recorded says whether the claim stands in the log. If not, the upstream
-// alone sees to it that the key runs once.
+// alone sees to it that the key runs once, and nothing is known of earlier
+// tries: a refusal of such a request must say Unknown, also if it was not
+// sent.
 func (c *Claim) Recorded() bool { return c.recorded }
 
 // MayBegin gives leave to send, right before the first byte. It says yes
