Measure the import of kept KV cache

Cause: the placement weighs imports from the store, but the harness had none. Ruled out: counting imported tokens as hits (an import costs time on the engine's link; it has a column of its own). Change: a store that all engines share, imports at 30,000 tokens a second and engine after 20 ms, one at a time, while other prompts are computed. Left out: the time of exports, and imports by the oracle.

--- a/measure/call.go
+++ b/measure/call.go
@@ -24,6 +24,7 @@
 	Answered bool
 	First    time.Duration // from the last arrival at a node to the first token there
 	Cached   int           // prompt tokens found in the engine's cache
+	Imported int           // prompt tokens fetched from the store of kept KV cache
 	Wasted   int           // prompt tokens computed though another eligible engine had them
 }
 
@@ -158,9 +159,11 @@
 		Chain:  c.request.Chain,
 		Output: c.request.Output,
 		Urgent: c.request.Urgent,
+		Import: v.d.Import,
 		Started: func(cached int) {
 			c.sample.Started = true
-			c.sample.Cached = cached
+			c.sample.Cached = cached - v.job.Imported
+			c.sample.Imported = v.job.Imported
 			c.sample.Wasted = max(c.f.bestCached(c.n, c.request.Chain)-cached, 0)
 		},
 		First: func(a placement.Answer) {
--- a/measure/engine/engine.go
+++ b/measure/engine/engine.go
@@ -23,6 +23,7 @@
 	placement.Upstream
 	Version     string
 	CacheTokens int
+	Store       *Store // nil: none
 }
 
 // Job is one request on an engine. The callbacks run at the engine, in
@@ -31,11 +32,16 @@
 	Chain  prefix.Chain
 	Output int  // tokens
 	Urgent bool // goes before other work, in the queue and in prefill
+	Import bool // fetch from the store of kept KV cache before prefill
+
+	Imported int // prompt tokens that were fetched, set before Started
 
 	Started func(cached int)
 	First   func(a placement.Answer)
 	Ended   func(ok bool)
 
+	importing bool
+
 	begun  bool          // its prefill has begun
 	cached int           // prompt tokens found in the cache at that time
 	left   float64       // prompt tokens still to compute, once begun
@@ -63,6 +69,8 @@
 	advanced time.Duration // up to when prefill has been accounted for
 	plan     uint64        // number of the latest planned end of prefill
 	busy     time.Duration // time with prefill work
+
+	importEnd time.Duration // of the last import
 }
 
 // New makes an idle engine with an empty cache.
@@ -144,6 +152,7 @@
 	e.down = false
 	e.incarnation++
 	e.cache = newCache(e.cfg.CacheTokens, e.incarnation)
+	e.importEnd = 0
 }
 
 // SetFailing makes the engine answer every new request with an error at once.
@@ -195,15 +204,17 @@
 // active is the prompt that prefill works on: the oldest urgent one, or else
 // the oldest; nil if there is none.
 func (e *Engine) active() *Job {
+	var oldest *Job
 	for _, j := range e.prefill {
-		if j.Urgent {
+		switch {
+		case j.importing:
+		case j.Urgent:
 			return j
+		case oldest == nil:
+			oldest = j
 		}
 	}
-	if len(e.prefill) > 0 {
-		return e.prefill[0]
-	}
-	return nil
+	return oldest
 }
 
 // toCompute is how many prompt tokens of a job are still to be computed.
@@ -235,6 +246,7 @@
 			break
 		}
 		e.prefill = append(e.prefill, j)
+		e.startImport(j)
 	}
 	e.schedule()
 }
@@ -288,6 +300,9 @@
 	j := e.working
 	e.prefill = remove(e.prefill, j)
 	e.cache.store(j.Chain)
+	if e.cfg.Store != nil {
+		e.cfg.Store.keep(j.Chain)
+	}
 	e.decode = append(e.decode, j)
 	e.startDecode(j)
 	e.schedule()
--- a/measure/engine/engine_test.go
+++ b/measure/engine/engine_test.go
@@ -137,3 +137,23 @@
 		t.Errorf("next: first token at %v, want %v", r.first["next"], want)
 	}
 }
+
+func TestImportFetchesWhatOtherEnginesComputed(t *testing.T) {
+	r := newRun()
+	store := NewStore(10_000, 10_000, 100*time.Millisecond)
+	r.e.cfg.Store = store
+	chain := prefix.Chain{{ID: 1, Tokens: 1000}, {ID: 2, Tokens: 1200}}
+	store.keep(prefix.Chain{{ID: 1, Tokens: 1000}, {ID: 3, Tokens: 1100}})
+	j := &Job{Chain: chain, Output: 1, Import: true}
+	var cached int
+	var first time.Duration
+	j.Started = func(n int) { cached = n }
+	j.First = func(placement.Answer) { first = r.clock.Elapsed() }
+	j.Ended = func(bool) {}
+	r.e.Submit(j)
+	r.clock.Run(time.Minute)
+	// 0.1 s latency, 0.1 s import, 0.2 s prefill, one step.
+	if cached != 1000 || j.Imported != 1000 || first != 410*time.Millisecond {
+		t.Errorf("cached %d, imported %d, first token after %v", cached, j.Imported, first)
+	}
+}
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -93,8 +93,12 @@
 		byName:   make(map[string]int),
 		reported: make(map[string]engine.Backlog),
 	}
+	var store *engine.Store
+	if s.Store {
+		store = engine.NewStore(storeTokens, importRate, importLatency)
+	}
 	for i, up := range u.Engines {
-		cfg := engine.Config{Upstream: up, Version: "v1", CacheTokens: u.CacheTokens}
+		cfg := engine.Config{Upstream: up, Version: "v1", CacheTokens: u.CacheTokens, Store: store}
 		e := engine.New(&f.clock, cfg)
 		f.engines = append(f.engines, e)
 		f.byName[up.Name] = i
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -53,13 +53,17 @@
 func fromPlacement(named placement.Named) Policy {
 	return Policy{
 		Name: named.Name,
-		New: func(u workload.User, node int, seed uint64, _ *Truth) placement.Policy {
-			return named.New(placement.Config{
+		New: func(u workload.User, node int, seed uint64, truth *Truth) placement.Policy {
+			cfg := placement.Config{
 				Nodes:         u.Nodes,
 				Seed:          seed<<8 | uint64(node),
 				Weighing:      u.Weighing,
 				RemoteLatency: otherCentre - sameCentre,
-			})
+			}
+			if truth.f.scenario.Store {
+				cfg.ImportRate, cfg.ImportLatency = importRate, importLatency
+			}
+			return named.New(cfg)
 		},
 	}
 }
@@ -85,5 +89,12 @@
 	summaryPeriod  = time.Second
 )
 
+// The store of kept KV cache, where a scenario has one.
+const (
+	storeTokens   = 20_000_000
+	importRate    = 30_000 // tokens a second and engine
+	importLatency = 20 * time.Millisecond
+)
+
 // maxSends bounds how often a request is sent on the bare path.
 const maxSends = 3
--- a/measure/result.go
+++ b/measure/result.go
@@ -50,6 +50,7 @@
 type Window struct {
 	Requests   int
 	HitRate    float64 // cached tokens / prompt tokens
+	Imported   float64 // tokens fetched from the store / prompt tokens
 	First50    time.Duration
 	First99    time.Duration
 	Urgent99   time.Duration // p99 of the time to first token of urgent requests
@@ -177,8 +178,9 @@
 		w.count(s)
 		t.add(u, s)
 	}
-	w.Computed = t.prompt - t.cached
+	w.Computed = t.prompt - t.cached - t.imported
 	w.HitRate = part(t.cached, t.prompt)
+	w.Imported = part(t.imported, t.prompt)
 	w.InTime = part(t.inTime, w.Requests)
 	w.SmallInTime = part(t.smallInTime, t.small)
 	w.First50 = quantile(t.first, 0.50)
@@ -192,6 +194,7 @@
 type tally struct {
 	first, urgent, refused []time.Duration
 	prompt, cached         int // tokens
+	imported               int // tokens
 	inTime                 int
 	small, smallInTime     int
 }
@@ -210,6 +213,7 @@
 	if s.Started {
 		t.prompt += s.Request.Chain.Tokens()
 		t.cached += s.Cached
+		t.imported += s.Imported
 	}
 	switch {
 	case s.Refused:
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -26,6 +26,8 @@
 	// Near gives each node the cache events of its own data centre's engines
 	// alone.
 	Near bool
+	// Store gives the deployment a store of kept KV cache.
+	Store bool
 	// Silent keeps the nodes' summaries from their peers.
 	Silent bool
 	// Lag is how old a load report is when it arrives; 0 means the usual.
@@ -64,6 +66,7 @@
 		// hears of engines through the peers that ask them.
 		{Name: "AnswersOnly", Loss: 1, Lag: 2 * time.Second, From: warmUp, To: runEnd},
 		{Name: "NoSummaries", Silent: true, From: warmUp, To: runEnd},
+		{Name: "KeptCache", Store: true, From: warmUp, To: runEnd},
 		{Name: "LoadLag", Lag: 2 * time.Second, From: warmUp, To: runEnd},
 		{Name: "HotShift", From: eventAt, To: eventEnd,
 			Changes: []workload.Change{{At: eventAt, Shift: true, Boost: 0.2}}},
--- a/measure/table.go
+++ b/measure/table.go
@@ -36,6 +36,7 @@
 	{"Requests", func(r, _ Row) string { return fmt.Sprint(r.Requests) }},
 	{"HitRate", func(r, _ Row) string { return fmt.Sprintf("%.4f", r.HitRate) }},
 	{"/Oracle", func(r, o Row) string { return ratio(r.HitRate, o.HitRate) }},
+	{"Imported", func(r, _ Row) string { return fmt.Sprintf("%.3f", r.Imported) }},
 	{"TTFT50", func(r, _ Row) string { return milliseconds(r.First50) }},
 	{"TTFT99", func(r, _ Row) string { return milliseconds(r.First99) }},
 	{"/Oracle", func(r, o Row) string { return ratio(r.First99, o.First99) }},
