--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -4,6 +4,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -88,23 +89,16 @@
 
 // WithDefaults fills what is not set.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&c.MaxHeaderBytes, DefaultMaxHeaderBytes)
-	setDefault(&c.HeaderTimeout, DefaultHeaderTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.StallTimeout, DefaultStallTimeout)
-	setDefault(&c.MaxConnections, DefaultMaxConnections)
-	setDefault(&c.DefaultMaxTokens, DefaultMaxTokens)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, DefaultMaxBodyBytes)
+	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, DefaultHeaderTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	c.StallTimeout = cmp.Or(c.StallTimeout, DefaultStallTimeout)
+	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
+	c.DefaultMaxTokens = cmp.Or(c.DefaultMaxTokens, DefaultMaxTokens)
 	return c
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Listener is the callers' listener.
 type Listener struct {
 	cfg         Config
--- a/connection/operator/listener.go
+++ b/connection/operator/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -125,11 +126,11 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.MaxBodyBytes = orDefault(c.MaxBodyBytes, DefaultMaxBodyBytes)
-	c.MaxHeaderBytes = orDefault(c.MaxHeaderBytes, DefaultMaxHeaderBytes)
-	c.HeaderTimeout = orDefault(c.HeaderTimeout, DefaultHeaderTimeout)
-	c.IdleTimeout = orDefault(c.IdleTimeout, DefaultIdleTimeout)
-	c.CallTimeout = orDefault(c.CallTimeout, DefaultCallTimeout)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, DefaultMaxBodyBytes)
+	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, DefaultHeaderTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
 	return c
 }
 
@@ -266,11 +267,3 @@
 	}
 	return nil
 }
-
-func orDefault[T comparable](v, d T) T {
-	var zero T
-	if v == zero {
-		return d
-	}
-	return v
-}
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -36,13 +37,13 @@
 )
 
 func (c ClientConfig) withDefaults() ClientConfig {
-	c.CallTimeout = orDefault(c.CallTimeout, DefaultCallTimeout)
-	c.HandshakeTimeout = orDefault(c.HandshakeTimeout, DefaultHandshakeTimeout)
-	c.IdleTimeout = orDefault(c.IdleTimeout, DefaultClientIdleTimeout)
-	c.MaxMessageBytes = orDefault(c.MaxMessageBytes, DefaultMaxMessageBytes)
-	c.MaxConnections = orDefault(c.MaxConnections, DefaultMaxConnections)
-	c.MinBackoff = orDefault(c.MinBackoff, DefaultMinBackoff)
-	c.MaxBackoff = orDefault(c.MaxBackoff, DefaultMaxBackoff)
+	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
+	c.HandshakeTimeout = cmp.Or(c.HandshakeTimeout, DefaultHandshakeTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultClientIdleTimeout)
+	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
+	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
+	c.MinBackoff = cmp.Or(c.MinBackoff, DefaultMinBackoff)
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
 	return c
 }
 
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -100,11 +100,3 @@
 	}
 	return nil
 }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"testing"
@@ -64,7 +65,7 @@
 	if cfg.Secrets == nil {
 		cfg.Secrets = [][]byte{oldSecret}
 	}
-	cfg.CallTimeout = orDefault(cfg.CallTimeout, 20*time.Second)
+	cfg.CallTimeout = cmp.Or(cfg.CallTimeout, 20*time.Second)
 	c, err := NewClient(cfg)
 	if err != nil {
 		t.Fatal(err)
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/gob"
@@ -33,13 +34,13 @@
 }
 
 func (c ServerConfig) withDefaults() ServerConfig {
-	c.HandshakeTimeout = orDefault(c.HandshakeTimeout, DefaultHandshakeTimeout)
-	c.MessageTimeout = orDefault(c.MessageTimeout, DefaultMessageTimeout)
-	c.IdleTimeout = orDefault(c.IdleTimeout, DefaultIdleTimeout)
-	c.MaxConnections = orDefault(c.MaxConnections, DefaultMaxConnections)
-	c.MaxInFlight = orDefault(c.MaxInFlight, DefaultMaxInFlight)
-	c.MaxMessageBytes = orDefault(c.MaxMessageBytes, DefaultMaxMessageBytes)
-	c.Grace = orDefault(c.Grace, DefaultGrace)
+	c.HandshakeTimeout = cmp.Or(c.HandshakeTimeout, DefaultHandshakeTimeout)
+	c.MessageTimeout = cmp.Or(c.MessageTimeout, DefaultMessageTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
+	c.MaxInFlight = cmp.Or(c.MaxInFlight, DefaultMaxInFlight)
+	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
+	c.Grace = cmp.Or(c.Grace, DefaultGrace)
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -45,22 +46,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.DialTimeout, DefaultDialTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.ReadTimeout, DefaultReadTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.MaxIdle, DefaultMaxIdle)
-	setDefault(&c.MaxBody, DefaultMaxBody)
+	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	c.MaxIdle = cmp.Or(c.MaxIdle, DefaultMaxIdle)
+	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Client exchanges messages with one address. Its methods may be called from
 // many goroutines.
 type Client struct {
--- a/process/member/member.go
+++ b/process/member/member.go
@@ -10,6 +10,7 @@
 package member
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -161,15 +162,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Interval = orDefault(c.Interval, time.Second)
-	c.ProbeTimeout = orDefault(c.ProbeTimeout, c.Interval/2)
-	c.IndirectProbes = orDefault(c.IndirectProbes, 3)
-	c.SuspectTimeout = orDefault(c.SuspectTimeout, 4*c.Interval)
-	c.RemoteShare = orDefault(c.RemoteShare, 4)
-	c.DeadRetention = orDefault(c.DeadRetention, 30*time.Minute)
-	c.MessageBytes = orDefault(c.MessageBytes, 2048)
-	c.VMListInterval = orDefault(c.VMListInterval, 5*c.Interval)
-	c.RandomSeed = orDefault(c.RandomSeed, uint64(c.Incarnation))
+	c.Interval = cmp.Or(c.Interval, time.Second)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, c.Interval/2)
+	c.IndirectProbes = cmp.Or(c.IndirectProbes, 3)
+	c.SuspectTimeout = cmp.Or(c.SuspectTimeout, 4*c.Interval)
+	c.RemoteShare = cmp.Or(c.RemoteShare, 4)
+	c.DeadRetention = cmp.Or(c.DeadRetention, 30*time.Minute)
+	c.MessageBytes = cmp.Or(c.MessageBytes, 2048)
+	c.VMListInterval = cmp.Or(c.VMListInterval, 5*c.Interval)
+	c.RandomSeed = cmp.Or(c.RandomSeed, uint64(c.Incarnation))
 	return c
 }
 
@@ -186,11 +187,3 @@
 func (c Config) self() Record {
 	return Record{Name: c.Name, Address: c.Address, DataCentre: c.DataCentre, Incarnation: c.Incarnation}
 }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/request/recent/recent.go
+++ b/request/recent/recent.go
@@ -4,6 +4,7 @@
 package recent
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -55,21 +56,15 @@
 
 // New starts empty.
 func New(cfg Config) (*Table, error) {
-	setDefault(&cfg.Workspaces, DefaultWorkspaces)
-	setDefault(&cfg.Openings, DefaultOpenings)
-	setDefault(&cfg.Bytes, DefaultBytes)
+	cfg.Workspaces = cmp.Or(cfg.Workspaces, DefaultWorkspaces)
+	cfg.Openings = cmp.Or(cfg.Openings, DefaultOpenings)
+	cfg.Bytes = cmp.Or(cfg.Bytes, DefaultBytes)
 	t := &Table{cfg: cfg}
 	var err error
 	t.workspaces, err = lru.NewWithEvict(cfg.Workspaces, func(_ string, c *lru.Cache[uint64, *Opening]) { c.Purge() })
 	return t, err
 }
 
-func setDefault(n *int, d int) {
-	if *n == 0 {
-		*n = d
-	}
-}
-
 // Note remembers the opening of a prompt: all of its messages but the last,
 // which holds the single question.
 func (t *Table) Note(now time.Time, id prefix.Identity, messages []prefix.Message) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -54,27 +55,20 @@
 	if len(c.Models) == 0 {
 		c.Models = []upstream.LoadedModel{{Model: "base", Version: "v1"}}
 	}
-	setDefault(&c.Slots, DefaultSlots)
-	setDefault(&c.Queue, DefaultQueue)
-	setDefault(&c.CacheTokens, DefaultCacheTokens)
-	setDefault(&c.PrefillRate, DefaultPrefillRate)
-	setDefault(&c.Decode, DefaultDecode)
-	setDefault(&c.ImportRate, DefaultImportRate)
-	setDefault(&c.LoadTime, DefaultLoadTime)
-	setDefault(&c.LoadParallel, DefaultLoadParallel)
-	setDefault(&c.Hold, DefaultHold)
-	setDefault(&c.Orphan, DefaultOrphan)
-	setDefault(&c.EventsKept, DefaultEventsKept)
+	c.Slots = cmp.Or(c.Slots, DefaultSlots)
+	c.Queue = cmp.Or(c.Queue, DefaultQueue)
+	c.CacheTokens = cmp.Or(c.CacheTokens, DefaultCacheTokens)
+	c.PrefillRate = cmp.Or(c.PrefillRate, DefaultPrefillRate)
+	c.Decode = cmp.Or(c.Decode, DefaultDecode)
+	c.ImportRate = cmp.Or(c.ImportRate, DefaultImportRate)
+	c.LoadTime = cmp.Or(c.LoadTime, DefaultLoadTime)
+	c.LoadParallel = cmp.Or(c.LoadParallel, DefaultLoadParallel)
+	c.Hold = cmp.Or(c.Hold, DefaultHold)
+	c.Orphan = cmp.Or(c.Orphan, DefaultOrphan)
+	c.EventsKept = cmp.Or(c.EventsKept, DefaultEventsKept)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Engine is a running stand-in.
 type Engine struct {
 	cfg      Config
--- a/version/follower/follower.go
+++ b/version/follower/follower.go
@@ -4,6 +4,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -313,21 +314,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.PollWait = orDefault(c.PollWait, DefaultPollWait)
-	c.CallTimeout = orDefault(c.CallTimeout, DefaultCallTimeout)
-	c.PeerAfter = orDefault(c.PeerAfter, DefaultPeerAfter)
-	c.PeerInterval = orDefault(c.PeerInterval, DefaultPeerInterval)
-	c.PeersPerRound = orDefault(c.PeersPerRound, DefaultPeersPerRound)
+	c.PollWait = cmp.Or(c.PollWait, DefaultPollWait)
+	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
+	c.PeerAfter = cmp.Or(c.PeerAfter, DefaultPeerAfter)
+	c.PeerInterval = cmp.Or(c.PeerInterval, DefaultPeerInterval)
+	c.PeersPerRound = cmp.Or(c.PeersPerRound, DefaultPeersPerRound)
 	return c
 }
 
-func orDefault[T int | time.Duration](v, d T) T {
-	if v <= 0 {
-		return d
-	}
-	return v
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/version/planner/planner.go
+++ b/version/planner/planner.go
@@ -4,6 +4,7 @@
 package planner
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -189,24 +190,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	orDefault(&c.Interval, DefaultInterval)
-	orDefault(&c.TTL, DefaultTTL)
-	orDefault(&c.OrderLife, DefaultOrderLife)
-	orDefault(&c.ClockSkew, DefaultClockSkew)
-	orDefault(&c.Settle, DefaultSettle)
-	orDefault(&c.DrainDeadline, DefaultDrainDeadline)
-	orDefault(&c.LoadTimeout, DefaultLoadTimeout)
-	orDefault(&c.WarmTimeout, DefaultWarmTimeout)
-	orDefault(&c.RepairInterval, DefaultRepairInterval)
-	orDefault(&c.MaxTries, DefaultMaxTries)
-	orDefault(&c.CallTimeout, DefaultCallTimeout)
-	orDefault(&c.Snapshots, snapshot.DefaultPolicy)
+	c.Interval = cmp.Or(c.Interval, DefaultInterval)
+	c.TTL = cmp.Or(c.TTL, DefaultTTL)
+	c.OrderLife = cmp.Or(c.OrderLife, DefaultOrderLife)
+	c.ClockSkew = cmp.Or(c.ClockSkew, DefaultClockSkew)
+	c.Settle = cmp.Or(c.Settle, DefaultSettle)
+	c.DrainDeadline = cmp.Or(c.DrainDeadline, DefaultDrainDeadline)
+	c.LoadTimeout = cmp.Or(c.LoadTimeout, DefaultLoadTimeout)
+	c.WarmTimeout = cmp.Or(c.WarmTimeout, DefaultWarmTimeout)
+	c.RepairInterval = cmp.Or(c.RepairInterval, DefaultRepairInterval)
+	c.MaxTries = cmp.Or(c.MaxTries, DefaultMaxTries)
+	c.CallTimeout = cmp.Or(c.CallTimeout, DefaultCallTimeout)
+	c.Snapshots = cmp.Or(c.Snapshots, snapshot.DefaultPolicy)
 	return c
 }
-
-func orDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
