--- a/request/call/router.go
+++ b/request/call/router.go
@@ -149,6 +149,11 @@
 		c.Ran(time.Now(), reply)
 	case failure.From(err).Ran == failure.NotRun:
 		c.NotSent(time.Now())
+		if !c.Recorded() {
+			// Without the log's word an earlier send of this key may have
+			// run by way of another node.
+			err = failure.From(err).WithRan(failure.Unknown)
+		}
 	default:
 		c.UnknownOutcome(time.Now())
 	}
