Share the listeners' way from an error to an answer

Cause: both listeners had the same mapping of the library's errors and the same Retry-After. Ruled out: putting it into package failure (which knows no HTTP library). Change: package refusal; no behaviour changes.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -12,9 +12,9 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/dunlinmill/dunlinmill/connection/refusal"
 	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/call"
@@ -194,7 +194,7 @@
 	if errors.Is(err, fiber.ErrRequestTimeout) && len(c.Request().Header.RawHeaders()) == 0 {
 		return closeSilently(c)
 	}
-	e := typed(err)
+	e := refusal.Of(err)
 	if e.Code == failure.BodyTooLarge {
 		transport.Drain(c.Context().Conn())
 	}
@@ -207,22 +207,3 @@
 func closeSilently(c *fiber.Ctx) error {
 	return c.Context().Conn().SetWriteDeadline(time.Unix(1, 0))
 }
-
-// typed makes the library's own errors ours. They all come before a handler
-// ran, so nothing was sent.
-func typed(err error) *failure.Error {
-	var fe *fiber.Error
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return failure.ErrBodyTooLarge
-	case !errors.As(err, &fe):
-		return failure.From(err)
-	case fe.Code == fiber.StatusRequestEntityTooLarge:
-		return failure.ErrBodyTooLarge
-	case fe.Code == fiber.StatusRequestHeaderFieldsTooLarge:
-		return failure.ErrHeaderTooLarge
-	case fe.Code == fiber.StatusNotFound || fe.Code == fiber.StatusMethodNotAllowed:
-		return failure.ErrNotFound
-	}
-	return failure.ErrMalformedRequest.WithCause(err)
-}
--- a/connection/caller/write.go
+++ b/connection/caller/write.go
@@ -3,12 +3,10 @@
 import (
 	"bufio"
 	"encoding/json"
-	"math"
-	"strconv"
-	"time"
 
 	"github.com/gofiber/fiber/v2"
 
+	"github.com/dunlinmill/dunlinmill/connection/refusal"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 )
 
@@ -45,15 +43,7 @@
 
 func writeFailure(c *fiber.Ctx, e *failure.Error) error {
 	c.Set(HeaderRan, e.Ran.Text())
-	if e.RetryAfter > 0 {
-		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(wholeSeconds(e.RetryAfter)))
-	}
-	return c.Status(e.Status).JSON(bodyOf(e))
-}
-
-// wholeSeconds rounds up: a caller that comes back early is refused again.
-func wholeSeconds(d time.Duration) int {
-	return int(math.Ceil(d.Seconds()))
+	return refusal.Write(c, e, bodyOf(e))
 }
 
 // writeEvent writes one server-sent event and flushes it.
--- a/connection/operator/listener.go
+++ b/connection/operator/listener.go
@@ -7,17 +7,15 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"math"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/connection/refusal"
 	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/failure"
@@ -222,36 +220,14 @@
 
 // failed answers every error with its typed form.
 func (l *Listener) failed(c *fiber.Ctx, err error) error {
-	e := typed(err)
+	e := refusal.Of(err)
 	if e.Code == failure.BodyTooLarge {
 		transport.Drain(c.Context().Conn())
 	}
 	if e.Code == failure.Internal {
 		event.Error(l.log, event.OperatorCallFailed, zap.String("Path", c.Path()), zap.Error(e))
 	}
-	if e.RetryAfter > 0 {
-		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
-	}
-	return c.Status(e.Status).JSON(failureOf(e))
-}
-
-// typed makes the library's own errors ours. They all come before a handler
-// ran.
-func typed(err error) *failure.Error {
-	var fe *fiber.Error
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return failure.ErrBodyTooLarge
-	case !errors.As(err, &fe):
-		return failure.From(err)
-	case fe.Code == fiber.StatusRequestEntityTooLarge:
-		return failure.ErrBodyTooLarge
-	case fe.Code == fiber.StatusRequestHeaderFieldsTooLarge:
-		return failure.ErrHeaderTooLarge
-	case fe.Code == fiber.StatusNotFound || fe.Code == fiber.StatusMethodNotAllowed:
-		return failure.ErrNotFound
-	}
-	return failure.ErrMalformedRequest.WithCause(err)
+	return refusal.Write(c, e, failureOf(e))
 }
 
 // decode reads one JSON value and refuses unknown names, so that a misspelt
