Ask an engine that has just loaded for the other accepted weights

Cause: a roll-out over real processes under load failed requests: 503 WeightsChanged, ten or more in the test. A node asked for the version of the engine's last report, up to some seconds old; engines that had just loaded refused it, and the only other engine of the pool was loading. Ruled out: reports more often (still late for somebody, and costs bytes at the large size); no weights check (answers by weights nobody accepted). Change: a refusal for the weights, while two versions are accepted, is followed by one send of the other version to the same engine, which ran nothing; what it turns out to hold is noted. A continuation goes only to engines not known to hold other weights.

--- /dev/null
+++ b/e2e/rollout_test.go
@@ -0,0 +1,43 @@
+package e2e
+
+import (
+	"testing"
+
+	"github.com/dunlinmill/dunlinmill/standin/weightstore"
+)
+
+// New weights are rolled out to every engine while callers stream. An engine
+// that loads serves nobody, and more than two loads at once slow each other
+// down; an answer begun under the old weights and ended under the new ones
+// would be no model's answer. Callers see neither an error nor a mixed answer.
+func TestRollOutUnderLoad(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, standard)
+	c := s.stream(20, 9)
+	c.awaitDone(t, 100)
+	id, base := s.propose("anna", 1, "--roll-out-weights", model, "--version", "v2")
+	if r := s.operate("confirm", "anna", 2, id, base); r.code != 0 {
+		t.Fatalf("confirm: %s", r.err)
+	}
+	s.awaitPlan(0, id, "Finished")
+	c.awaitDone(t, c.done.Load()+200)
+	for _, o := range c.stopAll() {
+		for _, a := range o.tries {
+			if a.err != nil {
+				t.Errorf("%s: %v", nodeName(a.node), a.err)
+			}
+		}
+	}
+	for i := range s.engines {
+		if n := s.engineCounters(i).Loads; n != 1 {
+			t.Errorf("%s loaded %d times, want once", engineName(i), n)
+		}
+	}
+	var w weightstore.Counters
+	if err := get(s.weights.address, "/counters", &w); err != nil {
+		t.Fatal(err)
+	}
+	if w.MostLoads > 2 {
+		t.Errorf("%d engines loaded at once, at most 2 may", w.MostLoads)
+	}
+}
--- a/process/inventory/inventory.go
+++ b/process/inventory/inventory.go
@@ -187,6 +187,24 @@
 	return m.Version
 }
 
+// Holds notes that an engine has turned out to hold another version of a model
+// than it last told. The next report goes before it.
+func (n *Inventory) Holds(_ time.Time, name, model, version string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s, ok := n.statuses[name]
+	if !ok {
+		return
+	}
+	s.Models = lo.Map(s.Models, func(m upstream.LoadedModel, _ int) upstream.LoadedModel {
+		if m.Model == model {
+			m.Version = version
+		}
+		return m
+	})
+	n.statuses[name] = s
+}
+
 // Usable says whether an upstream is thought to be up. One of which nothing
 // is known is: a fresh node has to serve before it has asked anyone.
 func (n *Inventory) Usable(_ time.Time, name string) bool {
--- a/request/completion/answer_test.go
+++ b/request/completion/answer_test.go
@@ -173,3 +173,22 @@
 		t.Errorf("the engine with other weights got %d sends", len(b.sends))
 	}
 }
+
+// During a roll-out an engine has loaded the new weights since it last told.
+// It refuses the old version, and the only other engine is loading. The caller
+// would be refused although an engine with accepted weights stands idle.
+func TestEngineThatHasJustLoaded(t *testing.T) {
+	a := &engine{name: "a", script: script{version: "v2"}}
+	s := newSite(a)
+	s.cfg.Models["base"] = config.Model{Name: "base", Version: "v1", Target: "v2"}
+	answer, err := s.router().Start(context.Background(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := read(answer); err != nil || text != strings.Join(words, "") {
+		t.Errorf("got %q, %v", text, err)
+	}
+	if answer.Info().Version != "v2" || s.versions["a"] != "v2" {
+		t.Errorf("answered by %s, noted %s, want v2", answer.Info().Version, s.versions["a"])
+	}
+}
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -15,6 +15,7 @@
 	now := time.Now()
 	p := s.rt.Policies.Policy(now, s.target.group)
 	pr := s.placementRequest(now)
+	pr.Excluded = append(pr.Excluded, s.otherWeights(version)...)
 	d, err := p.Place(now, pr)
 	if err != nil {
 		return nil, fmt.Errorf("place the rest: %w", err)
@@ -29,13 +30,9 @@
 	}
 	s.attempts++
 	s.logPlacement(d)
-	g := s.generation(u)
+	g := s.generation(version)
 	g.Continue = text
 	g.MaxTokens -= count
-	if g.Version != version {
-		v.end(now, upstream.ErrWrongVersion)
-		return nil, upstream.ErrWrongVersion
-	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	timer := time.AfterFunc(s.patience(now), cancel)
 	defer timer.Stop()
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -50,7 +51,7 @@
 		return nil, e.generate
 	}
 	if e.version != "" && e.version != g.Version {
-		return nil, upstream.ErrWrongVersion
+		return nil, fmt.Errorf("%w: %w", upstream.ErrWrongVersion, upstream.ErrRefused)
 	}
 	sent := 0
 	for text := ""; text != g.Continue; sent++ {
@@ -168,6 +169,7 @@
 func (s *site) Catalogue() *catalogue.Catalogue                   { return catalogue.New(s.cfg) }
 func (s *site) Engine(u config.Upstream) upstream.Engine          { return s.engines[u.Name] }
 func (s *site) Version(name, _ string) string                     { return s.versions[name] }
+func (s *site) Holds(_ time.Time, name, _, version string)        { s.versions[name] = version }
 func (s *site) Note(time.Time, prefix.Identity, []prefix.Message) {}
 func (s *site) Answered(Request, Info, time.Duration)             {}
 func (s *site) Retried(Request, retry.Action)                     {}
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -30,6 +30,9 @@
 	// Version is the weights version that the engine holds of a model, as
 	// far as it has told; empty if it has not.
 	Version(name, model string) string
+	// Holds notes that an engine has turned out to hold another version than
+	// it last told.
+	Holds(now time.Time, name, model, version string)
 }
 
 // Policies gives the placement policy of a group of engines.
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -318,10 +318,9 @@
 	if s.claim != nil && !s.claim.MayBegin(now) {
 		return nil, fmt.Errorf("claim is over: %w", upstream.ErrRefused)
 	}
-	g := s.generation(u)
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(s.patience(now), cancel)
-	stream, err := s.rt.Upstreams.Engine(u).Generate(ctx, g)
+	g, stream, err := s.generate(ctx, u)
 	if err != nil {
 		timer.Stop()
 		cancel()
@@ -375,11 +374,7 @@
 	return min(s.rt.Config.HeadTimeout, s.r.Deadline.Sub(now))
 }
 
-func (s *start) generation(u config.Upstream) upstream.Generation {
-	version := s.rt.Upstreams.Version(u.Name, s.r.Model)
-	if !s.target.model.Accepts(version) {
-		version = s.target.model.Version
-	}
+func (s *start) generation(version string) upstream.Generation {
 	parts := make([]upstream.Part, len(s.r.Messages))
 	for i, m := range s.r.Messages {
 		parts[i] = upstream.Part{Role: m.Role, Content: m.Content}
