Name the engine that a prefix is imported from

Cause: Decision.Import said that a prefix should be imported, and not from where. The engines' interface exports from an engine; whatever had been asked for lately was taken to be importable, also when every engine that had it was gone or held other weights. Change: the source is the usable engine that is believed to hold the most of the prompt, last seen with the weights version of the engine that imports. Without one no import is priced in. Decision.Source names it. The test's case "the holder is excluded, so import" asked for an import that nobody can give; it is now the case "holder down", which must not import, beside "other weights". Both were seen failing without their condition: "import is true, reason Import". The positive case has the holder behind a long queue. Still nothing sets Config.ImportRate.

--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -36,7 +36,7 @@
 	round   uint64
 	sizes   []int
 	rates   []float64
-	shared  int // tokens of the longest prefix that other requests had lately
+	source  source
 	set     []scored
 	found   []candidate
 	outside []candidate
@@ -84,6 +84,7 @@
 	if len(found) == 0 {
 		return Decision{}, ErrNoCandidate
 	}
+	a.source = a.findSource(at, r.Chain)
 	best := a.price(now, at, r, found[0])
 	for _, c := range found[1:] {
 		if p := a.price(now, at, r, c); p.total < best.total {
@@ -94,9 +95,9 @@
 }
 
 // measure fills in, for each level of the chain, the size of its replica set
-// and the requests a second under it, and how much of the chain is shared.
+// and the requests a second under it.
 func (a *Affinity) measure(at tick, chain prefix.Chain) {
-	a.sizes, a.rates, a.shared = a.sizes[:0], a.rates[:0], 0
+	a.sizes, a.rates = a.sizes[:0], a.rates[:0]
 	most := max(1, len(a.fleet.eligible))
 	anchor := 0
 	if a.cfg.features.has(useAnchor) {
@@ -106,9 +107,6 @@
 		size, rate := 1, 0.0
 		if d, _ := a.demands.get(l.ID); d != nil {
 			d.decay(at)
-			if d.count > 1 {
-				a.shared = l.Tokens
-			}
 			cost := a.total(at, l.ID, d.settled())
 			d.resize(at, cost, a.cfg.TargetLoad)
 			size = 1 << d.size
--- a/request/placement/affinity_test.go
+++ b/request/placement/affinity_test.go
@@ -270,36 +270,51 @@
 	}
 }
 
-// The engine that has a record fails. Its successor can import the record
-// from the store in a part of the time that it would compute it, but only
-// what somebody had before can be there.
-func TestImportsWhatOthersHad(t *testing.T) {
+// The engine that has a record gets a long queue. Another one can import the
+// record from its cache in a part of the time that it would compute it. It
+// can't from an engine that is down or holds other weights: those blocks are
+// gone, or would make the answer wrong.
+func TestImportsWhatAnotherHolds(t *testing.T) {
 	for _, tt := range []struct {
-		name   string
-		rate   float64 // of the store, tokens a second
-		before int     // requests with the record before
-		want   bool
+		name    string
+		rate    float64 // of imports, tokens a second
+		before  int     // requests with the record before
+		weights string  // of the other engines
+		down    bool    // whether the holder may not be called
+		want    bool
 	}{
-		{"no store", 0, 5, false},
-		{"fast store", 80000, 5, true},
-		{"store slower than prefill", 4000, 5, false},
-		{"never asked before", 80000, 0, false},
+		{"no imports", 0, 5, "v1", false, false},
+		{"fast import", 80000, 5, "v1", false, true},
+		{"import slower than prefill", 4000, 5, "v1", false, false},
+		{"never asked before", 80000, 0, "v1", false, false},
+		{"other weights", 80000, 5, "v2", false, false},
+		{"holder down", 80000, 5, "v1", true, false},
 	} {
 		a := started(Config{Nodes: 1, ImportRate: tt.rate}, 12)
-		engines := caches{}
-		var excluded []string
+		for _, u := range runners(12) {
+			a.Loaded(epoch, u.Name, Load{Incarnation: 1, Version: tt.weights, At: epoch})
+		}
+		engines, holder := caches{}, ""
 		for i := range tt.before {
-			d := engines.serve(t, a, epoch, request(prompt(1, 1, 1, uint64(i))))
-			excluded = append(excluded, d.Upstream)
+			holder = engines.serve(t, a, epoch.Add(time.Duration(i+1)*time.Second), request(prompt(1, 1, 1, uint64(i)))).Upstream
 		}
+		now := epoch.Add(10 * time.Second)
 		r := request(prompt(1, 1, 1, 99))
-		r.Excluded = excluded
-		d, err := a.Place(epoch.Add(time.Second), r)
+		if holder != "" {
+			a.Loaded(now, holder, Load{Incarnation: 1, Version: "v1", At: now, Queued: 50, QueuedTokens: 400_000})
+		}
+		if tt.down {
+			r.Excluded = []string{holder}
+		}
+		d, err := a.Place(now, r)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if d.Import != tt.want || (d.Reason == Import) != tt.want {
-			t.Errorf("%s: import is %v, reason %v", tt.name, d.Import, d.Reason)
+		if d.Import != tt.want || (d.Reason == Import) != tt.want || (d.Source != "") != tt.want {
+			t.Errorf("%s: import is %v, reason %v, source %q", tt.name, d.Import, d.Reason, d.Source)
+		}
+		if d.Upstream == holder || tt.want && d.Source != holder {
+			t.Errorf("%s: %q serves, imports from %q; the holder is %q", tt.name, d.Upstream, d.Source, holder)
 		}
 	}
 }
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -21,8 +21,8 @@
 	// from the set's prefix, in engine-seconds a second. Beyond it the set
 	// is doubled.
 	TargetLoad float64
-	// ImportRate is how many tokens a second an engine imports from the store
-	// of kept KV cache; 0: there is no store.
+	// ImportRate is how many tokens a second one engine imports from another's
+	// cache; 0: no imports.
 	ImportRate float64
 	// ImportLatency is what an import takes besides.
 	ImportLatency time.Duration
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -43,8 +43,9 @@
 	Reason   Reason
 	Cached   int           // prompt tokens expected in the upstream's cache
 	Wait     time.Duration // expected time to first token
-	Import   bool          // fetch the prefix from the store of kept KV cache first
+	Import   bool          // fetch the prefix from Source's cache first
 	Idle     time.Duration // time to first token that an idle upstream would take; 0: not estimated
+	Source   string        // the upstream to export the prefix from; empty without Import
 
 	id       uint64   // of the decision within its policy
 	estimate estimate // what the answer is held against
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -29,14 +29,14 @@
 // price is what a request would cost at one upstream.
 type price struct {
 	candidate
-	total   float64 // weighed seconds; the least is chosen
-	cached  int     // expected tokens
-	wait    float64 // expected seconds to the first token
-	idle    float64 // the same without other work there
-	fetched bool    // imports from the store
-	warm    bool
-	inSet   bool
-	known   estimate
+	total  float64 // weighed seconds; the least is chosen
+	cached int     // expected tokens
+	wait   float64 // expected seconds to the first token
+	idle   float64 // the same without other work there
+	source string  // imports from there; empty: doesn't
+	warm   bool
+	inSet  bool
+	known  estimate
 }
 
 // price estimates what the request costs at c: the wait for the first token
@@ -78,7 +78,7 @@
 		cached:    int(cached),
 		wait:      wait,
 		idle:      fetch + compute + c.Decode.Seconds(),
-		fetched:   fetch > 0,
+		source:    a.source.name(fetch),
 		warm:      cached >= warmPart*float64(r.Chain.Tokens()),
 		inSet:     c.depth == len(r.Chain),
 		known:     e,
@@ -93,13 +93,13 @@
 }
 
 // fetch gives the seconds that an upstream computes for a prompt and the
-// seconds that an import from the store takes before, 0 for none. Only what
-// other requests had lately may be in the store; it is imported if that is
-// sooner than to compute it.
+// seconds that an import from another's cache takes before, 0 for none. What
+// the source holds is imported if that is sooner than to compute it, and the
+// two were last seen with the same weights.
 func (a *Affinity) fetch(cached, tokens float64, m *member) (compute, fetch float64) {
 	prefill := max(1, m.Prefill)
-	missing := float64(a.shared) - cached
-	if a.cfg.ImportRate > 0 && missing > 0 {
+	missing := float64(a.source.tokens) - cached
+	if a.source.fits(m) && missing > 0 {
 		fetch = a.cfg.ImportLatency.Seconds() + missing/a.cfg.ImportRate
 		if fetch < missing/prefill {
 			return (tokens - cached - missing) / prefill, fetch
@@ -181,13 +181,14 @@
 		Cached:   p.cached,
 		Wait:     time.Duration(p.wait * float64(time.Second)),
 		Idle:     time.Duration(p.idle * float64(time.Second)),
-		Import:   p.fetched,
+		Import:   p.source != "",
+		Source:   p.source,
 		estimate: p.known,
 	}
 	switch {
 	case candidates == 1:
 		d.Reason = Fallback
-	case p.fetched:
+	case p.source != "":
 		d.Reason = Import
 	case !p.inSet:
 		d.Reason = Spread
--- a/request/placement/reason.go
+++ b/request/placement/reason.go
@@ -13,8 +13,7 @@
 	// Spread is an upstream outside the replica set, as all members would
 	// have taken longer.
 	Spread
-	// Import is an upstream that fetches the prefix from the store of kept
-	// KV cache.
+	// Import is an upstream that gets the prefix from another's cache first.
 	Import
 	// Fallback is the only upstream left.
 	Fallback
--- /dev/null
+++ b/request/placement/source.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/dunlinmill/dunlinmill/request/prefix"
+)
+
+// surely is the least chance with which a source has to be believed to hold a
+// prefix still. An export of what has been evicted is a round trip for nothing.
+const surely = 0.5
+
+// source is an upstream that a prefix can be exported from.
+type source struct {
+	*member
+	tokens int // of the prefix
+}
+
+// findSource gives the upstream that is believed to hold the most of the
+// chain; none if imports are off. An upstream that this decision excludes is
+// no source either: it is full, or its calls fail.
+func (a *Affinity) findSource(at tick, chain prefix.Chain) source {
+	if a.cfg.ImportRate <= 0 {
+		return source{}
+	}
+	for _, l := range slices.Backward(chain) {
+		h, _ := a.beliefs.holders.get(l.ID)
+		if h == nil {
+			continue
+		}
+		best, most := source{tokens: l.Tokens}, surely
+		for _, id := range h {
+			m := a.fleet.byID[id]
+			if m == nil || !m.eligible || a.excluded(m) {
+				continue
+			}
+			k, age, ok := a.beliefs.get(m, l.ID, at)
+			if chance := a.keeps(m, age); ok && !k.pending && chance > most {
+				best.member, most = m, chance
+			}
+		}
+		if best.member != nil {
+			return best
+		}
+	}
+	return source{}
+}
+
+// fits says whether m may import from the source.
+func (s source) fits(m *member) bool {
+	return s.member != nil && s.member != m && s.engine.version == m.engine.version
+}
+
+// name is the source's, for an import that takes so many seconds.
+func (s source) name(fetch float64) string {
+	if fetch == 0 {
+		return ""
+	}
+	return s.Name
+}
