Change the fleet's secret without a restart

Cause: the peers' listener takes several secrets, the settings took one, so that a change had to cut nodes off or restart them all at once. Ruled out: the secret in the configuration (a node needs it to get that). Not tried on running nodes.

--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -43,6 +43,8 @@
 	_ = x[ProcessStopped-504]
 	_ = x[GraceExceeded-505]
 	_ = x[ProcessFailed-506]
+	_ = x[SecretReloaded-507]
+	_ = x[SecretReloadFailed-508]
 	_ = x[RequestPlaced-100]
 	_ = x[RequestAnswered-101]
 	_ = x[RequestRefused-102]
@@ -78,7 +80,7 @@
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailed"
 	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepaired"
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
-	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailed"
+	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedSecretReloadedSecretReloadFailed"
 	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsedOperatorCallFailed"
 )
 
@@ -87,7 +89,7 @@
 	_Event_index_1 = [...]uint8{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215}
 	_Event_index_2 = [...]uint8{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239}
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
-	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93}
+	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 107, 125}
 	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90, 108}
 )
 
@@ -105,7 +107,7 @@
 	case 400 <= i && i <= 406:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 500 <= i && i <= 506:
+	case 500 <= i && i <= 508:
 		i -= 500
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	case 600 <= i && i <= 606:
--- a/process/event/process.go
+++ b/process/event/process.go
@@ -16,4 +16,8 @@
 	GraceExceeded
 	// ProcessFailed: a part of the process failed and the process stops. To do: read Error; the platform should start the process again.
 	ProcessFailed
+	// SecretReloaded: the fleet's secrets were replaced.
+	SecretReloaded
+	// SecretReloadFailed: a changed file of secrets could not be used; the former secrets stay. To do: mend the file, as nodes with other secrets will refuse this one.
+	SecretReloadFailed
 )
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -83,6 +83,9 @@
 	if _, err := do.Invoke[*planner.Planner](n.injector); err != nil {
 		return err
 	}
+	if _, err := do.Invoke[*secretWatcher](n.injector); err != nil {
+		return err
+	}
 	var err error
 	if n.callers, err = n.open("Callers", n.settings.Listen.Callers); err != nil {
 		return err
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -58,6 +58,7 @@
 	do.Provide(i, func(do.Injector) (*cachenews.Book, error) { return &cachenews.Book{}, nil })
 	do.Provide(i, n.newRecent)
 	do.Provide(i, n.newWarmer)
+	do.Provide(i, n.newSecretWatcher)
 	do.Provide(i, n.newPlanner)
 	do.Provide(i, n.newReport)
 	do.Provide(i, n.newMaintenance)
@@ -94,12 +95,10 @@
 	return w, nil
 }
 
-func (n *Node) secrets() [][]byte { return [][]byte{[]byte(n.settings.Peers.Secret)} }
-
 func (n *Node) newPeerClient(i do.Injector) (*peer.Client, error) {
 	m := do.MustInvoke[peerMaterial](i)
 	c, err := peer.NewClient(peer.ClientConfig{
-		Secrets:     n.secrets(),
+		Secrets:     n.settings.Peers.Secrets(),
 		TLS:         m.client(),
 		CallTimeout: n.settings.Peers.CallTimeout,
 	})
@@ -121,7 +120,7 @@
 	if err != nil {
 		return peerServer{}, fmt.Errorf("peer server: %w", err)
 	}
-	s, err := peer.NewServer(peer.ServerConfig{Secrets: n.secrets(), TLS: cfg, Logger: n.log})
+	s, err := peer.NewServer(peer.ServerConfig{Secrets: n.settings.Peers.Secrets(), TLS: cfg, Logger: n.log})
 	if err != nil {
 		return peerServer{}, fmt.Errorf("peer server: %w", err)
 	}
--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -109,7 +109,7 @@
 	}
 	checkRange(d, "Peers.CallTimeout", s.Peers.CallTimeout, time.Millisecond, time.Minute)
 	if !d.Faulty("Peers.SecretFile") {
-		checkSecret(d, "Peers.Secret", s.Peers.Secret)
+		checkSecrets(d, "Peers.Secret", s.Peers)
 	}
 }
 
@@ -165,6 +165,24 @@
 	}
 }
 
+// MaxSecrets is how many secrets a fleet may have at once: the old and the new
+// one, and room for a change that overtakes another.
+const MaxSecrets = 4
+
+func checkSecrets(d *document.Decoded, path string, p Peers) {
+	secrets := p.Secrets()
+	if len(secrets) == 0 {
+		checkSecret(d, path, "")
+		return
+	}
+	if len(secrets) > MaxSecrets {
+		d.Fault(path, fmt.Sprintf("%d secrets", len(secrets)), fmt.Sprintf("at most %d", MaxSecrets))
+	}
+	for _, s := range secrets {
+		checkSecret(d, path, string(s))
+	}
+}
+
 func checkFile(d *document.Decoded, path, value string) {
 	f, err := os.Open(value)
 	if err != nil {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -71,7 +71,9 @@
 type Peers struct {
 	// Seeds are peer listeners that are tried before the VM list is known.
 	Seeds []string
-	// Secret is shared by all nodes of a fleet; SecretFile is read instead.
+	// Secret is shared by all nodes of a fleet; SecretFile is read instead,
+	// and again when it changes. It holds one secret a line: the first is
+	// used towards peers, all are accepted of them.
 	Secret      string
 	SecretFile  string
 	CallTimeout time.Duration
@@ -159,6 +161,20 @@
 	return err
 }
 
+// Secrets are the fleet's secrets, the one to use first.
+func (p Peers) Secrets() [][]byte { return SecretLines(p.Secret) }
+
+// SecretLines gives the secrets of a text that holds one a line.
+func SecretLines(text string) [][]byte {
+	var secrets [][]byte
+	for line := range strings.Lines(text) {
+		if line = strings.TrimSpace(line); line != "" {
+			secrets = append(secrets, []byte(line))
+		}
+	}
+	return secrets
+}
+
 func (s *Settings) readSecrets(d *document.Decoded) {
 	readSecret(d, "Peers.Secret", &s.Peers.Secret, s.Peers.SecretFile)
 	readSecret(d, "Operators.BootstrapToken", &s.Operators.BootstrapToken, s.Operators.BootstrapTokenFile)
