Test a frozen planner and slow senders over real processes

The owner of the lease is stopped in the middle of a shift; another node ends the plan, the workspace is brought back by a newer one, and the first owner wakes: both plans stay finished on all nodes and the workspace stays where the newer plan put it. 200 connections that send a part of a request take nothing from the others and are closed by the header timeout.

--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -169,6 +171,45 @@
 	})
 }
 
+// Some callers send a part of a request and no more. Each holds a connection,
+// and a node that waited for the rest for ever would have none left; here far
+// more of them come than others, who are all served meanwhile. The node closes
+// them after its header timeout.
+func TestSlowSendersHoldNobodyUp(t *testing.T) {
+	t.Parallel()
+	const slow = 200
+	l := small
+	l.settings = "Limits: {HeaderTimeout: 2s, MaxConnections: 300}\n"
+	s := newSite(t, l)
+	head := "POST " + chatPath + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + keyOf(alpha) + "\r\n"
+	parts := []string{head, head + "Content-Length: 1000\r\n\r\n{\"model\":"}
+	ended := make(chan error, slow)
+	for i := range slow {
+		conn, err := net.Dial("tcp", s.nodes[0].callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := io.WriteString(conn, parts[i%len(parts)]); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			_, err := io.ReadAll(conn)
+			ended <- err
+		}()
+	}
+	for i := range 50 {
+		if err := s.askOnce(t.Context(), 0, chatOf(alpha, i)); err != nil {
+			t.Error(err)
+		}
+	}
+	for range slow {
+		if err := <-ended; err != nil && !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("a slow connection ended with %v", err)
+		}
+	}
+}
+
 // work gives an error if an engine has nothing to do.
 func (s *site) work(engine int) error {
 	var r struct{ Running, Queued int }
--- a/e2e/plan_test.go
+++ b/e2e/plan_test.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/samber/lo"
@@ -57,6 +59,67 @@
 	}
 }
 
+// The node that carries out a plan freezes in the middle of it, for longer
+// than its lease, and another one takes the plan over and ends it. Then the
+// first wakes, still believing that the lease is its own, and would carry the
+// old step out again on top of what came after: the workspace would be back
+// where it was. The log's order of lease and steps refuses it.
+func TestPlannerFrozenPastItsLease(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, standard)
+	c := s.stream(10, 8)
+	c.awaitDone(t, 50)
+	id, base := s.propose("anna", 0, "--shift-workspace", alpha, "--to", newPool, "--steps", "3")
+	if r := s.operate("confirm", "anna", 0, id, base); r.code != 0 {
+		t.Fatalf("confirm: %s", r.err)
+	}
+	frozen := s.leaseOwner(t)
+	s.nodes[frozen].signal(syscall.SIGSTOP)
+	other := (frozen + 1) % len(s.nodes)
+	s.awaitPlan(other, id, "Finished")
+	// Something newer than the plan, which the old owner must not undo.
+	back, base := s.propose("boris", other, "--shift-workspace", alpha, "--to", oldPool, "--steps", "1")
+	if r := s.operate("confirm", "boris", other, back, base); r.code != 0 {
+		t.Fatalf("confirm: %s", r.err)
+	}
+	s.awaitPlan(other, back, "Finished")
+	s.nodes[frozen].signal(syscall.SIGCONT)
+	for node := range s.nodes {
+		s.awaitPlan(node, id, "Finished")
+		s.awaitPlan(node, back, "Finished")
+	}
+	c.awaitDone(t, c.done.Load()+100)
+	checkOutcomes(t, c.stopAll(), -1)
+	before := s.engineCounters(2).Runs // the only one of the new pool
+	for node := range s.nodes {
+		if err := s.askOnce(t.Context(), node, chatOf(alpha, node)); err != nil {
+			t.Errorf("%s: %v", nodeName(node), err)
+		}
+	}
+	if after := s.engineCounters(2).Runs; after != before {
+		t.Errorf("%d of alpha's requests ran in the new pool after its way back", after-before)
+	}
+}
+
+// leaseOwner waits for the node that carries out the plans.
+func (s *site) leaseOwner(t *testing.T) int {
+	t.Helper()
+	owner := -1
+	await(t, "owner of the lease", func() error {
+		st, err := s.status(0)
+		if err != nil {
+			return err
+		}
+		name, _, _ := strings.Cut(st.LeaseOwner, "/")
+		owner = slices.IndexFunc(s.nodes, func(n nodeProcess) bool { return n.name == name })
+		if owner < 0 {
+			return fmt.Errorf("%q", st.LeaseOwner)
+		}
+		return nil
+	})
+	return owner
+}
+
 // Two operators (or more) state intents for one workspace through different
 // nodes and confirm at the same moment. Both read a plan made from the same
 // state; if both confirmations were taken, the workspace would be pulled both
