Work out each role's costs at the full size from the slopes

Fleets that are not timed run side by side, and the news of a fleet's start are told without playing the minutes.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -8,6 +8,7 @@
 	"fmt"
 
 	"github.com/samber/lo"
+	"golang.org/x/sync/errgroup"
 )
 
 // Config says how much is measured.
@@ -100,30 +101,46 @@
 	run  func(Config) ([]Slope, error)
 }
 
-// groups gives the areas in the order in which they are measured.
-func groups() []group {
+// timed gives the areas in which processor time or memory is measured, so
+// that nothing else may run beside them.
+func timed() []group {
 	return []group{
-		{"membership", membershipSlopes},
-		{"failures", faultSlopes},
 		{"placement", placementSlopes},
 		{"configuration", configurationSlopes},
+		{"plans", planSlopes},
 		{"journal", journalSlopes},
 		{"limits", limitSlopes},
 		{"health", healthSlopes},
 		{"engines", engineSlopes},
 		{"platform", platformSlopes},
 		{"peers", peerSlopes},
-		{"journal's fleet", journalFleetSlopes},
-		{"changes in force", forceSlopes},
 		{"metrics", metricSlopes},
 		{"serving", servingSlopes},
 	}
 }
 
+// untimed gives the areas that play fleets in virtual time, or whose real
+// time is spent waiting. They are run side by side.
+func untimed() []group {
+	return []group{
+		{"failures", faultSlopes},
+		{"journal's fleet", journalFleetSlopes},
+		{"changes in force", forceSlopes},
+	}
+}
+
 // Measure runs every measurement; progress hears the name of each area.
 func Measure(cfg Config, progress func(area string)) ([]Slope, error) {
-	var all []Slope
-	for _, g := range groups() {
+	fleets, beside, err := measureUntimed(cfg, progress)
+	if err != nil {
+		return nil, err
+	}
+	all, err := membershipSlopes(cfg, fleets)
+	if err != nil {
+		return nil, fmt.Errorf("capacity: membership: %w", err)
+	}
+	all = append(all, beside...)
+	for _, g := range timed() {
 		progress(g.name)
 		slopes, err := g.run(cfg)
 		if err != nil {
@@ -133,3 +150,25 @@
 	}
 	return all, nil
 }
+
+// measureUntimed runs the untimed areas, and settles the fleets whose
+// processor time is measured afterwards.
+func measureUntimed(cfg Config, progress func(area string)) (fleets []*memberFleet, slopes []Slope, err error) {
+	var g errgroup.Group
+	progress("membership, failures, the journal's fleet, changes in force")
+	g.Go(func() (err error) {
+		fleets, err = settleFleets()
+		return err
+	})
+	found := make([][]Slope, len(untimed()))
+	for i, area := range untimed() {
+		g.Go(func() (err error) {
+			if found[i], err = area.run(cfg); err != nil {
+				err = fmt.Errorf("capacity: %s: %w", area.name, err)
+			}
+			return err
+		})
+	}
+	err = g.Wait()
+	return fleets, lo.Flatten(found), err
+}
--- a/capacity/cluster.go
+++ b/capacity/cluster.go
@@ -22,6 +22,8 @@
 	journalLogBytes = "journal, log bytes a second of all nodes"
 	journalCalls    = "journal, calls between nodes a second, of all"
 	journalBytes    = "journal, bytes a second between nodes, of all"
+	journalReads    = "journal, log reads a second of all nodes"
+	journalRead     = "journal, log bytes a second that all nodes read"
 	journalWait     = "journal, what it adds to a call, at the median"
 )
 
@@ -53,7 +55,18 @@
 // delayedLog is a log whose answers take a moment.
 type delayedLog struct {
 	fakelog.Log
-	appends, bytes atomic.Int64
+	appends, bytes   atomic.Int64
+	reads, readBytes atomic.Int64
+}
+
+// Read implements platform.Log.
+func (l *delayedLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+	page, err := l.Log.Read(ctx, stream, from, limit, wait)
+	l.reads.Add(1)
+	for _, r := range page.Records {
+		l.readBytes.Add(int64(len(r.Body)))
+	}
+	return page, err
 }
 
 // Append implements platform.Log.
@@ -128,7 +141,7 @@
 	wg.Wait()
 }
 
-type journalResult struct{ appends, logBytes, calls, bytes, wait float64 }
+type journalResult struct{ appends, logBytes, calls, bytes, reads, read, wait float64 }
 
 // play sends calls at even intervals to the nodes in turn.
 func (f *journalFleet) play() journalResult {
@@ -137,6 +150,7 @@
 	f.waits, f.bytes = nil, 0
 	f.mu.Unlock()
 	appends, logged, calls := f.log.appends.Load(), f.log.bytes.Load(), f.calls.Load()
+	reads, read := f.log.reads.Load(), f.log.readBytes.Load()
 	f.load(journalCount, "key")
 	seconds := journalCount.Seconds()
 	f.mu.Lock()
@@ -146,6 +160,8 @@
 		logBytes: float64(f.log.bytes.Load()-logged) / seconds,
 		calls:    float64(f.calls.Load()-calls) / seconds,
 		bytes:    float64(f.bytes) / seconds,
+		reads:    float64(f.log.reads.Load()-reads) / seconds,
+		read:     float64(f.log.readBytes.Load()-read) / seconds,
 	}
 	if len(f.waits) > 0 {
 		r.wait = median(f.waits)
@@ -213,6 +229,8 @@
 		of(journalLogBytes, "bytes/s", func(r journalResult) float64 { return r.logBytes }),
 		of(journalCalls, "calls/s", func(r journalResult) float64 { return r.calls }),
 		of(journalBytes, "bytes/s", func(r journalResult) float64 { return r.bytes }),
+		of(journalReads, "reads/s", func(r journalResult) float64 { return r.reads }),
+		of(journalRead, "bytes/s", func(r journalResult) float64 { return r.read }),
 		of(journalWait, "ms", func(r journalResult) float64 { return r.wait }),
 	}, nil
 }
--- a/capacity/engines.go
+++ b/capacity/engines.go
@@ -20,6 +20,7 @@
 // Names of the slopes of what nodes know of the engines.
 const (
 	ownMicros     = "engines, processor time of finding the own ones"
+	usableMicros  = "engines, processor time of looking which are up"
 	statusBytes   = "engines, bytes of published statuses"
 	learnMicros   = "engines, processor time of taking in the nodes' statuses"
 	statusHeap    = "engines, bytes of the statuses"
@@ -36,6 +37,16 @@
 		measured(ownMicros, "process/member Choose, 51 nodes", "µs", PerRunner, runnerSizes, func(n int) float64 {
 			return processorMicros(cfg, chooseOwners(n))
 		}),
+		measured(usableMicros, "process/inventory Inventory.Usable", "µs", PerRunner, runnerSizes, func(n int) float64 {
+			inv := newInventory(n)
+			defer inv.Close()
+			names := lo.Times(n, engineName)
+			return processorMicros(cfg, func() {
+				for _, name := range names {
+					inv.Usable(siteStart, name)
+				}
+			})
+		}),
 		measured(statusBytes, "process/inventory Status", "bytes", PerRunner, []int{1, 2, 4, 8}, func(n int) float64 {
 			return float64(len(statusesValue(0, n)))
 		}),
--- a/capacity/faults.go
+++ b/capacity/faults.go
@@ -26,8 +26,8 @@
 	cutDataCentres = 2
 	// faultLimit bounds each wait, in virtual seconds.
 	faultLimit = 240
-	// valueFreeNews is the time until the news of the start are told.
-	valueFreeNews = 30
+	// quietSeconds are before the first failure.
+	quietSeconds = 10
 )
 
 // faultResult is what the failures of one fleet took, in seconds.
@@ -74,7 +74,8 @@
 	if err != nil {
 		return r, err
 	}
-	f.run(valueFreeNews)
+	f.tellNews()
+	f.run(quietSeconds)
 	last := fmt.Sprint("dc-", DataCentres-1)
 	centre := lo.Filter(f.nodes, func(m *memberNode, _ int) bool { return m.dataCentre == last })
 	rack := centre[:max(1, len(centre)/racksPerDataCentre)]
--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -6,8 +6,11 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/dunlinmill/dunlinmill/process/member"
 )
 
@@ -135,6 +138,21 @@
 	return n.table.Snapshot(n.fleet.now).Records[0]
 }
 
+// tellNews has every node send its news until there are none, as it would
+// over some minutes; all know each other already.
+func (f *memberFleet) tellNews() {
+	var g errgroup.Group
+	g.SetLimit(runtime.NumCPU())
+	for _, n := range f.nodes {
+		g.Go(func() error {
+			for len(n.table.MessageTo(f.now, member.Target{DataCentre: n.dataCentre}).Updates) > 0 {
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // no errors
+}
+
 // run lets seconds pass; in each, every node sends one heartbeat, spread
 // over the second.
 func (f *memberFleet) run(seconds int) {
--- a/capacity/markdown.go
+++ b/capacity/markdown.go
@@ -8,12 +8,101 @@
 	"github.com/samber/lo"
 )
 
+// Headings of the page's tables; docs/CAPACITY.md has the same.
+const (
+	headBudget  = "## The budget of a node"
+	headFigures = "## The figures of the size to design for"
+	headRoles   = "## The roles"
+	headSlopes  = "## The slopes"
+)
+
 // Write prints the page's tables.
-func Write(w io.Writer, slopes []Slope) error {
-	_, err := io.WriteString(w, slopeTable(slopes))
+func Write(w io.Writer, all []Slope) error {
+	slopes := ByName(all)
+	lines := Items(slopes)
+	var b strings.Builder
+	for _, part := range []struct{ head, table string }{
+		{headBudget, budgetTable(lines)},
+		{headFigures, figureTable(Figures(slopes))},
+		{headRoles, roleTable(lines)},
+		{headSlopes, slopeTable(all)},
+	} {
+		fmt.Fprintf(&b, "%s\n\n%s\n", part.head, part.table)
+	}
+	_, err := io.WriteString(w, b.String())
 	return err
 }
 
+// budgetTable sets the sums of control against the budget.
+func budgetTable(lines []Item) string {
+	t := table{head: []string{"", "Memory", "Bytes/s", "Core", "Log appends/s, all nodes"}}
+	row := func(name string, c Cost) {
+		t.add(name, bytesOf(c.Memory), bytesOf(c.Bytes), percent2(c.Core), number(c.Appends))
+	}
+	row("Budget", Cost{Memory: BudgetMemory, Bytes: BudgetBytes, Core: BudgetCore, Appends: budgetAppends})
+	for _, role := range Roles {
+		row(role, Sum(lo.Filter(lines, func(l Item, _ int) bool { return l.Role == role }), Control))
+	}
+	row("Control, a node in the mean", Sum(lines, Control))
+	for _, l := range lines {
+		if f, _ := l.Cost.Over(); l.Kind == Busiest && f > 1 {
+			row("The same, and "+l.What, Sum(lines, Control).plus(l.Cost))
+		}
+	}
+	row("Serving, not budgeted", Sum(lines, Serving))
+	return t.String()
+}
+
+// budgetAppends is what the log takes at least, of the several hundred.
+const budgetAppends = 300
+
+func figureTable(figures []Figure) string {
+	t := table{head: []string{"Figure", "What carries it", "Verdict"}}
+	for _, f := range figures {
+		t.add(f.Name, f.Line, f.Verdict)
+	}
+	return t.String()
+}
+
+func roleTable(lines []Item) string {
+	t := table{head: []string{"Role", "What", "Kind", "Memory", "Messages/s", "Bytes/s", "Core", "Log appends/s", "Mechanism", "Verdict", "From"}}
+	for _, l := range lines {
+		t.add(l.Role, l.What, string(l.Kind), blank(l.Cost.Memory, bytesOf), blank(l.Cost.Messages, number), blank(l.Cost.Bytes, bytesOf),
+			blank(l.Cost.Core, percent2), blank(l.Cost.Appends, number), l.Mechanism, verdict(l), strings.Join(l.From, "; "))
+	}
+	return t.String()
+}
+
+// blank leaves out what costs nothing.
+func blank(v float64, f func(float64) string) string {
+	if v == 0 {
+		return ""
+	}
+	return f(v)
+}
+
+// verdict says whether a line alone is within the whole budget. A line that
+// takes more than the budget alone is over, and says what has to change; so is
+// one that takes more than a fifth of it, if it has something to change.
+func verdict(l Item) string {
+	f, resource := l.Cost.Over()
+	change := ""
+	if l.Change != "" {
+		change = ": " + l.Change
+	}
+	switch {
+	case l.Kind == Serving || l.Kind == Part:
+		return "not budgeted"
+	case f > 1:
+		return fmt.Sprintf("over, %s (%s)%s", factor(f), resource, change)
+	case l.Change != "":
+		return fmt.Sprintf("%s of the budget (%s)%s", percent(f), resource, change)
+	}
+	return fmt.Sprintf("%s of the budget (%s)", percent(f), resource)
+}
+
+func percent2(share float64) string { return fmt.Sprintf("%.2f%%", 100*share) }
+
 // table is a table of markdown.
 type table struct {
 	head []string
--- a/capacity/membership.go
+++ b/capacity/membership.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"time"
@@ -14,49 +13,49 @@
 
 // Names of the slopes of the membership.
 const (
-	memberBytes      = "heartbeats, bytes a second of a node"
-	memberMessages   = "heartbeats, messages a second of a node"
-	memberProcessor  = "heartbeats, processor time a second of a node"
-	memberHeap       = "member table, bytes of a node"
-	memberLocalAge   = "published value, age in the data centre"
-	memberRemoteAge  = "published value, age in other data centres"
-	memberLocalHeld  = "published values held of the data centre's others"
-	memberRemoteHeld = "published values held of other data centres' nodes"
+	memberBytes     = "heartbeats, bytes a second of a node"
+	memberMessages  = "heartbeats, messages a second of a node"
+	memberProcessor = "heartbeats, processor time a second of a node"
+	memberHeap      = "member table, bytes of a node"
+	valueAge        = "published values, age in the data centre, half"
+	valueOldAge     = "published values, age in the data centre, 99 in 100"
+	valueHeld       = "published values held of the data centre's others"
 )
 
 // fleetSizes are the nodes of the fleets that are measured.
 var fleetSizes = []int{8, 32, 128, 360}
 
-// Virtual seconds of one fleet's measurement. The news of the start, which
-// take up to half of each message, are told within newsSeconds and one for
-// each newsNodes nodes; values that nobody renews are dropped within two
-// minutes, so that after valueSeconds the held ones are in balance.
+// Virtual seconds of one fleet's measurement. Values that nobody renews are
+// dropped within two minutes, so that after valueSeconds the held ones are in
+// balance.
 const (
-	newsSeconds  = 30
-	newsNodes    = 2
 	valueSeconds = 125
 	countSeconds = 10
 	spendSeconds = 5
-	valueBytes   = 1000
 )
 
-// valueNames are what each node publishes each second: the status of the
-// engines that it asks, and its traffic.
-var valueNames = []string{"Engines", "Placement"}
+// values are what each node publishes each second at the full size, and the
+// bytes of each: two statuses of engines, the traffic of one group of engines,
+// and the levels of the latest answers.
+var values = []struct {
+	name  string
+	bytes int
+}{{"Engines", 511}, {"Placement", 1018}, {"Caches", 1008}}
+
+// wideNodes is up to how many nodes values go to all data centres; see
+// process/node.
+const wideNodes = 32
 
 // fleetResult is what one fleet cost.
 type fleetResult struct {
-	bytes, messages       float64 // a second of one node
-	processor             float64 // microseconds a second of one node
-	localAge, remoteAge   float64 // seconds, 99th percentile
-	localHeld, remoteHeld float64 // share
+	bytes, messages float64 // a second of one node
+	processor       float64 // microseconds a second of one node
+	age, oldAge     float64 // seconds
+	held            float64 // share
 }
 
-func membershipSlopes(cfg Config) ([]Slope, error) {
-	fleets, err := settleFleets()
-	if err != nil {
-		return nil, err
-	}
+// membershipSlopes measures fleets that have been settled.
+func membershipSlopes(cfg Config, fleets []*memberFleet) ([]Slope, error) {
 	results := map[int]fleetResult{}
 	for _, f := range fleets {
 		results[len(f.nodes)] = f.result(cfg)
@@ -71,10 +70,9 @@
 		of(memberMessages, "messages/s", func(r fleetResult) float64 { return r.messages }),
 		of(memberProcessor, "µs/s", func(r fleetResult) float64 { return r.processor }),
 		heap,
-		of(memberLocalAge, "s, 99 in 100", func(r fleetResult) float64 { return r.localAge }),
-		of(memberRemoteAge, "s, 99 in 100", func(r fleetResult) float64 { return r.remoteAge }),
-		of(memberLocalHeld, "share", func(r fleetResult) float64 { return r.localHeld }),
-		of(memberRemoteHeld, "share", func(r fleetResult) float64 { return r.remoteHeld }),
+		of(valueAge, "s", func(r fleetResult) float64 { return r.age }),
+		of(valueOldAge, "s", func(r fleetResult) float64 { return r.oldAge }),
+		of(valueHeld, "share", func(r fleetResult) float64 { return r.held }),
 	}, nil
 }
 
@@ -99,15 +97,18 @@
 	return fleets, g.Wait()
 }
 
-// settle lets the news of the start pass and then has every node publish its
-// values each second.
+// settle tells the news of the start, which take up to half of each message,
+// and then has every node publish its values each second.
 func (f *memberFleet) settle() error {
-	f.run(newsSeconds + len(f.nodes)/newsNodes)
-	value := bytes.Repeat([]byte{1}, valueBytes)
+	f.tellNews()
 	var published error
 	f.publish = func(now time.Time, n *memberNode) {
-		for _, name := range valueNames {
-			if err := n.table.Publish(now, name, value); err != nil {
+		for _, v := range values {
+			publish := n.table.Publish
+			if len(f.nodes) > wideNodes {
+				publish = n.table.PublishLocal
+			}
+			if err := publish(now, v.name, make([]byte, v.bytes)); err != nil {
 				published = err
 			}
 		}
@@ -134,26 +135,23 @@
 	return r
 }
 
-// ages looks at what every node holds of every other.
+// ages looks at what every node holds of the others of its data centre.
 func (f *memberFleet) ages(r *fleetResult) {
-	var local, remote []float64
-	localPairs, remotePairs := 0, 0
+	var ages []float64
+	pairs := 0
 	for _, n := range f.nodes {
-		for _, v := range n.table.Latest(valueNames[0]) {
-			age := f.now.Sub(v.At).Seconds()
-			if v.DataCentre == n.dataCentre {
-				local = append(local, age)
-			} else {
-				remote = append(remote, age)
+		for _, value := range values {
+			for _, v := range n.table.Latest(value.name) {
+				if v.DataCentre == n.dataCentre {
+					ages = append(ages, f.now.Sub(v.At).Seconds())
+				}
 			}
 		}
 		near := lo.CountBy(f.nodes, func(o *memberNode) bool { return o.dataCentre == n.dataCentre }) - 1
-		localPairs += near
-		remotePairs += len(f.nodes) - 1 - near
+		pairs += near * len(values)
 	}
-	r.localAge, r.remoteAge = percentile(local, 0.99), percentile(remote, 0.99)
-	r.localHeld = float64(len(local)) / float64(max(1, localPairs))
-	r.remoteHeld = float64(len(remote)) / float64(max(1, remotePairs))
+	r.age, r.oldAge = percentile(ages, 0.5), percentile(ages, 0.99)
+	r.held = float64(len(ages)) / float64(max(1, pairs))
 }
 
 // percentile gives the p-th part of the values in order; 0 without any.
@@ -190,8 +188,8 @@
 		r.Name, r.Address, r.DataCentre = string([]byte(r.Name)), string([]byte(r.Address)), string([]byte(r.DataCentre))
 		t.Merge(now, member.Snapshot{Records: []member.Record{r}})
 		var blobs []member.Blob
-		for _, name := range valueNames {
-			blobs = append(blobs, member.Blob{Node: r.Name, Name: name, Version: 1, Value: make([]byte, valueBytes)})
+		for _, v := range values {
+			blobs = append(blobs, member.Blob{Node: r.Name, Name: v.name, Version: 1, Value: make([]byte, v.bytes)})
 		}
 		t.Receive(now, member.Message{From: r, Blobs: blobs})
 	}
--- a/capacity/placement.go
+++ b/capacity/placement.go
@@ -9,6 +9,9 @@
 
 	"github.com/samber/lo"
 
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 )
@@ -19,9 +22,10 @@
 	setUpstreamsProcessor = "placement, processor time of a new list of engines"
 	policyHeap            = "placement, bytes of a policy"
 	policyTables          = "placement, bytes of a policy's tables"
-	summaryBytes          = "placement, bytes of a summary"
+	newsBytes             = "placement, bytes of the news of cached levels"
 	mergeProcessor        = "placement, processor time of taking in summaries"
 	chainProcessor        = "placement, processor time of a prompt's chain"
+	eventBytes            = "placement, bytes of cache events as engines give them"
 	eventProcessor        = "placement, processor time of cache events"
 )
 
@@ -51,10 +55,11 @@
 		measured(policyTables, policyCode, "bytes", PerLevel, []int{1 << 14, 1 << 16, 1 << 17, 1 << 18}, func(n int) float64 {
 			return heapOf(func() *placement.Affinity { return newPolicy(1, n) })
 		}),
-		measured(summaryBytes, policyCode+".Summarize", "bytes", PerRequest, []int{4, 16, 32, 64}, bytesOfSummary),
+		measured(newsBytes, "request/cachenews Book", "bytes", PerLevel, []int{5, 10, 20, 40}, newsOf),
 		micros(mergeProcessor, PerNode, fleetSizes, mergeSummaries),
 		measured(chainProcessor, "request/prefix FromMessages", "µs", PerByte, []int{2 << 10, 8 << 10, 32 << 10, 128 << 10},
 			func(n int) float64 { return processorMicros(cfg, hashPrompt(n)) }),
+		measured(eventBytes, "connection/upstream CacheEvents", "bytes", PerEvent, []int{10, 40, 160, 640}, bytesOfEvents),
 		micros(eventProcessor, PerEvent, []int{100, 1000, 4000, 16000}, takeEvents),
 	}, nil
 }
@@ -144,19 +149,14 @@
 	}
 }
 
-// bytesOfSummary is the JSON of a summary of a node with n requests in flight
-// on as many engines, each under a hot prefix of its own.
-func bytesOfSummary(n int) float64 {
-	p := newPolicy(Runners, 0)
-	now := time.Unix(1_800_000_000, 0)
-	for _, r := range prompts(n) {
-		for range 4 {
-			now = now.Add(time.Millisecond)
-			d := lo.Must(p.Place(now, r))
-			p.Sent(now, r, d)
-		}
+// newsOf is what a node tells of n levels that answers had computed.
+func newsOf(n int) float64 {
+	var b cachenews.Book
+	for i := range n {
+		level := prefix.Chain{{ID: uint64(i), Tokens: 100}}
+		b.Note(siteStart, engineName(i), level, placement.Answer{Incarnation: 1, PromptTokens: 100})
 	}
-	return float64(len(lo.Must(json.Marshal(p.Summarize(now, "node-001")))))
+	return float64(len(b.Value(siteStart, member.MaxBlobBytes)))
 }
 
 // mergeSummaries takes in one summary of each of n nodes.
@@ -186,6 +186,19 @@
 	return func() { prefix.FromMessages(id, msgs) }
 }
 
+// bytesOfEvents is the body of an answer with n cache events.
+func bytesOfEvents(n int) float64 {
+	rnd := rand.New(rand.NewPCG(1, 6))
+	events := upstream.CacheEvents{Incarnation: rnd.Uint64(), Next: 170_000_000}
+	for i := range n {
+		events.Events = append(events.Events, upstream.CacheEvent{
+			Sequence: 170_000_000 + uint64(i), Stored: i%2 == 0, Salt: prefix.Salt(prefix.Identity{Workspace: "w", Model: "m"}, "v1"),
+			Block: rnd.Uint64(), Tokens: 4096,
+		})
+	}
+	return float64(len(lo.Must(json.Marshal(events))))
+}
+
 // takeEvents reads n cache events of all engines.
 func takeEvents(n int) func() {
 	p := newPolicy(Runners, 0)
