Carry out the imports that the placement decides on

Cause: a decision could say "import the prefix first", and the request path ignored it; nothing set the rate either, so imports existed in the measurements alone. Change: before the send, the router exports from the decision's source and imports into the chosen engine, under one limit of 300 ms (less if the deadline is nearer). Both must have told that they hold the same accepted weights version; the export bears the version and the salt of the send. On any failure the engine computes the prefix, the caller sees nothing, and the end that failed is left out for 5 s. At most 2 imports at a time per engine, at either end, and 8 per node, of 8 MiB at most; whole answers of engines are read up to that bound. Events PrefixImported and PrefixNotImported, counter imports_total, setting Placement.ImportRate (0, the default: no imports). A claim is checked after the import, as it may run out meanwhile. Ruled out: going on with a continuation after an import (rare, and the new engine has to compute the text so far anyway). Tests seen failing, each without its safeguard: versions not compared ("source holds other accepted weights: 1 exports, 1 imports"), unknown or unaccepted weights, no bound on size, empty export, no time limit ("a call without a time limit"), places not given back, no bound per engine or node, salt or version left out of the export, error passed on to the caller, not carried out at all. Not shown: real engines' KV blocks; see docs/design/kvimport.md.

--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -53,6 +53,8 @@
 	_ = x[StreamResumed-105]
 	_ = x[StreamContinued-106]
 	_ = x[StreamCancelled-107]
+	_ = x[PrefixImported-108]
+	_ = x[PrefixNotImported-109]
 	_ = x[ConfigInForce-300]
 	_ = x[ConfigFromSnapshot-301]
 	_ = x[ConfigFromPeer-302]
@@ -76,7 +78,7 @@
 }
 
 const (
-	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelled"
+	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelledPrefixImportedPrefixNotImported"
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailed"
 	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepaired"
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
@@ -85,7 +87,7 @@
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112}
+	_Event_index_0 = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112, 126, 143}
 	_Event_index_1 = [...]uint8{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215}
 	_Event_index_2 = [...]uint8{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239}
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
@@ -95,7 +97,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 107:
+	case 100 <= i && i <= 109:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 200 <= i && i <= 213:
--- a/process/event/request.go
+++ b/process/event/request.go
@@ -18,4 +18,8 @@
 	StreamContinued
 	// StreamCancelled: the engine was told to stop a stream that nobody reads.
 	StreamCancelled
+	// PrefixImported: the chosen engine got a kept prefix from another engine's cache before the request was sent.
+	PrefixImported
+	// PrefixNotImported: an import failed or was not begun, for the cause given; the engine computes the prefix. To do: when it goes on for one upstream, look at that upstream, or set Placement.ImportRate to 0.
+	PrefixNotImported
 )
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -17,7 +17,7 @@
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
-//go:generate go tool stringer -type=Retry,Append,PeerState -output=metric_string.go
+//go:generate go tool stringer -type=Retry,Append,PeerState,Import -output=metric_string.go
 
 const namespace = "dunlinmill"
 
@@ -61,6 +61,16 @@
 	Leaving
 )
 
+// Import says what became of an import of a kept prefix.
+type Import uint8
+
+const (
+	// Imported prefixes were not computed again.
+	Imported Import = iota
+	// NotImported prefixes were computed.
+	NotImported
+)
+
 // firstTokenBuckets are in seconds, closest around the aim of 1 s.
 var firstTokenBuckets = []float64{.01, .025, .05, .1, .2, .35, .5, .75, 1, 1.5, 2.5, 5, 10, 30}
 
@@ -78,6 +88,7 @@
 	firstToken     *prometheus.HistogramVec
 	promptTokens   *prometheus.CounterVec
 	retries        *prometheus.CounterVec
+	imports        *prometheus.CounterVec
 	inFlight       prometheus.Gauge
 	queueLength    prometheus.Gauge
 	configOffset   prometheus.Gauge
@@ -98,6 +109,7 @@
 		firstToken:     firstToken(),
 		promptTokens:   counters("prompt_tokens_total", "Prompt tokens by whether the engine had them cached or computed them.", "from"),
 		retries:        counters("retries_total", "Requests that were sent again, resumed or continued.", "kind"),
+		imports:        counters("imports_total", "Decided imports of a prefix from another engine's cache, by result.", "result"),
 		inFlight:       gauge("in_flight_requests", "Requests that this node has taken and not ended."),
 		queueLength:    gauge("queued_requests", "Requests that wait for an upstream."),
 		configOffset:   gauge("config_offset", "Log offset of the configuration in force."),
@@ -108,7 +120,7 @@
 		journalLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "journal_append_seconds", Help: "Time that a not-repeatable request waited for its journal record.", Buckets: journalBuckets}),
 	}
 	m.classes.Store(&Classes{})
-	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.retries,
+	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.retries, m.imports,
 		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.peers,
 		m.journalAppends, m.journalLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -165,6 +177,9 @@
 // Retried counts a retry.
 func (m *Metrics) Retried(r Retry) { m.retries.WithLabelValues(r.String()).Inc() }
 
+// Imported counts an import.
+func (m *Metrics) Imported(i Import) { m.imports.WithLabelValues(i.String()).Inc() }
+
 // Began counts a request that this node has taken.
 func (m *Metrics) Began() { m.inFlight.Inc() }
 
--- a/process/metric/metric_test.go
+++ b/process/metric/metric_test.go
@@ -40,6 +40,7 @@
 	m.FirstToken("sofia", 400*time.Millisecond)
 	m.Prompt(1000, 900)
 	m.Retried(Resumed)
+	m.Imported(NotImported)
 	m.Queued(3)
 	m.LogRead(time.Unix(1000, 500e6), true)
 	m.Peers(Live, 5)
@@ -54,6 +55,7 @@
 		`dunlinmill_prompt_tokens_total{from="cached"} 900`,
 		`dunlinmill_prompt_tokens_total{from="computed"} 100`,
 		`dunlinmill_retries_total{kind="Resumed"} 1`,
+		`dunlinmill_imports_total{result="NotImported"} 1`,
 		`dunlinmill_in_flight_requests 1`,
 		`dunlinmill_queued_requests 3`,
 		`dunlinmill_config_offset 7`,
--- a/process/node/dialer.go
+++ b/process/node/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/dunlinmill/dunlinmill/connection/upstream/overhttp"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/request/completion"
 )
 
 // dialer makes the clients of the upstreams. Another kind of upstream is put
@@ -11,9 +12,12 @@
 	cfg overhttp.Config
 }
 
-// Engine makes the client of an engine.
+// Engine makes the client of an engine. An engine's whole answers are reports
+// and exports; a few exports at once must not fill this node's memory.
 func (d dialer) Engine(address string) inventory.EngineClient {
-	return overhttp.NewEngine(address, d.cfg)
+	cfg := d.cfg
+	cfg.MaxBody = completion.DefaultMaxImportBytes
+	return overhttp.NewEngine(address, cfg)
 }
 
 // Service makes the client of a plain service.
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -255,9 +255,10 @@
 	members := do.MustInvoke[*member.Runner](i)
 	build := func() placement.Policy {
 		return placement.New(placement.Config{
-			Nodes:    len(members.Live(time.Now())),
-			Seed:     id.seed,
-			Weighing: v.Config().Weighing,
+			Nodes:      len(members.Live(time.Now())),
+			Seed:       id.seed,
+			Weighing:   v.Config().Weighing,
+			ImportRate: n.settings.Placement.ImportRate,
 		})
 	}
 	usable := func(now time.Time, name string) bool {
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -111,3 +111,12 @@
 		o.metrics.Retried(metric.Resent)
 	}
 }
+
+// Imported counts an import of a kept prefix.
+func (o observer) Imported(_ completion.Request, err error) {
+	if err != nil {
+		o.metrics.Imported(metric.NotImported)
+		return
+	}
+	o.metrics.Imported(metric.Imported)
+}
--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -26,6 +26,7 @@
 	MaxWait        = time.Hour
 	MaxHorizon     = 24 * time.Hour
 	MaxAppends     = 1000.0
+	MaxImportRate  = 10_000_000.0
 )
 
 const (
@@ -118,6 +119,7 @@
 	checkRange(d, "Limits.MaxHeaderBytes", s.Limits.MaxHeaderBytes, 1<<10, MaxHeader)
 	checkRange(d, "Limits.MaxConnections", s.Limits.MaxConnections, 1, MaxConnections)
 	checkRange(d, "Queue.Length", s.Queue.Length, 1, MaxQueue)
+	checkRange(d, "Placement.ImportRate", s.Placement.ImportRate, 0, MaxImportRate)
 	checkRange(d, "Journal.AppendsPerSecond", s.Journal.AppendsPerSecond, 1, MaxAppends)
 }
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -24,6 +24,7 @@
 	Operators  Operators
 	Limits     Limits
 	Queue      Queue
+	Placement  Placement
 	Journal    Journal
 	Plans      Plans
 	Shutdown   Shutdown
@@ -103,6 +104,13 @@
 	MaxWait time.Duration
 }
 
+// Placement settles the choice of an engine.
+type Placement struct {
+	// ImportRate is how many tokens a second one engine imports from
+	// another's cache; 0: no imports.
+	ImportRate float64
+}
+
 // Journal settles the record of not-repeatable requests.
 type Journal struct {
 	Horizon time.Duration // how long a key is answered for
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -31,6 +31,11 @@
 	holds    bool // whether a cut stream can be resumed
 	reborn   bool // whether a resumed stream is of another incarnation
 	early    bool // whether the cut looks like an end
+
+	export  error // instead of an export
+	kv      int   // bytes of an export
+	imports error // instead of an import
+	hangs   bool  // whether exports and imports hang
 }
 
 // engine is a scripted upstream.Engine.
@@ -41,6 +46,9 @@
 	mu        sync.Mutex
 	sends     []upstream.Generation
 	cancelled int
+	exported  []upstream.Generation
+	imported  int  // successful imports
+	unbounded bool // an export or import came without a time limit
 }
 
 func (e *engine) Generate(_ context.Context, g upstream.Generation) (upstream.Stream, error) {
@@ -83,10 +91,35 @@
 	return upstream.CacheEvents{}, nil
 }
 func (e *engine) Order(context.Context, upstream.Order) error { return nil }
-func (e *engine) Export(context.Context, upstream.Generation) ([]byte, error) {
-	return nil, nil
+func (e *engine) Export(ctx context.Context, g upstream.Generation) ([]byte, error) {
+	e.exported = append(e.exported, g)
+	if err := e.hang(ctx); err != nil {
+		return nil, err
+	}
+	return make([]byte, e.kv), e.export
+}
+func (e *engine) Import(ctx context.Context, _ []byte) error {
+	if err := e.hang(ctx); err != nil {
+		return err
+	}
+	if e.script.imports == nil {
+		e.imported++
+	}
+	return e.script.imports
+}
+
+// hang waits for the end of the call, if it has a limit.
+func (e *engine) hang(ctx context.Context) error {
+	if _, ok := ctx.Deadline(); !ok {
+		e.unbounded = true
+		return nil
+	}
+	if !e.hangs {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
 }
-func (e *engine) Import(context.Context, []byte) error { return nil }
 
 type stream struct {
 	e           *engine
@@ -130,6 +163,7 @@
 	versions map[string]string // told by the engines' reports
 	policy   *inTurn
 	once     *onceJournal
+	imports  []error // as the observer was told
 }
 
 func newSite(engines ...*engine) *site {
@@ -173,6 +207,7 @@
 func (s *site) Note(time.Time, prefix.Identity, []prefix.Message) {}
 func (s *site) Answered(Request, Info, time.Duration)             {}
 func (s *site) Retried(Request, retry.Action)                     {}
+func (s *site) Imported(_ Request, err error)                     { s.imports = append(s.imports, err) }
 func (s *site) Policy(time.Time, catalogue.Group) placement.Policy {
 	return s.policy
 }
@@ -185,6 +220,7 @@
 	placement.Policy
 	names    []string
 	finished []bool
+	source   string // of an import; empty: none
 }
 
 func (p *inTurn) Place(_ time.Time, r placement.Request) (placement.Decision, error) {
@@ -194,7 +230,7 @@
 			excluded = excluded || x == n
 		}
 		if !excluded {
-			return placement.Decision{Upstream: n}, nil
+			return placement.Decision{Upstream: n, Import: p.source != "", Source: p.source}, nil
 		}
 	}
 	return placement.Decision{}, placement.ErrNoCandidate
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -82,6 +82,8 @@
 type Observer interface {
 	Answered(r Request, i Info, firstToken time.Duration)
 	Retried(r Request, a retry.Action)
+	// Imported notes the outcome of an import of a kept prefix.
+	Imported(r Request, err error)
 }
 
 // Recent remembers what workspaces ask, for a pool that they are shifted to.
@@ -106,6 +108,11 @@
 	PlaceWait time.Duration
 	// ResumeTimeout bounds each resume.
 	ResumeTimeout time.Duration
+	// ImportTimeout is what an import may take at most, export included; a
+	// failed one delays the first token by as much.
+	ImportTimeout time.Duration
+	// MaxImportBytes bounds what one import carries.
+	MaxImportBytes int
 }
 
 // Defaults of Config.
@@ -114,6 +121,10 @@
 	DefaultMaxResumes    = 3
 	DefaultPlaceWait     = time.Second
 	DefaultResumeTimeout = 2 * time.Second
+	DefaultImportTimeout = 300 * time.Millisecond
+	// DefaultMaxImportBytes is for values that refer to a store, or small
+	// blocks: the router's memory is no place for the blocks of a long prompt.
+	DefaultMaxImportBytes = 8 << 20
 )
 
 // WithDefaults fills what is not set.
@@ -130,6 +141,12 @@
 	if c.ResumeTimeout == 0 {
 		c.ResumeTimeout = DefaultResumeTimeout
 	}
+	if c.ImportTimeout == 0 {
+		c.ImportTimeout = DefaultImportTimeout
+	}
+	if c.MaxImportBytes == 0 {
+		c.MaxImportBytes = DefaultMaxImportBytes
+	}
 	return c
 }
 
@@ -147,6 +164,8 @@
 	News      News
 	Observer  Observer
 	Log       *zap.Logger
+
+	transfers transfers
 }
 
 // chain gives the request's prefix levels.
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -315,6 +315,10 @@
 
 // send calls the engine and waits for the first token.
 func (s *start) send(ctx context.Context, now time.Time, v *visit, u config.Upstream) (*Answer, error) {
+	if v.decision.Import {
+		s.importPrefix(ctx, v.decision, u)
+		now = time.Now() // a claim may have run out meanwhile
+	}
 	if s.claim != nil && !s.claim.MayBegin(now) {
 		return nil, fmt.Errorf("claim is over: %w", upstream.ErrRefused)
 	}
