Test cache isolation and a retirement with a full queue over processes

Two workspaces send the same prompt to the same engine: neither is told of cached tokens of the other's. An engine is retired while its slots are taken and requests wait for it: none is cancelled, all are answered, and no new one runs there. A process whose log holds a data race, a panic or a fatal error fails its test now, also if it was killed at the end.

--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/dunlinmill/dunlinmill/standin/engine"
@@ -59,6 +60,40 @@
 	}
 }
 
+// One workspace's prompt tells, by the time to its first token or by the count
+// of cached tokens, what another one has asked before: both have the same
+// opening, and the engine's cache would serve it to whoever asks. Within a
+// workspace the second request has its prompt cached.
+func TestNoWorkspaceSeesAnothersCache(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, small)
+	c := workload.Next(rand.New(rand.NewPCG(9, 9)))
+	cached := func(workspace string) int {
+		c.Key = keyOf(workspace)
+		a, err := s.nodes[0].client.Stream(t.Context(), c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a.CachedTokens
+	}
+	if n := cached(alpha); n != 0 {
+		t.Errorf("alpha's first request had %d tokens cached", n)
+	}
+	if n := cached(alpha); n == 0 {
+		t.Error("alpha's second request had nothing cached")
+	}
+	// Beta has shares in both pools; the old one is alpha's.
+	for range 10 {
+		c.Messages[0].Content = "x" + c.Messages[0].Content // no request shares with an earlier one
+		if n := cached(alpha); n != 0 {
+			t.Errorf("a changed prompt of alpha had %d tokens cached", n)
+		}
+		if n := cached(beta); n != 0 {
+			t.Errorf("beta had %d tokens of alpha's prompt cached", n)
+		}
+	}
+}
+
 // resumed is how many streams the engines were asked to go on with.
 func (s *site) resumed() int {
 	sum := 0
--- a/e2e/input_test.go
+++ b/e2e/input_test.go
@@ -197,10 +197,7 @@
 		{"unknown upstream", node("intent", "anna", "--retire-upstream", "engine-9"), 1, []string{"MalformedIntent", `"engine-9"`}},
 		{"unreachable node", []string{"status", "--server", "http://127.0.0.1:1", "--token-file", file("anna")}, 1, []string{"127.0.0.1:1", "refused"}},
 	}
-	before, err := s.status(0)
-	if err != nil {
-		t.Fatal(err)
-	}
+	before := command(t, "", node("plan", "anna")...)
 	for _, tt := range tests {
 		r := command(t, "", tt.args...)
 		if r.code != tt.code || r.out != "" {
@@ -212,9 +209,10 @@
 			}
 		}
 	}
-	after, err := s.status(0)
-	if err != nil || after.Offset != before.Offset {
-		t.Errorf("offset was %d and is %d, %v", before.Offset, after.Offset, err)
+	// The bootstrap's plan is still the only one.
+	after := command(t, "", node("plan", "anna")...)
+	if before.code != 0 || after != before || strings.Count(after.out, "\n") != 1 {
+		t.Errorf("plans were %+v and are %+v", before, after)
 	}
 }
 
--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -94,6 +94,44 @@
 	checkOutcomes(t, c.stopAll(), -1)
 }
 
+// An upstream is retired while its slots are taken and more requests wait for
+// it, on the node and on the engine. Those that run or wait there must come to
+// an end, none may be cut by the retirement, and none may be left waiting for
+// an engine that will not be asked again.
+func TestRetireWithAFullQueue(t *testing.T) {
+	t.Parallel()
+	l := standard
+	l.nodes = 2
+	l.engineFlags = []string{"--slots", "2", "--queue", "100", "--prefill-rate", "200000", "--decode", "5ms"}
+	s := newSite(t, l)
+	c := s.stream(30, 10)
+	await(t, "queue", func() error {
+		var r struct{ Running, Queued int }
+		if err := get(s.engines[1].address, "/report", &r); err != nil {
+			return err
+		}
+		if r.Running < 2 || r.Queued < 1 {
+			return fmt.Errorf("%+v", r)
+		}
+		return nil
+	})
+	id, base := s.propose("anna", 0, "--retire-upstream", engineName(1))
+	if r := s.operate("confirm", "anna", 1, id, base); r.code != 0 {
+		t.Fatalf("confirm: %s", r.err)
+	}
+	s.awaitPlan(0, id, "Finished")
+	s.awaitPlan(1, id, "Finished")
+	before := s.engineCounters(1)
+	if before.Cancelled > 0 {
+		t.Errorf("%d requests were cancelled", before.Cancelled)
+	}
+	c.awaitDone(t, c.done.Load()+60)
+	if after := s.engineCounters(1); after.Runs != before.Runs {
+		t.Errorf("%d new requests ran on the retired engine", after.Runs-before.Runs)
+	}
+	checkOutcomes(t, c.stopAll(), -1)
+}
+
 // refusedEverywhere runs commands against all nodes at once; each of them has
 // to say that the platform is to blame.
 func (s *site) refusedEverywhere(commands ...[]string) {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -64,6 +64,9 @@
 	p.start()
 	t.Cleanup(func() {
 		p.kill()
+		if fault := faults.FindString(p.output()); fault != "" {
+			t.Errorf("%s reported %q", name, fault)
+		}
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", name, p.tail())
 		}
@@ -71,6 +74,9 @@
 	return p
 }
 
+// faults are what the language's runtime reports of a program.
+var faults = regexp.MustCompile(`(?m)^(WARNING: DATA RACE|panic: .*|fatal error: .*)$`)
+
 // start starts the program, again after its end.
 func (p *process) start() {
 	p.t.Helper()
