--- a/measure/measure.go
+++ b/measure/measure.go
@@ -8,6 +8,12 @@
 // not use the wall clock, unseeded randomness or the order of a map.
 //
 // To add a scenario, append it to Scenarios.
+//
+// Two things to know when reading the table. The oracle is greedy and refuses
+// nothing: it is the limit for placement up to full load, not for overload,
+// where the whole path passes it by refusing. And a hit rate counts only
+// prompts that were begun: a policy that leaves requests unanswered shows a
+// high one, next to the count of those.
 package measure
 
 import (
