--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -18,6 +18,7 @@
 
 // fleet is one run: the engines, the nodes, and what passes between them.
 type fleet struct {
+	reports  int // load reports told to nodes on the whole path
 	clock    virtual.Clock
 	user     workload.User
 	scenario Scenario
@@ -128,6 +129,7 @@
 	if f.policy.serves {
 		n.serving = newServing(f.seed<<8 | uint64(n.index))
 		n.serving.guard.SetUpstreams(f.clock.Now(), f.names())
+		f.shareEvidence(n)
 		f.resize(n, n.serving)
 		f.maintain(n, n.serving)
 	}
@@ -183,7 +185,7 @@
 		f.reported[cfg.Name] = b
 		for _, n := range f.nodes {
 			if f.reaches(n.centre, cfg.DataCentre) {
-				n.policy.Loaded(f.clock.Now(), cfg.Name, l)
+				n.loaded(f, cfg.Name, l)
 			}
 		}
 	})
@@ -235,4 +237,5 @@
 	}
 	n.encoded.bytes = 0
 	f.tellNews(n)
+	f.tellEvidence(n)
 }
--- a/measure/news.go
+++ b/measure/news.go
@@ -7,15 +7,31 @@
 	"github.com/samber/lo"
 
 	"github.com/dunlinmill/dunlinmill/measure/engine"
-	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 )
 
-// newsLag is how old a value is when a peer has it, about the middle of what
-// docs/design/membership.md gives for eight nodes.
-const newsLag = 1500 * time.Millisecond
+// Eight nodes tell each other directly, once a second. One of them asks each
+// engine for its load twice a second, and the others hear of it with the next
+// that it tells: a quarter and half a second later in the middle.
+const (
+	askPeriod = time.Second
+	askLag    = 750 * time.Millisecond
+)
+
+// loaded tells a node of an engine's load: at once, or as it comes round.
+func (n *node) loaded(f *fleet, upstream string, l placement.Load) {
+	if n.serving == nil {
+		n.policy.Loaded(f.clock.Now(), upstream, l)
+		return
+	}
+	f.reports++
+	if f.reports/len(f.nodes)%int(askPeriod/loadPeriod) != 0 {
+		return
+	}
+	f.clock.After(askLag, func() { n.policy.Loaded(f.clock.Now(), upstream, l) })
+}
 
 // noteNews keeps what an answer said about its engine's cache for the peers.
 func (n *node) noteNews(now time.Time, upstream string, chain prefix.Chain, a placement.Answer) {
@@ -31,7 +47,7 @@
 	if n.serving == nil || f.scenario.Silent {
 		return
 	}
-	value := n.news.Value(f.clock.Now(), member.MaxBlobBytes)
+	value := n.news.Value(f.clock.Now(), cachenews.ValueBytes)
 	entries, err := cachenews.Decode(value)
 	if err != nil {
 		panic(fmt.Errorf("measure: news of %s: %w", n.name, err))
@@ -44,7 +60,7 @@
 			continue
 		}
 		f.bytes += len(value)
-		f.clock.After(newsLag, func() {
+		f.clock.After(latency(n.centre, peer.centre), func() {
 			for _, e := range entries {
 				peer.policy.Cached(f.clock.Now(), names[e.Upstream], e.Event())
 			}
--- a/measure/serving.go
+++ b/measure/serving.go
@@ -9,6 +9,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/settings"
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/failure"
@@ -28,6 +29,8 @@
 	queue   *limit.Queue
 	shedder *shedding.Shedder
 	waiting map[*limit.Entry]*call
+
+	evidence *member.Upstreams // of its and its peers' sends
 }
 
 // Serve is the whole path that serve runs, with the given policy.
--- a/process/inventory/inventory.go
+++ b/process/inventory/inventory.go
@@ -77,8 +77,8 @@
 
 // Defaults of Config.
 const (
-	DefaultInterval = time.Second
-	DefaultTimeout  = 800 * time.Millisecond
+	DefaultInterval = 500 * time.Millisecond
+	DefaultTimeout  = 400 * time.Millisecond
 	DefaultWorkers  = 8
 )
 
--- a/process/member/blob.go
+++ b/process/member/blob.go
@@ -213,11 +213,19 @@
 	return picked
 }
 
-// sortBlobs puts those first that were sent least often, and of these the
-// newest.
+// smallValue is up to how many bytes a value goes before the larger ones. It
+// hardly delays these, but would itself wait long behind them: what nodes tell
+// of failing upstreams is short, rare and of use only while it is new.
+const smallValue = 256
+
+// sortBlobs puts small ones first, then those that were sent least often, and
+// of these the newest.
 func (t *Table) sortBlobs(keys []blobKey) {
+	size := func(k blobKey) int { return max(len(t.blobs[k].value), smallValue) }
+	large := func(k blobKey) int { return min(size(k)-smallValue, 1) }
 	slices.SortFunc(keys, func(a, b blobKey) int {
 		return cmp.Or(
+			cmp.Compare(large(a), large(b)),
 			cmp.Compare(t.blobs[a].sends, t.blobs[b].sends),
 			t.blobs[b].at.Compare(t.blobs[a].at),
 			cmp.Compare(a.node, b.node),
--- a/process/member/member.go
+++ b/process/member/member.go
@@ -157,8 +157,12 @@
 	RemoteShare    int           // one heartbeat in so many goes to another data centre
 	DeadRetention  time.Duration // how long a dead member is remembered and tried again
 	MessageBytes   int           // about the most that one heartbeat carries
-	VMListInterval time.Duration
-	RandomSeed     uint64 // 0: from the incarnation
+	// SmallFleet is up to how many other members a fleet is small: heartbeats
+	// go to all alike and carry SmallMessageBytes.
+	SmallFleet        int
+	SmallMessageBytes int
+	VMListInterval    time.Duration
+	RandomSeed        uint64 // 0: from the incarnation
 }
 
 func (c Config) withDefaults() Config {
@@ -169,6 +173,8 @@
 	c.RemoteShare = cmp.Or(c.RemoteShare, 4)
 	c.DeadRetention = cmp.Or(c.DeadRetention, 30*time.Minute)
 	c.MessageBytes = cmp.Or(c.MessageBytes, 2048)
+	c.SmallFleet = cmp.Or(c.SmallFleet, 16)
+	c.SmallMessageBytes = cmp.Or(c.SmallMessageBytes, 3072)
 	c.VMListInterval = cmp.Or(c.VMListInterval, 5*c.Interval)
 	c.RandomSeed = cmp.Or(c.RandomSeed, uint64(c.Incarnation))
 	return c
--- a/process/member/message.go
+++ b/process/member/message.go
@@ -30,8 +30,9 @@
 // message makes the heartbeat for a peer in a data centre.
 func (t *Table) message(now time.Time, dataCentre string) Message {
 	m := Message{From: t.self, Offset: t.offset, Digest: t.digest()}
-	m.Updates = t.pickUpdates(now, t.cfg.MessageBytes/updateShare)
-	left := t.cfg.MessageBytes - m.From.size()
+	left := t.messageBytes()
+	m.Updates = t.pickUpdates(now, left/updateShare)
+	left -= m.From.size()
 	for _, r := range m.Updates {
 		left -= r.size()
 	}
@@ -39,6 +40,15 @@
 	return m
 }
 
+// messageBytes is about the most that a heartbeat carries. A small fleet has
+// less news of members to carry, and its bytes are free for values.
+func (t *Table) messageBytes() int {
+	if len(t.members) > t.cfg.SmallFleet {
+		return t.cfg.MessageBytes
+	}
+	return t.cfg.SmallMessageBytes
+}
+
 // MessageTo makes the heartbeat for a target.
 func (t *Table) MessageTo(now time.Time, target Target) Message {
 	t.mu.Lock()
--- a/process/member/target.go
+++ b/process/member/target.go
@@ -94,7 +94,7 @@
 }
 
 func (t *Table) ringTarget() (Target, bool) {
-	if t.rnd.IntN(t.cfg.RemoteShare) == 0 {
+	if t.goesRemote() {
 		if target, ok := t.nextIn(&t.remote, false); ok {
 			return target, true
 		}
@@ -105,6 +105,18 @@
 	return t.nextIn(&t.remote, false)
 }
 
+// goesRemote says whether the next heartbeat goes to another data centre. In a
+// small fleet all members are heard alike: with two nodes in each of four data
+// centres, three heartbeats in four would go to the one neighbour, and what the
+// others publish would be half a minute old.
+func (t *Table) goesRemote() bool {
+	n := len(t.members)
+	if n == 0 || n > t.cfg.SmallFleet {
+		return t.rnd.IntN(t.cfg.RemoteShare) == 0
+	}
+	return t.rnd.IntN(n) < t.count(func(e *entry) bool { return !t.isNear(e) })
+}
+
 // nextIn gives the next live member of a ring, of this data centre or of the
 // others.
 func (t *Table) nextIn(r *ring, near bool) (Target, bool) {
--- a/process/member/upstream.go
+++ b/process/member/upstream.go
@@ -1,57 +1,48 @@
 package member
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/gob"
-	"fmt"
-	"maps"
+	"encoding/binary"
+	"errors"
 	"math"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/dunlinmill/dunlinmill/connection/platform"
-)
-
-//go:generate go tool stringer -type=Health -output=upstream_string.go
-
-// Health is what this node believes of an upstream.
-type Health uint8
-
-const (
-	// Sound upstreams answer, or nothing is known of them.
-	Sound Health = iota
-	// Doubtful upstreams failed of late; others are to be preferred.
-	Doubtful
-	// Down upstreams fail all calls of those nodes that tried.
-	Down
 )
 
 // Bounds and weights of the evidence about upstreams.
 const (
-	// MaxUpstreams bounds the table.
-	MaxUpstreams = 8192
-	// maxReports bounds what one node tells the others.
+	// maxReports bounds what one node tells the others: those upstreams that
+	// fail most. With names of 12 bytes it takes 360 bytes.
 	maxReports = 24
 	// maxReporters bounds the nodes whose word is kept for one upstream.
 	maxReporters = 8
-	// evidenceHalfLife is after how long a call's outcome counts half.
-	evidenceHalfLife = 5 * time.Second
-	// ownWeight is how much more this node's own calls count than one peer's
-	// report: the fault may lie between that peer and the upstream.
-	ownWeight = 2
-	// doubtfulShare and downShare are parts of the weighed calls that failed.
-	doubtfulShare = 0.5
-	downShare     = 0.9
-	// minEvidence is the weight of calls under which nothing is concluded.
-	minEvidence = 3
-	// minTold is the weight of own calls under which peers are told nothing.
-	minTold = 1.5
-	// toldStep rounds what peers are told, which makes it shorter.
-	toldStep = 0.25
-	// reportAge is after how long a peer's report counts no more.
-	reportAge = 4 * evidenceHalfLife
+	// answeredHalfLife and failedHalfLife are after how long a call's outcome
+	// counts half. An answer of before the fault must not speak long against
+	// the failures since; and while failures keep all nodes from trying, only
+	// their age has one try again.
+	answeredHalfLife = 5 * time.Second
+	failedHalfLife   = 20 * time.Second
+	// maxOutcomes bounds the own outcomes of one kind, or a busy node would
+	// go on telling of failures long after the last of them.
+	maxOutcomes = 2
+	// maxVoice is what one voice weighs at most, however many calls it made,
+	// and ownVoice what this node's own calls do.
+	maxVoice = 1
+	ownVoice = 2
+	// enoughEvidence must be exceeded for an upstream to count as down: two
+	// voices can't do it, nor this node's own calls alone, which package
+	// ejection judges.
+	enoughEvidence = 2
+	// downShare is the part of the evidence that must be failures. A node
+	// whose own calls were answered of late is never persuaded.
+	downShare = 0.85
+	// minTold is the weight of own failures under which peers are told
+	// nothing: a single one is told, since in a large fleet a node sends to
+	// an upstream once in a minute.
+	minTold = 0.25
+	// toldSteps is in how many parts a told weight of 1 is given.
+	toldSteps = 16
 )
 
 // Outcomes is weighed evidence: calls that were answered and that failed,
@@ -67,249 +58,238 @@
 	return Outcomes{Answered: o.Answered * f, Failed: o.Failed * f}
 }
 
-func (o Outcomes) rounded() Outcomes {
-	round := func(f float64) float64 { return math.Round(f/toldStep) * toldStep }
-	return Outcomes{Answered: round(o.Answered), Failed: round(o.Failed)}
-}
-
 func (o Outcomes) plus(p Outcomes) Outcomes {
 	return Outcomes{Answered: o.Answered + p.Answered, Failed: o.Failed + p.Failed}
 }
 
-// Report is what one node tells of one upstream.
+// voice is the outcomes cut to what one voice may weigh.
+func (o Outcomes) voice() Outcomes { return o.scaled(maxVoice / max(o.sum(), maxVoice)) }
+
+// Report is what one node tells of its calls to one upstream.
 type Report struct {
 	Upstream string
 	Outcomes Outcomes
-	// Draining, with the configuration offset that said so or took it back.
-	Draining bool
-	Offset   platform.Offset
 }
 
 // Upstreams is one node's evidence about the upstreams: outcomes of its own
-// calls and what peers tell. Its methods may be called from many goroutines;
-// mu is its only lock.
+// calls and what peers tell of theirs. Its methods may be called from many
+// goroutines; mu is its only lock.
 type Upstreams struct {
-	mu      sync.Mutex
-	known   map[string]*upstreamEvidence
-	applied platform.Offset // configuration that this node has itself
+	dataCentre string
+
+	mu    sync.Mutex
+	known map[string]*upstreamEvidence
+	told  map[string]*upstreamEvidence // those of known that a peer spoke of
 }
 
 type upstreamEvidence struct {
-	own   Outcomes
-	at    time.Time // of own
-	peers map[string]peerReport
-	mark  drainMark
+	own         Outcomes
+	at          time.Time // of own
+	incarnation uint64    // 0: not known
+	peers       map[string]peerReport
 }
 
 type peerReport struct {
-	outcomes Outcomes
-	at       time.Time
+	dataCentre string
+	outcomes   Outcomes
+	at         time.Time
 }
 
-// drainMark says what the configuration says of an upstream, and since which
-// offset.
-type drainMark struct {
-	offset   platform.Offset
-	draining bool
+// NewUpstreams gives a table without upstreams for a node of a data centre.
+func NewUpstreams(dataCentre string) *Upstreams {
+	return &Upstreams{
+		dataCentre: dataCentre,
+		known:      map[string]*upstreamEvidence{},
+		told:       map[string]*upstreamEvidence{},
+	}
 }
 
-// NewUpstreams gives a table without evidence.
-func NewUpstreams() *Upstreams {
-	return &Upstreams{known: map[string]*upstreamEvidence{}}
+// aged is what is left of the outcomes after a time.
+func (o Outcomes) aged(age time.Duration) Outcomes {
+	left := func(halfLife time.Duration) float64 {
+		return math.Exp2(-float64(max(age, 0)) / float64(halfLife))
+	}
+	return Outcomes{Answered: o.Answered * left(answeredHalfLife), Failed: o.Failed * left(failedHalfLife)}
 }
 
-func decay(age time.Duration) float64 {
-	return math.Exp2(-float64(max(age, 0)) / float64(evidenceHalfLife))
+// SetUpstreams replaces the upstreams of the configuration; evidence about
+// others is neither kept nor taken in, which bounds the table.
+func (u *Upstreams) SetUpstreams(names []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	keep := make(map[string]*upstreamEvidence, len(names))
+	told := map[string]*upstreamEvidence{}
+	for _, n := range names {
+		e, ok := u.known[n]
+		if !ok {
+			e = &upstreamEvidence{}
+		}
+		keep[n] = e
+		if len(e.peers) > 0 {
+			told[n] = e
+		}
+	}
+	u.known, u.told = keep, told
 }
 
-// Observe takes in the outcome of a call of this node's own.
-func (u *Upstreams) Observe(now time.Time, upstream string, ok bool) {
+// Observe takes in the outcome of a call of this node's own. The incarnation
+// is that of the process that answered; 0: not known.
+func (u *Upstreams) Observe(now time.Time, upstream string, incarnation uint64, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	e := u.entry(upstream)
+	e := u.known[upstream]
 	if e == nil {
 		return
 	}
-	e.own = e.own.scaled(decay(now.Sub(e.at)))
+	u.restarted(upstream, e, incarnation)
+	e.own = e.own.aged(now.Sub(e.at))
 	e.at = now
 	if ok {
-		e.own.Answered++
+		e.own.Answered = min(e.own.Answered+1, maxOutcomes)
 	} else {
-		e.own.Failed++
+		e.own.Failed = min(e.own.Failed+1, maxOutcomes)
 	}
 }
 
-// Restarted forgets what was known: the upstream is another process now, and
-// the failures of the former must not keep work from it.
-func (u *Upstreams) Restarted(upstream string) {
+// Restarted notes the incarnation that an upstream gave. If it is another,
+// the failures of the former process must not keep work from this one.
+func (u *Upstreams) Restarted(upstream string, incarnation uint64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if e := u.known[upstream]; e != nil {
-		e.own, e.peers = Outcomes{}, nil
+		u.restarted(upstream, e, incarnation)
 	}
 }
 
-// SetDraining says what the configuration that this node has applied holds of
-// all upstreams that are not to get new work. It replaces marks up to that
-// offset, and those only: a mark from a peer that is ahead stays.
-func (u *Upstreams) SetDraining(offset platform.Offset, draining []string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if offset < u.applied {
+func (u *Upstreams) restarted(name string, e *upstreamEvidence, incarnation uint64) {
+	if incarnation == 0 || incarnation == e.incarnation {
 		return
 	}
-	u.applied = offset
-	for name, e := range u.known {
-		if e.mark.offset <= offset && e.mark.draining && !slices.Contains(draining, name) {
-			e.mark = drainMark{offset: offset}
-		}
-	}
-	for _, name := range draining {
-		if e := u.entry(name); e != nil && e.mark.offset <= offset && !e.mark.draining {
-			e.mark = drainMark{offset: offset, draining: true}
-		}
-	}
-}
-
-func (u *Upstreams) entry(name string) *upstreamEvidence {
-	e := u.known[name]
-	if e == nil && name != "" && len(name) <= MaxNameBytes && len(u.known) < MaxUpstreams {
-		e = &upstreamEvidence{}
-		u.known[name] = e
+	if e.incarnation != 0 {
+		e.own, e.peers = Outcomes{}, nil
+		delete(u.told, name)
 	}
-	return e
+	e.incarnation = incarnation
 }
 
-// Draining says whether an upstream gets no new work by the newest
-// configuration that this node or a peer has applied, whether or not this
-// node hears the platform.
-func (u *Upstreams) Draining(upstream string) bool {
+// Down gives those of the upstreams that are down by the joint evidence: of
+// peers, and of this node's own calls beside them.
+func (u *Upstreams) Down(now time.Time, names []string) []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	e := u.known[upstream]
-	return e != nil && e.mark.draining
-}
-
-// Health weighs the evidence about an upstream.
-func (u *Upstreams) Health(now time.Time, upstream string) Health {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	e := u.known[upstream]
-	if e == nil {
-		return Sound
+	if len(u.told) == 0 {
+		return nil
 	}
-	return e.weighed(now).health()
-}
-
-func (e *upstreamEvidence) weighed(now time.Time) Outcomes {
-	all := e.own.scaled(ownWeight * decay(now.Sub(e.at)))
-	for _, r := range e.peers {
-		// One busy peer must not outvote all others: its word is a share.
-		if sum := r.outcomes.sum(); sum > 0 {
-			all = all.plus(r.outcomes.scaled(decay(now.Sub(r.at)) / max(sum, 1)))
+	var down []string
+	for _, n := range names {
+		if e := u.told[n]; e != nil && e.down(now, u.dataCentre) {
+			down = append(down, n)
 		}
 	}
-	return all
+	return down
 }
 
-func (o Outcomes) health() Health {
-	if o.sum() < minEvidence {
-		return Sound
+// down weighs the voices: each node of the own data centre is one, and each
+// other data centre as a whole, whose common fault may be its way here.
+func (e *upstreamEvidence) down(now time.Time, dataCentre string) bool {
+	all := e.own.aged(now.Sub(e.at)).voice().scaled(ownVoice)
+	elsewhere := map[string]Outcomes{}
+	for _, r := range e.peers {
+		o := r.outcomes.aged(now.Sub(r.at))
+		if r.dataCentre != dataCentre {
+			elsewhere[r.dataCentre] = elsewhere[r.dataCentre].plus(o)
+			continue
+		}
+		all = all.plus(o.voice())
 	}
-	switch failed := o.Failed / o.sum(); {
-	case failed >= downShare:
-		return Down
-	case failed >= doubtfulShare:
-		return Doubtful
+	for _, o := range elsewhere {
+		all = all.plus(o.voice())
 	}
-	return Sound
+	return len(e.peers) > 0 && all.sum() > enoughEvidence && all.Failed >= downShare*all.sum()
 }
 
-// Reports gives what peers should know, within a bound: the marks of the
-// newest configuration and the upstreams that fail. That an upstream answers
-// is told only of those that others were told about.
+// Reports gives what peers should know, within a bound: the upstreams that
+// fail most. That an upstream answers is told only of those that a peer or
+// this node itself saw fail.
 func (u *Upstreams) Reports(now time.Time) []Report {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var reports []Report
-	for _, name := range slices.Sorted(maps.Keys(u.known)) {
-		e := u.known[name]
-		r := Report{Upstream: name, Draining: e.mark.draining, Offset: e.mark.offset}
-		own := e.own.scaled(decay(now.Sub(e.at)))
-		if own.Failed >= minTold || own.sum() >= minTold && len(e.peers) > 0 {
-			r.Outcomes = own.rounded()
-		}
-		if r.Draining || r.Outcomes.sum() > 0 {
-			reports = append(reports, r)
+	for name, e := range u.known {
+		own := e.own.aged(now.Sub(e.at))
+		if own.Failed >= minTold || own.Answered >= minTold && len(e.peers) > 0 {
+			reports = append(reports, Report{Upstream: name, Outcomes: own})
 		}
 	}
-	slices.SortStableFunc(reports, compareReports)
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(b.Outcomes.Failed, a.Outcomes.Failed), cmp.Compare(a.Upstream, b.Upstream))
+	})
 	return reports[:min(len(reports), maxReports)]
 }
 
-// compareReports puts marks first, the newest before the others, then the
-// most failures.
-func compareReports(a, b Report) int {
-	switch {
-	case a.Draining && !b.Draining:
-		return -1
-	case b.Draining && !a.Draining:
-		return 1
-	case a.Draining:
-		return cmp.Compare(b.Offset, a.Offset)
-	}
-	return cmp.Compare(b.Outcomes.Failed, a.Outcomes.Failed)
-}
-
-// Merge takes in a peer's reports, made at the given time by this node's
-// clock.
-func (u *Upstreams) Merge(now, at time.Time, node string, reports []Report) {
+// Merge replaces what a peer of a data centre told before by its reports of
+// the given time by this node's clock.
+func (u *Upstreams) Merge(at time.Time, node, dataCentre string, reports []Report) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	for name, e := range u.told {
+		delete(e.peers, node)
+		if len(e.peers) == 0 {
+			delete(u.told, name)
+		}
+	}
 	for _, r := range reports[:min(len(reports), maxReports)] {
-		e := u.entry(r.Upstream)
-		if e == nil {
+		e := u.known[r.Upstream]
+		if e == nil || len(e.peers) >= maxReporters {
 			continue
 		}
-		if r.Offset > u.applied && r.Offset >= e.mark.offset {
-			e.mark = drainMark{offset: r.Offset, draining: r.Draining}
-		}
-		if r.Outcomes.Answered >= 0 && r.Outcomes.Failed >= 0 && r.Outcomes.sum() > 0 {
-			e.setPeer(now, at, node, r.Outcomes)
+		if e.peers == nil {
+			e.peers = map[string]peerReport{}
 		}
+		e.peers[node] = peerReport{dataCentre: dataCentre, outcomes: r.Outcomes, at: at}
+		u.told[r.Upstream] = e
 	}
 }
 
-func (e *upstreamEvidence) setPeer(now, at time.Time, node string, o Outcomes) {
-	maps.DeleteFunc(e.peers, func(_ string, p peerReport) bool { return now.Sub(p.at) > reportAge })
-	if _, known := e.peers[node]; !known && len(e.peers) >= maxReporters {
-		return
-	}
-	if e.peers == nil {
-		e.peers = map[string]peerReport{}
-	}
-	e.peers[node] = peerReport{outcomes: o, at: at}
-}
+// ErrReports means that a published value holds no reports of upstreams.
+var ErrReports = errors.New("member: no reports of upstreams")
 
-// Encode gives reports as a value to publish, as many as fit.
-func Encode(reports []Report) ([]byte, error) {
-	for {
-		var b bytes.Buffer
-		if err := gob.NewEncoder(&b).Encode(reports); err != nil {
-			return nil, fmt.Errorf("upstream reports: %w", err)
+// EncodeReports gives reports as a value to publish, as many as fit: for each
+// the length of the name, the name, and the two weights.
+func EncodeReports(reports []Report) []byte {
+	var b []byte
+	for _, r := range reports {
+		if len(r.Upstream) > MaxNameBytes {
+			continue
 		}
-		if b.Len() <= MaxBlobBytes {
-			return b.Bytes(), nil
+		before := len(b)
+		b = binary.AppendUvarint(b, uint64(len(r.Upstream)))
+		b = append(b, r.Upstream...)
+		b = append(b, told(r.Outcomes.Answered), told(r.Outcomes.Failed))
+		if len(b) > MaxBlobBytes {
+			return b[:before]
 		}
-		reports = reports[:len(reports)-1]
 	}
+	return b
 }
 
-// Decode reads a published value.
-func Decode(value []byte) ([]Report, error) {
+func told(weight float64) byte {
+	return byte(min(math.Round(weight*toldSteps), math.MaxUint8))
+}
+
+// DecodeReports reads a published value.
+func DecodeReports(value []byte) ([]Report, error) {
 	var reports []Report
-	if err := gob.NewDecoder(bytes.NewReader(value)).Decode(&reports); err != nil {
-		return nil, fmt.Errorf("upstream reports: %w", err)
+	for len(value) > 0 {
+		n, read := binary.Uvarint(value)
+		if read <= 0 || n > MaxNameBytes || len(value) < read+int(n)+2 {
+			return nil, ErrReports
+		}
+		value = value[read:]
+		r := Report{Upstream: string(value[:n])}
+		r.Outcomes = Outcomes{Answered: float64(value[n]) / toldSteps, Failed: float64(value[n+1]) / toldSteps}
+		reports = append(reports, r)
+		value = value[n+2:]
 	}
 	return reports, nil
 }
--- a/process/member/upstream_test.go
+++ b/process/member/upstream_test.go
@@ -1,118 +1,147 @@
 package member
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 var upstreamStart = time.Unix(1_800_000_000, 0)
 
+func upstreamsOf(dataCentre string) *Upstreams {
+	u := NewUpstreams(dataCentre)
+	u.SetUpstreams([]string{"engine-1", "engine-2"})
+	return u
+}
+
 // tell gives what one table reports, through its published form, to another.
 func tell(t *testing.T, now time.Time, node string, from, to *Upstreams) {
 	t.Helper()
-	value, err := Encode(from.Reports(now))
-	if err != nil {
-		t.Fatal(err)
+	value := EncodeReports(from.Reports(now))
+	if len(value) > MaxBlobBytes {
+		t.Fatalf("%d bytes", len(value))
 	}
-	reports, err := Decode(value)
+	reports, err := DecodeReports(value)
 	if err != nil {
 		t.Fatal(err)
 	}
-	to.Merge(now, now, node, reports)
+	to.Merge(now, node, from.dataCentre, reports)
 }
 
-// An upstream is retired on the log while this node is cut off from it. A
-// peer that has applied the record tells the mark with its offset; this node
-// must give the upstream no new work. An old mark, told late by a node that is
-// behind, must not take an upstream out that was brought back since.
-func TestDrainingIsLearntFromPeers(t *testing.T) {
-	now := upstreamStart
-	cutOff, ahead, behind := NewUpstreams(), NewUpstreams(), NewUpstreams()
-	cutOff.SetDraining(10, nil)
-	ahead.SetDraining(12, []string{"engine-1"})
-	tell(t, now, "ahead", ahead, cutOff)
-	if !cutOff.Draining("engine-1") {
-		t.Error("the peer's mark did not count")
-	}
-	cutOff.SetDraining(11, nil)
-	if !cutOff.Draining("engine-1") {
-		t.Error("an older configuration took the mark away")
-	}
-	cutOff.SetDraining(13, nil)
-	behind.SetDraining(12, []string{"engine-1"})
-	tell(t, now, "behind", behind, cutOff)
-	if cutOff.Draining("engine-1") {
-		t.Error("an old mark counts against a newer configuration")
-	}
-	fresh := NewUpstreams()
-	fresh.SetDraining(13, nil)
-	tell(t, now, "behind", behind, fresh)
-	if fresh.Draining("engine-1") {
-		t.Error("an old mark counts on a node that never held it")
-	}
-	for o := range 100 {
-		ahead.SetDraining(12+1, []string{"engine-1"})
-		ahead.SetDraining(14, append(manyNames(o), "engine-1"))
-	}
-	ahead.SetDraining(15, append(manyNames(100), "engine-1", "engine-2"))
-	if r := ahead.Reports(now); len(r) != maxReports || r[0].Upstream != "engine-2" {
-		t.Errorf("%d reports, the first of %s", len(r), r[0].Upstream)
-	}
+func (u *Upstreams) isDown(now time.Time) bool { return len(u.Down(now, []string{"engine-1"})) > 0 }
+
+// voices are nodes of a data centre that saw an upstream fail or answer.
+type voices struct {
+	dataCentre string
+	nodes      int
+	calls      int
+	ok         bool
 }
 
-func manyNames(n int) []string {
-	var names []string
-	for i := range n {
-		names = append(names, fmt.Sprintf("old-%d", i))
+// A node whose own network is broken sees all upstreams fail and tells so.
+// Its word, however loud, and that of a whole other data centre that is cut
+// off, must take no upstream from the others; three voices may, unless this
+// node's own calls were answered.
+func TestBoundOfPeersWord(t *testing.T) {
+	const here, there, third = "here", "there", "third"
+	tests := []struct {
+		name           string
+		answered, fail int // own calls
+		told           []voices
+		want           bool
+	}{
+		{"nothing told", 0, 0, nil, false},
+		{"own failures alone", 0, 50, nil, false},
+		{"one bad node", 0, 0, []voices{{here, 1, 50, false}}, false},
+		{"two bad nodes", 0, 0, []voices{{here, 2, 50, false}}, false},
+		{"a data centre cut off", 0, 0, []voices{{there, 6, 50, false}}, false},
+		{"a data centre cut off and a bad node", 0, 0, []voices{{there, 5, 50, false}, {here, 1, 50, false}}, false},
+		{"three nodes", 0, 0, []voices{{here, 3, 1, false}}, true},
+		{"three data centres", 0, 0, []voices{{here, 1, 1, false}, {there, 1, 1, false}, {third, 1, 1, false}}, true},
+		{"own failure and one node", 0, 1, []voices{{here, 1, 1, false}}, true},
+		{"own answer against all that are kept", 1, 0, []voices{{here, 50, 50, false}}, false},
+		{"one node's answer against three", 0, 0, []voices{{here, 1, 1, true}, {here, 3, 50, false}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now, u := upstreamStart, upstreamsOf(here)
+			for i := range tt.answered + tt.fail {
+				u.Observe(now, "engine-1", 1, i < tt.answered)
+			}
+			for i, v := range tt.told {
+				for n := range v.nodes {
+					var r []Report
+					outcomes := Outcomes{Failed: float64(v.calls)}
+					if v.ok {
+						outcomes = Outcomes{Answered: float64(v.calls)}
+					}
+					r = append(r, Report{Upstream: "engine-1", Outcomes: outcomes})
+					u.Merge(now, fmt.Sprint(i, "-", n), v.dataCentre, r)
+				}
+			}
+			if got := u.isDown(now); got != tt.want {
+				t.Errorf("down: %v, want %v", got, tt.want)
+			}
+		})
 	}
-	return names
 }
 
-// An upstream crashes. A node that has not called it yet must learn it from
-// several peers, but not from one alone, whose own link may be at fault; and
-// what it learnt must fade once nobody tells it any more, or the upstream
-// would never be tried again.
-func TestPeersEvidenceCountsAndFades(t *testing.T) {
-	now := upstreamStart
-	u := NewUpstreams()
-	for i := range 3 {
-		peer := NewUpstreams()
-		for range 20 {
-			peer.Observe(now, "engine-1", false)
-		}
-		tell(t, now, fmt.Sprintf("peer-%d", i), peer, u)
-		want := Sound
-		if i == 2 {
-			want = Down
-		}
-		if got := u.Health(now, "engine-1"); got != want {
-			t.Errorf("after %d peers' reports: %v", i+1, got)
-		}
-	}
-	if got := u.Health(now.Add(30*time.Second), "engine-1"); got != Sound {
-		t.Errorf("after 30 s without evidence: %v", got)
-	}
-	for range 3 {
-		u.Observe(now, "engine-1", true)
-	}
-	if got := u.Health(now, "engine-1"); got == Down {
-		t.Errorf("own answered calls don't count: %v", got)
+// An upstream crashes. What a node learnt of it from peers must end once they
+// take it back, when it has faded, and when it runs as another process, or
+// the upstream would never be tried again.
+func TestWhatEndsPeersWord(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(u *Upstreams)
+		at   time.Duration
+		want bool
+	}{
+		{"nothing", func(*Upstreams) {}, 0, true},
+		{"time", func(*Upstreams) {}, time.Minute, false},
+		{"one takes it back", func(u *Upstreams) { u.Merge(upstreamStart, "peer-0", "here", nil) }, 0, false},
+		{"another incarnation", func(u *Upstreams) { u.Restarted("engine-1", 2) }, 0, false},
+		{"its answer", func(u *Upstreams) { u.Observe(upstreamStart, "engine-1", 2, true) }, 0, false},
+		{"the same incarnation does not", func(u *Upstreams) { u.Restarted("engine-1", 1) }, 0, true},
+		{"a new configuration does not", func(u *Upstreams) { u.SetUpstreams([]string{"engine-1"}) }, 0, true},
+		{"left the configuration", func(u *Upstreams) { u.SetUpstreams(nil) }, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			u := upstreamsOf("here")
+			u.Restarted("engine-1", 1)
+			for i := range 3 {
+				peer := upstreamsOf("here")
+				for range 20 {
+					peer.Observe(upstreamStart, "engine-1", 1, false)
+				}
+				tell(t, upstreamStart, fmt.Sprint("peer-", i), peer, u)
+			}
+			tt.do(u)
+			if got := u.isDown(upstreamStart.Add(tt.at)); got != tt.want {
+				t.Errorf("down: %v, want %v", got, tt.want)
+			}
+		})
 	}
 }
 
-// An engine that failed comes back as another process. Failures of the former
-// must not keep work from it.
-func TestRestartedUpstreamIsSound(t *testing.T) {
-	u := NewUpstreams()
-	for range 5 {
-		u.Observe(upstreamStart, "engine-1", false)
-	}
-	if got := u.Health(upstreamStart, "engine-1"); got != Down {
-		t.Fatalf("after five failures: %v", got)
-	}
-	u.Restarted("engine-1")
-	if got := u.Health(upstreamStart, "engine-1"); got != Sound {
-		t.Errorf("the new process: %v", got)
+// With many upstreams failing at once, what a node tells must stay within one
+// value; a value that isn't reports is refused.
+func TestReportsFitAndGarbageIsRefused(t *testing.T) {
+	u := NewUpstreams("here")
+	names := lo.Times(500, func(i int) string { return fmt.Sprintf("%0*d", MaxNameBytes, i) })
+	u.SetUpstreams(names)
+	for _, n := range names {
+		u.Observe(upstreamStart, n, 0, false)
+	}
+	value := EncodeReports(u.Reports(upstreamStart))
+	reports, err := DecodeReports(value)
+	if err != nil || len(value) > MaxBlobBytes || len(reports) < 2 {
+		t.Errorf("%d bytes, %d reports, %v", len(value), len(reports), err)
+	}
+	if _, err := DecodeReports(value[:len(value)-1]); !errors.Is(err, ErrReports) {
+		t.Errorf("cut short: %v", err)
 	}
 }
--- /dev/null
+++ b/process/node/evidence.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/process/member"
+)
+
+// listener hears of the engines' reports.
+type listener struct {
+	policies  *policies
+	upstreams *member.Upstreams
+}
+
+// Learned passes a report on. One of another process ends what was told of
+// the former: while all nodes keep work from an engine, none gets an answer
+// that would show the restart.
+func (l listener) Learned(now time.Time, s inventory.Status) {
+	if s.Failures == 0 {
+		l.upstreams.Restarted(s.Upstream, s.Incarnation)
+	}
+	l.policies.Learned(now, s)
+}
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -1,10 +1,7 @@
 package node
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +14,6 @@
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/limit"
-	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/follower"
@@ -32,13 +28,6 @@
 	limitPoll = 100 * time.Millisecond
 )
 
-// Names of the values that nodes publish to each other.
-const (
-	placementValue = "Placement"
-	enginesValue   = "Engines"
-	newsValue      = "Caches"
-)
-
 // maintenance keeps the parts up to date with the configuration, the members
 // and each other. Its goroutines decide nothing by themselves.
 type maintenance struct {
@@ -54,10 +43,11 @@
 	inventory  *inventory.Inventory
 	metrics    *metric.Metrics
 	news       *cachenews.Book
+	upstreams  *member.Upstreams
 
-	shared    time.Time            // last exchange of limits; of one goroutine alone
-	published int                  // turn of the rotations
-	told      map[string]time.Time // publication of the latest news taken in, by node
+	shared    time.Time               // last exchange of limits; of one goroutine alone
+	published int                     // turn of the rotations
+	taken     map[published]time.Time // publication of the latest value taken in
 }
 
 func (n *Node) newMaintenance(i do.Injector) (*maintenance, error) {
@@ -74,7 +64,11 @@
 		inventory:  do.MustInvoke[*inventory.Inventory](i),
 		metrics:    do.MustInvoke[*metric.Metrics](i),
 		news:       do.MustInvoke[*cachenews.Book](i),
-		told:       map[string]time.Time{},
+		upstreams:  do.MustInvoke[*member.Upstreams](i),
+		taken:      map[published]time.Time{},
+	}
+	if err := do.MustInvoke[peerServer](i).Register(valuesService, &valuesHandler{maintenance: m}); err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	states, unsubscribe := m.follower.Subscribe()
@@ -126,8 +120,10 @@
 	s := m.follower.State()
 	m.members.SetOffset(s.Offset)
 	m.workspaces.SetLimits(now, s.Config)
-	m.guards.engines.SetUpstreams(now, m.names(config.Engine))
-	m.guards.services.SetUpstreams(now, m.names(config.Service))
+	engines, services := m.names(config.Engine), m.names(config.Service)
+	m.guards.engines.SetUpstreams(now, engines)
+	m.guards.services.SetUpstreams(now, services)
+	m.upstreams.SetUpstreams(append(engines, services...))
 	m.metrics.Configured(s.Config)
 	m.resize(now)
 }
@@ -152,14 +148,8 @@
 	m.workspaces.SetNodes(now, lo.Map(live, func(l member.Member, _ int) string { return l.Name }))
 	m.measure(now)
 	m.resize(now)
-	m.published++
-	m.publishEngines(now)
-	m.publishPlacement(now)
-	m.publish(now, newsValue, m.news.Value(now, member.MaxBlobBytes))
-	names := m.upstreamNames()
-	m.learnEngines(now)
-	m.learnPlacement(now, names)
-	m.learnNews(now, names)
+	m.tell(ctx, now, live)
+	m.learnPublished(now)
 }
 
 // measure sets the metrics that are states, not counts.
@@ -206,121 +196,3 @@
 		m.workspaces.Learn(now, g)
 	}
 }
-
-// published is one value under a name: as many entries as fit.
-type publishedEngines struct {
-	Engines []inventory.Status
-}
-
-// publishEngines tells the peers of the engines that this node asks, as many
-// as fit into one value, another part each time.
-func (m *maintenance) publishEngines(now time.Time) {
-	o := owner{members: m.members}
-	var own []inventory.Status
-	for _, u := range m.catalogue.Catalogue().Config().Upstreams {
-		if s, ok := m.inventory.Status(u.Name); ok && u.Kind == config.Engine && o.Owns(now, u) {
-			own = append(own, s)
-		}
-	}
-	if len(own) == 0 {
-		return
-	}
-	start := m.published % len(own)
-	rotated := append(append([]inventory.Status{}, own[start:]...), own[:start]...)
-	fit(rotated, func(part []inventory.Status) bool {
-		data, err := json.Marshal(publishedEngines{Engines: part})
-		return err == nil && m.publish(now, enginesValue, data)
-	})
-}
-
-// fit publishes the longest part that fits, found by halving.
-func fit[T any](all []T, publish func(part []T) bool) {
-	for n := len(all); n > 0; n /= 2 {
-		if publish(all[:n]) {
-			return
-		}
-	}
-}
-
-// wideNodes is up to how many live nodes values go to all data centres. Beyond,
-// they stay in their own: told to all, they would be too old by the time they
-// have come round, see docs/design/membership.md.
-const wideNodes = 32
-
-// publish replaces this node's value under a name; false if it is too large.
-func (m *maintenance) publish(now time.Time, name string, value []byte) bool {
-	if len(m.members.Live(now)) > wideNodes {
-		return m.members.PublishLocal(now, name, value) == nil
-	}
-	return m.members.Publish(now, name, value) == nil
-}
-
-// upstreamNames gives the names behind the ids that nodes tell each other.
-func (m *maintenance) upstreamNames() map[cachenews.UpstreamID]string {
-	return lo.MapEntries(m.catalogue.Catalogue().Config().Upstreams,
-		func(name string, _ config.Upstream) (cachenews.UpstreamID, string) { return cachenews.IDOf(name), name })
-}
-
-func (m *maintenance) learnEngines(now time.Time) {
-	for _, v := range m.members.Latest(enginesValue) {
-		var p publishedEngines
-		if json.Unmarshal(v.Value, &p) != nil {
-			continue // of a newer node, in a form this one can't read
-		}
-		for _, s := range p.Engines {
-			s.At = v.At // by this node's clock, not the other's
-			m.inventory.Learn(now, s)
-		}
-	}
-}
-
-// publishPlacement tells the peers of this node's work, one group of engines
-// each time, in turn.
-func (m *maintenance) publishPlacement(now time.Time) {
-	type turn struct {
-		key    catalogue.Group
-		policy placement.Policy
-	}
-	var all []turn
-	m.policies.each(func(key catalogue.Group, p placement.Policy) { all = append(all, turn{key, p}) })
-	if len(all) == 0 {
-		return
-	}
-	slices.SortFunc(all, func(a, b turn) int { return cmp.Compare(groupID(a.key), groupID(b.key)) })
-	t := all[m.published%len(all)]
-	m.publish(now, placementValue, encodeSummary(t.key, t.policy.Summarize(now, m.node)))
-}
-
-func (m *maintenance) learnPlacement(now time.Time, names map[cachenews.UpstreamID]string) {
-	groups := map[uint64]placement.Policy{}
-	m.policies.each(func(key catalogue.Group, p placement.Policy) { groups[groupID(key)] = p })
-	for _, v := range m.members.Latest(placementValue) {
-		id, s, err := decodeSummary(v.Value, names)
-		p, ok := groups[id]
-		if err != nil || !ok {
-			continue // in a newer node's form, or of engines this node has not used
-		}
-		s.Node, s.At = v.Node, v.At
-		p.Merge(now, s)
-	}
-}
-
-// learnNews takes in what the peers' answers said about caches.
-func (m *maintenance) learnNews(now time.Time, names map[cachenews.UpstreamID]string) {
-	var entries []cachenews.Entry
-	for _, v := range m.members.Latest(newsValue) {
-		told, err := cachenews.Decode(v.Value)
-		if err != nil || !v.At.After(m.told[v.Node]) {
-			continue // in a newer node's form, or taken in before
-		}
-		m.told[v.Node] = v.At
-		entries = append(entries, told...)
-	}
-	m.policies.each(func(_ catalogue.Group, p placement.Policy) {
-		for _, e := range entries {
-			if name, ok := names[e.Upstream]; ok {
-				p.Cached(now, name, e.Event())
-			}
-		}
-	})
-}
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -19,6 +19,8 @@
 const (
 	relayService = "Relay"
 	limitService = "Limit"
+	// valuesService takes what peers tell directly.
+	valuesService = "Values"
 )
 
 // sources lists the peers that may know newer configuration records.
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -48,6 +48,7 @@
 	do.Provide(i, n.newCatalogue)
 	do.Provide(i, n.newDirectory)
 	do.Provide(i, n.newJournal)
+	do.Provide(i, n.newUpstreams)
 	do.Provide(i, n.newGuards)
 	do.Provide(i, n.newShedder)
 	do.Provide(i, n.newWorkspaces)
@@ -215,7 +216,15 @@
 		return guards{}, err
 	}
 	s, err := guard.New(services)
-	return guards{engines: e, services: s}, err
+	if err != nil {
+		return guards{}, err
+	}
+	u := do.MustInvoke[*member.Upstreams](i)
+	return guards{engines: e.WithEvidence(u), services: s.WithEvidence(u)}, nil
+}
+
+func (n *Node) newUpstreams(do.Injector) (*member.Upstreams, error) {
+	return member.NewUpstreams(n.settings.DataCentre), nil
 }
 
 func (n *Node) newShedder(i do.Injector) (*shedding.Shedder, error) {
@@ -269,7 +278,8 @@
 
 func (n *Node) newInventory(i do.Injector) (*inventory.Inventory, error) {
 	inv := inventory.New(inventory.Config{}, dialer{cfg: upstreamhttp.Config{}}, do.MustInvoke[view](i),
-		owner{members: do.MustInvoke[*member.Runner](i)}, do.MustInvoke[*policies](i))
+		owner{members: do.MustInvoke[*member.Runner](i)},
+		listener{policies: do.MustInvoke[*policies](i), upstreams: do.MustInvoke[*member.Upstreams](i)})
 	n.closers.add("inventory", func() error { inv.Close(); return nil })
 	return inv, nil
 }
--- a/process/node/summary.go
+++ b/process/node/summary.go
@@ -26,6 +26,8 @@
 	// mostInFlight is how many upstreams a value tells of, those with the
 	// most prompt tokens first; the rest of the room is for hot levels.
 	mostInFlight = 60
+	// mostHot bounds the hot levels told; those after it are cool.
+	mostHot = 16
 )
 
 // groupID stands for a group of engines.
@@ -37,7 +39,7 @@
 func encodeSummary(g catalogue.Group, s placement.Summary) []byte {
 	inFlight := s.InFlight[:min(len(s.InFlight), mostInFlight)]
 	room := (member.MaxBlobBytes - headBytes - len(inFlight)*inFlightBytes) / hotBytes
-	hot := s.HotLevels[:min(len(s.HotLevels), room, math.MaxUint8)]
+	hot := s.HotLevels[:min(len(s.HotLevels), room, mostHot)]
 	b := binary.LittleEndian.AppendUint64(nil, groupID(g))
 	b = append(b, byte(len(inFlight)), byte(len(hot)))
 	for _, f := range inFlight {
--- a/process/node/summary_test.go
+++ b/process/node/summary_test.go
@@ -29,7 +29,7 @@
 }
 
 func TestSummaryComesBackWhole(t *testing.T) {
-	s, names := summary(12, 32)
+	s, names := summary(12, mostHot)
 	id, got, err := decodeSummary(encodeSummary(testGroup, s), names)
 	if err != nil || id != groupID(testGroup) || !reflect.DeepEqual(got, s) {
 		t.Errorf("got %+v, %v", got, err)
@@ -46,7 +46,7 @@
 		t.Errorf("%d bytes, at most %d fit", len(b), member.MaxBlobBytes)
 	}
 	_, got, err := decodeSummary(b, names)
-	if err != nil || len(got.InFlight) != mostInFlight || len(got.HotLevels) < 30 {
+	if err != nil || len(got.InFlight) != mostInFlight || len(got.HotLevels) != mostHot {
 		t.Errorf("%d upstreams, %d hot levels, %v", len(got.InFlight), len(got.HotLevels), err)
 	}
 }
--- /dev/null
+++ b/process/node/values.go
@@ -0,0 +1,241 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// Values are what one node tells its peers once a second, each in a compact
+// form of its own.
+type Values struct {
+	Node       string
+	DataCentre string
+	Placement  []byte // see encodeSummary
+	Engines    []byte // see encodeStatuses
+	Caches     []byte // see cachenews.Book
+	Evidence   []byte // which upstreams failed its sends; see member.EncodeReports
+}
+
+// Names of the values on the heartbeats.
+const (
+	placementValue = "Placement"
+	enginesValue   = "Engines"
+	cachesValue    = "Caches"
+	evidenceValue  = "Upstreams"
+)
+
+const (
+	// directNodes is up to how many live nodes each tells every other directly.
+	// On the heartbeats of a small fleet a value is two and a half seconds old
+	// when it arrives; the placements then crowd on the same engines.
+	directNodes = 16
+	// wideNodes is up to how many live nodes values on the heartbeats go to all
+	// data centres. Beyond, they stay in their own: told to all, they would be
+	// too old by the time they have come round.
+	wideNodes = 32
+	// tellTimeout bounds one call to a peer; the next comes a second later.
+	tellTimeout = 500 * time.Millisecond
+)
+
+// values gives what this node has to tell: of its engines and its groups of
+// engines another part each time, if they don't fit.
+func (m *maintenance) values(now time.Time) Values {
+	m.published++
+	return Values{
+		Node:       m.node,
+		DataCentre: m.members.Self().DataCentre,
+		Placement:  m.placementValue(now),
+		Engines:    encodeStatuses(m.ownStatuses(now)),
+		Caches:     m.news.Value(now, cachenews.ValueBytes),
+		Evidence:   member.EncodeReports(m.upstreams.Reports(now)),
+	}
+}
+
+func (m *maintenance) placementValue(now time.Time) []byte {
+	type turn struct {
+		key    catalogue.Group
+		policy placement.Policy
+	}
+	var all []turn
+	m.policies.each(func(key catalogue.Group, p placement.Policy) { all = append(all, turn{key, p}) })
+	if len(all) == 0 {
+		return nil
+	}
+	slices.SortFunc(all, func(a, b turn) int { return cmp.Compare(groupID(a.key), groupID(b.key)) })
+	t := all[m.published%len(all)]
+	return encodeSummary(t.key, t.policy.Summarize(now, m.node))
+}
+
+// ownStatuses are those of the engines that this node asks.
+func (m *maintenance) ownStatuses(now time.Time) []inventory.Status {
+	o := owner{members: m.members}
+	var own []inventory.Status
+	for _, u := range m.catalogue.Catalogue().Config().Upstreams {
+		if s, ok := m.inventory.Status(u.Name); ok && u.Kind == config.Engine && o.Owns(now, u) {
+			own = append(own, s)
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	slices.SortFunc(own, func(a, b inventory.Status) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	start := m.published % len(own)
+	return append(append([]inventory.Status{}, own[start:]...), own[:start]...)
+}
+
+// tell gives this node's values to its peers: directly while the fleet is
+// small, on the heartbeats otherwise.
+func (m *maintenance) tell(ctx context.Context, now time.Time, live []member.Member) {
+	v := m.values(now)
+	if len(live) > directNodes {
+		m.publish(now, len(live), v)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, peer := range live {
+		if peer.Name == m.node {
+			continue
+		}
+		calls.Go(func() {
+			// A call that fails is made up for by the next one.
+			_ = m.client.Call(ctx, peer.Address, valuesService+".Tell", v, &Told{})
+		})
+	}
+	calls.Wait()
+}
+
+func (m *maintenance) publish(now time.Time, live int, v Values) {
+	publish := m.members.Publish
+	if live > wideNodes {
+		publish = m.members.PublishLocal
+	}
+	for _, value := range []struct {
+		name  string
+		value []byte
+	}{{placementValue, v.Placement}, {enginesValue, v.Engines}, {cachesValue, v.Caches}, {evidenceValue, v.Evidence}} {
+		_ = publish(now, value.name, value.value) // each is bounded below what fits
+	}
+}
+
+// learnPublished takes in what came on the heartbeats.
+func (m *maintenance) learnPublished(now time.Time) {
+	for _, name := range []string{placementValue, enginesValue, cachesValue, evidenceValue} {
+		for _, v := range m.members.Latest(name) {
+			key := published{node: v.Node, name: name}
+			if !v.At.After(m.taken[key]) {
+				continue // taken in before
+			}
+			m.taken[key] = v.At
+			told := valuesOf(v, name)
+			m.take(now, v.At, told)
+			if name == evidenceValue {
+				m.takeEvidence(v.At, told)
+			}
+		}
+	}
+}
+
+// published names a value of a node.
+type published struct {
+	node string
+	name string
+}
+
+func valuesOf(told member.Value, name string) Values {
+	v := Values{Node: told.Node, DataCentre: told.DataCentre}
+	switch name {
+	case placementValue:
+		v.Placement = told.Value
+	case enginesValue:
+		v.Engines = told.Value
+	case cachesValue:
+		v.Caches = told.Value
+	case evidenceValue:
+		v.Evidence = told.Value
+	}
+	return v
+}
+
+// take learns from a peer's values as of a time by this node's clock. A part in
+// a newer node's form is passed over.
+func (m *maintenance) take(now, at time.Time, v Values) {
+	names := m.upstreamNames()
+	if statuses, err := decodeStatuses(v.Engines, names); err == nil {
+		for _, s := range statuses {
+			s.At = at
+			m.inventory.Learn(now, s)
+		}
+	}
+	m.takePlacement(now, at, v, names)
+	entries, err := cachenews.Decode(v.Caches)
+	if err != nil {
+		return
+	}
+	m.policies.each(func(_ catalogue.Group, p placement.Policy) {
+		for _, e := range entries {
+			if name, ok := names[e.Upstream]; ok {
+				p.Cached(now, name, e.Event())
+			}
+		}
+	})
+}
+
+// takeEvidence replaces what a peer has told of upstreams that failed its
+// sends; an empty value takes the former back.
+func (m *maintenance) takeEvidence(at time.Time, v Values) {
+	if reports, err := member.DecodeReports(v.Evidence); err == nil {
+		m.upstreams.Merge(at, v.Node, v.DataCentre, reports)
+	}
+}
+
+func (m *maintenance) takePlacement(now, at time.Time, v Values, names map[cachenews.UpstreamID]string) {
+	if len(v.Placement) == 0 {
+		return
+	}
+	id, s, err := decodeSummary(v.Placement, names)
+	if err != nil {
+		return
+	}
+	s.Node, s.At = v.Node, at
+	m.policies.each(func(key catalogue.Group, p placement.Policy) {
+		if groupID(key) == id {
+			p.Merge(now, s)
+		}
+	})
+}
+
+// upstreamNames gives the names behind the ids that nodes tell each other.
+func (m *maintenance) upstreamNames() map[cachenews.UpstreamID]string {
+	return lo.MapEntries(m.catalogue.Catalogue().Config().Upstreams,
+		func(name string, _ config.Upstream) (cachenews.UpstreamID, string) { return cachenews.IDOf(name), name })
+}
+
+// Told answers a peer that has told its values.
+type Told struct{}
+
+// valuesHandler takes what peers tell directly.
+type valuesHandler struct {
+	maintenance *maintenance
+}
+
+// Tell takes in a peer's values, which are as young as the call.
+func (h *valuesHandler) Tell(v Values, _ *Told) error {
+	now := time.Now()
+	h.maintenance.take(now, now, v)
+	h.maintenance.takeEvidence(now, v)
+	return nil
+}
--- a/request/cachenews/cachenews.go
+++ b/request/cachenews/cachenews.go
@@ -32,16 +32,25 @@
 	Upstream    UpstreamID
 	Incarnation uint64
 	Level       uint64 // prefix.Level.ID
-	Tokens      uint32
 }
 
 // Event is the entry as the placement policy takes it.
 func (e Entry) Event() placement.CacheEvent {
-	return placement.CacheEvent{Incarnation: e.Incarnation, Stored: true, Level: e.Level, Tokens: int(e.Tokens)}
+	return placement.CacheEvent{Incarnation: e.Incarnation, Stored: true, Level: e.Level}
 }
 
-// entryBytes is the size of an entry on the way to a peer.
-const entryBytes = 4 + 8 + 8 + 4
+// Sizes on the way to a peer: entries of one engine stand behind one head.
+const (
+	headBytes  = 4 + 8 + 1
+	levelBytes = 8
+	maxLevels  = 255 // behind one head
+)
+
+// ValueBytes bounds what a node tells its peers in one value: some four seconds
+// of one node's answers at today's size. Larger values of all nodes together no
+// longer fit into one heartbeat, and are older when they arrive than their news
+// is worth.
+const ValueBytes = 400
 
 // ring is how many entries are kept; a value for peers holds the newest ones
 // that fit, so that one missed value loses nothing while the next still has
@@ -76,43 +85,89 @@
 			Upstream:    IDOf(upstream),
 			Incarnation: a.Incarnation,
 			Level:       l.ID,
-			Tokens:      uint32(min(max(l.Tokens, 0), 1<<31)),
 		}}
 		b.next = (b.next + 1) % ring
 	}
 }
 
-// Value gives the newest entries in at most so many bytes, newest first.
+// Value gives the newest entries in at most so many bytes.
 func (b *Book) Value(now time.Time, most int) []byte {
+	type head struct {
+		upstream    UpstreamID
+		incarnation uint64
+	}
+	var heads []head
+	levels := map[head][]uint64{}
+	size := 0
+	for _, e := range b.newest(now) {
+		h := head{e.Upstream, e.Incarnation}
+		grows := levelBytes
+		if len(levels[h]) == 0 {
+			grows += headBytes
+			heads = append(heads, h)
+		}
+		if size+grows > most || len(levels[h]) == maxLevels {
+			break
+		}
+		size += grows
+		levels[h] = append(levels[h], e.Level)
+	}
+	value := make([]byte, 0, size)
+	for _, h := range heads {
+		if len(levels[h]) == 0 {
+			continue
+		}
+		value = binary.LittleEndian.AppendUint32(value, uint32(h.upstream))
+		value = binary.LittleEndian.AppendUint64(value, h.incarnation)
+		value = append(value, byte(len(levels[h])))
+		for _, l := range levels[h] {
+			value = binary.LittleEndian.AppendUint64(value, l)
+		}
+	}
+	return value
+}
+
+// newest gives the entries that are young enough to be told, newest first,
+// each level of an engine once.
+func (b *Book) newest(now time.Time) []Entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var value []byte
-	for i := 1; i <= ring && len(value)+entryBytes <= most; i++ {
+	var found []Entry
+	seen := map[Entry]bool{}
+	for i := 1; i <= ring; i++ {
 		d := b.entries[(b.next-i+ring)%ring]
 		if d.at.IsZero() || now.Sub(d.at) > maxAge {
 			break
 		}
-		value = binary.LittleEndian.AppendUint32(value, uint32(d.Upstream))
-		value = binary.LittleEndian.AppendUint64(value, d.Incarnation)
-		value = binary.LittleEndian.AppendUint64(value, d.Level)
-		value = binary.LittleEndian.AppendUint32(value, d.Tokens)
+		if !seen[d.Entry] {
+			seen[d.Entry] = true
+			found = append(found, d.Entry)
+		}
 	}
-	return value
+	return found
 }
 
 // Decode reads a peer's value.
 func Decode(value []byte) ([]Entry, error) {
-	if len(value)%entryBytes != 0 {
-		return nil, fmt.Errorf("%d bytes: %w", len(value), ErrMalformed)
-	}
-	entries := make([]Entry, 0, len(value)/entryBytes)
-	for ; len(value) > 0; value = value[entryBytes:] {
-		entries = append(entries, Entry{
+	var entries []Entry
+	for len(value) > 0 {
+		if len(value) < headBytes {
+			return nil, fmt.Errorf("%d bytes of a head: %w", len(value), ErrMalformed)
+		}
+		e := Entry{
 			Upstream:    UpstreamID(binary.LittleEndian.Uint32(value)),
 			Incarnation: binary.LittleEndian.Uint64(value[4:]),
-			Level:       binary.LittleEndian.Uint64(value[12:]),
-			Tokens:      binary.LittleEndian.Uint32(value[20:]),
-		})
+		}
+		n := int(value[headBytes-1])
+		value = value[headBytes:]
+		if len(value) < n*levelBytes {
+			return nil, fmt.Errorf("%d bytes for %d levels: %w", len(value), n, ErrMalformed)
+		}
+		for range n {
+			e.Level = binary.LittleEndian.Uint64(value)
+			entries = append(entries, e)
+			value = value[levelBytes:]
+		}
 	}
 	return entries, nil
 }
--- a/request/cachenews/cachenews_test.go
+++ b/request/cachenews/cachenews_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -24,7 +25,7 @@
 		{"nothing was cached", 0, 0, 1024, []uint64{3, 2, 1}},
 		{"the first level was", 100, 0, 1024, []uint64{3, 2}},
 		{"all was", 350, 0, 1024, nil},
-		{"room for two", 0, 0, 2*entryBytes + 1, []uint64{3, 2}},
+		{"room for two", 0, 0, headBytes + 2*levelBytes + 1, []uint64{3, 2}},
 		{"too old", 0, time.Minute, 1024, nil},
 	}
 	for _, c := range cases {
@@ -45,23 +46,37 @@
 
 func TestRingIsBounded(t *testing.T) {
 	var b Book
-	for range 10 * ring {
-		b.Note(start, "runner-1", chain, placement.Answer{})
+	for i := range 10 * ring {
+		b.Note(start, fmt.Sprint("runner-", i), chain, placement.Answer{})
 	}
-	if n := len(b.Value(start, 1<<20)) / entryBytes; n != ring {
+	if n := len(b.newest(start)); n != ring {
 		t.Errorf("%d entries, want %d", n, ring)
 	}
 }
 
+func TestLevelsAreToldOnce(t *testing.T) {
+	var b Book
+	for range 5 {
+		b.Note(start, "runner-1", chain, placement.Answer{Incarnation: 1})
+	}
+	b.Note(start, "runner-1", chain, placement.Answer{Incarnation: 2})
+	entries, err := Decode(b.Value(start, 1024))
+	if err != nil || len(entries) != 2*len(chain) {
+		t.Errorf("%d entries, %v, want each level once for each incarnation", len(entries), err)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
-	f.Add(make([]byte, entryBytes))
+	var b Book
+	b.Note(start, "runner-1", chain, placement.Answer{})
+	f.Add(b.Value(start, 1024))
 	f.Add([]byte{1, 2, 3})
 	f.Fuzz(func(t *testing.T, value []byte) {
 		entries, err := Decode(value)
 		switch {
 		case err != nil && !errors.Is(err, ErrMalformed):
 			t.Fatal(err)
-		case err == nil && len(entries)*entryBytes != len(value):
+		case len(entries)*levelBytes > len(value):
 			t.Fatalf("%d entries of %d bytes", len(entries), len(value))
 		}
 	})
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -51,6 +51,16 @@
 	return c
 }
 
+// Evidence is what the peers' sends say of the upstreams, beside this node's
+// own. In a large fleet one node sends to an upstream too seldom to find out
+// alone that it fails.
+type Evidence interface {
+	// Observe takes in how a send of this node ended.
+	Observe(now time.Time, upstream string, incarnation uint64, ok bool)
+	// Down gives those of the upstreams that fail by the joint evidence.
+	Down(now time.Time, names []string) []string
+}
+
 // Guard stands between the request paths and the upstreams of one node. It
 // has a lock for its own count alone; its parts lock themselves, one after the
 // other, never one inside another.
@@ -58,6 +68,7 @@
 	concurrency *limit.Concurrency[string]
 	detector    *ejection.Detector
 	retrier     *retry.Retrier
+	evidence    Evidence // nil: only this node's own sends count
 
 	mu       sync.Mutex
 	inFlight map[string]int // own sends by upstream, none of them zero
@@ -80,6 +91,13 @@
 	}, nil
 }
 
+// WithEvidence has the guard share its evidence; it is called before the
+// first send.
+func (g *Guard) WithEvidence(e Evidence) *Guard {
+	g.evidence = e
+	return g
+}
+
 // SetUpstreams replaces the upstreams that are in the configuration.
 func (g *Guard) SetUpstreams(now time.Time, names []string) {
 	g.detector.SetUpstreams(now, names)
@@ -94,11 +112,26 @@
 // Excluded gives those of the upstreams that must not get a request now. The
 // ejected ones among them are never all of them.
 func (g *Guard) Excluded(now time.Time, names []string) []string {
-	ejected := g.detector.ExcludedAmong(now, names)
+	ejected := g.unhealthy(now, names)
 	full := lo.Filter(names, func(name string, _ int) bool { return !g.concurrency.Free(name) })
 	return append(ejected, full...)
 }
 
+// unhealthy gives those ejected by this node's own sends or down by the joint
+// evidence, but never all: peers' word then has to yield, since what makes all
+// upstreams look down lies rather with those who look.
+func (g *Guard) unhealthy(now time.Time, names []string) []string {
+	ejected := g.detector.ExcludedAmong(now, names)
+	if g.evidence == nil {
+		return ejected
+	}
+	down := g.evidence.Down(now, names)
+	if all := lo.Union(ejected, down); len(down) > 0 && len(all) < len(names) {
+		return all
+	}
+	return ejected
+}
+
 // Full says whether any of the upstreams is kept out only because this node's
 // limit for it is used up, so that waiting a little helps.
 func (g *Guard) Full(names []string) bool {
@@ -164,6 +197,9 @@
 		g.detector.Release(now, name)
 		return
 	}
+	if g.evidence != nil {
+		g.evidence.Observe(now, name, s.Incarnation, s.Err == nil)
+	}
 	g.detector.Observe(now, name, ejection.Sample{
 		Incarnation: s.Incarnation,
 		Failed:      s.Err != nil,
--- /dev/null
+++ b/request/guard/guard_test.go
@@ -0,0 +1,83 @@
+package guard
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+)
+
+var start = time.Date(2026, 12, 2, 6, 0, 0, 0, time.UTC)
+
+// told is evidence by which the given upstreams are down.
+type told struct {
+	down     []string
+	observed []string
+}
+
+func (t *told) Observe(_ time.Time, name string, _ uint64, _ bool) {
+	t.observed = append(t.observed, name)
+}
+
+func (t *told) Down(_ time.Time, names []string) []string { return lo.Intersect(t.down, names) }
+
+// Peers tell that upstreams are down. They get no more work, but if that left
+// none, callers would be refused by the whole fleet because of a fault of
+// those who look; then peers' word yields, and this node's own ejections hold.
+func TestPeersWordNeverTakesAll(t *testing.T) {
+	tests := []struct {
+		name              string
+		down, fails, want []string
+	}{
+		{"none", nil, nil, nil},
+		{"one", []string{"a"}, nil, []string{"a"}},
+		{"all", []string{"a", "b", "c"}, nil, nil},
+		{"all with an own ejection", []string{"b", "c"}, []string{"a"}, []string{"a"}},
+		{"beside an own ejection", []string{"b"}, []string{"a"}, []string{"a", "b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := lo.Must(New(ForEngines)).WithEvidence(&told{down: tt.down})
+			names := []string{"a", "b", "c"}
+			g.SetUpstreams(start, names)
+			for _, n := range tt.fails {
+				for range ForEngines.Ejection.Consecutive {
+					g.Begin(start, n)
+					g.End(start, n, Send{Err: upstream.ErrNotSent})
+				}
+			}
+			got := g.Excluded(start, names)
+			slices.Sort(got)
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("%v kept out, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// A busy refusal says nothing of an upstream's health; told to peers, it would
+// take a merely full upstream from all nodes.
+func TestOnlyFaultsAndAnswersAreEvidence(t *testing.T) {
+	tests := []struct {
+		err  error
+		want int
+	}{
+		{nil, 1},
+		{upstream.ErrBroken, 1},
+		{upstream.ErrBusy, 0},
+		{upstream.ErrWrongVersion, 0},
+	}
+	for _, tt := range tests {
+		e := &told{}
+		g := lo.Must(New(ForEngines)).WithEvidence(e)
+		g.SetUpstreams(start, []string{"a"})
+		g.Begin(start, "a")
+		g.End(start, "a", Send{Err: tt.err})
+		if len(e.observed) != tt.want {
+			t.Errorf("%v: %d told, want %d", tt.err, len(e.observed), tt.want)
+		}
+	}
+}
