Test an undo over real processes

After a shift under load another operator undoes it through another node; from every node the workspace's requests run in the old pool alone again. Before they look, the tests wait until every node sees the plan carried out, not just one: a look at the others could have come early.

--- a/e2e/plan_test.go
+++ b/e2e/plan_test.go
@@ -25,6 +25,14 @@
 	})
 }
 
+// awaitPlanOnAll waits until every node sees a plan carried out.
+func (s *site) awaitPlanOnAll(id string) {
+	s.t.Helper()
+	for node := range s.nodes {
+		s.awaitPlan(node, id, "Finished")
+	}
+}
+
 // A migration may cost no request: callers see answers from the old pool,
 // then from both, then from the new one. Each node learns of each step at its
 // own time, so that requests meet engines which, as another node sees it, are
@@ -38,7 +46,7 @@
 	if r := s.operate("confirm", "anna", 0, id, base); r.code != 0 {
 		t.Fatalf("confirm: %s", r.err)
 	}
-	s.awaitPlan(1, id, "Finished")
+	s.awaitPlanOnAll(id)
 	c.awaitDone(t, c.done.Load()+200) // some more in the new state
 	for _, o := range c.stopAll() {
 		for _, a := range o.tries {
@@ -47,15 +55,37 @@
 			}
 		}
 	}
-	// Alpha's requests go to the new pool alone now, from every node.
-	before := s.engineCounters(0).Runs + s.engineCounters(1).Runs
+	s.checkPool(t, newPool)
+
+	undo, base := s.propose("boris", 2, "--undo", id)
+	if r := s.operate("confirm", "boris", 1, undo, base); r.code != 0 {
+		t.Fatalf("confirm the undo: %s", r.err)
+	}
+	s.awaitPlanOnAll(undo)
+	s.checkPool(t, oldPool)
+}
+
+// checkPool fails the test if a request of alpha runs outside a pool, from
+// whichever node. Nothing else may be under way.
+func (s *site) checkPool(t *testing.T, pool string) {
+	t.Helper()
+	outside := func() int {
+		runs := 0
+		for i, e := range s.layout.engines {
+			if !strings.HasPrefix(e, pool+" ") {
+				runs += s.engineCounters(i).Runs
+			}
+		}
+		return runs
+	}
+	before := outside()
 	for node := range s.nodes {
 		if err := s.askOnce(t.Context(), node, chatOf(alpha, node)); err != nil {
 			t.Errorf("%s: %v", nodeName(node), err)
 		}
 	}
-	if after := s.engineCounters(0).Runs + s.engineCounters(1).Runs; after != before {
-		t.Errorf("%d of alpha's requests ran in the old pool after its shift", after-before)
+	if after := outside(); after != before {
+		t.Errorf("%d of alpha's requests ran outside the pool %s", after-before, pool)
 	}
 }
 
@@ -84,21 +114,11 @@
 	}
 	s.awaitPlan(other, back, "Finished")
 	s.nodes[frozen].signal(syscall.SIGCONT)
-	for node := range s.nodes {
-		s.awaitPlan(node, id, "Finished")
-		s.awaitPlan(node, back, "Finished")
-	}
+	s.awaitPlanOnAll(id)
+	s.awaitPlanOnAll(back)
 	c.awaitDone(t, c.done.Load()+100)
 	checkOutcomes(t, c.stopAll(), -1)
-	before := s.engineCounters(2).Runs // the only one of the new pool
-	for node := range s.nodes {
-		if err := s.askOnce(t.Context(), node, chatOf(alpha, node)); err != nil {
-			t.Errorf("%s: %v", nodeName(node), err)
-		}
-	}
-	if after := s.engineCounters(2).Runs; after != before {
-		t.Errorf("%d of alpha's requests ran in the new pool after its way back", after-before)
-	}
+	s.checkPool(t, oldPool)
 }
 
 // leaseOwner waits for the node that carries out the plans.
@@ -170,9 +190,7 @@
 			t.Errorf("%s was told %q, but %s by %s came first", p.operator, p.result.err, first.id, first.operator)
 		}
 	}
-	for node := range s.nodes {
-		s.awaitPlan(node, first.id, "Finished")
-	}
+	s.awaitPlanOnAll(first.id)
 	s.shiftBack(t)
 }
 
@@ -183,7 +201,5 @@
 	if r := s.operate("confirm", "anna", 0, id, base); r.code != 0 {
 		t.Fatalf("confirm: %s", r.err)
 	}
-	for node := range s.nodes {
-		s.awaitPlan(node, id, "Finished")
-	}
+	s.awaitPlanOnAll(id)
 }
