--- a/request/placement/affinity_test.go
+++ b/request/placement/affinity_test.go
@@ -319,6 +319,24 @@
 	}
 }
 
+// All other upstreams are excluded, and the last one has failed. The caller
+// would be told that there is none, though it may be well again.
+func TestLastUpstreamIsTriedThoughItFails(t *testing.T) {
+	a := started(Config{}, 12)
+	r := request(prompt(1, 1, 1, 1))
+	for _, u := range runners(12)[1:] {
+		r.Excluded = append(r.Excluded, u.Name)
+	}
+	for range 5 {
+		d, err := a.Place(epoch, r)
+		if err != nil || d.Upstream != "runner-0000" {
+			t.Fatalf("%+v, %v", d, err)
+		}
+		a.Sent(epoch, r, d)
+		a.Finished(epoch, r, d, false)
+	}
+}
+
 func TestNoCandidate(t *testing.T) {
 	for _, n := range Policies() {
 		p := n.New(Config{})
