--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -78,6 +79,42 @@
 	engines []member
 	nodes   []nodeProcess
 	layout  layout
+	tls     *tls.Config // of the nodes' clients; nil: plain text
+}
+
+// Files of a site with TLS.
+const (
+	authorityFile   = "authority.pem"
+	certificateFile = "certificate.pem"
+	keyFile         = "key.pem"
+)
+
+// url gives the address of a node's listener for a client.
+func (s *site) url(address string) string {
+	if s.tls != nil {
+		return "https://" + address
+	}
+	return "http://" + address
+}
+
+// tlsSettings are what follows the address of a listener.
+func (s *site) tlsSettings() string {
+	file := func(name string) string { return filepath.Join(s.dir, name) }
+	return fmt.Sprintf(", TLS: {CertFile: %s, KeyFile: %s", file(certificateFile), file(keyFile))
+}
+
+// look asks a node's callers' listener for a path.
+func (s *site) look(n nodeProcess, path string) error {
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: s.tls, DisableKeepAlives: true}}
+	resp, err := client.Get(s.url(n.callers) + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
+	}
+	return nil
 }
 
 // newSite starts all processes of a layout, and configures them through the
@@ -132,23 +169,28 @@
 		s.nodes = append(s.nodes, n)
 	}
 	for _, n := range s.nodes {
-		await(s.t, n.name, func() error { return get(n.callers, "/health", nil) })
+		await(s.t, n.name, func() error { return s.look(n, "/health") })
 	}
 }
 
 func (s *site) settings(i int, n nodeProcess) string {
+	open, mutual := "", ""
+	if s.tls != nil {
+		open = s.tlsSettings() + "}"
+		mutual = s.tlsSettings() + ", AuthorityFile: " + filepath.Join(s.dir, authorityFile) + "}"
+	}
 	return fmt.Sprintf(`Node: %s
 DataCentre: %s
 Listen:
-  Callers: {Address: %s}
-  Operators: {Address: %s}
-  Peers: {Address: %s}
+  Callers: {Address: %s%s}
+  Operators: {Address: %s%s}
+  Peers: {Address: %s%s}
 Platform: {Log: %s, VMList: %s, WeightStore: %s, Timeout: 1s}
 Peers: {Secret: %s}
 Operators: {BootstrapToken: %s}
 Plans: {Settle: 500ms}
 Shutdown: {Notice: 500ms, Grace: 30s}
-`, nodeName(i), dataCentre(i), n.callers, n.operators, n.peers,
+`, nodeName(i), dataCentre(i), n.callers, open, n.operators, open, n.peers, mutual,
 		s.log.address, s.vms.address, s.weights.address, secret, bootstrap) + s.layout.settings
 }
 
@@ -164,7 +206,7 @@
 
 func (s *site) awaitReady(n nodeProcess) {
 	s.t.Helper()
-	await(s.t, n.name+" ready", func() error { return get(n.callers, "/ready", nil) })
+	await(s.t, n.name+" ready", func() error { return s.look(n, "/ready") })
 }
 
 func (s *site) writeTokens() {
@@ -230,7 +272,10 @@
 // operate runs one command of an operator against one node.
 func (s *site) operate(verb, operator string, node int, args ...string) result {
 	s.t.Helper()
-	all := []string{verb, "--server", "http://" + s.nodes[node].operators, "--token-file", filepath.Join(s.dir, operator)}
+	all := []string{verb, "--server", s.url(s.nodes[node].operators), "--token-file", filepath.Join(s.dir, operator)}
+	if s.tls != nil {
+		all = append(all, "--ca-file", filepath.Join(s.dir, authorityFile))
+	}
 	return command(s.t, "", append(all, args...)...)
 }
 
@@ -257,7 +302,7 @@
 // status asks one node what it says about itself.
 func (s *site) status(node int) (operator.Status, error) {
 	var st operator.Status
-	c, err := operator.NewClient("http://"+s.nodes[node].operators, tokenOf(operators[0]), hangLimit, nil)
+	c, err := operator.NewClient(s.url(s.nodes[node].operators), tokenOf(operators[0]), hangLimit, s.tls)
 	if err != nil {
 		return st, err
 	}
