Keep work from upstreams that peers saw fail, within a bound

Peers' word takes a third of the upstreams at most, and never the last. A report of another incarnation ends it; after 10 s without a new failure all may try again (that is the probe; a node that ejected the upstream itself still sends one). Reports are 3 bytes and the name each, not gob.

--- a/process/member/upstream.go
+++ b/process/member/upstream.go
@@ -4,10 +4,13 @@
 	"cmp"
 	"encoding/binary"
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Bounds and weights of the evidence about upstreams.
@@ -17,12 +20,19 @@
 	maxReports = 24
 	// maxReporters bounds the nodes whose word is kept for one upstream.
 	maxReporters = 8
+	// wordAge is after how long a word that was not renewed gives way to
+	// those of other nodes; it has no weight by then.
+	wordAge = time.Minute
 	// answeredHalfLife and failedHalfLife are after how long a call's outcome
 	// counts half. An answer of before the fault must not speak long against
-	// the failures since; and while failures keep all nodes from trying, only
-	// their age has one try again.
+	// the failures since.
 	answeredHalfLife = 5 * time.Second
 	failedHalfLife   = 20 * time.Second
+	// quietTime is after how long without a new failure an upstream is open
+	// again to all that don't eject it themselves, whatever the weights: it
+	// may be well, and nobody would know. One more failure that is told
+	// closes it again.
+	quietTime = 10 * time.Second
 	// maxOutcomes bounds the own outcomes of one kind, or a busy node would
 	// go on telling of failures long after the last of them.
 	maxOutcomes = 2
@@ -43,6 +53,10 @@
 	minTold = 0.25
 	// toldSteps is in how many parts a told weight of 1 is given.
 	toldSteps = 16
+	// sinceStep rounds the told time since the latest failure, and
+	// reportBytes is the size of a report without the name.
+	sinceStep   = 100 * time.Millisecond
+	reportBytes = 3
 )
 
 // Outcomes is weighed evidence: calls that were answered and that failed,
@@ -69,6 +83,7 @@
 type Report struct {
 	Upstream string
 	Outcomes Outcomes
+	Since    time.Duration // since the latest failure
 }
 
 // Upstreams is one node's evidence about the upstreams: outcomes of its own
@@ -85,6 +100,7 @@
 type upstreamEvidence struct {
 	own         Outcomes
 	at          time.Time // of own
+	failed      time.Time // latest own failure
 	incarnation uint64    // 0: not known
 	peers       map[string]peerReport
 }
@@ -93,6 +109,7 @@
 	dataCentre string
 	outcomes   Outcomes
 	at         time.Time
+	failed     time.Time // latest failure
 }
 
 // NewUpstreams gives a table without upstreams for a node of a data centre.
@@ -148,6 +165,7 @@
 		e.own.Answered = min(e.own.Answered+1, maxOutcomes)
 	} else {
 		e.own.Failed = min(e.own.Failed+1, maxOutcomes)
+		e.failed = now
 	}
 }
 
@@ -166,7 +184,7 @@
 		return
 	}
 	if e.incarnation != 0 {
-		e.own, e.peers = Outcomes{}, nil
+		e.own, e.peers, e.failed = Outcomes{}, nil, time.Time{}
 		delete(u.told, name)
 	}
 	e.incarnation = incarnation
@@ -189,12 +207,23 @@
 	return down
 }
 
-// down weighs the voices: each node of the own data centre is one, and each
-// other data centre as a whole, whose common fault may be its way here.
+// down says whether an upstream that peers spoke of fails by the evidence, of
+// late.
 func (e *upstreamEvidence) down(now time.Time, dataCentre string) bool {
+	all, latest := e.weighed(now, dataCentre)
+	return now.Sub(latest) < quietTime && all.sum() > enoughEvidence &&
+		all.Failed >= downShare*all.sum()
+}
+
+// weighed joins the voices and gives the latest failure: each node of the own
+// data centre is a voice, and each other data centre as a whole, whose common
+// fault may be its way here.
+func (e *upstreamEvidence) weighed(now time.Time, dataCentre string) (Outcomes, time.Time) {
+	latest := e.failed
 	all := e.own.aged(now.Sub(e.at)).voice().scaled(ownVoice)
 	elsewhere := map[string]Outcomes{}
 	for _, r := range e.peers {
+		latest = lo.Latest(latest, r.failed)
 		o := r.outcomes.aged(now.Sub(r.at))
 		if r.dataCentre != dataCentre {
 			elsewhere[r.dataCentre] = elsewhere[r.dataCentre].plus(o)
@@ -205,7 +234,7 @@
 	for _, o := range elsewhere {
 		all = all.plus(o.voice())
 	}
-	return len(e.peers) > 0 && all.sum() > enoughEvidence && all.Failed >= downShare*all.sum()
+	return all, latest
 }
 
 // Reports gives what peers should know, within a bound: the upstreams that
@@ -218,7 +247,7 @@
 	for name, e := range u.known {
 		own := e.own.aged(now.Sub(e.at))
 		if own.Failed >= minTold || own.Answered >= minTold && len(e.peers) > 0 {
-			reports = append(reports, Report{Upstream: name, Outcomes: own})
+			reports = append(reports, Report{Upstream: name, Outcomes: own, Since: now.Sub(e.failed)})
 		}
 	}
 	slices.SortFunc(reports, func(a, b Report) int {
@@ -240,13 +269,18 @@
 	}
 	for _, r := range reports[:min(len(reports), maxReports)] {
 		e := u.known[r.Upstream]
-		if e == nil || len(e.peers) >= maxReporters {
+		if e == nil {
+			continue
+		}
+		// A dead peer takes nothing back; its word must not fill the bound.
+		maps.DeleteFunc(e.peers, func(_ string, p peerReport) bool { return at.Sub(p.at) > wordAge })
+		if len(e.peers) >= maxReporters {
 			continue
 		}
 		if e.peers == nil {
 			e.peers = map[string]peerReport{}
 		}
-		e.peers[node] = peerReport{dataCentre: dataCentre, outcomes: r.Outcomes, at: at}
+		e.peers[node] = peerReport{dataCentre: dataCentre, outcomes: r.Outcomes, at: at, failed: at.Add(-r.Since)}
 		u.told[r.Upstream] = e
 	}
 }
@@ -255,7 +289,8 @@
 var ErrReports = errors.New("member: no reports of upstreams")
 
 // EncodeReports gives reports as a value to publish, as many as fit: for each
-// the length of the name, the name, and the two weights.
+// the length of the name, the name, the two weights, and the time since the
+// latest failure in steps of sinceStep.
 func EncodeReports(reports []Report) []byte {
 	var b []byte
 	for _, r := range reports {
@@ -265,7 +300,8 @@
 		before := len(b)
 		b = binary.AppendUvarint(b, uint64(len(r.Upstream)))
 		b = append(b, r.Upstream...)
-		b = append(b, told(r.Outcomes.Answered), told(r.Outcomes.Failed))
+		b = append(b, told(r.Outcomes.Answered*toldSteps), told(r.Outcomes.Failed*toldSteps),
+			told(float64(r.Since)/float64(sinceStep)))
 		if len(b) > MaxBlobBytes {
 			return b[:before]
 		}
@@ -273,23 +309,22 @@
 	return b
 }
 
-func told(weight float64) byte {
-	return byte(min(math.Round(weight*toldSteps), math.MaxUint8))
-}
+func told(f float64) byte { return byte(min(math.Round(f), math.MaxUint8)) }
 
 // DecodeReports reads a published value.
 func DecodeReports(value []byte) ([]Report, error) {
 	var reports []Report
 	for len(value) > 0 {
 		n, read := binary.Uvarint(value)
-		if read <= 0 || n > MaxNameBytes || len(value) < read+int(n)+2 {
+		if read <= 0 || n > MaxNameBytes || len(value) < read+int(n)+reportBytes {
 			return nil, ErrReports
 		}
 		value = value[read:]
 		r := Report{Upstream: string(value[:n])}
 		r.Outcomes = Outcomes{Answered: float64(value[n]) / toldSteps, Failed: float64(value[n+1]) / toldSteps}
+		r.Since = time.Duration(value[n+2]) * sinceStep
 		reports = append(reports, r)
-		value = value[n+2:]
+		value = value[n+reportBytes:]
 	}
 	return reports, nil
 }
--- a/process/node/evidence.go
+++ b/process/node/evidence.go
@@ -22,3 +22,12 @@
 	}
 	l.policies.Learned(now, s)
 }
+
+// worthTelling says whether to publish evidence on the heartbeats: if there is
+// any, or once more to take the former back. Empty values of a large fleet's
+// nodes would delay the others.
+func (m *maintenance) worthTelling(evidence []byte) bool {
+	before := m.suspects
+	m.suspects = len(evidence) > 0
+	return before || m.suspects
+}
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -47,6 +47,7 @@
 
 	shared    time.Time               // last exchange of limits; of one goroutine alone
 	published int                     // turn of the rotations
+	suspects  bool                    // the latest evidence was not empty
 	taken     map[published]time.Time // publication of the latest value taken in
 }
 
--- a/process/node/values.go
+++ b/process/node/values.go
@@ -127,6 +127,9 @@
 		name  string
 		value []byte
 	}{{placementValue, v.Placement}, {enginesValue, v.Engines}, {cachesValue, v.Caches}, {evidenceValue, v.Evidence}} {
+		if value.name == evidenceValue && !m.worthTelling(v.Evidence) {
+			continue
+		}
 		_ = publish(now, value.name, value.value) // each is bounded below what fits
 	}
 }
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -117,16 +117,24 @@
 	return append(ejected, full...)
 }
 
+// maxToldShare is the part of the upstreams that peers' word can keep work
+// from. Beyond, the fault lies rather with those who look; and if it does not,
+// this node's own sends soon show it, while the few that are left would be
+// overloaded until the others are tried again.
+const maxToldShare = 1.0 / 3
+
 // unhealthy gives those ejected by this node's own sends or down by the joint
-// evidence, but never all: peers' word then has to yield, since what makes all
-// upstreams look down lies rather with those who look.
+// evidence. Peers' word yields if it names too many, or if it would leave none.
 func (g *Guard) unhealthy(now time.Time, names []string) []string {
 	ejected := g.detector.ExcludedAmong(now, names)
 	if g.evidence == nil {
 		return ejected
 	}
 	down := g.evidence.Down(now, names)
-	if all := lo.Union(ejected, down); len(down) > 0 && len(all) < len(names) {
+	if len(down) == 0 || float64(len(down)) > maxToldShare*float64(len(names)) {
+		return ejected
+	}
+	if all := lo.Union(ejected, down); len(all) < len(names) {
 		return all
 	}
 	return ejected
