Split the long file of the completion's start; share the retry's ends

Ruled out: one path for both kinds (streams are mended, calls are not). A cut stream's time to come back is spread now like the others'. Measured: tests of the three packages pass.

--- a/request/call/router.go
+++ b/request/call/router.go
@@ -13,7 +13,6 @@
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
-	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -112,14 +111,11 @@
 	case !known:
 		return l, failure.ErrUnknownService.WithMessage("no service %q", r.Service)
 	case len(l.Names) == 0:
-		return l, failure.ErrNoUpstream.WithRetryAfter(limit.Spread(0, r.ID, retryAfter))
+		return l, retry.Refusal(r.ID, false, failure.ErrNoUpstream, nil)
 	}
 	return l, nil
 }
 
-// retryAfter is when to come back if nothing better is known.
-const retryAfter = time.Second
-
 // sending is one call on its way.
 type sending struct {
 	rt        *Router
@@ -219,7 +215,7 @@
 	took := time.Since(now)
 	s.rt.Guard.End(time.Now(), u.Name, guard.Send{Err: err, FirstToken: took})
 	if err != nil {
-		s.sent = s.sent || !surelyNotRun(err)
+		s.sent = s.sent || !retry.SurelyNotRun(err)
 		return reply, fmt.Errorf("upstream %s: %w", u.Name, err)
 	}
 	return reply, nil
@@ -232,7 +228,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.patience(now))
 	defer cancel()
 	reply, err := s.rt.Upstreams.Service(u).Do(ctx, s.r.call())
-	if s.claim != nil && err != nil && surelyNotRun(err) {
+	if s.claim != nil && err != nil && retry.SurelyNotRun(err) {
 		s.claim.Reopen()
 	}
 	return reply, err
@@ -245,12 +241,6 @@
 	return min(s.rt.Config.Timeout, s.r.Deadline.Sub(now))
 }
 
-// surelyNotRun holds for the errors after which no byte of the call can have
-// been acted on.
-func surelyNotRun(err error) bool {
-	return retry.Classify(err, 0) <= retry.WrongVersion
-}
-
 // again returns when the call may be sent once more after a failed send, or
 // the caller's error if it may not.
 func (s *sending) again(ctx context.Context, name string, cause error) error {
@@ -280,12 +270,10 @@
 }
 
 func (s *sending) pause(ctx context.Context, wait time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return s.refusal(failure.ErrCancelled, ctx.Err())
-	case <-time.After(wait):
-		return nil
+	if err := retry.Pause(ctx, wait); err != nil {
+		return s.refusal(failure.ErrCancelled, err)
 	}
+	return nil
 }
 
 // others counts the instances that were not tried yet, but for name.
@@ -296,9 +284,5 @@
 }
 
 func (s *sending) refusal(e *failure.Error, cause error) error {
-	ran := failure.NotRun
-	if s.sent {
-		ran = failure.Unknown
-	}
-	return e.WithRan(ran).WithRetryAfter(limit.Spread(0, s.r.ID, retryAfter)).WithCause(cause)
+	return retry.Refusal(s.r.ID, s.sent, e, cause)
 }
--- /dev/null
+++ b/request/completion/again.go
@@ -0,0 +1,71 @@
+package completion
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/retry"
+)
+
+// again returns when the request may be sent once more after a failed send,
+// or the caller's error if it may not.
+func (s *start) again(ctx context.Context, name string, cause error) error {
+	v := s.decide(name, cause, 0, false)
+	switch v.Action {
+	case retry.RetryElsewhere:
+		s.failed = append(s.failed, name)
+		s.excluded = slices.Clone(s.failed)
+		return nil
+	case retry.RetrySame:
+		return s.pause(ctx, v.Wait)
+	}
+	return v.Err
+}
+
+func (s *start) pause(ctx context.Context, wait time.Duration) error {
+	if err := retry.Pause(ctx, wait); err != nil {
+		return s.refusal(failure.ErrCancelled, err)
+	}
+	return nil
+}
+
+// decide asks the retrier, with what is known of the failed send.
+func (s *start) decide(name string, cause error, passedOn int, canResume bool) retry.Verdict {
+	v := s.rt.Guard.Decide(time.Now(), retry.Attempt{
+		ID:         s.r.ID,
+		Workspace:  s.r.Workspace,
+		Upstream:   name,
+		Tries:      s.attempts,
+		Repeatable: !s.r.Key.Set(),
+		Fault:      retry.Classify(cause, passedOn),
+		SentBefore: s.sent,
+		CanResume:  canResume,
+		Others:     s.others(name),
+		Deadline:   s.r.Deadline,
+		Cause:      cause,
+	})
+	if v.Action != retry.GiveUp {
+		s.rt.Observer.Retried(s.r, v.Action)
+	}
+	event.Info(s.rt.Log, event.RequestRetried, zap.String("Request", s.r.ID),
+		zap.String("Upstream", name), zap.Int("Attempt", s.attempts),
+		zap.Stringer("Action", v.Action), zap.String("Reason", v.Reason), zap.Error(cause))
+	return v
+}
+
+// others counts the upstreams that were not tried yet, but for name.
+func (s *start) others(name string) int {
+	return lo.CountBy(s.target.list.Names, func(n string) bool {
+		return n != name && !lo.Contains(s.excluded, n)
+	})
+}
+
+func (s *start) refusal(e *failure.Error, cause error) error {
+	return retry.Refusal(s.r.ID, s.sent, e, cause)
+}
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -148,7 +148,7 @@
 }
 
 func (a *Answer) cut(cause error) error {
-	return failure.ErrStreamCut.WithRan(failure.Unknown).WithRetryAfter(retryAfter).WithCause(cause)
+	return retry.Refusal(a.s.r.ID, true, failure.ErrStreamCut, cause)
 }
 
 // resume asks the same engine for the rest of the same stream. An engine
--- /dev/null
+++ b/request/retry/flow.go
@@ -0,0 +1,37 @@
+package retry
+
+import (
+	"context"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/limit"
+)
+
+// SurelyNotRun holds for the errors after which no byte of a request can have
+// been acted on.
+func SurelyNotRun(err error) bool { return Classify(err, 0) <= WrongVersion }
+
+// Pause waits before another send, or until ctx ends.
+func Pause(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(wait):
+		return nil
+	}
+}
+
+// comeBack is when to come back if nothing better is known.
+const comeBack = time.Second
+
+// Refusal gives the final answer of a request that is given up for another
+// reason than a failed send. NotRun is said only if no byte of it can have
+// reached an upstream.
+func Refusal(id string, sent bool, e *failure.Error, cause error) *failure.Error {
+	ran := failure.NotRun
+	if sent {
+		ran = failure.Unknown
+	}
+	return e.WithRan(ran).WithRetryAfter(limit.Spread(0, id, comeBack)).WithCause(cause)
+}
