--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -80,7 +80,6 @@
 	defer a.mu.Unlock()
 	at := a.ticker.at(now)
 	a.measure(at, r.Chain)
-	a.exclude(now, r.Excluded)
 	found := a.candidates(at, r)
 	if len(found) == 0 {
 		return Decision{}, ErrNoCandidate
@@ -208,7 +207,7 @@
 	if m == nil {
 		return
 	}
-	a.fleet.noteEnd(now, m, ok)
+	m.failures.note(now, ok)
 	if !ok {
 		for _, l := range r.Chain {
 			a.beliefs.drop(m, l.ID)
--- a/request/placement/candidates.go
+++ b/request/placement/candidates.go
@@ -2,9 +2,6 @@
 
 import (
 	"slices"
-	"time"
-
-	"github.com/dunlinmill/dunlinmill/request/prefix"
 )
 
 const (
@@ -31,6 +28,7 @@
 // just started goes where its peers go. Where the sets of two nodes differ in
 // size, the smaller is part of the larger.
 func (a *Affinity) candidates(at tick, r Request) []candidate {
+	a.exclude(r.Excluded)
 	set := a.set[:0]
 	found := a.found[:0]
 	outside := a.outside[:0]
@@ -42,7 +40,7 @@
 		if bound {
 			rank(set, l)
 		} else {
-			set = a.fleet.skeleton.first(set, l, a.sizes[i]+spill, a.unfit)
+			set = a.fleet.skeleton.first(set, l, a.sizes[i]+spill, a.excluded)
 			bound = true
 		}
 		size := min(a.sizes[i], len(set))
@@ -52,7 +50,7 @@
 		set = set[:size]
 	}
 	if !bound && len(r.Chain) > 0 {
-		set = a.fleet.skeleton.first(set, r.Chain[len(r.Chain)-1], maxCandidates, a.unfit)
+		set = a.fleet.skeleton.first(set, r.Chain[len(r.Chain)-1], maxCandidates, a.excluded)
 	}
 	a.set = set
 	for _, s := range set[:min(len(set), maxCandidates)] {
@@ -67,23 +65,13 @@
 		found = a.addHolders(found, at, r)
 	}
 	found = a.addCold(found)
-	if len(found) == 0 {
-		found = a.addAny(found, r)
-	}
 	a.found, a.outside = found, outside
 	return found
 }
 
-// exclude marks the members that this decision may not choose, and those that
-// fail. Leaving a replica set costs something; if its members kept their place
-// while they fail, requests would stay with them.
-func (a *Affinity) exclude(now time.Time, names []string) {
+// exclude marks the members that this decision may not choose.
+func (a *Affinity) exclude(names []string) {
 	a.round++
-	for _, m := range a.fleet.troubled {
-		if m.failures.value(now) > failingFrom {
-			m.failing = a.round
-		}
-	}
 	for _, name := range names {
 		if m := a.fleet.members[name]; m != nil {
 			m.excluded = a.round
@@ -91,10 +79,6 @@
 	}
 }
 
-// unfit says whether another upstream takes the member's place in replica
-// sets: it is excluded, or fails.
-func (a *Affinity) unfit(m *member) bool { return a.excluded(m) || m.failing == a.round }
-
 func (a *Affinity) excluded(m *member) bool { return m.excluded == a.round }
 
 // addHolders adds the upstreams that are believed to hold the most of the
@@ -124,18 +108,6 @@
 	return slices.ContainsFunc(found, func(c candidate) bool { return c.member == m })
 }
 
-// addAny adds upstreams that fail, as there are no others.
-func (a *Affinity) addAny(found []candidate, r Request) []candidate {
-	var l prefix.Level
-	if len(r.Chain) > 0 {
-		l = r.Chain[0]
-	}
-	for _, s := range a.fleet.skeleton.first(nil, l, 1, a.excluded) {
-		found = append(found, candidate{member: s.member})
-	}
-	return found
-}
-
 // addCold adds upstreams at random, other ones in each node.
 func (a *Affinity) addCold(found []candidate) []candidate {
 	n := len(a.fleet.eligible)
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -91,7 +91,6 @@
 		{Name: "Affinity4", New: version(useHolders | useOthers | useSteep)},
 		{Name: "Affinity5", New: version(useHolders | useOthers | useSteep | useAnchor)},
 		{Name: "Affinity6", New: version(useHolders | useOthers | useSteep | useAnchor | useShrink)},
-		{Name: "Affinity7", New: version(useHolders | useOthers | useSteep | useAnchor | useShrink | useStray)},
 		{Name: "Affinity", New: func(cfg Config) Policy { return New(cfg) }},
 	}
 }
@@ -121,8 +120,6 @@
 	useShrink
 	// useStray makes copies outside the replica set cost more.
 	useStray
-	// useBlind does so by the part of the caches that isn't heard of.
-	useBlind
 
 	useAll  feature = 1<<iota - 1
 	useNone feature = 1 << 31
--- a/request/placement/fleet.go
+++ b/request/placement/fleet.go
@@ -15,7 +15,6 @@
 	id       uint16 // for tables; given again once the member is gone
 	eligible bool
 	excluded uint64 // the last decision that may not choose it
-	failing  uint64 // the last decision in which it failed too much
 	own      int    // own requests sent and not finished
 	tokens   int    // their prompt tokens that are not answered yet
 	load     Load
@@ -30,7 +29,6 @@
 	members    map[string]*member
 	eligible   []*member // sorted by hash
 	skeleton   skeleton
-	troubled   []*member      // with failures not yet forgotten
 	byID       []*member      // 0 is nobody
 	queued     int            // prompt tokens that wait, by the last reports of all
 	unanswered map[uint64]int // prompt tokens of own requests, by decision
@@ -73,17 +71,6 @@
 	}
 }
 
-// noteEnd notes the end of a request, whole or not.
-func (f *fleet) noteEnd(now time.Time, m *member, ok bool) {
-	m.failures.note(now, ok)
-	f.troubled = slices.DeleteFunc(f.troubled, func(t *member) bool {
-		return t == m || t.failures.value(now) < forgotten
-	})
-	if m.failures.count >= forgotten {
-		f.troubled = append(f.troubled, m)
-	}
-}
-
 // number gives the member an identifier. One that is used again finds beliefs
 // of its former owner by name only, never by epoch.
 func (f *fleet) number(m *member) {
--- a/request/placement/penalty.go
+++ b/request/placement/penalty.go
@@ -12,11 +12,6 @@
 	failureCost = 2 * time.Second
 	// failureLimit bounds the failures that add up.
 	failureLimit = 8.0
-	// failingFrom is the penalty from which an upstream loses its place in
-	// replica sets: more than one fresh failure.
-	failingFrom = 1.0
-	// forgotten is the penalty under which failures no longer count.
-	forgotten = 0.01
 	// failureLife is how long a failure takes to count for a third. After
 	// some of it the upstream gets a single request again, and its success
 	// halves the penalty.
@@ -42,7 +37,7 @@
 	switch {
 	case ok:
 		c /= 2
-		if c < forgotten {
+		if c < 0.01 {
 			c = 0
 		}
 	default:
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -21,15 +21,6 @@
 	// be computed there: the copy stays, and draws later requests to a place
 	// that a node which has just started doesn't look for.
 	strayCompute = 1.0
-	// strayImport is the same for each second of computing that an import
-	// spares there. A copy costs nothing to make then, but takes as much room:
-	// with no charge for it, copies push out more than they bring.
-	strayImport = 4.0
-	// strayBlind comes on top of it, by the part of the caches that the node
-	// doesn't hear of: the less it knows, the more it goes by the hash.
-	strayBlind = 20.0
-	// blindAfter is how long a node has to know the demand well, in seconds.
-	blindAfter = 30.0
 	// warmPart is the part of a prompt that has to be expected in the cache
 	// for the decision's reason to say warm.
 	warmPart = 0.3
@@ -78,9 +69,7 @@
 		stray = strayCost
 	}
 	if a.cfg.features.has(useStray) && c.depth < len(r.Chain) {
-		stray += (strayCompute + a.blindness(at)*strayBlind) * compute
-		spared := (float64(r.Chain.Tokens())-cached)/max(1, c.Prefill) - compute
-		stray += strayImport * spared
+		stray += strayCompute * compute
 	}
 	w := a.cfg.Weighing
 	return price{
@@ -96,16 +85,6 @@
 	}
 }
 
-// blindness is the part of the caches that the node doesn't hear of. It grows
-// from 0 at its start: as long as it doesn't know the demand either, its
-// replica sets are too small for hot prefixes, and all would queue there.
-func (a *Affinity) blindness(at tick) float64 {
-	if !a.cfg.features.has(useBlind) {
-		return 0
-	}
-	return (1 - float64(a.coverage)) * min(1, seconds(1, at)/blindAfter)
-}
-
 func (a *Affinity) queueing(r Request) *queueing {
 	if r.Urgent {
 		return &a.urgent
--- a/request/placement/source.go
+++ b/request/placement/source.go
@@ -13,7 +13,8 @@
 // source is an upstream that a prefix can be exported from.
 type source struct {
 	*member
-	tokens int // of the prefix
+	tokens int     // of the prefix
+	chance float64 // that it holds the prefix still
 }
 
 // findSource gives the upstream that is believed to hold the most of the
@@ -28,15 +29,15 @@
 		if h == nil {
 			continue
 		}
-		best, most := source{tokens: l.Tokens}, surely
+		best := source{tokens: l.Tokens, chance: surely}
 		for _, id := range h {
 			m := a.fleet.byID[id]
 			if m == nil || !m.eligible || a.excluded(m) {
 				continue
 			}
 			k, age, ok := a.beliefs.get(m, l.ID, at)
-			if chance := a.keeps(m, age); ok && !k.pending && chance > most {
-				best.member, most = m, chance
+			if chance := a.keeps(m, age); ok && !k.pending && chance > best.chance {
+				best.member, best.chance = m, chance
 			}
 		}
 		if best.member != nil {
