Count the exchange of limits once the fleet has settled

Cause: limits were counted 2 s after the start, while nodes that had run short under it went on asking: 61 calls a second of a node at 360 nodes.

--- a/capacity/limits.go
+++ b/capacity/limits.go
@@ -27,10 +27,11 @@
 
 // Virtual time of one fleet's limits, and how they are exchanged. Stocks are
 // filled within limitWarm under higher limits, since a small limit would take
-// a minute for it.
+// a minute for it. Nodes that ran short under the start go on asking for some
+// seconds: 61 calls a second at 360 nodes after 2 s, 40 after 15 s.
 const (
 	limitWarm   = 2 * time.Second
-	limitSettle = 2 * time.Second
+	limitSettle = 15 * time.Second
 	limitCount  = 4 * time.Second
 	// busyWorkspaces are those that the requests of a fleet fall on.
 	busyWorkspaces = 300
