--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -21,6 +21,10 @@
 	// be computed there: the copy stays, and draws later requests to a place
 	// that a node which has just started doesn't look for.
 	strayCompute = 1.0
+	// strayImport is the same for each second of computing that an import
+	// spares there. A copy costs nothing to make then, but takes as much room:
+	// with no charge for it, copies push out more than they bring.
+	strayImport = 4.0
 	// warmPart is the part of a prompt that has to be expected in the cache
 	// for the decision's reason to say warm.
 	warmPart = 0.3
@@ -70,6 +74,8 @@
 	}
 	if a.cfg.features.has(useStray) && c.depth < len(r.Chain) {
 		stray += strayCompute * compute
+		spared := (float64(r.Chain.Tokens())-cached)/max(1, c.Prefill) - compute
+		stray += strayImport * spared
 	}
 	w := a.cfg.Weighing
 	return price{
