Count an engine that never answers as failing

Cause: found by a new test. The wait for the first token ends by cancelling the send; the error then wraps the context's, which since callers are watched counts as a caller that went away. Ruled out: the adapter (it can't know who cancelled). Change: the watch remembers that it ran out and puts a broken send in place of the cancelled one, if the engine had the whole time, not only what a short deadline left of it.

--- a/request/completion/answer_test.go
+++ b/request/completion/answer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/failure"
@@ -192,3 +193,23 @@
 		t.Errorf("answered by %s, noted %s, want v2", answer.Info().Version, s.versions["a"])
 	}
 }
+
+// An engine takes the request and never answers. The caller is served by
+// another after the patience with the first has run out. The first one has to
+// count as failing: taken for a caller that went away, it would look healthy
+// and be given every request anew, each of which waits for nothing.
+func TestFrozenEngineCountsAsFailing(t *testing.T) {
+	s := newSite(&engine{name: "a", script: script{frozen: true}}, &engine{name: "b"})
+	rt := s.router()
+	rt.Config.HeadTimeout = 10 * time.Millisecond
+	answer, err := rt.Start(context.Background(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := read(answer); err != nil || text != strings.Join(words, "") {
+		t.Errorf("got %q, %v", text, err)
+	}
+	if len(s.policy.finished) != 2 || s.policy.finished[0] || !s.policy.finished[1] {
+		t.Errorf("the policy heard of ends %v, want a failure and a good one", s.policy.finished)
+	}
+}
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -34,16 +34,16 @@
 	g.Continue = text
 	g.MaxTokens -= count
 	ctx, cancel := context.WithCancel(s.ctx)
-	timer := time.AfterFunc(s.patience(now), cancel)
-	defer timer.Stop()
+	silent := s.watch(now, cancel)
 	stream, err := s.rt.Upstreams.Engine(u).Generate(ctx, g)
 	if err != nil {
+		err = silent.blame(err)
 		cancel()
 		v.end(time.Now(), err)
 		return nil, err
 	}
 	a := newAnswer(s, v, u, g, stream, cancel)
-	if err := a.first(); err != nil {
+	if err := silent.blame(a.first()); err != nil {
 		a.abandon()
 		v.end(time.Now(), err)
 		return nil, err
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -31,6 +31,7 @@
 	holds    bool // whether a cut stream can be resumed
 	reborn   bool // whether a resumed stream is of another incarnation
 	early    bool // whether the cut looks like an end
+	frozen   bool // takes the request and never answers
 
 	export  error // instead of an export
 	kv      int   // bytes of an export
@@ -51,7 +52,11 @@
 	unbounded bool // an export or import came without a time limit
 }
 
-func (e *engine) Generate(_ context.Context, g upstream.Generation) (upstream.Stream, error) {
+func (e *engine) Generate(ctx context.Context, g upstream.Generation) (upstream.Stream, error) {
+	if e.frozen {
+		<-ctx.Done()
+		return nil, fmt.Errorf("%w: %w", upstream.ErrBroken, ctx.Err())
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sends = append(e.sends, g)
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -80,10 +80,10 @@
 		return nil, fmt.Errorf("claim is over: %w", upstream.ErrRefused)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(s.patience(now), cancel)
+	silent := s.watch(now, cancel)
 	g, stream, err := s.generate(ctx, u)
 	if err != nil {
-		timer.Stop()
+		err = silent.blame(err)
 		cancel()
 		s.failedToSend(err)
 		if s.ctx.Err() != nil {
@@ -93,9 +93,7 @@
 	}
 	s.sent = true
 	a := newAnswer(s, v, u, g, stream, cancel)
-	err = a.first()
-	timer.Stop()
-	if err != nil {
+	if err := silent.blame(a.first()); err != nil {
 		a.abandon()
 		return nil, err
 	}
