Take the configuration into the parts only when it has changed

Cause: every record, a lease's renewal each few seconds among them, had limits, guards and metrics take the whole configuration anew. Ruled out: a subscription to configurations alone (the offset is needed of every record). Change: the parts are told when the configuration's own offset changes.

--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/dunlinmill/dunlinmill/connection/peer"
+	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/metric"
@@ -45,6 +46,7 @@
 	news       *cachenews.Book
 	upstreams  *member.Upstreams
 
+	inForce   platform.Offset         // of the configuration that the parts have; of one goroutine alone
 	shared    time.Time               // last exchange of limits; of one goroutine alone
 	published int                     // turn of the rotations
 	suspects  bool                    // the latest evidence was not empty
@@ -120,6 +122,10 @@
 func (m *maintenance) configured(now time.Time) {
 	s := m.follower.State()
 	m.members.SetOffset(s.Offset)
+	if s.Config.Offset == m.inForce {
+		return // a plan's or the lease's record, of which there are many more
+	}
+	m.inForce = s.Config.Offset
 	m.workspaces.SetLimits(now, s.Config)
 	engines, services := m.names(config.Engine), m.names(config.Service)
 	m.guards.engines.SetUpstreams(now, engines)
