Price in what makes an import fail or late

Cause: with imports at 12,000 tokens a second and 50 ms, the policy decided on imports that the request path gives up after 300 ms, and took a prefix for held that the source was believed to hold with 0.5 only. Change: an import must be expected to end in 0.15 s, half of that limit, and what the source may have evicted counts as computed.

--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -21,6 +21,10 @@
 	// be computed there: the copy stays, and draws later requests to a place
 	// that a node which has just started doesn't look for.
 	strayCompute = 1.0
+	// longestImport is the most seconds that an import may be expected to
+	// take: half of what the request path allows, as imports wait for each
+	// other. One that is given up has cost its time for nothing.
+	longestImport = 0.15
 	// strayImport is the same for each second of computing that an import
 	// spares there. A copy costs nothing to make then, but takes as much room:
 	// with no charge for it, copies push out more than they bring.
@@ -101,14 +105,16 @@
 // fetch gives the seconds that an upstream computes for a prompt and the
 // seconds that an import from another's cache takes before, 0 for none. What
 // the source holds is imported if that is sooner than to compute it, and the
-// two were last seen with the same weights.
+// two were last seen with the same weights. What the source may have evicted
+// counts as computed.
 func (a *Affinity) fetch(cached, tokens float64, m *member) (compute, fetch float64) {
 	prefill := max(1, m.Prefill)
 	missing := float64(a.source.tokens) - cached
 	if a.source.fits(m) && missing > 0 {
 		fetch = a.cfg.ImportLatency.Seconds() + missing/a.cfg.ImportRate
-		if fetch < missing/prefill {
-			return (tokens - cached - missing) / prefill, fetch
+		risk := (1 - a.source.chance) * missing / prefill
+		if fetch <= longestImport && fetch+risk < missing/prefill {
+			return (tokens-cached-missing)/prefill + risk, fetch
 		}
 	}
 	return (tokens - cached) / prefill, 0
