--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -222,7 +222,7 @@
 	s := newSite(t, small) // its header timeout is 1 s
 	n := s.nodes[0]
 	var conns []net.Conn
-	for range 10 {
+	for range 60 {
 		conn, err := net.Dial("tcp", n.callers)
 		if err != nil {
 			t.Fatal(err)
