Have the ejection hear of an engine's restart from its report

Cause: the detector's Restarted was called by nothing in the running node, so that an engine that came back stayed ejected for its time. Ruled out: the answers alone (an ejected engine gets none). Change: the reports' listener tells the engines' guard. Measured: tests of process/node pass; the time saved was not measured.

--- a/process/node/evidence.go
+++ b/process/node/evidence.go
@@ -11,6 +11,7 @@
 type listener struct {
 	policies  *policies
 	upstreams *member.Upstreams
+	guards    guards
 }
 
 // Learned passes a report on. One of another process ends what was told of
@@ -19,6 +20,7 @@
 func (l listener) Learned(now time.Time, s inventory.Status) {
 	if s.Failures == 0 {
 		l.upstreams.Restarted(s.Upstream, s.Incarnation)
+		l.guards.engines.Restarted(now, s.Upstream, s.Incarnation)
 	}
 	l.policies.Learned(now, s)
 }
