Measure imports as the request path carries them out

Cause: the model had a store that holds whatever any engine ever computed, from which an engine imported while the request stood in its batch. The router exports from one engine, imports into another and then sends. Change: the node imports from the decision's source, as far as that engine still holds the prefix, before it sends; one import after the other at an engine, given up after the request path's limit. Scenarios KeptCrash and KeptShift beside KeptCache. Imports stay off by default.

--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/dunlinmill/dunlinmill/measure/virtual"
 	"github.com/dunlinmill/dunlinmill/measure/workload"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 )
 
@@ -94,12 +95,12 @@
 		byName:   make(map[string]int),
 		reported: make(map[string]engine.Backlog),
 	}
-	var store *engine.Store
-	if s.Store {
-		store = engine.NewStore(storeTokens, importRate, importLatency)
+	imports := engine.Imports{}
+	if s.Imports {
+		imports = engine.Imports{Rate: importRate, Latency: importLatency, Limit: completion.DefaultImportTimeout}
 	}
 	for i, up := range u.Engines {
-		cfg := engine.Config{Upstream: up, Version: "v1", CacheTokens: u.CacheTokens, Store: store}
+		cfg := engine.Config{Upstream: up, Version: "v1", CacheTokens: u.CacheTokens, Imports: imports}
 		e := engine.New(&f.clock, cfg)
 		f.engines = append(f.engines, e)
 		f.byName[up.Name] = i
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -66,7 +66,7 @@
 				Weighing:      u.Weighing,
 				RemoteLatency: otherCentre - sameCentre,
 			}
-			if truth.f.scenario.Store {
+			if truth.f.scenario.Imports {
 				cfg.ImportRate, cfg.ImportLatency = importRate, importLatency
 			}
 			return named.New(cfg)
@@ -95,9 +95,8 @@
 	summaryPeriod  = time.Second
 )
 
-// The store of kept KV cache, where a scenario has one.
+// Imports from engine to engine, where a scenario has them.
 const (
-	storeTokens   = 20_000_000
 	importRate    = 30_000 // tokens a second and engine
 	importLatency = 20 * time.Millisecond
 )
--- a/measure/result.go
+++ b/measure/result.go
@@ -50,7 +50,7 @@
 type Window struct {
 	Requests   int
 	HitRate    float64 // cached tokens / prompt tokens
-	Imported   float64 // tokens fetched from the store / prompt tokens
+	Imported   float64 // tokens imported from other engines / prompt tokens
 	First50    time.Duration
 	First99    time.Duration
 	Urgent99   time.Duration // p99 of the time to first token of urgent requests
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -26,8 +26,8 @@
 	// Near gives each node the cache events of its own data centre's engines
 	// alone.
 	Near bool
-	// Store gives the deployment a store of kept KV cache.
-	Store bool
+	// Imports lets engines import kept KV cache from each other.
+	Imports bool
 	// Silent keeps the nodes' summaries from their peers.
 	Silent bool
 	// Lag is how old a load report is when it arrives; 0 means the usual.
@@ -66,7 +66,11 @@
 		// hears of engines through the peers that ask them.
 		{Name: "AnswersOnly", Loss: 1, Lag: 2 * time.Second, From: warmUp, To: runEnd},
 		{Name: "NoSummaries", Silent: true, From: warmUp, To: runEnd},
-		{Name: "KeptCache", Store: true, From: warmUp, To: runEnd},
+		{Name: "KeptCache", Imports: true, From: warmUp, To: runEnd},
+		{Name: "KeptShift", Imports: true, From: eventAt, To: eventEnd,
+			Changes: []workload.Change{{At: eventAt, Shift: true, Boost: 0.2}}},
+		{Name: "KeptCrash", Imports: true, From: eventAt, To: eventEnd,
+			Fault: func(f *fleet) { f.crash(f.mostUsed(), downTime) }},
 		{Name: "LoadLag", Lag: 2 * time.Second, From: warmUp, To: runEnd},
 		{Name: "HotShift", From: eventAt, To: eventEnd,
 			Changes: []workload.Change{{At: eventAt, Shift: true, Boost: 0.2}}},
