Continue every stream of a crashed engine; tell operators at once of an outage

Cause: over real processes, 4 crashes of an engine under 60 callers ended about 50 of 578 requests in StreamCut; the log said 38 times that the retry budget was used up: it holds a tenth of what a crash needs at one moment. And an operator waited out 15 s although the log refused each append at once. Ruled out: a larger budget (it bounds retry storms); a budget for continuations of its own (each stream continues once per crash under it, which bounds them). Change: continuations don't take from the budget; a submission that the log has refused three times in a row, and of which nothing can have taken effect, ends. Measured: TestEveryStreamOfACrashedEngineGoesOn without the change 'the retry budget is used up' from the second stream on; TestSubmitWithoutLog 'told only after 1m0s' in virtual time. Both pass after; the tests over processes of streams, outage and retirement pass (13 s). The 50 of 578 were not counted again.

--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -38,11 +38,15 @@
 	return v
 }
 
-// costs says whether an action adds load to the upstreams. After a NotSent no
+// costs says whether an action is paid for by the budget. After a NotSent no
 // upstream has had any work by the request yet, and a resumed stream goes on
-// without being computed again.
+// without being computed again. A continuation is computed again, but is not
+// bounded here: when an engine crashes, all of its streams need one at the same
+// moment, more than any budget holds, and each one refused is an answer that
+// the caller has read half of. They are no storm: each stream that was let in
+// continues once for each engine that crashes under it, up to MaxTries.
 func costs(f Fault, a Action) bool {
-	return f != NotSent && a != GiveUp && a != Resume
+	return f != NotSent && a != GiveUp && a != Resume && a != ContinueElsewhere
 }
 
 // Decide is the decision without the budget, as a pure function.
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -195,3 +195,25 @@
 		})
 	}
 }
+
+// An engine crashes under sixty streams. Each caller has read half of its
+// answer, and each stream could go on elsewhere; a budget for retries holds a
+// tenth of that, and the other callers' answers would end in an error.
+func TestEveryStreamOfACrashedEngineGoesOn(t *testing.T) {
+	r, err := New(Default)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1_000_000, 0)
+	for i := range 60 {
+		id := fmt.Sprint("r", i)
+		r.Request("sofia", "engine-1")
+		v := r.Decide(now, Attempt{
+			ID: id, Workspace: "sofia", Upstream: "engine-1", Tries: 1, Repeatable: true,
+			Fault: BrokenAfter, SentBefore: true, Others: 2,
+		})
+		if v.Action != ContinueElsewhere {
+			t.Errorf("%s: %s, %s", id, v.Action, v.Reason)
+		}
+	}
+}
--- a/version/follower/follower_test.go
+++ b/version/follower/follower_test.go
@@ -152,9 +152,13 @@
 		}
 		drafts := limit(t, f.State(), "p1", 7)
 		log.SetDown(true)
+		began := time.Now() // virtual
 		if err := submit(t, f, drafts...); !errors.Is(err, platform.ErrUnavailable) {
 			t.Errorf("log down: %v", err)
 		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("log down: told only after %s", took)
+		}
 		log.SetDown(false)
 		cut.cut.Store(true)
 		if err := submit(t, f, drafts...); !errors.Is(err, platform.ErrOutcomeUnknown) {
--- a/version/follower/submit.go
+++ b/version/follower/submit.go
@@ -67,8 +67,14 @@
 	base    platform.Offset
 	unknown bool            // an append's answer was lost
 	offset  platform.Offset // of an append that was answered; 0: none
+	refused int             // appends in a row that the log refused
 }
 
+// maxRefused is how many refusals in a row end a submission of which nothing
+// can have taken effect. An operator who is told at once can do something else;
+// waiting for the log's return is no better done here than by coming back.
+const maxRefused = 3
+
 // run appends until an answer comes, and then reads back. Safeguard: when an
 // answer is lost the same bytes are appended again; the fold passes over the
 // second copy by its id, so that the records take effect once.
@@ -84,6 +90,9 @@
 		if s.offset == 0 {
 			s.append(ctx)
 		}
+		if s.refused >= maxRefused && !s.unknown {
+			return Result{}, fmt.Errorf("submit: %w", platform.ErrUnavailable)
+		}
 		changed := s.f.changes()
 		if _, ok := s.readBack(); ok {
 			continue
@@ -102,7 +111,10 @@
 	switch {
 	case err == nil:
 		s.offset = offset
-	case !errors.Is(err, platform.ErrUnavailable):
+		s.refused = 0
+	case errors.Is(err, platform.ErrUnavailable):
+		s.refused++
+	default:
 		s.unknown = true
 	}
 }
