--- a/measure/bounds.go
+++ b/measure/bounds.go
@@ -128,14 +128,14 @@
 	if r.Admission {
 		return []Metric{Goodput, SmallInTime, Urgent99, ResentShare, NotAtOnce}
 	}
-	list := []Metric{HitRate, First99, WastedShare, Lost}
+	list := []Metric{HitRate, First99, Urgent99, WastedShare, Lost}
 	switch r.Scenario {
 	case CalmName:
-		return append(list, Urgent99, SummaryBytes)
+		return append(list, SummaryBytes)
 	case RestartName:
 		return append(list, RestartHitRate)
 	}
-	return list
+	return append(list, Settled99)
 }
 
 // SetBounds makes bounds from the figures of these rows.
