Keep retries within a tenth of the load with half of the upstreams failing

Ruled out: a smaller ratio (the aim allows a tenth); the sends after a refused connection, which cost no upstream anything (they are not most of these). Change: Reserve 10 -> 4, Burst 20 -> 8. Tests of request pass.

--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -126,7 +126,7 @@
 
 // Default lets retries add 10% of load.
 var Default = Config{
-	MaxTries: 4, Ratio: 0.1, Reserve: 10, Burst: 20, MaxKeys: 8192,
+	MaxTries: 4, Ratio: 0.1, Reserve: 4, Burst: 8, MaxKeys: 8192,
 	Backoff: Backoff{Base: 50 * time.Millisecond, Max: 2 * time.Second},
 }
 
