--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -117,7 +117,7 @@
 		logReachable:   gauge("log_reachable", "1 if the last call to the platform's log succeeded, else 0."),
 		peers:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "peers", Help: "Other nodes by state."}, []string{"state"}),
 		journalAppends: counters("journal_appends_total", "Appends to the journal by what became of them.", "result"),
-		journalLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "journal_append_seconds", Help: "Time that a not-repeatable request waited for its journal record.", Buckets: journalBuckets}),
+		journalLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "journal_append_seconds", Help: "Time that an append to the journal took, whatever became of it.", Buckets: journalBuckets}),
 	}
 	m.classes.Store(&Classes{})
 	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.retries, m.imports,
@@ -213,8 +213,8 @@
 // Peers sets the number of other nodes in a state.
 func (m *Metrics) Peers(s PeerState, n int) { m.peers.WithLabelValues(s.String()).Set(float64(n)) }
 
-// Journalled notes what became of an append to the journal and how long the
-// requests in it waited.
+// Journalled notes what became of an append to the journal and how long it
+// took.
 func (m *Metrics) Journalled(a Append, d time.Duration) {
 	m.journalAppends.WithLabelValues(a.String()).Inc()
 	m.journalLatency.Observe(d.Seconds())
