Remove three functions that nothing but a test calls

transport.Log made a report for Watch; process/node/secure.go logs its own, with the file in place of the listener. settings.Check was Load without its result, and had no caller. Metrics.Handler was called by the test of the package alone: the callers' listener serves the registry itself. The test now reads the registry in the same way, and checks the status too, which it did not before; what it looks for in the text is unchanged.

--- a/connection/transport/transport.go
+++ b/connection/transport/transport.go
@@ -14,10 +14,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"go.uber.org/zap"
-
-	"github.com/dunlinmill/dunlinmill/process/event"
 )
 
 var (
@@ -229,17 +225,6 @@
 	return w
 }
 
-// Log gives a report for Watch that logs what happened to a listener.
-func Log(l *zap.Logger, listener string) func(error) {
-	return func(err error) {
-		if err == nil {
-			event.Info(l, event.CertificateReloaded, zap.String("Listener", listener))
-			return
-		}
-		event.Error(l, event.CertificateReloadFailed, zap.String("Listener", listener), zap.Error(err))
-	}
-}
-
 // Close stops the watcher.
 func (w *Watcher) Close() error {
 	w.once.Do(func() { close(w.stop) })
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -7,11 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gofiber/fiber/v2"
-	"github.com/gofiber/fiber/v2/middleware/adaptor"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -147,11 +144,6 @@
 // Registry gives the registry, for further collectors.
 func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
 
-// Handler serves the metrics in the Prometheus text format.
-func (m *Metrics) Handler() fiber.Handler {
-	return adaptor.HTTPHandler(promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
-}
-
 // Answered counts a request that got its whole answer.
 func (m *Metrics) Answered(workspace string) {
 	m.requests.WithLabelValues(m.classes.Load().Of(workspace), answered).Inc()
--- a/process/metric/metric_test.go
+++ b/process/metric/metric_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/gofiber/fiber/v2"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -16,18 +16,12 @@
 
 func scrape(t *testing.T, m *Metrics) string {
 	t.Helper()
-	app := fiber.New()
-	app.Get("/metrics", m.Handler())
-	resp, err := app.Test(httptest.NewRequest("GET", "/metrics", nil))
-	if err != nil {
-		t.Fatal(err)
+	w := httptest.NewRecorder()
+	promhttp.HandlerFor(m.Registry(), promhttp.HandlerOpts{}).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	if w.Code != http.StatusOK {
+		t.Fatalf("status %d: %s", w.Code, w.Body)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(body)
+	return w.Body.String()
 }
 
 func TestMetricsSayWhatHappened(t *testing.T) {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -163,12 +163,6 @@
 	return s, nil
 }
 
-// Check says what is wrong with a settings file, all faults at once.
-func Check(path string) error {
-	_, err := Load(path)
-	return err
-}
-
 // Secrets are the fleet's secrets, the one to use first.
 func (p Peers) Secrets() [][]byte { return SecretLines(p.Secret) }
 
