Keep the limits' two test-only methods in the tests

Workspaces.SetLimit and Concurrency.Limit were exported and called by nothing but this package's own tests and benchmarks; the node sets whole configurations and asks for the capacity. They stand in the test files now. Limit reads Capacity of the one upstream, which is the same figure, so that the rule for an upstream not met yet stands once. No test changes what it checks.

--- a/request/limit/concurrency.go
+++ b/request/limit/concurrency.go
@@ -143,16 +143,6 @@
 	return !ok || u.inFlight < int(u.limit)
 }
 
-// Limit is the present limit of an upstream.
-func (c *Concurrency[K]) Limit(upstream K) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if u, ok := c.all[upstream]; ok {
-		return int(u.limit)
-	}
-	return c.cfg.Initial
-}
-
 // Capacity is the sum of the limits of these upstreams: what a Queue may
 // have in flight.
 func (c *Concurrency[K]) Capacity(upstreams []K) int {
--- a/request/limit/concurrency_test.go
+++ b/request/limit/concurrency_test.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// Limit is the present limit of an upstream.
+func (c *Concurrency[K]) Limit(upstream K) int { return c.Capacity([]K{upstream}) }
+
 // An upstream's room changes while it serves: it comes back with fewer slots,
 // or a neighbour leaves it. Above its room an engine either refuses or lets
 // its time to first token grow. The limit has to come down within seconds
--- a/request/limit/workspace.go
+++ b/request/limit/workspace.go
@@ -73,13 +73,6 @@
 	}
 }
 
-// SetLimit sets a workspace's limit; the zero Limit forgets it.
-func (w *Workspaces) SetLimit(now time.Time, name string, l config.Limit) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.setLimit(now, name, l)
-}
-
 // SetLimits takes the limits of a whole configuration; workspaces that it
 // does not name are forgotten.
 func (w *Workspaces) SetLimits(now time.Time, c config.Config) {
--- a/request/limit/workspace_test.go
+++ b/request/limit/workspace_test.go
@@ -13,6 +13,13 @@
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
+// SetLimit sets a workspace's limit; the zero Limit forgets it.
+func (w *Workspaces) SetLimit(now time.Time, name string, l config.Limit) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.setLimit(now, name, l)
+}
+
 // fleet is some nodes that enforce one workspace's limit together, in steps
 // of 10 ms of virtual time. A call between two nodes takes one step.
 type fleet struct {
