Show wasted recomputation in the demo, not all computed tokens

And its help ended with exit code 1 and without an example. Ruled out: asking the stand-ins' caches (the load tool has to work without). Change: the callers' side knows which part of a prompt no earlier one began with, and takes that off.

--- a/cmd/dunlinmill-demo/main.go
+++ b/cmd/dunlinmill-demo/main.go
@@ -18,14 +18,20 @@
 )
 
 func main() {
-	if err := run(os.Args[1:]); err != nil {
-		if !errors.Is(err, flag.ErrHelp) {
-			fmt.Fprintln(os.Stderr, "dunlinmill-demo:", err)
-		}
-		os.Exit(1)
+	err := run(os.Args[1:])
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return
 	}
+	fmt.Fprintln(os.Stderr, "dunlinmill-demo:", err)
+	os.Exit(1)
 }
 
+const example = `
+Example:
+  dunlinmill-demo --nodes 4 --callers 16 --duration 10s
+
+Flags also come from the environment, as DUNLINMILL_DEMO_NODES and so on.`
+
 var errNotClean = errors.New("something was lost or doubled, or the migration was not carried out")
 
 func run(args []string) error {
@@ -35,6 +41,11 @@
 	fs.IntVar(&cfg.Callers, "callers", demo.DefaultCallers, "callers of each of the two users")
 	fs.DurationVar(&cfg.Duration, "duration", demo.DefaultDuration, "how long they send requests")
 	fs.Uint64Var(&cfg.Seed, "seed", 1, "seed of the workloads")
+	fs.Usage = func() {
+		_, _ = fmt.Fprint(fs.Output(), "Shows the whole system in one process.\n\nFLAGS\n") // to a terminal
+		fs.PrintDefaults()
+		_, _ = fmt.Fprintln(fs.Output(), example)
+	}
 	verbose := fs.Bool("log", false, "print the nodes' log lines to standard error")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("DUNLINMILL_DEMO")); err != nil {
 		return err
--- a/demo/workload.go
+++ b/demo/workload.go
@@ -42,10 +42,9 @@
 	client *load.Client
 	users  []user
 
-	mu    sync.Mutex
-	keys  []string // of the not-repeatable calls
-	lost  int
-	calls load.Result
+	mu   sync.Mutex
+	keys []string // of the not-repeatable calls
+	lost int
 }
 
 func (s *site) workload(cfg Config) *workload {
@@ -117,7 +116,6 @@
 		w.lost++
 		w.mu.Unlock()
 	}
-	w.calls.Add(load.Answer{}, err)
 }
 
 // report adds up, with what arrived at the service's stand-in.
--- a/load/result.go
+++ b/load/result.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Result adds up what came of many requests. Its methods may be called from
@@ -17,6 +19,8 @@
 	wrong        int
 	promptTokens int
 	cachedTokens int
+	firstTime    float64 // prompt tokens that no earlier request of the run had
+	seen         map[uint64]struct{}
 	firstTokens  []time.Duration
 	failures     []error
 }
@@ -24,8 +28,8 @@
 // maxFailures bounds the failures that are kept for the reader.
 const maxFailures = 20
 
-// Add notes one request's end.
-func (r *Result) Add(a Answer, err error) {
+// Add notes one chat's end.
+func (r *Result) Add(c Chat, a Answer, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var refusal *Refusal
@@ -34,6 +38,7 @@
 		r.served++
 		r.promptTokens += a.PromptTokens
 		r.cachedTokens += a.CachedTokens
+		r.firstTime += r.unseen(c) * float64(a.PromptTokens)
 		r.firstTokens = append(r.firstTokens, a.FirstToken)
 		return
 	case errors.As(err, &refusal):
@@ -48,6 +53,26 @@
 	}
 }
 
+// unseen is the part of a prompt, by bytes, that no earlier prompt began with:
+// what had to be computed once in any case.
+func (r *Result) unseen(c Chat) float64 {
+	if r.seen == nil {
+		r.seen = map[uint64]struct{}{}
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(c.Key) // never fails
+	all, first := 0, 0
+	for _, m := range c.Messages {
+		_, _ = h.WriteString(m.Role + "\x00" + m.Content)
+		all += len(m.Content)
+		if _, ok := r.seen[h.Sum64()]; !ok {
+			r.seen[h.Sum64()] = struct{}{}
+			first += len(m.Content)
+		}
+	}
+	return float64(first) / float64(max(1, all))
+}
+
 // Totals are the sums of a Result.
 type Totals struct {
 	Served     int
@@ -55,7 +80,7 @@
 	Lost       int // got neither an answer nor a typed error
 	Wrong      int // got an answer that is not theirs
 	HitRate    float64
-	Recomputed int // prompt tokens that were computed
+	Recomputed int // prompt tokens that were computed though some engine had computed them in this run
 	Median     time.Duration
 	P99        time.Duration
 	Failures   []error
@@ -70,7 +95,7 @@
 		Refused:    r.refused,
 		Lost:       r.lost,
 		Wrong:      r.wrong,
-		Recomputed: r.promptTokens - r.cachedTokens,
+		Recomputed: max(0, r.promptTokens-r.cachedTokens-int(r.firstTime)),
 		Median:     quantile(r.firstTokens, 0.5),
 		P99:        quantile(r.firstTokens, 0.99),
 		Failures:   slices.Clone(r.failures),
--- a/load/run.go
+++ b/load/run.go
@@ -44,8 +44,9 @@
 	for n := 0; ctx.Err() == nil && (r.Requests == 0 || n < r.Requests); n++ {
 		// A request that was begun is waited for, so that the end of the run
 		// cuts none.
-		a, err := r.Send(context.WithoutCancel(ctx), r.Workload.Next(random))
-		r.Result.Add(a, err)
+		c := r.Workload.Next(random)
+		a, err := r.Send(context.WithoutCancel(ctx), c)
+		r.Result.Add(c, a, err)
 		if r.Progress != nil {
 			r.Progress()
 		}
--- a/load/table.go
+++ b/load/table.go
@@ -19,7 +19,7 @@
 // PrintTable writes a row for each user, and the failures that were kept.
 func PrintTable(w io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "user\tserved\trefused\tlost\twrong\thit rate\tTTFT median\tTTFT p99\trecomputed tokens") // Flush tells
+	_, _ = fmt.Fprintln(t, "user\tserved\trefused\tlost\twrong\thit rate\tTTFT median\tTTFT p99\twasted recomputation") // Flush tells
 	for _, r := range rows {
 		x := r.Totals
 		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.3f\t%s\t%s\t%d\n", r.User, x.Served, x.Refused, x.Lost, x.Wrong,
