Name the rotation, the value keys and the status listener for what they are

In process/node "published" was both a type, the key of a peer's value, and a counter that chooses which part is told next; they are valueKey and turn. The comment of values said that groups of engines alternate only where they don't fit: one group is told each time. Behaviour is unchanged.

--- a/process/node/evidence_test.go
+++ b/process/node/evidence_test.go
@@ -28,7 +28,7 @@
 		return u, g
 	}
 	u, g := evidence()
-	l := listener{policies: &policies{}, upstreams: u, guards: guards{engines: g, services: g}}
+	l := statusListener{policies: &policies{}, upstreams: u, guards: guards{engines: g, services: g}}
 	l.Learned(now, inventory.Status{Upstream: "engine-1", Incarnation: 1})
 	m := &maintenance{upstreams: u}
 	for i := range 3 {
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -46,11 +46,11 @@
 	news       *cachenews.Book
 	upstreams  *member.Upstreams
 
-	inForce   platform.Offset         // of the configuration that the parts have; of one goroutine alone
-	shared    time.Time               // last exchange of limits; of one goroutine alone
-	published int                     // turn of the rotations
-	suspects  bool                    // the latest evidence was not empty
-	taken     map[published]time.Time // publication of the latest value taken in
+	inForce  platform.Offset        // of the configuration that the parts have; of one goroutine alone
+	shared   time.Time              // last exchange of limits; of one goroutine alone
+	turn     int                    // which part of the rotating values is told next
+	suspects bool                   // the latest evidence was not empty
+	taken    map[valueKey]time.Time // publication of the latest value taken in
 }
 
 func (n *Node) newMaintenance(i do.Injector) (*maintenance, error) {
@@ -68,7 +68,7 @@
 		metrics:    do.MustInvoke[*metric.Metrics](i),
 		news:       do.MustInvoke[*cachenews.Book](i),
 		upstreams:  do.MustInvoke[*member.Upstreams](i),
-		taken:      map[published]time.Time{},
+		taken:      map[valueKey]time.Time{},
 	}
 	if err := do.MustInvoke[peerServer](i).Register(valuesService, &valuesHandler{maintenance: m}); err != nil {
 		return nil, err
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -279,7 +279,7 @@
 func (n *Node) newInventory(i do.Injector) (*inventory.Inventory, error) {
 	inv := inventory.New(inventory.Config{}, dialer{cfg: upstreamhttp.Config{}}, do.MustInvoke[view](i),
 		owner{members: do.MustInvoke[*member.Runner](i)},
-		listener{policies: do.MustInvoke[*policies](i), upstreams: do.MustInvoke[*member.Upstreams](i), guards: do.MustInvoke[guards](i)})
+		statusListener{policies: do.MustInvoke[*policies](i), upstreams: do.MustInvoke[*member.Upstreams](i), guards: do.MustInvoke[guards](i)})
 	n.closers.add("inventory", func() error { inv.Close(); return nil })
 	return inv, nil
 }
--- a/process/node/summary.go
+++ b/process/node/summary.go
@@ -17,8 +17,8 @@
 // errSummary means that a peer's value is not a summary in this form.
 var errSummary = errors.New("node: malformed placement summary")
 
-// Sizes of a summary on the way to a peer. JSON would take four times as much
-// and not fit into one value.
+// Sizes of a summary on the way to a peer. On the heartbeats one value has
+// room for member.MaxBlobBytes; the same as JSON would take four times as much.
 const (
 	headBytes     = 8 + 1 + 1
 	inFlightBytes = 4 + 2 + 4
--- a/process/node/values.go
+++ b/process/node/values.go
@@ -49,10 +49,10 @@
 	tellTimeout = 500 * time.Millisecond
 )
 
-// values gives what this node has to tell: of its engines and its groups of
-// engines another part each time, if they don't fit.
+// values gives what this node has to tell: of its groups of engines another
+// one each time, and of its engines another part, if not all of them fit.
 func (m *maintenance) values(now time.Time) Values {
-	m.published++
+	m.turn++
 	return Values{
 		Node:       m.node,
 		DataCentre: m.members.Self().DataCentre,
@@ -63,19 +63,20 @@
 	}
 }
 
+// placementValue is the summary of one group of engines, each group's in turn.
 func (m *maintenance) placementValue(now time.Time) []byte {
-	type turn struct {
+	type entry struct {
 		key    catalogue.Group
 		policy placement.Policy
 	}
-	var all []turn
-	m.policies.each(func(key catalogue.Group, p placement.Policy) { all = append(all, turn{key, p}) })
+	var all []entry
+	m.policies.each(func(key catalogue.Group, p placement.Policy) { all = append(all, entry{key, p}) })
 	if len(all) == 0 {
 		return nil
 	}
-	slices.SortFunc(all, func(a, b turn) int { return cmp.Compare(groupID(a.key), groupID(b.key)) })
-	t := all[m.published%len(all)]
-	return encodeSummary(t.key, t.policy.Summarize(now, m.node))
+	slices.SortFunc(all, func(a, b entry) int { return cmp.Compare(groupID(a.key), groupID(b.key)) })
+	e := all[m.turn%len(all)]
+	return encodeSummary(e.key, e.policy.Summarize(now, m.node))
 }
 
 // ownStatuses are those of the engines that this node asks.
@@ -91,7 +92,7 @@
 		return nil
 	}
 	slices.SortFunc(own, func(a, b inventory.Status) int { return cmp.Compare(a.Upstream, b.Upstream) })
-	start := m.published % len(own)
+	start := m.turn % len(own)
 	return append(append([]inventory.Status{}, own[start:]...), own[:start]...)
 }
 
@@ -118,6 +119,7 @@
 	calls.Wait()
 }
 
+// publish puts the values on the heartbeats.
 func (m *maintenance) publish(now time.Time, live int, v Values) {
 	publish := m.members.Publish
 	if live > wideNodes {
@@ -134,11 +136,20 @@
 	}
 }
 
+// worthTelling says whether to publish evidence on the heartbeats: if there is
+// any, or once more to take the former back. Empty values of a large fleet's
+// nodes would delay the others.
+func (m *maintenance) worthTelling(evidence []byte) bool {
+	before := m.suspects
+	m.suspects = len(evidence) > 0
+	return before || m.suspects
+}
+
 // learnPublished takes in what came on the heartbeats.
 func (m *maintenance) learnPublished(now time.Time) {
 	for _, name := range []string{placementValue, enginesValue, cachesValue, evidenceValue} {
 		for _, v := range m.members.Latest(name) {
-			key := published{node: v.Node, name: name}
+			key := valueKey{node: v.Node, name: name}
 			if !v.At.After(m.taken[key]) {
 				continue // taken in before
 			}
@@ -152,12 +163,13 @@
 	}
 }
 
-// published names a value of a node.
-type published struct {
+// valueKey names a value of a node.
+type valueKey struct {
 	node string
 	name string
 }
 
+// valuesOf gives the Values that hold nothing but one told under a name.
 func valuesOf(told member.Value, name string) Values {
 	v := Values{Node: told.Node, DataCentre: told.DataCentre}
 	switch name {
@@ -205,6 +217,7 @@
 	}
 }
 
+// takePlacement merges a peer's summary into the policy of its group.
 func (m *maintenance) takePlacement(now, at time.Time, v Values, names map[cachenews.UpstreamID]string) {
 	if len(v.Placement) == 0 {
 		return
