Bring the request paths' interface comments up to date

placement.CacheEvent was described as an entry of an engine's event stream; nodes build it from what peers tell of their answers, which name no eviction. Admission refuses what is beyond a workspace's limits or would wait for too long, and does not only hold back. Methods of the small interfaces without a comment have one. Comments only.

--- a/request/call/router.go
+++ b/request/call/router.go
@@ -37,6 +37,7 @@
 	Excluded(now time.Time, names []string) []string
 	// Begin takes the place for one send; every true is followed by one End.
 	Begin(now time.Time, name string) bool
+	// End gives the place back and notes how the send ended.
 	End(now time.Time, name string, s guard.Send)
 	// Request notes a call's first send.
 	Request(workspace, name string)
@@ -46,8 +47,11 @@
 	InFlight(name string) int
 }
 
-// Admission holds back or refuses calls beyond this node's capacity.
+// Admission holds back calls beyond this node's capacity, and refuses those
+// that would wait for too long or are beyond their workspace's limits.
 type Admission interface {
+	// AdmitCall waits for a place; release gives it back. The error is a
+	// *failure.Error with the time to come back.
 	AdmitCall(ctx context.Context, now time.Time, r Request) (release func(), err error)
 }
 
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -40,7 +40,8 @@
 	Policy(now time.Time, g catalogue.Group) placement.Policy
 }
 
-// Admission holds back or refuses requests beyond this node's capacity.
+// Admission holds back requests beyond this node's capacity, and refuses those
+// that would wait for too long or are beyond their workspace's limits.
 type Admission interface {
 	// Admit waits for a place; release gives it back. The error is a
 	// *failure.Error with the time to come back.
@@ -55,7 +56,9 @@
 	Full(names []string) bool
 	// Begin takes the place for one send; every true is followed by one End.
 	Begin(now time.Time, name string) bool
+	// Answered notes the first token, long before the send's end.
 	Answered(now time.Time, name string, firstToken, expected time.Duration)
+	// End gives the place back and notes how the send ended.
 	End(now time.Time, name string, s guard.Send)
 	// Request notes a request's first send.
 	Request(workspace, name string)
@@ -80,7 +83,9 @@
 
 // Observer counts what the router does.
 type Observer interface {
+	// Answered notes the head of an answer.
 	Answered(r Request, i Info, firstToken time.Duration)
+	// Retried notes what was done about a failed send.
 	Retried(r Request, a retry.Action)
 	// Imported notes the outcome of an import of a kept prefix.
 	Imported(r Request, err error)
@@ -88,11 +93,13 @@
 
 // Recent remembers what workspaces ask, for a pool that they are shifted to.
 type Recent interface {
+	// Note takes in the messages of one request.
 	Note(now time.Time, id prefix.Identity, messages []prefix.Message)
 }
 
 // News keeps what answers say about the engines' caches, for the peers.
 type News interface {
+	// Note takes in the head of one answer.
 	Note(now time.Time, upstream string, chain prefix.Chain, a placement.Answer)
 }
 
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -70,8 +70,10 @@
 	QueuedTokens int // prompt tokens waiting to be computed
 }
 
-// CacheEvent is one entry of an upstream's event stream; entries are late
-// and some are lost.
+// CacheEvent says that an upstream has come to hold a level or has evicted
+// it. A node has it from its peers' answers (package cachenews), which tell of
+// no eviction; some measurements have it from the engines. Either way events
+// are late and some are lost.
 type CacheEvent struct {
 	Incarnation uint64
 	Sequence    uint64 // a gap means lost events
