Remove the guard's State and keep the detector's test-only methods in tests

Guard.State had no caller. Detector.State and Detector.Excluded were called by the package's own tests alone; they stand in the test file, and Excluded goes through ExcludedAmong, the way that requests take, with all upstreams as the eligible ones. What the tests expect is unchanged.

--- a/request/ejection/ejection.go
+++ b/request/ejection/ejection.go
@@ -8,7 +8,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -158,13 +157,6 @@
 	}
 }
 
-// Excluded is ExcludedAmong all upstreams of the detector.
-func (d *Detector) Excluded(now time.Time) []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.excluded(now, slices.Collect(maps.Keys(d.suspects)), len(d.all))
-}
-
 // ExcludedAmong gives those of the eligible upstreams that must not get a
 // request now, for a placement. It is never all of them.
 func (d *Detector) ExcludedAmong(now time.Time, eligible []string) []string {
@@ -268,13 +260,3 @@
 	}
 	return before, r.state
 }
-
-// State is how an upstream stands.
-func (d *Detector) State(now time.Time, upstream string) State {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if r, ok := d.all[upstream]; ok {
-		return r.state
-	}
-	return Healthy
-}
--- a/request/ejection/ejection_test.go
+++ b/request/ejection/ejection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -15,6 +16,21 @@
 	normal   = 500 * time.Millisecond
 )
 
+// State is how an upstream stands.
+func (d *Detector) State(now time.Time, upstream string) State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r, ok := d.all[upstream]; ok {
+		return r.state
+	}
+	return Healthy
+}
+
+// Excluded is ExcludedAmong all upstreams of the detector.
+func (d *Detector) Excluded(now time.Time) []string {
+	return d.ExcludedAmong(now, slices.Collect(maps.Keys(d.all)))
+}
+
 // fleet sends requests to the eligible upstream with the fewest in flight,
 // in steps of 10 ms. A failing upstream answers within one step.
 type fleet struct {
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -252,11 +252,6 @@
 	g.detector.Restarted(now, name, incarnation)
 }
 
-// State is how an upstream stands with this node.
-func (g *Guard) State(now time.Time, name string) ejection.State {
-	return g.detector.State(now, name)
-}
-
 // Request notes a request's first send, which pays for later retries.
 func (g *Guard) Request(workspace, name string) { g.retrier.Request(workspace, name) }
 
