--- a/request/recent/recent.go
+++ b/request/recent/recent.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,8 +127,6 @@
 			found = append(found, *o)
 		}
 	}
-	for i, j := 0, len(found)-1; i < j; i, j = i+1, j-1 {
-		found[i], found[j] = found[j], found[i]
-	}
+	slices.Reverse(found)
 	return found
 }
