Remove the membership's Report and Version, which nothing calls

Table.Report was to take in the outcomes of other calls to a member. No path reports any, so that only its test ran it; Table.Version had no user at all. What the test checked, that a member wanted out of turn is probed within 16 heartbeats and not taken out by that alone, is what the prober itself relies on after a failed heartbeat; the test now asks for it through probeNext, with the same bound. No call of a running node changes.

--- a/process/member/evidence.go
+++ b/process/member/evidence.go
@@ -242,23 +242,6 @@
 // maxUrgent bounds the members that are waiting to be probed out of turn.
 const maxUrgent = 16
 
-// Report takes in the outcome of any other call to a member: a failure has it
-// probed next, out of turn.
-func (t *Table) Report(now time.Time, name string, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.members[name]
-	if e == nil || e.record.State != Alive {
-		return
-	}
-	if ok {
-		e.heard = now
-		e.unreachable = false
-		return
-	}
-	t.probeNext(name)
-}
-
 // probeNext has a member probed out of turn.
 func (t *Table) probeNext(name string) {
 	if len(t.urgent) < maxUrgent {
--- a/process/member/evidence_test.go
+++ b/process/member/evidence_test.go
@@ -7,16 +7,17 @@
 	"github.com/samber/lo"
 )
 
-// A caller's request to a node fails, long before that node's turn to be
-// probed. The report must have it probed within a few heartbeats, and must not
-// by itself take the node out: the fault may be the request's.
-func TestReportedFailureIsProbedSoon(t *testing.T) {
+// A data centre is lost, and the first heartbeat to one of its members fails.
+// The members that this node then wants probed out of turn must be probed
+// within a few heartbeats, long before their turn, and must not be taken out by
+// that alone: they may be well.
+func TestMemberIsProbedOutOfTurn(t *testing.T) {
 	f := newFleet(t, 1, 2, 30)
 	f.settle()
 	table := f.nodes[0].table
-	table.Report(f.now, "node-017", false)
+	table.probeNext("node-017")
 	if m, _ := lo.Find(table.Live(f.now), func(m Member) bool { return m.Name == "node-017" }); m.State != Alive {
-		t.Errorf("a report alone made it %v", m.State)
+		t.Errorf("the wish alone made it %v", m.State)
 	}
 	for i := range 16 {
 		if target, ok := table.NextTarget(f.now); ok && target.Name == "node-017" {
--- a/process/member/table.go
+++ b/process/member/table.go
@@ -33,8 +33,8 @@
 	lastTick   time.Time
 	nextSync   time.Time // whole tables are not exchanged before
 	changes    []Change
-	version    uint64
-	view       view
+	version    uint64 // counts the changes that a view could show
+	view       view   // the latest; see viewAt
 }
 
 // entry is one other node.
@@ -230,13 +230,6 @@
 	return t.viewAt(now).all
 }
 
-// Version counts the changes that Live could show.
-func (t *Table) Version() uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.version
-}
-
 // Changes gives the transitions since the last call.
 func (t *Table) Changes() []Change {
 	t.mu.Lock()
