Say report, summary and answer where comments said word

Comments spoke of a peer's or the log's word, and of a storm of retries; they name the report, the summary, the log's answer and the bound that is meant. wordAge of the membership is reportAge. Nothing else changes.

--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -184,7 +184,7 @@
 }
 
 // expired gives up a call. Without a single byte since the call began, the
-// other end of the connection may be gone without a word (a power cut, a
+// other end of the connection may be gone without a packet (a power cut, a
 // dropped route): calls on it would all run into their timeouts until the
 // kernel gives up after many minutes, so the next call takes a new one.
 // With bytes, only the one call is slow, and the other calls on the
--- a/process/member/upstream.go
+++ b/process/member/upstream.go
@@ -18,11 +18,11 @@
 	// maxReports bounds what one node tells the others: those upstreams that
 	// fail most. With names of 12 bytes it takes 360 bytes.
 	maxReports = 24
-	// maxReporters bounds the nodes whose word is kept for one upstream.
+	// maxReporters bounds the nodes whose reports are kept for one upstream.
 	maxReporters = 8
-	// wordAge is after how long a word that was not renewed gives way to
+	// reportAge is after how long a report that was not renewed gives way to
 	// those of other nodes; it has no weight by then.
-	wordAge = time.Minute
+	reportAge = time.Minute
 	// answeredHalfLife and failedHalfLife are after how long a call's outcome
 	// counts half. An answer of before the fault must not speak long against
 	// the failures since.
@@ -272,8 +272,8 @@
 		if e == nil {
 			continue
 		}
-		// A dead peer takes nothing back; its word must not fill the bound.
-		maps.DeleteFunc(e.peers, func(_ string, p peerReport) bool { return at.Sub(p.at) > wordAge })
+		// A dead peer takes nothing back; its reports must not fill the bound.
+		maps.DeleteFunc(e.peers, func(_ string, p peerReport) bool { return at.Sub(p.at) > reportAge })
 		if len(e.peers) >= maxReporters {
 			continue
 		}
--- a/process/member/upstream_test.go
+++ b/process/member/upstream_test.go
@@ -158,7 +158,7 @@
 	for i := range 2 * maxReporters {
 		u.Merge(upstreamStart, fmt.Sprint("dead-", i), "here", word)
 	}
-	later := upstreamStart.Add(wordAge + time.Second)
+	later := upstreamStart.Add(reportAge + time.Second)
 	for i := range 3 {
 		u.Merge(later, fmt.Sprint("live-", i), "here", word)
 	}
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -150,7 +150,7 @@
 	case failure.From(err).Ran == failure.NotRun:
 		c.NotSent(time.Now())
 		if !c.Recorded() {
-			// Without the log's word an earlier send of this key may have
+			// Without an answer of the log an earlier send of this key may have
 			// run by way of another node.
 			err = failure.From(err).WithRan(failure.Unknown)
 		}
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -117,14 +117,15 @@
 	return append(ejected, full...)
 }
 
-// maxToldShare is the part of the upstreams that peers' word can keep work
+// maxToldShare is the part of the upstreams that peers' reports can keep work
 // from. Beyond, the fault lies rather with those who look; and if it does not,
 // this node's own sends soon show it, while the few that are left would be
 // overloaded until the others are tried again.
 const maxToldShare = 1.0 / 3
 
 // unhealthy gives those ejected by this node's own sends or down by the joint
-// evidence. Peers' word yields if it names too many, or if it would leave none.
+// evidence. The joint evidence is passed over if it names too many, or if it
+// would leave none.
 func (g *Guard) unhealthy(now time.Time, names []string) []string {
 	ejected := g.detector.ExcludedAmong(now, names)
 	if g.evidence == nil {
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -123,8 +123,8 @@
 }
 
 // total is the demand of all nodes for a level, in engine-seconds a second:
-// what the known nodes see, times their part of all nodes. Without word from
-// any peer, a node takes its own part for the mean.
+// what the known nodes see, times their part of all nodes. Without a summary
+// of any peer, a node takes its own part for the mean.
 func (a *Affinity) total(at tick, level uint64, own float64) float64 {
 	seen := own/window(1, at) + a.peers.levels[level]
 	known := 1 + len(a.peers.last)
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -43,8 +43,9 @@
 // without being computed again. A continuation is computed again, but is not
 // bounded here: when an engine crashes, all of its streams need one at the same
 // moment, more than any budget holds, and each one refused is an answer that
-// the caller has read half of. They are no storm: each stream that was let in
-// continues once for each engine that crashes under it, up to MaxTries.
+// the caller has read half of. Their number is bounded all the same: each stream
+// that was let in continues once for each engine that crashes under it, up to
+// MaxTries.
 func costs(f Fault, a Action) bool {
 	return f != NotSent && a != GiveUp && a != Resume && a != ContinueElsewhere
 }
