Name the demo's shares and drop a lock that one goroutine needs not

The comment of shares spoke of tenants, its former name. The counts of the not-repeatable calls are written by the one goroutine that makes them and read after it has ended, so that the lock guarded nothing.

--- a/demo/site.go
+++ b/demo/site.go
@@ -197,7 +197,8 @@
 	s.log.Close()
 }
 
-// tenants are the workspaces of one user, a few large and the rest small.
+// shares are the parts of one user's requests that its workspaces send: a few
+// large ones, and the rest small.
 var shares = []float64{0.4, 0.25, 0.1, 0.05, 0.05, 0.05, 0.05, 0.05}
 
 // workspaces gives the configuration of a user's workspaces.
--- a/demo/workload.go
+++ b/demo/workload.go
@@ -42,9 +42,9 @@
 	client *load.Client
 	users  []user
 
-	mu   sync.Mutex
-	keys []string // of the not-repeatable calls
-	lost int
+	// Of the not-repeatable calls, which one goroutine makes.
+	keys []string
+	lost int // got neither an answer nor a typed error
 }
 
 func (s *site) workload(cfg Config) *workload {
@@ -112,9 +112,7 @@
 	_, err := w.client.Do(ctx, c)
 	var refusal *load.Refusal
 	if err != nil && !errors.As(err, &refusal) {
-		w.mu.Lock()
 		w.lost++
-		w.mu.Unlock()
 	}
 }
 
