Say whose clock a status's time is of, and that a deployment is stated

The time of an inventory status was said to be by the clock of the node that asked; what peers tell bears its age, and the time is by this node's clock. A deployment is stated as an intent, not published. Comments only.

--- a/process/deployment/deployment.go
+++ b/process/deployment/deployment.go
@@ -1,5 +1,5 @@
 // Package deployment reads the file in which operators describe a whole
-// deployment: its models, upstreams, workspaces and operators. They publish
+// deployment: its models, upstreams, workspaces and operators. They state
 // it as an intent; a node may hold one as its last known configuration.
 package deployment
 
--- a/process/inventory/inventory.go
+++ b/process/inventory/inventory.go
@@ -36,7 +36,7 @@
 type Status struct {
 	Upstream     string
 	Incarnation  uint64
-	At           time.Time // when it was learnt, by the clock of the node that asked
+	At           time.Time // when this node got it, less its age if a peer told it; by this node's clock
 	Models       []upstream.LoadedModel
 	Slots        int
 	Running      int
