--- a/version/planner/poll.go
+++ b/version/planner/poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
@@ -158,20 +159,14 @@
 func idle(r upstream.Report) bool { return r.Running == 0 && r.Queued == 0 }
 
 func holds(r upstream.Report, model, version string) bool {
-	for _, m := range r.Models {
-		if m.Model == model && m.Version == version {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.Models, func(l upstream.LoadedModel) bool {
+		return l.Model == model && l.Version == version
+	})
 }
 
 // accepted says whether an engine's weights may serve.
 func accepted(m config.Model, r upstream.Report) bool {
-	for _, l := range r.Models {
-		if l.Model == m.Name && m.Accepts(l.Version) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.Models, func(l upstream.LoadedModel) bool {
+		return l.Model == m.Name && m.Accepts(l.Version)
+	})
 }
