Group imports in the three groups of the other files

Fifteen files had external and own packages in one group, most of them in version/planner and version/follower. Only the order of the lines changes.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -12,6 +12,8 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/refusal"
@@ -20,8 +22,6 @@
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/failure"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 // Completions serves requests for generated text.
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/guard"
@@ -17,7 +19,6 @@
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
-	"go.uber.org/zap"
 )
 
 // words is the whole answer of every engine in these tests.
--- a/version/follower/follower.go
+++ b/version/follower/follower.go
@@ -12,11 +12,12 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/version/fold"
 	"github.com/dunlinmill/dunlinmill/version/record"
-	"go.uber.org/zap"
 )
 
 //go:generate go tool stringer -type=Origin -output=follower_string.go
--- a/version/follower/follower_test.go
+++ b/version/follower/follower_test.go
@@ -11,13 +11,14 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/version/fakelog"
 	"github.com/dunlinmill/dunlinmill/version/fold"
 	"github.com/dunlinmill/dunlinmill/version/follower"
 	"github.com/dunlinmill/dunlinmill/version/record"
 	"github.com/dunlinmill/dunlinmill/version/snapshot"
-	"go.uber.org/zap"
 )
 
 // cutLog is the log from a node that can be cut off: calls get no answer.
--- a/version/follower/linear_test.go
+++ b/version/follower/linear_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/fakelog"
@@ -20,7 +22,6 @@
 	"github.com/dunlinmill/dunlinmill/version/plan"
 	"github.com/dunlinmill/dunlinmill/version/record"
 	"github.com/dunlinmill/dunlinmill/version/snapshot"
-	"go.uber.org/zap"
 )
 
 // answer is what an operator is told of a confirmation.
--- a/version/follower/relay.go
+++ b/version/follower/relay.go
@@ -9,10 +9,11 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/version/snapshot"
-	"go.uber.org/zap"
 )
 
 const (
--- a/version/follower/submit.go
+++ b/version/follower/submit.go
@@ -6,10 +6,11 @@
 	"fmt"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/version/fold"
 	"github.com/dunlinmill/dunlinmill/version/record"
-	"github.com/google/uuid"
 )
 
 // Draft is a record to be. A caller that may repeat it gives it an ID; the
--- a/version/follower/submit_test.go
+++ b/version/follower/submit_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/fakelog"
@@ -14,7 +16,6 @@
 	"github.com/dunlinmill/dunlinmill/version/follower"
 	"github.com/dunlinmill/dunlinmill/version/plan"
 	"github.com/dunlinmill/dunlinmill/version/record"
-	"go.uber.org/zap"
 )
 
 // start gives a follower without peers; it lives as long as the test.
--- a/version/planner/duty.go
+++ b/version/planner/duty.go
@@ -5,12 +5,13 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/version/fold"
 	"github.com/dunlinmill/dunlinmill/version/follower"
 	"github.com/dunlinmill/dunlinmill/version/record"
 	"github.com/dunlinmill/dunlinmill/version/snapshot"
-	"go.uber.org/zap"
 )
 
 // hold keeps or takes the lease and says whether this node has the duty.
--- a/version/planner/fake_test.go
+++ b/version/planner/fake_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -15,7 +17,6 @@
 	"github.com/dunlinmill/dunlinmill/version/follower"
 	"github.com/dunlinmill/dunlinmill/version/plan"
 	"github.com/dunlinmill/dunlinmill/version/record"
-	"go.uber.org/zap"
 )
 
 // fleet is a number of engine stand-ins and what was seen of them together.
--- a/version/planner/planner.go
+++ b/version/planner/planner.go
@@ -10,14 +10,15 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/version/fold"
 	"github.com/dunlinmill/dunlinmill/version/follower"
 	"github.com/dunlinmill/dunlinmill/version/lease"
 	"github.com/dunlinmill/dunlinmill/version/snapshot"
-	"github.com/google/uuid"
-	"go.uber.org/zap"
 )
 
 // Register is the configuration as the planner uses it.
--- a/version/planner/planner_test.go
+++ b/version/planner/planner_test.go
@@ -8,11 +8,12 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/fold"
 	"github.com/dunlinmill/dunlinmill/version/follower"
 	"github.com/dunlinmill/dunlinmill/version/record"
-	"go.uber.org/zap"
 )
 
 func rollOut(version string) record.Intent {
--- a/version/planner/poll.go
+++ b/version/planner/poll.go
@@ -7,12 +7,13 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/fold"
 	"github.com/dunlinmill/dunlinmill/version/record"
-	"go.uber.org/zap"
 )
 
 // poll looks at one begun step. It runs beside other looks and changes
--- a/version/planner/repair.go
+++ b/version/planner/repair.go
@@ -7,6 +7,9 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -14,8 +17,6 @@
 	"github.com/dunlinmill/dunlinmill/version/follower"
 	"github.com/dunlinmill/dunlinmill/version/plan"
 	"github.com/dunlinmill/dunlinmill/version/record"
-	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 )
 
 // Operator is who the planner's own plans are by.
--- a/version/planner/work.go
+++ b/version/planner/work.go
@@ -4,12 +4,13 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/version/fold"
 	"github.com/dunlinmill/dunlinmill/version/record"
-	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 )
 
 // stepKey names one try of a step. begun is 0 where the try doesn't matter.
