Mend three comments that the code no longer bears out

Members are probed out of turn after a heartbeat without an answer, not after other calls' failures, which nothing reports. recent.New refuses no negative number of openings. The rounds that news takes are said without the picture of an epidemic. Comments only.

--- a/process/member/message.go
+++ b/process/member/message.go
@@ -81,7 +81,8 @@
 }
 
 // sendLimit is how often one piece of news is sent on by each node: a few
-// times the rounds that an epidemic takes to reach n nodes.
+// times the rounds that news takes to reach n nodes if each node that has it
+// tells one other in a round.
 func sendLimit(n int) int { return 2 * (bits.Len(uint(n)) + 1) }
 
 // pickUpdates takes the news that were sent least often.
--- a/process/member/target.go
+++ b/process/member/target.go
@@ -39,7 +39,8 @@
 // Chances of a heartbeat out of the ring's order.
 const (
 	// outOfTurnShare: at most one heartbeat in so many goes to suspects, and
-	// one to members that calls failed to, so that the others keep their turn.
+	// one to members that are to be probed out of turn after a heartbeat got
+	// no answer, so that the others keep their turn.
 	outOfTurnShare = 2
 	// suspectProbes is how many of all nodes try a suspect in each interval:
 	// enough that a live one is reached in time through much loss, and few
--- a/request/recent/recent.go
+++ b/request/recent/recent.go
@@ -79,7 +79,7 @@
 	defer t.mu.Unlock()
 	c, err := t.workspace(id.Workspace)
 	if err != nil {
-		return // only for a size below 1, which New refuses
+		return // only for a negative Config.Openings
 	}
 	if o, ok := c.Get(level); ok {
 		o.Uses++
