--- a/connection/caller/header.go
+++ b/connection/caller/header.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -127,7 +128,7 @@
 		return time.Time{}, nil
 	}
 	s, err := strconv.ParseFloat(value, 64)
-	if err != nil || s <= 0 || s != s {
+	if err != nil || s <= 0 || math.IsNaN(s) {
 		return time.Time{}, failure.ErrMalformedRequest.WithMessage("%s: has to be a positive number of seconds", HeaderTimeout)
 	}
 	s = min(s, maxRequestTimeout.Seconds())
--- a/connection/caller/service.go
+++ b/connection/caller/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,12 +24,7 @@
 }
 
 func passedOn(name string) bool {
-	for _, n := range notPassedOn {
-		if strings.EqualFold(n, name) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(notPassedOn, func(n string) bool { return strings.EqualFold(n, name) })
 }
 
 // service passes a call on to a plain service.
--- a/request/placement/fleet.go
+++ b/request/placement/fleet.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -62,7 +63,7 @@
 		m.eligible = true
 		f.eligible = append(f.eligible, m)
 	}
-	slices.SortFunc(f.eligible, func(a, b *member) int { return compare(a.hash, b.hash) })
+	slices.SortFunc(f.eligible, func(a, b *member) int { return cmp.Compare(a.hash, b.hash) })
 	f.skeleton = newSkeleton(f.eligible)
 	for _, m := range f.members {
 		if !m.eligible && m.own == 0 {
@@ -142,16 +143,6 @@
 // compute.
 func uncached(r Request, d Decision) int { return max(0, r.Chain.Tokens()-d.Cached) }
 
-func compare(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // mix hashes two hashes into one.
 func mix(a, b uint64) uint64 {
 	x := a ^ (b * 0x9e3779b97f4a7c15)
--- a/request/placement/rendezvous.go
+++ b/request/placement/rendezvous.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -78,5 +79,5 @@
 	for i := range set {
 		set[i].score = mix(l.ID, set[i].hash)
 	}
-	slices.SortFunc(set, func(a, b scored) int { return compare(b.score, a.score) })
+	slices.SortFunc(set, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 }
