--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -32,12 +32,12 @@
 	return prefix.Identity{Workspace: r.Workspace, Model: r.Model, Adapter: r.Adapter}
 }
 
-// mostUrgent is the highest priority number that still counts as a look-up
+// urgentUpTo is the highest priority number that still counts as a look-up
 // somebody waits for.
-const mostUrgent = 2
+const urgentUpTo = 2
 
 // Urgent says that the time to the first token counts most.
-func (r Request) Urgent() bool { return r.Priority <= mostUrgent }
+func (r Request) Urgent() bool { return r.Priority <= urgentUpTo }
 
 // Info is what is known of an answer when its first token has come.
 type Info struct {
