Call the detector's question Excluded again

With the variant for all upstreams gone from the code, ExcludedAmong was the only question; the comments of Take and of the probes speak of Excluded.

--- a/request/ejection/bench_test.go
+++ b/request/ejection/bench_test.go
@@ -24,7 +24,7 @@
 				b.ReportAllocs()
 				for i := 0; b.Loop(); i++ {
 					now := start.Add(time.Duration(i) * time.Microsecond)
-					d.ExcludedAmong(now, names)
+					d.Excluded(now, names)
 					d.Observe(now, names[n-1], Sample{FirstToken: time.Second, Expected: time.Second})
 				}
 			})
--- a/request/ejection/ejection.go
+++ b/request/ejection/ejection.go
@@ -157,9 +157,9 @@
 	}
 }
 
-// ExcludedAmong gives those of the eligible upstreams that must not get a
+// Excluded gives those of the eligible upstreams that must not get a
 // request now, for a placement. It is never all of them.
-func (d *Detector) ExcludedAmong(now time.Time, eligible []string) []string {
+func (d *Detector) Excluded(now time.Time, eligible []string) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.suspects) == 0 {
--- a/request/ejection/ejection_test.go
+++ b/request/ejection/ejection_test.go
@@ -26,9 +26,9 @@
 	return Healthy
 }
 
-// Excluded is ExcludedAmong all upstreams of the detector.
-func (d *Detector) Excluded(now time.Time) []string {
-	return d.ExcludedAmong(now, slices.Collect(maps.Keys(d.all)))
+// excludedOfAll is Excluded with all upstreams of the detector eligible.
+func (d *Detector) excludedOfAll(now time.Time) []string {
+	return d.Excluded(now, slices.Collect(maps.Keys(d.all)))
 }
 
 // fleet sends requests to the eligible upstream with the fewest in flight,
@@ -92,7 +92,7 @@
 }
 
 func (f *fleet) send() {
-	excluded := f.d.ExcludedAmong(f.now, f.names)
+	excluded := f.d.Excluded(f.now, f.names)
 	f.most = max(f.most, len(excluded))
 	best, bestN := "", 0
 	for _, i := range f.rnd.Perm(len(f.names)) {
@@ -209,14 +209,14 @@
 	fail(d, now, "a", Default.Consecutive)
 	for i, want := range []time.Duration{5, 10, 20, 40, 80, 120, 120} {
 		want *= time.Second
-		if early := now.Add(want - time.Millisecond); !slices.Equal(d.Excluded(early), []string{"a"}) || d.Take(early, "a") {
+		if early := now.Add(want - time.Millisecond); !slices.Equal(d.excludedOfAll(early), []string{"a"}) || d.Take(early, "a") {
 			t.Fatalf("ejection %d is over before %v", i, want)
 		}
 		now = now.Add(want)
-		if len(d.Excluded(now)) != 0 || !d.Take(now, "a") {
+		if len(d.excludedOfAll(now)) != 0 || !d.Take(now, "a") {
 			t.Fatalf("ejection %d lasts longer than %v", i, want)
 		}
-		if d.Take(now, "a") || !slices.Equal(d.Excluded(now), []string{"a"}) {
+		if d.Take(now, "a") || !slices.Equal(d.excludedOfAll(now), []string{"a"}) {
 			t.Fatal("a second probe was let through")
 		}
 		fail(d, now, "a", 1)
@@ -273,7 +273,7 @@
 	fail(d, start, "a", Default.Consecutive)
 	for i := range 10 {
 		now := start.Add(time.Duration(i) * time.Second)
-		if len(d.ExcludedAmong(now, []string{"a"})) != 0 || !d.Take(now, "a") {
+		if len(d.Excluded(now, []string{"a"})) != 0 || !d.Take(now, "a") {
 			t.Fatalf("closed after %v", now.Sub(start))
 		}
 	}
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -127,7 +127,7 @@
 // evidence. The joint evidence is passed over if it names too many, or if it
 // would leave none.
 func (g *Guard) unhealthy(now time.Time, names []string) []string {
-	ejected := g.detector.ExcludedAmong(now, names)
+	ejected := g.detector.Excluded(now, names)
 	if g.evidence == nil {
 		return ejected
 	}
