Sort plans and count steps in one way each

Two orders of plans were written out by hand with differences of unsigned offsets turned into int; cmp.Or of cmp.Compare gives the same order. DoneSteps and begun were one loop for two statuses. The comments of two intents name the package that their defaults are in.

--- a/version/fold/apply.go
+++ b/version/fold/apply.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -184,13 +185,7 @@
 	slices.SortFunc(ids, func(a, b string) int {
 		_, x := class(s.Plans[a])
 		_, y := class(s.Plans[b])
-		if x != y {
-			return int(x) - int(y)
-		}
-		if a < b {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(x, y), cmp.Compare(a, b))
 	})
 	s.Plans = maps.Clone(s.Plans)
 	for _, id := range ids[:len(ids)-most] {
--- a/version/fold/confirm.go
+++ b/version/fold/confirm.go
@@ -121,7 +121,7 @@
 	case p.Status.Active() && len(p.Progress) > 0 && p.Stage() < 0:
 		p.Status, p.Ended, p.Reason = Finished, a.offset, ""
 		return p.told(a, "finished")
-	case p.Status == Aborting && p.begun() == 0:
+	case p.Status == Aborting && p.count(Begun) == 0:
 		p.Status, p.Ended = Aborted, a.offset
 		return p.told(a, "ended after %d of %d steps", p.DoneSteps(), len(p.Steps))
 	}
--- a/version/fold/state.go
+++ b/version/fold/state.go
@@ -4,6 +4,7 @@
 package fold
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -157,16 +158,11 @@
 		}
 	}
 	slices.SortFunc(found, func(a, b Plan) int {
-		if a.Confirmed != b.Confirmed {
-			return int(a.Confirmed) - int(b.Confirmed)
-		}
-		if a.Proposed != b.Proposed {
-			return int(a.Proposed) - int(b.Proposed)
-		}
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
+		return cmp.Or(
+			cmp.Compare(a.Confirmed, b.Confirmed),
+			cmp.Compare(a.Proposed, b.Proposed),
+			cmp.Compare(a.ID, b.ID),
+		)
 	})
 	return found
 }
@@ -204,20 +200,13 @@
 }
 
 // DoneSteps counts the steps that are done.
-func (p Plan) DoneSteps() int {
-	n := 0
-	for _, st := range p.Progress {
-		if st.Status == Done {
-			n++
-		}
-	}
-	return n
-}
+func (p Plan) DoneSteps() int { return p.count(Done) }
 
-func (p Plan) begun() int {
+// count is how many steps have a status.
+func (p Plan) count(s StepStatus) int {
 	n := 0
 	for _, st := range p.Progress {
-		if st.Status == Begun {
+		if st.Status == s {
 			n++
 		}
 	}
--- a/version/record/plan.go
+++ b/version/record/plan.go
@@ -26,7 +26,7 @@
 }
 
 // ShiftWorkspace moves all of a workspace's requests to one pool, in Steps
-// equal parts (0: DefaultShiftSteps).
+// equal parts (0: plan.DefaultShiftSteps).
 type ShiftWorkspace struct {
 	Workspace string
 	To        string
@@ -34,7 +34,7 @@
 }
 
 // RetireUpstream takes an upstream out of service for good. What still runs
-// there is given Deadline (0: DefaultDrainDeadline) to end.
+// there is given Deadline (0: plan.DefaultDrainDeadline) to end.
 type RetireUpstream struct {
 	Upstream string
 	Deadline time.Duration
