Remove the patience that a member's entry kept and nobody read

It was set with each change of state; the timeouts ask the link for the patience of the moment. The comment of view names all three that give it.

--- a/process/member/evidence.go
+++ b/process/member/evidence.go
@@ -62,7 +62,7 @@
 }
 
 func newEntry(now time.Time, r Record) *entry {
-	e := &entry{record: r, since: now, alive: r.at(now), patience: 1}
+	e := &entry{record: r, since: now, alive: r.at(now)}
 	if r.State != Alive {
 		e.tried = r.at(now)
 	}
--- a/process/member/table.go
+++ b/process/member/table.go
@@ -45,7 +45,6 @@
 	alive         time.Time // of the latest sign of life, whoever had it
 	tried         time.Time // of the latest try that failed, whoever made it
 	heard         time.Time // of the latest sign of life that this node had itself
-	patience      float64   // when it became suspect
 	misses        int       // tries of this node's that failed one after the other
 	unreachable   bool
 	listedLeaving bool // in the VM list, for this incarnation
@@ -125,7 +124,7 @@
 // maxChanges bounds the transitions kept until the runner logs them.
 const maxChanges = 1024
 
-// view is what Live gives until something changes.
+// view is what Live, LiveIn and Members give until something changes.
 type view struct {
 	version uint64
 	until   time.Time // the next suspicion runs out
@@ -312,7 +311,6 @@
 func (t *Table) setState(now time.Time, e *entry, s State, kind ChangeKind) {
 	e.record.State = s
 	e.since = now
-	e.patience = t.patience(e)
 	t.announce(e.record.Name)
 	t.note(e.record, kind)
 }
