Show a retired upstream as not usable in the status

Cause: seen by trying the example: 'Retired usable'. Ruled out: the table of upstreams (it says whether one is up). Change: the status asks for the state too. Measured: tests of process/node pass; the status was not looked at again.

--- a/process/node/report.go
+++ b/process/node/report.go
@@ -110,7 +110,7 @@
 			DataCentre: u.DataCentre,
 			Pool:       u.Pool,
 			State:      u.State.String(),
-			Usable:     r.inventory.Usable(now, name),
+			Usable:     u.State == config.Active && r.inventory.Usable(now, name),
 			Models:     u.Models,
 			InFlight:   r.guards.engines.InFlight(name) + r.guards.services.InFlight(name),
 		}
