Remove a member's Heard and a target's model, which nobody reads

Member.Heard was filled from each heartbeat and read nowhere, in tests either. The model of a completion's target is asked for at each send, as a roll-out may begin meanwhile, so that the copy from its start was of no use.

--- a/process/member/evidence.go
+++ b/process/member/evidence.go
@@ -14,7 +14,7 @@
 	if e == nil || e.record.Incarnation != r.Incarnation || r.Heartbeat < e.record.Heartbeat {
 		return
 	}
-	e.heard, e.alive, e.misses = now, now, 0
+	e.alive, e.misses = now, 0
 	e.offset = max(e.offset, offset)
 	e.unreachable = false
 	if e.record.State != Alive {
--- a/process/member/member.go
+++ b/process/member/member.go
@@ -114,8 +114,6 @@
 	State       State
 	// Offset is the configuration offset that it said it has applied.
 	Offset uint64
-	// Heard is when this node last heard from it directly.
-	Heard time.Time
 	// Unreachable says that this node can't reach it, though others may.
 	Unreachable bool
 }
--- a/process/member/table.go
+++ b/process/member/table.go
@@ -44,7 +44,6 @@
 	since         time.Time // of its present state, at this node
 	alive         time.Time // of the latest sign of life, whoever had it
 	tried         time.Time // of the latest try that failed, whoever made it
-	heard         time.Time // of the latest sign of life that this node had itself
 	misses        int       // tries of this node's that failed one after the other
 	unreachable   bool
 	listedLeaving bool // in the VM list, for this incarnation
@@ -84,7 +83,6 @@
 		Heartbeat:   e.record.Heartbeat,
 		State:       e.state(),
 		Offset:      e.offset,
-		Heard:       e.heard,
 		Unreachable: e.unreachable,
 	}
 }
@@ -166,7 +164,7 @@
 }
 
 func (t *Table) selfMember() Member {
-	e := entry{record: t.self, offset: t.offset, heard: t.lastTick}
+	e := entry{record: t.self, offset: t.offset}
 	return e.member()
 }
 
--- a/request/completion/eligible.go
+++ b/request/completion/eligible.go
@@ -9,7 +9,6 @@
 
 // target is where a request may be sent: one pool's engines for one model.
 type target struct {
-	model config.Model
 	group catalogue.Group
 	list  catalogue.List
 }
@@ -18,8 +17,7 @@
 func (rt *Router) target(r Request, chain prefix.Chain) (target, error) {
 	c := rt.View.Catalogue()
 	cfg := c.Config()
-	m, ok := cfg.Models[r.Model]
-	if !ok {
+	if _, ok := cfg.Models[r.Model]; !ok {
 		return target{}, failure.ErrUnknownModel.WithMessage("no model %q", r.Model)
 	}
 	w, ok := cfg.Workspaces[r.Workspace]
@@ -28,7 +26,7 @@
 	}
 	pool := choosePool(w.Shares, shareKey(chain))
 	g, l := c.Engines(catalogue.Group{Pool: pool, Model: r.Model})
-	return target{model: m, group: g, list: l}, nil
+	return target{group: g, list: l}, nil
 }
 
 // percents is the sum of a workspace's shares.
--- a/request/completion/warm.go
+++ b/request/completion/warm.go
@@ -22,15 +22,14 @@
 	r.Priority = leastUrgent
 	s := &start{rt: rt, r: r, began: time.Now(), chain: rt.chain(r)}
 	c := rt.View.Catalogue()
-	m, ok := c.Config().Models[r.Model]
-	if !ok {
+	if _, ok := c.Config().Models[r.Model]; !ok {
 		return failure.ErrUnknownModel
 	}
 	g, l := c.Engines(catalogue.Group{Pool: pool, Model: r.Model})
 	if g.Pool != pool {
 		return failure.ErrNoUpstream
 	}
-	s.target = target{model: m, group: g, list: l}
+	s.target = target{group: g, list: l}
 	release, err := rt.Admission.Admit(ctx, s.began, r, s.chain.Tokens())
 	if err != nil {
 		return fmt.Errorf("warm: %w", err)
