Remove an opening's level, which nobody reads, and name the least penalty

recent.Opening.Level repeated the key that the opening is kept under. The penalty of an upstream that is under a hundredth was set to zero in a case of a switch over a boolean; the bound has a name now, and stands apart, where it means the same, as a failure adds a whole one. The block of failure codes says where their meanings are.

--- a/request/failure/failure.go
+++ b/request/failure/failure.go
@@ -38,6 +38,8 @@
 // Code is the stable name of a failure. Codes are only ever appended.
 type Code uint8
 
+// The codes. The Err value of each tells its HTTP status and what a caller reads
+// of it; docs/CALLERS.md says what a caller does about it.
 const (
 	Internal Code = iota
 	MalformedRequest
--- a/request/placement/penalty.go
+++ b/request/placement/penalty.go
@@ -16,6 +16,8 @@
 	// some of it the upstream gets a single request again, and its success
 	// halves the penalty.
 	failureLife = 5 * time.Second
+	// leastPenalty is the count that successes make nothing of.
+	leastPenalty = 0.01
 )
 
 // penalty is what failures add to an upstream's cost; it goes away with time
@@ -34,15 +36,14 @@
 
 func (p *penalty) note(now time.Time, ok bool) {
 	c := p.value(now)
-	switch {
-	case ok:
+	if ok {
 		c /= 2
-		if c < 0.01 {
-			c = 0
-		}
-	default:
+	} else {
 		c = min(c+1, failureLimit)
 	}
+	if c < leastPenalty {
+		c = 0
+	}
 	p.count, p.at = c, now
 }
 
--- a/request/recent/recent.go
+++ b/request/recent/recent.go
@@ -16,7 +16,6 @@
 
 // Opening is the part of a prompt that others are likely to share.
 type Opening struct {
-	Level    uint64 // prefix.Level.ID of its end
 	Model    string
 	Adapter  string
 	Messages []prefix.Message
@@ -87,7 +86,7 @@
 		return
 	}
 	t.bytes += size(opening)
-	c.Add(level, &Opening{Level: level, Model: id.Model, Adapter: id.Adapter, Messages: opening, Uses: 1, Last: now})
+	c.Add(level, &Opening{Model: id.Model, Adapter: id.Adapter, Messages: opening, Uses: 1, Last: now})
 	for t.bytes > t.cfg.Bytes {
 		t.workspaces.RemoveOldest()
 	}
