Read an answer before it is returned, and drop its upstream

`return a, a.read()` leaves open whether a is copied before the call has filled it; the compiler copies it after, on which nothing should rest. Answer.Upstream was read nowhere. vet, staticcheck and the e2e tests pass (29.1 s).

--- a/load/client.go
+++ b/load/client.go
@@ -66,7 +66,6 @@
 	FirstToken   time.Duration
 	PromptTokens int
 	CachedTokens int
-	Upstream     string
 }
 
 // Client is many callers behind one balancer, which deals requests out to
@@ -129,8 +128,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return Answer{}, refusal(resp)
 	}
-	a := Answer{Upstream: resp.Header.Get("Dunlinmill-Upstream")}
-	return a, a.read(resp.Body, began)
+	var a Answer
+	err = a.read(resp.Body, began)
+	return a, err
 }
 
 type errorBody struct {
