--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -78,7 +78,7 @@
 
 // Defaults of Config.
 const (
-	DefaultMaxBodyBytes   = 8 << 20
+	DefaultMaxBodyBytes   = 4 << 20
 	DefaultMaxHeaderBytes = 16 << 10
 	DefaultHeaderTimeout  = 20 * time.Second
 	DefaultIdleTimeout    = 60 * time.Second
