Forget which values were taken of nodes that are gone

Cause: read of the whole change. Ruled out: a bound by number (the nodes still heard are bound enough). Change: the table is built anew from the values that are still held. Measured: tests of process/node pass with the race detector; the growth was read in the code, and no test shows it.

--- a/process/node/values.go
+++ b/process/node/values.go
@@ -147,10 +147,13 @@
 
 // learnPublished takes in what came on the heartbeats.
 func (m *maintenance) learnPublished(now time.Time) {
+	before := m.taken
+	m.taken = map[valueKey]time.Time{} // of the nodes still heard; else it would grow with each node replaced
 	for _, name := range []string{placementValue, enginesValue, cachesValue, evidenceValue} {
 		for _, v := range m.members.Latest(name) {
 			key := valueKey{node: v.Node, name: name}
-			if !v.At.After(m.taken[key]) {
+			if !v.At.After(before[key]) {
+				m.taken[key] = before[key]
 				continue // taken in before
 			}
 			m.taken[key] = v.At
