--- a/capacity/engines.go
+++ b/capacity/engines.go
@@ -117,11 +117,11 @@
 	noDialer   struct{}
 )
 
-func (v fixedView) Config() config.Config               { return v.cfg }
-func (noOwner) Owns(time.Time, config.Upstream) bool    { return false }
-func (noListener) Learned(time.Time, inventory.Status)  {}
-func (noDialer) Engine(string) inventory.EngineClient   { return nil }
-func (noDialer) Service(string) inventory.ServiceClient { return nil }
+func (v fixedView) Config() config.Config                        { return v.cfg }
+func (noOwner) Owns(time.Time, config.Upstream) bool             { return false }
+func (noListener) Learned(time.Time, inventory.Status)           {}
+func (noDialer) Engine(config.Upstream) inventory.EngineClient   { return nil }
+func (noDialer) Service(config.Upstream) inventory.ServiceClient { return nil }
 
 func newInventory(n int) *inventory.Inventory {
 	c := config.New()
--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -13,6 +13,9 @@
 	"fmt"
 	"io"
 	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -43,8 +46,24 @@
 	IdleTimeout  time.Duration // longest rest of a kept connection
 	MaxIdle      int           // connections kept at rest
 	MaxBody      int           // bytes of an answer that is read whole
+	// AckTimeout is how long sent bytes may stay without an acknowledgement of
+	// the other side's TCP; 0: as long as the system allows, many minutes. A
+	// connection that a cut has silenced ends by it, and not by the deadline
+	// of the request that was sent on it.
+	AckTimeout time.Duration
+	// Unframed accepts an answer that has neither a length nor chunks and ends
+	// with an orderly close. Without it such an answer is broken.
+	Unframed bool
+	// Foreign says that an answer belongs to another request than req. It is
+	// read and dropped, the next one is awaited, and the connection is not used
+	// again. nil: whatever comes is the answer.
+	Foreign func(req *fasthttp.Request, answer *fasthttp.ResponseHeader) bool
 }
 
+// maxForeign bounds the answers to other requests that are dropped before the
+// awaited one.
+const maxForeign = 3
+
 func (c Config) withDefaults() Config {
 	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
@@ -98,6 +117,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.unframed() {
+		s.doubtful = true
+		s.body = s.conn.br
+		return s, nil
+	}
 	if s.chunked() {
 		// fasthttp's own reader of chunks takes a connection that ends
 		// between two chunks for the end of the body.
@@ -122,20 +146,77 @@
 	// Closing the connection is what wakes a reader whose caller went away,
 	// and what keeps a late answer from the next request.
 	s.release = context.AfterFunc(ctx, func() { conn.Close() })
-	if err := conn.send(req); err != nil {
+	sent, err := s.send(req)
+	if err != nil {
 		s.Close()
+		if conn.written == 0 {
+			return nil, fmt.Errorf("send to %s: %w: %w", c.pool.address, ErrNotSent, err)
+		}
 		return nil, s.broken("send", err)
 	}
-	if err := s.readHeader(); err != nil {
+	if err := s.readAnswerTo(req); err != nil {
 		s.Close()
 		return nil, s.broken("read header", err)
 	}
+	// The answer is here before the whole request has left. The rest is due on
+	// this connection: another request in its place would be read as a part of
+	// this one's body.
+	s.doubtful = s.doubtful || !sent()
 	if req.Header.IsHead() {
 		resp.SkipBody = true
 	}
 	return s, nil
 }
 
+// inlineBody is the largest body that is sent before the answer is read. It
+// fits into the send buffer of a connection; a larger one may be stopped by an
+// upstream that answers before it reads on.
+const inlineBody = 4 << 10
+
+// send sends the request, a large one beside the reading of its answer. The
+// function that it gives says whether the whole request has left.
+func (s *Stream) send(req *fasthttp.Request) (sent func() bool, err error) {
+	if len(req.Body()) <= inlineBody {
+		return func() bool { return true }, s.conn.send(req)
+	}
+	var done atomic.Bool
+	go func() {
+		// An error shows as one of the answer's: the connection is closed.
+		if s.conn.send(req) == nil {
+			done.Store(true)
+			return
+		}
+		s.conn.Close()
+	}()
+	return done.Load, nil
+}
+
+// readAnswerTo reads the head of the answer to req, past answers to others.
+func (s *Stream) readAnswerTo(req *fasthttp.Request) error {
+	for range maxForeign + 1 {
+		if err := s.readHeader(); err != nil {
+			return err
+		}
+		if s.client.cfg.Foreign == nil || !s.client.cfg.Foreign(req, &s.resp.Header) {
+			return nil
+		}
+		s.doubtful = true
+		if s.unframed() {
+			return errUnframed // it takes the connection with it
+		}
+		if err := s.readBody(s.client.cfg.MaxBody); err != nil {
+			return err
+		}
+		s.resp.Reset()
+	}
+	return errForeign
+}
+
+var errForeign = errors.New("answers to other requests only")
+
+// Doubtful says that the connection has shown a fault beside the answer.
+func (s *Stream) Doubtful() bool { return s.doubtful }
+
 // Stream is an answer whose body is being read. It belongs to one goroutine.
 type Stream struct {
 	client   *Client
@@ -146,6 +227,7 @@
 	release  func() bool
 	complete bool
 	closed   bool
+	doubtful bool // the connection must not be used again
 }
 
 // Read gives the next bytes of the body; io.EOF only after the end that the
@@ -179,6 +261,15 @@
 	}
 }
 
+// unframed says that the body ends with the connection, and may.
+func (s *Stream) unframed() bool {
+	return s.client.cfg.Unframed && !s.resp.SkipBody && !bodiless(s.resp.StatusCode()) &&
+		s.resp.Header.ContentLength() == lengthUnknown
+}
+
+// Unframed says that the body ends with the connection.
+func (s *Stream) Unframed() bool { return s.unframed() }
+
 func (s *Stream) chunked() bool {
 	return !s.resp.SkipBody && s.resp.Header.ContentLength() == lengthChunked
 }
@@ -198,10 +289,11 @@
 	}
 	s.closed = true
 	abandoned := !s.release()
-	if !s.complete || abandoned || s.resp.ConnectionClose() || s.conn.br.Buffered() > 0 {
+	if !s.complete || s.doubtful || abandoned || s.resp.ConnectionClose() || s.conn.br.Buffered() > 0 {
 		s.conn.Close()
 		return
 	}
+	s.conn.keep = keepAlive(&s.resp.Header)
 	s.client.pool.put(s.conn)
 }
 
@@ -240,7 +332,7 @@
 	}
 	length := s.resp.Header.ContentLength()
 	if length == lengthUnknown {
-		return errUnframed
+		return s.readToEnd(limit)
 	}
 	if err := s.resp.ReadBody(s.conn.br, limit); err != nil {
 		return err
@@ -251,6 +343,36 @@
 	return nil
 }
 
+// readToEnd reads a body that ends with the connection's orderly close. A
+// reset is an error, since the rest of the answer may be missing.
+func (s *Stream) readToEnd(limit int) error {
+	if !s.unframed() {
+		return errUnframed
+	}
+	body, err := io.ReadAll(io.LimitReader(s.conn.br, int64(limit)+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > limit {
+		return fasthttp.ErrBodyTooLarge
+	}
+	s.doubtful = true
+	s.resp.SetBodyRaw(body)
+	return nil
+}
+
+// keepAlive is how long the other side says that it keeps a connection at
+// rest; 0: it does not say.
+func keepAlive(h *fasthttp.ResponseHeader) time.Duration {
+	for _, field := range strings.Split(string(h.Peek("Keep-Alive")), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
 func bodiless(status int) bool {
 	return status < fasthttp.StatusOK || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 // errClosed is the error of an exchange after Close.
@@ -62,17 +63,33 @@
 }
 
 func (p *pool) dial(ctx context.Context) (*connection, error) {
-	d := net.Dialer{Timeout: p.cfg.DialTimeout}
+	d := net.Dialer{Timeout: p.cfg.DialTimeout, Control: p.control()}
 	nc, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
 	c := &connection{Conn: nc, cfg: p.cfg}
 	c.br = bufio.NewReader(c)
-	c.bw = bufio.NewWriter(nc)
+	c.bw = bufio.NewWriter(c)
 	return c, nil
 }
 
+// control sets what has to be set before a connection is opened; nil: nothing.
+func (p *pool) control() func(string, string, syscall.RawConn) error {
+	if p.cfg.AckTimeout <= 0 {
+		return nil
+	}
+	return func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if outer := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.cfg.AckTimeout.Milliseconds()))
+		}); outer != nil {
+			return outer
+		}
+		return err
+	}
+}
+
 func (p *pool) put(c *connection) {
 	c.rested = time.Now()
 	p.mu.Lock()
@@ -108,10 +125,27 @@
 // connection is a TCP connection with its buffers.
 type connection struct {
 	net.Conn
-	br     *bufio.Reader
-	bw     *bufio.Writer
-	cfg    Config
-	rested time.Time
+	br  *bufio.Reader
+	bw  *bufio.Writer
+	cfg Config
+	// written counts the bytes of the present request that have left. It is of
+	// the goroutine that sends.
+	written int
+	rested  time.Time
+	keep    time.Duration // how long the other side keeps it at rest; 0: not said
+}
+
+// keepPart is the part of the other side's own time that a connection may rest
+// and be used: a request on one that is closed as it is written may have run
+// or not, and a new connection costs less than that doubt.
+const keepPart = 0.8
+
+// mayRest is how long the connection may rest and be used again.
+func (c *connection) mayRest() time.Duration {
+	if c.keep == 0 {
+		return c.cfg.IdleTimeout
+	}
+	return min(c.cfg.IdleTimeout, time.Duration(keepPart*float64(c.keep)))
 }
 
 // Read allows each read the full ReadTimeout, so that it bounds the silence
@@ -123,7 +157,15 @@
 	return c.Conn.Read(p)
 }
 
+// Write counts what has left.
+func (c *connection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += n
+	return n, err
+}
+
 func (c *connection) send(req *fasthttp.Request) error {
+	c.written = 0
 	if err := c.SetWriteDeadline(time.Now().Add(c.cfg.WriteTimeout)); err != nil {
 		return err
 	}
@@ -138,7 +180,7 @@
 // breaks after the send, and nobody can tell whether it ran. Bytes that wait
 // there belong to no request; such a connection is not used either.
 func (c *connection) usable(now time.Time) bool {
-	if now.Sub(c.rested) > c.cfg.IdleTimeout {
+	if now.Sub(c.rested) > c.mayRest() {
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -43,6 +44,15 @@
 	MaxTokens int
 	Priority  int       // 0 is the most urgent
 	Deadline  time.Time // zero: none
+	// Passage is the caller's request, passed through as it stands in place of
+	// Prompt; nil: the router's own form.
+	Passage *Call
+	// After is the id of the last event that was passed on of the same answer;
+	// the engine begins behind it. Empty: from the start.
+	After string
+	// FetchFrom is the address of an engine that this one fetches what it lacks
+	// of the prompt's cache from, by itself; empty: it computes it.
+	FetchFrom string
 }
 
 // Part is one message of the prompt.
@@ -58,15 +68,36 @@
 	Version      string
 	PromptTokens int
 	CachedTokens int
+	// CacheUnknown says that the engine does not tell what it had cached;
+	// CachedTokens is 0 then and means nothing.
+	CacheUnknown bool
+	// Passage is the head of an answer that is passed through as it stands;
+	// nil for the router's own form.
+	Passage *Passage
+}
+
+// Passage is the head of an answer that is passed through.
+type Passage struct {
+	Status int
+	Header []Field // without those of one connection
+	// Unframed says that nothing but the connection's end marks the answer's
+	// end. It has to be passed on the same way: a frame made up by the router
+	// would give a cut answer the looks of a whole one.
+	Unframed bool
 }
 
 // Token is one event of a stream. Index counts from 0 without a gap.
 type Token struct {
 	Index  int
 	Text   string
-	Finish string // set on the last event alone: "stop" or "length"
+	Finish string // set on the last event alone: "stop", "length" or "end"
+	// Event is the id that an answer passed through gives the event.
+	Event string
 }
 
+// FinishEnd is the Finish of an answer passed through: its frame's end.
+const FinishEnd = "end"
+
 // Stream is one answer on its way. It belongs to one goroutine, but for
 // Close.
 type Stream interface {
@@ -141,7 +172,8 @@
 	Import(ctx context.Context, kv []byte) error
 }
 
-// Call is a request to a plain service.
+// Call is a request to a plain service, or one that is passed through to an
+// engine.
 type Call struct {
 	Method string
 	Path   string
@@ -149,6 +181,14 @@
 	Header []Field
 	Body   []byte
 	Key    string // idempotency key, passed on; empty: none
+
+	// What follows is of a request that is passed through.
+	ID        string // the caller's own for this try; the answer has to bear it
+	Host      string
+	Target    string // of the request line, as it came; in place of Path and Query
+	Workspace string
+	Priority  int       // 0 is the most urgent
+	Deadline  time.Time // zero: none
 }
 
 // Field is one header field.
@@ -162,8 +202,25 @@
 	Status int
 	Header []Field
 	Body   []byte
+	// Unframed is that of Passage.
+	Unframed bool
+}
+
+// FailedReply is the error for a whole answer by which an upstream says that
+// it failed, having begun to run the request. A repeatable one may do better
+// elsewhere; if not, the answer is passed on as it stands.
+type FailedReply struct {
+	Reply Reply
 }
 
+// Error gives the status.
+func (e *FailedReply) Error() string {
+	return fmt.Sprintf("upstream: answered with status %d", e.Reply.Status)
+}
+
+// Is matches ErrBroken: the request was sent and may have run.
+func (e *FailedReply) Is(target error) bool { return target == ErrBroken }
+
 // Service is a plain service. Do sends the call once and never again by
 // itself, whatever the method.
 type Service interface {
--- a/process/inventory/inventory.go
+++ b/process/inventory/inventory.go
@@ -28,8 +28,8 @@
 
 // Dialer makes clients; it must not block.
 type Dialer interface {
-	Engine(address string) EngineClient
-	Service(address string) ServiceClient
+	Engine(u config.Upstream) EngineClient
+	Service(u config.Upstream) ServiceClient
 }
 
 // Status is the latest account of one engine's state.
@@ -106,9 +106,9 @@
 	listener Listener
 
 	mu       sync.Mutex
-	engines  map[string]EngineClient  // by address
-	services map[string]ServiceClient // by address
-	statuses map[string]Status        // by upstream name
+	engines  map[place]EngineClient
+	services map[place]ServiceClient
+	statuses map[string]Status // by upstream name
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -123,8 +123,8 @@
 		view:     v,
 		owner:    o,
 		listener: l,
-		engines:  map[string]EngineClient{},
-		services: map[string]ServiceClient{},
+		engines:  map[place]EngineClient{},
+		services: map[place]ServiceClient{},
 		statuses: map[string]Status{},
 		cancel:   cancel,
 		done:     make(chan struct{}),
@@ -152,21 +152,29 @@
 
 // Engine gives the client of an engine.
 func (n *Inventory) Engine(u config.Upstream) upstream.Engine {
-	return client(n, n.engines, u.Address, n.dialer.Engine)
+	return client(n, n.engines, u, n.dialer.Engine)
 }
 
 // Service gives the client of a service instance.
 func (n *Inventory) Service(u config.Upstream) upstream.Service {
-	return client(n, n.services, u.Address, n.dialer.Service)
+	return client(n, n.services, u, n.dialer.Service)
 }
 
-func client[C any](n *Inventory, clients map[string]C, address string, dial func(string) C) C {
+// place is where a client is connected to. The name is a part of it: where
+// upstreams come and go, an address is soon another one's.
+type place struct {
+	name    string
+	address string
+}
+
+func client[C any](n *Inventory, clients map[place]C, u config.Upstream, dial func(config.Upstream) C) C {
+	at := place{name: u.Name, address: u.Address}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	c, ok := clients[address]
+	c, ok := clients[at]
 	if !ok {
-		c = dial(address)
-		clients[address] = c
+		c = dial(u)
+		clients[at] = c
 	}
 	return c
 }
--- a/process/inventory/inventory_test.go
+++ b/process/inventory/inventory_test.go
@@ -27,8 +27,8 @@
 func table() *Inventory {
 	return &Inventory{
 		listener: silent{},
-		engines:  map[string]EngineClient{},
-		services: map[string]ServiceClient{},
+		engines:  map[place]EngineClient{},
+		services: map[place]ServiceClient{},
 		statuses: map[string]Status{},
 	}
 }
@@ -70,7 +70,7 @@
 	n := table()
 	cfg := config.New()
 	for _, name := range []string{"stays", "retired", "gone"} {
-		n.engines[name] = &closing{}
+		n.engines[place{name: name, address: name}] = &closing{}
 		n.statuses[name] = Status{Upstream: name, At: start}
 		u := config.Upstream{Name: name, Address: name}
 		if name == "retired" {
@@ -80,7 +80,7 @@
 			cfg = cfg.WithUpstream(u)
 		}
 	}
-	gone := n.engines["gone"].(*closing)
+	gone := n.engines[place{name: "gone", address: "gone"}].(*closing)
 	n.forget(cfg)
 	if len(n.engines) != 2 || len(n.statuses) != 2 || !gone.closed {
 		t.Errorf("%d clients, %d statuses, closed %v", len(n.engines), len(n.statuses), gone.closed)
--- a/process/inventory/poll.go
+++ b/process/inventory/poll.go
@@ -71,9 +71,9 @@
 // configuration; a retired upstream's streams may still be running, so only
 // those that are gone altogether.
 func (n *Inventory) forget(cfg config.Config) {
-	addresses := map[string]bool{}
+	places := map[place]bool{}
 	for _, u := range cfg.Upstreams {
-		addresses[u.Address] = true
+		places[place{name: u.Name, address: u.Address}] = true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -82,15 +82,15 @@
 			delete(n.statuses, name)
 		}
 	}
-	closeGone(n.engines, addresses)
-	closeGone(n.services, addresses)
+	closeGone(n.engines, places)
+	closeGone(n.services, places)
 }
 
-func closeGone[C interface{ Close() }](clients map[string]C, addresses map[string]bool) {
-	for a, c := range clients {
-		if !addresses[a] {
+func closeGone[C interface{ Close() }](clients map[place]C, places map[place]bool) {
+	for at, c := range clients {
+		if !places[at] {
 			c.Close()
-			delete(clients, a)
+			delete(clients, at)
 		}
 	}
 }
--- a/process/node/admission.go
+++ b/process/node/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/limit"
@@ -20,19 +21,17 @@
 	catalogue   *catalogue.Current
 }
 
-// Expected rates, for the share of capacity that one request takes up; a
-// request's real cost is known only at its end.
-const (
-	prefillRate = 8000.0 // prompt tokens a second
-	decodeRate  = 60     // output tokens a second
-)
+// prefillRate is how many prompt tokens a second an engine is expected to
+// compute, for the share of capacity that one request takes up; a request's
+// real cost is known only at its end.
+const prefillRate = 8000.0
 
 // urgenciesPerClass folds RFC 9218's eight urgencies into the queue's classes.
 const urgenciesPerClass = 8 / limit.Classes
 
 // Admit lets a completion in.
 func (a *admission) Admit(ctx context.Context, now time.Time, r completion.Request, tokens int) (func(), error) {
-	cost := float64(tokens)/prefillRate + float64(r.MaxTokens)/decodeRate
+	cost := float64(tokens)/prefillRate + float64(r.MaxTokens)/policy.DecodeRate
 	return a.admit(ctx, now, a.completions, limit.Ticket{
 		ID:        r.ID,
 		Workspace: r.Workspace,
--- a/process/node/evidence.go
+++ b/process/node/evidence.go
@@ -5,11 +5,12 @@
 
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/policy"
 )
 
 // statusListener hears of the engines' statuses.
 type statusListener struct {
-	policies  *policies
+	policies  *policy.Table
 	upstreams *member.Upstreams
 	guards    guards
 }
--- a/process/node/evidence_test.go
+++ b/process/node/evidence_test.go
@@ -11,6 +11,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 )
 
@@ -28,7 +29,7 @@
 		return u, g
 	}
 	u, g := evidence()
-	l := statusListener{policies: &policies{}, upstreams: u, guards: guards{engines: g, services: g}}
+	l := statusListener{policies: &policy.Table{}, upstreams: u, guards: guards{engines: g, services: g}}
 	l.Learned(now, inventory.Status{Upstream: "engine-1", Incarnation: 1})
 	m := &maintenance{upstreams: u}
 	for i := range 3 {
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -14,6 +14,7 @@
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
@@ -41,7 +42,7 @@
 	guards     guards
 	workspaces *limit.Workspaces
 	admission  *admission
-	policies   *policies
+	policies   *policy.Table
 	inventory  *inventory.Inventory
 	metrics    *metric.Metrics
 	news       *cachenews.Book
@@ -65,7 +66,7 @@
 		guards:     do.MustInvoke[guards](i),
 		workspaces: do.MustInvoke[*limit.Workspaces](i),
 		admission:  do.MustInvoke[*admission](i),
-		policies:   do.MustInvoke[*policies](i),
+		policies:   do.MustInvoke[*policy.Table](i),
 		inventory:  do.MustInvoke[*inventory.Inventory](i),
 		metrics:    do.MustInvoke[*metric.Metrics](i),
 		news:       do.MustInvoke[*cachenews.Book](i),
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -16,6 +16,7 @@
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/guard"
@@ -259,7 +260,7 @@
 	}, nil
 }
 
-func (n *Node) newPolicies(i do.Injector) (*policies, error) {
+func (n *Node) newPolicies(i do.Injector) (*policy.Table, error) {
 	v := do.MustInvoke[view](i)
 	id := do.MustInvoke[identity](i)
 	members := do.MustInvoke[*member.Runner](i)
@@ -274,13 +275,13 @@
 	// The inventory tells the policies of reports and is made after them.
 	inv := sync.OnceValue(func() *inventory.Inventory { return do.MustInvoke[*inventory.Inventory](n.injector) })
 	usable := func(now time.Time, name string) bool { return inv().Usable(now, name) }
-	return newPolicies(do.MustInvoke[*catalogue.Current](i), usable, build), nil
+	return policy.New(do.MustInvoke[*catalogue.Current](i), usable, build), nil
 }
 
 func (n *Node) newInventory(i do.Injector) (*inventory.Inventory, error) {
 	inv := inventory.New(inventory.Config{}, dialer{cfg: upstreamhttp.Config{}}, do.MustInvoke[view](i),
 		owner{members: do.MustInvoke[*member.Runner](i)},
-		statusListener{policies: do.MustInvoke[*policies](i), upstreams: do.MustInvoke[*member.Upstreams](i), guards: do.MustInvoke[guards](i)})
+		statusListener{policies: do.MustInvoke[*policy.Table](i), upstreams: do.MustInvoke[*member.Upstreams](i), guards: do.MustInvoke[guards](i)})
 	n.closers.add("inventory", func() error { inv.Close(); return nil })
 	return inv, nil
 }
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -10,6 +10,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
@@ -34,7 +35,7 @@
 		Config:    completion.Config{DataCentre: n.settings.DataCentre}.WithDefaults(),
 		View:      do.MustInvoke[*catalogue.Current](i),
 		Upstreams: do.MustInvoke[*inventory.Inventory](i),
-		Policies:  do.MustInvoke[*policies](i),
+		Policies:  do.MustInvoke[*policy.Table](i),
 		Admission: do.MustInvoke[*admission](i),
 		Guard:     do.MustInvoke[guards](i).engines,
 		Shedder:   do.MustInvoke[*shedding.Shedder](i),
--- a/process/node/values.go
+++ b/process/node/values.go
@@ -70,7 +70,7 @@
 		policy placement.Policy
 	}
 	var all []entry
-	m.policies.each(func(key catalogue.Group, p placement.Policy) { all = append(all, entry{key, p}) })
+	m.policies.Each(func(key catalogue.Group, p placement.Policy) { all = append(all, entry{key, p}) })
 	if len(all) == 0 {
 		return nil
 	}
@@ -203,7 +203,7 @@
 	if err != nil {
 		return
 	}
-	m.policies.each(func(_ catalogue.Group, p placement.Policy) {
+	m.policies.Each(func(_ catalogue.Group, p placement.Policy) {
 		for _, e := range entries {
 			if name, ok := names[e.Upstream]; ok {
 				p.Cached(now, name, e.Event())
@@ -230,7 +230,7 @@
 		return
 	}
 	s.Node, s.At = v.Node, at
-	m.policies.each(func(key catalogue.Group, p placement.Policy) {
+	m.policies.Each(func(key catalogue.Group, p placement.Policy) {
 		if groupID(key) == id {
 			p.Merge(now, s)
 		}
--- a/process/node/policies.go
+++ b/process/policy/policy.go
@@ -1,4 +1,6 @@
-package node
+// Package policy keeps the placement policies of a process, one for each group
+// of engines, with their lists of engines up to date.
+package policy
 
 import (
 	"slices"
@@ -13,9 +15,9 @@
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
-// policies keeps one placement policy for each group of engines. Its lock is
+// Table keeps one placement policy for each group of engines. Its lock is
 // never held while a policy decides; a policy's own lock comes after it.
-type policies struct {
+type Table struct {
 	catalogue *catalogue.Current
 	usable    func(now time.Time, name string) bool
 	make      func() placement.Policy
@@ -36,8 +38,10 @@
 // Sends to an engine that went down meanwhile fail and are retried.
 const refreshInterval = 250 * time.Millisecond
 
-func newPolicies(c *catalogue.Current, usable func(time.Time, string) bool, build func() placement.Policy) *policies {
-	return &policies{
+// New starts without policies. Usable says whether an engine is thought to be
+// up, and build makes the policy of a new group.
+func New(c *catalogue.Current, usable func(time.Time, string) bool, build func() placement.Policy) *Table {
+	return &Table{
 		catalogue: c,
 		usable:    usable,
 		make:      build,
@@ -49,10 +53,14 @@
 // Without it a wait for a slot would cost a placement nothing, and a prompt
 // that is cached whole would be expected after no time at all: any answer
 // would look many times too slow, and the concurrency limits fall to one.
-const decodeTime = time.Second / decodeRate
+const decodeTime = time.Second / DecodeRate
+
+// DecodeRate is how many output tokens a second an engine is taken to make for
+// one request, until its configuration tells.
+const DecodeRate = 60
 
 // Policy gives the policy of a group, with its list of engines up to date.
-func (p *policies) Policy(now time.Time, key catalogue.Group) placement.Policy {
+func (p *Table) Policy(now time.Time, key catalogue.Group) placement.Policy {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g, ok := p.groups[key]
@@ -75,7 +83,7 @@
 }
 
 // upstreams are those of the list that are thought to be up.
-func (p *policies) upstreams(now time.Time, list catalogue.List) []placement.Upstream {
+func (p *Table) upstreams(now time.Time, list catalogue.List) []placement.Upstream {
 	usable := lo.Filter(list.Upstreams, func(u config.Upstream, _ int) bool {
 		return p.usable(now, u.Name)
 	})
@@ -95,8 +103,8 @@
 	})
 }
 
-// each calls f for every policy, outside the lock.
-func (p *policies) each(f func(key catalogue.Group, policy placement.Policy)) {
+// Each calls f for every policy, outside the lock.
+func (p *Table) Each(f func(key catalogue.Group, policy placement.Policy)) {
 	p.mu.Lock()
 	groups := lo.MapValues(p.groups, func(g *group, _ catalogue.Group) placement.Policy { return g.policy })
 	p.mu.Unlock()
@@ -106,7 +114,7 @@
 }
 
 // Learned passes an engine's report on to the policies that place on it.
-func (p *policies) Learned(now time.Time, s inventory.Status) {
+func (p *Table) Learned(now time.Time, s inventory.Status) {
 	if s.Failures > 0 || len(s.Models) == 0 {
 		return
 	}
@@ -118,5 +126,5 @@
 		Queued:       s.Queued,
 		QueuedTokens: s.QueuedTokens,
 	}
-	p.each(func(_ catalogue.Group, policy placement.Policy) { policy.Loaded(now, s.Upstream, l) })
+	p.Each(func(_ catalogue.Group, policy placement.Policy) { policy.Loaded(now, s.Upstream, l) })
 }
--- a/request/call/call.go
+++ b/request/call/call.go
@@ -28,12 +28,20 @@
 	Repeatable bool
 	// Key is set if the request may run once at most.
 	Key idempotency.Key
+	// Once says that the request may run once at most and that no other node
+	// has it: its caller tries each time under another name. It needs no claim.
+	Once bool
+	// MaxRuns is how many instances may have run the request; 0: no own bound.
+	MaxRuns int
+	// Host and Target are those of a request that is passed through as it came.
+	Host   string
+	Target string
 }
 
 // mayRepeat says whether the call may be sent again although it may have run.
 // A method that changes nothing may; any other only if the caller says so.
 func (r Request) mayRepeat() bool {
-	if r.Key.Set() {
+	if r.Key.Set() || r.Once {
 		return false
 	}
 	switch r.Method {
@@ -51,6 +59,13 @@
 		Header: r.Header,
 		Body:   r.Body,
 		Key:    r.Key.Value,
+
+		ID:        r.ID,
+		Host:      r.Host,
+		Target:    r.Target,
+		Workspace: r.Workspace,
+		Priority:  r.Priority,
+		Deadline:  r.Deadline,
 	}
 }
 
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
@@ -127,7 +128,8 @@
 	instances catalogue.List
 	claim     *journal.Claim // nil for a call that may be repeated
 	attempts  int
-	sent      bool // a byte may have reached an instance
+	runs      int  // instances that may have run it
+	sent      bool // it may have run
 	tried     []string
 }
 
@@ -201,9 +203,18 @@
 	if len(open) == 0 {
 		return config.Upstream{}, false
 	}
-	return lo.MinBy(open, func(a, b config.Upstream) bool {
-		return s.rt.Guard.InFlight(a.Name) < s.rt.Guard.InFlight(b.Name)
-	}), true
+	return lo.MinBy(open, s.before), true
+}
+
+// before orders instances by this node's calls on them. Equal ones, which they
+// mostly are, go by a hash of the call: in the order of their names all nodes'
+// calls would meet at the first one.
+func (s *sending) before(a, b config.Upstream) bool {
+	x, y := s.rt.Guard.InFlight(a.Name), s.rt.Guard.InFlight(b.Name)
+	if x != y {
+		return x < y
+	}
+	return xxhash.Sum64String(s.r.ID+a.Name) < xxhash.Sum64String(s.r.ID+b.Name)
 }
 
 // send makes one send in the place that was taken for it.
@@ -219,7 +230,10 @@
 	took := time.Since(now)
 	s.rt.Guard.End(time.Now(), u.Name, guard.Send{Err: err, FirstToken: took})
 	if err != nil {
-		s.sent = s.sent || !retry.SurelyNotRun(err)
+		if !retry.SurelyNotRun(err) {
+			s.sent = true
+			s.runs++
+		}
 		return reply, fmt.Errorf("upstream %s: %w", u.Name, err)
 	}
 	return reply, nil
@@ -253,6 +267,8 @@
 		Workspace:  s.r.Workspace,
 		Upstream:   name,
 		Tries:      s.attempts,
+		Runs:       s.runs,
+		MaxRuns:    s.r.MaxRuns,
 		Repeatable: s.r.mayRepeat(),
 		Fault:      retry.Classify(cause, 0),
 		SentBefore: s.sent,
--- a/request/call/router_test.go
+++ b/request/call/router_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -83,7 +84,7 @@
 }
 
 func request(method string) Request {
-	return Request{ID: "r1", Workspace: "sofia", Service: "records", Method: method, Path: "/inspections"}
+	return Request{ID: "r4", Workspace: "sofia", Service: "records", Method: method, Path: "/inspections"}
 }
 
 func withKey(t *testing.T, r Request) Request {
@@ -199,3 +200,58 @@
 		}
 	}
 }
+
+// Many callers' calls come while no instance is busier than another. In the
+// order of the instances' names all nodes' calls would meet at the first one;
+// they have to spread, with no message between the nodes.
+func TestCallsSpreadOverIdleInstances(t *testing.T) {
+	instances := []*instance{{name: "a", answers: []error{nil}}, {name: "b", answers: []error{nil}}, {name: "c", answers: []error{nil}}}
+	rt := newSite(false, instances...).router(t, &fakelog.Log{})
+	for i := range 300 {
+		r := request(http.MethodGet)
+		r.ID = strconv.Itoa(i)
+		if _, err := rt.Do(context.Background(), r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, i := range instances {
+		if i.calls < 60 || i.calls > 140 {
+			t.Errorf("%s got %d of 300 calls", i.name, i.calls)
+		}
+	}
+}
+
+// A caller's call that may run once, and that no other node has, breaks after
+// the send. It needs no log to be kept from a second run.
+func TestOnceIsNotSentAgain(t *testing.T) {
+	log := &fakelog.Log{}
+	log.SetDown(true)
+	a, b := &instance{name: "a", answers: []error{upstream.ErrBroken}}, &instance{name: "b", answers: []error{upstream.ErrBroken}}
+	r := request(http.MethodGet)
+	r.Once = true
+	_, err := newSite(false, a, b).router(t, log).Do(context.Background(), r)
+	if got := failure.From(err); got.Ran != failure.Unknown || got.Code != failure.UpstreamFailed {
+		t.Errorf("%v, %v", got, got.Ran)
+	}
+	if a.calls+b.calls != 1 {
+		t.Errorf("%d calls", a.calls+b.calls)
+	}
+}
+
+// An instance answers that it failed. A repeatable call is tried elsewhere; if
+// that fails as well, the caller gets the instance's own answer, not one that
+// the router made up.
+func TestFailedAnswerIsTriedElsewhereAndPassedOn(t *testing.T) {
+	failed := &upstream.FailedReply{Reply: upstream.Reply{Status: 500, Body: []byte("no disk")}}
+	a, b := &instance{name: "a", answers: []error{failed}}, &instance{name: "b", answers: []error{failed}}
+	r := request(http.MethodGet)
+	r.MaxRuns = 2
+	_, err := newSite(false, a, b).router(t, &fakelog.Log{}).Do(context.Background(), r)
+	var got *upstream.FailedReply
+	if !errors.As(err, &got) || string(got.Reply.Body) != "no disk" {
+		t.Errorf("%v", err)
+	}
+	if a.calls != 1 || b.calls != 1 {
+		t.Errorf("%d and %d calls", a.calls, b.calls)
+	}
+}
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -1,6 +1,7 @@
 package completion
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -31,8 +32,7 @@
 
 	pending  *upstream.Token // read ahead, not given out yet
 	last     int             // index in the present stream of the last token given out
-	count    int             // tokens given out over all streams
-	text     strings.Builder // all text given out, for a continuation elsewhere
+	given    given
 	resumes  int
 	finished bool
 	finish   string // the last token's Finish
@@ -43,6 +43,14 @@
 	closed       bool
 }
 
+// given is what was given out over all streams of an answer, as far as a
+// continuation elsewhere needs it.
+type given struct {
+	count int             // tokens
+	text  strings.Builder // all text; empty for an answer passed through
+	event string          // id of the last event of an answer passed through
+}
+
 func newAnswer(s *start, v *visit, u config.Upstream, g upstream.Generation, stream upstream.Stream, cancel context.CancelFunc) *Answer {
 	h := stream.Head()
 	return &Answer{
@@ -54,6 +62,7 @@
 			PromptTokens: h.PromptTokens,
 			CachedTokens: h.CachedTokens,
 			Attempts:     s.attempts,
+			Passage:      h.Passage,
 		},
 	}
 }
@@ -110,9 +119,12 @@
 
 func (a *Answer) give(t upstream.Token) Token {
 	a.last = t.Index
-	out := Token{Index: a.count, Text: t.Text, Finish: t.Finish}
-	a.count++
-	a.text.WriteString(t.Text)
+	out := Token{Index: a.given.count, Text: t.Text, Finish: t.Finish}
+	a.given.count++
+	if a.s.r.Passage == nil {
+		a.given.text.WriteString(t.Text)
+	}
+	a.given.event = cmp.Or(t.Event, a.given.event)
 	a.finish = t.Finish
 	a.finished = t.Finish != ""
 	return out
@@ -122,11 +134,12 @@
 // holds it if only the connection broke, then on another one that goes on
 // after the text given out.
 func (a *Answer) mend(cause error) error {
-	if gone := a.s.ctx.Err(); gone != nil {
-		return failure.ErrCancelled.WithRan(failure.Unknown).WithCause(gone)
+	if err := a.s.ctx.Err(); err != nil {
+		return gone(a.s.ctx).WithRan(failure.Unknown).WithCause(err)
 	}
-	canResume := a.resumes < a.s.rt.Config.MaxResumes && !a.resumeFailed
-	if a.s.r.Key.Set() {
+	// The engine of an answer passed through holds no stream.
+	canResume := a.s.r.Passage == nil && a.resumes < a.s.rt.Config.MaxResumes && !a.resumeFailed
+	if !a.s.r.mayRepeat() {
 		// Going on with the stream that the engine holds runs nothing again;
 		// anything else would.
 		if canResume && a.resume() {
@@ -134,7 +147,7 @@
 		}
 		return a.cut(cause)
 	}
-	v := a.s.decide(a.up.Name, cause, a.count, canResume)
+	v := a.s.decide(a.up.Name, cause, a.given.count, canResume)
 	switch v.Action {
 	case retry.Resume:
 		if a.resume() {
@@ -184,7 +197,7 @@
 	a.visit.end(time.Now(), cause)
 	a.s.failed = append(a.s.failed, a.up.Name)
 	a.s.excluded = slices.Clone(a.s.failed)
-	next, err := a.s.goOn(a.text.String(), a.count, a.info.Version)
+	next, err := a.s.goOn(&a.given, a.info.Version)
 	if err != nil {
 		return a.cut(errors.Join(cause, err))
 	}
@@ -194,7 +207,7 @@
 	a.last = -1
 	a.resumeFailed = false
 	event.Info(a.s.rt.Log, event.StreamContinued, zap.String("Request", a.s.r.ID),
-		zap.String("Upstream", a.up.Name), zap.Int("Tokens", a.count))
+		zap.String("Upstream", a.up.Name), zap.Int("Tokens", a.given.count))
 	return nil
 }
 
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -4,8 +4,10 @@
 package completion
 
 import (
+	"cmp"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/idempotency"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 )
@@ -25,11 +27,34 @@
 	Deadline time.Time
 	// Key is set if the request may run once at most.
 	Key idempotency.Key
+	// Once says that the request may run once at most and that no other node
+	// has it: its caller tries each time under another name. It needs no claim.
+	Once bool
+
+	// Passage is the request as the caller sent it, to be passed through, and
+	// its answer with it; Messages are empty then and Declared has the prompt's
+	// parts. nil: the router's own form.
+	Passage  *upstream.Call
+	Declared []prefix.Part
+	// Pool is the pool that the request's route names; empty: one by the
+	// shares of the workspace.
+	Pool string
+	// Scope names those who may use each other's cached prefixes; empty: the
+	// workspace alone.
+	Scope string
+	// MaxRuns is how many engines may have run the request; 0: no own bound.
+	MaxRuns int
+	// After is the id of the last event that the caller has of an earlier try.
+	After string
 }
 
+// mayRepeat says whether the request may be sent again although it may have
+// run.
+func (r Request) mayRepeat() bool { return !r.Key.Set() && !r.Once }
+
 // identity is what the request's cached prefixes belong to.
 func (r Request) identity() prefix.Identity {
-	return prefix.Identity{Workspace: r.Workspace, Model: r.Model, Adapter: r.Adapter}
+	return prefix.Identity{Workspace: cmp.Or(r.Scope, r.Workspace), Model: r.Model, Adapter: r.Adapter}
 }
 
 // urgentUpTo is the highest priority number that still counts as a look-up
@@ -46,6 +71,8 @@
 	PromptTokens int
 	CachedTokens int
 	Attempts     int // sends, the answering one included
+	// Passage is the head of an answer that is passed through; nil otherwise.
+	Passage *upstream.Passage
 }
 
 // Token is one piece of the answer. Index counts from 0 without a gap over
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -11,7 +11,7 @@
 
 // goOn starts the rest of an answer on another engine that holds the same
 // weights version. Weights of another version would splice two models' texts.
-func (s *start) goOn(text string, count int, version string) (*Answer, error) {
+func (s *start) goOn(given *given, version string) (*Answer, error) {
 	now := time.Now()
 	p := s.rt.Policies.Policy(now, s.target.group)
 	pr := s.placementRequest(now)
@@ -29,10 +29,16 @@
 		return nil, upstream.ErrBusy
 	}
 	s.attempts++
+	s.runs++
+	s.fetchFrom = ""
 	s.logPlacement(d)
 	g := s.generation(version)
-	g.Continue = text
-	g.MaxTokens -= count
+	if s.r.Passage != nil {
+		g.After = given.event
+	} else {
+		g.Continue = given.text.String()
+		g.MaxTokens -= given.count
+	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	silent := s.watch(now, cancel)
 	stream, err := s.rt.Upstreams.Engine(u).Generate(ctx, g)
--- a/request/completion/eligible.go
+++ b/request/completion/eligible.go
@@ -1,6 +1,8 @@
 package completion
 
 import (
+	"cmp"
+
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
@@ -24,7 +26,7 @@
 	if !ok {
 		return target{}, failure.ErrUnknownWorkspace
 	}
-	pool := choosePool(w.Shares, shareKey(chain))
+	pool := cmp.Or(r.Pool, choosePool(w.Shares, shareKey(chain)))
 	g, l := c.Engines(catalogue.Group{Pool: pool, Model: r.Model})
 	return target{group: g, list: l}, nil
 }
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 	"sync"
 	"time"
 
@@ -71,6 +72,9 @@
 	for text := ""; text != g.Continue; sent++ {
 		text += words[sent]
 	}
+	if g.After != "" {
+		sent, _ = strconv.Atoi(g.After)
+	}
 	return &stream{e: e, id: g.StreamID, version: g.Version, rest: words[sent:], incarnation: 1, cut: e.cutAfter}, nil
 }
 
@@ -151,7 +155,7 @@
 	if len(s.rest) == 0 {
 		return upstream.Token{}, io.EOF
 	}
-	t := upstream.Token{Index: s.next, Text: s.rest[0]}
+	t := upstream.Token{Index: s.next, Text: s.rest[0], Event: strconv.Itoa(len(words) - len(s.rest) + 1)}
 	s.rest = s.rest[1:]
 	s.next++
 	if len(s.rest) == 0 {
--- a/request/completion/replay.go
+++ b/request/completion/replay.go
@@ -42,7 +42,7 @@
 
 // hold gives the whole answer to the journal.
 func (a *Answer) hold() (journal.Answer, error) {
-	body, err := json.Marshal(held{Info: a.info, Text: a.text.String(), Finish: a.finish})
+	body, err := json.Marshal(held{Info: a.info, Text: a.given.text.String(), Finish: a.finish})
 	return journal.Answer{Status: http.StatusOK, Body: body}, err
 }
 
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -120,6 +120,9 @@
 	ImportTimeout time.Duration
 	// MaxImportBytes bounds what one import carries.
 	MaxImportBytes int
+	// DirectFetch says that engines fetch what is cached elsewhere by
+	// themselves, when they are told from where; the router carries nothing.
+	DirectFetch bool
 }
 
 // Defaults of Config.
@@ -177,5 +180,8 @@
 
 // chain gives the request's prefix levels.
 func (rt *Router) chain(r Request) prefix.Chain {
+	if r.Passage != nil {
+		return prefix.FromParts(r.identity(), r.Declared)
+	}
 	return prefix.FromMessages(r.identity(), r.Messages)
 }
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -72,7 +72,11 @@
 
 // send calls the engine and waits for the first token.
 func (s *start) send(ctx context.Context, now time.Time, v *visit, u config.Upstream) (*Answer, error) {
-	if v.decision.Import {
+	s.fetchFrom = ""
+	switch {
+	case v.decision.Import && s.rt.Config.DirectFetch:
+		s.fetchFrom = s.sourceAddress(v.decision, u)
+	case v.decision.Import:
 		s.importPrefix(ctx, v.decision, u)
 		now = time.Now() // a claim may have run out meanwhile
 	}
@@ -92,6 +96,7 @@
 		return nil, err
 	}
 	s.sent = true
+	s.runs++
 	a := newAnswer(s, v, u, g, stream, cancel)
 	if err := silent.blame(a.first()); err != nil {
 		a.abandon()
@@ -119,6 +124,7 @@
 func (s *start) failedToSend(err error) {
 	if !retry.SurelyNotRun(err) {
 		s.sent = true
+		s.runs++
 		return
 	}
 	if s.claim != nil {
@@ -148,6 +154,9 @@
 		MaxTokens: s.r.MaxTokens,
 		Priority:  s.r.Priority,
 		Deadline:  s.r.Deadline,
+		Passage:   s.r.Passage,
+		After:     s.r.After,
+		FetchFrom: s.fetchFrom,
 	}
 }
 
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -22,7 +22,9 @@
 		return nil, err
 	}
 	s.target = t
-	rt.Recent.Note(now, r.identity(), r.Messages)
+	if r.Passage == nil {
+		rt.Recent.Note(now, r.identity(), r.Messages)
+	}
 	release, err := rt.Admission.Admit(ctx, now, r, s.chain.Tokens())
 	if err != nil {
 		return nil, err
@@ -45,10 +47,13 @@
 	chain    prefix.Chain
 	target   target
 	claim    *journal.Claim // nil for a repeatable request
-	sent     bool           // a byte may have reached an upstream
+	sent     bool           // it may have run
+	runs     int            // upstreams that may have run it
 	attempts int
-	excluded []string // not to be tried in the present attempt
-	failed   []string // the part of excluded that a send failed on
+	// fetchFrom is where the engine of the present try fetches the prefix from.
+	fetchFrom string
+	excluded  []string // not to be tried in the present attempt
+	failed    []string // the part of excluded that a send failed on
 	// placeless is since when there has been no free place; zero: not yet.
 	placeless time.Time
 }
@@ -94,7 +99,7 @@
 			return a, nil
 		}
 		if ctx.Err() != nil {
-			return nil, s.refusal(failure.ErrCancelled, ctx.Err())
+			return nil, s.refusal(gone(ctx), ctx.Err())
 		}
 		if errors.Is(err, failure.ErrOverloaded) {
 			return nil, err
@@ -134,3 +139,12 @@
 func (s *start) late(now time.Time) bool {
 	return !s.r.Deadline.IsZero() && !now.Before(s.r.Deadline)
 }
+
+// gone is the failure of a request whose ctx has ended: its time ran out, or
+// its caller went away.
+func gone(ctx context.Context) *failure.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure.ErrDeadlineExceeded
+	}
+	return failure.ErrCancelled
+}
--- a/request/completion/transfer.go
+++ b/request/completion/transfer.go
@@ -88,6 +88,18 @@
 	return len(kv), nil
 }
 
+// sourceAddress is where the decided engine fetches the prefix from by itself;
+// empty if the source has left. The engine looks under the salt of the
+// request, which is made of the weights version, so that blocks of other
+// weights are not found there.
+func (s *start) sourceAddress(d placement.Decision, u config.Upstream) string {
+	from, ok := s.rt.View.Catalogue().Config().Upstreams[d.Source]
+	if !ok || from.Name == u.Name || !lo.Contains(s.target.list.Names, d.Source) {
+		return ""
+	}
+	return from.Address
+}
+
 // sharedVersion is the accepted weights version that both engines have told
 // that they hold. Blocks of other weights would make the answer wrong without
 // anyone seeing it. If one of the two changes its weights in between, the
--- /dev/null
+++ b/request/prefix/declared.go
@@ -0,0 +1,43 @@
+package prefix
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is one part of a prompt that the caller declares in place of its text:
+// two prompts with equal parts up to some place have equal text up to there.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// FromParts gives the chain of a prompt that the caller declares. There is a
+// level at the end of each part; of more than MaxLevels parts the first ones
+// and the whole prompt are kept. A caller that declares what isn't so spoils
+// its own hit rate only: the engines judge by the same declaration, under the
+// salt of its identity.
+func FromParts(id Identity, parts []Part) Chain {
+	chain := make(Chain, 0, min(MaxLevels, len(parts)))
+	hash := identityHash(id)
+	tokens := 0
+	for i, p := range parts {
+		hash = partHash(hash, p)
+		tokens += p.Tokens
+		if len(chain) < MaxLevels-1 || i == len(parts)-1 {
+			chain = append(chain, Level{ID: hash, Tokens: tokens})
+		}
+	}
+	return chain
+}
+
+func partHash(before uint64, p Part) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(before)
+	writeField(&d, p.ID)
+	var tokens [8]byte
+	binary.LittleEndian.PutUint64(tokens[:], uint64(p.Tokens))
+	_, _ = d.Write(tokens[:])
+	return d.Sum64()
+}
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -29,7 +29,7 @@
 // budget. A request given up gets its final answer at once.
 func (r *Retrier) Decide(now time.Time, a Attempt) Verdict {
 	v := Decide(now, r.cfg, a)
-	if !costs(a.Fault, v.Action) {
+	if !costs(r.cfg, a.Fault, v.Action) {
 		return v
 	}
 	if !r.budget.Take(a.Workspace, a.Upstream) {
@@ -46,8 +46,11 @@
 // the caller has read half of. Their number is bounded all the same: each stream
 // that was let in continues once for each engine that crashes under it, up to
 // MaxTries.
-func costs(f Fault, a Action) bool {
-	return f != NotSent && a != GiveUp && a != Resume && a != ContinueElsewhere
+func costs(cfg Config, f Fault, a Action) bool {
+	if a == ContinueElsewhere {
+		return cfg.PayContinuations
+	}
+	return f != NotSent && a != GiveUp && a != Resume
 }
 
 // Decide is the decision without the budget, as a pure function.
@@ -58,6 +61,9 @@
 	if !a.mayRepeat() {
 		return giveUp(cfg, a, "it may have run and is not repeatable")
 	}
+	if a.MaxRuns > 0 && a.Runs >= a.MaxRuns {
+		return giveUp(cfg, a, "as many upstreams as may have run it")
+	}
 	v := choose(cfg, a)
 	if v.Action != GiveUp && a.pastDeadline(now, v.Wait) {
 		return pastDeadline(cfg, a)
@@ -143,10 +149,10 @@
 // helps unless a second run would be one too many.
 func final(cfg Config, a Attempt, err *failure.Error) *failure.Error {
 	err = err.WithCause(a.Cause)
-	if a.sent() {
+	if a.sent(cfg.TrustRefusals) {
 		err = err.WithRan(failure.Unknown)
 	}
-	if !a.Repeatable && a.sent() && a.Fault > WrongVersion {
+	if !a.Repeatable && a.sent(cfg.TrustRefusals) && a.Fault > WrongVersion {
 		return err
 	}
 	wait := max(a.Return, cfg.Backoff.Max/2)
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -71,10 +71,15 @@
 
 // Attempt is a failed try with all that decides what comes next.
 type Attempt struct {
-	ID         string // the request's, for the jitter
-	Workspace  string
-	Upstream   string // that failed
-	Tries      int    // made so far, this one included
+	ID        string // the request's, for the jitter
+	Workspace string
+	Upstream  string // that failed
+	Tries     int    // made so far, this one included
+	// Runs is how many upstreams may have run it, this one included if so, and
+	// MaxRuns how many may; 0: as many as there are tries. A try that surely was
+	// not run uses up none.
+	Runs       int
+	MaxRuns    int
 	Repeatable bool
 	Fault      Fault
 	// SentBefore says that an earlier try of the same request may have
@@ -97,8 +102,14 @@
 	Cause  error
 }
 
-// sent says whether a byte of the request may have reached an upstream.
-func (a Attempt) sent() bool { return a.SentBefore || a.Fault != NotSent }
+// sent says whether the request may have run. An explicit refusal tells that
+// it has not, if the upstreams' refusals are trusted; else any byte counts.
+func (a Attempt) sent(trust bool) bool {
+	if trust {
+		return a.SentBefore || a.Fault > WrongVersion
+	}
+	return a.SentBefore || a.Fault != NotSent
+}
 
 // Verdict is what to do after a failed try.
 type Verdict struct {
@@ -122,6 +133,12 @@
 	// MaxKeys bounds the workspaces and the upstreams with a budget.
 	MaxKeys int
 	Backoff Backoff
+	// TrustRefusals says that the upstreams promise, by their protocol, never
+	// to run what they refused, so that a refusal is as good as not sent.
+	TrustRefusals bool
+	// PayContinuations has the rest of a broken stream paid for like any other
+	// resend. It is for fleets whose bound on resends has no exception.
+	PayContinuations bool
 }
 
 // Default lets retries add 10% of load.
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -217,3 +217,58 @@
 		}
 	}
 }
+
+// A caller's request is refused by a busy upstream whose protocol promises
+// that it never runs what it refused. Told "unknown", the caller of a
+// not-repeatable request could not come back though nothing has run; told
+// "not run" where the promise is not given, it might run twice.
+func TestTrustedRefusalsCountAsNotRun(t *testing.T) {
+	a := Attempt{ID: "r", Tries: 4, Fault: Busy}
+	trusting := Default
+	trusting.TrustRefusals = true
+	if v := Decide(start, trusting, a); v.Err.Ran != failure.NotRun || v.Err.RetryAfter == 0 {
+		t.Errorf("trusted: %v, back in %v", v.Err.Ran, v.Err.RetryAfter)
+	}
+	if v := Decide(start, Default, a); v.Err.Ran != failure.Unknown {
+		t.Errorf("not trusted: %v", v.Err.Ran)
+	}
+	a.SentBefore = true
+	if v := Decide(start, trusting, a); v.Err.Ran != failure.Unknown {
+		t.Errorf("after a send that may have run: %v", v.Err.Ran)
+	}
+}
+
+// The route allows one run. An upstream that can't be reached has not run the
+// request, so that another one may be tried; one that broke may have.
+func TestOnlyRunsUseUpTheBound(t *testing.T) {
+	a := Attempt{ID: "r", Tries: 1, MaxRuns: 1, Repeatable: true, Fault: NotSent, Others: 2}
+	if v := Decide(start, Default, a); v.Action != RetryElsewhere {
+		t.Errorf("not sent: %v", v.Action)
+	}
+	a.Fault, a.Runs = BrokenBefore, 1
+	if v := Decide(start, Default, a); v.Action != GiveUp {
+		t.Errorf("broken: %v", v.Action)
+	}
+}
+
+// An engine dies under many streams at once. Where the fleet's bound on
+// resends has no exception, each continuation is paid for: past the budget the
+// callers' streams are cut instead of the bound being broken.
+func TestContinuationsArePaidWhereTheBoundHasNoException(t *testing.T) {
+	cfg := Default
+	cfg.PayContinuations = true
+	r, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	went := 0
+	for range 100 {
+		v := r.Decide(start, Attempt{ID: "r", Tries: 1, Repeatable: true, Fault: BrokenAfter, Others: 1})
+		if v.Action == ContinueElsewhere {
+			went++
+		}
+	}
+	if went == 0 || float64(went) > cfg.Reserve {
+		t.Errorf("%d continuations of a reserve of %v", went, cfg.Reserve)
+	}
+}
