--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -28,6 +28,11 @@
 	ErrOutOfOrder = errors.New("upstream: event out of order")
 	// ErrUnknownStream means that the engine does not hold that stream.
 	ErrUnknownStream = errors.New("upstream: unknown stream")
+	// ErrReplaced is an ErrRefused by another upstream that has the address now.
+	ErrReplaced = errors.New("upstream: another one has its address")
+	// ErrOutOfTurn means that an order was refused: another one is being
+	// carried out, or others were accepted since.
+	ErrOutOfTurn = errors.New("upstream: order out of turn")
 	// ErrStaleFencing means that the engine refused an order with an old fencing number.
 	ErrStaleFencing = errors.New("upstream: stale fencing number")
 )
@@ -120,6 +125,8 @@
 	Queued       int
 	QueuedTokens int
 	Loading      bool
+	// Orders counts the orders that it has accepted since it started.
+	Orders uint64
 }
 
 // LoadedModel is one model with the version of its weights.
@@ -155,6 +162,9 @@
 	Adapter string
 	Role    string    // "serve", "drain"; empty: leave as it is
 	Expires time.Time // not to be begun after this
+	// Expected is the count of accepted orders that this one follows; nil: any.
+	// An engine refuses another count, also when the order reaches it late.
+	Expected *uint64
 }
 
 // Engine is a model engine.
--- /dev/null
+++ b/process/event/bounded_test.go
@@ -0,0 +1,65 @@
+package event
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// stopped is a reader of the log that takes nothing until it is let go.
+type stopped struct {
+	goOn chan struct{}
+	got  bytes.Buffer
+}
+
+func (s *stopped) Write(p []byte) (int, error) {
+	<-s.goOn
+	return s.got.Write(p)
+}
+
+// The reader of the log stops. Callers must go on being served, and memory must
+// stay bounded: lines are dropped and counted by their event, and once the
+// reader goes on, what waited is written.
+func TestStoppedReaderStopsNobody(t *testing.T) {
+	r := &stopped{goOn: make(chan struct{})}
+	q := NewQueue(r)
+	l, err := NewQueuedLogger(q, "info", "entry-1", "sofia-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const lines = 20_000
+	for range lines {
+		Info(l, RequestPlaced, zap.String("Request", strings.Repeat("x", 40)))
+	}
+	Warn(l, OperatorRefused)
+	dropped := q.Dropped()
+	if dropped["RequestPlaced"] == 0 || dropped["OperatorRefused"] != 1 {
+		t.Errorf("dropped %v", dropped)
+	}
+	close(r.goOn)
+	q.Close(time.Minute)
+	if written := strings.Count(r.got.String(), "\n"); written+dropped["RequestPlaced"]+1 != lines+1 {
+		t.Errorf("%d written, %v dropped", written, dropped)
+	}
+}
+
+func TestQueuedLinesAreThoseOfTheLogger(t *testing.T) {
+	var out bytes.Buffer
+	q := NewQueue(&out)
+	l, err := NewQueuedLogger(q, "info", "entry-1", "sofia-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Debug("not written")
+	Info(l, ProcessStopped)
+	q.Close(time.Minute)
+	if got := out.String(); strings.Count(got, "\n") != 1 || !strings.Contains(got, `"Name":"ProcessStopped"`) || !strings.Contains(got, `"Node":"entry-1"`) {
+		t.Errorf("%q", got)
+	}
+	if _, err := NewQueuedLogger(q, "loud", "", ""); err == nil {
+		t.Error("an unknown level was taken")
+	}
+}
--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -55,6 +55,12 @@
 	_ = x[StreamCancelled-107]
 	_ = x[PrefixImported-108]
 	_ = x[PrefixNotImported-109]
+	_ = x[RequestServed-110]
+	_ = x[UpstreamEntered-800]
+	_ = x[UpstreamLeft-801]
+	_ = x[EntryUnreadable-802]
+	_ = x[RegisterLost-803]
+	_ = x[RegisterBack-804]
 	_ = x[ConfigInForce-300]
 	_ = x[ConfigFromSnapshot-301]
 	_ = x[ConfigFromPeer-302]
@@ -75,35 +81,40 @@
 	_ = x[OrderFailed-317]
 	_ = x[PlannerHeldUp-318]
 	_ = x[UpstreamRepaired-319]
+	_ = x[PublicationUnreadable-320]
+	_ = x[WeightsNamed-321]
+	_ = x[LeaseNotGivenBack-322]
 }
 
 const (
-	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelledPrefixImportedPrefixNotImported"
+	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelledPrefixImportedPrefixNotImportedRequestServed"
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailed"
-	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepaired"
+	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepairedPublicationUnreadableWeightsNamedLeaseNotGivenBack"
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
 	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedSecretReloadedSecretReloadFailed"
 	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsedOperatorCallFailed"
+	_Event_name_6 = "UpstreamEnteredUpstreamLeftEntryUnreadableRegisterLostRegisterBack"
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112, 126, 143}
+	_Event_index_0 = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112, 126, 143, 156}
 	_Event_index_1 = [...]uint8{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215}
-	_Event_index_2 = [...]uint8{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239}
+	_Event_index_2 = [...]uint16{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239, 260, 272, 289}
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
 	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 107, 125}
 	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90, 108}
+	_Event_index_6 = [...]uint8{0, 15, 27, 42, 54, 66}
 )
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 109:
+	case 100 <= i && i <= 110:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 200 <= i && i <= 213:
 		i -= 200
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
-	case 300 <= i && i <= 319:
+	case 300 <= i && i <= 322:
 		i -= 300
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
 	case 400 <= i && i <= 406:
@@ -115,6 +126,9 @@
 	case 600 <= i && i <= 606:
 		i -= 600
 		return _Event_name_5[_Event_index_5[i]:_Event_index_5[i+1]]
+	case 800 <= i && i <= 804:
+		i -= 800
+		return _Event_name_6[_Event_index_6[i]:_Event_index_6[i+1]]
 	default:
 		return "Event(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/process/event/logger.go
+++ b/process/event/logger.go
@@ -15,7 +15,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("logger: %w", err)
 	}
-	encoder := zapcore.NewJSONEncoder(zapcore.EncoderConfig{
+	return named(zapcore.NewCore(newEncoder(), zapcore.Lock(w), l), node, dataCentre), nil
+}
+
+// NewQueuedLogger is NewLogger for lines that wait in a queue, so that a
+// request never waits for the reader of the log.
+func NewQueuedLogger(q *Queue, level, node, dataCentre string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("logger: %w", err)
+	}
+	return named(&core{LevelEnabler: l, encoder: newEncoder(), queue: q}, node, dataCentre), nil
+}
+
+func newEncoder() zapcore.Encoder {
+	return zapcore.NewJSONEncoder(zapcore.EncoderConfig{
 		TimeKey:        "Time",
 		LevelKey:       "Level",
 		MessageKey:     "Name",
@@ -24,6 +38,8 @@
 		EncodeLevel:    zapcore.LowercaseLevelEncoder,
 		EncodeDuration: zapcore.SecondsDurationEncoder,
 	})
-	core := zapcore.NewCore(encoder, zapcore.Lock(w), l)
-	return zap.New(core).With(zap.String("Node", node), zap.String("DataCentre", dataCentre)), nil
+}
+
+func named(c zapcore.Core, node, dataCentre string) *zap.Logger {
+	return zap.New(c).With(zap.String("Node", node), zap.String("DataCentre", dataCentre))
 }
--- a/process/event/request.go
+++ b/process/event/request.go
@@ -22,4 +22,6 @@
 	PrefixImported
 	// PrefixNotImported: an import failed or was not begun, for the cause given; the engine computes the prefix. To do: when it goes on for one upstream, look at that upstream, or set Placement.ImportRate to 0.
 	PrefixNotImported
+	// RequestServed: a request that was passed through has got its whole answer; Status is the upstream's.
+	RequestServed
 )
--- a/process/event/version.go
+++ b/process/event/version.go
@@ -42,4 +42,10 @@
 	PlannerHeldUp
 	// UpstreamRepaired says that an engine lacks the weights in force and is loaded with them again. To do: find out why the engine lost its weights when it goes on; it is being put right.
 	UpstreamRepaired
+	// PublicationUnreadable says that a record that operators published can't be read; what is in force stays. To do: bring this node to the version that the record needs, or publish it anew.
+	PublicationUnreadable
+	// WeightsNamed says that newer weights of a model were named; the engines are brought to them.
+	WeightsNamed
+	// LeaseNotGivenBack says that this node left without giving the duty back; it runs out by itself.
+	LeaseNotGivenBack
 )
--- /dev/null
+++ b/process/gateway/gateway.go
@@ -0,0 +1,186 @@
+// Package gateway puts a node together whose configuration, weights and
+// upstreams are accepted elsewhere and followed here. Package node does the same
+// for one that folds them from its own log. The request paths are the same; the
+// protocols to all sides are given by an adapter.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/duty"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/call"
+	"github.com/dunlinmill/dunlinmill/request/completion"
+	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
+	"github.com/dunlinmill/dunlinmill/version/rollout"
+)
+
+// Settings are what a gateway is told at its start. The bounds are those of
+// the platform that it runs on.
+type Settings struct {
+	Node       string
+	DataCentre string
+	// KeyLife is how old the proof of the configuration may be for a key to be
+	// honoured; 0: keys never lapse.
+	KeyLife time.Duration
+	// ConfigLag is the time in which a change has to be in force. A proof
+	// younger than that is good enough to say that something does not exist.
+	ConfigLag time.Duration
+	// Lease is how long the orders of two holders of the duty have to be apart.
+	Lease time.Duration
+	// Transit is kept back from the time that a caller grants, for the way of
+	// the answer.
+	Transit time.Duration
+}
+
+// Decoder turns the platform's records into what they mean.
+type Decoder interface {
+	// Configuration gives what a record of the operators' topic says: a
+	// configuration, the newest version of a model's weights, or neither.
+	Configuration(r keyed.Record) (Publication, error)
+	// Upstream gives an entry of the register.
+	Upstream(r keyed.Record) (roster.Entry, error)
+}
+
+// Publication is what operators have published in one record.
+type Publication struct {
+	Configuration *accepted.Configuration
+	Model         string // with Version; empty: none named
+	Version       uint64
+}
+
+// Group is the members among whom the platform deals the duty.
+type Group interface {
+	// Join keeps this node in the group.
+	Join(ctx context.Context, generation uint64) (duty.Grant, error)
+	// Leave gives the duty back at once.
+	Leave(ctx context.Context) error
+}
+
+// Platform is what the adapter gives.
+type Platform struct {
+	Configuration keyed.Topic
+	Register      keyed.Topic
+	Decoder       Decoder
+	Group         Group
+	// Dialer makes the upstreams' clients. Gone is called when another start
+	// turns out to have an upstream's address.
+	Dialer func(gone func(upstream string)) inventory.Dialer
+}
+
+// Gateway is one node.
+type Gateway struct {
+	settings Settings
+	log      *zap.Logger
+	injector *do.RootScope
+
+	book        *accepted.Book
+	roster      *roster.Roster
+	view        *view
+	completions *completion.Router
+	calls       *call.Router
+	metrics     *metric.Metrics
+	keeper      *duty.Keeper
+	group       Group
+	leaving     atomic.Bool
+
+	closers []func()
+}
+
+// New makes a node and starts to follow the platform.
+func New(s Settings, p Platform, log *zap.Logger) (*Gateway, error) {
+	g := &Gateway{settings: s, log: log, injector: do.New(), group: p.Group}
+	g.provide(p)
+	if err := g.build(); err != nil {
+		g.Close()
+		return nil, fmt.Errorf("gateway %s: %w", s.Node, err)
+	}
+	return g, nil
+}
+
+func (g *Gateway) build() error {
+	i := g.injector
+	var err error
+	if g.completions, err = do.Invoke[*completion.Router](i); err != nil {
+		return err
+	}
+	if g.calls, err = do.Invoke[*call.Router](i); err != nil {
+		return err
+	}
+	g.book = do.MustInvoke[*accepted.Book](i)
+	g.roster = do.MustInvoke[*roster.Roster](i)
+	g.view = do.MustInvoke[*view](i)
+	g.metrics = do.MustInvoke[*metric.Metrics](i)
+	g.keeper = do.MustInvoke[*duty.Keeper](i)
+	for _, start := range []func() error{
+		func() error { _, err := do.Invoke[followers](i); return err },
+		func() error { _, err := do.Invoke[*rollout.Driver](i); return err },
+		func() error { _, err := do.Invoke[*joiner](i); return err },
+	} {
+		if err := start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close stops all parts in the reverse order of their making.
+func (g *Gateway) Close() {
+	for i := len(g.closers) - 1; i >= 0; i-- {
+		g.closers[i]()
+	}
+	g.closers = nil
+}
+
+func (g *Gateway) onClose(f func()) { g.closers = append(g.closers, f) }
+
+// Metrics gives the node's metrics.
+func (g *Gateway) Metrics() *metric.Metrics { return g.metrics }
+
+// Limits bound what callers may send; false if no configuration is known.
+func (g *Gateway) Limits() (accepted.Limits, bool) {
+	f := g.book.InForce()
+	if f == nil {
+		return accepted.Limits{}, false
+	}
+	return f.Limits, true
+}
+
+// Leave has the node tell that it takes no new connections.
+func (g *Gateway) Leave() {
+	if g.leaving.Swap(true) {
+		return
+	}
+	event.Info(g.log, event.ProcessLeaving)
+}
+
+// Leaving says that callers should close their connections.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
+// earningPart is the part of KeyLife past which a node without a way to the
+// platform leaves the rotation: what follows is too short for a caller's next
+// request to be sure of being served here.
+const earningPart = 0.6
+
+// Ready says whether new connections should come to this node.
+func (g *Gateway) Ready(now time.Time) bool {
+	if g.leaving.Load() || g.book.InForce() == nil {
+		return false
+	}
+	age, ok := g.book.Age(now)
+	return ok && (g.settings.KeyLife == 0 || age < time.Duration(earningPart*float64(g.settings.KeyLife)))
+}
+
+// Boot is the clock by which ages and leases are judged.
+func Boot() time.Time { return clock.Boot() }
--- /dev/null
+++ b/process/gateway/learn.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/config"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
+)
+
+// learner takes what is read into the parts that keep it.
+type learner struct {
+	log     *zap.Logger
+	decoder Decoder
+	book    *accepted.Book
+	roster  *roster.Roster
+	view    *view
+	guards  guards
+	metrics *metric.Metrics
+
+	mu sync.Mutex // held while the parts take in a new view
+}
+
+// refresh has the parts that keep lists of upstreams follow the view.
+func (l *learner) refresh(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.view.refresh() {
+		return
+	}
+	cfg := l.view.Config()
+	l.guards.engines.SetUpstreams(now, names(cfg, config.Engine))
+	l.guards.services.SetUpstreams(now, names(cfg, config.Service))
+	l.metrics.Configured(cfg)
+}
+
+func names(cfg config.Config, k config.Kind) []string {
+	return lo.FilterMapToSlice(cfg.Upstreams, func(name string, u config.Upstream) (string, bool) {
+		return name, u.Kind == k && u.State == config.Active
+	})
+}
+
+// configurationTaker takes in what operators publish.
+type configurationTaker struct {
+	*learner
+	lost bool // the last question had no answer
+}
+
+// Take takes in the records, and confirms what is in force. A record that
+// can't be read is passed over and keeps the rest from being confirmed: what it
+// says is in force elsewhere and not here.
+func (t *configurationTaker) Take(now time.Time, u keyed.Update) {
+	if t.lost {
+		t.lost = false
+		event.Info(t.log, event.ConfigLogBack)
+	}
+	whole := true
+	for _, r := range u.Records {
+		p, err := t.decoder.Configuration(r)
+		if err != nil {
+			whole = false
+			event.Error(t.log, event.PublicationUnreadable, zap.String("Key", r.Key), zap.Uint64("Offset", r.Offset), zap.Error(err))
+			continue
+		}
+		t.publish(r, p)
+	}
+	if whole {
+		t.book.Confirm(u.Begun)
+	}
+	t.refresh(now)
+	t.metrics.LogRead(time.Now(), true)
+}
+
+func (t *configurationTaker) publish(r keyed.Record, p Publication) {
+	if c := p.Configuration; c != nil && t.book.Accept(*c) {
+		event.Info(t.log, event.ConfigInForce, zap.Uint64("Version", c.Version), zap.Uint64("Offset", r.Offset),
+			zap.Int("Routes", len(c.Routes)), zap.Int("Workspaces", len(c.Workspaces)))
+	}
+	if p.Model != "" && t.book.Name(p.Model, p.Version) {
+		event.Info(t.log, event.WeightsNamed, zap.String("Model", p.Model), zap.Uint64("Version", p.Version), zap.Uint64("Offset", r.Offset))
+	}
+}
+
+// Missed notes that the platform did not answer.
+func (t *configurationTaker) Missed(now time.Time, err error) {
+	if !t.lost {
+		t.lost = true
+		age, _ := t.book.Age(now)
+		event.Warn(t.log, event.ConfigLogLost, zap.Duration("Age", age), zap.Error(err))
+	}
+	t.metrics.LogRead(time.Now(), false)
+}
+
+// registerTaker takes in what upstreams say of themselves.
+type registerTaker struct {
+	*learner
+	lost bool // the last question had no answer
+}
+
+// Take takes in the entries.
+func (t *registerTaker) Take(now time.Time, u keyed.Update) {
+	if t.lost {
+		t.lost = false
+		event.Info(t.log, event.RegisterBack)
+	}
+	t.roster.Reached(now)
+	if u.Complete {
+		t.roster.Only(now, lo.Map(u.Records, func(r keyed.Record, _ int) string { return r.Key }))
+	}
+	for _, r := range u.Records {
+		t.enter(now, r)
+	}
+	t.refresh(now)
+}
+
+func (t *registerTaker) enter(now time.Time, r keyed.Record) {
+	e, err := t.decoder.Upstream(r)
+	if err != nil {
+		event.Warn(t.log, event.EntryUnreadable, zap.String("Key", r.Key), zap.Uint64("Offset", r.Offset), zap.Error(err))
+		return
+	}
+	if r.Dropped {
+		event.Info(t.log, event.UpstreamLeft, zap.String("Upstream", e.ID), zap.Uint64("Offset", r.Offset))
+		t.roster.Drop(now, e.ID)
+		return
+	}
+	if t.roster.Put(e) {
+		event.Info(t.log, event.UpstreamEntered, zap.String("Upstream", e.ID), zap.String("Service", e.Service),
+			zap.String("Address", e.Address), zap.Bool("Leaving", e.Leaving), zap.Any("Weights", e.Weights), zap.Uint64("Offset", r.Offset))
+	}
+}
+
+// Missed notes that the register is away.
+func (t *registerTaker) Missed(_ time.Time, err error) {
+	if !t.lost {
+		t.lost = true
+		event.Warn(t.log, event.RegisterLost, zap.Error(err))
+	}
+	t.roster.Away()
+}
--- /dev/null
+++ b/process/gateway/orders.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/duty"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/config"
+	"github.com/dunlinmill/dunlinmill/version/rollout"
+)
+
+// upstreams is what the completion path knows of the engines: their clients,
+// and the weights that they told the register or answered with.
+type upstreams struct {
+	*inventory.Inventory
+	roster *roster.Roster
+}
+
+// Version is the weights version that an engine holds; empty if not known.
+func (u upstreams) Version(name, model string) string {
+	v := u.roster.Weights(name, model)
+	if v == 0 {
+		return ""
+	}
+	return strconv.FormatUint(v, 10)
+}
+
+// Holds notes that an engine has turned out to hold a version. One that is no
+// number is none of this platform's.
+func (u upstreams) Holds(_ time.Time, name, model, version string) {
+	if v, err := strconv.ParseUint(version, 10, 64); err == nil {
+		u.roster.Holds(name, model, v)
+	}
+}
+
+// fleet is the engines as the roll-out sees them.
+type fleet struct {
+	view      *view
+	roster    *roster.Roster
+	book      *accepted.Book
+	inventory *inventory.Inventory
+}
+
+// Engines lists the engines that stay, with their weights of each model.
+func (f *fleet) Engines() []rollout.Engine {
+	var all []rollout.Engine
+	for name, u := range f.view.Config().Upstreams {
+		if u.Kind != config.Engine || u.State != config.Active {
+			continue
+		}
+		for _, m := range u.Models {
+			all = append(all, rollout.Engine{Name: name, Model: m, Held: f.roster.Weights(name, m)})
+		}
+	}
+	return all
+}
+
+// Newest is the newest version that was named.
+func (f *fleet) Newest(model string) uint64 { return f.book.Weights()[model] }
+
+// Client gives an engine's client.
+func (f *fleet) Client(name string) (upstream.Engine, bool) {
+	u, ok := f.view.Config().Upstreams[name]
+	if !ok || u.Kind != config.Engine {
+		return nil, false
+	}
+	return f.inventory.Engine(u), true
+}
+
+// Holds notes the version that an engine has reported.
+func (f *fleet) Holds(name, model string, version uint64) { f.roster.Holds(name, model, version) }
+
+// Busy is not told to anybody yet: the engine refuses what comes meanwhile.
+func (f *fleet) Busy(string, bool) {}
+
+// joiner keeps this node in the group among which the duty is dealt.
+type joiner struct {
+	group  Group
+	keeper *duty.Keeper
+	log    *zap.Logger
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+func (g *Gateway) newJoiner(i do.Injector, p Platform) *joiner {
+	ctx, cancel := context.WithCancel(context.Background())
+	j := &joiner{group: p.Group, keeper: do.MustInvoke[*duty.Keeper](i), log: g.log, cancel: cancel}
+	j.work.Go(func() { j.run(ctx) })
+	g.onClose(j.close)
+	return j
+}
+
+func (j *joiner) run(ctx context.Context) {
+	t := time.NewTicker(joinPause)
+	defer t.Stop()
+	for {
+		j.join(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// join asks once. Without an answer the duty runs out by itself.
+func (j *joiner) join(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	begun := clock.Boot()
+	grant, err := j.group.Join(ctx, j.keeper.Generation())
+	if err != nil {
+		return
+	}
+	if !j.keeper.Joined(clock.Boot(), begun, grant) {
+		return
+	}
+	if grant.Holds {
+		event.Info(j.log, event.LeaseTaken, zap.Uint64("Fencing", grant.Generation))
+		return
+	}
+	event.Warn(j.log, event.LeaseLost, zap.Uint64("Generation", grant.Generation))
+}
+
+// close leaves the group, so that another node gets the duty at once.
+func (j *joiner) close() {
+	j.cancel()
+	j.work.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	if err := j.group.Leave(ctx); err != nil {
+		event.Info(j.log, event.LeaseNotGivenBack, zap.Error(err))
+	}
+}
--- /dev/null
+++ b/process/gateway/provide.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/duty"
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/process/policy"
+	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/call"
+	"github.com/dunlinmill/dunlinmill/request/completion"
+	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
+	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
+	"github.com/dunlinmill/dunlinmill/version/config"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
+	"github.com/dunlinmill/dunlinmill/version/rollout"
+)
+
+// Paces of the questions to the platform. Each costs a call.
+const (
+	// configWait is how long the platform may hold a question for news of the
+	// configuration. The answer confirms the keys as of its begin, so that the
+	// proof is never older than twice this, far under the bound of seconds that
+	// platforms set for keys.
+	configWait = time.Second
+	// registerPause is the time between two looks at the register. Its
+	// heartbeats would answer a question that waits many times a second; with
+	// the way of the answer it is well under the two seconds in which upstreams
+	// that leave have to be known.
+	registerPause = 900 * time.Millisecond
+	// retryPause is the time after a question without an answer.
+	retryPause = 250 * time.Millisecond
+	// askTimeout bounds a question, beside the time that it may be held.
+	askTimeout = 1500 * time.Millisecond
+	// joinPause is the time between two joins of the group; joinValid is how
+	// long one of them lets a holder act, and joinFlight what an act may take
+	// on its way. See docs/design/platform.md.
+	joinPause  = 400 * time.Millisecond
+	joinValid  = 600 * time.Millisecond
+	joinFlight = 300 * time.Millisecond
+	// statusInterval is the pace at which clients of upstreams that have left
+	// are closed.
+	statusInterval = time.Second
+)
+
+// Sizes of the placement's tables. One node sees some hundred live prefixes
+// for each engine; the tables hold a few thousand, in about a megabyte.
+const (
+	placementEntries = 1 << 13
+	placementLevels  = 1 << 12
+)
+
+// provide registers how each part is made. A part is made when the first
+// other one asks for it.
+func (g *Gateway) provide(p Platform) {
+	i := g.injector
+	do.Provide(i, func(do.Injector) (*metric.Metrics, error) { return metric.New(), nil })
+	do.Provide(i, func(do.Injector) (*accepted.Book, error) { return accepted.NewBook(), nil })
+	do.Provide(i, func(do.Injector) (*roster.Roster, error) { return roster.New(), nil })
+	do.Provide(i, func(do.Injector) (*duty.Keeper, error) {
+		return duty.NewKeeper(duty.Config{Valid: joinValid, Lease: g.settings.Lease, Flight: joinFlight}), nil
+	})
+	do.Provide(i, g.newView)
+	do.Provide(i, func(i do.Injector) (*catalogue.Current, error) {
+		return catalogue.NewCurrent(do.MustInvoke[*view](i)), nil
+	})
+	do.Provide(i, g.newGuards)
+	do.Provide(i, func(i do.Injector) (*inventory.Inventory, error) { return g.newInventory(i, p), nil })
+	do.Provide(i, g.newPolicies)
+	do.Provide(i, g.newCompletions)
+	do.Provide(i, g.newCalls)
+	do.Provide(i, func(i do.Injector) (followers, error) { return g.newFollowers(i, p), nil })
+	do.Provide(i, g.newRollout)
+	do.Provide(i, func(i do.Injector) (*joiner, error) { return g.newJoiner(i, p), nil })
+}
+
+func (g *Gateway) newView(i do.Injector) (*view, error) {
+	return newView(do.MustInvoke[*accepted.Book](i), do.MustInvoke[*roster.Roster](i)), nil
+}
+
+// seed differs between nodes.
+func (g *Gateway) seed() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(g.settings.Node)) // never fails
+	return h.Sum64()
+}
+
+// guards stand before the two kinds of upstreams.
+type guards struct {
+	engines  *guard.Guard
+	services *guard.Guard
+}
+
+// resends lets each node's resends add a tenth of its requests, and a few
+// beyond: the platform's bound counts those of all nodes over seconds, a fifth
+// of the requests and some fifty. Twelve nodes that all restart within that
+// time stay under it, with no message between them.
+var resends = retry.Config{
+	MaxTries: 4, Ratio: 0.1, Reserve: 2, Burst: 2, MaxKeys: 1024,
+	Backoff:       retry.Backoff{Base: 20 * time.Millisecond, Max: 200 * time.Millisecond},
+	TrustRefusals: true, PayContinuations: true,
+}
+
+// Upstreams come under a new name with each start, so that one that fails a
+// few times in a row is rather dead than unlucky, and its ejection keeps
+// nobody from its next start.
+const (
+	ejectAfter = 3
+	ejectFor   = 2 * time.Second
+	ejectMost  = 10 * time.Second
+)
+
+func (g *Gateway) newGuards(do.Injector) (guards, error) {
+	engines, services := guard.ForEngines, guard.ForServices
+	for _, c := range []*guard.Config{&engines, &services} {
+		c.Retry = resends
+		c.Retry.Seed = g.seed()
+		c.Ejection.Consecutive = ejectAfter
+		c.Ejection.Time, c.Ejection.MaxTime = ejectFor, ejectMost
+	}
+	e, err := guard.New(engines)
+	if err != nil {
+		return guards{}, err
+	}
+	s, err := guard.New(services)
+	if err != nil {
+		return guards{}, err
+	}
+	return guards{engines: e, services: s}, nil
+}
+
+func (g *Gateway) newInventory(i do.Injector, p Platform) *inventory.Inventory {
+	r := do.MustInvoke[*roster.Roster](i)
+	inv := inventory.New(inventory.Config{Interval: statusInterval}, p.Dialer(r.Replaced),
+		do.MustInvoke[*view](i), noOwner{}, noListener{})
+	g.onClose(inv.Close)
+	return inv
+}
+
+// noOwner asks no engine for its state: the register tells it.
+type noOwner struct{}
+
+// Owns is false for each engine.
+func (noOwner) Owns(time.Time, config.Upstream) bool { return false }
+
+// noListener hears of no states.
+type noListener struct{}
+
+// Learned does nothing.
+func (noListener) Learned(time.Time, inventory.Status) {}
+
+func (g *Gateway) newPolicies(i do.Injector) (*policy.Table, error) {
+	v := do.MustInvoke[*view](i)
+	usable := func(time.Time, string) bool { return true }
+	return policy.New(do.MustInvoke[*catalogue.Current](i), usable, func() placement.Policy {
+		return placement.New(placement.Config{
+			Seed:          g.seed(),
+			ImportRate:    v.importRate(),
+			ImportLatency: fetchLatency,
+			Entries:       placementEntries,
+			Levels:        placementLevels,
+		})
+	}), nil
+}
+
+// fetchLatency is what an engine's fetch from another takes beside the transfer
+// itself: its set-up of 5 ms, and as much for the way.
+const fetchLatency = 10 * time.Millisecond
+
+func (g *Gateway) newCompletions(i do.Injector) (*completion.Router, error) {
+	shed := shedding.Default
+	shed.Seed = g.seed()
+	shedder, err := shedding.New(shed)
+	if err != nil {
+		return nil, err
+	}
+	return &completion.Router{
+		Config:    completion.Config{DataCentre: g.settings.DataCentre, DirectFetch: true}.WithDefaults(),
+		View:      do.MustInvoke[*catalogue.Current](i),
+		Upstreams: upstreams{Inventory: do.MustInvoke[*inventory.Inventory](i), roster: do.MustInvoke[*roster.Roster](i)},
+		Policies:  do.MustInvoke[*policy.Table](i),
+		Admission: open{},
+		Guard:     do.MustInvoke[guards](i).engines,
+		Shedder:   shedder,
+		News:      &cachenews.Book{},
+		Observer:  metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
+		Log:       g.log,
+	}, nil
+}
+
+func (g *Gateway) newCalls(i do.Injector) (*call.Router, error) {
+	return &call.Router{
+		Config:    call.Config{}.WithDefaults(),
+		View:      do.MustInvoke[*catalogue.Current](i),
+		Upstreams: do.MustInvoke[*inventory.Inventory](i),
+		Guard:     do.MustInvoke[guards](i).services,
+		Admission: open{},
+		Log:       g.log,
+	}, nil
+}
+
+// open lets everybody in: requests wait in the upstreams' own queues, which
+// order them by priority over all nodes.
+type open struct{}
+
+// Admit lets a completion in.
+func (open) Admit(context.Context, time.Time, completion.Request, int) (func(), error) {
+	return func() {}, nil
+}
+
+// AdmitCall lets a call in.
+func (open) AdmitCall(context.Context, time.Time, call.Request) (func(), error) {
+	return func() {}, nil
+}
+
+// followers read the platform's two topics.
+type followers struct {
+	configuration *keyed.Follower
+	register      *keyed.Follower
+}
+
+func (g *Gateway) newFollowers(i do.Injector, p Platform) followers {
+	l := &learner{
+		log: g.log, decoder: p.Decoder, book: do.MustInvoke[*accepted.Book](i), roster: do.MustInvoke[*roster.Roster](i),
+		view: do.MustInvoke[*view](i), guards: do.MustInvoke[guards](i), metrics: do.MustInvoke[*metric.Metrics](i),
+	}
+	pace := keyed.Config{Retry: retryPause, Timeout: askTimeout, Clock: clock.Boot}
+	waiting, looking := pace, pace
+	waiting.Wait = configWait
+	looking.Pause = registerPause
+	f := followers{
+		configuration: keyed.New(waiting, p.Configuration, &configurationTaker{learner: l}),
+		register:      keyed.New(looking, p.Register, &registerTaker{learner: l}),
+	}
+	g.onClose(f.configuration.Close)
+	g.onClose(f.register.Close)
+	return f
+}
+
+func (g *Gateway) newRollout(i do.Injector) (*rollout.Driver, error) {
+	cfg := rollout.Default
+	cfg.Clock = clock.Boot
+	d := rollout.New(cfg, &fleet{
+		view: do.MustInvoke[*view](i), roster: do.MustInvoke[*roster.Roster](i),
+		book: do.MustInvoke[*accepted.Book](i), inventory: do.MustInvoke[*inventory.Inventory](i),
+	}, do.MustInvoke[*duty.Keeper](i), g.log)
+	g.onClose(d.Close)
+	return d, nil
+}
--- /dev/null
+++ b/process/gateway/serve.go
@@ -0,0 +1,316 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/request/call"
+	"github.com/dunlinmill/dunlinmill/request/completion"
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/limit"
+	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/route"
+)
+
+// Inbound is a caller's request, read whole. Nothing in it points into a
+// connection's buffers.
+type Inbound struct {
+	ID     string // the caller's own for this try
+	Method string
+	Host   string
+	Path   string
+	Target string           // of the request line, as it came
+	Header []upstream.Field // what is passed on
+	Body   []byte
+	Key    string // empty: none
+	// Grant is how long the caller will wait; 0: it does not say.
+	Grant time.Duration
+	// What a request for generated text declares.
+	Model  string
+	Parts  []prefix.Part
+	Output int
+	After  string // id of the last event that the caller has
+}
+
+// Sink takes an answer that is passed through. An error of it means that the
+// caller can't be reached any more.
+type Sink interface {
+	// Whole gives a whole answer.
+	Whole(r upstream.Reply) error
+	// Begin gives the head of an answer in pieces.
+	Begin(p upstream.Passage) error
+	// Piece gives whole events.
+	Piece(text string) error
+	// End says that the answer is whole.
+	End() error
+}
+
+// ErrCut means that an answer has begun and was not passed on whole. The
+// connection has to be closed in a way that shows it.
+var ErrCut = errors.New("gateway: answer cut")
+
+// exchange is one request on its way.
+type exchange struct {
+	g       *Gateway
+	in      Inbound
+	out     Sink
+	began   time.Time
+	route   route.Route
+	owner   accepted.Workspace // of the key; the zero one on a public route
+	service accepted.Service
+	status  int // passed on; 0: none yet
+}
+
+// Serve serves one request. The error is a *failure.Error if nothing has
+// reached the sink, ErrCut if some of an answer has. The end of ctx means that
+// the caller went away.
+func (g *Gateway) Serve(ctx context.Context, now time.Time, in Inbound, out Sink) error {
+	g.metrics.Began()
+	defer g.metrics.Ended()
+	x := &exchange{g: g, in: in, out: out, began: now}
+	err := x.serve(ctx)
+	if err == nil {
+		g.metrics.Answered(x.owner.Name)
+		event.Info(g.log, event.RequestServed, zap.String("Request", in.ID), zap.String("Workspace", x.owner.Name),
+			zap.String("Route", x.route.Name), zap.Int("Status", x.status), zap.Duration("Took", time.Since(now)))
+		return nil
+	}
+	return x.failed(err)
+}
+
+func (x *exchange) serve(ctx context.Context) error {
+	if err := x.admit(Boot()); err != nil {
+		return err
+	}
+	deadline := x.deadline()
+	if !deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
+	if x.service.Engine != nil {
+		return x.generate(ctx, deadline)
+	}
+	return x.call(ctx, deadline)
+}
+
+// admit finds the request's route, workspace and service. What is not found is
+// refused as such only while the configuration is known to be the newest; it
+// may just have been added.
+func (x *exchange) admit(boot time.Time) error {
+	f := x.g.book.InForce()
+	age, known := x.g.book.Age(boot)
+	if f == nil || !known {
+		return x.unsure()
+	}
+	r, ok := f.Route(x.in.Host, x.in.Path)
+	if !ok {
+		return x.missing(age, failure.ErrNotFound)
+	}
+	x.route = r
+	if !r.Public && len(f.Workspaces) > 0 {
+		if x.g.settings.KeyLife > 0 && age >= x.g.settings.KeyLife {
+			return x.unsure()
+		}
+		if x.owner, ok = f.Owner(x.in.Key); !ok {
+			return x.missing(age, failure.ErrUnauthenticated)
+		}
+	}
+	if x.service, ok = f.Services[r.Choose(x.in.ID)]; !ok {
+		return x.unsure()
+	}
+	return nil
+}
+
+// unsure is the answer of a node that does not know enough. Others do: the
+// caller is to come back soon.
+func (x *exchange) unsure() *failure.Error {
+	return failure.ErrPlatformUnavailable.WithRetryAfter(limit.Spread(0, x.in.ID, soon))
+}
+
+// soon is when to come back if another node is likely to serve.
+const soon = 100 * time.Millisecond
+
+func (x *exchange) missing(age time.Duration, err *failure.Error) *failure.Error {
+	if age >= x.g.settings.ConfigLag {
+		return x.unsure()
+	}
+	return err
+}
+
+// deadline is when the answer is given up: when the caller would get it too
+// late, or the route's time is over, whichever is first.
+func (x *exchange) deadline() time.Time {
+	var d time.Time
+	if x.in.Grant > 0 {
+		d = x.began.Add(max(x.in.Grant-x.g.settings.Transit, x.in.Grant/2))
+	}
+	if t := x.route.Timeout; t > 0 && (d.IsZero() || x.began.Add(t).Before(d)) {
+		d = x.began.Add(t)
+	}
+	return d
+}
+
+func (x *exchange) priority() int {
+	if x.owner.HasPriority {
+		return x.owner.Priority
+	}
+	return x.route.Priority
+}
+
+// shared is the scope of the workspaces that may use each other's prefixes. No
+// workspace can have this name: the operators' begin with a letter.
+const shared = "*"
+
+func (x *exchange) scope() string {
+	if x.owner.Isolated {
+		return x.owner.Name
+	}
+	return shared
+}
+
+// generate serves a request for generated text.
+func (x *exchange) generate(ctx context.Context, deadline time.Time) error {
+	a, err := x.g.completions.Start(ctx, completion.Request{
+		ID:        x.in.ID,
+		Workspace: x.owner.Name,
+		Model:     x.model(),
+		MaxTokens: x.in.Output,
+		Priority:  x.priority(),
+		Deadline:  deadline,
+		Once:      !x.route.MayRepeat(),
+		Passage:   x.passage(deadline),
+		Declared:  x.in.Parts,
+		Pool:      x.service.Name,
+		Scope:     x.scope(),
+		MaxRuns:   max(1, x.route.MaxRuns),
+		After:     x.in.After,
+	})
+	if err != nil {
+		return x.orFailedReply(err)
+	}
+	defer a.Close()
+	return x.relay(a)
+}
+
+// model is the one that the request names, or the service's only one.
+func (x *exchange) model() string {
+	if x.in.Model == "" && len(x.service.Engine.Models) == 1 {
+		return x.service.Engine.Models[0]
+	}
+	return x.in.Model
+}
+
+func (x *exchange) passage(deadline time.Time) *upstream.Call {
+	return &upstream.Call{
+		Method: x.in.Method, Header: x.in.Header, Body: x.in.Body,
+		ID: x.in.ID, Host: x.in.Host, Target: x.in.Target,
+		Workspace: x.owner.Name, Priority: x.priority(), Deadline: deadline,
+	}
+}
+
+// relay passes an answer on, event by event.
+func (x *exchange) relay(a *completion.Answer) error {
+	head := *a.Info().Passage
+	x.status = head.Status
+	if err := x.out.Begin(head); err != nil {
+		return x.callerGone(err)
+	}
+	for {
+		t, err := a.Next()
+		if errors.Is(err, io.EOF) {
+			return x.callerGone(x.out.End())
+		}
+		if err != nil {
+			return err
+		}
+		if t.Text == "" {
+			continue
+		}
+		if err := x.out.Piece(t.Text); err != nil {
+			return x.callerGone(err)
+		}
+	}
+}
+
+func (x *exchange) callerGone(err error) error {
+	if err == nil {
+		return nil
+	}
+	return failure.ErrCancelled.WithRan(failure.Unknown).WithCause(err)
+}
+
+// call serves a call to a plain service.
+func (x *exchange) call(ctx context.Context, deadline time.Time) error {
+	reply, err := x.g.calls.Do(ctx, call.Request{
+		ID:         x.in.ID,
+		Workspace:  x.owner.Name,
+		Service:    x.service.Name,
+		Method:     x.in.Method,
+		Header:     x.in.Header,
+		Body:       x.in.Body,
+		Priority:   x.priority(),
+		Deadline:   deadline,
+		Repeatable: x.route.MayRepeat(),
+		Once:       !x.route.MayRepeat(),
+		MaxRuns:    max(1, x.route.MaxRuns),
+		Host:       x.in.Host,
+		Target:     x.in.Target,
+	})
+	if err != nil {
+		return x.orFailedReply(err)
+	}
+	return x.whole(reply)
+}
+
+// orFailedReply passes on the upstream's own answer if it is the reason of a
+// failure, so that the caller reads what the upstream said.
+func (x *exchange) orFailedReply(err error) error {
+	var failed *upstream.FailedReply
+	if !errors.As(err, &failed) {
+		return err
+	}
+	return x.whole(failed.Reply)
+}
+
+func (x *exchange) whole(r upstream.Reply) error {
+	x.status = r.Status
+	return x.callerGone(x.out.Whole(r))
+}
+
+// failed logs and counts what went wrong, and gives what the caller is told.
+func (x *exchange) failed(err error) error {
+	e := failure.From(err)
+	x.g.metrics.Failed(x.owner.Name, e)
+	fields := []zap.Field{
+		zap.String("Request", x.in.ID), zap.String("Workspace", x.owner.Name), zap.String("Route", x.route.Name),
+		zap.Stringer("Code", e.Code), zap.String("Ran", e.Ran.Text()), zap.Duration("Took", time.Since(x.began)),
+		zap.Duration("Grant", x.in.Grant), zap.Error(err),
+	}
+	if x.status != 0 {
+		event.Info(x.g.log, event.RequestFailed, append(fields, zap.Int("Status", x.status))...)
+		return ErrCut
+	}
+	e = e.WithRetryAfter(x.comeBack(e))
+	event.Info(x.g.log, event.RequestRefused, append(fields, zap.Duration("RetryAfter", e.RetryAfter))...)
+	return e
+}
+
+// comeBackPart is the part of its remaining time that a caller is asked to wait
+// at most: later, its next try would have too little left to be of use.
+const comeBackPart = 0.25
+
+func (x *exchange) comeBack(e *failure.Error) time.Duration {
+	if x.in.Grant == 0 || e.RetryAfter == 0 {
+		return e.RetryAfter
+	}
+	left := x.began.Add(x.in.Grant).Sub(time.Now())
+	return min(e.RetryAfter, max(0, time.Duration(comeBackPart*float64(left))))
+}
--- /dev/null
+++ b/process/gateway/view.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"strconv"
+	"sync"
+
+	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// view joins what operators have accepted, the weights that they have named
+// and the upstreams that have registered to the configuration that the request
+// paths know. mu guards all but the two sources, which lock themselves.
+type view struct {
+	book   *accepted.Book
+	roster *roster.Roster
+
+	mu      sync.Mutex
+	cfg     config.Config
+	inForce *accepted.InForce
+	changes uint64 // of the roster, that cfg has
+}
+
+func newView(b *accepted.Book, r *roster.Roster) *view {
+	return &view{book: b, roster: r, cfg: config.New()}
+}
+
+// Config is the configuration as of the last refresh.
+func (v *view) Config() config.Config {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.cfg
+}
+
+// refresh makes the configuration anew if anything has changed, and says
+// whether it did. Its offset is a count of its own.
+func (v *view) refresh() bool {
+	f, weights := v.book.InForce(), v.book.Weights()
+	entries, changes := v.roster.Entries()
+	if f == nil {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	cfg := derive(f, weights, entries)
+	if v.inForce == f && v.changes == changes && sameModels(v.cfg, cfg) {
+		return false
+	}
+	v.inForce, v.changes = f, changes
+	v.cfg = cfg.WithOffset(v.cfg.Offset + 1)
+	return true
+}
+
+func sameModels(a, b config.Config) bool {
+	return len(a.Models) == len(b.Models) && lo.EveryBy(lo.Keys(a.Models), func(name string) bool {
+		return a.Models[name] == b.Models[name]
+	})
+}
+
+// firstVersion is that of weights of which no version was named yet.
+const firstVersion = 1
+
+// defaultPrefill is how many prompt tokens a second an engine is taken to
+// compute. It is the published rate of the engines of both users' fleets; the
+// platform does not tell it.
+const defaultPrefill = 56_600
+
+// derive gives the configuration of the request paths.
+func derive(f *accepted.InForce, weights map[string]uint64, entries []roster.Entry) config.Config {
+	cfg := config.New()
+	for _, s := range f.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, name := range s.Engine.Models {
+			newest := max(firstVersion, weights[name])
+			cfg.Models[name] = config.Model{Name: name, Version: strconv.FormatUint(newest, 10), Any: true}
+		}
+	}
+	// Requests on public routes belong to the workspace without a name.
+	cfg.Workspaces[""] = config.Workspace{}
+	for name := range f.Workspaces {
+		cfg.Workspaces[name] = config.Workspace{Name: name}
+	}
+	for _, e := range entries {
+		if s, ok := f.Services[e.Service]; ok {
+			cfg.Upstreams[e.ID] = upstreamOf(e, s)
+		}
+	}
+	return cfg
+}
+
+func upstreamOf(e roster.Entry, s accepted.Service) config.Upstream {
+	u := config.Upstream{
+		Name:       e.ID,
+		Kind:       config.Service,
+		Address:    e.Address,
+		DataCentre: e.DataCentre,
+		Pool:       s.Name,
+		Service:    s.Name,
+		Slots:      e.Slots,
+	}
+	if e.Leaving {
+		u.State = config.Draining
+	}
+	if s.Engine != nil {
+		u.Kind = config.Engine
+		u.Models = s.Engine.Models
+		u.Slots = max(e.Slots, s.Engine.Slots)
+		u.PrefillRate = defaultPrefill
+	}
+	return u
+}
+
+// importRate is how many tokens of cache a second one engine fetches from
+// another; 0 if the configuration does not tell.
+func (v *view) importRate() float64 {
+	f := v.book.InForce()
+	if f == nil {
+		return 0
+	}
+	for _, s := range f.Services {
+		if s.Engine != nil && s.Engine.TokenBytes > 0 {
+			return s.Engine.LinkBits / 8 / s.Engine.TokenBytes
+		}
+	}
+	return 0
+}
+
+// offset numbers the configuration in force in this process.
+func (v *view) offset() platform.Offset { return v.Config().Offset }
--- /dev/null
+++ b/process/metric/observer.go
@@ -0,0 +1,42 @@
+package metric
+
+import (
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/completion"
+	"github.com/dunlinmill/dunlinmill/request/retry"
+)
+
+// Observer counts what the completion path does.
+type Observer struct {
+	Metrics *Metrics
+}
+
+// Answered counts the head of an answer.
+func (o Observer) Answered(r completion.Request, i completion.Info, firstToken time.Duration) {
+	o.Metrics.FirstToken(r.Workspace, firstToken)
+	if !i.CacheUnknown {
+		o.Metrics.Prompt(i.PromptTokens, i.CachedTokens)
+	}
+}
+
+// Retried counts what was done about a failed send.
+func (o Observer) Retried(_ completion.Request, a retry.Action) {
+	switch a {
+	case retry.Resume:
+		o.Metrics.Retried(Resumed)
+	case retry.ContinueElsewhere:
+		o.Metrics.Retried(Continued)
+	default:
+		o.Metrics.Retried(Resent)
+	}
+}
+
+// Imported counts an import of a kept prefix.
+func (o Observer) Imported(_ completion.Request, err error) {
+	if err != nil {
+		o.Metrics.Imported(NotImported)
+		return
+	}
+	o.Metrics.Imported(Imported)
+}
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"time"
-
 	"github.com/samber/do/v2"
 
 	"github.com/dunlinmill/dunlinmill/connection/caller"
@@ -16,7 +14,6 @@
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/recent"
-	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/follower"
@@ -42,7 +39,7 @@
 		Journal:   do.MustInvoke[*journal.Journal](i),
 		Recent:    do.MustInvoke[*recent.Table](i),
 		News:      do.MustInvoke[*cachenews.Book](i),
-		Observer:  observer{metrics: do.MustInvoke[*metric.Metrics](i)},
+		Observer:  metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
 		Log:       n.log,
 	}, nil
 }
@@ -89,35 +86,3 @@
 		Log:      n.log,
 	}), nil
 }
-
-// observer counts what the completion path does.
-type observer struct {
-	metrics *metric.Metrics
-}
-
-// Answered counts the head of an answer.
-func (o observer) Answered(r completion.Request, i completion.Info, firstToken time.Duration) {
-	o.metrics.FirstToken(r.Workspace, firstToken)
-	o.metrics.Prompt(i.PromptTokens, i.CachedTokens)
-}
-
-// Retried counts what was done about a failed send.
-func (o observer) Retried(_ completion.Request, a retry.Action) {
-	switch a {
-	case retry.Resume:
-		o.metrics.Retried(metric.Resumed)
-	case retry.ContinueElsewhere:
-		o.metrics.Retried(metric.Continued)
-	default:
-		o.metrics.Retried(metric.Resent)
-	}
-}
-
-// Imported counts an import of a kept prefix.
-func (o observer) Imported(_ completion.Request, err error) {
-	if err != nil {
-		o.metrics.Imported(metric.NotImported)
-		return
-	}
-	o.metrics.Imported(metric.Imported)
-}
--- /dev/null
+++ b/process/roster/roster.go
@@ -0,0 +1,223 @@
+// Package roster holds the upstreams that register themselves, each start of
+// one under a name of its own, and what their leaving means while the register
+// itself comes and goes.
+package roster
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Entry is an upstream's own account of itself.
+type Entry struct {
+	ID         string // of this start of it
+	Service    string
+	Address    string // IP:port
+	DataCentre string
+	Slots      int
+	Leaving    bool
+	Weights    map[string]uint64 // version by model
+}
+
+func (e Entry) equal(o Entry) bool {
+	return e.Service == o.Service && e.Address == o.Address && e.DataCentre == o.DataCentre &&
+		e.Slots == o.Slots && e.Leaving == o.Leaving && maps.Equal(e.Weights, o.Weights)
+}
+
+// returnGrace is how long after the register's return a lapsed entry may still
+// come back: the register's own bound is about two seconds, and up to one more
+// passes before this node reads it.
+const returnGrace = 3 * time.Second
+
+// record is one entry with what this node has seen of its leaving.
+type record struct {
+	Entry
+	lapsed bool // the entry is missing, and may come back
+}
+
+// Roster is the table. mu guards all of it.
+type Roster struct {
+	mu      sync.Mutex
+	entries map[string]record
+	away    bool // the register is not reached
+	// settled is when an entry that is missing counts as gone: the grace after
+	// the register's return. Zero: the register was never away.
+	settled time.Time
+	changes uint64 // counts what changes Entries
+	// superseded are the starts whose address a later one has taken. A late
+	// heartbeat of theirs must not push the later one out again.
+	superseded map[string]bool
+}
+
+// maxSuperseded bounds what is remembered of former starts; a late heartbeat is
+// seconds old, and a fleet's upstreams start less often than this in minutes.
+const maxSuperseded = 4096
+
+// New starts without upstreams.
+func New() *Roster {
+	return &Roster{entries: map[string]record{}, superseded: map[string]bool{}}
+}
+
+// Put takes in an entry. Leaving that was once read holds, whatever comes
+// later of the same start; versions of weights only grow within one. It says
+// whether anything is new.
+func (r *Roster) Put(e Entry) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.superseded[e.ID] {
+		return false
+	}
+	old, known := r.entries[e.ID]
+	if known {
+		e.Leaving = e.Leaving || old.Leaving
+		e.Weights = newest(old.Weights, e.Weights)
+	} else {
+		r.replace(e)
+	}
+	if known && !old.lapsed && old.equal(e) {
+		return false
+	}
+	r.entries[e.ID] = record{Entry: e}
+	r.changes++
+	return true
+}
+
+// replace drops the former starts at the address of a new one. Their entries
+// would stay until they lapse, and each request to one be refused.
+func (r *Roster) replace(e Entry) {
+	for id, o := range r.entries {
+		if o.Address == e.Address {
+			r.supersede(id)
+		}
+	}
+}
+
+func (r *Roster) supersede(id string) {
+	if len(r.superseded) >= maxSuperseded {
+		clear(r.superseded)
+	}
+	r.superseded[id] = true
+	delete(r.entries, id)
+}
+
+func newest(a, b map[string]uint64) map[string]uint64 {
+	c := maps.Clone(b)
+	for model, version := range a {
+		if version > c[model] {
+			c[model] = version
+		}
+	}
+	return c
+}
+
+// Holds notes that an upstream has turned out to hold a version of a model.
+func (r *Roster) Holds(id, model string, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[id]
+	if !ok || version <= e.Weights[model] {
+		return
+	}
+	e.Weights = maps.Clone(e.Weights)
+	e.Weights[model] = version
+	r.entries[id] = e
+	r.changes++
+}
+
+// Drop takes in that an entry is missing.
+func (r *Roster) Drop(now time.Time, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drop(now, id)
+}
+
+// drop removes an entry, unless it may only have lapsed with the register. An
+// upstream that was leaving has left.
+func (r *Roster) drop(now time.Time, id string) {
+	e, ok := r.entries[id]
+	if !ok {
+		return
+	}
+	if !e.Leaving && (r.away || now.Before(r.settled)) {
+		e.lapsed = true
+		r.entries[id] = e
+		return
+	}
+	delete(r.entries, id)
+	r.changes++
+}
+
+// Replaced notes that another start answers at an upstream's address.
+func (r *Roster) Replaced(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.entries[id]; ok {
+		r.supersede(id)
+		r.changes++
+	}
+}
+
+// Only drops all entries but these.
+func (r *Roster) Only(now time.Time, ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.entries {
+		if !slices.Contains(ids, id) {
+			r.drop(now, id)
+		}
+	}
+}
+
+// Away notes that the register is not reached.
+func (r *Roster) Away() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away = true
+}
+
+// Reached notes that the register answers, and drops what has not come back in
+// time since its return.
+func (r *Roster) Reached(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.away {
+		r.away = false
+		r.settled = now.Add(returnGrace)
+	}
+	if now.Before(r.settled) {
+		return
+	}
+	for id, e := range r.entries {
+		if e.lapsed {
+			delete(r.entries, id)
+			r.changes++
+		}
+	}
+}
+
+// Entries gives all upstreams, and a number that changes with them.
+func (r *Roster) Entries() ([]Entry, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]Entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		all = append(all, e.Entry)
+	}
+	return all, r.changes
+}
+
+// Changes gives the number of Entries alone.
+func (r *Roster) Changes() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changes
+}
+
+// Weights is the version that an upstream holds of a model; 0 if not known.
+func (r *Roster) Weights(id, model string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entries[id].Weights[model]
+}
--- /dev/null
+++ b/process/roster/roster_test.go
@@ -0,0 +1,96 @@
+package roster
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func (r *Roster) has(id string) bool {
+	all, _ := r.Entries()
+	for _, e := range all {
+		if e.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// The register is down for five seconds and its entries lapse. The upstreams
+// live and serve; taken for gone, every caller would be refused until they are
+// back. One that has not come back some seconds after the register's return is
+// gone, as is one that lapses while the register is up.
+func TestLapsedEntriesAreNotGoneUntilTheRegisterHasBeenBack(t *testing.T) {
+	r := New()
+	for _, id := range []string{"lives", "dies", "later"} {
+		r.Put(Entry{ID: id, Address: id})
+	}
+	r.Reached(at(0))
+	r.Away()
+	r.Only(at(5), nil)
+	r.Reached(at(5))
+	if !r.has("lives") || !r.has("dies") {
+		t.Fatal("entries that lapsed with the register are gone at once")
+	}
+	r.Put(Entry{ID: "lives", Address: "lives"})
+	r.Put(Entry{ID: "later", Address: "later"})
+	r.Reached(at(9))
+	if !r.has("lives") || r.has("dies") {
+		t.Errorf("lives %v, dies %v", r.has("lives"), r.has("dies"))
+	}
+	r.Drop(at(10), "later")
+	if r.has("later") {
+		t.Error("an entry that went while the register was up is still there")
+	}
+}
+
+// An upstream says that it leaves, and the register goes down before it is
+// read again. It must get no new work, whatever an older page says of it, and
+// no grace once its entry is missing.
+func TestLeavingHolds(t *testing.T) {
+	r := New()
+	r.Put(Entry{ID: "a", Leaving: true})
+	r.Away()
+	r.Put(Entry{ID: "a"})
+	if all, _ := r.Entries(); !all[0].Leaving {
+		t.Error("it no longer leaves")
+	}
+	r.Drop(at(1), "a")
+	if r.has("a") {
+		t.Error("it is kept for its return")
+	}
+}
+
+// An upstream crashes and starts again at its address. The former start's
+// entry lapses seconds later; until then each request to it would be refused.
+func TestNewStartReplacesTheFormerAtItsAddress(t *testing.T) {
+	r := New()
+	r.Put(Entry{ID: "old", Address: "10.0.0.1:1"})
+	r.Put(Entry{ID: "new", Address: "10.0.0.1:1"})
+	r.Put(Entry{ID: "old", Address: "10.0.0.1:1"}) // a late heartbeat
+	if r.has("old") || !r.has("new") {
+		t.Error("the former start is still there, or the new one is not")
+	}
+}
+
+// A heartbeat that is seconds old says version 1 of an upstream that has
+// answered with version 2. Requests that expect version 1 would be refused.
+func TestWeightsOnlyGrowWithinOneStart(t *testing.T) {
+	r := New()
+	r.Put(Entry{ID: "a", Weights: map[string]uint64{"m": 1}})
+	r.Holds("a", "m", 2)
+	r.Put(Entry{ID: "a", Weights: map[string]uint64{"m": 1}})
+	if got := r.Weights("a", "m"); got != 2 {
+		t.Errorf("version %d", got)
+	}
+	before := r.Changes()
+	r.Put(Entry{ID: "a", Weights: map[string]uint64{"m": 2}})
+	if r.Changes() != before {
+		t.Error("a heartbeat without news counts as a change")
+	}
+}
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -181,6 +181,9 @@
 		if err == nil {
 			return reply, nil
 		}
+		if ctx.Err() != nil {
+			return upstream.Reply{}, s.refusal(retry.Gone(ctx), err)
+		}
 		if err := s.again(ctx, u.Name, err); err != nil {
 			return upstream.Reply{}, err
 		}
--- a/request/call/router_test.go
+++ b/request/call/router_test.go
@@ -255,3 +255,16 @@
 		t.Errorf("%d and %d calls", a.calls, b.calls)
 	}
 }
+
+// The caller goes away while an instance works on its call. The call must not
+// be sent anywhere again: nobody reads the answer, and the resend is paid for
+// by others.
+func TestCallOfACallerThatLeftIsNotSentAgain(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	a, b := &instance{name: "a", answers: []error{upstream.ErrBroken}}, &instance{name: "b", answers: []error{nil}}
+	_, err := newSite(false, a, b).router(t, &fakelog.Log{}).Do(ctx, request(http.MethodGet))
+	if !errors.Is(err, failure.ErrCancelled) || a.calls+b.calls != 1 {
+		t.Errorf("%v, %d calls", err, a.calls+b.calls)
+	}
+}
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -62,6 +62,7 @@
 			PromptTokens: h.PromptTokens,
 			CachedTokens: h.CachedTokens,
 			Attempts:     s.attempts,
+			CacheUnknown: h.CacheUnknown,
 			Passage:      h.Passage,
 		},
 	}
@@ -135,7 +136,7 @@
 // after the text given out.
 func (a *Answer) mend(cause error) error {
 	if err := a.s.ctx.Err(); err != nil {
-		return gone(a.s.ctx).WithRan(failure.Unknown).WithCause(err)
+		return retry.Gone(a.s.ctx).WithRan(failure.Unknown).WithCause(err)
 	}
 	// The engine of an answer passed through holds no stream.
 	canResume := a.s.r.Passage == nil && a.resumes < a.s.rt.Config.MaxResumes && !a.resumeFailed
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -71,6 +71,8 @@
 	PromptTokens int
 	CachedTokens int
 	Attempts     int // sends, the answering one included
+	// CacheUnknown says that the engine did not tell what it had cached.
+	CacheUnknown bool
 	// Passage is the head of an answer that is passed through; nil otherwise.
 	Passage *upstream.Passage
 }
--- a/request/completion/eligible.go
+++ b/request/completion/eligible.go
@@ -28,6 +28,11 @@
 	}
 	pool := cmp.Or(r.Pool, choosePool(w.Shares, shareKey(chain)))
 	g, l := c.Engines(catalogue.Group{Pool: pool, Model: r.Model})
+	if r.Pool != "" && g.Pool != r.Pool {
+		// The route names the pool: another pool's answer is not better than
+		// none, the operator has not allowed it.
+		return target{group: catalogue.Group{Pool: r.Pool, Model: r.Model}}, nil
+	}
 	return target{group: g, list: l}, nil
 }
 
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -8,6 +8,7 @@
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/request/retry"
 )
 
 // Start sends the request and returns when its first token is there, so that
@@ -99,7 +100,7 @@
 			return a, nil
 		}
 		if ctx.Err() != nil {
-			return nil, s.refusal(gone(ctx), ctx.Err())
+			return nil, s.refusal(retry.Gone(ctx), ctx.Err())
 		}
 		if errors.Is(err, failure.ErrOverloaded) {
 			return nil, err
@@ -139,12 +140,3 @@
 func (s *start) late(now time.Time) bool {
 	return !s.r.Deadline.IsZero() && !now.Before(s.r.Deadline)
 }
-
-// gone is the failure of a request whose ctx has ended: its time ran out, or
-// its caller went away.
-func gone(ctx context.Context) *failure.Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return failure.ErrDeadlineExceeded
-	}
-	return failure.ErrCancelled
-}
--- a/request/completion/visit.go
+++ b/request/completion/visit.go
@@ -44,6 +44,7 @@
 		Version:      h.Version,
 		PromptTokens: h.PromptTokens,
 		CachedTokens: h.CachedTokens,
+		CacheUnknown: h.CacheUnknown,
 		FirstToken:   firstToken,
 	}
 	v.policy.Answered(now, v.request, v.decision, a)
--- a/request/completion/weights.go
+++ b/request/completion/weights.go
@@ -26,6 +26,10 @@
 	e := s.rt.Upstreams.Engine(u)
 	g := s.generation(version)
 	stream, err := e.Generate(ctx, g)
+	if m.Any && version != m.Version && errors.Is(err, upstream.ErrWrongVersion) {
+		// It has most likely got the newest weights since it last told.
+		s.rt.Upstreams.Holds(time.Now(), u.Name, s.r.Model, m.Version)
+	}
 	other := otherVersion(m, version)
 	if other == "" || !errors.Is(err, upstream.ErrWrongVersion) || !errors.Is(err, upstream.ErrRefused) {
 		return g, stream, err
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -177,11 +177,14 @@
 	if m == nil || !m.engine.observe(now, answer.Incarnation, answer.Version) {
 		return
 	}
-	cached := answer.CachedTokens
-	if answer.PromptTokens > 0 {
-		cached = cached * r.Chain.Tokens() / answer.PromptTokens
+	cached := d.Cached
+	if !answer.CacheUnknown {
+		cached = answer.CachedTokens
+		if answer.PromptTokens > 0 {
+			cached = cached * r.Chain.Tokens() / answer.PromptTokens
+		}
+		a.learn(m, d.estimate, cached)
 	}
-	a.learn(m, d.estimate, cached)
 	compute := float64(r.Chain.Tokens()-cached)/max(1, m.Prefill) + m.Decode.Seconds()
 	a.queueing(r).learn(answer.FirstToken, compute, d.estimate.queue)
 	a.meanCompute += computeStep * (float64(r.Chain.Tokens()-cached) - a.meanCompute)
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -57,6 +57,7 @@
 	Version      string // weights version that answered
 	PromptTokens int
 	CachedTokens int
+	CacheUnknown bool          // CachedTokens means nothing
 	FirstToken   time.Duration // measured from the send to the first token
 }
 
--- a/request/retry/flow.go
+++ b/request/retry/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/request/failure"
@@ -35,3 +36,12 @@
 	}
 	return e.WithRan(ran).WithRetryAfter(limit.Spread(0, id, comeBack)).WithCause(cause)
 }
+
+// Gone is the failure of a request whose ctx has ended: its time ran out, or
+// its caller went away.
+func Gone(ctx context.Context) *failure.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure.ErrDeadlineExceeded
+	}
+	return failure.ErrCancelled
+}
--- /dev/null
+++ b/version/accepted/accepted.go
@@ -0,0 +1,155 @@
+// Package accepted holds a configuration that operators publish elsewhere:
+// what reaches this process is accepted already and is followed, not planned or
+// folded. It never goes back to an older version within one process, and it
+// says how old the last proof is that it is still the newest.
+package accepted
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/version/keyring"
+	"github.com/dunlinmill/dunlinmill/version/route"
+)
+
+// Engine is what all engines of a pool have in common.
+type Engine struct {
+	Slots       int     // requests that run at once in one batch
+	CacheTokens int     // prompt tokens that fit into an engine's memory
+	TokenBytes  float64 // of cache memory for one token
+	LinkBits    float64 // a second, on the way to another engine
+	Models      []string
+}
+
+// Service is a pool of engines or a plain service.
+type Service struct {
+	Name           string
+	Engine         *Engine // nil: a plain service
+	MaxConnections int     // that one upstream takes of all callers; 0: not said
+}
+
+// Workspace is one tenant of the callers.
+type Workspace struct {
+	Name     string
+	Keys     []string // hashes, by keyring.Hash
+	Priority int      // goes before the route's, if HasPriority
+	// HasPriority says that the workspace has a priority of its own.
+	HasPriority bool
+	// Isolated workspaces share no cached prefix with any other.
+	Isolated bool
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration // for the whole header, from its first byte
+	IdleTimeout   time.Duration // between two requests
+}
+
+// Configuration is one accepted version. It is never changed once it has been
+// given to New.
+type Configuration struct {
+	Version    uint64
+	Routes     []route.Route
+	Services   map[string]Service
+	Workspaces map[string]Workspace
+	Limits     Limits
+}
+
+// InForce is a configuration with its look-up tables.
+type InForce struct {
+	Configuration
+	table  route.Table
+	owners map[string]string // workspace by hash of the key
+}
+
+// New makes the tables of a configuration.
+func New(c Configuration) *InForce {
+	f := &InForce{Configuration: c, table: route.NewTable(c.Routes), owners: map[string]string{}}
+	for name, w := range c.Workspaces {
+		for _, hash := range w.Keys {
+			f.owners[hash] = name
+		}
+	}
+	return f
+}
+
+// Route finds a request's route.
+func (f *InForce) Route(host, path string) (route.Route, bool) { return f.table.Find(host, path) }
+
+// Owner gives the workspace that a key belongs to.
+func (f *InForce) Owner(key string) (Workspace, bool) {
+	if key == "" {
+		return Workspace{}, false
+	}
+	name, ok := f.owners[keyring.Hash(key)]
+	return f.Workspaces[name], ok
+}
+
+// Book holds what is in force in this process. mu guards all of it.
+type Book struct {
+	mu        sync.Mutex
+	inForce   *InForce          // nil: none yet
+	weights   map[string]uint64 // newest version by model
+	confirmed time.Time         // as of when both are known to be the newest
+}
+
+// NewBook starts without a configuration.
+func NewBook() *Book { return &Book{weights: map[string]uint64{}} }
+
+// Accept puts a configuration in force, unless one as new is.
+func (b *Book) Accept(c Configuration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.inForce != nil && c.Version <= b.inForce.Version {
+		return false
+	}
+	b.inForce = New(c)
+	return true
+}
+
+// Name notes the newest weights of a model, unless as new ones are known.
+func (b *Book) Name(model string, version uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if version <= b.weights[model] {
+		return false
+	}
+	b.weights = maps.Clone(b.weights)
+	b.weights[model] = version
+	return true
+}
+
+// Confirm notes that everything accepted before begun is known.
+func (b *Book) Confirm(begun time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if begun.After(b.confirmed) {
+		b.confirmed = begun
+	}
+}
+
+// InForce gives the configuration; nil if none is known.
+func (b *Book) InForce() *InForce {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.inForce
+}
+
+// Weights gives the newest version of each model that one was named of. The
+// map is never changed.
+func (b *Book) Weights() map[string]uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.weights
+}
+
+// Age is how old the proof is that the newest configuration is in force; false
+// if there has been none.
+func (b *Book) Age(now time.Time) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.confirmed), !b.confirmed.IsZero()
+}
--- /dev/null
+++ b/version/accepted/accepted_test.go
@@ -0,0 +1,55 @@
+package accepted
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/version/keyring"
+)
+
+// A caller's key was taken away. A read that began earlier ends later and
+// brings the configuration that still has the key: it must not come back into
+// force, nor must weights.
+func TestNeverGoesBack(t *testing.T) {
+	b := NewBook()
+	with := Configuration{Version: 3, Workspaces: map[string]Workspace{"sofia": {Name: "sofia", Keys: []string{keyring.Hash("k")}}}}
+	without := Configuration{Version: 7, Workspaces: map[string]Workspace{"sofia": {Name: "sofia"}}}
+	if !b.Accept(with) || !b.Accept(without) || b.Accept(with) || b.Accept(without) {
+		t.Error("an older configuration was taken, or a newer one was not")
+	}
+	if _, ok := b.InForce().Owner("k"); ok {
+		t.Error("the key is back")
+	}
+	if !b.Name("m", 4) || b.Name("m", 4) || b.Name("m", 2) || b.Weights()["m"] != 4 {
+		t.Errorf("weights %v", b.Weights())
+	}
+}
+
+// Keys are honoured while the proof of the configuration is young. The answer
+// to an older question that comes late must not make it look younger or older.
+func TestAgeIsThatOfTheNewestProof(t *testing.T) {
+	b := NewBook()
+	at := time.Unix(100, 0)
+	if _, ok := b.Age(at); ok {
+		t.Error("a proof without an answer")
+	}
+	b.Confirm(at.Add(2 * time.Second))
+	b.Confirm(at)
+	if age, ok := b.Age(at.Add(5 * time.Second)); !ok || age != 3*time.Second {
+		t.Errorf("age %v, %v", age, ok)
+	}
+}
+
+func TestOwnerNeedsAKey(t *testing.T) {
+	f := New(Configuration{Workspaces: map[string]Workspace{
+		"sofia": {Name: "sofia", Keys: []string{keyring.Hash("k")}, Isolated: true},
+	}})
+	if w, ok := f.Owner("k"); !ok || !w.Isolated {
+		t.Errorf("%+v, %v", w, ok)
+	}
+	for _, key := range []string{"", "x"} {
+		if _, ok := f.Owner(key); ok {
+			t.Errorf("key %q has an owner", key)
+		}
+	}
+}
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -56,11 +56,15 @@
 	// Target is the version being rolled out; empty when none is. While it
 	// is set, an upstream serves either of the two.
 	Target string
+	// Any says that an engine serves whatever version it holds: its weights are
+	// named and rolled out elsewhere, and an older version than Version is one
+	// that has not been reached yet.
+	Any bool `json:",omitempty"`
 }
 
 // Accepts says whether an answer by this weights version may be passed on.
 func (m Model) Accepts(version string) bool {
-	return version != "" && (version == m.Version || version == m.Target)
+	return version != "" && (m.Any || version == m.Version || version == m.Target)
 }
 
 // Upstream is a back end: one model engine or one plain service instance.
--- /dev/null
+++ b/version/keyed/keyed.go
@@ -0,0 +1,159 @@
+// Package keyed follows a topic of the platform of which the newest record of
+// each key counts: it begins with those, reads on from there, and begins again
+// when it has fallen behind what the platform still has.
+package keyed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+var (
+	// ErrTrimmed means that the platform no longer has the records asked for.
+	ErrTrimmed = errors.New("keyed: records are trimmed")
+	// ErrStale means that an answer is older than what was read before.
+	ErrStale = errors.New("keyed: answer older than what is known")
+)
+
+// Record is one write to a key.
+type Record struct {
+	Key     string
+	Value   []byte
+	Dropped bool // the key has no value any more
+	Offset  uint64
+}
+
+// Topic is the platform's side. Its methods return by the end of ctx.
+type Topic interface {
+	// Newest gives the newest record of each key, and the offset from which on
+	// records may have been missed while the pages were read.
+	Newest(ctx context.Context) (records []Record, next uint64, err error)
+	// Read gives the records from an offset on, without a gap; none if there
+	// are none within wait. End is one past the last record there is.
+	Read(ctx context.Context, from uint64, wait time.Duration) (records []Record, end uint64, err error)
+}
+
+// Update is what one answer brought.
+type Update struct {
+	Records []Record
+	// Complete says that Records has every key there is: all others are gone.
+	Complete bool
+	// Begun is when the question was asked, by the follower's clock: everything
+	// accepted before is known now.
+	Begun time.Time
+}
+
+// Taker takes in what is read. Its methods are called by one goroutine.
+type Taker interface {
+	// Take takes in an update. An empty one still confirms.
+	Take(now time.Time, u Update)
+	// Missed notes that a question got no answer.
+	Missed(now time.Time, err error)
+}
+
+// Config sets a Follower's pace.
+type Config struct {
+	Wait    time.Duration // that the platform may hold a question without news
+	Pause   time.Duration // between an answer and the next question
+	Retry   time.Duration // after a question without an answer
+	Timeout time.Duration // of a question, beside Wait
+	Clock   func() time.Time
+}
+
+// Follower reads one topic until Close.
+type Follower struct {
+	cfg    Config
+	topic  Topic
+	taker  Taker
+	begun  bool   // the newest records are known
+	next   uint64 // offset to read from
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New starts reading.
+func New(cfg Config, topic Topic, taker Taker) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Follower{cfg: cfg, topic: topic, taker: taker, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(f.done)
+		f.run(ctx)
+	}()
+	return f
+}
+
+// Close stops the reading.
+func (f *Follower) Close() {
+	f.cancel()
+	<-f.done
+}
+
+func (f *Follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.cfg.Pause
+		if err := f.step(ctx, f.cfg.Clock()); err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			pause = f.cfg.Retry
+			f.taker.Missed(f.cfg.Clock(), err)
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// step asks once.
+func (f *Follower) step(ctx context.Context, begun time.Time) error {
+	if !f.begun {
+		return f.begin(ctx, begun)
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Timeout)
+	defer cancel()
+	records, end, err := f.topic.Read(ctx, f.next, f.cfg.Wait)
+	if errors.Is(err, ErrTrimmed) {
+		f.begun = false
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read from %d: %w", f.next, err)
+	}
+	if end < f.next {
+		return fmt.Errorf("read from %d: end %d: %w", f.next, end, ErrStale)
+	}
+	f.next += uint64(len(records))
+	f.taker.Take(f.cfg.Clock(), Update{Records: records, Begun: begun})
+	return nil
+}
+
+// begin reads the newest records. The pages they come in are no snapshot, so
+// that the records written meanwhile are read after them: next is that of the
+// first page. An answer from before what is known already would bring back
+// what has been replaced, and is not taken.
+func (f *Follower) begin(ctx context.Context, begun time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+	defer cancel()
+	records, next, err := f.topic.Newest(ctx)
+	if err != nil {
+		return fmt.Errorf("read the newest: %w", err)
+	}
+	if next < f.next {
+		return fmt.Errorf("read the newest: end %d, known up to %d: %w", next, f.next, ErrStale)
+	}
+	f.next, f.begun = next, true
+	f.taker.Take(f.cfg.Clock(), Update{Records: records, Complete: true, Begun: begun})
+	return nil
+}
--- /dev/null
+++ b/version/keyed/keyed_test.go
@@ -0,0 +1,87 @@
+package keyed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+// topic is a scripted platform: its answers in turn.
+type topic struct {
+	newest []answer
+	reads  []answer
+	from   []uint64 // of the reads
+}
+
+type answer struct {
+	records []Record
+	end     uint64
+	err     error
+}
+
+func (t *topic) Newest(context.Context) ([]Record, uint64, error) {
+	a := t.newest[0]
+	t.newest = t.newest[1:]
+	return a.records, a.end, a.err
+}
+
+func (t *topic) Read(_ context.Context, from uint64, _ time.Duration) ([]Record, uint64, error) {
+	t.from = append(t.from, from)
+	a := t.reads[0]
+	t.reads = t.reads[1:]
+	return a.records, a.end, a.err
+}
+
+type taken struct{ updates []Update }
+
+func (k *taken) Take(_ time.Time, u Update)  { k.updates = append(k.updates, u) }
+func (k *taken) Missed(_ time.Time, _ error) {}
+func (k *taken) follower(tp Topic) *Follower {
+	return &Follower{cfg: Config{Clock: func() time.Time { return start }}, topic: tp, taker: k}
+}
+func record(key, value string, at uint64) Record {
+	return Record{Key: key, Value: []byte(value), Offset: at}
+}
+
+// A node reads the newest records, and what is written while their pages come
+// in is read after them.
+func TestReadsOnFromTheFirstPage(t *testing.T) {
+	tp := &topic{
+		newest: []answer{{records: []Record{record("a", "1", 3)}, end: 5}},
+		reads:  []answer{{records: []Record{record("a", "2", 5)}, end: 6}, {end: 6}},
+	}
+	k := &taken{}
+	f := k.follower(tp)
+	for range 3 {
+		if err := f.step(context.Background(), start); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(k.updates) != 3 || !k.updates[0].Complete || k.updates[1].Complete || tp.from[0] != 5 || tp.from[1] != 6 {
+		t.Errorf("%+v, read from %v", k.updates, tp.from)
+	}
+}
+
+// The platform drops its history while a node stands still. The node begins
+// again with the newest records instead of waiting for ones that are gone; an
+// answer from before what it knows would bring back a replaced configuration.
+func TestBeginsAgainAndNeverGoesBack(t *testing.T) {
+	tp := &topic{
+		newest: []answer{{end: 9}, {end: 4}, {end: 30}},
+		reads:  []answer{{err: ErrTrimmed}, {end: 12}},
+	}
+	k := &taken{}
+	f := k.follower(tp)
+	steps := []error{nil, nil, ErrStale, nil, ErrStale}
+	for i, want := range steps {
+		if err := f.step(context.Background(), start); !errors.Is(err, want) {
+			t.Errorf("step %d: %v, want %v", i, err, want)
+		}
+	}
+	if len(k.updates) != 2 || f.next != 30 {
+		t.Errorf("%d updates, next %d", len(k.updates), f.next)
+	}
+}
--- /dev/null
+++ b/version/rollout/rollout.go
@@ -0,0 +1,255 @@
+// Package rollout brings every engine to the newest weights of its models, for
+// a fleet whose weights are named elsewhere. It acts while this node has the
+// duty; each act names the state that it expects to find, and what came of it
+// is read back, so that a lost answer or a late order does no harm.
+package rollout
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/event"
+)
+
+// Engine is one engine with what is known of its weights of one model.
+type Engine struct {
+	Name  string
+	Model string
+	Held  uint64 // version; 0: not known
+}
+
+// Fleet is the engines.
+type Fleet interface {
+	// Engines lists those that stay, one entry for each model of each.
+	Engines() []Engine
+	// Newest is the newest version that was named of a model; 0: none.
+	Newest(model string) uint64
+	// Client gives an engine's client; false if it has gone.
+	Client(name string) (upstream.Engine, bool)
+	// Holds notes that an engine holds a version.
+	Holds(name, model string, version uint64)
+	// Busy notes that an engine is about to load, or no longer is.
+	Busy(name string, busy bool)
+}
+
+// Duty says whether this node may act.
+type Duty interface {
+	May(now time.Time) (fencing uint64, ok bool)
+}
+
+// Config sets the pace.
+type Config struct {
+	// Part is the part of the engines that are ordered at once, and Least how
+	// many at least. Some of those let their requests run to the end while the
+	// others load: an engine's load takes longer while more than two do so.
+	Part  float64
+	Least int
+	// Tick is the time between two looks.
+	Tick time.Duration
+	// Poll is the time between two questions to an engine that loads, and First
+	// the time before the first one.
+	Poll  time.Duration
+	First time.Duration
+	// Timeout bounds one question or order, and Patience an engine's whole
+	// change; past it the engine is looked at afresh.
+	Timeout  time.Duration
+	Patience time.Duration
+	Clock    func() time.Time
+}
+
+// Default is for engines that load in about a second.
+var Default = Config{
+	Part: 1.0 / 3, Least: 2,
+	Tick: 100 * time.Millisecond, Poll: 250 * time.Millisecond, First: 700 * time.Millisecond,
+	Timeout: time.Second, Patience: 8 * time.Second,
+}
+
+// Next gives the engines to be ordered now, besides those that are changing:
+// the ones with the oldest weights, so that the span of versions in use stays
+// small, in the order of their names.
+func Next(cfg Config, engines []Engine, newest func(model string) uint64, changing []string) []Engine {
+	room := max(cfg.Least, int(cfg.Part*float64(len(engines)))) - len(changing)
+	old := lo.Filter(engines, func(e Engine, _ int) bool {
+		return e.Held < newest(e.Model) && !slices.Contains(changing, e.Name)
+	})
+	slices.SortFunc(old, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(a.Held, b.Held), cmp.Compare(a.Name, b.Name))
+	})
+	old = lo.UniqBy(old, func(e Engine) string { return e.Name })
+	return old[:max(0, min(room, len(old)))]
+}
+
+// Driver carries a roll-out out. mu guards changing.
+type Driver struct {
+	cfg   Config
+	fleet Fleet
+	duty  Duty
+	log   *zap.Logger
+
+	mu       sync.Mutex
+	changing map[string]bool
+
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+// New starts looking.
+func New(cfg Config, f Fleet, d Duty, log *zap.Logger) *Driver {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Driver{cfg: cfg, fleet: f, duty: d, log: log, changing: map[string]bool{}, cancel: cancel}
+	r.work.Go(func() { r.run(ctx) })
+	return r
+}
+
+// Close stops; an engine that loads goes on by itself.
+func (r *Driver) Close() {
+	r.cancel()
+	r.work.Wait()
+}
+
+func (r *Driver) run(ctx context.Context) {
+	t := time.NewTicker(r.cfg.Tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.look(ctx)
+		}
+	}
+}
+
+// look begins the changes that may begin now.
+func (r *Driver) look(ctx context.Context) {
+	if _, ok := r.duty.May(r.cfg.Clock()); !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range Next(r.cfg, r.fleet.Engines(), r.fleet.Newest, lo.Keys(r.changing)) {
+		r.changing[e.Name] = true
+		r.work.Go(func() {
+			r.change(ctx, e)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			delete(r.changing, e.Name)
+		})
+	}
+}
+
+// change brings one engine to the newest weights, or gives up after a while.
+func (r *Driver) change(ctx context.Context, e Engine) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Patience)
+	defer cancel()
+	r.fleet.Busy(e.Name, true)
+	defer r.fleet.Busy(e.Name, false)
+	wait, err := r.step(ctx, e)
+	for err == nil && wait > 0 {
+		if !sleep(ctx, wait) {
+			err = ctx.Err()
+			break
+		}
+		wait, err = r.step(ctx, e)
+	}
+	if err != nil && !errors.Is(err, context.Canceled) {
+		event.Warn(r.log, event.OrderFailed, zap.String("Upstream", e.Name), zap.String("Model", e.Model), zap.Error(err))
+		sleep(ctx, r.cfg.Poll)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// errGone means that an engine has left meanwhile.
+var errGone = errors.New("rollout: the engine has left")
+
+// step reads an engine's state and gives the order that it needs. It gives the
+// time after which to look again; 0 if the engine holds the newest weights.
+func (r *Driver) step(ctx context.Context, e Engine) (time.Duration, error) {
+	c, ok := r.fleet.Client(e.Name)
+	if !ok {
+		return 0, errGone
+	}
+	report, err := r.report(ctx, c)
+	if err != nil {
+		return 0, err
+	}
+	held, target := version(report, e.Model), r.fleet.Newest(e.Model)
+	if held > 0 {
+		r.fleet.Holds(e.Name, e.Model, held)
+	}
+	switch {
+	case report.Loading:
+		return r.cfg.Poll, nil
+	case held >= target:
+		event.Info(r.log, event.StepDone, zap.String("Upstream", e.Name), zap.String("Model", e.Model), zap.Uint64("Version", held))
+		return 0, nil
+	}
+	return r.order(ctx, c, e, report, target)
+}
+
+func (r *Driver) report(ctx context.Context, c upstream.Engine) (upstream.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Timeout)
+	defer cancel()
+	report, err := c.Report(ctx)
+	if err != nil {
+		return report, fmt.Errorf("report: %w", err)
+	}
+	return report, nil
+}
+
+// order gives one order. The duty is asked for right before it leaves, and the
+// order expires with the validity of that answer.
+func (r *Driver) order(ctx context.Context, c upstream.Engine, e Engine, report upstream.Report, target uint64) (time.Duration, error) {
+	fencing, ok := r.duty.May(r.cfg.Clock())
+	if !ok {
+		return 0, context.Canceled
+	}
+	event.Info(r.log, event.OrderGiven, zap.String("Upstream", e.Name), zap.String("Model", e.Model),
+		zap.Uint64("Version", target), zap.Uint64("Held", version(report, e.Model)),
+		zap.Uint64("Fencing", fencing), zap.Uint64("Expected", report.Orders))
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Timeout)
+	defer cancel()
+	err := c.Order(ctx, upstream.Order{
+		Fencing:  fencing,
+		Model:    e.Model,
+		Version:  strconv.FormatUint(target, 10),
+		Expected: &report.Orders,
+	})
+	if errors.Is(err, upstream.ErrOutOfTurn) {
+		return r.cfg.Poll, nil // its state has changed since the report
+	}
+	if err != nil {
+		return 0, fmt.Errorf("order: %w", err)
+	}
+	return r.cfg.First, nil
+}
+
+// version is what a report says of a model; 0 if it does not.
+func version(report upstream.Report, model string) uint64 {
+	m, _ := lo.Find(report.Models, func(m upstream.LoadedModel) bool { return m.Model == model })
+	v, err := strconv.ParseUint(m.Version, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return v
+}
--- /dev/null
+++ b/version/rollout/rollout_test.go
@@ -0,0 +1,151 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+)
+
+// engine is a scripted engine that carries out orders when it is told to.
+type engine struct {
+	upstream.Engine
+	version uint64
+	orders  uint64
+	loading uint64 // version; 0: none
+	lost    bool   // accepts the next order and does not answer
+	given   []upstream.Order
+}
+
+func (e *engine) Report(context.Context) (upstream.Report, error) {
+	return upstream.Report{
+		Models:  []upstream.LoadedModel{{Model: "m", Version: strconv.FormatUint(e.version, 10)}},
+		Loading: e.loading > 0,
+		Orders:  e.orders,
+	}, nil
+}
+
+func (e *engine) Order(_ context.Context, o upstream.Order) error {
+	e.given = append(e.given, o)
+	if e.loading > 0 || *o.Expected != e.orders {
+		return upstream.ErrOutOfTurn
+	}
+	e.orders++
+	e.loading, _ = strconv.ParseUint(o.Version, 10, 64)
+	if e.lost {
+		e.lost = false
+		return upstream.ErrBroken
+	}
+	return nil
+}
+
+func (e *engine) finish() { e.version, e.loading = e.loading, 0 }
+
+// fleet is one engine, and a duty that is given or not.
+type fleet struct {
+	e      *engine
+	newest uint64
+	held   uint64 // as told
+	may    bool
+}
+
+func (f *fleet) Engines() []Engine                       { return []Engine{{Name: "a", Model: "m", Held: f.held}} }
+func (f *fleet) Newest(string) uint64                    { return f.newest }
+func (f *fleet) Client(string) (upstream.Engine, bool)   { return f.e, f.e != nil }
+func (f *fleet) Holds(_, _ string, v uint64)             { f.held = v }
+func (f *fleet) Busy(string, bool)                       {}
+func (f *fleet) May(time.Time) (fencing uint64, ok bool) { return 7, f.may }
+
+func (f *fleet) driver() *Driver {
+	cfg := Default
+	cfg.Clock = func() time.Time { return time.Unix(0, 0) }
+	return &Driver{cfg: cfg, fleet: f, duty: f, log: zap.NewNop(), changing: map[string]bool{}}
+}
+
+func TestNextTakesTheOldestUpToThePart(t *testing.T) {
+	engines := []Engine{
+		{Name: "a", Model: "m", Held: 3}, {Name: "b", Model: "m", Held: 1}, {Name: "c", Model: "m", Held: 2},
+		{Name: "d", Model: "m", Held: 2}, {Name: "e", Model: "m", Held: 2}, {Name: "f", Model: "m"},
+	}
+	newest := func(string) uint64 { return 3 }
+	cases := []struct {
+		changing []string
+		want     string
+	}{
+		{nil, "fb"},
+		{[]string{"f"}, "b"},
+		{[]string{"f", "b"}, ""},
+	}
+	for _, c := range cases {
+		got := Next(Config{Part: 0.34, Least: 1}, engines, newest, c.changing)
+		if names := lo.Reduce(got, func(s string, e Engine, _ int) string { return s + e.Name }, ""); names != c.want {
+			t.Errorf("changing %v: %q, want %q", c.changing, names, c.want)
+		}
+	}
+}
+
+// The engine accepts an order, and its answer is lost. The next look finds it
+// loading and waits; a second order would empty its cache once more.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	f := &fleet{e: &engine{version: 1, lost: true}, newest: 2, may: true}
+	r := f.driver()
+	e := f.Engines()[0]
+	if _, err := r.step(context.Background(), e); !errors.Is(err, upstream.ErrBroken) {
+		t.Fatal(err)
+	}
+	if wait, err := r.step(context.Background(), e); err != nil || wait == 0 {
+		t.Fatalf("%v, %v", wait, err)
+	}
+	f.e.finish()
+	if wait, err := r.step(context.Background(), e); err != nil || wait != 0 || f.held != 2 {
+		t.Fatalf("%v, %v, held %d", wait, err, f.held)
+	}
+	if len(f.e.given) != 1 || f.e.given[0].Fencing != 7 {
+		t.Errorf("orders %+v", f.e.given)
+	}
+}
+
+// An order without an answer is carried out seconds late, when the engine has
+// got another one. The count that it expects is over, so that nothing happens.
+func TestLateOrderIsRefused(t *testing.T) {
+	f := &fleet{e: &engine{version: 1}, newest: 2, may: true}
+	r := f.driver()
+	if _, err := r.step(context.Background(), f.Engines()[0]); err != nil {
+		t.Fatal(err)
+	}
+	late := f.e.given[0]
+	f.e.finish()
+	if err := f.e.Order(context.Background(), late); !errors.Is(err, upstream.ErrOutOfTurn) {
+		t.Errorf("%v", err)
+	}
+}
+
+// The duty went to another node between the report and the order.
+func TestNoOrderWithoutTheDuty(t *testing.T) {
+	f := &fleet{e: &engine{version: 1}, newest: 2}
+	if _, err := f.driver().step(context.Background(), f.Engines()[0]); !errors.Is(err, context.Canceled) || len(f.e.given) != 0 {
+		t.Errorf("%v, orders %+v", err, f.e.given)
+	}
+}
+
+// A newer version is named while an engine loads. It is brought to that one
+// next; the version between is skipped by engines that have not begun.
+func TestNewerNameIsTakenUp(t *testing.T) {
+	f := &fleet{e: &engine{version: 1}, newest: 2, may: true}
+	r := f.driver()
+	e := f.Engines()[0]
+	if _, err := r.step(context.Background(), e); err != nil {
+		t.Fatal(err)
+	}
+	f.newest = 4
+	f.e.finish()
+	if wait, err := r.step(context.Background(), e); err != nil || wait == 0 || f.e.given[1].Version != "4" {
+		t.Fatalf("%v, %v, orders %+v", wait, err, f.e.given)
+	}
+}
--- /dev/null
+++ b/version/route/route_test.go
@@ -0,0 +1,49 @@
+package route
+
+import (
+	"strconv"
+	"testing"
+)
+
+func TestFindTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	table := NewTable([]Route{
+		{Name: "all", Host: "a.example", Prefix: "/"},
+		{Name: "drafts", Host: "a.example", Prefix: "/drafts/"},
+		{Name: "long", Host: "a.example", Prefix: "/drafts/long/"},
+		{Name: "other", Host: "b.example", Prefix: "/drafts/"},
+	})
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/drafts/long/1", "long"},
+		{"a.example", "/drafts/longer", "drafts"},
+		{"a.example", "/drafts", "all"},
+		{"A.Example:80", "/drafts/1", "drafts"},
+		{"b.example", "/drafts/1", "other"},
+		{"b.example", "/", ""},
+		{"c.example", "/drafts/1", ""},
+	}
+	for _, c := range cases {
+		if got, _ := table.Find(c.host, c.path); got.Name != c.want {
+			t.Errorf("%s%s: %q, want %q", c.host, c.path, got.Name, c.want)
+		}
+	}
+	if _, ok := (Table{}).Find("a.example", "/"); ok {
+		t.Error("the zero table has a route")
+	}
+}
+
+func TestChooseFollowsTheWeights(t *testing.T) {
+	r := Route{Targets: []Target{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}, {Service: "off"}}}
+	got := map[string]int{}
+	for i := range 10_000 {
+		got[r.Choose(strconv.Itoa(i))]++
+	}
+	if got["off"] > 0 || got["new"] < 900 || got["new"] > 1100 {
+		t.Errorf("%v", got)
+	}
+	if s := (Route{Targets: []Target{{Service: "only"}}}).Choose("x"); s != "only" {
+		t.Errorf("without weights: %q", s)
+	}
+	if s := (Route{}).Choose("x"); s != "" {
+		t.Errorf("without targets: %q", s)
+	}
+}
