--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -45,6 +45,7 @@
 	_ = x[ProcessFailed-506]
 	_ = x[SecretReloaded-507]
 	_ = x[SecretReloadFailed-508]
+	_ = x[AcceptFailed-509]
 	_ = x[RequestPlaced-100]
 	_ = x[RequestAnswered-101]
 	_ = x[RequestRefused-102]
@@ -91,7 +92,7 @@
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailed"
 	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepairedPublicationUnreadableWeightsNamedLeaseNotGivenBack"
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
-	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedSecretReloadedSecretReloadFailed"
+	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedSecretReloadedSecretReloadFailedAcceptFailed"
 	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsedOperatorCallFailed"
 	_Event_name_6 = "UpstreamEnteredUpstreamLeftEntryUnreadableRegisterLostRegisterBack"
 )
@@ -101,7 +102,7 @@
 	_Event_index_1 = [...]uint8{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215}
 	_Event_index_2 = [...]uint16{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239, 260, 272, 289}
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
-	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 107, 125}
+	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 107, 125, 137}
 	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90, 108}
 	_Event_index_6 = [...]uint8{0, 15, 27, 42, 54, 66}
 )
@@ -120,7 +121,7 @@
 	case 400 <= i && i <= 406:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 500 <= i && i <= 508:
+	case 500 <= i && i <= 509:
 		i -= 500
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	case 600 <= i && i <= 606:
--- a/process/event/process.go
+++ b/process/event/process.go
@@ -20,4 +20,6 @@
 	SecretReloaded
 	// SecretReloadFailed: a changed file of secrets could not be used; the former secrets stay. To do: mend the file, as nodes with other secrets will refuse this one.
 	SecretReloadFailed
+	// AcceptFailed: a connection could not be taken. To do: for "too many open files", look for callers that open connections without end.
+	AcceptFailed
 )
