Tell a connection's end from the end of an answer

Change: the exchange gives io.ErrUnexpectedEOF, and an answer's cut never holds io.EOF. Test TestEndOfAConnectionIsNoEndOfAnAnswer failed before.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -301,6 +301,9 @@
 	if ctxErr := s.ctx.Err(); ctxErr != nil {
 		err = ctxErr
 	}
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF // io.EOF is the end of a whole answer
+	}
 	return fmt.Errorf("%s %s: %w: %w", step, s.client.pool.address, ErrBroken, err)
 }
 
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -161,7 +161,13 @@
 	return a.cut(v.Err)
 }
 
+// cut gives the error of an answer that is not whole. Whoever reads an answer
+// takes io.EOF for its end; inside the cause, as a connection's end mostly is,
+// it would give a cut answer the looks of a whole one.
 func (a *Answer) cut(cause error) error {
+	if errors.Is(cause, io.EOF) {
+		cause = fmt.Errorf("%w: %v", io.ErrUnexpectedEOF, cause)
+	}
 	return retry.Refusal(a.s.r.ID, true, failure.ErrStreamCut, cause)
 }
 
--- a/request/completion/answer_test.go
+++ b/request/completion/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -213,3 +214,19 @@
 		t.Errorf("the policy heard of ends %v, want a failure and a good one", s.policy.finished)
 	}
 }
+
+// The caller's engine dies in the middle of a stream, and the connection to the
+// one that is to go on ends before its answer. The end of that connection is
+// io.EOF, which is also how the end of a whole answer is told: passed on inside
+// the error, half an answer looked whole.
+func TestEndOfAConnectionIsNoEndOfAnAnswer(t *testing.T) {
+	ended := fmt.Errorf("%w: %w", upstream.ErrBroken, io.EOF)
+	s := newSite(&engine{name: "a", script: script{cutAfter: 2}}, &engine{name: "b", script: script{generate: ended}})
+	a, err := s.router().Start(context.Background(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := read(a); err == nil || !errors.Is(err, failure.ErrStreamCut) {
+		t.Errorf("read %q as whole, %v", got, err)
+	}
+}
