--- a/version/rollout/rollout.go
+++ b/version/rollout/rollout.go
@@ -148,19 +148,23 @@
 	}
 }
 
-// change brings one engine to the newest weights, or gives up after a while.
+// change brings one engine to newer weights, or gives up after a while. It ends
+// once the ordered version holds, also if a newer one was named meanwhile: the
+// engines with older weights come first, or some would never have their turn
+// while versions are named faster than all engines load.
 func (r *Driver) change(ctx context.Context, e Engine) {
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Patience)
 	defer cancel()
 	r.fleet.Busy(e.Name, true)
 	defer r.fleet.Busy(e.Name, false)
-	wait, err := r.step(ctx, e)
+	target := r.fleet.Newest(e.Model)
+	wait, err := r.step(ctx, e, target)
 	for err == nil && wait > 0 {
 		if !sleep(ctx, wait) {
 			err = ctx.Err()
 			break
 		}
-		wait, err = r.step(ctx, e)
+		wait, err = r.step(ctx, e, target)
 	}
 	if err != nil && !errors.Is(err, context.Canceled) {
 		event.Warn(r.log, event.OrderFailed, zap.String("Upstream", e.Name), zap.String("Model", e.Model), zap.Error(err))
@@ -183,8 +187,8 @@
 var errGone = errors.New("rollout: the engine has left")
 
 // step reads an engine's state and gives the order that it needs. It gives the
-// time after which to look again; 0 if the engine holds the newest weights.
-func (r *Driver) step(ctx context.Context, e Engine) (time.Duration, error) {
+// time after which to look again; 0 if the engine holds the target.
+func (r *Driver) step(ctx context.Context, e Engine, target uint64) (time.Duration, error) {
 	c, ok := r.fleet.Client(e.Name)
 	if !ok {
 		return 0, errGone
@@ -193,7 +197,7 @@
 	if err != nil {
 		return 0, err
 	}
-	held, target := version(report, e.Model), r.fleet.Newest(e.Model)
+	held := version(report, e.Model)
 	if held > 0 {
 		r.fleet.Holds(e.Name, e.Model, held)
 	}
