Fetch shared parts from the likeliest holder, and count outdated weights

Change: each request whose engine is not sure to hold its shared part names the first other engine by rendezvous hash with the same weights, from which the engine fetches; an engine with outdated weights costs 250 ms of wait.

--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -168,12 +168,24 @@
 			Seed:          g.seed(),
 			ImportRate:    v.importRate(),
 			ImportLatency: fetchLatency,
+			OutdatedCost:  outdatedCost,
+			Retention:     cacheRetention,
 			Entries:       placementEntries,
 			Levels:        placementLevels,
 		})
-	}), nil
+	}).WithVersions(upstreams{roster: do.MustInvoke[*roster.Roster](i)}.Version), nil
 }
 
+// outdatedCost is the wait that a request on outdated weights has to save.
+// Users count an answer on them for a fifth less, and one within its aim of
+// some 400 ms in full.
+const outdatedCost = 250 * time.Millisecond
+
+// cacheRetention is how long an engine keeps a prefix that is not used: by the
+// sizes of both users' engines, some 250,000 tokens of cache against 20,000 new
+// ones a second.
+const cacheRetention = 10 * time.Second
+
 // fetchLatency is what an engine's fetch from another takes beside the transfer
 // itself: its set-up of 5 ms, and as much for the way.
 const fetchLatency = 10 * time.Millisecond
--- a/process/policy/policy.go
+++ b/process/policy/policy.go
@@ -21,6 +21,7 @@
 	catalogue *catalogue.Current
 	usable    func(now time.Time, name string) bool
 	make      func() placement.Policy
+	versions  func(name, model string) string
 
 	mu     sync.Mutex
 	groups map[catalogue.Group]*group
@@ -59,6 +60,13 @@
 // one request, until its configuration tells.
 const DecodeRate = 60
 
+// WithVersions has the policies know which weights the engines hold; it is
+// called before the first request.
+func (p *Table) WithVersions(versions func(name, model string) string) *Table {
+	p.versions = versions
+	return p
+}
+
 // Policy gives the policy of a group, with its list of engines up to date.
 func (p *Table) Policy(now time.Time, key catalogue.Group) placement.Policy {
 	p.mu.Lock()
@@ -74,7 +82,7 @@
 	}
 	g.seen, g.refreshed = c, now
 	_, list := c.Engines(key)
-	upstreams := p.upstreams(now, list)
+	upstreams := p.upstreams(now, list, c.Config().Models[key.Model])
 	if !slices.Equal(upstreams, g.upstreams) {
 		g.upstreams = upstreams
 		g.policy.SetUpstreams(now, upstreams)
@@ -83,7 +91,7 @@
 }
 
 // upstreams are those of the list that are thought to be up.
-func (p *Table) upstreams(now time.Time, list catalogue.List) []placement.Upstream {
+func (p *Table) upstreams(now time.Time, list catalogue.List, m config.Model) []placement.Upstream {
 	usable := lo.Filter(list.Upstreams, func(u config.Upstream, _ int) bool {
 		return p.usable(now, u.Name)
 	})
@@ -93,12 +101,18 @@
 		usable = list.Upstreams
 	}
 	return lo.Map(usable, func(u config.Upstream, _ int) placement.Upstream {
+		version := ""
+		if p.versions != nil {
+			version = p.versions(u.Name, m.Name)
+		}
 		return placement.Upstream{
 			Name:       u.Name,
 			DataCentre: u.DataCentre,
 			Slots:      u.Slots,
 			Prefill:    u.PrefillRate,
 			Decode:     decodeTime,
+			Version:    version,
+			Outdated:   version != "" && version != m.Version && version != m.Target,
 		}
 	})
 }
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -1,6 +1,7 @@
 package completion
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -74,8 +75,8 @@
 func (s *start) send(ctx context.Context, now time.Time, v *visit, u config.Upstream) (*Answer, error) {
 	s.fetchFrom = ""
 	switch {
-	case v.decision.Import && s.rt.Config.DirectFetch:
-		s.fetchFrom = s.sourceAddress(v.decision, u)
+	case s.rt.Config.DirectFetch:
+		s.fetchFrom = s.sourceAddress(cmp.Or(v.decision.Source, v.decision.Try), u)
 	case v.decision.Import:
 		s.importPrefix(ctx, v.decision, u)
 		now = time.Now() // a claim may have run out meanwhile
--- a/request/completion/transfer.go
+++ b/request/completion/transfer.go
@@ -92,9 +92,9 @@
 // empty if the source has left. The engine looks under the salt of the
 // request, which is made of the weights version, so that blocks of other
 // weights are not found there.
-func (s *start) sourceAddress(d placement.Decision, u config.Upstream) string {
-	from, ok := s.rt.View.Catalogue().Config().Upstreams[d.Source]
-	if !ok || from.Name == u.Name || !lo.Contains(s.target.list.Names, d.Source) {
+func (s *start) sourceAddress(source string, u config.Upstream) string {
+	from, ok := s.rt.View.Catalogue().Config().Upstreams[source]
+	if !ok || from.Name == u.Name || !lo.Contains(s.target.list.Names, source) {
 		return ""
 	}
 	return from.Address
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -54,7 +54,7 @@
 	cfg = cfg.withDefaults()
 	return &Affinity{
 		cfg:          cfg,
-		fleet:        newFleet(),
+		fleet:        newFleet(retention(cfg.Retention.Seconds())),
 		beliefs:      newBeliefs(cfg.Entries),
 		demands:      newTable[demand](cfg.Levels),
 		peers:        newPeers(),
@@ -91,7 +91,9 @@
 			best = p
 		}
 	}
-	return a.fleet.decision(best.decision(len(found))), nil
+	d := best.decision(len(found))
+	d.Try = a.likeliest(at, r.Chain, best.member)
+	return a.fleet.decision(d), nil
 }
 
 // measure fills in, for each level of the chain, the size of its replica set
--- a/request/placement/baseline.go
+++ b/request/placement/baseline.go
@@ -16,7 +16,7 @@
 }
 
 func newBaseline(cfg Config) baseline {
-	return baseline{fleet: newFleet(), rand: rand.New(rand.NewPCG(cfg.Seed, 0))}
+	return baseline{fleet: newFleet(retention(defaultRetention.Seconds())), rand: rand.New(rand.NewPCG(cfg.Seed, 0))}
 }
 
 // SetUpstreams implements Policy.
--- a/request/placement/belief.go
+++ b/request/placement/belief.go
@@ -1,9 +1,6 @@
 package placement
 
 const (
-	// firstRetention is how long a prefix is believed to stay in a cache, in
-	// seconds, until answers have told more.
-	firstRetention = 60.0
 	leastRetention = 2.0
 	mostRetention  = 600.0
 	// forgetful is the age from which a belief says something about the
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -26,6 +26,12 @@
 	ImportRate float64
 	// ImportLatency is what an import takes besides.
 	ImportLatency time.Duration
+	// OutdatedCost is what it has to gain, in seconds, to be answered on
+	// outdated weights; 0: nothing.
+	OutdatedCost time.Duration
+	// Retention is how long a prefix is taken to stay in a cache until answers
+	// have told more; where they never do, for good.
+	Retention time.Duration
 	// Entries bounds the table of cache beliefs, over all upstreams.
 	Entries int
 	// Levels bounds the table of demands.
@@ -39,6 +45,7 @@
 	defaultRemoteLatency = time.Millisecond
 	defaultTargetLoad    = 0.5
 	defaultImportLatency = 20 * time.Millisecond
+	defaultRetention     = time.Minute
 	defaultEntries       = 1 << 18
 	defaultLevels        = 1 << 16
 )
@@ -63,6 +70,9 @@
 	if c.Entries == 0 {
 		c.Entries = defaultEntries
 	}
+	if c.Retention == 0 {
+		c.Retention = defaultRetention
+	}
 	if c.Levels == 0 {
 		c.Levels = defaultLevels
 	}
--- a/request/placement/engine.go
+++ b/request/placement/engine.go
@@ -23,8 +23,8 @@
 	retention   retention
 }
 
-func newEngineState(hash uint64) engineState {
-	return engineState{epoch: mix(hash, 1), retention: firstRetention}
+func newEngineState(hash uint64, r retention) engineState {
+	return engineState{epoch: mix(hash, 1), retention: r}
 }
 
 // observe takes in the incarnation and version that a message from the
--- a/request/placement/fleet.go
+++ b/request/placement/fleet.go
@@ -27,6 +27,7 @@
 
 // fleet is the upstreams of one policy.
 type fleet struct {
+	retention  retention // of caches of which nothing is known yet
 	members    map[string]*member
 	eligible   []*member // sorted by hash
 	skeleton   skeleton
@@ -36,8 +37,9 @@
 	decisions  uint64
 }
 
-func newFleet() fleet {
+func newFleet(r retention) fleet {
 	return fleet{
+		retention:  r,
 		members:    map[string]*member{},
 		byID:       make([]*member, 1),
 		unanswered: map[uint64]int{},
@@ -55,7 +57,7 @@
 		m := f.members[u.Name]
 		if m == nil {
 			m = &member{hash: xxhash.Sum64String(u.Name)}
-			m.engine = newEngineState(m.hash)
+			m.engine = newEngineState(m.hash, f.retention)
 			f.members[u.Name] = m
 			f.number(m)
 		}
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -22,6 +22,9 @@
 	Slots      int           // requests that run in one batch
 	Prefill    float64       // prompt tokens a second that it computes alone
 	Decode     time.Duration // time between two output tokens
+	Version    string        // of its weights, as far as it has told; empty: not known
+	// Outdated says that newer weights are accepted than it is known to hold.
+	Outdated bool
 }
 
 // Request is what a decision needs to know of a request.
@@ -46,6 +49,10 @@
 	Import   bool          // fetch the prefix from Source's cache first
 	Idle     time.Duration // time to first token that an idle upstream would take; 0: not estimated
 	Source   string        // the upstream to export the prefix from; empty without Import
+	// Try is an upstream that may hold the prefix, though nothing is known of
+	// it: an engine that fetches by itself can ask there at the cost of a round
+	// trip. Empty: the decided one is the likeliest to hold it.
+	Try string
 
 	id       uint64   // of the decision within its policy
 	estimate estimate // what the answer is held against
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -76,6 +76,9 @@
 	if a.cfg.features.has(useAnchor) && c.depth < len(r.Chain) {
 		stray = strayCost
 	}
+	if c.Outdated {
+		stray += a.cfg.OutdatedCost.Seconds()
+	}
 	if a.cfg.features.has(useStray) && c.depth < len(r.Chain) {
 		stray += strayCompute * compute
 		spared := (float64(r.Chain.Tokens())-cached)/max(1, c.Prefill) - compute
