Tell all nodes which engines change their weights

Change: nodes find each other by a topic of the store, which also holds the secret they share, and keep the membership and the rpc of the product; the holder of the duty tells all of them before it orders an engine, and again when it is done. An engine that changes gets nothing while others are left.

--- a/process/event/member.go
+++ b/process/event/member.go
@@ -30,4 +30,8 @@
 	CertificateReloaded
 	// CertificateReloadFailed: a changed certificate could not be used; the former one stays. To do: mend the files named before the former certificate runs out.
 	CertificateReloadFailed
+	// PeersNotJoined: the directory of nodes was not reached, or the connections to other nodes could not be started; it is tried again, and this node serves alone meanwhile.
+	PeersNotJoined
+	// NewsNotHeard: a peer did not hear in time that an engine changes its weights; it learns it from the register or the engine.
+	NewsNotHeard
 )
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
+	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/event"
@@ -31,6 +32,7 @@
 type Settings struct {
 	Node       string
 	DataCentre string
+	Peers      string // IP:port at which other nodes reach this one
 	// KeyLife is how old the proof of the configuration may be for a key to be
 	// honoured; 0: keys never lapse.
 	KeyLife time.Duration
@@ -68,12 +70,21 @@
 	Leave(ctx context.Context) error
 }
 
+// Directory is where nodes find each other.
+type Directory interface {
+	// Enter says where this node is reached, and gives the secret by which the
+	// nodes know each other.
+	Enter(ctx context.Context, self platform.VM) (secret []byte, err error)
+	platform.VMList
+}
+
 // Platform is what the adapter gives.
 type Platform struct {
 	Configuration keyed.Topic
 	Register      keyed.Topic
 	Decoder       Decoder
 	Group         Group
+	Directory     Directory
 	// Dialer makes the upstreams' clients. Gone is called when another start
 	// turns out to have an upstream's address.
 	Dialer func(gone func(upstream string)) inventory.Dialer
@@ -127,6 +138,7 @@
 		func() error { _, err := do.Invoke[followers](i); return err },
 		func() error { _, err := do.Invoke[*rollout.Driver](i); return err },
 		func() error { _, err := do.Invoke[*joiner](i); return err },
+		func() error { _, err := do.Invoke[*peers](i); return err },
 	} {
 		if err := start(); err != nil {
 			return err
@@ -163,6 +175,7 @@
 		return
 	}
 	event.Info(g.log, event.ProcessLeaving)
+	do.MustInvoke[*peers](g.injector).leave()
 }
 
 // Leaving says that callers should close their connections.
--- a/process/gateway/orders.go
+++ b/process/gateway/orders.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
@@ -15,6 +16,7 @@
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/rollout"
@@ -50,6 +52,7 @@
 	roster    *roster.Roster
 	book      *accepted.Book
 	inventory *inventory.Inventory
+	peers     *peers
 }
 
 // Engines lists the engines that stay, with their weights of each model.
@@ -81,8 +84,30 @@
 // Holds notes the version that an engine has reported.
 func (f *fleet) Holds(name, model string, version uint64) { f.roster.Holds(name, model, version) }
 
-// Busy is not told to anybody yet: the engine refuses what comes meanwhile.
-func (f *fleet) Busy(string, bool) {}
+// Busy has all nodes send an engine nothing while it changes. It would refuse
+// it, and each refusal costs its request time and the fleet a resend.
+func (f *fleet) Busy(name, model string, busy bool) {
+	n := EngineNews{Engine: name, Model: model, Held: f.roster.Weights(name, model), Busy: busy}
+	take(f.roster, time.Now(), n)
+	f.peers.tell(n)
+}
+
+// available is a guard that keeps requests from engines that change their
+// weights, as long as others are left.
+type available struct {
+	*guard.Guard
+	roster *roster.Roster
+}
+
+// Excluded gives the upstreams that must not get a request now.
+func (a available) Excluded(now time.Time, names []string) []string {
+	excluded := a.Guard.Excluded(now, names)
+	busy := lo.Filter(a.roster.Busy(now), func(name string, _ int) bool { return lo.Contains(names, name) })
+	if all := lo.Union(excluded, busy); len(all) < len(names) {
+		return all
+	}
+	return excluded
+}
 
 // joiner keeps this node in the group among which the duty is dealt.
 type joiner struct {
--- /dev/null
+++ b/process/gateway/peers.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/peer"
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/roster"
+)
+
+const (
+	// enginesService takes what the holder of the duty tells of engines.
+	enginesService = "Engines"
+	// tellTimeout bounds the news of an engine that changes: an order waits for
+	// it, and a node that does not hear in time is told by the engine itself,
+	// which refuses what comes meanwhile.
+	tellTimeout = 150 * time.Millisecond
+	// listInterval is the time between two looks at the directory. A node that
+	// comes looks there at once and then makes itself known, so that the others
+	// need it only after a partition.
+	listInterval = 10 * time.Second
+	// busyLife is how long an engine counts as changing if its end is not told:
+	// the holder of the duty may have died.
+	busyLife = 8 * time.Second
+)
+
+// peers are the other nodes. They are found through the platform's directory;
+// until it answers this node knows nobody, and serves all the same.
+type peers struct {
+	log    *zap.Logger
+	roster *roster.Roster
+
+	mu      sync.Mutex // guards all below
+	members *member.Runner
+	client  *peer.Client
+	closers []func() error
+
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+func (g *Gateway) newPeers(i do.Injector, p Platform) *peers {
+	ctx, cancel := context.WithCancel(context.Background())
+	ps := &peers{log: g.log, roster: do.MustInvoke[*roster.Roster](i), cancel: cancel}
+	self := platform.VM{Name: g.settings.Node, Address: g.settings.Peers, DataCentre: g.settings.DataCentre}
+	ps.work.Go(func() { ps.enter(ctx, p.Directory, self) })
+	g.onClose(ps.close)
+	return ps
+}
+
+// enter tries to enter the directory until it has, and then joins the others.
+func (p *peers) enter(ctx context.Context, d Directory, self platform.VM) {
+	for ctx.Err() == nil {
+		secret, err := p.ask(ctx, d, self)
+		if err == nil {
+			err = p.join(d, self, secret)
+		}
+		if err == nil {
+			return
+		}
+		event.Info(p.log, event.PeersNotJoined, zap.Error(err))
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (p *peers) ask(ctx context.Context, d Directory, self platform.VM) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return d.Enter(ctx, self)
+}
+
+// join starts the connections to the others and the membership over them.
+func (p *peers) join(d Directory, self platform.VM, secret []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	secrets := [][]byte{secret}
+	client, err := peer.NewClient(peer.ClientConfig{Secrets: secrets})
+	if err != nil {
+		return err
+	}
+	server, err := peer.NewServer(peer.ServerConfig{Secrets: secrets, Logger: p.log})
+	if err != nil {
+		return err
+	}
+	members, err := member.NewRunner(member.Config{
+		Name: self.Name, Address: self.Address, DataCentre: self.DataCentre,
+		Incarnation: time.Now().UnixNano(), VMListInterval: listInterval,
+	}, client, d, p.log)
+	if err != nil {
+		return err
+	}
+	p.closers = []func() error{client.Close, server.Close, members.Close}
+	if err := server.Register(member.ServiceName, members.Service()); err != nil {
+		return err
+	}
+	if err := server.Register(enginesService, &enginesHandler{roster: p.roster}); err != nil {
+		return err
+	}
+	if _, err := server.Start(self.Address); err != nil {
+		return err
+	}
+	p.client, p.members = client, members
+	return nil
+}
+
+func (p *peers) close() {
+	p.cancel()
+	p.work.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.closers) - 1; i >= 0; i-- {
+		if err := p.closers[i](); err != nil {
+			event.Info(p.log, event.PeersNotJoined, zap.Error(err))
+		}
+	}
+}
+
+func (p *peers) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members != nil {
+		p.members.Leave()
+	}
+}
+
+// live gives the other live nodes, and the client to call them.
+func (p *peers) live(now time.Time) ([]member.Member, *peer.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members == nil {
+		return nil, nil
+	}
+	self := p.members.Self().Name
+	var others []member.Member
+	for _, m := range p.members.Live(now) {
+		if m.Name != self {
+			others = append(others, m)
+		}
+	}
+	return others, p.client
+}
+
+// EngineNews is what the holder of the duty tells of one engine.
+type EngineNews struct {
+	Engine string
+	Model  string
+	Held   uint64 // version; 0: not known
+	Busy   bool   // it changes its weights and takes no requests
+}
+
+// Heard answers a peer that has told something.
+type Heard struct{}
+
+// tell gives the news to all live nodes, and returns when they have it or the
+// time for it is over. One that is missed hears by the register or the engine.
+func (p *peers) tell(news EngineNews) {
+	others, client := p.live(time.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, m := range others {
+		calls.Go(func() {
+			if err := client.Call(ctx, m.Address, enginesService+".Tell", news, &Heard{}); err != nil {
+				event.Info(p.log, event.NewsNotHeard, zap.String("Peer", m.Name), zap.String("Upstream", news.Engine), zap.Error(err))
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// enginesHandler takes the news of a peer.
+type enginesHandler struct {
+	roster *roster.Roster
+}
+
+// Tell takes in the news of one engine.
+func (h *enginesHandler) Tell(n EngineNews, _ *Heard) error {
+	take(h.roster, time.Now(), n)
+	return nil
+}
+
+func take(r *roster.Roster, now time.Time, n EngineNews) {
+	if n.Held > 0 {
+		r.Holds(n.Engine, n.Model, n.Held)
+	}
+	until := time.Time{}
+	if n.Busy {
+		until = now.Add(busyLife)
+	}
+	r.SetBusy(n.Engine, until)
+}
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -83,6 +83,7 @@
 	do.Provide(i, func(i do.Injector) (followers, error) { return g.newFollowers(i, p), nil })
 	do.Provide(i, g.newRollout)
 	do.Provide(i, func(i do.Injector) (*joiner, error) { return g.newJoiner(i, p), nil })
+	do.Provide(i, func(i do.Injector) (*peers, error) { return g.newPeers(i, p), nil })
 }
 
 func (g *Gateway) newView(i do.Injector) (*view, error) {
@@ -203,7 +204,7 @@
 		Upstreams: upstreams{Inventory: do.MustInvoke[*inventory.Inventory](i), roster: do.MustInvoke[*roster.Roster](i)},
 		Policies:  do.MustInvoke[*policy.Table](i),
 		Admission: open{},
-		Guard:     do.MustInvoke[guards](i).engines,
+		Guard:     available{Guard: do.MustInvoke[guards](i).engines, roster: do.MustInvoke[*roster.Roster](i)},
 		Shedder:   shedder,
 		News:      &cachenews.Book{},
 		Observer:  metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
@@ -266,6 +267,7 @@
 	d := rollout.New(cfg, &fleet{
 		view: do.MustInvoke[*view](i), roster: do.MustInvoke[*roster.Roster](i),
 		book: do.MustInvoke[*accepted.Book](i), inventory: do.MustInvoke[*inventory.Inventory](i),
+		peers: do.MustInvoke[*peers](i),
 	}, do.MustInvoke[*duty.Keeper](i), g.log)
 	g.onClose(d.Close)
 	return d, nil
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -49,6 +49,7 @@
 	// superseded are the starts whose address a later one has taken. A late
 	// heartbeat of theirs must not push the later one out again.
 	superseded map[string]bool
+	busy       map[string]time.Time // until when an upstream takes no requests
 }
 
 // maxSuperseded bounds what is remembered of former starts; a late heartbeat is
@@ -57,7 +58,7 @@
 
 // New starts without upstreams.
 func New() *Roster {
-	return &Roster{entries: map[string]record{}, superseded: map[string]bool{}}
+	return &Roster{entries: map[string]record{}, superseded: map[string]bool{}, busy: map[string]time.Time{}}
 }
 
 // Put takes in an entry. Leaving that was once read holds, whatever comes
@@ -221,3 +222,23 @@
 	defer r.mu.Unlock()
 	return r.entries[id].Weights[model]
 }
+
+// SetBusy notes until when an upstream takes no requests; the zero time: it
+// takes them.
+func (r *Roster) SetBusy(id string, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if until.IsZero() {
+		delete(r.busy, id)
+		return
+	}
+	r.busy[id] = until
+}
+
+// Busy gives the upstreams that take no requests now.
+func (r *Roster) Busy(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.busy, func(_ string, until time.Time) bool { return !now.Before(until) })
+	return slices.Collect(maps.Keys(r.busy))
+}
--- a/version/rollout/rollout.go
+++ b/version/rollout/rollout.go
@@ -38,8 +38,9 @@
 	Client(name string) (upstream.Engine, bool)
 	// Holds notes that an engine holds a version.
 	Holds(name, model string, version uint64)
-	// Busy notes that an engine is about to load, or no longer is.
-	Busy(name string, busy bool)
+	// Busy tells all nodes that an engine is about to change its weights of a
+	// model, or no longer is. It returns when they know, or after a short while.
+	Busy(name, model string, busy bool)
 }
 
 // Duty says whether this node may act.
@@ -155,8 +156,8 @@
 func (r *Driver) change(ctx context.Context, e Engine) {
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Patience)
 	defer cancel()
-	r.fleet.Busy(e.Name, true)
-	defer r.fleet.Busy(e.Name, false)
+	r.fleet.Busy(e.Name, e.Model, true)
+	defer r.fleet.Busy(e.Name, e.Model, false)
 	target := r.fleet.Newest(e.Model)
 	wait, err := r.step(ctx, e, target)
 	for err == nil && wait > 0 {
--- a/version/rollout/rollout_test.go
+++ b/version/rollout/rollout_test.go
@@ -59,7 +59,7 @@
 func (f *fleet) Newest(string) uint64                    { return f.newest }
 func (f *fleet) Client(string) (upstream.Engine, bool)   { return f.e, f.e != nil }
 func (f *fleet) Holds(_, _ string, v uint64)             { f.held = v }
-func (f *fleet) Busy(string, bool)                       {}
+func (f *fleet) Busy(string, string, bool)               {}
 func (f *fleet) May(time.Time) (fencing uint64, ok bool) { return 7, f.may }
 
 func (f *fleet) driver() *Driver {
