Keep the duty with one node, and hand it over by the former holder's last act

Change: only the holder is a member; it gives the others a sign every 400 ms; without one the node that started last looks first and takes the duty; one that is told to stop resigns and says for how long nobody has acted, and its direct successor (by the generation) counts its wait from there. An engine that does not answer rests a second.

--- a/process/duty/duty.go
+++ b/process/duty/duty.go
@@ -34,12 +34,29 @@
 // that act.
 func (c Config) Wait() time.Duration { return c.Lease + c.Valid + c.Flight }
 
+// Resignation is what a holder that gives the duty back tells the others.
+type Resignation struct {
+	// Generation is the last one that it was told.
+	Generation uint64
+	// Idle is for how long neither it nor the holder before it has acted;
+	// negative if that one may act still.
+	Idle time.Duration
+}
+
+// successorSteps is by how much the generation grows from a holder that
+// resigns to its successor: it leaves, and the successor joins. A larger step
+// means that somebody else came between, who may have acted.
+const successorSteps = 2
+
 // Keeper is one node's view of the duty. mu guards all of it.
 type Keeper struct {
 	cfg Config
 
 	mu        sync.Mutex
 	holds     bool
+	acted     time.Time // when this node was last allowed to act
+	former    Resignation
+	formerAt  time.Time // when it was told; zero: never
 	fencing   uint64    // generation in which the duty came to this node
 	since     time.Time // when this node learnt of it
 	confirmed time.Time // begin of the last join that confirmed it
@@ -71,12 +88,32 @@
 		return had
 	}
 	if !had || lapsed {
-		k.fencing, k.since = g.Generation, now
+		k.fencing, k.since = g.Generation, k.begins(now, g.Generation)
 	}
 	k.confirmed = begun
 	return !had || lapsed
 }
 
+// begins is the time from which a new holder counts its wait. After a holder
+// that has told that it resigns, and directly after it, that is its last act:
+// there is nobody else whose acts would have to run out.
+func (k *Keeper) begins(now time.Time, generation uint64) time.Time {
+	next := !k.formerAt.IsZero() && generation > k.former.Generation && generation <= k.former.Generation+successorSteps
+	if !next {
+		return now
+	}
+	acted := k.formerAt.Add(-k.former.Idle)
+	// Its validity is over; the lease and the flight count from the act.
+	return acted.Add(-k.cfg.Valid)
+}
+
+// Resigned takes in what a holder has told as it gave the duty back.
+func (k *Keeper) Resigned(now time.Time, r Resignation) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.former, k.formerAt = r, now
+}
+
 // May says whether this node may act now, and with which fencing number. It is
 // asked right before each act: a VM that was suspended since an earlier look
 // may have lost the duty.
@@ -84,9 +121,28 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	ok = k.holds && now.Sub(k.confirmed) < k.cfg.Valid && now.Sub(k.since) >= k.cfg.Wait()
+	if ok {
+		k.acted = now
+	}
 	return k.fencing, ok
 }
 
+// Resign ends the duty on this node's side, before it is given back, and gives
+// what the others are to be told; false if there was none. What this node was
+// allowed before counts as done now: it may be on its way.
+func (k *Keeper) Resign(now time.Time) (Resignation, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	had := k.holds
+	k.holds = false
+	// Before this node's wait was over, the former holder may still have acted.
+	last := k.since.Add(k.cfg.Valid)
+	if k.acted.After(last) {
+		last = k.acted
+	}
+	return Resignation{Generation: k.last, Idle: now.Sub(last)}, had
+}
+
 // Holds says whether the duty is this node's, also while it has to wait.
 func (k *Keeper) Holds() bool {
 	k.mu.Lock()
--- a/process/duty/duty_test.go
+++ b/process/duty/duty_test.go
@@ -64,6 +64,51 @@
 	}
 }
 
+// A holder is told to stop and says that it has not acted for a while. Its
+// successor need not wait for acts that nobody has done: on a day of restarts,
+// weights would be rolled out to nobody in the time of all the waits.
+func TestSuccessorOfOneThatResignedCountsFromItsLastAct(t *testing.T) {
+	held := func(k *Keeper, at time.Time, generation uint64) {
+		k.Joined(at, at, Grant{Generation: generation, Holds: true})
+	}
+	former := NewKeeper(bound)
+	at := start
+	for ; !at.After(after(bound.Wait())); at = at.Add(100 * time.Millisecond) {
+		held(former, at, 4)
+	}
+	if _, ok := former.May(at); !ok {
+		t.Fatal("the former holder never acted")
+	}
+	at = at.Add(2 * time.Second)
+	r, had := former.Resign(at)
+	if _, ok := former.May(at); ok || !had || r != (Resignation{Generation: 4, Idle: 2 * time.Second}) {
+		t.Fatalf("acts after it resigned, or %+v, %v", r, had)
+	}
+	cases := []struct {
+		name       string
+		generation uint64
+		wait       time.Duration
+	}{
+		{"directly after", 6, bound.Lease + bound.Flight - 2*time.Second},
+		{"somebody else came between", 7, bound.Wait()},
+		{"before it resigned", 4, bound.Wait()},
+	}
+	for _, c := range cases {
+		k := NewKeeper(bound)
+		k.Resigned(at, r)
+		for d := time.Duration(0); ; d += 100 * time.Millisecond {
+			held(k, at.Add(d), c.generation)
+			if _, ok := k.May(at.Add(d)); !ok {
+				continue
+			}
+			if d < c.wait || d > c.wait+100*time.Millisecond {
+				t.Errorf("%s: acts after %v, want %v", c.name, d, c.wait)
+			}
+			break
+		}
+	}
+}
+
 // Members join, stand still, lose answers, and the platform deals the duty anew
 // at any moment. Whatever happens: two members never act within the lease of
 // each other, and a later holder never has a lower number.
@@ -91,6 +136,17 @@
 				if rnd.IntN(6) == 0 {
 					k.Joined(now, now, Grant{Generation: generation, Holds: holder == i})
 				}
+				if holder == i && rnd.IntN(100) == 0 {
+					if r, had := k.Resign(now); had {
+						for _, other := range members {
+							if rnd.IntN(2) == 0 {
+								other.Resigned(now, r)
+							}
+						}
+						holder = rnd.IntN(len(members))
+						generation += 2
+					}
+				}
 				fencing, ok := k.May(now)
 				if !ok {
 					continue
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -64,6 +64,8 @@
 
 // Group is the members among whom the platform deals the duty.
 type Group interface {
+	// Held says whether any member has the duty.
+	Held(ctx context.Context) (bool, error)
 	// Join keeps this node in the group.
 	Join(ctx context.Context, generation uint64) (duty.Grant, error)
 	// Leave gives the duty back at once.
@@ -175,6 +177,7 @@
 		return
 	}
 	event.Info(g.log, event.ProcessLeaving)
+	do.MustInvoke[*joiner](g.injector).leave()
 	do.MustInvoke[*peers](g.injector).leave()
 }
 
--- /dev/null
+++ b/process/gateway/joiner.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/duty"
+	"github.com/dunlinmill/dunlinmill/process/event"
+)
+
+const (
+	// holderQuiet is how long the others wait for a sign before they ask the
+	// platform whether anybody has the duty: two signs may be lost.
+	holderQuiet = 1500 * time.Millisecond
+	// holderTurn is how much longer each node waits than the one before it, so
+	// that one of them takes the duty and the next one sees it taken.
+	holderTurn = 300 * time.Millisecond
+	// mostTurns bounds that in a large fleet.
+	mostTurns = 10
+	// lookPause is the time between two looks at whether the duty is to be taken.
+	lookPause = 100 * time.Millisecond
+)
+
+// joiner takes the duty when nobody has it, and keeps it. Only the holder is in
+// the platform's group: with others in it, the platform would deal the duty anew
+// each time one of them comes or goes, and each new holder has to wait for the
+// former one's orders to have run out.
+type joiner struct {
+	group  Group
+	keeper *duty.Keeper
+	peers  *peers
+	log    *zap.Logger
+
+	mu      sync.Mutex // guards all below
+	leaving bool       // does not take the duty any more
+
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+func (g *Gateway) newJoiner(i do.Injector, p Platform) *joiner {
+	ctx, cancel := context.WithCancel(context.Background())
+	j := &joiner{
+		group: p.Group, keeper: do.MustInvoke[*duty.Keeper](i), peers: do.MustInvoke[*peers](i),
+		log: g.log, cancel: cancel,
+	}
+	j.work.Go(func() { j.run(ctx) })
+	g.onClose(j.close)
+	return j
+}
+
+func (j *joiner) run(ctx context.Context) {
+	for !j.isLeaving() {
+		pause := lookPause
+		if j.keeper.Holds() || j.due() && j.free(ctx) {
+			j.join(ctx)
+			pause = joinPause
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// due says that it is this node's turn to look after the duty.
+func (j *joiner) due() bool {
+	wait := time.Duration(min(mostTurns, j.peers.rank(time.Now()))) * holderTurn
+	return j.peers.holderQuiet(clock.Boot()) > holderQuiet+wait
+}
+
+func (j *joiner) isLeaving() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.leaving
+}
+
+// free says that nobody has the duty. Having asked, this node waits as long as
+// after a sign before it asks again.
+func (j *joiner) free(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	held, err := j.group.Held(ctx)
+	if err == nil && held {
+		j.peers.heardHolder(clock.Boot())
+	}
+	return err == nil && !held
+}
+
+// join asks for the duty once. Without an answer it runs out by itself.
+func (j *joiner) join(ctx context.Context) {
+	asked, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	begun := clock.Boot()
+	grant, err := j.group.Join(asked, j.keeper.Generation())
+	if err != nil {
+		return
+	}
+	changed := j.keeper.Joined(clock.Boot(), begun, grant)
+	switch {
+	case changed && grant.Holds:
+		event.Info(j.log, event.LeaseTaken, zap.Uint64("Fencing", grant.Generation))
+	case changed:
+		event.Warn(j.log, event.LeaseLost, zap.Uint64("Generation", grant.Generation))
+	}
+	if grant.Holds {
+		j.work.Go(j.peers.tellHolder)
+		return
+	}
+	// Another one joined at the same moment. As a member without the duty, this
+	// node would have it dealt anew as it goes.
+	j.giveBack()
+}
+
+// giveBack takes this node out of the group.
+func (j *joiner) giveBack() {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	if err := j.group.Leave(ctx); err != nil {
+		event.Info(j.log, event.LeaseNotGivenBack, zap.Error(err))
+	}
+}
+
+// leave gives the duty back, so that another node can take it at once.
+func (j *joiner) leave() {
+	j.mu.Lock()
+	j.leaving = true
+	j.mu.Unlock()
+	j.work.Go(func() {
+		r, had := j.keeper.Resign(clock.Boot())
+		if !had {
+			return
+		}
+		j.giveBack()
+		j.peers.tell(EngineNews{Resigned: &r})
+	})
+}
+
+func (j *joiner) close() {
+	j.leave()
+	j.cancel()
+	j.work.Wait()
+}
--- a/process/gateway/orders.go
+++ b/process/gateway/orders.go
@@ -1,19 +1,12 @@
 package gateway
 
 import (
-	"context"
 	"strconv"
-	"sync"
 	"time"
 
-	"github.com/samber/do/v2"
 	"github.com/samber/lo"
-	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
-	"github.com/dunlinmill/dunlinmill/process/clock"
-	"github.com/dunlinmill/dunlinmill/process/duty"
-	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/guard"
@@ -108,63 +101,3 @@
 	}
 	return excluded
 }
-
-// joiner keeps this node in the group among which the duty is dealt.
-type joiner struct {
-	group  Group
-	keeper *duty.Keeper
-	log    *zap.Logger
-	cancel context.CancelFunc
-	work   sync.WaitGroup
-}
-
-func (g *Gateway) newJoiner(i do.Injector, p Platform) *joiner {
-	ctx, cancel := context.WithCancel(context.Background())
-	j := &joiner{group: p.Group, keeper: do.MustInvoke[*duty.Keeper](i), log: g.log, cancel: cancel}
-	j.work.Go(func() { j.run(ctx) })
-	g.onClose(j.close)
-	return j
-}
-
-func (j *joiner) run(ctx context.Context) {
-	t := time.NewTicker(joinPause)
-	defer t.Stop()
-	for {
-		j.join(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-// join asks once. Without an answer the duty runs out by itself.
-func (j *joiner) join(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	begun := clock.Boot()
-	grant, err := j.group.Join(ctx, j.keeper.Generation())
-	if err != nil {
-		return
-	}
-	if !j.keeper.Joined(clock.Boot(), begun, grant) {
-		return
-	}
-	if grant.Holds {
-		event.Info(j.log, event.LeaseTaken, zap.Uint64("Fencing", grant.Generation))
-		return
-	}
-	event.Warn(j.log, event.LeaseLost, zap.Uint64("Generation", grant.Generation))
-}
-
-// close leaves the group, so that another node gets the duty at once.
-func (j *joiner) close() {
-	j.cancel()
-	j.work.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	if err := j.group.Leave(ctx); err != nil {
-		event.Info(j.log, event.LeaseNotGivenBack, zap.Error(err))
-	}
-}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -6,10 +6,13 @@
 	"time"
 
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/peer"
 	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/roster"
@@ -36,11 +39,13 @@
 type peers struct {
 	log    *zap.Logger
 	roster *roster.Roster
+	keeper *duty.Keeper
 
 	mu      sync.Mutex // guards all below
 	members *member.Runner
 	client  *peer.Client
 	closers []func() error
+	holder  time.Time // last sign of a holder of the duty, by the boot clock
 
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -48,7 +53,7 @@
 
 func (g *Gateway) newPeers(i do.Injector, p Platform) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
-	ps := &peers{log: g.log, roster: do.MustInvoke[*roster.Roster](i), cancel: cancel}
+	ps := &peers{log: g.log, roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i), cancel: cancel, holder: clock.Boot()}
 	self := platform.VM{Name: g.settings.Node, Address: g.settings.Peers, DataCentre: g.settings.DataCentre}
 	ps.work.Go(func() { ps.enter(ctx, p.Directory, self) })
 	g.onClose(ps.close)
@@ -103,7 +108,7 @@
 	if err := server.Register(member.ServiceName, members.Service()); err != nil {
 		return err
 	}
-	if err := server.Register(enginesService, &enginesHandler{roster: p.roster}); err != nil {
+	if err := server.Register(enginesService, &enginesHandler{peers: p}); err != nil {
 		return err
 	}
 	if _, err := server.Start(self.Address); err != nil {
@@ -150,12 +155,43 @@
 	return others, p.client
 }
 
+// heardHolder notes a sign that a node has the duty.
+func (p *peers) heardHolder(boot time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holder = boot
+}
+
+// holderQuiet is for how long there has been no such sign.
+func (p *peers) holderQuiet(boot time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return boot.Sub(p.holder)
+}
+
+// rank is this node's place among the live ones that do not leave, the one that
+// started last first: on a day of restarts it is the last to be stopped again.
+func (p *peers) rank(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members == nil {
+		return 0
+	}
+	self := p.members.Self()
+	before := func(m member.Member) bool {
+		return m.Incarnation > self.Incarnation || m.Incarnation == self.Incarnation && m.Name < self.Name
+	}
+	return lo.CountBy(p.members.Live(now), func(m member.Member) bool { return m.Name != self.Name && before(m) })
+}
+
 // EngineNews is what the holder of the duty tells of one engine.
 type EngineNews struct {
-	Engine string
+	Engine string // empty: nothing but that there is a holder
 	Model  string
 	Held   uint64 // version; 0: not known
 	Busy   bool   // it changes its weights and takes no requests
+	// Resigned is told by a holder that gives the duty back.
+	Resigned *duty.Resignation
 }
 
 // Heard answers a peer that has told something.
@@ -170,7 +206,8 @@
 	var calls sync.WaitGroup
 	for _, m := range others {
 		calls.Go(func() {
-			if err := client.Call(ctx, m.Address, enginesService+".Tell", news, &Heard{}); err != nil {
+			err := client.Call(ctx, m.Address, enginesService+".Tell", news, &Heard{})
+			if err != nil && news.Engine != "" {
 				event.Info(p.log, event.NewsNotHeard, zap.String("Peer", m.Name), zap.String("Upstream", news.Engine), zap.Error(err))
 			}
 		})
@@ -178,14 +215,26 @@
 	calls.Wait()
 }
 
+// tellHolder gives the others a sign that this node has the duty.
+func (p *peers) tellHolder() { p.tell(EngineNews{}) }
+
 // enginesHandler takes the news of a peer.
 type enginesHandler struct {
-	roster *roster.Roster
+	peers *peers
 }
 
 // Tell takes in the news of one engine.
 func (h *enginesHandler) Tell(n EngineNews, _ *Heard) error {
-	take(h.roster, time.Now(), n)
+	now := clock.Boot()
+	if n.Resigned != nil {
+		h.peers.keeper.Resigned(now, *n.Resigned)
+		h.peers.heardHolder(now.Add(-holderQuiet)) // the first by rank takes it at once
+		return nil
+	}
+	h.peers.heardHolder(now)
+	if n.Engine != "" {
+		take(h.peers.roster, time.Now(), n)
+	}
 	return nil
 }
 
--- a/version/rollout/rollout.go
+++ b/version/rollout/rollout.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -65,14 +66,16 @@
 	// change; past it the engine is looked at afresh.
 	Timeout  time.Duration
 	Patience time.Duration
-	Clock    func() time.Time
+	// Rest is how long an engine that failed to answer is left alone.
+	Rest  time.Duration
+	Clock func() time.Time
 }
 
 // Default is for engines that load in about a second.
 var Default = Config{
 	Part: 1.0 / 3, Least: 2,
 	Tick: 100 * time.Millisecond, Poll: 250 * time.Millisecond, First: 700 * time.Millisecond,
-	Timeout: time.Second, Patience: 8 * time.Second,
+	Timeout: time.Second, Patience: 8 * time.Second, Rest: time.Second,
 }
 
 // Next gives the engines to be ordered now, besides those that are changing:
@@ -90,7 +93,7 @@
 	return old[:max(0, min(room, len(old)))]
 }
 
-// Driver carries a roll-out out. mu guards changing.
+// Driver carries a roll-out out. mu guards changing and resting.
 type Driver struct {
 	cfg   Config
 	fleet Fleet
@@ -99,6 +102,7 @@
 
 	mu       sync.Mutex
 	changing map[string]bool
+	resting  map[string]time.Time // until when, by engine
 
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -107,7 +111,7 @@
 // New starts looking.
 func New(cfg Config, f Fleet, d Duty, log *zap.Logger) *Driver {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Driver{cfg: cfg, fleet: f, duty: d, log: log, changing: map[string]bool{}, cancel: cancel}
+	r := &Driver{cfg: cfg, fleet: f, duty: d, log: log, changing: map[string]bool{}, resting: map[string]time.Time{}, cancel: cancel}
 	r.work.Go(func() { r.run(ctx) })
 	return r
 }
@@ -138,22 +142,36 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, e := range Next(r.cfg, r.fleet.Engines(), r.fleet.Newest, lo.Keys(r.changing)) {
+	for _, e := range Next(r.cfg, r.rested(r.fleet.Engines()), r.fleet.Newest, lo.Keys(r.changing)) {
 		r.changing[e.Name] = true
 		r.work.Go(func() {
-			r.change(ctx, e)
+			err := r.change(ctx, e)
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			delete(r.changing, e.Name)
+			if err != nil {
+				r.resting[e.Name] = r.cfg.Clock().Add(r.cfg.Rest)
+			}
 		})
 	}
 }
 
+// rested leaves out the engines that failed to answer lately: one that is dead
+// would have its turn again and again and keep the others from theirs.
+func (r *Driver) rested(engines []Engine) []Engine {
+	now := r.cfg.Clock()
+	maps.DeleteFunc(r.resting, func(_ string, until time.Time) bool { return !now.Before(until) })
+	return lo.Reject(engines, func(e Engine, _ int) bool {
+		_, resting := r.resting[e.Name]
+		return resting
+	})
+}
+
 // change brings one engine to newer weights, or gives up after a while. It ends
 // once the ordered version holds, also if a newer one was named meanwhile: the
 // engines with older weights come first, or some would never have their turn
 // while versions are named faster than all engines load.
-func (r *Driver) change(ctx context.Context, e Engine) {
+func (r *Driver) change(ctx context.Context, e Engine) error {
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Patience)
 	defer cancel()
 	r.fleet.Busy(e.Name, e.Model, true)
@@ -169,8 +187,8 @@
 	}
 	if err != nil && !errors.Is(err, context.Canceled) {
 		event.Warn(r.log, event.OrderFailed, zap.String("Upstream", e.Name), zap.String("Model", e.Model), zap.Error(err))
-		sleep(ctx, r.cfg.Poll)
 	}
+	return err
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
