Let a holder that was out of touch lose the duty for itself

Change: past the time for which the platform keeps a silent member, a holder no longer counts as one and looks first, as everybody does; others look after 1 s without a sign. Each look is logged.

--- a/process/duty/duty.go
+++ b/process/duty/duty.go
@@ -21,6 +21,9 @@
 	// It ends before the platform deals the duty to another, by what an act may
 	// take on its way.
 	Valid time.Duration
+	// Life is how long after the begin of a join the platform may keep a member
+	// that says nothing more. Past it, a holder has lost the duty.
+	Life time.Duration
 	// Lease is how long the acts of two holders have to be apart.
 	Lease time.Duration
 	// Flight is what an act may take on its way, a lost packet sent again
@@ -81,7 +84,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	had := k.holds
-	lapsed := had && begun.Sub(k.confirmed) >= k.cfg.Lease
+	lapsed := had && begun.Sub(k.confirmed) >= k.cfg.Life
 	k.last = g.Generation
 	k.holds = g.Holds
 	if !g.Holds {
@@ -143,9 +146,11 @@
 	return Resignation{Generation: k.last, Idle: now.Sub(last)}, had
 }
 
-// Holds says whether the duty is this node's, also while it has to wait.
-func (k *Keeper) Holds() bool {
+// Holds says whether the duty is this node's, also while it has to wait. One
+// that was out of touch for too long has lost it and must not join as if it had
+// not: the platform would deal the duty anew between it and its successor.
+func (k *Keeper) Holds(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.holds
+	return k.holds && now.Sub(k.confirmed) < k.cfg.Life
 }
--- a/process/event/version.go
+++ b/process/event/version.go
@@ -48,4 +48,6 @@
 	WeightsNamed
 	// LeaseNotGivenBack says that this node left without giving the duty back; it runs out by itself.
 	LeaseNotGivenBack
+	// LeaseLooked says that this node has heard no sign of a holder of the duty and has asked the platform whether there is one.
+	LeaseLooked
 )
--- a/process/gateway/joiner.go
+++ b/process/gateway/joiner.go
@@ -15,8 +15,8 @@
 
 const (
 	// holderQuiet is how long the others wait for a sign before they ask the
-	// platform whether anybody has the duty: two signs may be lost.
-	holderQuiet = 1500 * time.Millisecond
+	// platform whether anybody has the duty: one sign may be lost.
+	holderQuiet = time.Second
 	// holderTurn is how much longer each node waits than the one before it, so
 	// that one of them takes the duty and the next one sees it taken.
 	holderTurn = 300 * time.Millisecond
@@ -57,7 +57,7 @@
 func (j *joiner) run(ctx context.Context) {
 	for !j.isLeaving() {
 		pause := lookPause
-		if j.keeper.Holds() || j.due() && j.free(ctx) {
+		if j.keeper.Holds(clock.Boot()) || j.due() && j.free(ctx) {
 			j.join(ctx)
 			pause = joinPause
 		}
@@ -87,6 +87,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	held, err := j.group.Held(ctx)
+	event.Info(j.log, event.LeaseLooked, zap.Bool("Held", held), zap.Duration("Quiet", j.peers.holderQuiet(clock.Boot())), zap.Error(err))
 	if err == nil && held {
 		j.peers.heardHolder(clock.Boot())
 	}
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -49,6 +49,8 @@
 	joinPause  = 400 * time.Millisecond
 	joinValid  = 600 * time.Millisecond
 	joinFlight = 300 * time.Millisecond
+	// joinLife is how long the platform keeps a member that says nothing.
+	joinLife = time.Second
 	// statusInterval is the pace at which clients of upstreams that have left
 	// are closed.
 	statusInterval = time.Second
@@ -69,7 +71,7 @@
 	do.Provide(i, func(do.Injector) (*accepted.Book, error) { return accepted.NewBook(), nil })
 	do.Provide(i, func(do.Injector) (*roster.Roster, error) { return roster.New(), nil })
 	do.Provide(i, func(do.Injector) (*duty.Keeper, error) {
-		return duty.NewKeeper(duty.Config{Valid: joinValid, Lease: g.settings.Lease, Flight: joinFlight}), nil
+		return duty.NewKeeper(duty.Config{Valid: joinValid, Life: joinLife, Lease: g.settings.Lease, Flight: joinFlight}), nil
 	})
 	do.Provide(i, g.newView)
 	do.Provide(i, func(i do.Injector) (*catalogue.Current, error) {
