Name the second choice of a part as its source

Change: the source follows that order; the last shared part of a declared chain binds requests; placements log source, part and version.

--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -171,6 +171,7 @@
 			Seed:          g.seed(),
 			ImportRate:    v.importRate(),
 			ImportLatency: fetchLatency,
+			Declared:      true,
 			OutdatedCost:  outdatedCost,
 			Retention:     cacheRetention,
 			Entries:       placementEntries,
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -57,7 +57,17 @@
 		zap.String("Workspace", s.r.Workspace), zap.String("Model", s.r.Model),
 		zap.String("Upstream", d.Upstream), zap.Stringer("Reason", d.Reason),
 		zap.Int("CachedTokens", d.Cached), zap.Int("PromptTokens", s.chain.Tokens()),
-		zap.Duration("Wait", d.Wait), zap.Int("Attempt", s.attempts))
+		zap.Duration("Wait", d.Wait), zap.Int("Attempt", s.attempts), zap.String("Source", cmp.Or(d.Source, d.Try)),
+		zap.Uint64("Shared", s.shared()), zap.String("Held", s.rt.Upstreams.Version(d.Upstream, s.r.Model)))
+}
+
+// shared names the part of the prompt that other requests have as well: all
+// but the last, which is the single question's.
+func (s *start) shared() uint64 {
+	if len(s.chain) < 2 {
+		return 0
+	}
+	return s.chain[len(s.chain)-2].ID
 }
 
 func (s *start) placementRequest(now time.Time) placement.Request {
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -105,6 +105,9 @@
 	if a.cfg.features.has(useAnchor) {
 		anchor = a.typical.anchor(chain)
 	}
+	if a.cfg.Declared && len(chain) > 1 {
+		anchor = min(anchor, len(chain)-2)
+	}
 	for i, l := range chain {
 		size, rate := 1, 0.0
 		if d, _ := a.demands.get(l.ID); d != nil {
--- a/request/placement/affinity_test.go
+++ b/request/placement/affinity_test.go
@@ -398,3 +398,64 @@
 		t.Error("an event of the next second isn't taken in")
 	}
 }
+
+// A prefix's first upstream has been away, and its requests went to the second
+// one. Back with an empty cache, it should fetch the prefix from there instead
+// of computing it: every node has to name that one, without any message.
+func TestSourceIsWhereTheRequestsWentMeanwhile(t *testing.T) {
+	cfg := Config{ImportRate: 1e6, Declared: true}
+	chain := prompt(1, 2, 3, 4)
+	during := started(cfg, 12)
+	home, err := during.Place(epoch, request(chain))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := request(chain)
+	r.Excluded = []string{home.Upstream}
+	second, err := during.Place(epoch, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range uint64(20) {
+		cfg.Seed = seed
+		d, err := started(cfg, 12).Place(epoch, request(chain))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d.Upstream != home.Upstream || d.Try != second.Upstream {
+			t.Errorf("seed %d: to %s, source %q; want %s, %s", seed, d.Upstream, d.Try, home.Upstream, second.Upstream)
+		}
+	}
+}
+
+// Newer weights were named and some upstreams have them. A request goes there
+// although its prefix's first upstream is idle: an answer on outdated weights
+// counts for less. A wait that costs more than that keeps it where it is.
+func TestOutdatedWeightsCostAWait(t *testing.T) {
+	chain := prompt(1, 2, 3, 4)
+	home, err := started(Config{}, 12).Place(epoch, request(chain))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		cost  time.Duration
+		stays bool
+	}{
+		{0, true}, {time.Millisecond, true}, {time.Minute, false},
+	}
+	for _, c := range cases {
+		list := runners(12)
+		for i := range list {
+			list[i].Outdated = list[i].Name == home.Upstream
+		}
+		a := New(Config{OutdatedCost: c.cost})
+		a.SetUpstreams(epoch, list)
+		d, err := a.Place(epoch, request(chain))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := d.Upstream == home.Upstream; got != c.stays {
+			t.Errorf("cost %v: stays %v", c.cost, got)
+		}
+	}
+}
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -26,6 +26,10 @@
 	ImportRate float64
 	// ImportLatency is what an import takes besides.
 	ImportLatency time.Duration
+	// Declared says that the levels of a chain are parts that callers declare,
+	// of which the last is the single question's and the others are shared. The
+	// last shared one then binds requests to its upstreams, however short it is.
+	Declared bool
 	// OutdatedCost is what it has to gain, in seconds, to be answered on
 	// outdated weights; 0: nothing.
 	OutdatedCost time.Duration
--- a/request/placement/source.go
+++ b/request/placement/source.go
@@ -64,12 +64,15 @@
 // fetch of it from elsewhere to be needless, in seconds.
 const surelyHeld = 2.0
 
+// likelySources is how many upstreams in the order of a prefix are looked at.
+const likelySources = 4
+
 // likeliest gives the upstream, other than the decided one, that is the
 // likeliest to hold the shared part of the chain if nothing is known: the first
-// by rendezvous hash among those with the same weights. All nodes send a prefix
-// there first, so that this needs no message: what one node had computed at the
-// second choice, while the first was away, is fetched back from there. Empty if
-// the decided one holds the prefix, or no other can.
+// by the hash order of that part among those with the same weights. All nodes
+// send a prefix along this order, so that this needs no message: what one node
+// had computed at the second choice, while the first was away, is fetched back
+// from there. Empty if the decided one holds the prefix, or no other can.
 func (a *Affinity) likeliest(at tick, chain prefix.Chain, chosen *member) string {
 	if a.cfg.ImportRate <= 0 || len(chain) == 0 {
 		return ""
@@ -78,18 +81,11 @@
 	if k, age, ok := a.beliefs.get(chosen, shared.ID, at); ok && !k.pending && age < surelyHeld {
 		return ""
 	}
-	var best scored
-	for _, m := range a.fleet.eligible {
-		score := mix(shared.ID, m.hash)
-		if m == chosen || m.Version != chosen.Version || a.excluded(m) {
-			continue
-		}
-		if best.member == nil || score > best.score {
-			best = scored{member: m, score: score}
-		}
-	}
-	if best.member == nil {
+	a.set = a.fleet.skeleton.first(a.set[:0], shared, likelySources, func(m *member) bool {
+		return m == chosen || m.Version != chosen.Version
+	})
+	if len(a.set) == 0 {
 		return ""
 	}
-	return best.Name
+	return a.set[0].Name
 }
