Begin no request on weights that were replaced too long ago

Cause: VERSION breaks on single requests: an engine whose turn in the roll-out comes late is still sent requests 10 s after newer weights were named.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -39,6 +39,9 @@
 	// ConfigLag is the time in which a change has to be in force. A proof
 	// younger than that is good enough to say that something does not exist.
 	ConfigLag time.Duration
+	// WeightsLife is how long after newer weights were named a request may still
+	// begin on older ones; 0: always.
+	WeightsLife time.Duration
 	// Lease is how long the orders of two holders of the duty have to be apart.
 	Lease time.Duration
 	// Transit is kept back from the time that a caller grants, for the way of
--- a/process/gateway/orders.go
+++ b/process/gateway/orders.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/guard"
@@ -86,18 +87,42 @@
 }
 
 // available is a guard that keeps requests from engines that change their
-// weights, as long as others are left.
+// weights, and from those whose weights were replaced too long ago.
 type available struct {
 	*guard.Guard
 	roster *roster.Roster
+	book   *accepted.Book
+	view   *view
+	life   time.Duration // of replaced weights; 0: no bound
 }
 
-// Excluded gives the upstreams that must not get a request now.
+// Excluded gives the upstreams that must not get a request now. Those that are
+// busy are let through if none else is left: they refuse by themselves. Those
+// past the life of their weights are not, as they would not.
 func (a available) Excluded(now time.Time, names []string) []string {
-	excluded := a.Guard.Excluded(now, names)
+	excluded := lo.Union(a.Guard.Excluded(now, names), a.expired(names))
 	busy := lo.Filter(a.roster.Busy(now), func(name string, _ int) bool { return lo.Contains(names, name) })
 	if all := lo.Union(excluded, busy); len(all) < len(names) {
 		return all
 	}
 	return excluded
 }
+
+// beginPart is the part of the life of replaced weights in which requests are
+// still sent: what is left is for the wait in the engine's queue.
+const beginPart = 0.85
+
+// expired gives the engines on whose weights no request may begin any more.
+func (a available) expired(names []string) []string {
+	if a.life == 0 {
+		return nil
+	}
+	boot := clock.Boot()
+	upstreams := a.view.Config().Upstreams
+	return lo.Filter(names, func(name string, _ int) bool {
+		return lo.SomeBy(upstreams[name].Models, func(model string) bool {
+			held := a.roster.Weights(name, model)
+			return held > 0 && a.book.Outdated(boot, model, held) > time.Duration(beginPart*float64(a.life))
+		})
+	})
+}
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -207,11 +207,14 @@
 		Upstreams: upstreams{Inventory: do.MustInvoke[*inventory.Inventory](i), roster: do.MustInvoke[*roster.Roster](i)},
 		Policies:  do.MustInvoke[*policy.Table](i),
 		Admission: open{},
-		Guard:     available{Guard: do.MustInvoke[guards](i).engines, roster: do.MustInvoke[*roster.Roster](i)},
-		Shedder:   shedder,
-		News:      &cachenews.Book{},
-		Observer:  metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
-		Log:       g.log,
+		Guard: available{
+			Guard: do.MustInvoke[guards](i).engines, roster: do.MustInvoke[*roster.Roster](i),
+			book: do.MustInvoke[*accepted.Book](i), view: do.MustInvoke[*view](i), life: g.settings.WeightsLife,
+		},
+		Shedder:  shedder,
+		News:     &cachenews.Book{},
+		Observer: metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
+		Log:      g.log,
 	}, nil
 }
 
--- a/request/placement/candidates.go
+++ b/request/placement/candidates.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"github.com/dunlinmill/dunlinmill/request/prefix"
 )
 
 const (
@@ -29,26 +31,8 @@
 // size, the smaller is part of the larger.
 func (a *Affinity) candidates(at tick, r Request) []candidate {
 	a.exclude(r.Excluded)
-	set := a.set[:0]
 	found := a.found[:0]
-	outside := a.outside[:0]
-	bound := false // set holds the members of some level
-	for i, l := range r.Chain {
-		if a.sizes[i] >= len(a.fleet.eligible) || bound && a.sizes[i] >= len(set) {
-			continue
-		}
-		if bound {
-			rank(set, l)
-		} else {
-			set = a.fleet.skeleton.first(set, l, a.sizes[i]+spill, a.excluded)
-			bound = true
-		}
-		size := min(a.sizes[i], len(set))
-		for _, s := range set[size:min(size+spill, len(set))] {
-			outside = append(outside, candidate{member: s.member, depth: i})
-		}
-		set = set[:size]
-	}
+	set, outside, bound := a.replicas(r.Chain, a.excluded)
 	if !bound && len(r.Chain) > 0 {
 		set = a.fleet.skeleton.first(set, r.Chain[len(r.Chain)-1], maxCandidates, a.excluded)
 	}
@@ -69,6 +53,30 @@
 	return found
 }
 
+// replicas gives the replica set of the whole chain among the members that are
+// not skipped, and the next members of each larger set. Bound says that some
+// level binds at all.
+func (a *Affinity) replicas(chain prefix.Chain, skip func(*member) bool) (set []scored, outside []candidate, bound bool) {
+	set, outside = a.set[:0], a.outside[:0]
+	for i, l := range chain {
+		if a.sizes[i] >= len(a.fleet.eligible) || bound && a.sizes[i] >= len(set) {
+			continue
+		}
+		if bound {
+			rank(set, l)
+		} else {
+			set = a.fleet.skeleton.first(set, l, a.sizes[i]+spill, skip)
+			bound = true
+		}
+		size := min(a.sizes[i], len(set))
+		for _, s := range set[size:min(size+spill, len(set))] {
+			outside = append(outside, candidate{member: s.member, depth: i})
+		}
+		set = set[:size]
+	}
+	return set, outside, bound
+}
+
 // exclude marks the members that this decision may not choose.
 func (a *Affinity) exclude(names []string) {
 	a.round++
--- a/request/placement/source.go
+++ b/request/placement/source.go
@@ -64,15 +64,13 @@
 // fetch of it from elsewhere to be needless, in seconds.
 const surelyHeld = 2.0
 
-// likelySources is how many upstreams in the order of a prefix are looked at.
-const likelySources = 4
-
 // likeliest gives the upstream, other than the decided one, that is the
-// likeliest to hold the shared part of the chain if nothing is known: the first
-// by the hash order of that part among those with the same weights. All nodes
-// send a prefix along this order, so that this needs no message: what one node
-// had computed at the second choice, while the first was away, is fetched back
-// from there. Empty if the decided one holds the prefix, or no other can.
+// likeliest to hold the shared part of the chain if nothing is known: the one
+// that would get the request if the decided one were away, among those with the
+// same weights. All nodes choose alike, so that this needs no message: what was
+// computed at the second choice, while the first was away, is fetched back from
+// there. Empty if the decided one holds the prefix, or no other can. It is asked
+// right after candidates, whose sizes it uses.
 func (a *Affinity) likeliest(at tick, chain prefix.Chain, chosen *member) string {
 	if a.cfg.ImportRate <= 0 || len(chain) == 0 {
 		return ""
@@ -81,11 +79,9 @@
 	if k, age, ok := a.beliefs.get(chosen, shared.ID, at); ok && !k.pending && age < surelyHeld {
 		return ""
 	}
-	a.set = a.fleet.skeleton.first(a.set[:0], shared, likelySources, func(m *member) bool {
-		return m == chosen || m.Version != chosen.Version
-	})
-	if len(a.set) == 0 {
+	set, _, _ := a.replicas(chain, func(m *member) bool { return m == chosen || m.Version != chosen.Version })
+	if len(set) == 0 {
 		return ""
 	}
-	return a.set[0].Name
+	return set[0].Name
 }
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -93,11 +93,25 @@
 	mu        sync.Mutex
 	inForce   *InForce          // nil: none yet
 	weights   map[string]uint64 // newest version by model
-	confirmed time.Time         // as of when both are known to be the newest
+	named     map[string][]naming
+	confirmed time.Time // as of when both are known to be the newest
 }
 
+// naming is one version of a model's weights with the time at which this
+// process learnt of it.
+type naming struct {
+	version uint64
+	at      time.Time
+}
+
+// maxNamings bounds the versions whose times are kept: at one every few seconds
+// the oldest is long past any bound.
+const maxNamings = 32
+
 // NewBook starts without a configuration.
-func NewBook() *Book { return &Book{weights: map[string]uint64{}} }
+func NewBook() *Book {
+	return &Book{weights: map[string]uint64{}, named: map[string][]naming{}}
+}
 
 // Accept puts a configuration in force, unless one as new is.
 func (b *Book) Accept(c Configuration) bool {
@@ -111,7 +125,7 @@
 }
 
 // Name notes the newest weights of a model, unless as new ones are known.
-func (b *Book) Name(model string, version uint64) bool {
+func (b *Book) Name(now time.Time, model string, version uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if version <= b.weights[model] {
@@ -119,9 +133,24 @@
 	}
 	b.weights = maps.Clone(b.weights)
 	b.weights[model] = version
+	list := append(b.named[model], naming{version: version, at: now})
+	b.named[model] = list[max(0, len(list)-maxNamings):]
 	return true
 }
 
+// Outdated is for how long a newer version than held has been known; 0 if held
+// is the newest.
+func (b *Book) Outdated(now time.Time, model string, held uint64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.named[model] {
+		if n.version > held {
+			return max(1, now.Sub(n.at))
+		}
+	}
+	return 0
+}
+
 // Confirm notes that everything accepted before begun is known.
 func (b *Book) Confirm(begun time.Time) {
 	b.mu.Lock()
--- a/version/accepted/accepted_test.go
+++ b/version/accepted/accepted_test.go
@@ -20,7 +20,7 @@
 	if _, ok := b.InForce().Owner("k"); ok {
 		t.Error("the key is back")
 	}
-	if !b.Name("m", 4) || b.Name("m", 4) || b.Name("m", 2) || b.Weights()["m"] != 4 {
+	if !b.Name(time.Time{}, "m", 4) || b.Name(time.Time{}, "m", 4) || b.Name(time.Time{}, "m", 2) || b.Weights()["m"] != 4 {
 		t.Errorf("weights %v", b.Weights())
 	}
 }
@@ -40,6 +40,27 @@
 	}
 }
 
+// Versions are named every few seconds. How long an engine's weights have been
+// outdated counts from the first newer version, not from the newest: a request
+// must not begin on weights that were replaced longer ago than the bound.
+func TestOutdatedCountsFromTheFirstNewerVersion(t *testing.T) {
+	b := NewBook()
+	at := time.Unix(100, 0)
+	for v := range uint64(100) {
+		b.Name(at.Add(time.Duration(v)*time.Second), "m", v+1)
+	}
+	now := at.Add(99 * time.Second)
+	cases := []struct {
+		held uint64
+		want time.Duration
+	}{{100, 0}, {99, 1}, {98, time.Second}, {90, 9 * time.Second}}
+	for _, c := range cases {
+		if got := b.Outdated(now, "m", c.held); got != c.want {
+			t.Errorf("version %d: outdated for %v, want %v", c.held, got, c.want)
+		}
+	}
+}
+
 func TestOwnerNeedsAKey(t *testing.T) {
 	f := New(Configuration{Workspaces: map[string]Workspace{
 		"sofia": {Name: "sofia", Keys: []string{keyring.Hash("k")}, Isolated: true},
