Let a restarted node learn from a peer since when weights are outdated

Change: versions read at the start have an unknown age; engines outdated by them get nothing while others are left, and a peer that saw them named tells the ages.

--- a/process/event/member.go
+++ b/process/event/member.go
@@ -34,4 +34,6 @@
 	PeersNotJoined
 	// NewsNotHeard: a peer did not hear in time that an engine changes its weights; it learns it from the register or the engine.
 	NewsNotHeard
+	// CaughtUp: a peer told this node, which has just started, since when newer weights have been named.
+	CaughtUp
 )
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -69,7 +69,7 @@
 			event.Error(t.log, event.PublicationUnreadable, zap.String("Key", r.Key), zap.Uint64("Offset", r.Offset), zap.Error(err))
 			continue
 		}
-		t.publish(now, r, p)
+		t.publish(now, r, p, u.Complete)
 	}
 	if whole {
 		t.book.Confirm(u.Begun)
@@ -78,12 +78,12 @@
 	t.metrics.LogRead(time.Now(), true)
 }
 
-func (t *configurationTaker) publish(now time.Time, r keyed.Record, p Publication) {
+func (t *configurationTaker) publish(now time.Time, r keyed.Record, p Publication, late bool) {
 	if c := p.Configuration; c != nil && t.book.Accept(*c) {
 		event.Info(t.log, event.ConfigInForce, zap.Uint64("Version", c.Version), zap.Uint64("Offset", r.Offset),
 			zap.Int("Routes", len(c.Routes)), zap.Int("Workspaces", len(c.Workspaces)))
 	}
-	if p.Model != "" && t.book.Name(now, p.Model, p.Version) {
+	if p.Model != "" && t.book.Name(now, p.Model, p.Version, late) {
 		event.Info(t.log, event.WeightsNamed, zap.String("Model", p.Model), zap.Uint64("Version", p.Version), zap.Uint64("Offset", r.Offset))
 	}
 }
--- a/process/gateway/orders.go
+++ b/process/gateway/orders.go
@@ -97,11 +97,16 @@
 }
 
 // Excluded gives the upstreams that must not get a request now. Those that are
-// busy are let through if none else is left: they refuse by themselves. Those
-// past the life of their weights are not, as they would not.
+// busy, or whose weights were replaced an unknown time ago, are let through if
+// none else is left: the former refuse by themselves. Those past the life of
+// their weights are not, as they would not.
 func (a available) Excluded(now time.Time, names []string) []string {
-	excluded := lo.Union(a.Guard.Excluded(now, names), a.expired(names))
-	busy := lo.Filter(a.roster.Busy(now), func(name string, _ int) bool { return lo.Contains(names, name) })
+	expired, doubtful := a.weights(names)
+	excluded := lo.Union(a.Guard.Excluded(now, names), expired)
+	busy := lo.Intersect(a.roster.Busy(now), names)
+	if all := lo.Union(excluded, busy, doubtful); len(all) < len(names) {
+		return all
+	}
 	if all := lo.Union(excluded, busy); len(all) < len(names) {
 		return all
 	}
@@ -112,17 +117,34 @@
 // still sent: what is left is for the wait in the engine's queue.
 const beginPart = 0.85
 
-// expired gives the engines on whose weights no request may begin any more.
-func (a available) expired(names []string) []string {
+// weights gives the engines on whose weights no request may begin any more, and
+// those of which this node can't tell.
+func (a available) weights(names []string) (expired, doubtful []string) {
 	if a.life == 0 {
-		return nil
+		return nil, nil
 	}
 	boot := clock.Boot()
 	upstreams := a.view.Config().Upstreams
-	return lo.Filter(names, func(name string, _ int) bool {
-		return lo.SomeBy(upstreams[name].Models, func(model string) bool {
-			held := a.roster.Weights(name, model)
-			return held > 0 && a.book.Outdated(boot, model, held) > time.Duration(beginPart*float64(a.life))
-		})
-	})
+	for _, name := range names {
+		for _, model := range upstreams[name].Models {
+			age, sure := a.outdated(boot, name, model)
+			switch {
+			case age > time.Duration(beginPart*float64(a.life)):
+				expired = append(expired, name)
+			case !sure:
+				doubtful = append(doubtful, name)
+			}
+		}
+	}
+	return expired, doubtful
+}
+
+// outdated is for how long an engine's weights have been replaced, and whether
+// that is sure.
+func (a available) outdated(boot time.Time, name, model string) (time.Duration, bool) {
+	held := a.roster.Weights(name, model)
+	if held == 0 {
+		return 0, true // it has not told, and refuses what expects other weights
+	}
+	return a.book.Outdated(boot, model, held)
 }
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/version/accepted"
 )
 
 const (
@@ -40,6 +41,7 @@
 	log    *zap.Logger
 	roster *roster.Roster
 	keeper *duty.Keeper
+	book   *accepted.Book
 
 	mu      sync.Mutex // guards all below
 	members *member.Runner
@@ -53,7 +55,7 @@
 
 func (g *Gateway) newPeers(i do.Injector, p Platform) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
-	ps := &peers{log: g.log, roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i), cancel: cancel, holder: clock.Boot()}
+	ps := &peers{log: g.log, roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i), book: do.MustInvoke[*accepted.Book](i), cancel: cancel, holder: clock.Boot()}
 	self := platform.VM{Name: g.settings.Node, Address: g.settings.Peers, DataCentre: g.settings.DataCentre}
 	ps.work.Go(func() { ps.enter(ctx, p.Directory, self) })
 	g.onClose(ps.close)
@@ -68,6 +70,7 @@
 			err = p.join(d, self, secret)
 		}
 		if err == nil {
+			p.catchUp(ctx)
 			return
 		}
 		event.Info(p.log, event.PeersNotJoined, zap.Error(err))
@@ -78,6 +81,30 @@
 	}
 }
 
+// catchUpTries is how often a node that has started asks whether a peer knows
+// more: the membership is found within about a second.
+const catchUpTries = 12
+
+// catchUp asks a peer for the times that this node was not there to see.
+func (p *peers) catchUp(ctx context.Context) {
+	for range catchUpTries {
+		others, client := p.live(time.Now())
+		for _, m := range others {
+			var k Known
+			if err := client.Call(ctx, m.Address, enginesService+".Known", Heard{}, &k); err == nil && len(k.Namings) > 0 {
+				p.book.Learn(clock.Boot(), k.Namings)
+				event.Info(p.log, event.CaughtUp, zap.String("Peer", m.Name), zap.Int("Namings", len(k.Namings)))
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(retryPause):
+		}
+	}
+}
+
 func (p *peers) ask(ctx context.Context, d Directory, self platform.VM) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -223,6 +250,17 @@
 	peers *peers
 }
 
+// Known is what a node knows that one that has just started can't read.
+type Known struct {
+	Namings []accepted.Naming
+}
+
+// Known gives what this node knows.
+func (h *enginesHandler) Known(_ Heard, k *Known) error {
+	k.Namings = h.peers.book.Namings(clock.Boot())
+	return nil
+}
+
 // Tell takes in the news of one engine.
 func (h *enginesHandler) Tell(n EngineNews, _ *Heard) error {
 	now := clock.Boot()
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,6 +103,9 @@
 type naming struct {
 	version uint64
 	at      time.Time
+	// late says that it was named before this process began to follow: nobody
+	// here knows for how long already.
+	late bool
 }
 
 // maxNamings bounds the versions whose times are kept: at one every few seconds
@@ -124,8 +128,9 @@
 	return true
 }
 
-// Name notes the newest weights of a model, unless as new ones are known.
-func (b *Book) Name(now time.Time, model string, version uint64) bool {
+// Name notes the newest weights of a model, unless as new ones are known. Late
+// says that they were named an unknown time ago.
+func (b *Book) Name(now time.Time, model string, version uint64, late bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if version <= b.weights[model] {
@@ -133,22 +138,73 @@
 	}
 	b.weights = maps.Clone(b.weights)
 	b.weights[model] = version
-	list := append(b.named[model], naming{version: version, at: now})
+	list := append(b.named[model], naming{version: version, at: now, late: late})
 	b.named[model] = list[max(0, len(list)-maxNamings):]
 	return true
 }
 
-// Outdated is for how long a newer version than held has been known; 0 if held
-// is the newest.
-func (b *Book) Outdated(now time.Time, model string, held uint64) time.Duration {
+// Outdated is for how long a newer version than held has been known, at least;
+// 0 if held is the newest. Sure says that it has not been known for longer.
+func (b *Book) Outdated(now time.Time, model string, held uint64) (age time.Duration, sure bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, n := range b.named[model] {
 		if n.version > held {
-			return max(1, now.Sub(n.at))
+			return max(1, now.Sub(n.at)), !n.late
 		}
 	}
-	return 0
+	return 0, true
+}
+
+// Naming is what one process tells another of a version that was named.
+type Naming struct {
+	Model   string
+	Version uint64
+	Age     time.Duration
+}
+
+// Namings gives the versions whose time is known.
+func (b *Book) Namings(now time.Time) []Naming {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []Naming
+	for model, list := range b.named {
+		for _, n := range list {
+			if !n.late {
+				all = append(all, Naming{Model: model, Version: n.version, Age: now.Sub(n.at)})
+			}
+		}
+	}
+	return all
+}
+
+// Learn takes in what another process knows of the times of versions. It does
+// not make a version known that this process has not read of.
+func (b *Book) Learn(now time.Time, told []Naming) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range told {
+		b.learn(now, t)
+	}
+}
+
+func (b *Book) learn(now time.Time, t Naming) {
+	list := slices.Clone(b.named[t.Model])
+	for i, n := range list {
+		if n.late && n.version >= t.Version {
+			n := naming{version: t.Version, at: now.Add(-t.Age)}
+			if n.version < list[i].version {
+				list = slices.Insert(list, i, n)
+			} else {
+				list[i] = n
+			}
+			break
+		}
+		if n.version >= t.Version {
+			break
+		}
+	}
+	b.named[t.Model] = list[max(0, len(list)-maxNamings):]
 }
 
 // Confirm notes that everything accepted before begun is known.
--- a/version/accepted/accepted_test.go
+++ b/version/accepted/accepted_test.go
@@ -20,7 +20,7 @@
 	if _, ok := b.InForce().Owner("k"); ok {
 		t.Error("the key is back")
 	}
-	if !b.Name(time.Time{}, "m", 4) || b.Name(time.Time{}, "m", 4) || b.Name(time.Time{}, "m", 2) || b.Weights()["m"] != 4 {
+	if !b.Name(time.Time{}, "m", 4, false) || b.Name(time.Time{}, "m", 4, false) || b.Name(time.Time{}, "m", 2, false) || b.Weights()["m"] != 4 {
 		t.Errorf("weights %v", b.Weights())
 	}
 }
@@ -47,7 +47,7 @@
 	b := NewBook()
 	at := time.Unix(100, 0)
 	for v := range uint64(100) {
-		b.Name(at.Add(time.Duration(v)*time.Second), "m", v+1)
+		b.Name(at.Add(time.Duration(v)*time.Second), "m", v+1, false)
 	}
 	now := at.Add(99 * time.Second)
 	cases := []struct {
@@ -55,12 +55,43 @@
 		want time.Duration
 	}{{100, 0}, {99, 1}, {98, time.Second}, {90, 9 * time.Second}}
 	for _, c := range cases {
-		if got := b.Outdated(now, "m", c.held); got != c.want {
+		if got, sure := b.Outdated(now, "m", c.held); got != c.want || !sure {
 			t.Errorf("version %d: outdated for %v, want %v", c.held, got, c.want)
 		}
 	}
 }
 
+// A node is restarted, reads that version 5 is the newest, and does not know
+// since when. Taken as named just now, it would send requests to weights that
+// were replaced long ago. A peer tells it of all versions that it saw named.
+func TestRestartedNodeLearnsTheAgesFromAPeer(t *testing.T) {
+	at := time.Unix(100, 0)
+	peer := NewBook()
+	peer.Name(at, "m", 1, true)
+	for v := uint64(3); v <= 5; v++ {
+		peer.Name(at.Add(time.Duration(v)*time.Second), "m", v, false)
+	}
+	now := at.Add(10 * time.Second)
+	b := NewBook()
+	b.Name(now, "m", 5, true)
+	if age, sure := b.Outdated(now, "m", 2); sure || age == 0 {
+		t.Errorf("before it is told: %v, %v", age, sure)
+	}
+	b.Learn(now, peer.Namings(now))
+	cases := []struct {
+		held uint64
+		want time.Duration
+	}{{5, 0}, {4, 5 * time.Second}, {3, 6 * time.Second}, {2, 7 * time.Second}, {1, 7 * time.Second}}
+	for _, c := range cases {
+		if age, sure := b.Outdated(now, "m", c.held); age != c.want || !sure {
+			t.Errorf("version %d: %v, %v, want %v", c.held, age, sure, c.want)
+		}
+	}
+	if b.Weights()["m"] != 5 {
+		t.Error("a peer's word has changed the newest version")
+	}
+}
+
 func TestOwnerNeedsAKey(t *testing.T) {
 	f := New(Configuration{Workspaces: map[string]Workspace{
 		"sofia": {Name: "sofia", Keys: []string{keyring.Hash("k")}, Isolated: true},
