Bring half of the engines to new weights at once, the others after 5 s

Cause: versions named every 4 s roll through all engines, each of which refuses for 2 s and loses its cache, while half of them could serve. Change: half of the engines take a version at once, the oldest first; the others follow once it has settled.

--- a/process/gateway/orders.go
+++ b/process/gateway/orders.go
@@ -66,6 +66,16 @@
 // Newest is the newest version that was named.
 func (f *fleet) Newest(model string) uint64 { return f.book.Weights()[model] }
 
+// Age is how long ago the newest version was named, as far as this node knows.
+func (f *fleet) Age(model string) time.Duration {
+	newest := f.Newest(model)
+	if newest == 0 {
+		return 0
+	}
+	age, _ := f.book.Outdated(clock.Boot(), model, newest-1)
+	return age
+}
+
 // Client gives an engine's client.
 func (f *fleet) Client(name string) (upstream.Engine, bool) {
 	u, ok := f.view.Config().Upstreams[name]
--- a/version/rollout/rollout.go
+++ b/version/rollout/rollout.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -35,6 +36,8 @@
 	Engines() []Engine
 	// Newest is the newest version that was named of a model; 0: none.
 	Newest(model string) uint64
+	// Age is how long ago it was named.
+	Age(model string) time.Duration
 	// Client gives an engine's client; false if it has gone.
 	Client(name string) (upstream.Engine, bool)
 	// Holds notes that an engine holds a version.
@@ -56,6 +59,12 @@
 	// others load: an engine's load takes longer while more than two do so.
 	Part  float64
 	Least int
+	// Ahead is the part of the engines that are brought to new weights at once;
+	// the others follow after Settle. Requests prefer the former, so that the
+	// others run empty meanwhile; a version that is replaced within that time
+	// costs them no load.
+	Ahead  float64
+	Settle time.Duration
 	// Tick is the time between two looks.
 	Tick time.Duration
 	// Poll is the time between two questions to an engine that loads, and First
@@ -73,7 +82,7 @@
 
 // Default is for engines that load in about a second.
 var Default = Config{
-	Part: 1.0 / 3, Least: 2,
+	Part: 1.0 / 3, Least: 2, Ahead: 0.5, Settle: 5 * time.Second,
 	Tick: 100 * time.Millisecond, Poll: 250 * time.Millisecond, First: 700 * time.Millisecond,
 	Timeout: time.Second, Patience: 8 * time.Second, Rest: time.Second,
 }
@@ -81,11 +90,14 @@
 // Next gives the engines to be ordered now, besides those that are changing:
 // the ones with the oldest weights, so that the span of versions in use stays
 // small, in the order of their names.
-func Next(cfg Config, engines []Engine, newest func(model string) uint64, changing []string) []Engine {
+func Next(cfg Config, engines []Engine, newest func(model string) uint64, age func(model string) time.Duration, changing []string) []Engine {
 	room := max(cfg.Least, int(cfg.Part*float64(len(engines)))) - len(changing)
 	old := lo.Filter(engines, func(e Engine, _ int) bool {
 		return e.Held < newest(e.Model) && !slices.Contains(changing, e.Name)
 	})
+	if ahead := len(engines) - len(old); lo.EveryBy(old, func(e Engine) bool { return age(e.Model) < cfg.Settle }) {
+		room = min(room, int(math.Ceil(cfg.Ahead*float64(len(engines))))-ahead)
+	}
 	slices.SortFunc(old, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(a.Held, b.Held), cmp.Compare(a.Name, b.Name))
 	})
@@ -142,7 +154,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, e := range Next(r.cfg, r.rested(r.fleet.Engines()), r.fleet.Newest, lo.Keys(r.changing)) {
+	for _, e := range Next(r.cfg, r.rested(r.fleet.Engines()), r.fleet.Newest, r.fleet.Age, lo.Keys(r.changing)) {
 		r.changing[e.Name] = true
 		r.work.Go(func() {
 			err := r.change(ctx, e)
--- a/version/rollout/rollout_test.go
+++ b/version/rollout/rollout_test.go
@@ -56,6 +56,7 @@
 }
 
 func (f *fleet) Engines() []Engine                       { return []Engine{{Name: "a", Model: "m", Held: f.held}} }
+func (f *fleet) Age(string) time.Duration                { return 0 }
 func (f *fleet) Newest(string) uint64                    { return f.newest }
 func (f *fleet) Client(string) (upstream.Engine, bool)   { return f.e, f.e != nil }
 func (f *fleet) Holds(_, _ string, v uint64)             { f.held = v }
@@ -83,13 +84,44 @@
 		{[]string{"f", "b"}, ""},
 	}
 	for _, c := range cases {
-		got := Next(Config{Part: 0.34, Least: 1}, engines, newest, c.changing)
+		got := Next(Config{Part: 0.34, Least: 1, Ahead: 1}, engines, newest, age(time.Second), c.changing)
 		if names := lo.Reduce(got, func(s string, e Engine, _ int) string { return s + e.Name }, ""); names != c.want {
 			t.Errorf("changing %v: %q, want %q", c.changing, names, c.want)
 		}
 	}
 }
 
+func age(d time.Duration) func(string) time.Duration {
+	return func(string) time.Duration { return d }
+}
+
+// Versions are named every few seconds. Half of the engines take each at once
+// and serve; the others wait for a while whether it stays, since each load
+// empties a cache. After that they follow.
+func TestOthersFollowOnceTheVersionHasSettled(t *testing.T) {
+	newest := func(string) uint64 { return 3 }
+	cfg := Config{Part: 1, Ahead: 0.5, Settle: 5 * time.Second}
+	engines := []Engine{
+		{Name: "a", Model: "m", Held: 3}, {Name: "b", Model: "m", Held: 1}, {Name: "c", Model: "m", Held: 2},
+		{Name: "d", Model: "m", Held: 2}, {Name: "e", Model: "m", Held: 2},
+	}
+	cases := []struct {
+		name     string
+		age      time.Duration
+		changing []string
+		want     int
+	}{
+		{"just named", 0, nil, 2},
+		{"half of them change or have it", time.Second, []string{"b", "c"}, 0},
+		{"settled", 5 * time.Second, []string{"b", "c"}, 2},
+	}
+	for _, c := range cases {
+		if got := Next(cfg, engines, newest, age(c.age), c.changing); len(got) != c.want {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
+
 // The engine accepts an order, and its answer is lost. The next look finds it
 // loading and waits; a second order would empty its cache once more.
 func TestLostAnswerIsReadBack(t *testing.T) {
