Tell peers of loads and caches twice a second

Cause: each node saw its own sixth or eighth of the load and all crowded on the engines with the newest weights. Change: the summaries and the news of caches that nodes of the product tell each other are told here as well; both ways to build a node share the code in package policy. Weights that the register tells empty the beliefs at once.

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -15,7 +15,9 @@
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 )
 
@@ -38,10 +40,11 @@
 // peers are the other nodes. They are found through the platform's directory;
 // until it answers this node knows nobody, and serves all the same.
 type peers struct {
-	log    *zap.Logger
-	roster *roster.Roster
-	keeper *duty.Keeper
-	book   *accepted.Book
+	log      *zap.Logger
+	roster   *roster.Roster
+	keeper   *duty.Keeper
+	book     *accepted.Book
+	policies *policy.Table
 
 	mu      sync.Mutex // guards all below
 	members *member.Runner
@@ -55,7 +58,7 @@
 
 func (g *Gateway) newPeers(i do.Injector, p Platform) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
-	ps := &peers{log: g.log, roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i), book: do.MustInvoke[*accepted.Book](i), cancel: cancel, holder: clock.Boot()}
+	ps := &peers{log: g.log, roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i), book: do.MustInvoke[*accepted.Book](i), policies: do.MustInvoke[*policy.Table](i), cancel: cancel, holder: clock.Boot()}
 	self := platform.VM{Name: g.settings.Node, Address: g.settings.Peers, DataCentre: g.settings.DataCentre}
 	ps.work.Go(func() { ps.enter(ctx, p.Directory, self) })
 	g.onClose(ps.close)
@@ -211,6 +214,75 @@
 	return lo.CountBy(p.members.Live(now), func(m member.Member) bool { return m.Name != self.Name && before(m) })
 }
 
+// exchangePause is the time between two tellings of this node's load and of
+// what its answers say of caches. A summary that is older draws all nodes to
+// the same idle engine; a tenth of it changes nothing measurable.
+const exchangePause = 500 * time.Millisecond
+
+// Values are what one node tells its peers of its own traffic.
+type Values struct {
+	Node      string
+	Placement []byte // see policy.EncodeSummary
+	Caches    []byte // see cachenews.Book
+}
+
+// exchanger tells the peers of this node's traffic.
+type exchanger struct {
+	node     string
+	peers    *peers
+	policies *policy.Table
+	news     *cachenews.Book
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
+}
+
+func (g *Gateway) newExchanger(i do.Injector) (*exchanger, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &exchanger{
+		node: g.settings.Node, peers: do.MustInvoke[*peers](i), policies: do.MustInvoke[*policy.Table](i),
+		news: do.MustInvoke[*cachenews.Book](i), cancel: cancel,
+	}
+	e.work.Go(func() { e.run(ctx) })
+	g.onClose(func() {
+		cancel()
+		e.work.Wait()
+	})
+	return e, nil
+}
+
+func (e *exchanger) run(ctx context.Context) {
+	t := time.NewTicker(exchangePause)
+	defer t.Stop()
+	for turn := 0; ; turn++ {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			v := Values{Node: e.node, Placement: e.policies.Value(now, e.node, turn), Caches: e.news.Value(now, cachenews.ValueBytes)}
+			e.peers.toAll("Exchange", v)
+		}
+	}
+}
+
+// toAll calls a method of all live nodes, and returns when they have answered
+// or the time for it is over. It gives the peers that did not.
+func (p *peers) toAll(method string, args any) []string {
+	others, client := p.live(time.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	missed := make([]string, len(others))
+	for i, m := range others {
+		calls.Go(func() {
+			if err := client.Call(ctx, m.Address, enginesService+"."+method, args, &Heard{}); err != nil {
+				missed[i] = m.Name
+			}
+		})
+	}
+	calls.Wait()
+	return lo.Compact(missed)
+}
+
 // EngineNews is what the holder of the duty tells of one engine.
 type EngineNews struct {
 	Engine string // empty: nothing but that there is a holder
@@ -227,19 +299,10 @@
 // tell gives the news to all live nodes, and returns when they have it or the
 // time for it is over. One that is missed hears by the register or the engine.
 func (p *peers) tell(news EngineNews) {
-	others, client := p.live(time.Now())
-	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
-	defer cancel()
-	var calls sync.WaitGroup
-	for _, m := range others {
-		calls.Go(func() {
-			err := client.Call(ctx, m.Address, enginesService+".Tell", news, &Heard{})
-			if err != nil && news.Engine != "" {
-				event.Info(p.log, event.NewsNotHeard, zap.String("Peer", m.Name), zap.String("Upstream", news.Engine), zap.Error(err))
-			}
-		})
+	missed := p.toAll("Tell", news)
+	if len(missed) > 0 && news.Engine != "" {
+		event.Info(p.log, event.NewsNotHeard, zap.Strings("Peers", missed), zap.String("Upstream", news.Engine))
 	}
-	calls.Wait()
 }
 
 // tellHolder gives the others a sign that this node has the duty.
@@ -250,6 +313,14 @@
 	peers *peers
 }
 
+// Exchange takes in what a peer tells of its traffic, as young as the call.
+func (h *enginesHandler) Exchange(v Values, _ *Heard) error {
+	now := time.Now()
+	h.peers.policies.Merge(now, now, v.Node, v.Placement)
+	h.peers.policies.Heard(now, v.Caches)
+	return nil
+}
+
 // Known is what a node knows that one that has just started can't read.
 type Known struct {
 	Namings []accepted.Naming
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -77,6 +77,8 @@
 	do.Provide(i, func(i do.Injector) (*catalogue.Current, error) {
 		return catalogue.NewCurrent(do.MustInvoke[*view](i)), nil
 	})
+	do.Provide(i, func(do.Injector) (*cachenews.Book, error) { return &cachenews.Book{}, nil })
+	do.Provide(i, g.newExchanger)
 	do.Provide(i, g.newGuards)
 	do.Provide(i, func(i do.Injector) (*inventory.Inventory, error) { return g.newInventory(i, p), nil })
 	do.Provide(i, g.newPolicies)
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -48,7 +47,6 @@
 	news       *cachenews.Book
 	upstreams  *member.Upstreams
 
-	names    atomic.Pointer[nameTable]
 	inForce  platform.Offset        // of the configuration that the parts have; of one goroutine alone
 	shared   time.Time              // last exchange of limits; of one goroutine alone
 	turn     int                    // which part of the rotating values is told next
--- a/process/node/values.go
+++ b/process/node/values.go
@@ -7,13 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
-	"github.com/dunlinmill/dunlinmill/request/placement"
-	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -22,7 +18,7 @@
 type Values struct {
 	Node       string
 	DataCentre string
-	Placement  []byte // see encodeSummary
+	Placement  []byte // see policy.EncodeSummary
 	Engines    []byte // see encodeStatuses
 	Caches     []byte // see cachenews.Book
 	Evidence   []byte // which upstreams failed its sends; see member.EncodeReports
@@ -56,29 +52,13 @@
 	return Values{
 		Node:       m.node,
 		DataCentre: m.members.Self().DataCentre,
-		Placement:  m.placementValue(now),
+		Placement:  m.policies.Value(now, m.node, m.turn),
 		Engines:    encodeStatuses(m.ownStatuses(now)),
 		Caches:     m.news.Value(now, cachenews.ValueBytes),
 		Evidence:   member.EncodeReports(m.upstreams.Reports(now)),
 	}
 }
 
-// placementValue is the summary of one group of engines, each group's in turn.
-func (m *maintenance) placementValue(now time.Time) []byte {
-	type entry struct {
-		key    catalogue.Group
-		policy placement.Policy
-	}
-	var all []entry
-	m.policies.Each(func(key catalogue.Group, p placement.Policy) { all = append(all, entry{key, p}) })
-	if len(all) == 0 {
-		return nil
-	}
-	slices.SortFunc(all, func(a, b entry) int { return cmp.Compare(groupID(a.key), groupID(b.key)) })
-	e := all[m.turn%len(all)]
-	return encodeSummary(e.key, e.policy.Summarize(now, m.node))
-}
-
 // ownStatuses are those of the engines that this node asks.
 func (m *maintenance) ownStatuses(now time.Time) []inventory.Status {
 	o := owner{members: m.members}
@@ -191,25 +171,15 @@
 // take learns from a peer's values as of a time by this node's clock. A part in
 // a newer node's form is passed over.
 func (m *maintenance) take(now, at time.Time, v Values) {
-	names := m.upstreamNames()
+	names := m.policies.Names()
 	if statuses, err := decodeStatuses(v.Engines, names); err == nil {
 		for _, s := range statuses {
 			s.At = at
 			m.inventory.Learn(now, s)
 		}
 	}
-	m.takePlacement(now, at, v, names)
-	entries, err := cachenews.Decode(v.Caches)
-	if err != nil {
-		return
-	}
-	m.policies.Each(func(_ catalogue.Group, p placement.Policy) {
-		for _, e := range entries {
-			if name, ok := names[e.Upstream]; ok {
-				p.Cached(now, name, e.Event())
-			}
-		}
-	})
+	m.policies.Merge(now, at, v.Node, v.Placement)
+	m.policies.Heard(now, v.Caches)
 }
 
 // takeEvidence replaces what a peer has told of upstreams that failed its
@@ -220,43 +190,6 @@
 	}
 }
 
-// takePlacement merges a peer's summary into the policy of its group.
-func (m *maintenance) takePlacement(now, at time.Time, v Values, names map[cachenews.UpstreamID]string) {
-	if len(v.Placement) == 0 {
-		return
-	}
-	id, s, err := decodeSummary(v.Placement, names)
-	if err != nil {
-		return
-	}
-	s.Node, s.At = v.Node, at
-	m.policies.Each(func(key catalogue.Group, p placement.Policy) {
-		if groupID(key) == id {
-			p.Merge(now, s)
-		}
-	})
-}
-
-// nameTable is the names behind the ids that nodes tell each other, for one
-// configuration. It is never changed once it has been given out.
-type nameTable struct {
-	of    *catalogue.Catalogue
-	names map[cachenews.UpstreamID]string
-}
-
-// upstreamNames gives the names of the configuration in force. Two callers may
-// make the same table at the same moment; either is right.
-func (m *maintenance) upstreamNames() map[cachenews.UpstreamID]string {
-	c := m.catalogue.Catalogue()
-	if t := m.names.Load(); t != nil && t.of == c {
-		return t.names
-	}
-	t := &nameTable{of: c, names: lo.MapEntries(c.Config().Upstreams,
-		func(name string, _ config.Upstream) (cachenews.UpstreamID, string) { return cachenews.IDOf(name), name })}
-	m.names.Store(t)
-	return t.names
-}
-
 // Told answers a peer that has told its values.
 type Told struct{}
 
--- a/process/node/values_bench_test.go
+++ b/process/policy/names_bench_test.go
@@ -1,4 +1,4 @@
-package node
+package policy
 
 import (
 	"fmt"
@@ -12,9 +12,9 @@
 
 func (v fixedView) Config() config.Config { return v.cfg }
 
-// BenchmarkUpstreamNames gives what finding the names behind a peer's ids costs
+// BenchmarkNames gives what finding the names behind a peer's ids costs
 // for each value that is taken in.
-func BenchmarkUpstreamNames(b *testing.B) {
+func BenchmarkNames(b *testing.B) {
 	for _, n := range []int{12, 100, 400, 1700} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			cfg := config.New().WithOffset(1)
@@ -22,10 +22,10 @@
 				name := fmt.Sprintf("runner-%d", i)
 				cfg.Upstreams[name] = config.Upstream{Name: name}
 			}
-			m := &maintenance{catalogue: catalogue.NewCurrent(fixedView{cfg: cfg})}
+			p := New(catalogue.NewCurrent(fixedView{cfg: cfg}), nil, nil)
 			b.ReportAllocs()
 			for b.Loop() {
-				if len(m.upstreamNames()) != n {
+				if len(p.Names()) != n {
 					b.Fatal("names are missing")
 				}
 			}
--- a/process/policy/policy.go
+++ b/process/policy/policy.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -22,6 +23,7 @@
 	usable    func(now time.Time, name string) bool
 	make      func() placement.Policy
 	versions  func(name, model string) string
+	names     atomic.Pointer[nameTable]
 
 	mu     sync.Mutex
 	groups map[catalogue.Group]*group
--- a/process/node/summary.go
+++ b/process/policy/summary.go
@@ -1,4 +1,4 @@
-package node
+package policy
 
 import (
 	"encoding/binary"
@@ -15,7 +15,7 @@
 )
 
 // errSummary means that a peer's value is not a summary in this form.
-var errSummary = errors.New("node: malformed placement summary")
+var errSummary = errors.New("policy: malformed placement summary")
 
 // Sizes of a summary on the way to a peer. On the heartbeats one value has
 // room for member.MaxBlobBytes; the same as JSON would take four times as much.
@@ -30,17 +30,17 @@
 	mostHot = 16
 )
 
-// groupID stands for a group of engines.
-func groupID(g catalogue.Group) uint64 {
+// GroupID stands for a group of engines.
+func GroupID(g catalogue.Group) uint64 {
 	return xxhash.Sum64String(g.Pool + "\x00" + g.Model)
 }
 
-// encodeSummary gives as much of a summary as fits into one published value.
-func encodeSummary(g catalogue.Group, s placement.Summary) []byte {
+// EncodeSummary gives as much of a summary as fits into one published value.
+func EncodeSummary(g catalogue.Group, s placement.Summary) []byte {
 	inFlight := s.InFlight[:min(len(s.InFlight), mostInFlight)]
 	room := (member.MaxBlobBytes - headBytes - len(inFlight)*inFlightBytes) / hotBytes
 	hot := s.HotLevels[:min(len(s.HotLevels), room, mostHot)]
-	b := binary.LittleEndian.AppendUint64(nil, groupID(g))
+	b := binary.LittleEndian.AppendUint64(nil, GroupID(g))
 	b = append(b, byte(len(inFlight)), byte(len(hot)))
 	for _, f := range inFlight {
 		b = binary.LittleEndian.AppendUint32(b, uint32(cachenews.IDOf(f.Upstream)))
@@ -54,9 +54,9 @@
 	return b
 }
 
-// decodeSummary reads a peer's value. Upstreams that this node does not know
+// DecodeSummary reads a peer's value. Upstreams that this node does not know
 // yet are left out.
-func decodeSummary(b []byte, names map[cachenews.UpstreamID]string) (group uint64, s placement.Summary, err error) {
+func DecodeSummary(b []byte, names Names) (group uint64, s placement.Summary, err error) {
 	if len(b) < headBytes {
 		return 0, s, fmt.Errorf("%d bytes: %w", len(b), errSummary)
 	}
--- a/process/node/summary_test.go
+++ b/process/policy/summary_test.go
@@ -1,4 +1,4 @@
-package node
+package policy
 
 import (
 	"errors"
@@ -30,8 +30,8 @@
 
 func TestSummaryComesBackWhole(t *testing.T) {
 	s, names := summary(12, mostHot)
-	id, got, err := decodeSummary(encodeSummary(testGroup, s), names)
-	if err != nil || id != groupID(testGroup) || !reflect.DeepEqual(got, s) {
+	id, got, err := DecodeSummary(EncodeSummary(testGroup, s), names)
+	if err != nil || id != GroupID(testGroup) || !reflect.DeepEqual(got, s) {
 		t.Errorf("got %+v, %v", got, err)
 	}
 }
@@ -41,11 +41,11 @@
 // place as if this node sent nothing.
 func TestSummaryFits(t *testing.T) {
 	s, names := summary(500, 500)
-	b := encodeSummary(testGroup, s)
+	b := EncodeSummary(testGroup, s)
 	if len(b) > member.MaxBlobBytes {
 		t.Errorf("%d bytes, at most %d fit", len(b), member.MaxBlobBytes)
 	}
-	_, got, err := decodeSummary(b, names)
+	_, got, err := DecodeSummary(b, names)
 	if err != nil || len(got.InFlight) != mostInFlight || len(got.HotLevels) != mostHot {
 		t.Errorf("%d upstreams, %d hot levels, %v", len(got.InFlight), len(got.HotLevels), err)
 	}
@@ -53,10 +53,10 @@
 
 func FuzzDecodeSummary(f *testing.F) {
 	s, names := summary(3, 3)
-	f.Add(encodeSummary(testGroup, s))
+	f.Add(EncodeSummary(testGroup, s))
 	f.Add([]byte{1})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if _, _, err := decodeSummary(b, names); err != nil && !errors.Is(err, errSummary) {
+		if _, _, err := DecodeSummary(b, names); err != nil && !errors.Is(err, errSummary) {
 			t.Fatal(err)
 		}
 	})
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -72,6 +72,12 @@
 	defer a.mu.Unlock()
 	a.ticker.at(now)
 	a.fleet.set(upstreams)
+	for _, m := range a.fleet.eligible {
+		// New weights have emptied its cache, long before an answer shows them.
+		if m.Version != "" && m.engine.version != "" {
+			m.engine.observe(now, m.engine.incarnation, m.Version)
+		}
+	}
 }
 
 // Place implements Policy.
