--- a/process/gateway/joiner.go
+++ b/process/gateway/joiner.go
@@ -24,6 +24,9 @@
 	mostTurns = 10
 	// lookPause is the time between two looks at whether the duty is to be taken.
 	lookPause = 100 * time.Millisecond
+	// askPause is the time after a question to the platform, whose calls are paid
+	// for, also when it is away.
+	askPause = 400 * time.Millisecond
 )
 
 // joiner takes the duty when nobody has it, and keeps it. Only the holder is in
@@ -57,9 +60,15 @@
 func (j *joiner) run(ctx context.Context) {
 	for !j.isLeaving() {
 		pause := lookPause
-		if j.keeper.Holds(clock.Boot()) || j.due() && j.free(ctx) {
+		switch {
+		case j.keeper.Holds(clock.Boot()):
 			j.join(ctx)
 			pause = joinPause
+		case j.due():
+			if j.free(ctx) {
+				j.join(ctx)
+			}
+			pause = askPause
 		}
 		select {
 		case <-ctx.Done():
