--- a/connection/upstream/overhttp/stream_test.go
+++ b/connection/upstream/overhttp/stream_test.go
@@ -62,6 +62,7 @@
 		{"whole with a long line", head + long + last + end, nil},
 		{"no head", first + last + end, upstream.ErrOutOfOrder},
 		{"head of another stream", strings.ReplaceAll(head, "g", "h") + first + last + end, upstream.ErrOutOfOrder},
+		{"another stream, whole", strings.ReplaceAll(head+first+last+end, "g", "h"), upstream.ErrOutOfOrder},
 		{"end before the last token", head + first + event("g 1", "End", `{"Tokens":1}`), upstream.ErrOutOfOrder},
 		{"token after the last", head + first + last + event("g 2", "Token", `{"Text":"c"}`) + end, upstream.ErrOutOfOrder},
 		{"end of more tokens", head + first + last + event("g 2", "End", `{"Tokens":3}`), upstream.ErrOutOfOrder},
