--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -51,6 +51,10 @@
 	// connection that a cut has silenced ends by it, and not by the deadline
 	// of the request that was sent on it.
 	AckTimeout time.Duration
+	// Probe has TCP ask a silent connection whether the other side is still
+	// there, after so long and again after as long; 0: never. It ends a wait for
+	// an answer that nobody is left to give. TCP counts in whole seconds.
+	Probe time.Duration
 	// Unframed accepts an answer that has neither a length nor chunks and ends
 	// with an orderly close. Without it such an answer is broken.
 	Unframed bool
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -64,6 +64,9 @@
 
 func (p *pool) dial(ctx context.Context) (*connection, error) {
 	d := net.Dialer{Timeout: p.cfg.DialTimeout, Control: p.control()}
+	if p.cfg.Probe > 0 {
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: p.cfg.Probe, Interval: p.cfg.Probe, Count: probes}
+	}
 	nc, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
@@ -74,6 +77,9 @@
 	return c, nil
 }
 
+// probes is how many unanswered probes end a connection.
+const probes = 2
+
 // control sets what has to be set before a connection is opened; nil: nothing.
 func (p *pool) control() func(string, string, syscall.RawConn) error {
 	if p.cfg.AckTimeout <= 0 {
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -121,7 +121,7 @@
 // few times in a row is rather dead than unlucky, and its ejection keeps
 // nobody from its next start.
 const (
-	ejectAfter = 3
+	ejectAfter = 2
 	ejectFor   = 2 * time.Second
 	ejectMost  = 10 * time.Second
 )
