--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -316,6 +316,6 @@
 	if x.in.Grant == 0 || e.RetryAfter == 0 {
 		return e.RetryAfter
 	}
-	left := x.began.Add(x.in.Grant).Sub(time.Now())
+	left := time.Until(x.began.Add(x.in.Grant))
 	return min(e.RetryAfter, max(0, time.Duration(comeBackPart*float64(left))))
 }
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -6,7 +6,6 @@
 
 	"github.com/samber/lo"
 
-	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -130,6 +129,3 @@
 	}
 	return 0
 }
-
-// offset numbers the configuration in force in this process.
-func (v *view) offset() platform.Offset { return v.Config().Offset }
