--- a/process/duty/duty.go
+++ b/process/duty/duty.go
@@ -69,6 +69,13 @@
 // NewKeeper starts without the duty.
 func NewKeeper(cfg Config) *Keeper { return &Keeper{cfg: cfg} }
 
+// SetLease replaces how long the acts of two holders have to be apart.
+func (k *Keeper) SetLease(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cfg.Lease = d
+}
+
 // Generation is what the next join has to name.
 func (k *Keeper) Generation() uint64 {
 	k.mu.Lock()
--- a/process/event/process.go
+++ b/process/event/process.go
@@ -22,4 +22,10 @@
 	SecretReloadFailed
 	// AcceptFailed: a connection could not be taken. To do: for "too many open files", look for callers that open connections without end.
 	AcceptFailed
+	// SettingsReloaded: the settings file was read again, after a signal or a change; what may change while the process runs is in force.
+	SettingsReloaded
+	// SettingsNotReloaded: a changed settings file could not be used; the former settings stay. To do: mend the file.
+	SettingsNotReloaded
+	// SettingsNeedRestart: the settings file names another node or other listeners, which a running process keeps. To do: restart the process.
+	SettingsNeedRestart
 )
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -27,12 +27,17 @@
 	"github.com/dunlinmill/dunlinmill/version/rollout"
 )
 
-// Settings are what a gateway is told at its start. The bounds are those of
-// the platform that it runs on.
+// Settings are what a gateway is told at its start.
 type Settings struct {
 	Node       string
 	DataCentre string
 	Peers      string // IP:port at which other nodes reach this one
+	Bounds     Bounds
+}
+
+// Bounds are those of the platform that a gateway runs on. They may be replaced
+// while it runs.
+type Bounds struct {
 	// KeyLife is how old the proof of the configuration may be for a key to be
 	// honoured; 0: keys never lapse.
 	KeyLife time.Duration
@@ -97,7 +102,8 @@
 
 // Gateway is one node.
 type Gateway struct {
-	settings Settings
+	settings Settings // but for Bounds
+	bounds   *atomic.Pointer[Bounds]
 	log      *zap.Logger
 	injector *do.RootScope
 
@@ -116,7 +122,8 @@
 
 // New makes a node and starts to follow the platform.
 func New(s Settings, p Platform, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{settings: s, log: log, injector: do.New(), group: p.Group}
+	g := &Gateway{settings: s, bounds: &atomic.Pointer[Bounds]{}, log: log, injector: do.New(), group: p.Group}
+	g.bounds.Store(&s.Bounds)
 	g.provide(p)
 	if err := g.build(); err != nil {
 		g.Close()
@@ -152,6 +159,12 @@
 	return nil
 }
 
+// SetBounds replaces the bounds for all decisions to come.
+func (g *Gateway) SetBounds(b Bounds) {
+	g.bounds.Store(&b)
+	g.keeper.SetLease(b.Lease)
+}
+
 // Close stops all parts in the reverse order of their making.
 func (g *Gateway) Close() {
 	for i := len(g.closers) - 1; i >= 0; i-- {
@@ -198,7 +211,8 @@
 		return false
 	}
 	age, ok := g.book.Age(now)
-	return ok && (g.settings.KeyLife == 0 || age < time.Duration(earningPart*float64(g.settings.KeyLife)))
+	life := g.bounds.Load().KeyLife
+	return ok && (life == 0 || age < time.Duration(earningPart*float64(life)))
 }
 
 // Boot is the clock by which ages and leases are judged.
--- a/process/gateway/orders.go
+++ b/process/gateway/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -103,7 +104,7 @@
 	roster *roster.Roster
 	book   *accepted.Book
 	view   *view
-	life   time.Duration // of replaced weights; 0: no bound
+	bounds *atomic.Pointer[Bounds]
 }
 
 // Excluded gives the upstreams that must not get a request now. Those that are
@@ -131,7 +132,8 @@
 // weights gives the engines on whose weights no request may begin any more, and
 // those of which this node can't tell.
 func (a available) weights(names []string) (expired, doubtful []string) {
-	if a.life == 0 {
+	life := a.bounds.Load().WeightsLife
+	if life == 0 {
 		return nil, nil
 	}
 	boot := clock.Boot()
@@ -140,7 +142,7 @@
 		for _, model := range upstreams[name].Models {
 			age, sure := a.outdated(boot, name, model)
 			switch {
-			case age > time.Duration(beginPart*float64(a.life)):
+			case age > time.Duration(beginPart*float64(life)):
 				expired = append(expired, name)
 			case !sure:
 				doubtful = append(doubtful, name)
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -73,7 +73,7 @@
 	do.Provide(i, func(do.Injector) (*accepted.Book, error) { return accepted.NewBook(), nil })
 	do.Provide(i, func(do.Injector) (*roster.Roster, error) { return roster.New(), nil })
 	do.Provide(i, func(do.Injector) (*duty.Keeper, error) {
-		return duty.NewKeeper(duty.Config{Valid: joinValid, Life: joinLife, Lease: g.settings.Lease, Flight: joinFlight}), nil
+		return duty.NewKeeper(duty.Config{Valid: joinValid, Life: joinLife, Lease: g.settings.Bounds.Lease, Flight: joinFlight}), nil
 	})
 	do.Provide(i, g.newView)
 	do.Provide(i, func(i do.Injector) (*catalogue.Current, error) {
@@ -215,7 +215,7 @@
 		Admission: open{},
 		Guard: available{
 			Guard: do.MustInvoke[guards](i).engines, roster: do.MustInvoke[*roster.Roster](i),
-			book: do.MustInvoke[*accepted.Book](i), view: do.MustInvoke[*view](i), life: g.settings.WeightsLife,
+			book: do.MustInvoke[*accepted.Book](i), view: do.MustInvoke[*view](i), bounds: g.bounds,
 		},
 		Shedder:  shedder,
 		News:     do.MustInvoke[*cachenews.Book](i),
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -117,7 +117,7 @@
 	}
 	x.route = r
 	if !r.Public && len(f.Workspaces) > 0 {
-		if x.g.settings.KeyLife > 0 && age >= x.g.settings.KeyLife {
+		if life := x.g.bounds.Load().KeyLife; life > 0 && age >= life {
 			return x.unsure()
 		}
 		if x.owner, ok = f.Owner(x.in.Key); !ok {
@@ -140,7 +140,7 @@
 const soon = 100 * time.Millisecond
 
 func (x *exchange) missing(age time.Duration, err *failure.Error) *failure.Error {
-	if age >= x.g.settings.ConfigLag {
+	if age >= x.g.bounds.Load().ConfigLag {
 		return x.unsure()
 	}
 	return err
@@ -151,7 +151,7 @@
 func (x *exchange) deadline() time.Time {
 	var d time.Time
 	if x.in.Grant > 0 {
-		d = x.began.Add(max(x.in.Grant-x.g.settings.Transit, x.in.Grant/2))
+		d = x.began.Add(max(x.in.Grant-x.g.bounds.Load().Transit, x.in.Grant/2))
 	}
 	if t := x.route.Timeout; t > 0 && (d.IsZero() || x.began.Add(t).Before(d)) {
 		d = x.began.Add(t)
