Have a holder of the duty that the platform does not answer resign to its peers

Change: only the sign itself counts; a lapsed holder tells its last act; a resignation counts also after the successor joined; a look is no act; abandoned calls to the platform are reset, as a late join took the duty away from its new holder for 4 s.

--- a/connection/upstream/overhttp/exchange/doubt_test.go
+++ b/connection/upstream/overhttp/exchange/doubt_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -155,3 +157,24 @@
 		t.Errorf("without a time of the upstream: %v", got)
 	}
 }
+
+// A cut holds a request up, and its sender gives up. Once the cut has healed,
+// the other side's TCP gets what is left in the sender's buffers, unless the
+// connection was reset: then there is nobody to send it.
+func TestAbandonedExchangeIsReset(t *testing.T) {
+	ended := make(chan error, 1)
+	at := upstreamScript(t, func(c net.Conn, br *bufio.Reader) {
+		readRequest(t, br)
+		_, err := br.ReadByte()
+		ended <- err
+	})
+	cl := New(at, Config{Reset: true, ReadTimeout: 20 * time.Millisecond})
+	defer cl.Close()
+	var resp fasthttp.Response
+	if err := cl.Whole(context.Background(), requestWith("mine", nil), &resp); !errors.Is(err, ErrBroken) {
+		t.Fatal(err)
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v", err)
+	}
+}
--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -55,6 +55,10 @@
 	// there, after so long and again after as long; 0: never. It ends a wait for
 	// an answer that nobody is left to give. TCP counts in whole seconds.
 	Probe time.Duration
+	// Reset ends the connection of an abandoned exchange by a reset. Without it,
+	// a request that a cut has held up still reaches the other side when the cut
+	// heals, seconds after its sender has given it up.
+	Reset bool
 	// Unframed accepts an answer that has neither a length nor chunks and ends
 	// with an orderly close. Without it such an answer is broken.
 	Unframed bool
@@ -149,7 +153,7 @@
 	s := &Stream{client: c, ctx: ctx, conn: conn, resp: resp}
 	// Closing the connection is what wakes a reader whose caller went away,
 	// and what keeps a late answer from the next request.
-	s.release = context.AfterFunc(ctx, func() { conn.Close() })
+	s.release = context.AfterFunc(ctx, conn.abandon)
 	sent, err := s.send(req)
 	if err != nil {
 		s.Close()
@@ -293,7 +297,11 @@
 	}
 	s.closed = true
 	abandoned := !s.release()
-	if !s.complete || s.doubtful || abandoned || s.resp.ConnectionClose() || s.conn.br.Buffered() > 0 {
+	if !s.complete {
+		s.conn.abandon()
+		return
+	}
+	if s.doubtful || abandoned || s.resp.ConnectionClose() || s.conn.br.Buffered() > 0 {
 		s.conn.Close()
 		return
 	}
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -128,6 +128,14 @@
 	}
 }
 
+// abandon closes a connection whose answer was not read to its end.
+func (c *connection) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.cfg.Reset {
+		_ = tcp.SetLinger(0) // it fails on a closed connection alone
+	}
+	_ = c.Close() // likewise
+}
+
 // connection is a TCP connection with its buffers.
 type connection struct {
 	net.Conn
--- a/process/duty/duty.go
+++ b/process/duty/duty.go
@@ -47,8 +47,8 @@
 }
 
 // successorSteps is by how much the generation grows from a holder that
-// resigns to its successor: it leaves, and the successor joins. A larger step
-// means that somebody else came between, who may have acted.
+// resigns to its successor: it leaves or is dropped, and the successor joins. A
+// larger step means that somebody else came between, who may have acted.
 const successorSteps = 2
 
 // Keeper is one node's view of the duty. mu guards all of it.
@@ -117,26 +117,50 @@
 	return acted.Add(-k.cfg.Valid)
 }
 
-// Resigned takes in what a holder has told as it gave the duty back.
+// Resigned takes in what a holder has told as it gave the duty back, or lost
+// it. Its successor may be this node already, and waits for no more then.
 func (k *Keeper) Resigned(now time.Time, r Resignation) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.former, k.formerAt = r, now
+	if begins := k.begins(now, k.fencing); k.holds && begins.Before(k.since) {
+		k.since = begins
+	}
+}
+
+// HeardHolder notes that another node has told that it has the duty. What a
+// former holder told of its own acts says nothing about that one's.
+func (k *Keeper) HeardHolder() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.formerAt = time.Time{}
 }
 
 // May says whether this node may act now, and with which fencing number. It is
-// asked right before each act: a VM that was suspended since an earlier look
-// may have lost the duty.
+// asked right before each act, and only then, as a successor waits from the last
+// time that the answer was yes: a VM that was suspended since an earlier look may
+// have lost the duty.
 func (k *Keeper) May(now time.Time) (fencing uint64, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	ok = k.holds && now.Sub(k.confirmed) < k.cfg.Valid && now.Sub(k.since) >= k.cfg.Wait()
+	ok = k.may(now)
 	if ok {
 		k.acted = now
 	}
 	return k.fencing, ok
 }
 
+// Could says what May would, for one who looks whether there is something to do.
+func (k *Keeper) Could(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.may(now)
+}
+
+func (k *Keeper) may(now time.Time) bool {
+	return k.holds && now.Sub(k.confirmed) < k.cfg.Valid && now.Sub(k.since) >= k.cfg.Wait()
+}
+
 // Resign ends the duty on this node's side, before it is given back, and gives
 // what the others are to be told; false if there was none. What this node was
 // allowed before counts as done now: it may be on its way.
@@ -161,3 +185,11 @@
 	defer k.mu.Unlock()
 	return k.holds && now.Sub(k.confirmed) < k.cfg.Life
 }
+
+// Lapsed says whether this node has lost the duty by being out of touch, and
+// has not resigned yet.
+func (k *Keeper) Lapsed(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holds && now.Sub(k.confirmed) >= k.cfg.Life
+}
--- a/process/gateway/joiner.go
+++ b/process/gateway/joiner.go
@@ -64,6 +64,8 @@
 		case j.keeper.Holds(clock.Boot()):
 			j.join(ctx)
 			pause = joinPause
+		case j.keeper.Lapsed(clock.Boot()):
+			j.resign()
 		case j.due():
 			if j.free(ctx) {
 				j.join(ctx)
@@ -90,22 +92,23 @@
 	return j.leaving
 }
 
-// free says that nobody has the duty. Having asked, this node waits as long as
-// after a sign before it asks again.
+// free says that nobody has the duty. One that is held without any sign will
+// lapse soon, so that it is asked for again after askPause.
 func (j *joiner) free(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	held, err := j.group.Held(ctx)
 	event.Info(j.log, event.LeaseLooked, zap.Bool("Held", held), zap.Duration("Quiet", j.peers.holderQuiet(clock.Boot())), zap.Error(err))
 	if err == nil && held {
-		j.peers.heardHolder(clock.Boot())
+		j.peers.heardHolder(clock.Boot().Add(askPause - holderQuiet))
 	}
 	return err == nil && !held
 }
 
-// join asks for the duty once. Without an answer it runs out by itself.
+// join asks for the duty once. Without an answer it runs out by itself; one
+// that takes longer than it would be valid is not waited for.
 func (j *joiner) join(ctx context.Context) {
-	asked, cancel := context.WithTimeout(ctx, askTimeout)
+	asked, cancel := context.WithTimeout(ctx, joinValid)
 	defer cancel()
 	begun := clock.Boot()
 	grant, err := j.group.Join(asked, j.keeper.Generation())
@@ -143,15 +146,28 @@
 	j.leaving = true
 	j.mu.Unlock()
 	j.work.Go(func() {
-		r, had := j.keeper.Resign(clock.Boot())
-		if !had {
-			return
+		if r, had := j.keeper.Resign(clock.Boot()); had {
+			j.giveBack()
+			j.peers.tell(EngineNews{Resigned: &r})
 		}
-		j.giveBack()
-		j.peers.tell(EngineNews{Resigned: &r})
 	})
 }
 
+// resign tells the others, on behalf of a node that the platform does not
+// answer, that it acts no more and when it last did. A successor that does not
+// know has to wait for acts that nobody does: engines were seen to keep old
+// weights for 8 s, until one with new ones had the requests of all.
+func (j *joiner) resign() {
+	now := clock.Boot()
+	r, had := j.keeper.Resign(now)
+	if !had {
+		return
+	}
+	event.Warn(j.log, event.LeaseLost, zap.Uint64("Generation", r.Generation), zap.Duration("Idle", r.Idle))
+	j.keeper.Resigned(now, r) // it may well be the next one itself
+	j.peers.tell(EngineNews{Resigned: &r})
+}
+
 func (j *joiner) close() {
 	j.leave()
 	j.cancel()
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -347,13 +347,16 @@
 	now := clock.Boot()
 	if n.Resigned != nil {
 		h.peers.keeper.Resigned(now, *n.Resigned)
-		h.peers.heardHolder(now.Add(-holderQuiet)) // the first by rank takes it at once
+		h.peers.heardHolder(now.Add(-holderQuiet)) // the first by rank asks for it at once
 		return nil
 	}
-	h.peers.heardHolder(now)
 	if n.Engine != "" {
+		// No sign of the duty: it may have been lost while the engine changed.
 		take(h.peers.roster, time.Now(), n)
+		return nil
 	}
+	h.peers.heardHolder(now)
+	h.peers.keeper.HeardHolder()
 	return nil
 }
 
--- a/version/rollout/rollout.go
+++ b/version/rollout/rollout.go
@@ -49,7 +49,10 @@
 
 // Duty says whether this node may act.
 type Duty interface {
+	// May is asked right before an act.
 	May(now time.Time) (fencing uint64, ok bool)
+	// Could is asked before a look at what there is to do.
+	Could(now time.Time) bool
 }
 
 // Config sets the pace.
@@ -149,7 +152,7 @@
 
 // look begins the changes that may begin now.
 func (r *Driver) look(ctx context.Context) {
-	if _, ok := r.duty.May(r.cfg.Clock()); !ok {
+	if !r.duty.Could(r.cfg.Clock()) {
 		return
 	}
 	r.mu.Lock()
--- a/version/rollout/rollout_test.go
+++ b/version/rollout/rollout_test.go
@@ -62,6 +62,7 @@
 func (f *fleet) Holds(_, _ string, v uint64)             { f.held = v }
 func (f *fleet) Busy(string, string, bool)               {}
 func (f *fleet) May(time.Time) (fencing uint64, ok bool) { return 7, f.may }
+func (f *fleet) Could(time.Time) bool                    { return f.may }
 
 func (f *fleet) driver() *Driver {
 	cfg := Default
