--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -281,6 +281,7 @@
 func (g *Gateway) newRollout(i do.Injector) (*rollout.Driver, error) {
 	cfg := rollout.Default
 	cfg.Clock = clock.Boot
+	cfg.Flight = joinFlight
 	d := rollout.New(cfg, &fleet{
 		view: do.MustInvoke[*view](i), roster: do.MustInvoke[*roster.Roster](i),
 		book: do.MustInvoke[*accepted.Book](i), inventory: do.MustInvoke[*inventory.Inventory](i),
--- a/version/rollout/rollout.go
+++ b/version/rollout/rollout.go
@@ -74,10 +74,13 @@
 	// the time before the first one.
 	Poll  time.Duration
 	First time.Duration
-	// Timeout bounds one question or order, and Patience an engine's whole
-	// change; past it the engine is looked at afresh.
+	// Timeout bounds one question, and Patience an engine's whole change; past it
+	// the engine is looked at afresh.
 	Timeout  time.Duration
 	Patience time.Duration
+	// Flight bounds one order. A successor waits for no order that is on its way
+	// for longer.
+	Flight time.Duration
 	// Rest is how long an engine that failed to answer is left alone.
 	Rest  time.Duration
 	Clock func() time.Time
@@ -87,7 +90,7 @@
 var Default = Config{
 	Part: 1.0 / 3, Least: 2, Ahead: 0.5, Settle: 5 * time.Second,
 	Tick: 100 * time.Millisecond, Poll: 250 * time.Millisecond, First: 700 * time.Millisecond,
-	Timeout: time.Second, Patience: 8 * time.Second, Rest: time.Second,
+	Timeout: time.Second, Patience: 8 * time.Second, Flight: 300 * time.Millisecond, Rest: time.Second,
 }
 
 // Next gives the engines to be ordered now, besides those that are changing:
@@ -265,7 +268,7 @@
 	event.Info(r.log, event.OrderGiven, zap.String("Upstream", e.Name), zap.String("Model", e.Model),
 		zap.Uint64("Version", target), zap.Uint64("Held", version(report, e.Model)),
 		zap.Uint64("Fencing", fencing), zap.Uint64("Expected", report.Orders))
-	ctx, cancel := context.WithTimeout(ctx, r.cfg.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Flight)
 	defer cancel()
 	err := c.Order(ctx, upstream.Order{
 		Fencing:  fencing,
--- a/version/rollout/rollout_test.go
+++ b/version/rollout/rollout_test.go
@@ -21,6 +21,7 @@
 	loading uint64 // version; 0: none
 	lost    bool   // accepts the next order and does not answer
 	given   []upstream.Order
+	flight  time.Duration // that the last order had
 }
 
 func (e *engine) Report(context.Context) (upstream.Report, error) {
@@ -31,8 +32,11 @@
 	}, nil
 }
 
-func (e *engine) Order(_ context.Context, o upstream.Order) error {
+func (e *engine) Order(ctx context.Context, o upstream.Order) error {
 	e.given = append(e.given, o)
+	if deadline, ok := ctx.Deadline(); ok {
+		e.flight = time.Until(deadline)
+	}
 	if e.loading > 0 || *o.Expected != e.orders {
 		return upstream.ErrOutOfTurn
 	}
@@ -183,3 +187,17 @@
 		t.Fatalf("%v, %v, orders %+v", wait, err, f.e.given)
 	}
 }
+
+// A holder gives an order that gets no answer, and loses the duty. The next one
+// waits for the orders on their way; one that is sent again by TCP for a second
+// would arrive between its own.
+func TestOrderIsBoundedByItsFlight(t *testing.T) {
+	f := &fleet{e: &engine{version: 1}, newest: 2, may: true}
+	r := f.driver()
+	if _, err := r.step(context.Background(), f.Engines()[0], 2); err != nil {
+		t.Fatal(err)
+	}
+	if f.e.flight <= 0 || f.e.flight > r.cfg.Flight {
+		t.Errorf("an order may take %v", f.e.flight)
+	}
+}
