Do not hold the first question after one without an answer

Ruled out: the register (it answered at once), readiness. Change: the first question after a miss is not held. Test: the waits of questions around a miss.

--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -70,6 +70,7 @@
 	topic  Topic
 	taker  Taker
 	begun  bool   // the newest records are known
+	missed bool   // the last question got no answer
 	next   uint64 // offset to read from
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -126,12 +127,21 @@
 
 // step asks once.
 func (f *Follower) step(ctx context.Context, begun time.Time) error {
+	ask := f.read
 	if !f.begun {
-		return f.begin(ctx, begun)
+		ask = f.begin
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Timeout)
+	err := ask(ctx, begun)
+	f.missed = err != nil
+	return err
+}
+
+// read asks for what has been written since the last answer.
+func (f *Follower) read(ctx context.Context, begun time.Time) error {
+	wait := f.wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.Timeout)
 	defer cancel()
-	records, end, err := f.topic.Read(ctx, f.next, f.cfg.Wait)
+	records, end, err := f.topic.Read(ctx, f.next, wait)
 	if errors.Is(err, ErrTrimmed) {
 		f.begun = false
 		return nil
@@ -144,19 +154,31 @@
 	}
 	f.next += uint64(len(records))
 	now := f.cfg.Clock()
-	f.taker.Take(now, Update{Records: records, AsOf: f.asOf(now, begun, len(records) > 0)})
+	f.taker.Take(now, Update{Records: records, AsOf: asOf(now, begun, wait, len(records) > 0)})
 	return nil
 }
 
-// heldPart is the part of Wait that a held question is sure to have been held:
+// wait is for how long the next question may be held. The first one after a
+// question without an answer is not: while the platform is away it ends sooner,
+// and when the platform is back its answer proves at once that nothing is
+// missed, where a held one would leave that open for as long as it is held.
+// Callers with keys were refused for 2 s longer without it.
+func (f *Follower) wait() time.Duration {
+	if f.missed {
+		return 0
+	}
+	return f.cfg.Wait
+}
+
+// heldPart is the part of a wait that a held question is sure to have been held:
 // the rest is for the difference between two clocks' paces.
 const heldPart = 0.9
 
 // asOf is the time up to which an answer proves that everything is known. One
-// without records was held for Wait, as any record would have ended that, and
+// without records was held for wait, as any record would have ended that, and
 // proves it up to then; any other one up to its question.
-func (f *Follower) asOf(now, begun time.Time, records bool) time.Time {
-	held := time.Duration(heldPart * float64(f.cfg.Wait))
+func asOf(now, begun time.Time, wait time.Duration, records bool) time.Time {
+	held := time.Duration(heldPart * float64(wait))
 	if records || now.Sub(begun) < held {
 		return begun
 	}
--- a/version/keyed/keyed_test.go
+++ b/version/keyed/keyed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 )
@@ -14,6 +15,7 @@
 	newest []answer
 	reads  []answer
 	from   []uint64 // of the reads
+	waits  []time.Duration
 }
 
 type answer struct {
@@ -28,7 +30,8 @@
 	return a.records, a.end, a.err
 }
 
-func (t *topic) Read(_ context.Context, from uint64, _ time.Duration) ([]Record, uint64, error) {
+func (t *topic) Read(_ context.Context, from uint64, wait time.Duration) ([]Record, uint64, error) {
+	t.waits = append(t.waits, wait)
 	t.from = append(t.from, from)
 	a := t.reads[0]
 	t.reads = t.reads[1:]
@@ -90,7 +93,6 @@
 // that the platform held to its end without news proves more than its begin; one
 // that was answered early, or with news, does not.
 func TestAHeldQuestionProvesUntilItsEnd(t *testing.T) {
-	f := &Follower{cfg: Config{Wait: 2 * time.Second}}
 	cases := []struct {
 		name    string
 		took    time.Duration
@@ -103,8 +105,28 @@
 		{"news", 2 * time.Second, true, 0},
 	}
 	for _, c := range cases {
-		if got := f.asOf(start.Add(c.took), start, c.records).Sub(start); got != c.want {
+		if got := asOf(start.Add(c.took), start, 2*time.Second, c.records).Sub(start); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
 }
+
+// The platform was away and comes back. A question that it holds would leave
+// open for two more seconds whether keys still hold, and callers would be
+// refused meanwhile; the first one is not held.
+func TestFirstQuestionAfterAMissIsNotHeld(t *testing.T) {
+	tp := &topic{
+		newest: []answer{{end: 9}},
+		reads:  []answer{{end: 9}, {err: errors.New("away")}, {end: 9}, {end: 9}},
+	}
+	k := &taken{}
+	f := k.follower(tp)
+	f.cfg.Wait = 2 * time.Second
+	for range 5 {
+		_ = f.step(context.Background(), start) // one of them fails
+	}
+	want := []time.Duration{f.cfg.Wait, f.cfg.Wait, 0, f.cfg.Wait}
+	if !slices.Equal(tp.waits, want) {
+		t.Errorf("held for %v, want %v", tp.waits, want)
+	}
+}
