--- a/process/duty/duty.go
+++ b/process/duty/duty.go
@@ -58,6 +58,7 @@
 	mu        sync.Mutex
 	holds     bool
 	acted     time.Time // when this node was last allowed to act
+	resigned  time.Time // when this node resigned last
 	former    Resignation
 	formerAt  time.Time // when it was told; zero: never
 	fencing   uint64    // generation in which the duty came to this node
@@ -86,10 +87,15 @@
 // Joined takes in the answer to a join that was begun at begun, and says
 // whether the duty came or went by it. A holder that was out of touch for
 // longer than an answer is valid begins anew, with a new wait: another may have
-// had the duty meanwhile, also in generations that this node never saw.
+// had the duty meanwhile, also in generations that this node never saw. The
+// answer to a join from before this node resigned gives nothing: others may have
+// been told already that it acts no more.
 func (k *Keeper) Joined(now, begun time.Time, g Grant) (changed bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if begun.Before(k.resigned) {
+		return false
+	}
 	had := k.holds
 	lapsed := had && begun.Sub(k.confirmed) >= k.cfg.Life
 	k.last = g.Generation
@@ -169,6 +175,7 @@
 	defer k.mu.Unlock()
 	had := k.holds
 	k.holds = false
+	k.resigned = now
 	// Before this node's wait was over, the former holder may still have acted.
 	last := k.since.Add(k.cfg.Valid)
 	if k.acted.After(last) {
--- a/process/duty/lapse_test.go
+++ b/process/duty/lapse_test.go
@@ -56,6 +56,22 @@
 	}
 }
 
+// A node that leaves resigns while a join is on its way, and its answer comes
+// after that. Taken for a grant, the node would hold the duty as it stops, and
+// its successor counts on it not to.
+func TestAnswerFromBeforeAResignationGivesNothing(t *testing.T) {
+	k := NewKeeper(bound)
+	acted := after(bound.Wait())
+	confirmedUntil(k, acted, 4)
+	k.Resign(acted.Add(100 * time.Millisecond))
+	if k.Joined(acted.Add(200*time.Millisecond), acted, Grant{Generation: 4, Holds: true}) || k.Holds(acted) {
+		t.Error("holds the duty again")
+	}
+	if !k.Joined(acted.Add(time.Second), acted.Add(time.Second), Grant{Generation: 6, Holds: true}) {
+		t.Error("a later join gives nothing")
+	}
+}
+
 // A node has heard a resignation, and then the sign of another holder. It must
 // not take over from the one that resigned: the other may have acted since.
 func TestSignOfAHolderMakesAResignationOld(t *testing.T) {
