Have peers tell which upstreams have gone for sure

Ruled out: late news (offsets 16 to 18 in order), a runner that was read again. Change: a peer that read the register all the while says that an upstream is gone; the grace is the register's own 2 s; while an entry may come back the register is looked at each 0.3 s. Test: both ways to learn of it, and that it is told once.

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -123,7 +123,8 @@
 			continue
 		}
 		n := RegisterNews{Entry: e, Gone: r.Dropped, Offset: r.Offset}
-		if t.enter(now, n) && !u.Complete {
+		var changed bool
+		if changed, n.Sure = t.enter(now, n); changed && !u.Complete {
 			news = append(news, n)
 		}
 	}
@@ -138,24 +139,28 @@
 	Entry  roster.Entry // the ID alone if Gone
 	Gone   bool
 	Offset uint64
+	// Sure says that the entry has not just lapsed with the register, which the
+	// teller has read all the while.
+	Sure bool
 }
 
-// enter takes one record in, and says whether it has changed anything.
-func (l *learner) enter(now time.Time, n RegisterNews) bool {
+// enter takes one record in, and says whether it has changed anything and
+// whether the upstream is out of use.
+func (l *learner) enter(now time.Time, n RegisterNews) (changed, gone bool) {
 	if n.Gone {
-		changed := l.roster.Drop(now, n.Entry.ID, n.Offset)
+		changed, gone = l.roster.Drop(now, n.Entry.ID, n.Offset, n.Sure)
 		if changed {
-			event.Info(l.log, event.UpstreamLeft, zap.String("Upstream", n.Entry.ID), zap.Uint64("Offset", n.Offset))
+			event.Info(l.log, event.UpstreamLeft, zap.String("Upstream", n.Entry.ID), zap.Uint64("Offset", n.Offset), zap.Bool("MayComeBack", !gone))
 		}
-		return changed
+		return changed, gone
 	}
 	e := n.Entry
-	changed := l.roster.Put(e, n.Offset)
+	changed = l.roster.Put(e, n.Offset)
 	if changed {
 		event.Info(l.log, event.UpstreamEntered, zap.String("Upstream", e.ID), zap.String("Service", e.Service),
 			zap.String("Address", e.Address), zap.Bool("Leaving", e.Leaving), zap.Any("Weights", e.Weights), zap.Uint64("Offset", n.Offset))
 	}
-	return changed
+	return changed, false
 }
 
 // told takes in what a peer has read of the register before this node did.
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -41,6 +41,8 @@
 	registerPause = 1200 * time.Millisecond
 	// registerSpread is the part by which a pause varies.
 	registerSpread = 0.15
+	// lapsedPause is the same while entries are missing that may come back.
+	lapsedPause = 300 * time.Millisecond
 	// retryPause is the time after a question without an answer.
 	retryPause = 400 * time.Millisecond
 	// askTimeout bounds a question, beside the time that it may be held.
@@ -269,6 +271,7 @@
 	waiting, looking := pace, pace
 	waiting.Wait = configWait
 	looking.Pause, looking.Spread = registerPause, registerSpread
+	looking.Hurry, looking.Soon = do.MustInvoke[*roster.Roster](i).Lapsed, lapsedPause
 	f := followers{
 		configuration: keyed.New(waiting, p.Configuration, &configurationTaker{learner: l}),
 		register:      keyed.New(looking, p.Register, &registerTaker{learner: l, tell: others.tellRegister}),
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -32,9 +32,10 @@
 func Incarnation(id string) uint64 { return xxhash.Sum64String(id) }
 
 // returnGrace is how long after the register's return a lapsed entry may still
-// come back: the register's own bound is about two seconds, and up to one more
-// passes before this node reads it.
-const returnGrace = 3 * time.Second
+// come back, by the register's own bound. Nothing is added for the time until
+// this node reads it: it looks more often meanwhile, and one that went while this
+// node alone was cut off has to be out of use three seconds after the cut.
+const returnGrace = 2 * time.Second
 
 // record is one entry with what this node has seen of its leaving.
 type record struct {
@@ -152,32 +153,44 @@
 	r.changes++
 }
 
-// Drop takes in the record that an entry is gone, and says whether it was there.
-func (r *Roster) Drop(now time.Time, id string, offset uint64) bool {
+// Drop takes in the record that an entry is gone, and says whether that is new
+// and whether the upstream is out of use. It may only have lapsed with the register,
+// unless it is sure that it has not.
+func (r *Roster) Drop(now time.Time, id string, offset uint64, sure bool) (changed, gone bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, known := r.entries[id]
-	if !r.newer(id, offset) {
-		return false
+	e, known := r.entries[id]
+	if !r.newer(id, offset) || !known {
+		return false, false
 	}
-	r.drop(now, id)
-	return known
+	gone = r.drop(now, id, sure)
+	return gone || !e.lapsed, gone
 }
 
 // drop removes an entry, unless it may only have lapsed with the register. An
 // upstream that was leaving has left.
-func (r *Roster) drop(now time.Time, id string) {
-	e, ok := r.entries[id]
-	if !ok {
-		return
-	}
-	if !e.Leaving && (r.away || now.Before(r.settled)) {
+func (r *Roster) drop(now time.Time, id string, sure bool) (gone bool) {
+	e := r.entries[id]
+	if !sure && !e.Leaving && (r.away || now.Before(r.settled)) {
 		e.lapsed = true
 		r.entries[id] = e
-		return
+		return false
 	}
 	delete(r.entries, id)
 	r.changes++
+	return true
+}
+
+// Lapsed says whether any entry is missing that may come back.
+func (r *Roster) Lapsed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.entries {
+		if e.lapsed {
+			return true
+		}
+	}
+	return false
 }
 
 // Replaced notes that another start answers at an upstream's address.
@@ -196,7 +209,7 @@
 	defer r.mu.Unlock()
 	for id := range r.entries {
 		if !slices.Contains(ids, id) {
-			r.drop(now, id)
+			r.drop(now, id, false)
 		}
 	}
 }
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -43,7 +43,7 @@
 	if !r.has("lives") || r.has("dies") {
 		t.Errorf("lives %v, dies %v", r.has("lives"), r.has("dies"))
 	}
-	r.Drop(at(10), "later", 2)
+	r.Drop(at(10), "later", 2, false)
 	if r.has("later") {
 		t.Error("an entry that went while the register was up is still there")
 	}
@@ -60,7 +60,7 @@
 	if all, _ := r.Entries(); !all[0].Leaving {
 		t.Error("it no longer leaves")
 	}
-	r.Drop(at(1), "a", 2)
+	r.Drop(at(1), "a", 2, false)
 	if r.has("a") {
 		t.Error("it is kept for its return")
 	}
@@ -101,14 +101,55 @@
 func TestLateNewsBringNothingBack(t *testing.T) {
 	r := New()
 	r.Put(Entry{ID: "a", Address: "a"}, 7)
-	r.Drop(at(1), "a", 9)
+	r.Drop(at(1), "a", 9, false)
 	if r.Put(Entry{ID: "a", Address: "a"}, 8) || r.has("a") {
 		t.Error("it is back")
 	}
 	if !r.Put(Entry{ID: "a", Address: "a"}, 10) || !r.has("a") {
 		t.Error("a newer entry is not taken")
 	}
-	if r.Drop(at(2), "a", 9) || !r.has("a") {
+	if changed, _ := r.Drop(at(2), "a", 9, false); changed || !r.has("a") {
 		t.Error("an older record has dropped it")
 	}
+	r.Drop(at(3), "b", 9, false)
+	if r.Put(Entry{ID: "b", Address: "b"}, 8) {
+		t.Error("one that was never known is brought in by late news")
+	}
+}
+
+// This node alone is cut from the register, and an upstream goes meanwhile
+// without having told that it leaves. When the cut has healed the node reads
+// that its entry is gone, and can't tell that from one which lapsed with the
+// register: requests go there for two more seconds, or end at once if a peer
+// that was not cut tells.
+func TestUpstreamThatWentWhileThisNodeWasCutOff(t *testing.T) {
+	cases := []struct {
+		name string
+		sure bool
+		gone float64 // seconds after the return
+	}{
+		{"read by itself", false, 2},
+		{"told by a peer that reads the register", true, 0},
+	}
+	for _, c := range cases {
+		r := New()
+		r.Put(Entry{ID: "a", Address: "a"}, 1)
+		r.Away()
+		r.Reached(at(10))
+		changed, gone := r.Drop(at(10), "a", 2, c.sure)
+		if !changed || gone != c.sure || r.Lapsed() == c.sure {
+			t.Errorf("%s: changed %v, gone %v, lapsed %v", c.name, changed, gone, r.Lapsed())
+		}
+		if changed, _ := r.Drop(at(10.1), "a", 2, false); changed {
+			t.Errorf("%s: told twice", c.name)
+		}
+		r.Reached(at(9.9 + c.gone))
+		if c.gone > 0 && !r.has("a") {
+			t.Errorf("%s: gone before the register's time was over", c.name)
+		}
+		r.Reached(at(10 + c.gone))
+		if r.has("a") {
+			t.Errorf("%s: still in use", c.name)
+		}
+	}
 }
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -56,10 +56,14 @@
 
 // Config sets a Follower's pace.
 type Config struct {
-	Wait    time.Duration // that the platform may hold a question without news
-	Pause   time.Duration // between an answer and the next question
-	Spread  float64       // part of Pause by which it varies, to either side
-	Retry   time.Duration // after a question without an answer
+	Wait   time.Duration // that the platform may hold a question without news
+	Pause  time.Duration // between an answer and the next question
+	Spread float64       // part of Pause by which it varies, to either side
+	Retry  time.Duration // after a question without an answer
+	// Hurry says that the next answer is waited for; the pause is Soon then. nil:
+	// never.
+	Hurry   func() bool
+	Soon    time.Duration
 	Timeout time.Duration // of a question, beside Wait
 	Clock   func() time.Time
 }
@@ -95,21 +99,25 @@
 
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := f.cfg.pause()
-		if err := f.step(ctx, f.cfg.Clock()); err != nil {
-			if ctx.Err() != nil {
-				return
-			}
-			pause = f.cfg.Retry
+		err := f.step(ctx, f.cfg.Clock())
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
 			f.taker.Missed(f.cfg.Clock(), err)
+			sleep(ctx, f.cfg.Retry)
+			continue
 		}
-		sleep(ctx, pause)
+		sleep(ctx, f.cfg.pause())
 	}
 }
 
 // pause varies, so that the nodes of a fleet that were started together do not
 // ask together for good.
 func (c Config) pause() time.Duration {
+	if c.Hurry != nil && c.Hurry() {
+		return c.Soon
+	}
 	return time.Duration(float64(c.Pause) * (1 + c.Spread*(2*rand.Float64()-1)))
 }
 
