--- a/process/event/request.go
+++ b/process/event/request.go
@@ -24,4 +24,6 @@
 	PrefixNotImported
 	// RequestServed: a request that was passed through has got its whole answer; Status is the upstream's.
 	RequestServed
+	// RequestShed: the best upstream would have given the first token too late for the request, which was refused; Excluded upstreams were not to be used. To do: when it goes on, look whether engines are changing weights, ejected or gone; else add engines.
+	RequestShed
 )
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -29,7 +29,7 @@
 	if !ok {
 		return nil, "", fmt.Errorf("upstream %q left: %w", d.Upstream, placement.ErrNoCandidate)
 	}
-	if err := s.shed(now, d); err != nil {
+	if err := s.shed(now, d, len(pr.Excluded)); err != nil {
 		return nil, "", err
 	}
 	v, ok := s.visit(now, p, pr, d)
--- a/request/completion/shed.go
+++ b/request/completion/shed.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
@@ -10,8 +13,9 @@
 
 // shed gives the final answer of a request that would wait too long for its
 // first token at the best upstream there is. A first token that comes too late
-// has cost the engine as much as one in time.
-func (s *start) shed(now time.Time, d placement.Decision) error {
+// has cost the engine as much as one in time. So many upstreams were not to be
+// used.
+func (s *start) shed(now time.Time, d placement.Decision, excluded int) error {
 	a := shedding.Ask{
 		ID:        s.r.ID,
 		Workspace: s.r.Workspace,
@@ -27,6 +31,9 @@
 		s.rt.Shedder.Sent(now, s.r.Workspace, a.Weight, s.chain.Tokens()-d.Cached)
 		return nil
 	}
+	event.Info(s.rt.Log, event.RequestShed, zap.String("Request", s.r.ID), zap.String("Upstream", d.Upstream),
+		zap.Stringer("Reason", d.Reason), zap.Duration("Wait", d.Wait), zap.Int("CachedTokens", d.Cached),
+		zap.Int("PromptTokens", s.chain.Tokens()), zap.Int("Upstreams", len(s.target.list.Names)), zap.Int("Excluded", excluded))
 	if s.sent {
 		return err.WithRan(failure.Unknown)
 	}
