--- a/request/call/router.go
+++ b/request/call/router.go
@@ -131,6 +131,7 @@
 	runs      int  // instances that may have run it
 	sent      bool // it may have run
 	tried     []string
+	last      error // of the last send; nil: none failed
 }
 
 // sendClaimed claims the key before the send and tells the journal the end.
@@ -170,7 +171,7 @@
 		}
 		u, ok := s.choose(now)
 		if !ok {
-			return upstream.Reply{}, s.refusal(failure.ErrNoUpstream, nil)
+			return upstream.Reply{}, s.refusal(failure.ErrNoUpstream, s.last)
 		}
 		if !s.rt.Guard.Begin(now, u.Name) {
 			// Another call took the last place: nothing was sent.
@@ -181,6 +182,7 @@
 		if err == nil {
 			return reply, nil
 		}
+		s.last = err
 		if ctx.Err() != nil {
 			return upstream.Reply{}, s.refusal(retry.Gone(ctx), err)
 		}
--- a/request/call/router_test.go
+++ b/request/call/router_test.go
@@ -256,6 +256,33 @@
 	}
 }
 
+// closed keeps calls from one instance, as if it were ejected.
+type closed struct {
+	Guard
+	name string
+}
+
+func (c closed) Excluded(now time.Time, names []string) []string {
+	return append(c.Guard.Excluded(now, names), c.name)
+}
+
+// An instance answers that it failed, and the only other one is ejected: a cut
+// has silenced it. The caller reads what the instance said, as it would if there
+// were no other, and not that there is no instance.
+func TestFailedAnswerIsPassedOnIfTheOthersAreEjected(t *testing.T) {
+	failed := &upstream.FailedReply{Reply: upstream.Reply{Status: 500, Body: []byte("no disk")}}
+	a, b := &instance{name: "a", answers: []error{failed}}, &instance{name: "b", answers: []error{nil}}
+	rt := newSite(false, a, b).router(t, &fakelog.Log{})
+	rt.Guard = closed{Guard: rt.Guard, name: "b"}
+	r := request(http.MethodGet)
+	r.MaxRuns = 2
+	_, err := rt.Do(context.Background(), r)
+	var got *upstream.FailedReply
+	if !errors.As(err, &got) || b.calls != 0 {
+		t.Errorf("%v, %d calls", err, b.calls)
+	}
+}
+
 // The caller goes away while an instance works on its call. The call must not
 // be sent anywhere again: nobody reads the answer, and the resend is paid for
 // by others.
