Take a peer's look at the register for an own one

Ruled out: fewer looks by each (upstreams that leave have to be known in 2 s), chosen readers (a node cut from its reader alone would have to notice). Change: a look is told with its offsets and all that is new in it; who knew everything before waits as after a look of its own. What is new is judged by the records alone, not by what the teller knew. Tests: what is told, by whom it is taken, a question on its way meanwhile.

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -26,6 +26,9 @@
 	metrics *metric.Metrics
 
 	mu sync.Mutex // held while the parts take in a new view
+
+	saidMu sync.Mutex
+	said   map[string]roster.Entry // what each upstream's newest record says
 }
 
 // refresh has the parts that keep lists of upstreams follow the view.
@@ -101,8 +104,8 @@
 // registerTaker takes in what upstreams say of themselves.
 type registerTaker struct {
 	*learner
-	tell func(news []RegisterNews) // gives the peers what they have not read yet
-	lost bool                      // the last question had no answer
+	tell func(r RegisterRead) // gives the peers what they have not read yet
+	lost bool                 // the last question had no answer
 }
 
 // Take takes in the entries.
@@ -115,7 +118,7 @@
 	if u.Complete {
 		t.roster.Only(now, lo.Map(u.Records, func(r keyed.Record, _ int) string { return r.Key }))
 	}
-	var news []RegisterNews
+	read := RegisterRead{From: u.From, Next: u.Next}
 	for _, r := range u.Records {
 		e, err := t.decoder.Upstream(r)
 		if err != nil {
@@ -123,17 +126,25 @@
 			continue
 		}
 		n := RegisterNews{Entry: e, Gone: r.Dropped, Offset: r.Offset}
-		var changed bool
-		if changed, n.Sure = t.enter(now, n); changed && !u.Complete {
-			news = append(news, n)
+		n.Sure = t.enter(now, n)
+		if t.says(n) {
+			read.News = append(read.News, n)
 		}
 	}
 	t.refresh(now)
-	if len(news) > 0 {
-		t.tell(news)
+	if !u.Complete {
+		t.tell(read)
 	}
 }
 
+// RegisterRead is what a node has just read of the register.
+type RegisterRead struct {
+	From, Next uint64 // offsets
+	// News are the records between them that say something else than the record
+	// of the same upstream before them. All others are heartbeats.
+	News []RegisterNews
+}
+
 // RegisterNews is one record of the register that has changed something.
 type RegisterNews struct {
 	Entry  roster.Entry // the ID alone if Gone
@@ -144,31 +155,47 @@
 	Sure bool
 }
 
-// enter takes one record in, and says whether it has changed anything and
-// whether the upstream is out of use.
-func (l *learner) enter(now time.Time, n RegisterNews) (changed, gone bool) {
+// enter takes one record in, and says whether its upstream is out of use by it.
+func (l *learner) enter(now time.Time, n RegisterNews) (gone bool) {
 	if n.Gone {
-		changed, gone = l.roster.Drop(now, n.Entry.ID, n.Offset, n.Sure)
+		changed, gone := l.roster.Drop(now, n.Entry.ID, n.Offset, n.Sure)
 		if changed {
 			event.Info(l.log, event.UpstreamLeft, zap.String("Upstream", n.Entry.ID), zap.Uint64("Offset", n.Offset), zap.Bool("MayComeBack", !gone))
 		}
-		return changed, gone
+		return gone
 	}
 	e := n.Entry
-	changed = l.roster.Put(e, n.Offset)
-	if changed {
+	if l.roster.Put(e, n.Offset) {
 		event.Info(l.log, event.UpstreamEntered, zap.String("Upstream", e.ID), zap.String("Service", e.Service),
 			zap.String("Address", e.Address), zap.Bool("Leaving", e.Leaving), zap.Any("Weights", e.Weights), zap.Uint64("Offset", n.Offset))
 	}
-	return changed, false
+	return false
+}
+
+// says notes what a record says of its upstream, and whether that is new. It is
+// not asked whether it changes anything here: a node may know weights from an
+// answer that its peers have not got.
+func (l *learner) says(n RegisterNews) bool {
+	l.saidMu.Lock()
+	defer l.saidMu.Unlock()
+	before, known := l.said[n.Entry.ID]
+	if n.Gone {
+		delete(l.said, n.Entry.ID)
+		return true
+	}
+	l.said[n.Entry.ID] = n.Entry
+	return !known || !before.Equal(n.Entry)
 }
 
-// told takes in what a peer has read of the register before this node did.
-func (l *learner) told(now time.Time, news []RegisterNews) {
-	for _, n := range news {
+// told takes in what a peer has read of the register.
+func (l *learner) told(now time.Time, r RegisterRead) {
+	for _, n := range r.News {
 		l.enter(now, n)
+		l.says(n)
+	}
+	if len(r.News) > 0 {
+		l.refresh(now)
 	}
-	l.refresh(now)
 }
 
 // Missed notes that the register is away.
--- /dev/null
+++ b/process/gateway/learn_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
+)
+
+// plain is a decoder of entries whose value is the address.
+type plain struct{}
+
+func (plain) Configuration(keyed.Record) (Publication, error) { return Publication{}, nil }
+func (plain) Upstream(r keyed.Record) (roster.Entry, error) {
+	return roster.Entry{ID: r.Key, Address: string(r.Value), Weights: map[string]uint64{"m": uint64(len(r.Value))}}, nil
+}
+
+func newLearner() *learner {
+	book, r := accepted.NewBook(), roster.New()
+	return &learner{log: zap.NewNop(), decoder: plain{}, book: book, roster: r, view: newView(book, r), said: map[string]roster.Entry{}}
+}
+
+// A peer that is told of this node's look does not look by itself. It has to get
+// each record that says something else than the one before it, also one whose
+// weights this node has learnt already from an answer; heartbeats it need not get.
+func TestALookTellsWhatRecordsSay(t *testing.T) {
+	l := newLearner()
+	var told []RegisterRead
+	taker := &registerTaker{learner: l, tell: func(r RegisterRead) { told = append(told, r) }}
+	take := func(from uint64, values ...string) {
+		u := keyed.Update{From: from, Next: from + uint64(len(values))}
+		for i, v := range values {
+			u.Records = append(u.Records, keyed.Record{Key: "a", Value: []byte(v), Dropped: v == "", Offset: from + uint64(i)})
+		}
+		taker.Take(time.Unix(1000, 0), u)
+	}
+	take(1, "x")
+	take(2, "x", "x")
+	l.roster.Holds("a", "m", 2)
+	take(4, "xy")
+	take(5)
+	take(5, "")
+	want := []int{1, 0, 1, 0, 1}
+	for i, n := range want {
+		if len(told[i].News) != n {
+			t.Errorf("look %d: told %+v, want %d", i, told[i], n)
+		}
+	}
+	if last := told[4]; last.From != 5 || last.Next != 6 || !last.News[0].Gone || !last.News[0].Sure {
+		t.Errorf("%+v", last)
+	}
+}
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// tellRegister gives the others what this node has read of the register first.
-func (p *peers) tellRegister(news []RegisterNews) { p.toAll("Register", news) }
+// tellRegister gives the others what this node has just read of the register.
+func (p *peers) tellRegister(r RegisterRead) { p.toAll("Register", r) }
 
 // tellHolder gives the others a sign that this node has the duty.
 func (p *peers) tellHolder() { p.tell(EngineNews{}) }
@@ -50,8 +50,11 @@
 }
 
 // Register takes in what a peer has read of the register.
-func (h *enginesHandler) Register(news []RegisterNews, _ *Heard) error {
-	h.peers.learner.told(clock.Boot(), news)
+func (h *enginesHandler) Register(r RegisterRead, _ *Heard) error {
+	h.peers.learner.told(clock.Boot(), r)
+	if f := h.peers.register.Load(); f != nil {
+		f.Told(r.From, r.Next)
+	}
 	return nil
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -18,6 +19,7 @@
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
 
 const (
@@ -42,6 +44,7 @@
 	book     *accepted.Book
 	policies *policy.Table
 	learner  *learner
+	register atomic.Pointer[keyed.Follower] // nil: does not follow it yet
 
 	mu      sync.Mutex // guards all below
 	members *member.Runner
@@ -66,6 +69,9 @@
 	return ps
 }
 
+// follow has the peers' looks at the register spare this node's own.
+func (p *peers) follow(register *keyed.Follower) { p.register.Store(register) }
+
 // enter tries to enter the directory until it has, and then joins the others.
 func (p *peers) enter(ctx context.Context, d Directory, self platform.VM) {
 	for ctx.Err() == nil {
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -36,8 +36,8 @@
 	// registerPause is the time between two looks at the register, which its
 	// heartbeats would answer many times a second if they waited. With its spread
 	// and the way of the answer it is under the two seconds in which upstreams
-	// that leave have to be known, also to a node that no peer tells; mostly one
-	// does, as the nodes look at different moments.
+	// that leave have to be known. A node that is told of a peer's look waits as
+	// after one of its own, so that a fleet looks about once a second in all.
 	registerPause = 1200 * time.Millisecond
 	// registerSpread is the part by which a pause varies.
 	registerSpread = 0.15
@@ -253,7 +253,7 @@
 
 func (g *Gateway) newLearner(i do.Injector, d Decoder) *learner {
 	return &learner{
-		log: g.log, decoder: d, book: do.MustInvoke[*accepted.Book](i), roster: do.MustInvoke[*roster.Roster](i),
+		said: map[string]roster.Entry{}, log: g.log, decoder: d, book: do.MustInvoke[*accepted.Book](i), roster: do.MustInvoke[*roster.Roster](i),
 		view: do.MustInvoke[*view](i), guards: do.MustInvoke[guards](i), metrics: do.MustInvoke[*metric.Metrics](i),
 	}
 }
@@ -276,6 +276,7 @@
 		configuration: keyed.New(waiting, p.Configuration, &configurationTaker{learner: l}),
 		register:      keyed.New(looking, p.Register, &registerTaker{learner: l, tell: others.tellRegister}),
 	}
+	others.follow(f.register)
 	g.onClose(f.configuration.Close)
 	g.onClose(f.register.Close)
 	return f
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -23,7 +23,8 @@
 	Weights    map[string]uint64 // version by model
 }
 
-func (e Entry) equal(o Entry) bool {
+// Equal says whether two accounts say the same.
+func (e Entry) Equal(o Entry) bool {
 	return e.Service == o.Service && e.Address == o.Address && e.DataCentre == o.DataCentre &&
 		e.Slots == o.Slots && e.Leaving == o.Leaving && maps.Equal(e.Weights, o.Weights)
 }
@@ -87,7 +88,7 @@
 	} else {
 		r.replace(e)
 	}
-	if known && !old.lapsed && old.equal(e) {
+	if known && !old.lapsed && old.Equal(e) {
 		return false
 	}
 	r.entries[e.ID] = record{Entry: e}
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -41,6 +42,8 @@
 	Records []Record
 	// Complete says that Records has every key there is: all others are gone.
 	Complete bool
+	// Otherwise Records are all those from the offset From up to Next.
+	From, Next uint64
 	// AsOf is a time by the follower's clock: everything accepted before is known
 	// now.
 	AsOf time.Time
@@ -73,9 +76,13 @@
 	cfg    Config
 	topic  Topic
 	taker  Taker
-	begun  bool   // the newest records are known
-	missed bool   // the last question got no answer
-	next   uint64 // offset to read from
+	missed bool // the last question got no answer; of the reading goroutine
+
+	mu    sync.Mutex // guards all below
+	begun bool       // the newest records are known
+	next  uint64     // offset to read from
+	fresh time.Time  // when everything was known last
+
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -91,6 +98,24 @@
 	return f
 }
 
+// Told notes that another reader of the topic has just got all records from one
+// offset up to another, and that what they say has been taken in here. If this
+// node knew everything before them, its next question waits as after an answer
+// of its own: a fleet asks about as often as one node does. A node that is not
+// told, or was not told of something before, asks by itself.
+func (f *Follower) Told(from, next uint64) {
+	if f.cfg.hurries() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.begun || f.next < from || next < f.next {
+		return
+	}
+	f.next = next
+	f.fresh = f.cfg.Clock()
+}
+
 // Close stops the reading.
 func (f *Follower) Close() {
 	f.cancel()
@@ -108,19 +133,39 @@
 			sleep(ctx, f.cfg.Retry)
 			continue
 		}
-		sleep(ctx, f.cfg.pause())
+		f.rest(ctx)
+	}
+}
+
+// rest waits until the next question is due.
+func (f *Follower) rest(ctx context.Context) {
+	pause := f.cfg.pause()
+	for ctx.Err() == nil {
+		left := pause - f.cfg.Clock().Sub(f.lastFresh())
+		if left <= 0 {
+			return
+		}
+		sleep(ctx, left)
 	}
 }
 
+func (f *Follower) lastFresh() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fresh
+}
+
 // pause varies, so that the nodes of a fleet that were started together do not
 // ask together for good.
 func (c Config) pause() time.Duration {
-	if c.Hurry != nil && c.Hurry() {
+	if c.hurries() {
 		return c.Soon
 	}
 	return time.Duration(float64(c.Pause) * (1 + c.Spread*(2*rand.Float64()-1)))
 }
 
+func (c Config) hurries() bool { return c.Hurry != nil && c.Hurry() }
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -136,7 +181,7 @@
 // step asks once.
 func (f *Follower) step(ctx context.Context, begun time.Time) error {
 	ask := f.read
-	if !f.begun {
+	if _, known := f.position(); !known {
 		ask = f.begin
 	}
 	err := ask(ctx, begun)
@@ -144,28 +189,53 @@
 	return err
 }
 
+// position is the offset to read from, if the newest records are known.
+func (f *Follower) position() (next uint64, begun bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next, f.begun
+}
+
+// reached notes that everything up to an offset is known, if it was not.
+func (f *Follower) reached(next uint64, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun = true
+	f.next = max(f.next, next)
+	f.fresh = now
+}
+
 // read asks for what has been written since the last answer.
 func (f *Follower) read(ctx context.Context, begun time.Time) error {
+	from, _ := f.position()
 	wait := f.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.Timeout)
 	defer cancel()
-	records, end, err := f.topic.Read(ctx, f.next, wait)
+	records, end, err := f.topic.Read(ctx, from, wait)
 	if errors.Is(err, ErrTrimmed) {
-		f.begun = false
+		f.beginAgain()
 		return nil
 	}
 	if err != nil {
-		return fmt.Errorf("read from %d: %w", f.next, err)
+		return fmt.Errorf("read from %d: %w", from, err)
 	}
-	if end < f.next {
-		return fmt.Errorf("read from %d: end %d: %w", f.next, end, ErrStale)
+	if end < from {
+		return fmt.Errorf("read from %d: end %d: %w", from, end, ErrStale)
 	}
-	f.next += uint64(len(records))
 	now := f.cfg.Clock()
-	f.taker.Take(now, Update{Records: records, AsOf: asOf(now, begun, wait, len(records) > 0)})
+	next := from + uint64(len(records))
+	f.taker.Take(now, Update{Records: records, From: from, Next: next, AsOf: asOf(now, begun, wait, len(records) > 0)})
+	f.reached(next, now)
 	return nil
 }
 
+// beginAgain has the next question ask for the newest records.
+func (f *Follower) beginAgain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun = false
+}
+
 // wait is for how long the next question may be held. The first one after a
 // question without an answer is not: while the platform is away it ends sooner,
 // and when the platform is back its answer proves at once that nothing is
@@ -204,10 +274,11 @@
 	if err != nil {
 		return fmt.Errorf("read the newest: %w", err)
 	}
-	if next < f.next {
-		return fmt.Errorf("read the newest: end %d, known up to %d: %w", next, f.next, ErrStale)
+	if known, _ := f.position(); next < known {
+		return fmt.Errorf("read the newest: end %d, known up to %d: %w", next, known, ErrStale)
 	}
-	f.next, f.begun = next, true
-	f.taker.Take(f.cfg.Clock(), Update{Records: records, Complete: true, AsOf: begun})
+	now := f.cfg.Clock()
+	f.taker.Take(now, Update{Records: records, Complete: true, AsOf: begun})
+	f.reached(next, now)
 	return nil
 }
--- a/version/keyed/keyed_test.go
+++ b/version/keyed/keyed_test.go
@@ -16,6 +16,8 @@
 	reads  []answer
 	from   []uint64 // of the reads
 	waits  []time.Duration
+	// meanwhile is called while a read is on its way.
+	meanwhile func()
 }
 
 type answer struct {
@@ -32,6 +34,9 @@
 
 func (t *topic) Read(_ context.Context, from uint64, wait time.Duration) ([]Record, uint64, error) {
 	t.waits = append(t.waits, wait)
+	if t.meanwhile != nil {
+		t.meanwhile()
+	}
 	t.from = append(t.from, from)
 	a := t.reads[0]
 	t.reads = t.reads[1:]
@@ -130,3 +135,56 @@
 		t.Errorf("held for %v, want %v", tp.waits, want)
 	}
 }
+
+// Each node of a fleet looks at the register, whose calls are paid for. A look of
+// a peer, told with all that it brought, is as good as an own one, unless this node
+// has missed something before it: what that said would never be read.
+func TestToldOfAPeersAnswer(t *testing.T) {
+	cases := []struct {
+		name       string
+		from, next uint64
+		hurry      bool
+		want       uint64 // offset of the next question
+	}{
+		{"all that follows", 9, 12, false, 12},
+		{"more than that", 7, 12, false, 12},
+		{"nothing new", 9, 9, false, 9},
+		{"something is missing before", 10, 12, false, 9},
+		{"older than what is known", 5, 8, false, 9},
+		{"the next answer is waited for", 9, 12, true, 9},
+	}
+	for _, c := range cases {
+		tp := &topic{newest: []answer{{end: 9}}}
+		k := &taken{}
+		f := k.follower(tp)
+		f.cfg.Hurry = func() bool { return c.hurry }
+		if err := f.step(context.Background(), start); err != nil {
+			t.Fatal(err)
+		}
+		f.Told(c.from, c.next)
+		if next, _ := f.position(); next != c.want {
+			t.Errorf("%s: reads on from %d, want %d", c.name, next, c.want)
+		}
+	}
+}
+
+// A peer tells of its look while an own question is on its way. The answer to
+// that begins where the question did, and takes this node no further than it goes.
+func TestToldWhileAQuestionIsOnItsWay(t *testing.T) {
+	tp := &topic{
+		newest: []answer{{end: 9}},
+		reads:  []answer{{records: []Record{record("a", "1", 9), record("a", "2", 10)}, end: 12}},
+	}
+	k := &taken{}
+	f := k.follower(tp)
+	if err := f.step(context.Background(), start); err != nil {
+		t.Fatal(err)
+	}
+	tp.meanwhile = func() { f.Told(9, 12) }
+	if err := f.step(context.Background(), start); err != nil {
+		t.Fatal(err)
+	}
+	if next, _ := f.position(); next != 12 || len(k.updates[1].Records) != 2 || k.updates[1].Next != 11 {
+		t.Errorf("reads on from %d, took %+v", next, k.updates[1])
+	}
+}
