--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -93,12 +93,13 @@
 	_ = x[WeightsNamed-321]
 	_ = x[LeaseNotGivenBack-322]
 	_ = x[LeaseLooked-323]
+	_ = x[LeaseNotConfirmed-324]
 }
 
 const (
 	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelledPrefixImportedPrefixNotImportedRequestServedRequestShed"
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailedPeersNotJoinedNewsNotHeardCaughtUp"
-	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepairedPublicationUnreadableWeightsNamedLeaseNotGivenBackLeaseLooked"
+	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepairedPublicationUnreadableWeightsNamedLeaseNotGivenBackLeaseLookedLeaseNotConfirmed"
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
 	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedSecretReloadedSecretReloadFailedAcceptFailedSettingsReloadedSettingsNotReloadedSettingsNeedRestart"
 	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsedOperatorCallFailed"
@@ -108,7 +109,7 @@
 var (
 	_Event_index_0 = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112, 126, 143, 156, 167}
 	_Event_index_1 = [...]uint8{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215, 229, 241, 249}
-	_Event_index_2 = [...]uint16{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239, 260, 272, 289, 300}
+	_Event_index_2 = [...]uint16{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239, 260, 272, 289, 300, 317}
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
 	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 107, 125, 137, 153, 172, 191}
 	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90, 108}
@@ -123,7 +124,7 @@
 	case 200 <= i && i <= 216:
 		i -= 200
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
-	case 300 <= i && i <= 323:
+	case 300 <= i && i <= 324:
 		i -= 300
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
 	case 400 <= i && i <= 406:
--- a/process/event/version.go
+++ b/process/event/version.go
@@ -50,4 +50,6 @@
 	LeaseNotGivenBack
 	// LeaseLooked says that this node has heard no sign of a holder of the duty and has asked the platform whether there is one.
 	LeaseLooked
+	// LeaseNotConfirmed says that the platform did not answer in time as this node asked for the duty, or to keep it; without a later answer it runs out. To do: nothing for a single one; when it goes on, see to this node's way to the platform.
+	LeaseNotConfirmed
 )
--- a/process/gateway/joiner.go
+++ b/process/gateway/joiner.go
@@ -116,6 +116,7 @@
 	begun := clock.Boot()
 	grant, err := j.group.Join(asked, j.keeper.Generation())
 	if err != nil {
+		event.Info(j.log, event.LeaseNotConfirmed, zap.Uint64("Generation", j.keeper.Generation()), zap.Error(err))
 		return
 	}
 	changed := j.keeper.Joined(clock.Boot(), begun, grant)
