--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -207,7 +207,7 @@
 
 // Ready says whether new connections should come to this node.
 func (g *Gateway) Ready(now time.Time) bool {
-	if g.leaving.Load() || g.book.InForce() == nil {
+	if g.leaving.Load() || !g.view.Whole() {
 		return false
 	}
 	age, ok := g.book.Age(now)
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -131,6 +131,7 @@
 			read.News = append(read.News, n)
 		}
 	}
+	t.roster.SetRead()
 	t.refresh(now)
 	if !u.Complete {
 		t.tell(read)
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -111,7 +111,7 @@
 func (x *exchange) admit(boot time.Time) error {
 	f := x.g.book.InForce()
 	age, known := x.g.book.Age(boot)
-	if f == nil || !known {
+	if f == nil || !known || !x.g.view.Whole() {
 		return x.unsure()
 	}
 	x.version, x.age = f.Version, age
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -22,6 +22,7 @@
 	cfg     config.Config
 	inForce *accepted.InForce
 	changes uint64 // of the roster, that cfg has
+	whole   bool   // cfg has a configuration and all that has registered
 }
 
 func newView(b *accepted.Book, r *roster.Roster) *view {
@@ -35,16 +36,26 @@
 	return v.cfg
 }
 
+// Whole says whether the configuration has all that a node needs to serve: what
+// operators have accepted, and the upstreams of a register that was read.
+func (v *view) Whole() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.whole
+}
+
 // refresh makes the configuration anew if anything has changed, and says
 // whether it did. Its offset is a count of its own.
 func (v *view) refresh() bool {
 	f, weights := v.book.InForce(), v.book.Weights()
+	read := v.roster.Read() // before the entries, which are whole by then
 	entries, changes := v.roster.Entries()
 	if f == nil {
 		return false
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.whole = v.whole || read
 	cfg := derive(f, weights, entries)
 	if v.inForce == f && v.changes == changes && sameModels(v.cfg, cfg) {
 		return false
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -48,6 +48,7 @@
 type Roster struct {
 	mu      sync.Mutex
 	entries map[string]record
+	read    bool // the register has been read whole
 	away    bool // the register is not reached
 	// settled is when an entry that is missing counts as gone: the grace after
 	// the register's return. Zero: the register was never away.
@@ -222,6 +223,21 @@
 	r.away = true
 }
 
+// Read says whether the register has been read whole since the start. Until then
+// that there are no upstreams means nothing.
+func (r *Roster) Read() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.read
+}
+
+// SetRead notes that the register has been read whole and taken in.
+func (r *Roster) SetRead() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.read = true
+}
+
 // Reached notes that the register answers, and drops what has not come back in
 // time since its return.
 func (r *Roster) Reached(now time.Time) {
