Wait in one place

Ruled out: retry.Pause as the one to call: version/ would depend on request/. What each does stays; a wait of nothing ends at once where some of the copies raced a timer of 0. Measured: the tests of these packages pass, no test changed.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -9,6 +9,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/operator"
 	"github.com/dunlinmill/dunlinmill/load"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/keyring"
 	"github.com/dunlinmill/dunlinmill/version/record"
@@ -194,7 +195,7 @@
 
 // migrate shifts the largest workspace to the new pool while it is in use.
 func (s *site) migrate(ctx context.Context, cfg Config) (operator.Plan, error) {
-	sleep(ctx, cfg.Duration/4)
+	clock.Sleep(ctx, cfg.Duration/4)
 	c, err := s.client(len(s.nodes)-1, operatorToken)
 	if err != nil {
 		return operator.Plan{}, err
@@ -231,10 +232,3 @@
 	})
 	return p, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/demo/workload.go
+++ b/demo/workload.go
@@ -14,6 +14,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/load"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/standin/engine"
 )
 
@@ -104,7 +105,7 @@
 		for range 2 {
 			w.call(context.WithoutCancel(ctx), c)
 		}
-		sleep(ctx, callPause)
+		clock.Sleep(ctx, callPause)
 	}
 }
 
--- a/load/run.go
+++ b/load/run.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/dunlinmill/dunlinmill/process/clock"
 )
 
 // Expect gives the answer that a chat has to get.
@@ -50,14 +52,7 @@
 		if r.Progress != nil {
 			r.Progress()
 		}
-		sleep(ctx, r.Pause)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		clock.Sleep(ctx, r.Pause)
 	}
 }
 
@@ -72,7 +67,7 @@
 		if !again || n >= r.Returns {
 			return a, err
 		}
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 }
 
--- a/process/clock/clock.go
+++ b/process/clock/clock.go
@@ -1,7 +1,8 @@
-// Package clock tells the time by which leases and ages are judged.
+// Package clock tells the time by which leases and ages are judged, and waits.
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -21,3 +22,18 @@
 	}
 	return time.Unix(ts.Unix())
 }
+
+// Sleep waits for d; false if ctx has ended before.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/request/retry/flow.go
+++ b/request/retry/flow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 )
@@ -15,12 +16,10 @@
 
 // Pause waits before another send, or until ctx ends.
 func Pause(ctx context.Context, wait time.Duration) error {
-	select {
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, wait) {
 		return ctx.Err()
-	case <-time.After(wait):
-		return nil
 	}
+	return nil
 }
 
 // comeBack is when to come back if nothing better is known.
--- a/version/follower/follower.go
+++ b/version/follower/follower.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/version/fold"
 	"github.com/dunlinmill/dunlinmill/version/record"
@@ -183,7 +184,7 @@
 			continue
 		}
 		f.logFailed(err)
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 		wait = min(2*wait, backoffMost)
 	}
 }
@@ -208,7 +209,7 @@
 	}
 	f.contact(time.Now(), f.State().Offset+1 >= page.End, FromLog)
 	if len(page.Records) == 0 && time.Since(asked) < f.cfg.PollWait/2 {
-		sleep(ctx, backoffFirst) // a log that doesn't hold back empty answers
+		clock.Sleep(ctx, backoffFirst) // a log that doesn't hold back empty answers
 	}
 	return nil
 }
@@ -322,12 +323,3 @@
 	c.PeersPerRound = cmp.Or(c.PeersPerRound, DefaultPeersPerRound)
 	return c
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/version/follower/relay.go
+++ b/version/follower/relay.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/version/snapshot"
 )
@@ -145,7 +146,7 @@
 		if f.silent(time.Now()) && !f.askRound(ctx) && f.State().Offset == 0 {
 			f.loadLastKnown()
 		}
-		sleep(ctx, f.cfg.PeerInterval)
+		clock.Sleep(ctx, f.cfg.PeerInterval)
 	}
 }
 
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/dunlinmill/dunlinmill/process/clock"
 )
 
 var (
@@ -130,7 +132,7 @@
 		}
 		if err != nil {
 			f.taker.Missed(f.cfg.Clock(), err)
-			sleep(ctx, f.cfg.Retry)
+			clock.Sleep(ctx, f.cfg.Retry)
 			continue
 		}
 		f.rest(ctx)
@@ -145,7 +147,7 @@
 		if left <= 0 {
 			return
 		}
-		sleep(ctx, left)
+		clock.Sleep(ctx, left)
 	}
 }
 
@@ -166,18 +168,6 @@
 
 func (c Config) hurries() bool { return c.Hurry != nil && c.Hurry() }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // step asks once.
 func (f *Follower) step(ctx context.Context, begun time.Time) error {
 	ask := f.read
--- a/version/rollout/rollout.go
+++ b/version/rollout/rollout.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/event"
 )
 
@@ -197,7 +198,7 @@
 	target := r.fleet.Newest(e.Model)
 	wait, err := r.step(ctx, e, target)
 	for err == nil && wait > 0 {
-		if !sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			err = ctx.Err()
 			break
 		}
@@ -209,17 +210,6 @@
 	return err
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // errGone means that an engine has left meanwhile.
 var errGone = errors.New("rollout: the engine has left")
 
