Stop what a failed join has started, and tell each kind of news by its own call

Cause: read once more: peers.join ran again every 0.4 s after a failure and dropped the list of what the try before had started, so that each left a client and a running membership under the same name behind (the new test counts 4 goroutines, 0 wanted). The list, and gateway's own, were copies of node's closers; an error of closing was logged as PeersNotJoined. EngineNews stood for three messages, told apart by empty fields. Change: node's closers become package closer, used by all three; a failed join closes what it started. Engine, Holder and Resigned are calls of their own. Measured: TestFailedJoinLeavesNothingRunning fails without the closing and passes with it; the tests of the two others make the same assertions through the new calls; the packages' tests pass. Nodes of two builds do not hear each other's signs; nothing is released yet.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -58,7 +58,7 @@
 		news: do.MustInvoke[*cachenews.Book](i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
 	}
 	e.work.Go(func() { e.run(ctx) })
-	g.onClose(func() {
+	g.onClose("exchange with peers", func() {
 		cancel()
 		e.work.Wait()
 	})
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/closer"
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
@@ -117,7 +118,7 @@
 	group       Group
 	leaving     atomic.Bool
 
-	closers []func()
+	closers closer.List
 }
 
 // New makes a node and starts to follow the platform.
@@ -167,13 +168,12 @@
 
 // Close stops all parts in the reverse order of their making.
 func (g *Gateway) Close() {
-	for i := len(g.closers) - 1; i >= 0; i-- {
-		g.closers[i]()
-	}
-	g.closers = nil
+	g.closers.CloseAll(g.log)
 }
 
-func (g *Gateway) onClose(f func()) { g.closers = append(g.closers, f) }
+func (g *Gateway) onClose(name string, f func()) {
+	g.closers.Add(name, func() error { f(); return nil })
+}
 
 // Metrics gives the node's metrics.
 func (g *Gateway) Metrics() *metric.Metrics { return g.metrics }
--- a/process/gateway/joiner.go
+++ b/process/gateway/joiner.go
@@ -55,7 +55,7 @@
 		metrics: do.MustInvoke[*metric.Metrics](i), log: g.log, cancel: cancel,
 	}
 	j.work.Go(func() { j.run(ctx) })
-	g.onClose(j.close)
+	g.onClose("duty", j.close)
 	return j
 }
 
@@ -75,10 +75,8 @@
 			}
 			pause = askPause
 		}
-		select {
-		case <-ctx.Done():
+		if !clock.Sleep(ctx, pause) {
 			return
-		case <-time.After(pause):
 		}
 	}
 }
@@ -152,7 +150,7 @@
 	j.work.Go(func() {
 		if r, had := j.keeper.Resign(clock.Boot()); had {
 			j.giveBack()
-			j.peers.tell(EngineNews{Resigned: &r})
+			j.peers.tellResigned(r)
 		}
 	})
 }
@@ -169,7 +167,7 @@
 	}
 	event.Warn(j.log, event.LeaseLost, zap.Uint64("Generation", r.Generation), zap.Duration("Idle", r.Idle))
 	j.keeper.Resigned(now, r) // it may well be the next one itself
-	j.peers.tell(EngineNews{Resigned: &r})
+	j.peers.tellResigned(r)
 }
 
 func (j *joiner) close() {
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -18,22 +18,19 @@
 
 // EngineNews is what the holder of the duty tells of one engine.
 type EngineNews struct {
-	Engine string // empty: nothing but that there is a holder
+	Engine string
 	Model  string
 	Held   uint64 // version; 0: not known
 	Busy   bool   // it changes its weights and takes no requests
-	// Resigned is told by a holder that gives the duty back.
-	Resigned *duty.Resignation
 }
 
 // Heard answers a peer that has told something.
 type Heard struct{}
 
-// tell gives the news to all live nodes, and returns when they have it or the
-// time for it is over. One that is missed hears by the register or the engine.
-func (p *peers) tell(news EngineNews) {
-	missed := p.toAll("Tell", news)
-	if len(missed) > 0 && news.Engine != "" {
+// tellEngine gives the news to all live nodes, and returns when they have it or
+// the time for it is over. One that is missed hears by the register or the engine.
+func (p *peers) tellEngine(news EngineNews) {
+	if missed := p.toAll("Engine", news); len(missed) > 0 {
 		event.Info(p.log, event.NewsNotHeard, zap.Strings("Peers", missed), zap.String("Upstream", news.Engine))
 	}
 }
@@ -42,7 +39,10 @@
 func (p *peers) tellRegister(r RegisterRead) { p.toAll("Register", r) }
 
 // tellHolder gives the others a sign that this node has the duty.
-func (p *peers) tellHolder() { p.tell(EngineNews{}) }
+func (p *peers) tellHolder() { p.toAll("Holder", Heard{}) }
+
+// tellResigned tells the others that this node has the duty no longer.
+func (p *peers) tellResigned(r duty.Resignation) { p.toAll("Resigned", r) }
 
 // enginesHandler takes the news of a peer.
 type enginesHandler struct {
@@ -77,24 +77,29 @@
 	return nil
 }
 
-// Tell takes in the news of one engine.
-func (h *enginesHandler) Tell(n EngineNews, _ *Heard) error {
-	now := clock.Boot()
-	if n.Resigned != nil {
-		h.peers.keeper.Resigned(now, *n.Resigned)
-		h.peers.heardHolder(now.Add(-holderQuiet)) // the first by rank asks for it at once
-		return nil
-	}
-	if n.Engine != "" {
-		// No sign of the duty: it may have been lost while the engine changed.
-		take(h.peers.roster, time.Now(), n)
-		return nil
-	}
-	h.peers.heardHolder(now)
+// Engine takes in the news of one engine. They are no sign of the duty, which may
+// have been lost while the engine changed.
+func (h *enginesHandler) Engine(n EngineNews, _ *Heard) error {
+	take(h.peers.roster, time.Now(), n)
+	return nil
+}
+
+// Holder takes in the sign of the duty's holder.
+func (h *enginesHandler) Holder(_ Heard, _ *Heard) error {
+	h.peers.heardHolder(clock.Boot())
 	h.peers.keeper.HeardHolder()
 	return nil
 }
 
+// Resigned takes in what a former holder tells; the first node by rank asks for
+// the duty at once.
+func (h *enginesHandler) Resigned(r duty.Resignation, _ *Heard) error {
+	now := clock.Boot()
+	h.peers.keeper.Resigned(now, r)
+	h.peers.heardHolder(now.Add(-holderQuiet))
+	return nil
+}
+
 func take(r *roster.Roster, now time.Time, n EngineNews) {
 	if n.Held > 0 {
 		r.Holds(n.Engine, n.Model, n.Held)
--- a/process/gateway/orders.go
+++ b/process/gateway/orders.go
@@ -94,7 +94,7 @@
 func (f *fleet) Busy(name, model string, busy bool) {
 	n := EngineNews{Engine: name, Model: model, Held: f.roster.Weights(name, model), Busy: busy}
 	take(f.roster, time.Now(), n)
-	f.peers.tell(n)
+	f.peers.tellEngine(n)
 }
 
 // available is a guard that keeps requests from engines that change their
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -13,6 +13,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/peer"
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/closer"
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/member"
@@ -49,7 +50,7 @@
 	mu      sync.Mutex // guards all below
 	members *member.Runner
 	client  *peer.Client
-	closers []func() error
+	closers closer.List
 	holder  time.Time // last sign of a holder of the duty, by the boot clock
 
 	cancel context.CancelFunc
@@ -65,7 +66,7 @@
 	}
 	self := platform.VM{Name: g.settings.Node, Address: g.settings.Peers, DataCentre: g.settings.DataCentre}
 	ps.work.Go(func() { ps.enter(ctx, p.Directory, self) })
-	g.onClose(ps.close)
+	g.onClose("peers", ps.close)
 	return ps
 }
 
@@ -84,10 +85,7 @@
 			return
 		}
 		event.Info(p.log, event.PeersNotJoined, zap.Error(err))
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryPause):
-		}
+		clock.Sleep(ctx, retryPause)
 	}
 }
 
@@ -107,10 +105,8 @@
 				return
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !clock.Sleep(ctx, retryPause) {
 			return
-		case <-time.After(retryPause):
 		}
 	}
 }
@@ -121,19 +117,30 @@
 	return d.Enter(ctx, self)
 }
 
-// join starts the connections to the others and the membership over them.
+// join starts the connections to the others and the membership over them. What
+// a failed try has started is stopped again, as the next one starts its own.
 func (p *peers) join(d Directory, self platform.VM, secret []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	err := p.start(d, self, secret)
+	if err != nil {
+		p.closers.CloseAll(p.log)
+	}
+	return err
+}
+
+func (p *peers) start(d Directory, self platform.VM, secret []byte) error {
 	secrets := [][]byte{secret}
 	client, err := peer.NewClient(peer.ClientConfig{Secrets: secrets})
 	if err != nil {
 		return err
 	}
+	p.closers.Add("peer client", client.Close)
 	server, err := peer.NewServer(peer.ServerConfig{Secrets: secrets, Logger: p.log})
 	if err != nil {
 		return err
 	}
+	p.closers.Add("peer server", server.Close)
 	members, err := member.NewRunner(member.Config{
 		Name: self.Name, Address: self.Address, DataCentre: self.DataCentre,
 		Incarnation: time.Now().UnixNano(), VMListInterval: listInterval,
@@ -141,7 +148,7 @@
 	if err != nil {
 		return err
 	}
-	p.closers = []func() error{client.Close, server.Close, members.Close}
+	p.closers.Add("membership", members.Close)
 	if err := server.Register(member.ServiceName, members.Service()); err != nil {
 		return err
 	}
@@ -160,11 +167,7 @@
 	p.work.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i := len(p.closers) - 1; i >= 0; i-- {
-		if err := p.closers[i](); err != nil {
-			event.Info(p.log, event.PeersNotJoined, zap.Error(err))
-		}
-	}
+	p.closers.CloseAll(p.log)
 }
 
 func (p *peers) leave() {
@@ -183,12 +186,7 @@
 		return nil, nil
 	}
 	self := p.members.Self().Name
-	var others []member.Member
-	for _, m := range p.members.Live(now) {
-		if m.Name != self {
-			others = append(others, m)
-		}
-	}
+	others := lo.Reject(p.members.Live(now), func(m member.Member, _ int) bool { return m.Name == self })
 	return others, p.client
 }
 
@@ -209,16 +207,14 @@
 // rank is this node's place among the live ones that do not leave, the one that
 // started last first: on a day of restarts it is the last to be stopped again.
 func (p *peers) rank(now time.Time) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.members == nil {
+	others, _ := p.live(now)
+	if len(others) == 0 {
 		return 0
 	}
 	self := p.members.Self()
-	before := func(m member.Member) bool {
+	return lo.CountBy(others, func(m member.Member) bool {
 		return m.Incarnation > self.Incarnation || m.Incarnation == self.Incarnation && m.Name < self.Name
-	}
-	return lo.CountBy(p.members.Live(now), func(m member.Member) bool { return m.Name != self.Name && before(m) })
+	})
 }
 
 // toAll calls a method of all live nodes, and returns when they have answered
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -1,9 +1,17 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
+	"net"
+	"runtime/pprof"
+	"strings"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/roster"
@@ -20,15 +28,17 @@
 func TestNewsOfAnEngineAreNoSignOfTheDuty(t *testing.T) {
 	cases := []struct {
 		name string
-		news EngineNews
+		tell func(h *enginesHandler) error
 		sign bool
 	}{
-		{"a load ends", EngineNews{Engine: "a", Model: "m", Held: 2}, false},
-		{"the holder's sign", EngineNews{}, true},
+		{"a load ends", func(h *enginesHandler) error {
+			return h.Engine(EngineNews{Engine: "a", Model: "m", Held: 2}, &Heard{})
+		}, false},
+		{"the holder's sign", func(h *enginesHandler) error { return h.Holder(Heard{}, &Heard{}) }, true},
 	}
 	for _, c := range cases {
 		h := handler()
-		if err := h.Tell(c.news, &Heard{}); err != nil {
+		if err := c.tell(h); err != nil {
 			t.Fatal(err)
 		}
 		if quiet := h.peers.holderQuiet(clock.Boot()); (quiet < holderQuiet) != c.sign {
@@ -41,7 +51,7 @@
 func TestResignationMakesTheDutyDue(t *testing.T) {
 	h := handler()
 	h.peers.heardHolder(clock.Boot())
-	if err := h.Tell(EngineNews{Resigned: &duty.Resignation{Generation: 4}}, &Heard{}); err != nil {
+	if err := h.Resigned(duty.Resignation{Generation: 4}, &Heard{}); err != nil {
 		t.Fatal(err)
 	}
 	if h.peers.holderQuiet(clock.Boot()) < holderQuiet {
@@ -61,3 +71,36 @@
 		}
 	}
 }
+
+// The port for other nodes is taken as a node starts, and it tries again every
+// 0.4 s. Each failed try used to leave a membership running, which asked the
+// others for ever under the same name.
+func TestFailedJoinLeavesNothingRunning(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	running := func() int {
+		var b bytes.Buffer
+		if err := pprof.Lookup("goroutine").WriteTo(&b, 2); err != nil {
+			t.Fatal(err)
+		}
+		return strings.Count(b.String(), "member.(*Runner)")
+	}
+	before := running()
+	p := &peers{log: zap.NewNop()}
+	self := platform.VM{Name: "n1", Address: ln.Addr().String(), DataCentre: "dc"}
+	if err := p.join(nobody{}, self, bytes.Repeat([]byte("s"), 32)); err == nil {
+		t.Fatal("joined on a port that is taken")
+	}
+	if after := running(); after != before || p.members != nil {
+		t.Errorf("%d goroutines of a membership, %d before", after, before)
+	}
+}
+
+// nobody is a directory without nodes.
+type nobody struct{}
+
+func (nobody) Enter(context.Context, platform.VM) ([]byte, error) { return nil, nil }
+func (nobody) VMs(context.Context) ([]platform.VM, error)         { return nil, nil }
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -154,7 +154,7 @@
 	r := do.MustInvoke[*roster.Roster](i)
 	inv := inventory.New(inventory.Config{Interval: statusInterval}, p.Dialer(r.Replaced),
 		do.MustInvoke[*view](i), noOwner{}, noListener{})
-	g.onClose(inv.Close)
+	g.onClose("inventory", inv.Close)
 	return inv
 }
 
@@ -277,8 +277,8 @@
 		register:      keyed.New(looking, p.Register, &registerTaker{learner: l, tell: others.tellRegister}),
 	}
 	others.follow(f.register)
-	g.onClose(f.configuration.Close)
-	g.onClose(f.register.Close)
+	g.onClose("follower of the configuration", f.configuration.Close)
+	g.onClose("follower of the register", f.register.Close)
 	return f
 }
 
@@ -291,6 +291,6 @@
 		book: do.MustInvoke[*accepted.Book](i), inventory: do.MustInvoke[*inventory.Inventory](i),
 		peers: do.MustInvoke[*peers](i),
 	}, do.MustInvoke[*duty.Keeper](i), g.log)
-	g.onClose(d.Close)
+	g.onClose("roll-out", d.Close)
 	return d, nil
 }
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -90,7 +90,7 @@
 			}
 		}
 	})
-	n.closers.add("maintenance", func() error {
+	n.closers.Add("maintenance", func() error {
 		cancel()
 		unsubscribe()
 		done.Wait()
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/caller"
 	"github.com/dunlinmill/dunlinmill/connection/operator"
+	"github.com/dunlinmill/dunlinmill/process/closer"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/settings"
@@ -41,7 +42,7 @@
 	settings settings.Settings
 	injector *do.RootScope
 	log      *zap.Logger
-	closers  closers
+	closers  closer.List
 
 	callers   net.Listener
 	operators net.Listener
@@ -69,7 +70,7 @@
 		zap.String("Operators", s.Listen.Operators.Address), zap.String("Peers", s.Listen.Peers.Address))
 	n.provide()
 	if err := n.build(); err != nil {
-		n.closers.closeAll(log)
+		n.closers.CloseAll(log)
 		return nil, fmt.Errorf("node %s: %w", s.Node, err)
 	}
 	return n, nil
@@ -125,7 +126,7 @@
 // Run serves until ctx ends. The order of the actors is the order in which
 // they are stopped: callers first, since their requests need all the rest.
 func (n *Node) Run(ctx context.Context) error {
-	defer n.closers.closeAll(n.log)
+	defer n.closers.CloseAll(n.log)
 	stop, cancel := context.WithCancel(context.Background())
 	callers := do.MustInvoke[*caller.Listener](n.injector)
 	operators := do.MustInvoke[*operator.Listener](n.injector)
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -81,7 +81,7 @@
 
 func (n *Node) newLog(i do.Injector) (platform.Log, error) {
 	l := platformhttp.NewLog(n.settings.Platform.Log, n.platformConfig(follower.DefaultPollWait))
-	n.closers.add("log client", func() error { l.Close(); return nil })
+	n.closers.Add("log client", func() error { l.Close(); return nil })
 	return meteredLog{Log: l, metrics: do.MustInvoke[*metric.Metrics](i)}, nil
 }
 
@@ -94,7 +94,7 @@
 
 func (n *Node) newWeightStore(do.Injector) (platform.WeightStore, error) {
 	w := platformhttp.NewWeightStore(n.settings.Platform.WeightStore, n.platformConfig(0))
-	n.closers.add("weight store client", func() error { w.Close(); return nil })
+	n.closers.Add("weight store client", func() error { w.Close(); return nil })
 	return w, nil
 }
 
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer client: %w", err)
 	}
-	n.closers.add("peer client", c.Close)
+	n.closers.Add("peer client", c.Close)
 	return c, nil
 }
 
@@ -131,7 +131,7 @@
 	if err != nil {
 		return peerServer{}, fmt.Errorf("listener Peers: %w", err)
 	}
-	n.closers.add("peer server", s.Close)
+	n.closers.Add("peer server", s.Close)
 	n.announceListener("Peers", address, cfg != nil)
 	return peerServer{Server: s, address: address}, nil
 }
@@ -141,7 +141,7 @@
 	var list platform.VMList
 	if n.settings.Platform.VMList != "" {
 		l := platformhttp.NewVMList(n.settings.Platform.VMList, n.platformConfig(0))
-		n.closers.add("VM list client", func() error { l.Close(); return nil })
+		n.closers.Add("VM list client", func() error { l.Close(); return nil })
 		list = l
 	}
 	r, err := member.NewRunner(member.Config{
@@ -154,7 +154,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("membership: %w", err)
 	}
-	n.closers.add("membership", r.Close)
+	n.closers.Add("membership", r.Close)
 	return r, s.Register(member.ServiceName, r.Service())
 }
 
@@ -166,7 +166,7 @@
 	}
 	f := follower.New(follower.Config{LastKnown: n.settings.LastKnown},
 		do.MustInvoke[platform.Log](i), s.list, n.log)
-	n.closers.add("follower", f.Close)
+	n.closers.Add("follower", f.Close)
 	return f, do.MustInvoke[peerServer](i).Register(relayService, follower.NewRelay(f))
 }
 
@@ -199,7 +199,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
-	n.closers.add("journal", j.Close)
+	n.closers.Add("journal", j.Close)
 	return j, do.MustInvoke[peerServer](i).Register(journal.Service, j.Handler())
 }
 
@@ -282,7 +282,7 @@
 	inv := inventory.New(inventory.Config{}, dialer{cfg: upstreamhttp.Config{}}, do.MustInvoke[view](i),
 		owner{members: do.MustInvoke[*member.Runner](i)},
 		statusListener{policies: do.MustInvoke[*policy.Table](i), upstreams: do.MustInvoke[*member.Upstreams](i), guards: do.MustInvoke[guards](i)})
-	n.closers.add("inventory", func() error { inv.Close(); return nil })
+	n.closers.Add("inventory", func() error { inv.Close(); return nil })
 	return inv, nil
 }
 
@@ -300,7 +300,7 @@
 	p := planner.New(planner.Config{Node: n.settings.Node, Settle: n.settings.Plans.Settle},
 		do.MustInvoke[*follower.Follower](i), do.MustInvoke[platform.Log](i), engines,
 		do.MustInvoke[*warmer](i), n.log)
-	n.closers.add("planner", p.Close)
+	n.closers.Add("planner", p.Close)
 	return p, nil
 }
 
@@ -308,6 +308,6 @@
 
 func (n *Node) newWarmer(i do.Injector) (*warmer, error) {
 	w := newWarmer(do.MustInvoke[*recent.Table](i), do.MustInvoke[*completion.Router](i).Warm)
-	n.closers.add("warmer", w.Close)
+	n.closers.Add("warmer", w.Close)
 	return w, nil
 }
--- a/process/node/secret.go
+++ b/process/node/secret.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() { every(ctx, secretInterval, func(time.Time) { w.look() }) })
-	n.closers.add("secret watcher", func() error {
+	n.closers.Add("secret watcher", func() error {
 		cancel()
 		done.Wait()
 		return nil
--- a/process/node/secure.go
+++ b/process/node/secure.go
@@ -51,7 +51,7 @@
 		}
 		event.Info(n.log, event.CertificateReloaded, zap.String("File", t.CertFile))
 	})
-	n.closers.add("certificate watcher", w.Close)
+	n.closers.Add("certificate watcher", w.Close)
 	return m, nil
 }
 
