Drop copies of what the library has, state that nothing reads, and a panic on entries without weights

Ruled out: maps.Clone in the stand-ins' counter, which gives an empty map for none and is printed. Change: one newest for both; the view compares its three inputs before it derives; the rest is removed or calls the library. Measured: TestEntryWithoutWeights panicked before; the packages' tests pass.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.unframed() {
+	if s.Unframed() {
 		s.doubtful = true
 		s.body = s.conn.br
 		return s, nil
@@ -206,7 +206,7 @@
 			return nil
 		}
 		s.doubtful = true
-		if s.unframed() {
+		if s.Unframed() {
 			return errUnframed // it takes the connection with it
 		}
 		if err := s.readBody(s.client.cfg.MaxBody); err != nil {
@@ -218,6 +218,3 @@
 }
 
 var errForeign = errors.New("answers to other requests only")
-
-// Doubtful says that the connection has shown a fault beside the answer.
-func (s *Stream) Doubtful() bool { return s.doubtful }
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -56,15 +56,12 @@
 	}
 }
 
-// unframed says that the body ends with the connection, and may.
-func (s *Stream) unframed() bool {
+// Unframed says that the body ends with the connection, and may.
+func (s *Stream) Unframed() bool {
 	return s.client.cfg.Unframed && !s.resp.SkipBody && !bodiless(s.resp.StatusCode()) &&
 		s.resp.Header.ContentLength() == lengthUnknown
 }
 
-// Unframed says that the body ends with the connection.
-func (s *Stream) Unframed() bool { return s.unframed() }
-
 func (s *Stream) chunked() bool {
 	return !s.resp.SkipBody && s.resp.Header.ContentLength() == lengthChunked
 }
@@ -148,7 +145,7 @@
 // readToEnd reads a body that ends with the connection's orderly close. A
 // reset is an error, since the rest of the answer may be missing.
 func (s *Stream) readToEnd(limit int) error {
-	if !s.unframed() {
+	if !s.Unframed() {
 		return errUnframed
 	}
 	body, err := io.ReadAll(io.LimitReader(s.conn.br, int64(limit)+1))
--- a/process/event/bounded.go
+++ b/process/event/bounded.go
@@ -2,10 +2,10 @@
 
 import (
 	"io"
+	"maps"
 	"sync"
 	"time"
 
-	"go.uber.org/zap/buffer"
 	"go.uber.org/zap/zapcore"
 )
 
@@ -61,11 +61,7 @@
 func (q *Queue) Dropped() map[string]int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	c := make(map[string]int, len(q.dropped))
-	for name, n := range q.dropped {
-		c[name] = n
-	}
-	return c
+	return maps.Clone(q.dropped)
 }
 
 func (q *Queue) run() {
@@ -140,7 +136,6 @@
 
 // Write encodes one line and never waits.
 func (c *core) Write(e zapcore.Entry, fields []zapcore.Field) error {
-	var line *buffer.Buffer
 	line, err := c.encoder.EncodeEntry(e, fields)
 	if err != nil {
 		return err
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -1,11 +1,10 @@
 package gateway
 
 import (
+	"maps"
 	"strconv"
 	"sync"
 
-	"github.com/samber/lo"
-
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -21,6 +20,7 @@
 	mu      sync.Mutex
 	cfg     config.Config
 	inForce *accepted.InForce
+	weights map[string]uint64 // that cfg has
 	changes uint64 // of the roster, that cfg has
 	whole   bool   // cfg has a configuration and all that has registered
 }
@@ -56,21 +56,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.whole = v.whole || read
-	cfg := derive(f, weights, entries)
-	if v.inForce == f && v.changes == changes && sameModels(v.cfg, cfg) {
+	if v.inForce == f && v.changes == changes && maps.Equal(v.weights, weights) {
 		return false
 	}
-	v.inForce, v.changes = f, changes
-	v.cfg = cfg.WithOffset(v.cfg.Offset + 1)
+	v.inForce, v.changes, v.weights = f, changes, weights
+	v.cfg = derive(f, weights, entries).WithOffset(v.cfg.Offset + 1)
 	return true
 }
 
-func sameModels(a, b config.Config) bool {
-	return len(a.Models) == len(b.Models) && lo.EveryBy(lo.Keys(a.Models), func(name string) bool {
-		return a.Models[name] == b.Models[name]
-	})
-}
-
 // firstVersion is that of weights of which no version was named yet.
 const firstVersion = 1
 
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -209,10 +209,11 @@
 
 // Duty says whether this node has the duty to give orders.
 func (m *Metrics) Duty(held bool) {
-	m.dutyHeld.Set(0)
+	value := 0.0
 	if held {
-		m.dutyHeld.Set(1)
+		value = 1
 	}
+	m.dutyHeld.Set(value)
 }
 
 // Journalled notes what became of an append to the journal and how long it
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -131,12 +131,13 @@
 	delete(r.entries, id)
 }
 
+// newest gives the newer version of each model of two accounts, either of which
+// may have none.
 func newest(a, b map[string]uint64) map[string]uint64 {
-	c := maps.Clone(b)
+	c := make(map[string]uint64, len(b))
+	maps.Copy(c, b)
 	for model, version := range a {
-		if version > c[model] {
-			c[model] = version
-		}
+		c[model] = max(c[model], version)
 	}
 	return c
 }
@@ -149,8 +150,7 @@
 	if !ok || version <= e.Weights[model] {
 		return
 	}
-	e.Weights = maps.Clone(e.Weights)
-	e.Weights[model] = version
+	e.Weights = newest(e.Weights, map[string]uint64{model: version})
 	r.entries[id] = e
 	r.changes++
 }
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -153,3 +153,15 @@
 		}
 	}
 }
+
+// An entry names no model, as a plain service's does, and an answer bears weights
+// all the same, or the next entry names one. Neither may end the process.
+func TestEntryWithoutWeights(t *testing.T) {
+	r := New()
+	r.Put(Entry{ID: "a", Address: "a"}, 1)
+	r.Holds("a", "m", 2)
+	r.Put(Entry{ID: "a", Address: "a"}, 2)
+	if got := r.Weights("a", "m"); got != 2 {
+		t.Errorf("holds %d", got)
+	}
+}
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -16,18 +16,16 @@
 
 // Engine is what all engines of a pool have in common.
 type Engine struct {
-	Slots       int     // requests that run at once in one batch
-	CacheTokens int     // prompt tokens that fit into an engine's memory
-	TokenBytes  float64 // of cache memory for one token
-	LinkBits    float64 // a second, on the way to another engine
-	Models      []string
+	Slots      int     // requests that run at once in one batch
+	TokenBytes float64 // of cache memory for one token
+	LinkBits   float64 // a second, on the way to another engine
+	Models     []string
 }
 
 // Service is a pool of engines or a plain service.
 type Service struct {
-	Name           string
-	Engine         *Engine // nil: a plain service
-	MaxConnections int     // that one upstream takes of all callers; 0: not said
+	Name   string
+	Engine *Engine // nil: a plain service
 }
 
 // Workspace is one tenant of the callers.
--- a/version/route/route.go
+++ b/version/route/route.go
@@ -33,9 +33,6 @@
 	// Timeout is the longest that a caller is kept waiting for the whole
 	// answer; 0: no own bound.
 	Timeout time.Duration
-	// Goal is the time in which an answer is of full use: the whole one, or the
-	// first event of a stream.
-	Goal time.Duration
 	// MaxRuns is how many upstreams may have run one request; 0: one.
 	MaxRuns  int
 	Priority int // 0 is the most urgent
