--- a/process/gateway/ready_test.go
+++ b/process/gateway/ready_test.go
@@ -23,7 +23,7 @@
 	g.book.Accept(accepted.Configuration{Version: 1})
 	g.book.Confirm(now)
 	g.view.refresh()
-	x := &exchange{g: g, in: Inbound{ID: "r"}, began: time.Now()}
+	x := &serving{g: g, in: Inbound{ID: "r"}, began: time.Now()}
 	var e *failure.Error
 	if err := x.admit(now); g.Ready(now) || !errors.As(err, &e) || !errors.Is(e, failure.ErrPlatformUnavailable) {
 		t.Errorf("ready %v, %v", g.Ready(now), err)
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -57,8 +57,8 @@
 // connection has to be closed in a way that shows it.
 var ErrCut = errors.New("gateway: answer cut")
 
-// exchange is one request on its way.
-type exchange struct {
+// serving is one request on its way.
+type serving struct {
 	g       *Gateway
 	in      Inbound
 	out     Sink
@@ -78,7 +78,7 @@
 func (g *Gateway) Serve(ctx context.Context, now time.Time, in Inbound, out Sink) error {
 	g.metrics.Began()
 	defer g.metrics.Ended()
-	x := &exchange{g: g, in: in, out: out, began: now}
+	x := &serving{g: g, in: in, out: out, began: now}
 	err := x.serve(ctx)
 	if err == nil {
 		g.metrics.Answered(x.owner.Name)
@@ -89,7 +89,7 @@
 	return x.failed(err)
 }
 
-func (x *exchange) serve(ctx context.Context) error {
+func (x *serving) serve(ctx context.Context) error {
 	if err := x.admit(Boot()); err != nil {
 		return err
 	}
@@ -108,7 +108,7 @@
 // admit finds the request's route, workspace and service. What is not found is
 // refused as such only while the configuration is known to be the newest; it
 // may just have been added.
-func (x *exchange) admit(boot time.Time) error {
+func (x *serving) admit(boot time.Time) error {
 	f := x.g.book.InForce()
 	age, known := x.g.book.Age(boot)
 	if f == nil || !known || !x.g.view.Whole() {
@@ -136,7 +136,7 @@
 
 // unsure is the answer of a node that does not know enough. Others do: the
 // caller is to come back soon.
-func (x *exchange) unsure() *failure.Error {
+func (x *serving) unsure() *failure.Error {
 	return failure.ErrPlatformUnavailable.WithRetryAfter(limit.Spread(0, x.in.ID, soon))
 }
 
@@ -150,7 +150,7 @@
 const missingPart = 1.25
 
 // missing is the answer to a request whose route or key does not exist here.
-func (x *exchange) missing(err *failure.Error) *failure.Error {
+func (x *serving) missing(err *failure.Error) *failure.Error {
 	if float64(x.age) >= missingPart*float64(x.g.bounds.Load().ConfigLag) {
 		return x.unsure()
 	}
@@ -159,7 +159,7 @@
 
 // deadline is when the answer is given up: when the caller would get it too
 // late, or the route's time is over, whichever is first.
-func (x *exchange) deadline() time.Time {
+func (x *serving) deadline() time.Time {
 	var d time.Time
 	if x.in.Grant > 0 {
 		d = x.began.Add(max(x.in.Grant-x.g.bounds.Load().Transit, x.in.Grant/2))
@@ -170,7 +170,7 @@
 	return d
 }
 
-func (x *exchange) priority() int {
+func (x *serving) priority() int {
 	if x.owner.HasPriority {
 		return x.owner.Priority
 	}
@@ -181,7 +181,7 @@
 // workspace can have this name: the operators' begin with a letter.
 const shared = "*"
 
-func (x *exchange) scope() string {
+func (x *serving) scope() string {
 	if x.owner.Isolated {
 		return x.owner.Name
 	}
@@ -189,7 +189,7 @@
 }
 
 // generate serves a request for generated text.
-func (x *exchange) generate(ctx context.Context, deadline time.Time) error {
+func (x *serving) generate(ctx context.Context, deadline time.Time) error {
 	a, err := x.g.completions.Start(ctx, completion.Request{
 		ID:        x.in.ID,
 		Workspace: x.owner.Name,
@@ -213,14 +213,14 @@
 }
 
 // model is the one that the request names, or the service's only one.
-func (x *exchange) model() string {
+func (x *serving) model() string {
 	if x.in.Model == "" && len(x.service.Engine.Models) == 1 {
 		return x.service.Engine.Models[0]
 	}
 	return x.in.Model
 }
 
-func (x *exchange) passage(deadline time.Time) *upstream.Call {
+func (x *serving) passage(deadline time.Time) *upstream.Call {
 	return &upstream.Call{
 		Method: x.in.Method, Header: x.in.Header, Body: x.in.Body,
 		ID: x.in.ID, Host: x.in.Host, Target: x.in.Target,
@@ -229,7 +229,7 @@
 }
 
 // relay passes an answer on, event by event.
-func (x *exchange) relay(a *completion.Answer) error {
+func (x *serving) relay(a *completion.Answer) error {
 	head := *a.Info().Passage
 	x.status = head.Status
 	if err := x.out.Begin(head); err != nil {
@@ -252,7 +252,7 @@
 	}
 }
 
-func (x *exchange) callerGone(err error) error {
+func (x *serving) callerGone(err error) error {
 	if err == nil {
 		return nil
 	}
@@ -260,7 +260,7 @@
 }
 
 // call serves a call to a plain service.
-func (x *exchange) call(ctx context.Context, deadline time.Time) error {
+func (x *serving) call(ctx context.Context, deadline time.Time) error {
 	reply, err := x.g.calls.Do(ctx, call.Request{
 		ID:         x.in.ID,
 		Workspace:  x.owner.Name,
@@ -285,7 +285,7 @@
 // orFailedReply passes on the upstream's own answer if it is the reason of a
 // failure, so that the caller reads what the upstream said. A service without
 // any upstream is one that the configuration has all the same.
-func (x *exchange) orFailedReply(err error) error {
+func (x *serving) orFailedReply(err error) error {
 	var failed *upstream.FailedReply
 	switch {
 	case errors.As(err, &failed):
@@ -296,13 +296,13 @@
 	return err
 }
 
-func (x *exchange) whole(r upstream.Reply) error {
+func (x *serving) whole(r upstream.Reply) error {
 	x.status = r.Status
 	return x.callerGone(x.out.Whole(r))
 }
 
 // failed logs and counts what went wrong, and gives what the caller is told.
-func (x *exchange) failed(err error) error {
+func (x *serving) failed(err error) error {
 	e := failure.From(err)
 	x.g.metrics.Failed(x.owner.Name, e)
 	fields := []zap.Field{
@@ -323,7 +323,7 @@
 // at most: later, its next try would have too little left to be of use.
 const comeBackPart = 0.25
 
-func (x *exchange) comeBack(e *failure.Error) time.Duration {
+func (x *serving) comeBack(e *failure.Error) time.Duration {
 	if x.in.Grant == 0 || e.RetryAfter == 0 {
 		return e.RetryAfter
 	}
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -21,8 +21,8 @@
 	cfg     config.Config
 	inForce *accepted.InForce
 	weights map[string]uint64 // that cfg has
-	changes uint64 // of the roster, that cfg has
-	whole   bool   // cfg has a configuration and all that has registered
+	changes uint64            // of the roster, that cfg has
+	whole   bool              // cfg has a configuration and all that has registered
 }
 
 func newView(b *accepted.Book, r *roster.Roster) *view {
