After a loss of all nodes, send nothing to weights older than what another engine holds

The new nodes read version 4 and can't tell how long ago 2 and 3 were replaced. No engine had 4, so that all were let through, also three that still had 2, replaced 16 s before. Ruled out: refusing all doubtful engines (nobody would be served for the 7 s until the duty is taken and the first load is done); noting times in the store (nobody was there when 4 was named). Change: of the doubtful, those that hold an older version than another engine are left out. Those with the newest held are used for an unknown time still, 7 s at most from the node's start.

--- a/process/gateway/orders.go
+++ b/process/gateway/orders.go
@@ -110,18 +110,20 @@
 // Excluded gives the upstreams that must not get a request now. Those that are
 // busy, or whose weights were replaced an unknown time ago, are let through if
 // none else is left: the former refuse by themselves. Those past the life of
-// their weights are not, as they would not.
+// their weights are not, as they would not, nor is one of the doubtful whose
+// weights are older than what another engine holds already. After a loss of all
+// nodes it had weights that were replaced 16 s before.
 func (a available) Excluded(now time.Time, names []string) []string {
-	expired, doubtful := a.weights(names)
-	excluded := lo.Union(a.Guard.Excluded(now, names), expired)
+	w := a.weights(clock.Boot(), names)
+	never := lo.Union(a.Guard.Excluded(now, names), w.expired, w.outdone)
 	busy := lo.Intersect(a.roster.Busy(now), names)
-	if all := lo.Union(excluded, busy, doubtful); len(all) < len(names) {
+	if all := lo.Union(never, busy, w.doubtful); len(all) < len(names) {
 		return all
 	}
-	if all := lo.Union(excluded, busy); len(all) < len(names) {
+	if all := lo.Union(never, busy); len(all) < len(names) {
 		return all
 	}
-	return excluded
+	return never
 }
 
 // beginPart is the part of the life of replaced weights in which requests are
@@ -129,27 +131,49 @@
 // of 2.4 s was seen in hunts, where 0.85 broke the bound.
 const beginPart = 0.7
 
-// weights gives the engines on whose weights no request may begin any more, and
-// those of which this node can't tell.
-func (a available) weights(names []string) (expired, doubtful []string) {
+// replaced are the engines whose weights were replaced, but for those on which
+// requests may begin.
+type replaced struct {
+	expired  []string // for too long
+	doubtful []string // for an unknown time
+	outdone  []string // the doubtful that hold an older version than another engine
+}
+
+// weights sorts the engines out by the time since their weights were replaced.
+func (a available) weights(boot time.Time, names []string) replaced {
+	var w replaced
 	life := a.bounds.Load().WeightsLife
 	if life == 0 {
-		return nil, nil
+		return w
 	}
-	boot := clock.Boot()
 	upstreams := a.view.Config().Upstreams
+	newest := a.newestHeld(names, upstreams)
 	for _, name := range names {
 		for _, model := range upstreams[name].Models {
 			age, sure := a.outdated(boot, name, model)
 			switch {
 			case age > time.Duration(beginPart*float64(life)):
-				expired = append(expired, name)
+				w.expired = append(w.expired, name)
 			case !sure:
-				doubtful = append(doubtful, name)
+				w.doubtful = append(w.doubtful, name)
+			}
+			if !sure && a.roster.Weights(name, model) < newest[model] {
+				w.outdone = append(w.outdone, name)
 			}
 		}
 	}
-	return expired, doubtful
+	return w
+}
+
+// newestHeld is the newest version that any of the engines holds, by model.
+func (a available) newestHeld(names []string, upstreams map[string]config.Upstream) map[string]uint64 {
+	newest := map[string]uint64{}
+	for _, name := range names {
+		for _, model := range upstreams[name].Models {
+			newest[model] = max(newest[model], a.roster.Weights(name, model))
+		}
+	}
+	return newest
 }
 
 // beginWithin is the time in which a request that is sent to an engine now has
--- a/process/gateway/orders_test.go
+++ b/process/gateway/orders_test.go
@@ -1,20 +1,33 @@
 package gateway
 
 import (
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 )
 
-// newAvailable knows one engine, which holds version 1 of a model.
-func newAvailable() available {
+// newAvailable knows engines by the version that each holds of the model m.
+func newAvailable(t *testing.T, held map[string]uint64) available {
+	t.Helper()
+	g, err := guard.New(guard.ForEngines)
+	if err != nil {
+		t.Fatal(err)
+	}
 	book, r := accepted.NewBook(), roster.New()
-	a := available{roster: r, book: book, view: newView(book, r), bounds: &atomic.Pointer[Bounds]{}}
+	a := available{Guard: g, roster: r, book: book, view: newView(book, r), bounds: &atomic.Pointer[Bounds]{}}
 	a.bounds.Store(&Bounds{WeightsLife: 10 * time.Second})
-	r.Put(roster.Entry{ID: "engine", Weights: map[string]uint64{"m": 1}}, 1)
+	book.Accept(accepted.Configuration{Version: 1, Services: map[string]accepted.Service{
+		"pool": {Name: "pool", Engine: &accepted.Engine{Models: []string{"m"}}},
+	}})
+	for name, version := range held {
+		r.Put(roster.Entry{ID: name, Service: "pool", Address: name, Weights: map[string]uint64{"m": version}}, 1)
+	}
+	a.view.refresh()
 	return a
 }
 
@@ -22,7 +35,7 @@
 // is sent to an engine with the old ones has less and less time to begin; on the
 // newest weights, and without a bound, there is none.
 func TestTimeToBeginOnReplacedWeights(t *testing.T) {
-	a, named := newAvailable(), time.Unix(1000, 0)
+	a, named := newAvailable(t, map[string]uint64{"engine": 1}), time.Unix(1000, 0)
 	within := func(after time.Duration) time.Duration { return a.beginWithin(named.Add(after), "engine", "m") }
 	if got := within(0); got != 0 {
 		t.Errorf("none named: %v", got)
@@ -40,3 +53,35 @@
 		t.Errorf("the newest weights: %v", got)
 	}
 }
+
+// All nodes have lost power in a roll-out, and a version was named meanwhile. The
+// callers' new node can't tell for how long any engine's weights have been
+// replaced. It sends to those with the newest that any engine holds, and to none
+// that is older: some of those were replaced long before the loss.
+func TestOldestOfDoubtfulWeightsGetNothing(t *testing.T) {
+	names := []string{"v2", "v3", "v3 too", "v4"}
+	cases := []struct {
+		name string
+		held map[string]uint64
+		want []string // excluded
+	}{
+		{"none has the newest", map[string]uint64{"v2": 2, "v3": 3, "v3 too": 3, "v4": 3}, []string{"v2"}},
+		{"one has it", map[string]uint64{"v2": 2, "v3": 3, "v3 too": 3, "v4": 4}, []string{"v2", "v3", "v3 too"}},
+	}
+	for _, c := range cases {
+		a := newAvailable(t, c.held)
+		a.book.Name(Boot(), "m", 4, true)
+		got := a.Excluded(time.Now(), names)
+		slices.Sort(got)
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v excluded, want %v", c.name, got, c.want)
+		}
+	}
+	// The only one with the newest is busy: the others are no younger for that.
+	a := newAvailable(t, cases[1].held)
+	a.book.Name(Boot(), "m", 4, true)
+	a.roster.SetBusy("v4", time.Now().Add(time.Minute))
+	if got := a.Excluded(time.Now(), names); slices.Contains(got, "v4") || len(got) != 3 {
+		t.Errorf("%v excluded beside a busy engine", got)
+	}
+}
