Tell what a peer told meanwhile, so that nobody misses an upstream for good

A node's own look at the register left out what a peer had told it in the meantime, but said that it covers those records; a node that had not heard the peer, as the membership was just joining, took that look for one of its own and never saw them. Change: what a record says counts as known only if it was said before the look's first offset. TestALookTellsWhatAPeerToldMeanwhile fails without it. The same could hide a record of an upstream that leaves.

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -28,7 +29,13 @@
 	mu sync.Mutex // held while the parts take in a new view
 
 	saidMu sync.Mutex
-	said   map[string]roster.Entry // what each upstream's newest record says
+	said   map[string]said // what each upstream's newest record says
+}
+
+// said is what a record of the register says.
+type said struct {
+	roster.Entry
+	offset uint64
 }
 
 // refresh has the parts that keep lists of upstreams follow the view.
@@ -127,7 +134,7 @@
 		}
 		n := RegisterNews{Entry: e, Gone: r.Dropped, Offset: r.Offset}
 		n.Sure = t.enter(now, n)
-		if t.says(n) {
+		if t.says(n, u.From) && !read.has(n) {
 			read.News = append(read.News, n)
 		}
 	}
@@ -146,6 +153,17 @@
 	News []RegisterNews
 }
 
+// has says whether the latest news of an upstream say the same as n. Heartbeats
+// follow each other within one look.
+func (r RegisterRead) has(n RegisterNews) bool {
+	for _, o := range slices.Backward(r.News) {
+		if o.Entry.ID == n.Entry.ID {
+			return !o.Gone && !n.Gone && o.Entry.Equal(n.Entry)
+		}
+	}
+	return false
+}
+
 // RegisterNews is one record of the register that has changed something.
 type RegisterNews struct {
 	Entry  roster.Entry // the ID alone if Gone
@@ -173,10 +191,11 @@
 	return false
 }
 
-// says notes what a record says of its upstream, and whether that is new. It is
-// not asked whether it changes anything here: a node may know weights from an
-// answer that its peers have not got.
-func (l *learner) says(n RegisterNews) bool {
+// says notes what a record says of its upstream, and whether that is new to one
+// who knows all records before the offset from. It is not asked whether it changes
+// anything here: a node may know weights from an answer that its peers have not
+// got, and the record itself from a peer, whose word others may have missed.
+func (l *learner) says(n RegisterNews, from uint64) bool {
 	l.saidMu.Lock()
 	defer l.saidMu.Unlock()
 	before, known := l.said[n.Entry.ID]
@@ -184,15 +203,18 @@
 		delete(l.said, n.Entry.ID)
 		return true
 	}
-	l.said[n.Entry.ID] = n.Entry
-	return !known || !before.Equal(n.Entry)
+	if known && before.Equal(n.Entry) && before.offset < from {
+		return false
+	}
+	l.said[n.Entry.ID] = said{Entry: n.Entry, offset: n.Offset}
+	return true
 }
 
 // told takes in what a peer has read of the register.
 func (l *learner) told(now time.Time, r RegisterRead) {
 	for _, n := range r.News {
 		l.enter(now, n)
-		l.says(n)
+		l.says(n, r.From)
 	}
 	if len(r.News) > 0 {
 		l.refresh(now)
--- a/process/gateway/learn_test.go
+++ b/process/gateway/learn_test.go
@@ -21,7 +21,7 @@
 
 func newLearner() *learner {
 	book, r := accepted.NewBook(), roster.New()
-	return &learner{log: zap.NewNop(), decoder: plain{}, book: book, roster: r, view: newView(book, r), said: map[string]roster.Entry{}}
+	return &learner{log: zap.NewNop(), decoder: plain{}, book: book, roster: r, view: newView(book, r), said: map[string]said{}}
 }
 
 // A peer that is told of this node's look does not look by itself. It has to get
@@ -54,3 +54,38 @@
 		t.Errorf("%+v", last)
 	}
 }
+
+// A peer's word of three new upstreams reaches this node while its own look at
+// the same records is under way. What it tells then covers them, and a third node
+// that missed the peer's word takes the look as its own: left out as known, the
+// three were missing there for good. It never ordered them to load weights and
+// sent them nothing.
+func TestALookTellsWhatAPeerToldMeanwhile(t *testing.T) {
+	l := newLearner()
+	var told []RegisterRead
+	taker := &registerTaker{learner: l, tell: func(r RegisterRead) { told = append(told, r) }}
+	now := time.Unix(1000, 0)
+	entry := func(id string, offset uint64) RegisterNews {
+		return RegisterNews{Entry: roster.Entry{ID: id, Address: id, Weights: map[string]uint64{"m": 1}}, Offset: offset}
+	}
+	l.told(now, RegisterRead{From: 0, Next: 2, News: []RegisterNews{entry("a", 0), entry("b", 1)}})
+	look := func(from uint64, ids ...string) {
+		u := keyed.Update{From: from, Next: from + uint64(len(ids))}
+		for i, id := range ids {
+			u.Records = append(u.Records, keyed.Record{Key: id, Value: []byte(id), Offset: from + uint64(i)})
+		}
+		taker.Take(now, u)
+	}
+	look(0, "a", "b", "c", "a")
+	look(4, "a", "b")
+	other := newLearner()
+	for _, r := range told {
+		other.told(now, r)
+	}
+	if entries, _ := other.roster.Entries(); len(entries) != 3 {
+		t.Errorf("the third node knows %v of 3", entries)
+	}
+	if len(told[0].News) != 3 || len(told[1].News) != 0 {
+		t.Errorf("told %d and %d, want 3 and 0: heartbeats are none of it", len(told[0].News), len(told[1].News))
+	}
+}
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -255,7 +255,7 @@
 
 func (g *Gateway) newLearner(i do.Injector, d Decoder) *learner {
 	return &learner{
-		said: map[string]roster.Entry{}, log: g.log, decoder: d, book: do.MustInvoke[*accepted.Book](i), roster: do.MustInvoke[*roster.Roster](i),
+		said: map[string]said{}, log: g.log, decoder: d, book: do.MustInvoke[*accepted.Book](i), roster: do.MustInvoke[*roster.Roster](i),
 		view: do.MustInvoke[*view](i), guards: do.MustInvoke[guards](i), metrics: do.MustInvoke[*metric.Metrics](i),
 	}
 }
