Ask the engines at a node's start what their caches hold

Ruled out: peers that tell what they know (nobody is left to), the engines' events (the retained 4,000 of each are some 200 KB; its list a few). Change: engines can list the parts of their caches. One price of a health check for each engine asked. TestFirstRequestFindsWhatARunnerHolds fails without it.

--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -152,6 +152,12 @@
 	Tokens   int
 }
 
+// HeldPart is one part of declared prompts that an engine's cache holds.
+type HeldPart struct {
+	Salt string // under which it is found
+	Part string // its id, as callers declare it
+}
+
 // Order tells an engine to reach an absolute state. It never says "next" or
 // "one more", so that a repeated or late order does no other harm than to be
 // put right again.
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -25,6 +25,7 @@
 	view    *view
 	guards  guards
 	metrics *metric.Metrics
+	lister  *lister
 
 	mu sync.Mutex // held while the parts take in a new view
 
@@ -42,10 +43,14 @@
 func (l *learner) refresh(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.view.refresh() {
+	changed := l.view.refresh()
+	cfg := l.view.Config()
+	if l.view.Whole() {
+		l.lister.start(cfg)
+	}
+	if !changed {
 		return
 	}
-	cfg := l.view.Config()
 	l.guards.engines.SetUpstreams(now, names(cfg, config.Engine))
 	l.guards.services.SetUpstreams(now, names(cfg, config.Service))
 	l.metrics.Configured(cfg)
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
@@ -106,6 +107,12 @@
 	Note(now time.Time, upstream string, chain prefix.Chain, a placement.Answer)
 }
 
+// Listed is what engines have listed of their caches when this node started.
+type Listed interface {
+	// Recall gives the levels of a declared prompt that the lists have.
+	Recall(now time.Time, salt func(upstream string) string, declared []prefix.Part, chain prefix.Chain) []cachenews.Held
+}
+
 // Config bounds one request's life.
 type Config struct {
 	DataCentre string
@@ -175,6 +182,7 @@
 	Journal   Journal
 	Recent    Recent
 	News      News
+	Listed    Listed // nil: nothing was listed
 	Observer  Observer
 	Log       *zap.Logger
 	// BeginWithin is the time in which a request that is sent to an engine now has
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -21,6 +21,7 @@
 // if there was none to try.
 func (s *start) attempt(ctx context.Context, now time.Time) (*Answer, string, error) {
 	p := s.rt.Policies.Policy(now, s.target.group)
+	s.recall(now, p)
 	pr := s.placementRequest(now)
 	d, err := p.Place(now, pr)
 	if err != nil {
@@ -57,6 +58,19 @@
 	return a, u.Name, nil
 }
 
+// recall tells the policy what engines have listed of the prompt.
+func (s *start) recall(now time.Time, p placement.Policy) {
+	if s.rt.Listed == nil || len(s.r.Declared) == 0 {
+		return
+	}
+	salt := func(upstream string) string {
+		return prefix.Salt(s.r.identity(), s.rt.Upstreams.Version(upstream, s.r.Model))
+	}
+	for _, h := range s.rt.Listed.Recall(now, salt, s.r.Declared, s.chain) {
+		p.Cached(now, h.Upstream, h.Event)
+	}
+}
+
 func (s *start) logPlacement(d placement.Decision) {
 	event.Info(s.rt.Log, event.RequestPlaced, zap.String("Request", s.r.ID),
 		zap.String("Workspace", s.r.Workspace), zap.String("Model", s.r.Model),
