Wait and take defaults in one way

Cause: four stand-ins had copies of the wait in package clock, three of them on a channel in place of a context; three Configs set their defaults by a copied condition for each field, where others call cmp.Or. Ruled out: one wait for contexts alone, as the stand-ins stop by a channel. Change: clock.Wait, which clock.Sleep calls too; the copies call it; cmp.Or.

--- a/process/clock/clock.go
+++ b/process/clock/clock.go
@@ -24,16 +24,24 @@
 }
 
 // Sleep waits for d; false if ctx has ended before.
-func Sleep(ctx context.Context, d time.Duration) bool {
+func Sleep(ctx context.Context, d time.Duration) bool { return Wait(ctx.Done(), d) }
+
+// Wait waits for d; false if done was closed before. A wait of nothing ends at once.
+func Wait(done <-chan struct{}, d time.Duration) bool {
 	if d <= 0 {
-		return ctx.Err() == nil
+		select {
+		case <-done:
+			return false
+		default:
+			return true
+		}
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
 		return true
-	case <-ctx.Done():
+	case <-done:
 		return false
 	}
 }
--- a/process/inventory/inventory.go
+++ b/process/inventory/inventory.go
@@ -4,6 +4,7 @@
 package inventory
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -84,15 +85,9 @@
 
 // WithDefaults fills what is not set.
 func (c Config) WithDefaults() Config {
-	if c.Interval == 0 {
-		c.Interval = DefaultInterval
-	}
-	if c.Timeout == 0 {
-		c.Timeout = DefaultTimeout
-	}
-	if c.Workers == 0 {
-		c.Workers = DefaultWorkers
-	}
+	c.Interval = cmp.Or(c.Interval, DefaultInterval)
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.Workers = cmp.Or(c.Workers, DefaultWorkers)
 	return c
 }
 
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -1,6 +1,7 @@
 package completion
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -149,24 +150,12 @@
 
 // WithDefaults fills what is not set.
 func (c Config) WithDefaults() Config {
-	if c.HeadTimeout == 0 {
-		c.HeadTimeout = DefaultHeadTimeout
-	}
-	if c.MaxResumes == 0 {
-		c.MaxResumes = DefaultMaxResumes
-	}
-	if c.PlaceWait == 0 {
-		c.PlaceWait = DefaultPlaceWait
-	}
-	if c.ResumeTimeout == 0 {
-		c.ResumeTimeout = DefaultResumeTimeout
-	}
-	if c.ImportTimeout == 0 {
-		c.ImportTimeout = DefaultImportTimeout
-	}
-	if c.MaxImportBytes == 0 {
-		c.MaxImportBytes = DefaultMaxImportBytes
-	}
+	c.HeadTimeout = cmp.Or(c.HeadTimeout, DefaultHeadTimeout)
+	c.MaxResumes = cmp.Or(c.MaxResumes, DefaultMaxResumes)
+	c.PlaceWait = cmp.Or(c.PlaceWait, DefaultPlaceWait)
+	c.ResumeTimeout = cmp.Or(c.ResumeTimeout, DefaultResumeTimeout)
+	c.ImportTimeout = cmp.Or(c.ImportTimeout, DefaultImportTimeout)
+	c.MaxImportBytes = cmp.Or(c.MaxImportBytes, DefaultMaxImportBytes)
 	return c
 }
 
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -56,33 +57,15 @@
 
 // withDefaults gives a copy in which no field that needs a value is zero.
 func (c Config) withDefaults() Config {
-	if c.Nodes == 0 {
-		c.Nodes = defaultNodes
-	}
-	if c.Weighing == (config.Weighing{}) {
-		c.Weighing = config.DefaultWeighing
-	}
-	if c.RemoteLatency == 0 {
-		c.RemoteLatency = defaultRemoteLatency
-	}
-	if c.TargetLoad == 0 {
-		c.TargetLoad = defaultTargetLoad
-	}
-	if c.ImportLatency == 0 {
-		c.ImportLatency = defaultImportLatency
-	}
-	if c.Entries == 0 {
-		c.Entries = defaultEntries
-	}
-	if c.Retention == 0 {
-		c.Retention = defaultRetention
-	}
-	if c.Levels == 0 {
-		c.Levels = defaultLevels
-	}
-	if c.features == 0 {
-		c.features = useAll
-	}
+	c.Nodes = cmp.Or(c.Nodes, defaultNodes)
+	c.Weighing = cmp.Or(c.Weighing, config.DefaultWeighing)
+	c.RemoteLatency = cmp.Or(c.RemoteLatency, defaultRemoteLatency)
+	c.TargetLoad = cmp.Or(c.TargetLoad, defaultTargetLoad)
+	c.ImportLatency = cmp.Or(c.ImportLatency, defaultImportLatency)
+	c.Entries = cmp.Or(c.Entries, defaultEntries)
+	c.Retention = cmp.Or(c.Retention, defaultRetention)
+	c.Levels = cmp.Or(c.Levels, defaultLevels)
+	c.features = cmp.Or(c.features, useAll)
 	return c
 }
 
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/connection/upstream/overhttp"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/standin/listener"
 )
 
@@ -201,7 +202,7 @@
 		}
 	}
 	late := time.Duration(f.LateMillis) * time.Millisecond
-	if !pause(life, late) || !e.gate(life) || (st.abandoned && !st.started) {
+	if !clock.Sleep(life, late) || !e.gate(life) || (st.abandoned && !st.started) {
 		s.leave(time.Now(), conn)
 		listener.Hang(ctx)
 		return
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -11,6 +11,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/connection/upstream/overhttp"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/standin/listener"
 	"github.com/dunlinmill/dunlinmill/standin/weightstore"
 )
@@ -106,7 +107,7 @@
 func (e *Engine) load(ctx context.Context, l *load) {
 	ok := e.readWeights(ctx)
 	for !e.endLoad(ctx, l, ok) {
-		if !pause(ctx, loadStep) {
+		if !clock.Sleep(ctx, loadStep) {
 			return
 		}
 	}
@@ -118,7 +119,7 @@
 	defer loads.End()
 	for left := e.cfg.LoadTime; left > 0; {
 		step := min(left, loadStep)
-		if !e.gate(ctx) || !pause(ctx, step) {
+		if !e.gate(ctx) || !clock.Sleep(ctx, step) {
 			return false
 		}
 		if e.present().FailLoads && left < e.cfg.LoadTime/2 {
@@ -202,7 +203,7 @@
 		return
 	}
 	seconds := float64(len(v.Blocks)*overhttp.BlockTokens) / e.cfg.ImportRate
-	if !pause(life, time.Duration(seconds*float64(time.Second))) {
+	if !clock.Sleep(life, time.Duration(seconds*float64(time.Second))) {
 		listener.Hang(ctx)
 		return
 	}
--- a/standin/engine/schedule.go
+++ b/standin/engine/schedule.go
@@ -7,6 +7,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/connection/upstream/overhttp"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 )
 
 // queue is a heap of waiting streams, the most urgent first.
@@ -203,7 +204,7 @@
 	for d > 0 {
 		slow := e.slow()
 		step := min(time.Duration(float64(d)*slow), computeStep)
-		if !e.gate(ctx) || !pause(ctx, step) {
+		if !e.gate(ctx) || !clock.Sleep(ctx, step) {
 			return false
 		}
 		d -= max(time.Duration(float64(step)/slow), 1)
@@ -232,18 +233,3 @@
 		return false
 	}
 }
-
-// pause waits for d; false if ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/listener/listener.go
+++ b/standin/listener/listener.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/dunlinmill/dunlinmill/process/clock"
 )
 
 // reopenAttempts and reopenPause bound the wait for a port to become free.
@@ -110,7 +112,7 @@
 	l.serving.Add(1)
 	go func() {
 		defer l.serving.Done()
-		if l.sleep(pause) {
+		if clock.Wait(l.done, pause) {
 			l.reopen(address)
 		}
 	}()
@@ -123,24 +125,12 @@
 			l.serve(ln)
 			return
 		}
-		if !l.sleep(reopenPause) {
+		if !clock.Wait(l.done, reopenPause) {
 			return
 		}
 	}
 }
 
-// sleep waits for d; false if the listener was closed.
-func (l *Listener) sleep(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-l.done:
-		return false
-	}
-}
-
 // Close closes the port and every connection and waits for the servers.
 func (l *Listener) Close() {
 	l.mu.Lock()
--- a/standin/logservice/handler.go
+++ b/standin/logservice/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/connection/platform/overhttp"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/standin/listener"
 )
 
@@ -85,17 +86,7 @@
 }
 
 func (l *Log) pause(millis int) bool {
-	if millis == 0 {
-		return true
-	}
-	t := time.NewTimer(time.Duration(millis) * time.Millisecond)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-l.done:
-		return false
-	}
+	return clock.Wait(l.done, time.Duration(millis)*time.Millisecond)
 }
 
 func (l *Log) handleRead(ctx *fasthttp.RequestCtx) {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream/overhttp"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/standin/listener"
 )
 
@@ -190,17 +191,7 @@
 func (s *Service) firstRun(key string) bool { return s.claimed.Add(key) == 1 }
 
 func (s *Service) pause(millis int) bool {
-	if millis == 0 {
-		return true
-	}
-	t := time.NewTimer(time.Duration(millis) * time.Millisecond)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-s.done:
-		return false
-	}
+	return clock.Wait(s.done, time.Duration(millis)*time.Millisecond)
 }
 
 func (s *Service) wait(thawed <-chan struct{}) bool {
