Have peers tell the configuration, and two nodes of a data centre read for the others

Cause: a node that the store turns away kept an old configuration, honoured keys that had been taken away for up to 5 s and then refused everybody; peers told it of the register alone. Ruled out: to push records as they are read (a lost message would show nowhere). Change: package keyed: a follower asks peers after a question without an answer, or in place of the platform where they say so; the proof is counted from the time of the question. Gateway: from 16 nodes on two of each data centre ask the store. A node leaves the rotation by the age of its own proof.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -205,12 +205,14 @@
 // request to be sure of being served here.
 const earningPart = 0.6
 
-// Ready says whether new connections should come to this node.
+// Ready says whether new connections should come to this node. One that learns from
+// peers alone, as the platform turns it away, serves who comes and leaves the
+// rotation all the same: it hangs on others where they do not.
 func (g *Gateway) Ready(now time.Time) bool {
 	if g.leaving.Load() || !g.view.Whole() {
 		return false
 	}
-	age, ok := g.book.Age(now)
+	age, ok := g.book.OwnAge(now)
 	life := g.bounds.Load().KeyLife
 	return ok && (life == 0 || age < time.Duration(earningPart*float64(life)))
 }
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -72,7 +72,7 @@
 // can't be read is passed over and keeps the rest from being confirmed: what it
 // says is in force elsewhere and not here.
 func (t *configurationTaker) Take(now time.Time, u keyed.Update) {
-	if t.lost {
+	if t.lost && !u.Relayed {
 		t.lost = false
 		event.Info(t.log, event.ConfigLogBack)
 	}
@@ -86,11 +86,16 @@
 		}
 		t.publish(now, r, p, u.Complete)
 	}
-	if whole {
+	switch {
+	case whole && u.Relayed:
 		t.book.Confirm(u.AsOf)
+	case whole:
+		t.book.ConfirmOwn(u.AsOf)
 	}
 	t.refresh(now)
-	t.metrics.LogRead(time.Now(), true)
+	if !u.Relayed {
+		t.metrics.LogRead(time.Now(), true)
+	}
 }
 
 func (t *configurationTaker) publish(now time.Time, r keyed.Record, p Publication, late bool) {
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -10,6 +10,7 @@
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
 
 // busyLife is how long an engine counts as changing if its end is not told: the
@@ -77,6 +78,14 @@
 	return nil
 }
 
+// Newest gives what this node knows of the configuration.
+func (h *enginesHandler) Newest(from uint64, w *keyed.Word) error {
+	if f := h.peers.configuration.Load(); f != nil {
+		*w = f.Word(clock.Boot(), from)
+	}
+	return nil
+}
+
 // Engine takes in the news of one engine. They are no sign of the duty, which may
 // have been lost while the engine changed.
 func (h *enginesHandler) Engine(n EngineNews, _ *Heard) error {
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,16 +37,23 @@
 	listInterval = 10 * time.Second
 )
 
+// errNotJoined means that this node does not know the others yet.
+var errNotJoined = errors.New("gateway: the other nodes are not known yet")
+
 // peers are the other nodes. They are found through the platform's directory;
 // until it answers this node knows nobody, and serves all the same.
 type peers struct {
+	name       string // of this node
+	dataCentre string
+
 	log      *zap.Logger
 	roster   *roster.Roster
 	keeper   *duty.Keeper
 	book     *accepted.Book
 	policies *policy.Table
 	learner  *learner
-	register atomic.Pointer[keyed.Follower] // nil: does not follow it yet
+	// The followers of the platform's topics; nil: not followed yet.
+	configuration, register atomic.Pointer[keyed.Follower]
 
 	mu      sync.Mutex // guards all below
 	members *member.Runner
@@ -60,7 +68,7 @@
 func (g *Gateway) newPeers(i do.Injector, p Platform) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	ps := &peers{
-		log: g.log, roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i),
+		name: g.settings.Node, dataCentre: g.settings.DataCentre, log: g.log, roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i),
 		book: do.MustInvoke[*accepted.Book](i), policies: do.MustInvoke[*policy.Table](i),
 		learner: do.MustInvoke[*learner](i), cancel: cancel, holder: clock.Boot(),
 	}
@@ -70,8 +78,12 @@
 	return ps
 }
 
-// follow has the peers' looks at the register spare this node's own.
-func (p *peers) follow(register *keyed.Follower) { p.register.Store(register) }
+// follow has the peers' looks at the register spare this node's own, and answers
+// them from what it knows of the configuration.
+func (p *peers) follow(f followers) {
+	p.configuration.Store(f.configuration)
+	p.register.Store(f.register)
+}
 
 // enter tries to enter the directory until it has, and then joins the others.
 func (p *peers) enter(ctx context.Context, d Directory, self platform.VM) {
@@ -217,6 +229,19 @@
 	})
 }
 
+// call calls a method of one node, for as long as news are worth.
+func (p *peers) call(ctx context.Context, address, method string, args, reply any) error {
+	p.mu.Lock()
+	client := p.client
+	p.mu.Unlock()
+	if client == nil {
+		return errNotJoined
+	}
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	return client.Call(ctx, address, enginesService+"."+method, args, reply)
+}
+
 // toAll calls a method of all live nodes, and returns when they have answered
 // or the time for it is over. It gives the peers that did not.
 func (p *peers) toAll(method string, args any) []string {
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -282,13 +282,14 @@
 	pace := keyed.Config{Retry: retryPause, Timeout: askTimeout, Clock: clock.Boot}
 	waiting, looking := pace, pace
 	waiting.Wait = configWait
+	waiting.Peers, waiting.RelyPause = relay{others}, relyPause
 	looking.Pause, looking.Spread = registerPause, registerSpread
 	looking.Hurry, looking.Soon = do.MustInvoke[*roster.Roster](i).Lapsed, lapsedPause
 	f := followers{
 		configuration: keyed.New(waiting, p.Configuration, &configurationTaker{learner: l}),
 		register:      keyed.New(looking, p.Register, &registerTaker{learner: l, tell: others.tellRegister}),
 	}
-	others.follow(f.register)
+	others.follow(f)
 	g.onClose("follower of the configuration", f.configuration.Close)
 	g.onClose("follower of the register", f.register.Close)
 	return f
--- a/process/gateway/ready_test.go
+++ b/process/gateway/ready_test.go
@@ -21,7 +21,7 @@
 	g.bounds.Store(&Bounds{ConfigLag: time.Hour})
 	now := Boot()
 	g.book.Accept(accepted.Configuration{Version: 1})
-	g.book.Confirm(now)
+	g.book.ConfirmOwn(now)
 	g.view.refresh()
 	x := &serving{g: g, in: Inbound{ID: "r"}, began: time.Now()}
 	var e *failure.Error
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -94,6 +94,7 @@
 	weights   map[string]uint64 // newest version by model
 	named     map[string][]naming
 	confirmed time.Time // as of when both are known to be the newest
+	reached   time.Time // the same, by this process's own way to where they are accepted
 }
 
 // naming is one version of a model's weights with the time at which this
@@ -214,6 +215,18 @@
 	}
 }
 
+// ConfirmOwn is Confirm for a proof that this process has got itself, or from
+// those that it has left the questions to. One that a peer tells since its own way
+// is cut is none.
+func (b *Book) ConfirmOwn(begun time.Time) {
+	b.Confirm(begun)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if begun.After(b.reached) {
+		b.reached = begun
+	}
+}
+
 // InForce gives the configuration; nil if none is known.
 func (b *Book) InForce() *InForce {
 	b.mu.Lock()
@@ -236,3 +249,10 @@
 	defer b.mu.Unlock()
 	return now.Sub(b.confirmed), !b.confirmed.IsZero()
 }
+
+// OwnAge is the Age of the latest proof of ConfirmOwn.
+func (b *Book) OwnAge(now time.Time) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.reached), !b.reached.IsZero()
+}
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -49,6 +49,8 @@
 	// AsOf is a time by the follower's clock: everything accepted before is known
 	// now.
 	AsOf time.Time
+	// Relayed says that a peer has told it, as the platform does not answer.
+	Relayed bool
 }
 
 // Taker takes in what is read. Its methods are called by one goroutine.
@@ -71,6 +73,10 @@
 	Soon    time.Duration
 	Timeout time.Duration // of a question, beside Wait
 	Clock   func() time.Time
+	// Peers are asked while the platform does not answer, and in place of it while
+	// they say so, RelyPause after each answer. nil: there are none.
+	Peers     Peers
+	RelyPause time.Duration
 }
 
 // Follower reads one topic until Close.
@@ -84,6 +90,10 @@
 	begun bool       // the newest records are known
 	next  uint64     // offset to read from
 	fresh time.Time  // when everything was known last
+	// proof is the latest AsOf, and newest the newest record of each key, for peers;
+	// nil if there are none.
+	proof  time.Time
+	newest map[string]Record
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -131,7 +141,7 @@
 			return
 		}
 		if err != nil {
-			f.taker.Missed(f.cfg.Clock(), err)
+			f.taker.Missed(f.cfg.Clock(), errors.Join(err, f.askPeers(ctx, true)))
 			clock.Sleep(ctx, f.cfg.Retry)
 			continue
 		}
@@ -163,6 +173,9 @@
 	if c.hurries() {
 		return c.Soon
 	}
+	if c.relies() {
+		return c.RelyPause
+	}
 	return time.Duration(float64(c.Pause) * (1 + c.Spread*(2*rand.Float64()-1)))
 }
 
@@ -170,6 +183,9 @@
 
 // step asks once.
 func (f *Follower) step(ctx context.Context, begun time.Time) error {
+	if f.cfg.relies() && f.askPeers(ctx, false) == nil {
+		return nil
+	}
 	ask := f.read
 	if _, known := f.position(); !known {
 		ask = f.begin
@@ -187,12 +203,13 @@
 }
 
 // reached notes that everything up to an offset is known, if it was not.
-func (f *Follower) reached(next uint64, now time.Time) {
+func (f *Follower) reached(next uint64, now time.Time, u Update) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.begun = true
 	f.next = max(f.next, next)
 	f.fresh = now
+	f.keep(u)
 }
 
 // read asks for what has been written since the last answer.
@@ -214,8 +231,9 @@
 	}
 	now := f.cfg.Clock()
 	next := from + uint64(len(records))
-	f.taker.Take(now, Update{Records: records, From: from, Next: next, AsOf: asOf(now, begun, wait, len(records) > 0)})
-	f.reached(next, now)
+	u := Update{Records: records, From: from, Next: next, AsOf: asOf(now, begun, wait, len(records) > 0)}
+	f.taker.Take(now, u)
+	f.reached(next, now, u)
 	return nil
 }
 
@@ -268,7 +286,8 @@
 		return fmt.Errorf("read the newest: end %d, known up to %d: %w", next, known, ErrStale)
 	}
 	now := f.cfg.Clock()
-	f.taker.Take(now, Update{Records: records, Complete: true, AsOf: begun})
-	f.reached(next, now)
+	u := Update{Records: records, Complete: true, AsOf: begun}
+	f.taker.Take(now, u)
+	f.reached(next, now, u)
 	return nil
 }
