Tell lower bounds of weights' ages, and trust doubtful weights for 4 s

A node counted the unknown age of weights from its own start; the two that were spared had read of the version 3.4 s earlier and did not say so, as they did not know when it was named either. Requests began on weights that were replaced 14 s before. Ruled out: to wait for fewer orders (nobody may act for 3.9 s after each loss of a holder). Change: peers tell such times as lower bounds, and a starting node asks eight of them, not the first that knows anything. Weights of unknown age are used for 4 s in place of 7. Versions named more than 6 s before all nodes come back, none of which any engine has, are still used for 1 s too long at the most (4 s less the 3 s in which no node counts as in touch).

--- a/process/gateway/orders.go
+++ b/process/gateway/orders.go
@@ -134,6 +134,12 @@
 // of 2.4 s was seen in hunts, where 0.85 broke the bound.
 const beginPart = 0.7
 
+// doubtPart is the same part for weights that were replaced an unknown time before
+// this node started, counted from its start. After a loss of all nodes it leaves
+// them out while the first engines load, some 6 s after the start; those that were
+// named in the last 6 s before it are not used for too long.
+const doubtPart = 0.4
+
 // replaced are the engines whose weights were replaced, but for those on which
 // requests may begin.
 type replaced struct {
@@ -155,7 +161,7 @@
 		for _, model := range upstreams[name].Models {
 			age, sure := a.outdated(boot, name, model)
 			switch {
-			case age > time.Duration(beginPart*float64(life)):
+			case age > time.Duration(beginPart*float64(life)), !sure && age > time.Duration(doubtPart*float64(life)):
 				w.expired = append(w.expired, name)
 			case !sure:
 				w.doubtful = append(w.doubtful, name)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
+	"github.com/samber/lo/mutable"
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/peer"
@@ -105,24 +106,37 @@
 // more: the membership is found within about a second.
 const catchUpTries = 12
 
-// catchUp asks a peer for the times that this node was not there to see.
+// catchUpPeers is how many peers a node asks for the same: after a loss of many
+// nodes those that were spared are among a few, and each knows what it saw.
+const catchUpPeers = 8
+
+// catchUp asks peers for the times that this node was not there to see.
 func (p *peers) catchUp(ctx context.Context) {
 	for range catchUpTries {
-		others, client := p.live(time.Now())
-		for _, m := range others {
-			var k Known
-			if err := client.Call(ctx, m.Address, enginesService+".Known", Heard{}, &k); err == nil && len(k.Namings) > 0 {
-				p.book.Learn(clock.Boot(), k.Namings)
-				event.Info(p.log, event.CaughtUp, zap.String("Peer", m.Name), zap.Int("Namings", len(k.Namings)))
-				return
-			}
+		others, _ := p.live(time.Now())
+		mutable.Shuffle(others)
+		heard := false
+		for _, m := range others[:min(len(others), catchUpPeers)] {
+			heard = p.learnFrom(ctx, m) || heard
 		}
-		if !clock.Sleep(ctx, retryPause) {
+		if heard || !clock.Sleep(ctx, retryPause) {
 			return
 		}
 	}
 }
 
+// learnFrom asks one peer, and says whether it knew anything. One that does not
+// answer is none of the others' loss.
+func (p *peers) learnFrom(ctx context.Context, m member.Member) bool {
+	var k Known
+	if err := p.call(ctx, m.Address, "Known", Heard{}, &k); err != nil || len(k.Namings) == 0 {
+		return false
+	}
+	p.book.Learn(clock.Boot(), k.Namings)
+	event.Info(p.log, event.CaughtUp, zap.String("Peer", m.Name), zap.Int("Namings", len(k.Namings)))
+	return true
+}
+
 func (p *peers) ask(ctx context.Context, d Directory, self platform.VM) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -160,18 +160,19 @@
 	Model   string
 	Version uint64
 	Age     time.Duration
+	// AtLeast says that it was named before the teller began to follow: it is that
+	// old or older.
+	AtLeast bool
 }
 
-// Namings gives the versions whose time is known.
+// Namings gives what is known of the times at which versions were named.
 func (b *Book) Namings(now time.Time) []Naming {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var all []Naming
 	for model, list := range b.named {
 		for _, n := range list {
-			if !n.late {
-				all = append(all, Naming{Model: model, Version: n.version, Age: now.Sub(n.at)})
-			}
+			all = append(all, Naming{Model: model, Version: n.version, Age: now.Sub(n.at), AtLeast: n.late})
 		}
 	}
 	return all
@@ -187,21 +188,20 @@
 	}
 }
 
+// learn takes in one time. This process knows all that was named since it began to
+// follow; what is news to it are the version that it began with and older ones.
 func (b *Book) learn(now time.Time, t Naming) {
 	list := slices.Clone(b.named[t.Model])
-	for i, n := range list {
-		if n.late && n.version >= t.Version {
-			n := naming{version: t.Version, at: now.Add(-t.Age)}
-			if n.version < list[i].version {
-				list = slices.Insert(list, i, n)
-			} else {
-				list[i] = n
-			}
-			break
-		}
-		if n.version >= t.Version {
-			break
-		}
+	i := slices.IndexFunc(list, func(n naming) bool { return n.version >= t.Version })
+	if i < 0 || !list[i].late {
+		return
+	}
+	n := naming{version: t.Version, at: now.Add(-t.Age), late: t.AtLeast}
+	switch {
+	case n.version < list[i].version:
+		list = slices.Insert(list, i, n)
+	case !n.late || n.at.Before(list[i].at):
+		list[i] = n
 	}
 	b.named[t.Model] = list[max(0, len(list)-maxNamings):]
 }
--- a/version/accepted/accepted_test.go
+++ b/version/accepted/accepted_test.go
@@ -92,6 +92,35 @@
 	}
 }
 
+// All nodes lose power, and two of them stay up when the others are killed again. A
+// node that starts last can't tell for how long the engines' weights have been
+// replaced, and counted from its own start: its requests began on weights that were
+// replaced 14 s before. The two know no more than that they had read of the version
+// 4 s earlier; that much it learns, and a later lower bound changes nothing.
+func TestRestartedNodeLearnsALowerBound(t *testing.T) {
+	at := time.Unix(100, 0)
+	survivor, late := NewBook(), NewBook()
+	survivor.Name(at, "m", 3, true)
+	late.Name(at.Add(3*time.Second), "m", 3, true)
+	now := at.Add(4 * time.Second)
+	b := NewBook()
+	b.Name(now, "m", 3, true)
+	for range 2 {
+		b.Learn(now, survivor.Namings(now))
+		b.Learn(now, late.Namings(now))
+		if age, sure := b.Outdated(now, "m", 1); age != 4*time.Second || sure {
+			t.Errorf("outdated for %v, sure %v", age, sure)
+		}
+	}
+	// One that has started later, after a version that it does not know of.
+	b = NewBook()
+	b.Name(now, "m", 4, true)
+	b.Learn(now, survivor.Namings(now))
+	if age, sure := b.Outdated(now, "m", 1); age != 4*time.Second || sure {
+		t.Errorf("by an older version: %v, sure %v", age, sure)
+	}
+}
+
 func TestOwnerNeedsAKey(t *testing.T) {
 	f := New(Configuration{Workspaces: map[string]Workspace{
 		"sofia": {Name: "sofia", Keys: []string{keyring.Hash("k")}, Isolated: true},
