Remember and tell the shared parts of declared prompts only

Cause: each request's own question, which nobody asks again, went into the tables of beliefs and into what nodes tell each other. With 68 nodes some 1,000 a second fill tables of 8,192 and 4,096 within 8 and 4 s, which is as long as a shared part rests between two uses there. Ruled out: larger tables (memory is dear there; the same bytes would still be told). Change: the last level of a declared prompt is neither remembered nor told to peers.

--- a/request/completion/passage_test.go
+++ b/request/completion/passage_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -116,3 +117,20 @@
 		t.Errorf("fetch from %q, %d exports", got, len(from.exported))
 	}
 }
+
+// Peers are told of the parts that other requests have too, and not of the question
+// itself: it would take a third of what nodes tell each other.
+func TestPeersAreNotToldOfTheQuestion(t *testing.T) {
+	news := &cachenews.Book{}
+	rt := newSite(&engine{name: "a"}).router()
+	rt.News = news
+	r := passage()
+	if err := try(rt, r); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := cachenews.Decode(news.Untold(time.Now(), cachenews.ValueBytes))
+	chain := rt.chain(r)
+	if err != nil || len(entries) != 1 || entries[0].Level != chain[0].ID {
+		t.Errorf("told of %+v, %v; the shared part is %+v", entries, err, chain[0])
+	}
+}
--- a/request/completion/visit.go
+++ b/request/completion/visit.go
@@ -8,6 +8,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/request/prefix"
 )
 
 // visit is one send to one upstream, from the decision to its end. It sees
@@ -21,6 +22,7 @@
 	firstToken  time.Duration
 	incarnation uint64
 	ended       bool
+	told        prefix.Chain // the levels that peers are told of
 }
 
 // visit takes the place for a send; false if it was taken since the decision.
@@ -32,7 +34,16 @@
 		s.rt.Guard.Request(s.r.Workspace, d.Upstream)
 	}
 	p.Sent(now, r, d)
-	return &visit{rt: s.rt, policy: p, request: r, decision: d, began: now}, true
+	return &visit{rt: s.rt, policy: p, request: r, decision: d, began: now, told: s.told()}, true
+}
+
+// told gives the levels that peers are told of: the last one of a declared prompt is
+// its own question's, and of no use to anybody else.
+func (s *start) told() prefix.Chain {
+	if len(s.r.Declared) > 1 {
+		return s.chain[:len(s.chain)-1]
+	}
+	return s.chain
 }
 
 func (v *visit) answered(now time.Time, h upstream.Head, firstToken time.Duration) {
@@ -48,7 +59,7 @@
 		FirstToken:   firstToken,
 	}
 	v.policy.Answered(now, v.request, v.decision, a)
-	v.rt.News.Note(now, v.decision.Upstream, v.request.Chain, a)
+	v.rt.News.Note(now, v.decision.Upstream, v.told, a)
 }
 
 func (v *visit) end(now time.Time, err error) {
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -160,7 +160,7 @@
 	a.addDemand(at, m, r)
 	// The next request with this prefix should follow this one and not be
 	// computed at a second place meanwhile.
-	for _, l := range r.Chain {
+	for _, l := range a.kept(r.Chain) {
 		a.beliefs.expect(m, l.ID, at)
 	}
 }
@@ -176,12 +176,22 @@
 		}
 	}
 	answer := float64(r.Output) * m.Decode.Seconds() / float64(max(1, m.Slots))
-	for _, l := range r.Chain {
+	for _, l := range a.kept(r.Chain) {
 		compute := float64(r.Chain.Tokens()-max(known, l.Tokens)) / max(1, m.Prefill)
 		a.demands.put(l.ID, at).add(at, answer+compute)
 	}
 }
 
+// kept are the levels of a chain that are remembered. The last one of a declared
+// prompt is its own question's, which nobody asks again: remembered, the questions
+// of 68 nodes pushed the levels that are shared out of the tables within 4 s.
+func (a *Affinity) kept(chain prefix.Chain) prefix.Chain {
+	if a.cfg.Declared && len(chain) > 1 {
+		return chain[:len(chain)-1]
+	}
+	return chain
+}
+
 // Answered implements Policy.
 func (a *Affinity) Answered(now time.Time, r Request, d Decision, answer Answer) {
 	a.mu.Lock()
@@ -203,7 +213,7 @@
 	compute := float64(r.Chain.Tokens()-cached)/max(1, m.Prefill) + m.Decode.Seconds()
 	a.queueing(r).learn(answer.FirstToken, compute, d.estimate.queue)
 	a.meanCompute += computeStep * (float64(r.Chain.Tokens()-cached) - a.meanCompute)
-	for _, l := range r.Chain {
+	for _, l := range a.kept(r.Chain) {
 		a.beliefs.note(m, l.ID, at)
 	}
 }
@@ -227,7 +237,7 @@
 	}
 	m.failures.note(now, ok)
 	if !ok {
-		for _, l := range r.Chain {
+		for _, l := range a.kept(r.Chain) {
 			a.beliefs.drop(m, l.ID)
 		}
 	}
--- a/request/placement/news_test.go
+++ b/request/placement/news_test.go
@@ -58,3 +58,21 @@
 		t.Errorf("%d in flight a minute later, want none", got)
 	}
 }
+
+// Each caller's question is asked once. Remembered as the shared parts are, the
+// questions of a large fleet fill the tables within seconds, and the next request
+// with a part that is held somewhere has it computed anew.
+func TestQuestionsDoNotPushOutSharedParts(t *testing.T) {
+	const questions = 1000
+	a := started(Config{Declared: true, ImportRate: 1e6, Entries: 64, Levels: 64}, 12)
+	shared := request(prompt(1, 1, 1, 0))
+	engines := caches{}
+	holder := engines.serve(t, a, epoch, shared).Upstream
+	for i := range questions {
+		engines.serve(t, a, epoch.Add(time.Duration(i)*time.Millisecond), request(prompt(2, 2, 2, uint64(i))))
+	}
+	part := shared.Chain[len(shared.Chain)-2]
+	if _, _, ok := a.beliefs.get(a.fleet.members[holder], part.ID, a.ticker.at(epoch.Add(time.Second))); !ok {
+		t.Errorf("forgotten what %q holds", holder)
+	}
+}
