Make the pair of guards in one place

Cause: process/node and process/gateway each built the guards of engines and services by the same lines and had a type of their own for the two. Ruled out: one guard for both kinds, whose settings differ. Change: guard.Pair and guard.NewPair. Measured: the tests of node, gateway, guard and platform pass, none of their assertions changed.

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -11,6 +11,7 @@
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
@@ -23,7 +24,7 @@
 	book    *accepted.Book
 	roster  *roster.Roster
 	view    *view
-	guards  guards
+	guards  guard.Pair
 	metrics *metric.Metrics
 	lister  *lister
 
@@ -51,8 +52,8 @@
 	if !changed {
 		return
 	}
-	l.guards.engines.SetUpstreams(now, names(cfg, config.Engine))
-	l.guards.services.SetUpstreams(now, names(cfg, config.Service))
+	l.guards.Engines.SetUpstreams(now, names(cfg, config.Engine))
+	l.guards.Services.SetUpstreams(now, names(cfg, config.Service))
 	l.metrics.Configured(cfg)
 }
 
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -108,12 +108,6 @@
 	return h.Sum64()
 }
 
-// guards stand before the two kinds of upstreams.
-type guards struct {
-	engines  *guard.Guard
-	services *guard.Guard
-}
-
 // resends lets each node's resends add a tenth of its requests, and a few
 // beyond: the platform's bound counts those of all nodes over seconds, a fifth
 // of the requests and some fifty. Twelve nodes that all restart within that
@@ -133,23 +127,13 @@
 	ejectMost  = 10 * time.Second
 )
 
-func (g *Gateway) newGuards(do.Injector) (guards, error) {
-	engines, services := guard.ForEngines, guard.ForServices
-	for _, c := range []*guard.Config{&engines, &services} {
+func (g *Gateway) newGuards(do.Injector) (guard.Pair, error) {
+	return guard.NewPair(func(c *guard.Config) {
 		c.Retry = resends
 		c.Retry.Seed = g.seed()
 		c.Ejection.Consecutive = ejectAfter
 		c.Ejection.Time, c.Ejection.MaxTime = ejectFor, ejectMost
-	}
-	e, err := guard.New(engines)
-	if err != nil {
-		return guards{}, err
-	}
-	s, err := guard.New(services)
-	if err != nil {
-		return guards{}, err
-	}
-	return guards{engines: e, services: s}, nil
+	})
 }
 
 func (g *Gateway) newInventory(i do.Injector, p Platform) *inventory.Inventory {
@@ -212,7 +196,7 @@
 		return nil, err
 	}
 	known := available{
-		Guard: do.MustInvoke[guards](i).engines, roster: do.MustInvoke[*roster.Roster](i),
+		Guard: do.MustInvoke[guard.Pair](i).Engines, roster: do.MustInvoke[*roster.Roster](i),
 		book: do.MustInvoke[*accepted.Book](i), view: do.MustInvoke[*view](i), bounds: g.bounds,
 	}
 	return &completion.Router{
@@ -236,7 +220,7 @@
 		Config:    call.Config{}.WithDefaults(),
 		View:      do.MustInvoke[*catalogue.Current](i),
 		Upstreams: do.MustInvoke[*inventory.Inventory](i),
-		Guard:     do.MustInvoke[guards](i).services,
+		Guard:     do.MustInvoke[guard.Pair](i).Services,
 		Admission: open{},
 		Log:       g.log,
 	}, nil
@@ -265,7 +249,7 @@
 func (g *Gateway) newLearner(i do.Injector, d Decoder) *learner {
 	return &learner{
 		said: map[string]said{}, log: g.log, decoder: d, book: do.MustInvoke[*accepted.Book](i), roster: do.MustInvoke[*roster.Roster](i),
-		view: do.MustInvoke[*view](i), guards: do.MustInvoke[guards](i), metrics: do.MustInvoke[*metric.Metrics](i),
+		view: do.MustInvoke[*view](i), guards: do.MustInvoke[guard.Pair](i), metrics: do.MustInvoke[*metric.Metrics](i),
 		lister: do.MustInvoke[*lister](i),
 	}
 }
--- a/process/node/evidence.go
+++ b/process/node/evidence.go
@@ -6,13 +6,14 @@
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/policy"
+	"github.com/dunlinmill/dunlinmill/request/guard"
 )
 
 // statusListener hears of the engines' statuses.
 type statusListener struct {
 	policies  *policy.Table
 	upstreams *member.Upstreams
-	guards    guards
+	guards    guard.Pair
 }
 
 // Learned passes a status on. One of another process ends what was told of
@@ -21,7 +22,7 @@
 func (l statusListener) Learned(now time.Time, s inventory.Status) {
 	if s.Failures == 0 {
 		l.upstreams.Restarted(s.Upstream, s.Incarnation)
-		l.guards.engines.Restarted(now, s.Upstream, s.Incarnation)
+		l.guards.Engines.Restarted(now, s.Upstream, s.Incarnation)
 	}
 	l.policies.Learned(now, s)
 }
--- a/process/node/evidence_test.go
+++ b/process/node/evidence_test.go
@@ -29,7 +29,7 @@
 		return u, g
 	}
 	u, g := evidence()
-	l := statusListener{policies: &policy.Table{}, upstreams: u, guards: guards{engines: g, services: g}}
+	l := statusListener{policies: &policy.Table{}, upstreams: u, guards: guard.Pair{Engines: g, Services: g}}
 	l.Learned(now, inventory.Status{Upstream: "engine-1", Incarnation: 1})
 	m := &maintenance{upstreams: u}
 	for i := range 3 {
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -38,7 +39,7 @@
 	client     *peer.Client
 	follower   *follower.Follower
 	catalogue  *catalogue.Current
-	guards     guards
+	guards     guard.Pair
 	workspaces *limit.Workspaces
 	admission  *admission
 	policies   *policy.Table
@@ -61,7 +62,7 @@
 		client:     do.MustInvoke[*peer.Client](i),
 		follower:   do.MustInvoke[*follower.Follower](i),
 		catalogue:  do.MustInvoke[*catalogue.Current](i),
-		guards:     do.MustInvoke[guards](i),
+		guards:     do.MustInvoke[guard.Pair](i),
 		workspaces: do.MustInvoke[*limit.Workspaces](i),
 		admission:  do.MustInvoke[*admission](i),
 		policies:   do.MustInvoke[*policy.Table](i),
@@ -129,8 +130,8 @@
 	m.inForce = s.Config.Offset
 	m.workspaces.SetLimits(now, s.Config)
 	engines, services := m.activeNames(config.Engine), m.activeNames(config.Service)
-	m.guards.engines.SetUpstreams(now, engines)
-	m.guards.services.SetUpstreams(now, services)
+	m.guards.Engines.SetUpstreams(now, engines)
+	m.guards.Services.SetUpstreams(now, services)
 	m.upstreams.SetUpstreams(append(engines, services...))
 	m.metrics.Configured(s.Config)
 	m.resize(now)
@@ -138,8 +139,8 @@
 
 // resize fits the queues' places to what the upstreams take from this node.
 func (m *maintenance) resize(now time.Time) {
-	m.admission.completions.SetCapacity(now, max(1, m.guards.engines.Capacity(m.activeNames(config.Engine))))
-	m.admission.calls.SetCapacity(now, max(1, m.guards.services.Capacity(m.activeNames(config.Service))))
+	m.admission.completions.SetCapacity(now, max(1, m.guards.Engines.Capacity(m.activeNames(config.Engine))))
+	m.admission.calls.SetCapacity(now, max(1, m.guards.Services.Capacity(m.activeNames(config.Service))))
 }
 
 // activeNames are the active upstreams of a kind.
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -203,26 +203,13 @@
 	return j, do.MustInvoke[peerServer](i).Register(journal.Service, j.Handler())
 }
 
-// guards stand before the two kinds of upstreams.
-type guards struct {
-	engines  *guard.Guard
-	services *guard.Guard
-}
-
-func (n *Node) newGuards(i do.Injector) (guards, error) {
-	engines, services := guard.ForEngines, guard.ForServices
-	engines.Retry.Seed = do.MustInvoke[identity](i).seed
-	services.Retry.Seed = do.MustInvoke[identity](i).seed
-	e, err := guard.New(engines)
-	if err != nil {
-		return guards{}, err
-	}
-	s, err := guard.New(services)
+func (n *Node) newGuards(i do.Injector) (guard.Pair, error) {
+	p, err := guard.NewPair(func(c *guard.Config) { c.Retry.Seed = do.MustInvoke[identity](i).seed })
 	if err != nil {
-		return guards{}, err
+		return p, err
 	}
 	u := do.MustInvoke[*member.Upstreams](i)
-	return guards{engines: e.WithEvidence(u), services: s.WithEvidence(u)}, nil
+	return guard.Pair{Engines: p.Engines.WithEvidence(u), Services: p.Services.WithEvidence(u)}, nil
 }
 
 func (n *Node) newUpstreams(do.Injector) (*member.Upstreams, error) {
@@ -281,7 +268,7 @@
 func (n *Node) newInventory(i do.Injector) (*inventory.Inventory, error) {
 	inv := inventory.New(inventory.Config{}, dialer{cfg: upstreamhttp.Config{}}, do.MustInvoke[view](i),
 		owner{members: do.MustInvoke[*member.Runner](i)},
-		statusListener{policies: do.MustInvoke[*policy.Table](i), upstreams: do.MustInvoke[*member.Upstreams](i), guards: do.MustInvoke[guards](i)})
+		statusListener{policies: do.MustInvoke[*policy.Table](i), upstreams: do.MustInvoke[*member.Upstreams](i), guards: do.MustInvoke[guard.Pair](i)})
 	n.closers.Add("inventory", func() error { inv.Close(); return nil })
 	return inv, nil
 }
--- a/process/node/report.go
+++ b/process/node/report.go
@@ -14,6 +14,7 @@
 	"github.com/dunlinmill/dunlinmill/process/command"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/follower"
 )
@@ -36,7 +37,7 @@
 	follower   *follower.Follower
 	members    *member.Runner
 	inventory  *inventory.Inventory
-	guards     guards
+	guards     guard.Pair
 	admission  *admission
 }
 
@@ -48,7 +49,7 @@
 		follower:   do.MustInvoke[*follower.Follower](i),
 		members:    do.MustInvoke[*member.Runner](i),
 		inventory:  do.MustInvoke[*inventory.Inventory](i),
-		guards:     do.MustInvoke[guards](i),
+		guards:     do.MustInvoke[guard.Pair](i),
 		admission:  do.MustInvoke[*admission](i),
 	}, nil
 }
@@ -112,7 +113,7 @@
 			State:      u.State.String(),
 			Usable:     u.State == config.Active && r.inventory.Usable(now, name),
 			Models:     u.Models,
-			InFlight:   r.guards.engines.InFlight(name) + r.guards.services.InFlight(name),
+			InFlight:   r.guards.Engines.InFlight(name) + r.guards.Services.InFlight(name),
 		}
 	})
 }
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
+	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/recent"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
@@ -34,7 +35,7 @@
 		Upstreams: do.MustInvoke[*inventory.Inventory](i),
 		Policies:  do.MustInvoke[*policy.Table](i),
 		Admission: do.MustInvoke[*admission](i),
-		Guard:     do.MustInvoke[guards](i).engines,
+		Guard:     do.MustInvoke[guard.Pair](i).Engines,
 		Shedder:   do.MustInvoke[*shedding.Shedder](i),
 		Journal:   do.MustInvoke[*journal.Journal](i),
 		Recent:    do.MustInvoke[*recent.Table](i),
@@ -49,7 +50,7 @@
 		Config:    call.Config{}.WithDefaults(),
 		View:      do.MustInvoke[*catalogue.Current](i),
 		Upstreams: do.MustInvoke[*inventory.Inventory](i),
-		Guard:     do.MustInvoke[guards](i).services,
+		Guard:     do.MustInvoke[guard.Pair](i).Services,
 		Admission: do.MustInvoke[*admission](i),
 		Journal:   do.MustInvoke[*journal.Journal](i),
 		Log:       n.log,
