Ask the platform itself where those that a node relies on are cut off

Cause: read once more: a node of a large fleet took the word of its data centre's two readers however old their proof was. Both turned away by the store, all nodes there would have refused every key after 5 s, with a way to the store of their own. A request that passed an engine over was counted twice by the shedder; the reason of engines that did not list their caches was not logged. Ruled out: to hold the own question (its answer would come after the proof has lapsed). Change: a word whose proof is older than 2.6 s is not taken by one that relies on it; it asks the platform once in that time. Passing over comes before shedding; the error is logged. TestRelyingSparesThePlatform fails without.

--- a/measure/call.go
+++ b/measure/call.go
@@ -1,10 +1,10 @@
 package measure
 
 import (
-	"github.com/samber/lo"
-
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/measure/engine"
 	"github.com/dunlinmill/dunlinmill/measure/workload"
--- a/process/event/upstream.go
+++ b/process/event/upstream.go
@@ -12,6 +12,6 @@
 	RegisterLost
 	// RegisterBack: the register is read again.
 	RegisterBack
-	// CachesListed: the engines were asked at this node's start what their caches hold; Engines have answered, Failed have not.
+	// CachesListed: the engines were asked at this node's start what their caches hold; Engines have answered, Failed have not, one of them for the error given.
 	CachesListed
 )
--- a/process/gateway/listing.go
+++ b/process/gateway/listing.go
@@ -70,6 +70,7 @@
 	defer cancel()
 	var calls sync.WaitGroup
 	var told, failed atomic.Int64
+	var reason atomic.Pointer[error] // of one that failed
 	for _, u := range engines {
 		teller, ok := l.inventory.Engine(u).(cacheTeller)
 		if !ok {
@@ -79,6 +80,7 @@
 			parts, err := teller.Held(ctx)
 			if err != nil {
 				failed.Add(1)
+				reason.Store(&err)
 				return
 			}
 			l.listed.Take(time.Now(), u.Name, roster.Incarnation(u.Name), parts)
@@ -86,5 +88,6 @@
 		})
 	}
 	calls.Wait()
-	event.Info(l.log, event.CachesListed, zap.Int64("Engines", told.Load()), zap.Int64("Failed", failed.Load()))
+	event.Info(l.log, event.CachesListed, zap.Int64("Engines", told.Load()), zap.Int64("Failed", failed.Load()),
+		zap.Error(lo.FromPtr(reason.Load())))
 }
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -69,7 +69,8 @@
 func (g *Gateway) newPeers(i do.Injector, p Platform) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	ps := &peers{
-		name: g.settings.Node, dataCentre: g.settings.DataCentre, log: g.log, roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i),
+		name: g.settings.Node, dataCentre: g.settings.DataCentre, log: g.log,
+		roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i),
 		book: do.MustInvoke[*accepted.Book](i), policies: do.MustInvoke[*policy.Table](i),
 		learner: do.MustInvoke[*learner](i), cancel: cancel, holder: clock.Boot(),
 	}
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -266,7 +266,7 @@
 	pace := keyed.Config{Retry: retryPause, Timeout: askTimeout, Clock: clock.Boot}
 	waiting, looking := pace, pace
 	waiting.Wait = configWait
-	waiting.Peers, waiting.RelyPause = relay{others}, relyPause
+	waiting.Peers, waiting.RelyPause, waiting.RelyMost = relay{others}, relyPause, relyMost
 	looking.Pause, looking.Spread = registerPause, registerSpread
 	looking.Hurry, looking.Soon = do.MustInvoke[*roster.Roster](i).Lapsed, lapsedPause
 	f := followers{
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -32,6 +32,10 @@
 	// relayGood is the age of a proof up to which no other peer is asked: a reader's
 	// own is never older while the platform answers it.
 	relayGood = 2300 * time.Millisecond
+	// relyMost is the age, with the margin for clocks, from which on a node asks the
+	// platform itself although it relies on others: its answer comes before the proof
+	// is 3 s old.
+	relyMost = 2600 * time.Millisecond
 )
 
 // relay asks other nodes for the configuration.
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -31,13 +31,13 @@
 	if !ok {
 		return nil, "", fmt.Errorf("upstream %q left: %w", d.Upstream, placement.ErrNoCandidate)
 	}
-	if err := s.shed(now, d, len(pr.Excluded)); err != nil {
-		return nil, "", err
-	}
 	if s.mayBeginLate(d) {
 		s.excluded = append(s.excluded, u.Name)
 		return s.attempt(ctx, now)
 	}
+	if err := s.shed(now, d, len(pr.Excluded)); err != nil {
+		return nil, "", err
+	}
 	v, ok := s.visit(now, p, pr, d)
 	if !ok {
 		// Another request took the last place since the decision: nothing
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -74,9 +74,12 @@
 	Timeout time.Duration // of a question, beside Wait
 	Clock   func() time.Time
 	// Peers are asked while the platform does not answer, and in place of it while
-	// they say so, RelyPause after each answer. nil: there are none.
+	// they say so, RelyPause after each answer. nil: there are none. With a proof
+	// older than RelyMost, the platform is asked all the same: those that this node
+	// relies on may be cut off from it.
 	Peers     Peers
 	RelyPause time.Duration
+	RelyMost  time.Duration
 }
 
 // Follower reads one topic until Close.
@@ -183,8 +186,11 @@
 
 // step asks once.
 func (f *Follower) step(ctx context.Context, begun time.Time) error {
-	if f.cfg.relies() && f.askPeers(ctx, false) == nil {
-		return nil
+	if f.cfg.relies() {
+		if f.askPeers(ctx, false) == nil || f.young(begun) {
+			return nil
+		}
+		f.missed = true // the own question is not held, as after a miss
 	}
 	ask := f.read
 	if _, known := f.position(); !known {
--- a/version/keyed/peers.go
+++ b/version/keyed/peers.go
@@ -50,6 +50,18 @@
 
 func (c Config) relies() bool { return c.Peers != nil && c.Peers.Rely() }
 
+// young says that the own proof is not older than one of peers may be; the next
+// question is due as after an answer then.
+func (f *Follower) young(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.proof) > f.cfg.RelyMost {
+		return false
+	}
+	f.fresh = now
+	return true
+}
+
 // keep notes what peers may ask for. mu is held.
 func (f *Follower) keep(u Update) {
 	if f.cfg.Peers == nil {
@@ -103,6 +115,8 @@
 	switch {
 	case !w.Known:
 		return ErrNotKnown
+	case !missed && asked.Sub(w.asOf(asked)) > f.cfg.RelyMost:
+		return fmt.Errorf("ask peers: their proof is %v old: %w", -w.Sound, ErrStale)
 	case !begun && w.Next < known:
 		return fmt.Errorf("ask peers: end %d, known up to %d: %w", w.Next, known, ErrStale)
 	case w.Next < known:
--- a/version/keyed/peers_test.go
+++ b/version/keyed/peers_test.go
@@ -90,20 +90,46 @@
 }
 
 // In a large fleet most nodes leave the questions to a few. The platform is asked by
-// one that relies on others only when those do not answer.
+// one that relies on others only when those do not answer, or are cut off from it
+// themselves: their word proves nothing, and every caller with a key would be refused.
+// Its own answer holds for a while; a question each 0.3 s from each node of a data
+// centre would be too many.
 func TestRelyingSparesThePlatform(t *testing.T) {
-	k := &taken{}
-	tp := &topic{newest: []answer{{end: 9}}}
+	const most = 2 * time.Second
+	old := Word{Known: true, Next: 9, Sound: -3 * time.Second}
+	steps := []struct {
+		name  string
+		at    time.Duration
+		word  Word
+		err   error
+		asked bool // the platform
+	}{
+		{"peers answer", 0, Word{Known: true, Next: 9}, nil, false},
+		{"they do not, their last word is young", time.Second, Word{}, errors.New("cut"), false},
+		{"they do not", 3 * time.Second, Word{}, errors.New("cut"), true},
+		{"they are cut off, the own answer is young", 4 * time.Second, old, nil, false},
+		{"they are cut off", 6 * time.Second, old, nil, true},
+	}
+	k, tp, p := &taken{}, &topic{}, &peers{rely: true}
 	f := k.follower(tp)
-	p := &peers{word: Word{Known: true, Next: 9}, rely: true}
-	f.cfg.Peers = p
-	if err := f.step(context.Background(), start); err != nil || len(tp.newest) != 1 || k.updates[0].Relayed {
-		t.Errorf("%v, %+v", err, k.updates)
+	now := start
+	f.cfg.Clock = func() time.Time { return now }
+	f.cfg.Peers, f.cfg.RelyMost, f.cfg.Wait = p, most, time.Second
+	for _, s := range steps {
+		now = start.Add(s.at)
+		p.word, p.err = s.word, s.err
+		tp.reads = []answer{{end: 9}}
+		if err := f.step(context.Background(), now); err != nil {
+			t.Errorf("%s: %v", s.name, err)
+		}
+		if asked := len(tp.reads) == 0; asked != s.asked {
+			t.Errorf("%s: the platform was asked: %v", s.name, asked)
+		}
 	}
-	p.err = errors.New("cut")
-	tp.reads = []answer{{end: 9}}
-	if err := f.step(context.Background(), start); err != nil || len(tp.reads) != 0 {
-		t.Errorf("%v, the platform was not asked", err)
+	for _, wait := range tp.waits {
+		if wait != 0 {
+			t.Errorf("a question was held for %v", wait)
+		}
 	}
 }
 
