Look for the newest weights held only where an age is unknown

Cause: read once more: each decision asked the register twice for each engine's weights, to find which of the doubtful are outdone, also where no engine's age is in doubt, which is nearly always. Ruled out: to keep the answer (it changes with each answer of an engine). Change: it is worked out only if some age is unknown.

--- a/process/gateway/orders.go
+++ b/process/gateway/orders.go
@@ -155,8 +155,8 @@
 	if life == 0 {
 		return w
 	}
+	unsure := false
 	upstreams := a.view.Config().Upstreams
-	newest := a.newestHeld(names, upstreams)
 	for _, name := range names {
 		for _, model := range upstreams[name].Models {
 			age, sure := a.outdated(boot, name, model)
@@ -166,23 +166,30 @@
 			case !sure:
 				w.doubtful = append(w.doubtful, name)
 			}
-			if !sure && a.roster.Weights(name, model) < newest[model] {
-				w.outdone = append(w.outdone, name)
-			}
+			unsure = unsure || !sure
 		}
 	}
+	if unsure {
+		w.outdone = a.outdone(boot, names, upstreams)
+	}
 	return w
 }
 
-// newestHeld is the newest version that any of the engines holds, by model.
-func (a available) newestHeld(names []string, upstreams map[string]config.Upstream) map[string]uint64 {
-	newest := map[string]uint64{}
+// outdone gives the engines whose weights were replaced an unknown time ago, and
+// are older than what another engine holds.
+func (a available) outdone(boot time.Time, names []string, upstreams map[string]config.Upstream) []string {
+	newest := map[string]uint64{} // held by any, by model
 	for _, name := range names {
 		for _, model := range upstreams[name].Models {
 			newest[model] = max(newest[model], a.roster.Weights(name, model))
 		}
 	}
-	return newest
+	return lo.Filter(names, func(name string, _ int) bool {
+		return lo.SomeBy(upstreams[name].Models, func(model string) bool {
+			_, sure := a.outdated(boot, name, model)
+			return !sure && a.roster.Weights(name, model) < newest[model]
+		})
+	})
 }
 
 // beginWithin is the time in which a request that is sent to an engine now has
