Name the shared levels, the margin of clocks and the call to a peer once

Cause: read once more: placement and completion each cut the last level off a declared prompt; the margin for two clocks' paces stood as 0.9 and as 0.1 in package keyed; peers.toAll built the call that peers.call makes, and live gave a client that nobody else took. Ruled out: one method for Confirm and ConfirmOwn of accepted.Book, whose callers would pass a flag. Change: prefix.Chain.Shared; heldPart from paceMargin; toAll calls call, live gives the members alone.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -74,7 +74,7 @@
 			return
 		case now := <-t.C:
 			v := Values{Node: e.node, Placement: e.policies.Value(now, e.node, turn), Caches: e.news.Untold(now, newsBytes)}
-			others, _ := e.peers.live(now)
+			others := e.peers.live(now)
 			e.metrics.Peers(metric.Live, len(others))
 			e.peers.toAll("Exchange", v)
 			t.Reset(exchangeAfter(len(others)))
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -114,7 +114,7 @@
 // catchUp asks peers for the times that this node was not there to see.
 func (p *peers) catchUp(ctx context.Context) {
 	for range catchUpTries {
-		others, _ := p.live(time.Now())
+		others := p.live(time.Now())
 		mutable.Shuffle(others)
 		heard := false
 		for _, m := range others[:min(len(others), catchUpPeers)] {
@@ -205,16 +205,15 @@
 	}
 }
 
-// live gives the other live nodes, and the client to call them.
-func (p *peers) live(now time.Time) ([]member.Member, *peer.Client) {
+// live gives the other live nodes.
+func (p *peers) live(now time.Time) []member.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.members == nil {
-		return nil, nil
+		return nil
 	}
 	self := p.members.Self().Name
-	others := lo.Reject(p.members.Live(now), func(m member.Member, _ int) bool { return m.Name == self })
-	return others, p.client
+	return lo.Reject(p.members.Live(now), func(m member.Member, _ int) bool { return m.Name == self })
 }
 
 // heardHolder notes a sign that a node has the duty.
@@ -234,7 +233,7 @@
 // rank is this node's place among the live ones that do not leave, the one that
 // started last first: on a day of restarts it is the last to be stopped again.
 func (p *peers) rank(now time.Time) int {
-	others, _ := p.live(now)
+	others := p.live(now)
 	if len(others) == 0 {
 		return 0
 	}
@@ -260,14 +259,12 @@
 // toAll calls a method of all live nodes, and returns when they have answered
 // or the time for it is over. It gives the peers that did not.
 func (p *peers) toAll(method string, args any) []string {
-	others, client := p.live(time.Now())
-	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
-	defer cancel()
+	others := p.live(time.Now())
 	var calls sync.WaitGroup
 	missed := make([]string, len(others))
 	for i, m := range others {
 		calls.Go(func() {
-			if err := client.Call(ctx, m.Address, enginesService+"."+method, args, &Heard{}); err != nil {
+			if err := p.call(context.Background(), m.Address, method, args, &Heard{}); err != nil {
 				missed[i] = m.Name
 			}
 		})
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -47,7 +47,7 @@
 
 // Rely says that this node leaves the questions to the platform to others.
 func (r relay) Rely() bool {
-	others, _ := r.peers.live(time.Now())
+	others := r.peers.live(time.Now())
 	if len(others)+1 < relyFrom {
 		return false
 	}
@@ -69,7 +69,7 @@
 // Ask gives the word of the first peer whose proof is young, else the youngest.
 // The readers are asked first, then others in an order that differs between nodes.
 func (r relay) Ask(ctx context.Context, from uint64) (keyed.Word, error) {
-	others, _ := r.peers.live(time.Now())
+	others := r.peers.live(time.Now())
 	readers := r.readers(others)
 	mutable.Shuffle(others)
 	order := lo.UniqBy(append(readers, others...), func(m member.Member) string { return m.Name })
--- a/request/completion/visit.go
+++ b/request/completion/visit.go
@@ -40,8 +40,8 @@
 // told gives the levels that peers are told of: the last one of a declared prompt is
 // its own question's, and of no use to anybody else.
 func (s *start) told() prefix.Chain {
-	if len(s.r.Declared) > 1 {
-		return s.chain[:len(s.chain)-1]
+	if s.r.Passage != nil {
+		return s.chain.Shared()
 	}
 	return s.chain
 }
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -186,8 +186,8 @@
 // prompt is its own question's, which nobody asks again: remembered, the questions
 // of 68 nodes pushed the levels that are shared out of the tables within 4 s.
 func (a *Affinity) kept(chain prefix.Chain) prefix.Chain {
-	if a.cfg.Declared && len(chain) > 1 {
-		return chain[:len(chain)-1]
+	if a.cfg.Declared {
+		return chain.Shared()
 	}
 	return chain
 }
--- a/request/prefix/declared.go
+++ b/request/prefix/declared.go
@@ -32,6 +32,15 @@
 	return chain
 }
 
+// Shared gives the levels of a declared prompt that other requests have too: all
+// but the last, which is the single question's.
+func (c Chain) Shared() Chain {
+	if len(c) < 2 {
+		return c
+	}
+	return c[:len(c)-1]
+}
+
 func partHash(before uint64, p Part) uint64 {
 	var d xxhash.Digest
 	d.ResetWithSeed(before)
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -262,9 +262,8 @@
 	return f.cfg.Wait
 }
 
-// heldPart is the part of a wait that a held question is sure to have been held:
-// the rest is for the difference between two clocks' paces.
-const heldPart = 0.9
+// heldPart is the part of a wait that a held question is sure to have been held.
+const heldPart = 1 - paceMargin
 
 // asOf is the time up to which an answer proves that everything is known. One
 // without records was held for wait, as any record would have ended that, and
