--- /dev/null
+++ b/cmd/dunlinmill-days/main.go
@@ -0,0 +1,71 @@
+// Command dunlinmill-days plays days of a deployment over several seeds and
+// prints one table: what they were worth, and where worth went.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/dunlinmill/dunlinmill/measure/days"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	err := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "dunlinmill-days:", err)
+		os.Exit(1)
+	}
+}
+
+const usage = `Usage: dunlinmill-days --player PROGRAM --site FILE [flags]
+
+Plays days of a deployment in the present folder, each with several seeds, and
+prints what they were worth. The player leaves its own record of each play.
+
+Example: dunlinmill-days --player bin/player --site sites/a.toml --days trouble-1,scale-1 --seeds 5
+
+`
+
+// run parses the flags, plays and prints the table.
+func run(ctx context.Context, args []string, w, stderr io.Writer) error {
+	flags := flag.NewFlagSet("dunlinmill-days", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Usage = func() {
+		fmt.Fprint(stderr, usage)
+		flags.PrintDefaults()
+	}
+	p := days.Plan{}
+	flags.StringVar(&p.Player, "player", "", "program that plays days")
+	flags.StringVar(&p.Site, "site", "", "file of the deployment")
+	flags.IntVar(&p.Jobs, "jobs", 4, "plays at a time")
+	flags.BoolVar(&p.Charge, "charge", false, "count the processor time of our code; runs then differ")
+	flags.StringVar(&p.Why, "why", "", "what is measured, for the player's record")
+	names := flags.String("days", "trouble-1,scale-1,trouble-2,scale-2,trouble-3", "days to play")
+	seeds := flags.Uint64("seeds", 5, "number of seeds")
+	first := flags.Uint64("first", 1, "first seed")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("DUNLINMILL_DAYS")); err != nil {
+		return err
+	}
+	p.Days = strings.Split(*names, ",")
+	for i := range *seeds {
+		p.Seeds = append(p.Seeds, *first+i)
+	}
+	reports, err := days.Play(ctx, p)
+	if err != nil {
+		return err
+	}
+	return days.WriteTable(w, reports)
+}
