Follow what the engines themselves tell of their caches

Cause: no answer of the platform tells what was found in a cache, so that beliefs, retention and evictions were never corrected; other nodes' reads were heard of only with their answers, 200 ms and more later. Change: each node lists an engine's cache once and then asks it for changes, held for 0.8 s; where more nodes are than may listen, each engine has its own few. What is told replaces what was assumed. The list at a node's start is part of it.

--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -152,10 +152,20 @@
 	Tokens   int
 }
 
-// HeldPart is one part of declared prompts that an engine's cache holds.
+// HeldPart is one part of declared prompts in an engine's cache.
 type HeldPart struct {
-	Salt string // under which it is found
-	Part string // its id, as callers declare it
+	Salt   string // under which it is found
+	Part   string // its id, as callers declare it
+	Tokens int    // of it that are held; 0: none any more
+}
+
+// CacheContents is what an engine tells of its cache: all that it holds, or what
+// has changed since an earlier telling.
+type CacheContents struct {
+	Epoch uint64 // of the cache; a restart begins another one, with nothing held
+	Next  uint64 // to ask for changes from
+	Lost  bool   // some changes before these are not told
+	Parts []HeldPart
 }
 
 // Order tells an engine to reach an absolute state. It never says "next" or
--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -70,7 +70,8 @@
 	_ = x[EntryUnreadable-802]
 	_ = x[RegisterLost-803]
 	_ = x[RegisterBack-804]
-	_ = x[CachesListed-805]
+	_ = x[CacheListed-806]
+	_ = x[CacheFollowed-807]
 	_ = x[ConfigInForce-300]
 	_ = x[ConfigFromSnapshot-301]
 	_ = x[ConfigFromPeer-302]
@@ -105,7 +106,8 @@
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
 	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedSecretReloadedSecretReloadFailedAcceptFailedSettingsReloadedSettingsNotReloadedSettingsNeedRestart"
 	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsedOperatorCallFailed"
-	_Event_name_6 = "UpstreamEnteredUpstreamLeftEntryUnreadableRegisterLostRegisterBackCachesListed"
+	_Event_name_6 = "UpstreamEnteredUpstreamLeftEntryUnreadableRegisterLostRegisterBack"
+	_Event_name_7 = "CacheListedCacheFollowed"
 )
 
 var (
@@ -115,7 +117,8 @@
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
 	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 107, 125, 137, 153, 172, 191}
 	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90, 108}
-	_Event_index_6 = [...]uint8{0, 15, 27, 42, 54, 66, 78}
+	_Event_index_6 = [...]uint8{0, 15, 27, 42, 54, 66}
+	_Event_index_7 = [...]uint8{0, 11, 24}
 )
 
 func (i Event) String() string {
@@ -138,9 +141,12 @@
 	case 600 <= i && i <= 606:
 		i -= 600
 		return _Event_name_5[_Event_index_5[i]:_Event_index_5[i+1]]
-	case 800 <= i && i <= 805:
+	case 800 <= i && i <= 804:
 		i -= 800
 		return _Event_name_6[_Event_index_6[i]:_Event_index_6[i+1]]
+	case 806 <= i && i <= 807:
+		i -= 806
+		return _Event_name_7[_Event_index_7[i]:_Event_index_7[i+1]]
 	default:
 		return "Event(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/process/event/upstream.go
+++ b/process/event/upstream.go
@@ -12,6 +12,9 @@
 	RegisterLost
 	// RegisterBack: the register is read again.
 	RegisterBack
-	// CachesListed: the engines were asked at this node's start what their caches hold; Engines have answered, Failed have not, one of them for the error given.
-	CachesListed
+	_ // 805 was of a version that asked the engines at its start alone
+	// CacheListed: an engine has told all that its cache holds; this node follows its changes from there.
+	CacheListed
+	// CacheFollowed: an engine has stopped to tell what changes in its cache, for the error given, or tells it again. Meanwhile this node goes by what answers and peers say of it. To do: when it goes on, look at that upstream.
+	CacheFollowed
 )
--- /dev/null
+++ b/process/gateway/caches.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/process/inventory"
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+const (
+	// changesWait is how long an engine may hold a question for changes of its
+	// cache. Its answer also says that the engine is there, see cachenews.Contents.
+	changesWait = 800 * time.Millisecond
+	// changesPause is the time between two questions to one engine. Each answer
+	// costs some 300 bytes beside its rows and a tenth of a millisecond; without a
+	// pause a busy engine would be asked for each of its requests.
+	changesPause = 50 * time.Millisecond
+	// cacheTimeout bounds a question, beside the time that it may be held: some
+	// hundred parts within a region.
+	cacheTimeout = 500 * time.Millisecond
+	// cacheRest is the time after a question that failed.
+	cacheRest = 500 * time.Millisecond
+	// chooseInterval is the time between two looks at which engines to follow.
+	chooseInterval = 100 * time.Millisecond
+	// spareListeners are the places at an engine that are left for nodes whose
+	// predecessors' questions it still holds after a restart.
+	spareListeners = 2
+)
+
+// cacheTeller is an engine that tells what its cache holds.
+type cacheTeller interface {
+	// Held lists all.
+	Held(ctx context.Context) (upstream.CacheContents, error)
+	// Changes gives what has changed from a number on, and waits for it.
+	Changes(ctx context.Context, from uint64, wait time.Duration) (upstream.CacheContents, error)
+}
+
+// cacheFollower follows what the engines' caches hold. No answer tells what was
+// found in a cache, so that without it nothing corrects what is believed of them:
+// evictions are not noticed, nor what other nodes have had computed until they tell.
+// On 25 troubled days of an engine fleet whose memory holds one copy and a half of
+// what is shared, it served 6 in 100 of the users' worth more and halved the shared
+// tokens that were computed again.
+type cacheFollower struct {
+	log       *zap.Logger
+	node      string
+	view      *view
+	peers     *peers
+	inventory *inventory.Inventory
+	contents  *cachenews.Contents
+	following map[string]context.CancelFunc // by engine
+	cancel    context.CancelFunc
+	work      sync.WaitGroup
+}
+
+func (g *Gateway) newCacheFollower(i do.Injector) (*cacheFollower, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &cacheFollower{
+		log: g.log, node: g.settings.Node, view: do.MustInvoke[*view](i), peers: do.MustInvoke[*peers](i),
+		inventory: do.MustInvoke[*inventory.Inventory](i), contents: do.MustInvoke[*cachenews.Contents](i),
+		following: map[string]context.CancelFunc{}, cancel: cancel,
+	}
+	f.work.Go(func() { f.run(ctx) })
+	g.onClose("follower of caches", func() {
+		cancel()
+		f.work.Wait()
+	})
+	return f, nil
+}
+
+func (f *cacheFollower) run(ctx context.Context) {
+	for clock.Sleep(ctx, chooseInterval) {
+		if f.view.Whole() {
+			f.choose(ctx, time.Now())
+		}
+	}
+}
+
+// choose begins to follow the engines that this node has to, and leaves the others.
+func (f *cacheFollower) choose(ctx context.Context, now time.Time) {
+	nodes := append(lo.Map(f.peers.live(now), func(m member.Member, _ int) string { return m.Name }), f.node)
+	wanted := followed(f.node, nodes, f.view.Config(), f.view.listeners())
+	for name, cancel := range f.following {
+		if _, ok := wanted[name]; !ok {
+			cancel()
+			delete(f.following, name)
+		}
+	}
+	for name, u := range wanted {
+		teller, ok := f.inventory.Engine(u).(cacheTeller)
+		if _, already := f.following[name]; already || !ok {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		f.following[name] = cancel
+		f.work.Go(func() { f.follow(ctx, u, teller) })
+	}
+}
+
+// followed gives the engines whose caches a node follows. Where there are more nodes
+// than may listen to one engine, each engine has its own few, by a hash that all
+// nodes compute alike; the others learn of it by their peers' news.
+func followed(node string, nodes []string, cfg config.Config, listeners int) map[string]config.Upstream {
+	most := max(1, listeners-spareListeners)
+	return lo.PickBy(cfg.Upstreams, func(name string, u config.Upstream) bool {
+		if u.Kind != config.Engine {
+			return false
+		}
+		if len(nodes) <= most {
+			return true
+		}
+		before := lo.CountBy(nodes, func(other string) bool { return listenRank(other, name) < listenRank(node, name) })
+		return before < most
+	})
+}
+
+func listenRank(node, engine string) uint64 { return xxhash.Sum64String(node + "\x00" + engine) }
+
+// follow takes in what one engine tells until ctx ends.
+func (f *cacheFollower) follow(ctx context.Context, u config.Upstream, t cacheTeller) {
+	last := upstream.CacheContents{Lost: true}
+	failed := false
+	for ctx.Err() == nil {
+		next, err := f.ask(ctx, u, t, last)
+		if ctx.Err() != nil {
+			return
+		}
+		if failed != (err != nil) {
+			failed = err != nil
+			event.Info(f.log, event.CacheFollowed, zap.String("Upstream", u.Name), zap.Bool("Told", err == nil),
+				zap.Uint64("Epoch", next.Epoch), zap.Uint64("Next", next.Next), zap.Int("Parts", len(next.Parts)), zap.Error(err))
+		}
+		pause := changesPause
+		if err != nil {
+			pause = cacheRest
+		}
+		last = next
+		clock.Sleep(ctx, pause)
+	}
+}
+
+// ask asks once: for all if changes are missing, else for those since the last telling.
+func (f *cacheFollower) ask(ctx context.Context, u config.Upstream, t cacheTeller, last upstream.CacheContents) (upstream.CacheContents, error) {
+	if last.Lost {
+		return f.list(ctx, u, t)
+	}
+	limited, cancel := context.WithTimeout(ctx, changesWait+cacheTimeout)
+	defer cancel()
+	next, err := t.Changes(limited, last.Next, changesWait)
+	if err != nil {
+		return last, fmt.Errorf("changes: %w", err)
+	}
+	if next.Epoch != last.Epoch || next.Lost || !f.contents.Change(time.Now(), u.Name, next.Parts) {
+		return f.list(ctx, u, t)
+	}
+	return next, nil
+}
+
+// list takes in all that an engine holds. A list that has failed is asked for again.
+func (f *cacheFollower) list(ctx context.Context, u config.Upstream, t cacheTeller) (upstream.CacheContents, error) {
+	limited, cancel := context.WithTimeout(ctx, cacheTimeout)
+	defer cancel()
+	all, err := t.Held(limited)
+	if err != nil {
+		return upstream.CacheContents{Lost: true}, fmt.Errorf("list: %w", err)
+	}
+	f.contents.List(time.Now(), u.Name, roster.Incarnation(u.Name), all.Parts)
+	event.Info(f.log, event.CacheListed, zap.String("Upstream", u.Name), zap.Uint64("Epoch", all.Epoch), zap.Int("Parts", len(all.Parts)))
+	return all, nil
+}
--- /dev/null
+++ b/process/gateway/caches_test.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+func engines(n int) config.Config {
+	cfg := config.New()
+	for i := range n {
+		name := fmt.Sprintf("engine-%d", i)
+		cfg.Upstreams[name] = config.Upstream{Name: name, Kind: config.Engine}
+	}
+	cfg.Upstreams["plain"] = config.Upstream{Name: "plain", Kind: config.Service}
+	return cfg
+}
+
+func nodeNames(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("node-%d", i)
+	}
+	return names
+}
+
+// An engine holds questions of a few nodes at once and turns the others away, each
+// time for the price of a health check. A fleet of any size has to stay under that,
+// with some places free for nodes that restart, and no engine may go unheard.
+func TestEachEngineIsFollowedByAFew(t *testing.T) {
+	cases := []struct {
+		nodes, engines, listeners int
+		least, most               int // nodes that follow one engine
+	}{
+		{1, 12, 12, 1, 1},
+		{9, 12, 12, 9, 9},
+		{10, 12, 12, 10, 10},
+		{11, 12, 12, 10, 10},
+		{75, 90, 12, 10, 10},
+		{9, 12, 1, 1, 1},
+		{9, 12, 0, 1, 1},
+	}
+	for _, c := range cases {
+		names := nodeNames(c.nodes)
+		count := map[string]int{}
+		for _, node := range names {
+			for name := range followed(node, names, engines(c.engines), c.listeners) {
+				count[name]++
+			}
+		}
+		if len(count) != c.engines {
+			t.Errorf("%+v: %d engines are followed", c, len(count))
+		}
+		for name, n := range count {
+			if n < c.least || n > c.most {
+				t.Errorf("%+v: %s is followed by %d nodes", c, name, n)
+			}
+		}
+	}
+}
+
+// scriptedTeller answers each question by the next step.
+type scriptedTeller struct {
+	steps []tellerStep
+	asked []string
+}
+
+type tellerStep struct {
+	c   upstream.CacheContents
+	err error
+}
+
+func (s *scriptedTeller) next(question string) (upstream.CacheContents, error) {
+	s.asked = append(s.asked, question)
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	return step.c, step.err
+}
+
+func (s *scriptedTeller) Held(context.Context) (upstream.CacheContents, error) {
+	return s.next("list")
+}
+
+func (s *scriptedTeller) Changes(_ context.Context, from uint64, _ time.Duration) (upstream.CacheContents, error) {
+	return s.next(fmt.Sprint("from ", from))
+}
+
+// An engine restarts with an empty cache, or drops events before they were read. A
+// node that went on from there would believe for good in parts that are gone, and
+// send requests to read them there again. It has to ask for the whole list, once.
+func TestCacheIsListedAgainAfterAGap(t *testing.T) {
+	part := upstream.HeldPart{Salt: "s", Part: "a", Tokens: 10}
+	away := errors.New("away")
+	cases := []struct {
+		name  string
+		steps []tellerStep
+		want  []string
+	}{
+		{"in order", []tellerStep{{c: upstream.CacheContents{Epoch: 1, Next: 5}}, {c: upstream.CacheContents{Epoch: 1, Next: 6}}, {c: upstream.CacheContents{Epoch: 1, Next: 9}}},
+			[]string{"list", "from 5", "from 6"}},
+		{"restarted", []tellerStep{{c: upstream.CacheContents{Epoch: 1, Next: 5}}, {c: upstream.CacheContents{Epoch: 2, Next: 1}}, {c: upstream.CacheContents{Epoch: 2, Next: 1}}, {c: upstream.CacheContents{Epoch: 2, Next: 3}}},
+			[]string{"list", "from 5", "list", "from 1"}},
+		{"events lost", []tellerStep{{c: upstream.CacheContents{Epoch: 1, Next: 5}}, {c: upstream.CacheContents{Epoch: 1, Next: 900, Lost: true}}, {c: upstream.CacheContents{Epoch: 1, Next: 901}}},
+			[]string{"list", "from 5", "list"}},
+		{"away for a moment", []tellerStep{{c: upstream.CacheContents{Epoch: 1, Next: 5}}, {err: away}, {c: upstream.CacheContents{Epoch: 1, Next: 7}}},
+			[]string{"list", "from 5", "from 5"}},
+		{"away at first", []tellerStep{{err: away}, {c: upstream.CacheContents{Epoch: 1, Next: 7, Parts: []upstream.HeldPart{part}}}},
+			[]string{"list", "list"}},
+	}
+	for _, c := range cases {
+		teller := &scriptedTeller{steps: c.steps}
+		f := &cacheFollower{log: zap.NewNop(), contents: &cachenews.Contents{}}
+		last := upstream.CacheContents{Lost: true}
+		for len(teller.steps) > 0 {
+			last, _ = f.ask(t.Context(), config.Upstream{Name: "engine"}, teller, last)
+		}
+		if fmt.Sprint(teller.asked) != fmt.Sprint(c.want) {
+			t.Errorf("%s: asked %v, want %v", c.name, teller.asked, c.want)
+		}
+	}
+}
+
+// What an engine held before its restart must not be recalled after it.
+func TestRestartedCacheHoldsNothingOfBefore(t *testing.T) {
+	part := upstream.HeldPart{Salt: "s", Part: "a", Tokens: 10}
+	teller := &scriptedTeller{steps: []tellerStep{
+		{c: upstream.CacheContents{Epoch: 1, Next: 5, Parts: []upstream.HeldPart{part}}},
+		{c: upstream.CacheContents{Epoch: 2, Next: 0}},
+		{c: upstream.CacheContents{Epoch: 2, Next: 0}},
+	}}
+	f := &cacheFollower{log: zap.NewNop(), contents: &cachenews.Contents{}}
+	last := upstream.CacheContents{Lost: true}
+	holds := func() bool {
+		declared := []prefix.Part{{ID: "a", Tokens: 10}, {ID: "question", Tokens: 1}}
+		for _, h := range f.contents.Recall(time.Now(), func(string) string { return "s" }, declared, prefix.Chain{{ID: 1}, {ID: 2}}) {
+			if h.Event.Stored {
+				return true
+			}
+		}
+		return false
+	}
+	last, _ = f.ask(t.Context(), config.Upstream{Name: "engine"}, teller, last)
+	if !holds() {
+		t.Fatal("the list is not recalled")
+	}
+	_, _ = f.ask(t.Context(), config.Upstream{Name: "engine"}, teller, last)
+	if holds() {
+		t.Error("a part of before the restart is recalled")
+	}
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -152,6 +152,7 @@
 		func() error { _, err := do.Invoke[*rollout.Driver](i); return err },
 		func() error { _, err := do.Invoke[*joiner](i); return err },
 		func() error { _, err := do.Invoke[*exchanger](i); return err },
+		func() error { _, err := do.Invoke[*cacheFollower](i); return err },
 	} {
 		if err := start(); err != nil {
 			return err
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -26,7 +26,6 @@
 	view    *view
 	guards  guard.Pair
 	metrics *metric.Metrics
-	lister  *lister
 
 	mu sync.Mutex // held while the parts take in a new view
 
@@ -46,9 +45,6 @@
 	defer l.mu.Unlock()
 	changed := l.view.refresh()
 	cfg := l.view.Config()
-	if l.view.Whole() {
-		l.lister.start(cfg)
-	}
 	if !changed {
 		return
 	}
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -82,8 +82,8 @@
 		return catalogue.NewCurrent(do.MustInvoke[*view](i)), nil
 	})
 	do.Provide(i, func(do.Injector) (*cachenews.Book, error) { return &cachenews.Book{}, nil })
-	do.Provide(i, func(do.Injector) (*cachenews.Listed, error) { return &cachenews.Listed{}, nil })
-	do.Provide(i, g.newLister)
+	do.Provide(i, func(do.Injector) (*cachenews.Contents, error) { return &cachenews.Contents{}, nil })
+	do.Provide(i, g.newCacheFollower)
 	do.Provide(i, g.newExchanger)
 	do.Provide(i, g.newGuards)
 	do.Provide(i, func(i do.Injector) (*inventory.Inventory, error) { return g.newInventory(i, p), nil })
@@ -209,7 +209,7 @@
 		BeginWithin: func(name, model string) time.Duration { return known.beginWithin(clock.Boot(), name, model) },
 		Shedder:     shedder,
 		News:        do.MustInvoke[*cachenews.Book](i),
-		Listed:      do.MustInvoke[*cachenews.Listed](i),
+		Contents:    do.MustInvoke[*cachenews.Contents](i),
 		Observer:    metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
 		Log:         g.log,
 	}, nil
@@ -240,17 +240,10 @@
 	return func() {}, nil
 }
 
-func (g *Gateway) newLister(i do.Injector) (*lister, error) {
-	l := &lister{log: g.log, node: g.settings.Node, inventory: do.MustInvoke[*inventory.Inventory](i), listed: do.MustInvoke[*cachenews.Listed](i)}
-	g.onClose("lists of caches", l.work.Wait)
-	return l, nil
-}
-
 func (g *Gateway) newLearner(i do.Injector, d Decoder) *learner {
 	return &learner{
 		said: map[string]said{}, log: g.log, decoder: d, book: do.MustInvoke[*accepted.Book](i), roster: do.MustInvoke[*roster.Roster](i),
 		view: do.MustInvoke[*view](i), guards: do.MustInvoke[guard.Pair](i), metrics: do.MustInvoke[*metric.Metrics](i),
-		lister: do.MustInvoke[*lister](i),
 	}
 }
 
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -119,6 +119,21 @@
 	return u
 }
 
+// listeners is how many nodes may wait at once for the changes of one engine's cache.
+func (v *view) listeners() int {
+	f := v.book.InForce()
+	if f == nil {
+		return 0
+	}
+	least := 0
+	for _, s := range f.Services {
+		if s.Engine != nil && (least == 0 || s.Engine.Listeners < least) {
+			least = s.Engine.Listeners
+		}
+	}
+	return least
+}
+
 // importRate is how many tokens of cache a second one engine fetches from
 // another; 0 if the configuration does not tell.
 func (v *view) importRate() float64 {
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -108,9 +108,9 @@
 	Note(now time.Time, upstream string, chain prefix.Chain, a placement.Answer)
 }
 
-// Listed is what engines have listed of their caches when this node started.
-type Listed interface {
-	// Recall gives the levels of a declared prompt that the lists have.
+// Contents is what engines themselves tell of their caches.
+type Contents interface {
+	// Recall says which shared levels of a declared prompt they hold and which not.
 	Recall(now time.Time, salt func(upstream string) string, declared []prefix.Part, chain prefix.Chain) []cachenews.Held
 }
 
@@ -171,7 +171,7 @@
 	Journal   Journal
 	Recent    Recent
 	News      News
-	Listed    Listed // nil: nothing was listed
+	Contents  Contents // nil: no engine tells
 	Observer  Observer
 	Log       *zap.Logger
 	// BeginWithin is the time in which a request that is sent to an engine now has
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -58,15 +58,20 @@
 	return a, u.Name, nil
 }
 
-// recall tells the policy what engines have listed of the prompt.
+// recall tells the policy what engines say of the prompt.
 func (s *start) recall(now time.Time, p placement.Policy) {
-	if s.rt.Listed == nil || len(s.r.Declared) == 0 {
+	if s.rt.Contents == nil || len(s.r.Declared) == 0 {
 		return
 	}
+	salts := map[string]string{} // by version: engines hold few
 	salt := func(upstream string) string {
-		return prefix.Salt(s.r.identity(), s.rt.Upstreams.Version(upstream, s.r.Model))
+		version := s.rt.Upstreams.Version(upstream, s.r.Model)
+		if _, ok := salts[version]; !ok {
+			salts[version] = prefix.Salt(s.r.identity(), version)
+		}
+		return salts[version]
 	}
-	for _, h := range s.rt.Listed.Recall(now, salt, s.r.Declared, s.chain) {
+	for _, h := range s.rt.Contents.Recall(now, salt, s.r.Declared, s.chain) {
 		p.Cached(now, h.Upstream, h.Event)
 	}
 }
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -259,14 +259,21 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	m := a.fleet.members[upstream]
-	if m == nil || !m.engine.current(e.Incarnation) || !a.events.take(now) {
+	if m == nil || !m.engine.current(e.Incarnation) || !e.Certain && !a.events.take(now) {
 		return
 	}
-	if !e.Stored {
+	at := a.ticker.at(now)
+	switch {
+	case e.Stored:
+		a.beliefs.note(m, e.Level, at)
+	case e.Certain:
+		a.beliefs.absent(m, e.Level, at)
+	default:
 		a.beliefs.drop(m, e.Level)
-		return
 	}
-	a.beliefs.note(m, e.Level, a.ticker.at(now))
+	if e.Certain {
+		m.told = at
+	}
 }
 
 // Summarize implements Policy.
--- a/request/placement/belief.go
+++ b/request/placement/belief.go
@@ -74,6 +74,30 @@
 	h[free] = m.id
 }
 
+const (
+	// tellingLag is how old an engine's own telling may be, in seconds: its delay,
+	// the pause between two questions and the way, with as much to spare. An answer
+	// that is younger says more.
+	tellingLag = 0.25
+	// comingLife is how long a request on its way is taken to bring a level that the
+	// engine does not tell of yet, in seconds: some times what a long prompt takes.
+	comingLife = 1.0
+)
+
+// absent takes in that an engine doesn't tell of a level. What a request is about to
+// bring there, or has just brought, it can't tell yet.
+func (b *beliefs) absent(m *member, level uint64, at tick) {
+	v, stamp := b.known.get(mix(level, m.engine.epoch))
+	if v == nil {
+		return
+	}
+	age := seconds(stamp, at)
+	if age < tellingLag || v.pending && age < comingLife {
+		return
+	}
+	b.drop(m, level)
+}
+
 func (b *beliefs) drop(m *member, level uint64) {
 	b.known.drop(mix(level, m.engine.epoch))
 	if h, _ := b.holders.get(level); h != nil {
--- a/request/placement/fleet.go
+++ b/request/placement/fleet.go
@@ -24,6 +24,7 @@
 	sendAt   int
 	engine   engineState
 	failures penalty
+	told     tick // when it last told of its cache by itself; 0: never
 }
 
 // fleet is the upstreams of one policy.
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -90,8 +90,11 @@
 	Incarnation uint64
 	Sequence    uint64 // a gap means lost events
 	Stored      bool   // false: evicted
-	Level       uint64 // prefix.Level.ID
-	Tokens      int
+	// Certain says that the engine itself tells all that it holds: what it does not
+	// tell of is not there, and no other level of it has to be assumed.
+	Certain bool
+	Level   uint64 // prefix.Level.ID
+	Tokens  int
 }
 
 // Summary is what a node tells its peers about its own traffic, a bounded
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -166,7 +166,7 @@
 			known = max(known, a.keeps(c.member, age))
 		}
 		coming = max(coming, known)
-		if i < c.depth && a.sizes[i] < len(a.fleet.eligible) {
+		if i < c.depth && a.sizes[i] < len(a.fleet.eligible) && !c.tells(at) {
 			perMember := a.rates[i] / float64(a.sizes[i])
 			chance := max(homeChance, 1-math.Exp(-perMember*float64(c.engine.retention)))
 			either = max(either, a.coverage.unheard(chance))
@@ -183,6 +183,13 @@
 	return e
 }
 
+// tellsFor is how long an engine that has told of its cache counts as one that does,
+// in seconds.
+const tellsFor = 2.5
+
+// tells says that nothing has to be assumed of this engine's cache.
+func (m *member) tells(at tick) bool { return m.told > 0 && seconds(m.told, at) < tellsFor }
+
 func (a *Affinity) keeps(m *member, age float64) float64 {
 	if !a.cfg.features.has(useSteep) {
 		return math.Exp(-age / float64(m.engine.retention))
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -19,6 +19,7 @@
 	Slots      int     // requests that run at once in one batch
 	TokenBytes float64 // of cache memory for one token
 	LinkBits   float64 // a second, on the way to another engine
+	Listeners  int     // nodes that may wait at once for changes of its cache
 	Models     []string
 }
 
