Keep shared parts in the store of caches, and fetch from the nearest that holds them

An import was weighed by the time of the caller alone and taken to cost as much between data centres. Change: what nobody is known to hold is sent to the store if it is half of its prompt; the store tells its contents as engines do; of several holders the one in the same data centre is fetched from; an import takes only the caller's time, computing also that of all who wait behind it.

--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -58,6 +58,9 @@
 	// FetchFrom is the address of an engine that this one fetches what it lacks
 	// of the prompt's cache from, by itself; empty: it computes it.
 	FetchFrom string
+	// SaveTo is the address of a store that this engine sends the prompt's cache to
+	// once it is computed; empty: it doesn't.
+	SaveTo string
 }
 
 // Part is one message of the prompt.
--- a/process/gateway/caches.go
+++ b/process/gateway/caches.go
@@ -117,7 +117,7 @@
 func followed(node string, nodes []string, cfg config.Config, listeners int) map[string]config.Upstream {
 	most := max(1, listeners-spareListeners)
 	return lo.PickBy(cfg.Upstreams, func(name string, u config.Upstream) bool {
-		if u.Kind != config.Engine {
+		if u.Kind == config.Service {
 			return false
 		}
 		if len(nodes) <= most {
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -160,10 +160,14 @@
 	v := do.MustInvoke[*view](i)
 	usable := func(time.Time, string) bool { return true }
 	return policy.New(do.MustInvoke[*catalogue.Current](i), usable, func() placement.Policy {
+		engines, stores := v.importRates()
 		return placement.New(placement.Config{
 			Seed:          g.seed(),
-			ImportRate:    v.importRate(),
+			ImportRate:    engines,
+			StoreRate:     stores,
+			RemoteImport:  remoteFetch,
 			ImportLatency: fetchLatency,
+			LongestImport: longestFetch,
 			Declared:      true,
 			OutdatedCost:  outdatedCost,
 			Retention:     cacheRetention,
@@ -188,6 +192,14 @@
 // compute the part still leaves the engine's time to others.
 const fetchLatency = 2 * time.Millisecond
 
+// remoteFetch is how many times longer a fetch from another data centre takes, as the
+// platform states.
+const remoteFetch = 2
+
+// longestFetch is half of the wait for a link past which the platform begins no
+// transfer: others may be waiting there already.
+const longestFetch = time.Second
+
 func (g *Gateway) newCompletions(i do.Injector) (*completion.Router, error) {
 	shed := shedding.Default
 	shed.Seed = g.seed()
@@ -210,6 +222,7 @@
 		Shedder:     shedder,
 		News:        do.MustInvoke[*cachenews.Book](i),
 		Contents:    do.MustInvoke[*cachenews.Contents](i),
+		Stores:      do.MustInvoke[*view](i),
 		Observer:    metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
 		Log:         g.log,
 	}, nil
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"strconv"
 	"sync"
 
+	"github.com/samber/lo"
+
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -23,6 +27,7 @@
 	weights map[string]uint64 // that cfg has
 	changes uint64            // of the roster, that cfg has
 	whole   bool              // cfg has a configuration and all that has registered
+	stores  []config.Upstream // the cache stores of cfg, by name
 }
 
 func newView(b *accepted.Book, r *roster.Roster) *view {
@@ -61,6 +66,8 @@
 	}
 	v.inForce, v.changes, v.weights = f, changes, weights
 	v.cfg = derive(f, weights, entries).WithOffset(v.cfg.Offset + 1)
+	v.stores = lo.Filter(lo.Values(v.cfg.Upstreams), func(u config.Upstream, _ int) bool { return u.Kind == config.CacheStore })
+	slices.SortFunc(v.stores, func(a, b config.Upstream) int { return cmp.Compare(a.Name, b.Name) })
 	return true
 }
 
@@ -94,6 +101,13 @@
 			cfg.Upstreams[e.ID] = upstreamOf(e, s)
 		}
 	}
+	for _, s := range f.Services {
+		if s.CacheStore != nil {
+			cfg.Upstreams[s.Name] = config.Upstream{
+				Name: s.Name, Kind: config.CacheStore, Address: s.CacheStore.Address, DataCentre: s.CacheStore.DataCentre,
+			}
+		}
+	}
 	return cfg
 }
 
@@ -119,6 +133,13 @@
 	return u
 }
 
+// Stores gives the stores of caches.
+func (v *view) Stores() []config.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.stores
+}
+
 // listeners is how many nodes may wait at once for the changes of one engine's cache.
 func (v *view) listeners() int {
 	f := v.book.InForce()
@@ -134,17 +155,24 @@
 	return least
 }
 
-// importRate is how many tokens of cache a second one engine fetches from
-// another; 0 if the configuration does not tell.
-func (v *view) importRate() float64 {
+// importRates are how many tokens of cache a second one engine fetches from another
+// and from a store of caches; 0 if the configuration does not tell.
+func (v *view) importRates() (engines, stores float64) {
 	f := v.book.InForce()
 	if f == nil {
-		return 0
+		return 0, 0
+	}
+	storeBits := 0.0
+	for _, s := range f.Services {
+		if s.CacheStore != nil {
+			storeBits = s.CacheStore.LinkBits
+		}
 	}
 	for _, s := range f.Services {
 		if s.Engine != nil && s.Engine.TokenBytes > 0 {
-			return s.Engine.LinkBits / 8 / s.Engine.TokenBytes
+			bitsPerToken := 8 * s.Engine.TokenBytes
+			return s.Engine.LinkBits / bitsPerToken, min(s.Engine.LinkBits, storeBits) / bitsPerToken
 		}
 	}
-	return 0
+	return 0, 0
 }
--- a/request/cachenews/contents.go
+++ b/request/cachenews/contents.go
@@ -111,6 +111,25 @@
 	return found
 }
 
+// Kept gives how many tokens of the shared levels of a declared prompt an upstream
+// says that it holds under a salt; 0 if it does not tell.
+func (c *Contents) Kept(now time.Time, name, salt string, declared []prefix.Part, chain prefix.Chain) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	one := c.caches[name]
+	if one == nil || now.Sub(one.heard) > tellingLife {
+		return 0
+	}
+	tokens := 0
+	for i := range min(len(declared), len(chain)) - 1 {
+		if !one.holds(salt, declared[i]) {
+			break
+		}
+		tokens = chain[i].Tokens
+	}
+	return tokens
+}
+
 func (c *cache) holds(salt string, p prefix.Part) bool {
 	tokens, ok := c.parts[partHash(salt, p.ID)]
 	return ok && float64(tokens) >= wholePart*float64(p.Tokens)
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -30,7 +30,7 @@
 	}
 	s.attempts++
 	s.runs++
-	s.fetchFrom = ""
+	s.fetchFrom, s.saveTo = "", ""
 	s.logPlacement(d)
 	g := s.generation(version)
 	g.Priority = s.priority(u)
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -112,6 +112,13 @@
 type Contents interface {
 	// Recall says which shared levels of a declared prompt they hold and which not.
 	Recall(now time.Time, salt func(upstream string) string, declared []prefix.Part, chain prefix.Chain) []cachenews.Held
+	// Kept gives how many of their tokens one upstream holds under a salt.
+	Kept(now time.Time, name, salt string, declared []prefix.Part, chain prefix.Chain) int
+}
+
+// Stores gives the stores of caches.
+type Stores interface {
+	Stores() []config.Upstream
 }
 
 // Config bounds one request's life.
@@ -172,6 +179,7 @@
 	Recent    Recent
 	News      News
 	Contents  Contents // nil: no engine tells
+	Stores    Stores   // nil: there are none
 	Observer  Observer
 	Log       *zap.Logger
 	// BeginWithin is the time in which a request that is sent to an engine now has
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -21,8 +21,9 @@
 // if there was none to try.
 func (s *start) attempt(ctx context.Context, now time.Time) (*Answer, string, error) {
 	p := s.rt.Policies.Policy(now, s.target.group)
-	s.recall(now, p)
+	salts := s.recall(now, p)
 	pr := s.placementRequest(now)
+	pr.Kept = s.kept(now, salts)
 	d, err := p.Place(now, pr)
 	if err != nil {
 		return nil, "", fmt.Errorf("place: %w", err)
@@ -58,24 +59,6 @@
 	return a, u.Name, nil
 }
 
-// recall tells the policy what engines say of the prompt.
-func (s *start) recall(now time.Time, p placement.Policy) {
-	if s.rt.Contents == nil || len(s.r.Declared) == 0 {
-		return
-	}
-	salts := map[string]string{} // by version: engines hold few
-	salt := func(upstream string) string {
-		version := s.rt.Upstreams.Version(upstream, s.r.Model)
-		if _, ok := salts[version]; !ok {
-			salts[version] = prefix.Salt(s.r.identity(), version)
-		}
-		return salts[version]
-	}
-	for _, h := range s.rt.Contents.Recall(now, salt, s.r.Declared, s.chain) {
-		p.Cached(now, h.Upstream, h.Event)
-	}
-}
-
 func (s *start) logPlacement(d placement.Decision) {
 	event.Info(s.rt.Log, event.RequestPlaced, zap.String("Request", s.r.ID),
 		zap.String("Workspace", s.r.Workspace), zap.String("Model", s.r.Model),
@@ -109,10 +92,11 @@
 
 // send calls the engine and waits for the first token.
 func (s *start) send(ctx context.Context, now time.Time, v *visit, u config.Upstream) (*Answer, error) {
-	s.fetchFrom = ""
+	s.fetchFrom, s.saveTo = "", ""
 	switch {
 	case s.rt.Config.DirectFetch:
 		s.fetchFrom = s.sourceAddress(cmp.Or(v.decision.Source, v.decision.Try), u)
+		s.saveTo = s.saveAddress(v.decision, u)
 	case v.decision.Import:
 		s.importPrefix(ctx, v.decision, u)
 		now = time.Now() // a claim may have run out meanwhile
@@ -194,6 +178,7 @@
 		Passage:   s.r.Passage,
 		After:     s.r.After,
 		FetchFrom: s.fetchFrom,
+		SaveTo:    s.saveTo,
 	}
 }
 
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -53,8 +53,10 @@
 	attempts int
 	// fetchFrom is where the engine of the present try fetches the prefix from.
 	fetchFrom string
-	excluded  []string // not to be tried in the present attempt
-	failed    []string // the part of excluded that a send failed on
+	// saveTo is the store that it sends the prefix to.
+	saveTo   string
+	excluded []string // not to be tried in the present attempt
+	failed   []string // the part of excluded that a send failed on
 	// placeless is since when there has been no free place; zero: not yet.
 	placeless time.Time
 }
--- a/request/completion/transfer.go
+++ b/request/completion/transfer.go
@@ -94,7 +94,7 @@
 // weights are not found there.
 func (s *start) sourceAddress(source string, u config.Upstream) string {
 	from, ok := s.rt.View.Catalogue().Config().Upstreams[source]
-	if !ok || from.Name == u.Name || !lo.Contains(s.target.list.Names, source) {
+	if !ok || from.Name == u.Name || from.Kind != config.CacheStore && !lo.Contains(s.target.list.Names, source) {
 		return ""
 	}
 	return from.Address
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -36,7 +36,7 @@
 	round   uint64
 	sizes   []int
 	rates   []float64
-	source  source
+	sources sources
 	set     []scored
 	found   []candidate
 	outside []candidate
@@ -91,7 +91,7 @@
 	if len(found) == 0 {
 		return Decision{}, ErrNoCandidate
 	}
-	a.source = a.findSource(at, r.Chain)
+	a.sources = a.findSources(at, r.Chain)
 	best := a.price(now, at, r, found[0])
 	for _, c := range found[1:] {
 		if p := a.price(now, at, r, c); p.total < best.total {
@@ -99,9 +99,9 @@
 		}
 	}
 	d := best.decision(len(found))
-	d.Try = a.likeliest(at, r.Chain, best.member)
-	if a.source.fits(best.member) {
-		d.Try = a.source.Name
+	d.Try = a.fallback(at, r, best.member)
+	if shared := r.Chain.Shared(); len(shared) > 0 {
+		d.Reads = max(0, shared.Tokens()-max(best.cached, best.fetched))
 	}
 	return a.fleet.decision(d), nil
 }
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -25,8 +25,14 @@
 	// ImportRate is how many tokens a second one engine imports from another's
 	// cache; 0: no imports.
 	ImportRate float64
+	// StoreRate is the same from a store of caches.
+	StoreRate float64
+	// RemoteImport is how many times longer an import from another data centre takes.
+	RemoteImport float64
 	// ImportLatency is what an import takes besides.
 	ImportLatency time.Duration
+	// LongestImport is the most that an import may be expected to take.
+	LongestImport time.Duration
 	// Declared says that the levels of a chain are parts that callers declare,
 	// of which the last is the single question's and the others are shared. The
 	// last shared one then binds requests to its upstreams, however short it is.
@@ -50,6 +56,11 @@
 	defaultRemoteLatency = time.Millisecond
 	defaultTargetLoad    = 0.5
 	defaultImportLatency = 20 * time.Millisecond
+	defaultRemoteImport  = 1.0
+	// defaultLongestImport is half of what the request path allows an import that it
+	// carries, as imports wait for each other. One that is given up has cost its
+	// time for nothing.
+	defaultLongestImport = 150 * time.Millisecond
 	defaultRetention     = time.Minute
 	defaultEntries       = 1 << 18
 	defaultLevels        = 1 << 16
@@ -62,6 +73,8 @@
 	c.RemoteLatency = cmp.Or(c.RemoteLatency, defaultRemoteLatency)
 	c.TargetLoad = cmp.Or(c.TargetLoad, defaultTargetLoad)
 	c.ImportLatency = cmp.Or(c.ImportLatency, defaultImportLatency)
+	c.RemoteImport = cmp.Or(c.RemoteImport, defaultRemoteImport)
+	c.LongestImport = cmp.Or(c.LongestImport, defaultLongestImport)
 	c.Entries = cmp.Or(c.Entries, defaultEntries)
 	c.Retention = cmp.Or(c.Retention, defaultRetention)
 	c.Levels = cmp.Or(c.Levels, defaultLevels)
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -39,6 +39,15 @@
 	Urgent     bool     // an interactive look-up, whose time to first token counts most
 	Excluded   []string // upstreams tried already, or not to be used for another reason
 	Readable   []string // the part of Excluded whose caches can be fetched from
+	Kept       []Kept   // what stores of caches hold of the prompt
+}
+
+// Kept is what a store of caches holds of a prompt under one version of the weights.
+type Kept struct {
+	Store      string
+	DataCentre string
+	Version    string
+	Tokens     int
 }
 
 // Reason says what made a decision, for the decision log.
@@ -57,6 +66,9 @@
 	// it: an engine that fetches by itself can ask there at the cost of a round
 	// trip. Empty: the decided one is the likeliest to hold it.
 	Try string
+	// Reads is how many tokens that other requests share the decided upstream
+	// computes, as nobody is known to hold them.
+	Reads int
 
 	id       uint64   // of the decision within its policy
 	estimate estimate // what the answer is held against
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -21,10 +21,6 @@
 	// be computed there: the copy stays, and draws later requests to a place
 	// that a node which has just started doesn't look for.
 	strayCompute = 1.0
-	// longestImport is the most seconds that an import may be expected to
-	// take: half of what the request path allows, as imports wait for each
-	// other. One that is given up has cost its time for nothing.
-	longestImport = 0.15
 	// strayImport is the same for each second of computing that an import
 	// spares there. A copy costs nothing to make then, but takes as much room:
 	// with no charge for it, copies push out more than they bring.
@@ -37,14 +33,15 @@
 // price is what a request would cost at one upstream.
 type price struct {
 	candidate
-	total  float64 // weighed seconds; the least is chosen
-	cached int     // expected tokens
-	wait   float64 // expected seconds to the first token
-	idle   float64 // the same without other work there
-	source string  // imports from there; empty: doesn't
-	warm   bool
-	inSet  bool
-	known  estimate
+	total   float64 // weighed seconds; the least is chosen
+	cached  int     // expected tokens
+	wait    float64 // expected seconds to the first token
+	idle    float64 // the same without other work there
+	source  string  // imports from there; empty: doesn't
+	fetched int     // tokens of the prompt that the import brings it to
+	warm    bool
+	inSet   bool
+	known   estimate
 }
 
 // price estimates what the request costs at c: the wait for the first token
@@ -53,7 +50,6 @@
 func (a *Affinity) price(now time.Time, at tick, r Request, c candidate) price {
 	e := a.estimate(at, r.Chain, c)
 	cached := a.cached(e)
-	compute, fetch := a.fetch(cached, float64(r.Chain.Tokens()), c.member)
 	mean := a.fleet.meanQueued()
 	if !a.cfg.features.has(useShrink) {
 		mean = -1
@@ -61,10 +57,6 @@
 	b := c.backlog(now, a.peers.work[c.Name], mean)
 	queue := float64(b.tokens) / max(1, c.Prefill)
 	e.queue = queue
-	wait := queue*a.queueing(r).part() + slotWait(r, c.member, b) + fetch + compute
-	if c.DataCentre != r.DataCentre {
-		wait += a.cfg.RemoteLatency.Seconds()
-	}
 	// Each second of computing also holds up whatever waits there. Without
 	// this, a fleet that falls behind spreads every prefix to the shortest
 	// queue, computes the more for it, and never catches up.
@@ -72,6 +64,12 @@
 	if !a.cfg.features.has(useOthers) {
 		others = 0
 	}
+	f := a.fetch(r, cached, c.member, others)
+	compute := f.compute
+	wait := queue*a.queueing(r).part() + slotWait(r, c.member, b) + f.takes + compute
+	if c.DataCentre != r.DataCentre {
+		wait += a.cfg.RemoteLatency.Seconds()
+	}
 	stray := 0.0
 	if a.cfg.features.has(useAnchor) && c.depth < len(r.Chain) {
 		stray = strayCost
@@ -90,8 +88,9 @@
 		total:     w.Wait*(wait+compute*others+c.failures.wait(now)) + w.Recompute*compute + stray,
 		cached:    int(cached),
 		wait:      wait,
-		idle:      fetch + compute + c.Decode.Seconds(),
-		source:    a.source.name(fetch),
+		idle:      f.takes + compute + c.Decode.Seconds(),
+		source:    f.from,
+		fetched:   f.tokens,
 		warm:      cached >= warmPart*float64(r.Chain.Tokens()),
 		inSet:     c.depth == len(r.Chain),
 		known:     e,
@@ -105,24 +104,6 @@
 	return &a.normal
 }
 
-// fetch gives the seconds that an upstream computes for a prompt and the
-// seconds that an import from another's cache takes before, 0 for none. What
-// the source holds is imported if that is sooner than to compute it, and the
-// two were last seen with the same weights. What the source may have evicted
-// counts as computed.
-func (a *Affinity) fetch(cached, tokens float64, m *member) (compute, fetch float64) {
-	prefill := max(1, m.Prefill)
-	missing := float64(a.source.tokens) - cached
-	if a.source.fits(m) && missing > 0 {
-		fetch = a.cfg.ImportLatency.Seconds() + missing/a.cfg.ImportRate
-		risk := (1 - a.source.chance) * missing / prefill
-		if fetch <= longestImport && fetch+risk < missing/prefill {
-			return (tokens-cached-missing)/prefill + risk, fetch
-		}
-	}
-	return (tokens - cached) / prefill, 0
-}
-
 // slotWait is the time until a slot is free, if all are taken.
 func slotWait(r Request, m *member, b backlog) float64 {
 	over := b.requests - m.Slots + 1
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -23,10 +23,18 @@
 	Models     []string
 }
 
-// Service is a pool of engines or a plain service.
+// CacheStore is a store of what engines have computed of prompts.
+type CacheStore struct {
+	Address    string
+	DataCentre string
+	LinkBits   float64 // a second, on the way to an engine
+}
+
+// Service is a pool of engines, a store of their caches, or a plain service.
 type Service struct {
-	Name   string
-	Engine *Engine // nil: a plain service
+	Name       string
+	Engine     *Engine     // nil: not one of engines
+	CacheStore *CacheStore // nil: not a store
 }
 
 // Workspace is one tenant of the callers.
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -23,6 +23,8 @@
 	Engine Kind = iota
 	// Service is a plain service.
 	Service
+	// CacheStore keeps what engines have computed of prompts, and serves no request.
+	CacheStore
 )
 
 // State says what an upstream may be given.
--- a/version/config/config_string.go
+++ b/version/config/config_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[Engine-0]
 	_ = x[Service-1]
+	_ = x[CacheStore-2]
 }
 
-const _Kind_name = "EngineService"
+const _Kind_name = "EngineServiceCacheStore"
 
-var _Kind_index = [...]uint8{0, 6, 13}
+var _Kind_index = [...]uint8{0, 6, 13, 23}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
