Tell prompts' lengths apart by the rate at which engines read

Cause: what counts as short in an engine's queue was reckoned at 56,600 tokens a second, another fleet's rate. Ruled out: lengths against the typical prompt (a queue of nothing but long ones has no order then). Change: the learnt rate; the two lengths stay 6,900 and 19,900 tokens at 38,000 tokens a second.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
@@ -111,6 +112,7 @@
 	book        *accepted.Book
 	roster      *roster.Roster
 	view        *view
+	policies    *policy.Table
 	completions *completion.Router
 	calls       *call.Router
 	metrics     *metric.Metrics
@@ -142,6 +144,7 @@
 	if g.calls, err = do.Invoke[*call.Router](i); err != nil {
 		return err
 	}
+	g.policies = do.MustInvoke[*policy.Table](i)
 	g.book = do.MustInvoke[*accepted.Book](i)
 	g.roster = do.MustInvoke[*roster.Roster](i)
 	g.view = do.MustInvoke[*view](i)
--- a/process/gateway/rank_test.go
+++ b/process/gateway/rank_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"testing"
 
 	"github.com/dunlinmill/dunlinmill/request/prefix"
@@ -26,8 +27,26 @@
 	}
 	for i := range order[1:] {
 		a, b := order[i], order[i+1]
-		if engineRank(a.priority, a.parts) >= engineRank(b.priority, b.parts) {
+		const rate = 40_000
+		if engineRank(a.priority, a.parts, rate) >= engineRank(b.priority, b.parts, rate) {
 			t.Errorf("%+v is not before %+v", a, b)
 		}
 	}
 }
+
+// Engines that read slower are held up by shorter prompts. What counts as long follows
+// the rate that answers have shown; before any has, all go as they come.
+func TestLengthsFollowTheRate(t *testing.T) {
+	parts := []prefix.Part{{Tokens: 9000}}
+	cases := []struct {
+		rate float64
+		want int
+	}{
+		{math.Inf(1), 0}, {100_000, 0}, {40_000, 1}, {15_000, 2}, {0, 2},
+	}
+	for _, c := range cases {
+		if got := engineRank(0, parts, c.rate); got != c.want {
+			t.Errorf("%.0f tokens a second: rank %d, want %d", c.rate, got, c.want)
+		}
+	}
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -195,7 +196,7 @@
 		Workspace: x.owner.Name,
 		Model:     x.model(),
 		MaxTokens: x.in.Output,
-		Priority:  engineRank(x.priority(), x.in.Parts),
+		Priority:  engineRank(x.priority(), x.in.Parts, x.g.rate(x.service.Name)),
 		Deadline:  deadline,
 		Once:      !x.route.MayRepeat(),
 		Passage:   x.passage(deadline),
@@ -212,6 +213,18 @@
 	return x.relay(a)
 }
 
+// rate is how many prompt tokens a second the slowest engines of a pool read, as far as
+// answers have shown; before any has, no prompt counts as long.
+func (g *Gateway) rate(pool string) float64 {
+	least := math.Inf(1)
+	for key, rate := range g.policies.Rates() {
+		if key.Pool == pool {
+			least = min(least, rate)
+		}
+	}
+	return least
+}
+
 // model is the one that the request names, or the service's only one.
 func (x *serving) model() string {
 	if x.in.Model == "" && len(x.service.Engine.Models) == 1 {
