Take caches to keep parts for as long as memory and traffic say

Cause: an engine that does not tell its cache was taken to keep a part for 10 s, reckoned from the first two users' engines; Kea Ridge's turn over in 6 s, and a fleet with twice the memory in twice that. The demand of large fleets was judged as if they had 33 nodes. Ruled out: to learn it from the times to the first token. Change: retention is 0.7 of the engine's memory over what the fleet has it take in, by this node's traffic, the number of nodes and of engines; policies are told the number of nodes.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -83,6 +83,7 @@
 			others := e.peers.live(now)
 			e.metrics.Peers(metric.Live, len(others))
 			e.peers.toAll("Exchange", v)
+			e.policies.SetNodes(len(others) + 1)
 			e.logRates()
 			t.Reset(exchangeAfter(len(others)))
 		}
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -170,7 +170,7 @@
 			LongestImport: longestFetch,
 			Declared:      true,
 			OutdatedCost:  outdatedCost,
-			Retention:     cacheRetention,
+			CacheTokens:   v.cacheTokens(),
 			Entries:       placementEntries,
 			Levels:        placementLevels,
 		})
@@ -182,11 +182,6 @@
 // some 400 ms in full.
 const outdatedCost = 250 * time.Millisecond
 
-// cacheRetention is how long an engine keeps a prefix that is not used: by the
-// sizes of both users' engines, some 250,000 tokens of cache against 20,000 new
-// ones a second.
-const cacheRetention = 10 * time.Second
-
 // fetchLatency is what an engine's fetch from another takes beside the transfer
 // itself. Half of an engine's step: a fetch that is a little slower than to
 // compute the part still leaves the engine's time to others.
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -127,6 +127,22 @@
 	return u
 }
 
+// cacheTokens is how many tokens the memory of the smallest engines holds; 0 if the
+// configuration does not tell.
+func (v *view) cacheTokens() int {
+	f := v.book.InForce()
+	if f == nil {
+		return 0
+	}
+	least := 0
+	for _, s := range f.Services {
+		if s.Engine != nil && (least == 0 || s.Engine.Tokens < least) {
+			least = s.Engine.Tokens
+		}
+	}
+	return least
+}
+
 // Stores gives the stores of caches.
 func (v *view) Stores() []config.Upstream {
 	v.mu.Lock()
--- a/process/policy/peers.go
+++ b/process/policy/peers.go
@@ -83,6 +83,15 @@
 	return all
 }
 
+// SetNodes tells the policies how many nodes share the traffic.
+func (p *Table) SetNodes(n int) {
+	p.Each(func(_ catalogue.Group, policy placement.Policy) {
+		if sharer, ok := policy.(interface{ SetNodes(n int) }); ok {
+			sharer.SetNodes(n)
+		}
+	})
+}
+
 // InFlight gives how many requests each engine has, as far as the nodes have told
 // each other.
 func (p *Table) InFlight(now time.Time) map[string]int {
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -28,6 +28,9 @@
 	coverage     coverage
 	typical      typical
 	pace         pace
+	fill         fill
+	keeping      retention // of engines whose answers don't tell what was cached; 0: they do
+	nodes        int       // that share the traffic
 	rand         *rand.Rand
 	ticker       ticker
 
@@ -147,7 +150,7 @@
 func (a *Affinity) total(at tick, level uint64, own float64) float64 {
 	seen := own/window(1, at) + a.peers.levels[level]
 	known := 1 + len(a.peers.last)
-	return seen * float64(max(a.cfg.Nodes, known)) / float64(known)
+	return seen * float64(max(a.sharers(), known)) / float64(known)
 }
 
 // Sent implements Policy.
@@ -162,6 +165,10 @@
 	}
 	a.typical.learn(r.Chain)
 	a.addDemand(at, m, r)
+	a.fill.add(at, uncached(r, d)+r.Output)
+	if a.cfg.CacheTokens > 0 {
+		a.keeping = a.keepsFor(at)
+	}
 	// The next request with this prefix should follow this one and not be
 	// computed at a second place meanwhile.
 	for _, l := range a.kept(r.Chain) {
@@ -236,6 +243,21 @@
 	a.coverage.learn(min(e.tokens, cached), cached)
 }
 
+// SetNodes tells how many nodes share the traffic, this one included.
+func (a *Affinity) SetNodes(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.nodes = n
+}
+
+// sharers is how many nodes share the traffic, as far as is known.
+func (a *Affinity) sharers() int {
+	if a.nodes > 0 {
+		return a.nodes
+	}
+	return max(a.cfg.Nodes, 1+len(a.peers.last))
+}
+
 // Finished implements Policy.
 func (a *Affinity) Finished(now time.Time, r Request, d Decision, ok bool) {
 	a.mu.Lock()
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -46,6 +46,9 @@
 	// Retention is how long a prefix is taken to stay in a cache until answers
 	// have told more; where they never do, for good.
 	Retention time.Duration
+	// CacheTokens is how many tokens one engine's memory holds; 0: not told, and
+	// Retention is all that is known.
+	CacheTokens int
 	// Entries bounds the table of cache beliefs, over all upstreams.
 	Entries int
 	// Levels bounds the table of demands.
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -149,7 +149,7 @@
 		coming = max(coming, known)
 		if i < c.depth && a.sizes[i] < len(a.fleet.eligible) && !c.tells(at) {
 			perMember := a.rates[i] / float64(a.sizes[i])
-			chance := max(homeChance, 1-math.Exp(-perMember*float64(c.engine.retention)))
+			chance := max(homeChance, 1-math.Exp(-perMember*float64(a.retention(c.member))))
 			either = max(either, a.coverage.unheard(chance))
 		}
 		either = max(either, coming)
@@ -171,11 +171,19 @@
 // tells says that nothing has to be assumed of this engine's cache.
 func (m *member) tells(at tick) bool { return m.told > 0 && seconds(m.told, at) < tellsFor }
 
+// retention is how long an engine is taken to keep what is not used.
+func (a *Affinity) retention(m *member) retention {
+	if a.keeping > 0 {
+		return a.keeping
+	}
+	return m.engine.retention
+}
+
 func (a *Affinity) keeps(m *member, age float64) float64 {
 	if !a.cfg.features.has(useSteep) {
-		return math.Exp(-age / float64(m.engine.retention))
+		return math.Exp(-age / float64(a.retention(m)))
 	}
-	return m.engine.retention.keeps(age)
+	return a.retention(m).keeps(age)
 }
 
 func (p price) decision(candidates int) Decision {
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -17,6 +17,7 @@
 // Engine is what all engines of a pool have in common.
 type Engine struct {
 	Slots      int     // requests that run at once in one batch
+	Tokens     int     // that its memory holds, of caches and of requests that run
 	TokenBytes float64 // of cache memory for one token
 	LinkBits   float64 // a second, on the way to another engine
 	Listeners  int     // nodes that may wait at once for changes of its cache
