Bound what one node follows of the engines' caches

Cause: at 360 nodes before 1,700 engines a node would follow 47 of them and ask 940 times a second; a store of caches that moves to another address was followed at its old one. Tests as before and two more.

--- a/process/gateway/caches.go
+++ b/process/gateway/caches.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +32,12 @@
 	// costs some 300 bytes beside its rows and a tenth of a millisecond; without a
 	// pause a busy engine would be asked for each of its requests.
 	changesPause = 50 * time.Millisecond
+	// pausePerEngine is what the pause grows to for each engine followed, so that a
+	// node asks 250 times a second at most, for 2.5% of a core.
+	pausePerEngine = 4 * time.Millisecond
+	// mostFollowed bounds the engines that one node follows, in fleets that have more of
+	// them for each node than those of today: 13 to 16.
+	mostFollowed = 32
 	// cacheTimeout bounds a question, beside the time that it may be held: some
 	// hundred parts within a region.
 	cacheTimeout = 500 * time.Millisecond
@@ -49,6 +58,9 @@
 	Changes(ctx context.Context, from uint64, wait time.Duration) (upstream.CacheContents, error)
 }
 
+// place is an engine or a store at an address. A store keeps its name when it moves.
+type place struct{ name, address string }
+
 // cacheFollower follows what the engines' caches hold. No answer tells what was
 // found in a cache, so that without it nothing corrects what is believed of them:
 // evictions are not noticed, nor what other nodes have had computed until they tell.
@@ -62,7 +74,8 @@
 	peers     *peers
 	inventory *inventory.Inventory
 	contents  *cachenews.Contents
-	following map[string]context.CancelFunc // by engine
+	following map[place]context.CancelFunc
+	pause     atomic.Int64 // between two questions to one engine, in nanoseconds
 	cancel    context.CancelFunc
 	work      sync.WaitGroup
 }
@@ -72,7 +85,7 @@
 	f := &cacheFollower{
 		log: g.log, node: g.settings.Node, view: do.MustInvoke[*view](i), peers: do.MustInvoke[*peers](i),
 		inventory: do.MustInvoke[*inventory.Inventory](i), contents: do.MustInvoke[*cachenews.Contents](i),
-		following: map[string]context.CancelFunc{}, cancel: cancel,
+		following: map[place]context.CancelFunc{}, cancel: cancel,
 	}
 	f.work.Go(func() { f.run(ctx) })
 	g.onClose("follower of caches", func() {
@@ -94,21 +107,28 @@
 func (f *cacheFollower) choose(ctx context.Context, now time.Time) {
 	nodes := append(lo.Map(f.peers.live(now), func(m member.Member, _ int) string { return m.Name }), f.node)
 	wanted := followed(f.node, nodes, f.view.Config(), f.view.listeners())
-	for name, cancel := range f.following {
-		if _, ok := wanted[name]; !ok {
+	f.pause.Store(int64(max(changesPause, time.Duration(len(wanted))*pausePerEngine)))
+	for at, cancel := range f.following {
+		if u, ok := wanted[at.name]; !ok || u.Address != at.address {
 			cancel()
-			delete(f.following, name)
+			delete(f.following, at)
 		}
 	}
-	for name, u := range wanted {
-		teller, ok := f.inventory.Engine(u).(cacheTeller)
-		if _, already := f.following[name]; already || !ok {
-			continue
-		}
-		ctx, cancel := context.WithCancel(ctx)
-		f.following[name] = cancel
-		f.work.Go(func() { f.follow(ctx, u, teller) })
+	for _, u := range wanted {
+		f.begin(ctx, u)
+	}
+}
+
+// begin follows an engine unless it is followed already or does not tell.
+func (f *cacheFollower) begin(ctx context.Context, u config.Upstream) {
+	at := place{u.Name, u.Address}
+	teller, ok := f.inventory.Engine(u).(cacheTeller)
+	if _, already := f.following[at]; already || !ok {
+		return
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	f.following[at] = cancel
+	f.work.Go(func() { f.follow(ctx, u, teller) })
 }
 
 // followed gives the engines whose caches a node follows. Where there are more nodes
@@ -116,16 +136,19 @@
 // nodes compute alike; the others learn of it by their peers' news.
 func followed(node string, nodes []string, cfg config.Config, listeners int) map[string]config.Upstream {
 	most := max(1, listeners-spareListeners)
-	return lo.PickBy(cfg.Upstreams, func(name string, u config.Upstream) bool {
-		if u.Kind == config.Service {
-			return false
-		}
-		if len(nodes) <= most {
-			return true
-		}
-		before := lo.CountBy(nodes, func(other string) bool { return listenRank(other, name) < listenRank(node, name) })
-		return before < most
+	wanted := lo.Filter(lo.Values(cfg.Upstreams), func(u config.Upstream, _ int) bool {
+		return u.Kind != config.Service && (len(nodes) <= most || listenPlace(node, nodes, u.Name) < most)
+	})
+	slices.SortFunc(wanted, func(a, b config.Upstream) int {
+		return cmp.Compare(listenRank(node, a.Name), listenRank(node, b.Name))
 	})
+	return lo.KeyBy(wanted[:min(len(wanted), mostFollowed)], func(u config.Upstream) string { return u.Name })
+}
+
+// listenPlace is how many of the nodes come before one for an engine.
+func listenPlace(node string, nodes []string, engine string) int {
+	own := listenRank(node, engine)
+	return lo.CountBy(nodes, func(other string) bool { return listenRank(other, engine) < own })
 }
 
 func listenRank(node, engine string) uint64 { return xxhash.Sum64String(node + "\x00" + engine) }
@@ -144,7 +167,7 @@
 			event.Info(f.log, event.CacheFollowed, zap.String("Upstream", u.Name), zap.Bool("Told", err == nil),
 				zap.Uint64("Epoch", next.Epoch), zap.Uint64("Next", next.Next), zap.Int("Parts", len(next.Parts)), zap.Error(err))
 		}
-		pause := changesPause
+		pause := time.Duration(f.pause.Load())
 		if err != nil {
 			pause = cacheRest
 		}
--- a/process/gateway/caches_test.go
+++ b/process/gateway/caches_test.go
@@ -48,6 +48,7 @@
 		{75, 90, 12, 10, 10},
 		{9, 12, 1, 1, 1},
 		{9, 12, 0, 1, 1},
+		{40, 120, 12, 1, 10}, // 30 of each node
 	}
 	for _, c := range cases {
 		names := nodeNames(c.nodes)
@@ -157,3 +158,22 @@
 		t.Error("a part of before the restart is recalled")
 	}
 }
+
+// A node before more engines than it can follow follows some of them, and not the same
+// as the others.
+func TestANodeFollowsABoundedNumber(t *testing.T) {
+	names := nodeNames(6)
+	all := map[string]bool{}
+	for _, node := range names {
+		wanted := followed(node, names, engines(100), 12)
+		if len(wanted) != mostFollowed {
+			t.Errorf("%s follows %d engines", node, len(wanted))
+		}
+		for name := range wanted {
+			all[name] = true
+		}
+	}
+	if len(all) < 2*mostFollowed {
+		t.Errorf("all nodes follow the same %d engines", len(all))
+	}
+}
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -127,22 +127,6 @@
 	return u
 }
 
-// cacheTokens is how many tokens the memory of the smallest engines holds; 0 if the
-// configuration does not tell.
-func (v *view) cacheTokens() int {
-	f := v.book.InForce()
-	if f == nil {
-		return 0
-	}
-	least := 0
-	for _, s := range f.Services {
-		if s.Engine != nil && (least == 0 || s.Engine.Tokens < least) {
-			least = s.Engine.Tokens
-		}
-	}
-	return least
-}
-
 // Stores gives the stores of caches.
 func (v *view) Stores() []config.Upstream {
 	v.mu.Lock()
@@ -150,19 +134,26 @@
 	return v.stores
 }
 
+// cacheTokens is how many tokens the memory of the smallest engines holds; 0 if the
+// configuration does not tell.
+func (v *view) cacheTokens() int { return v.least(func(e accepted.Engine) int { return e.Tokens }) }
+
 // listeners is how many nodes may wait at once for the changes of one engine's cache.
-func (v *view) listeners() int {
+func (v *view) listeners() int { return v.least(func(e accepted.Engine) int { return e.Listeners }) }
+
+// least is the least of a figure over all pools of engines; 0 if there are none.
+func (v *view) least(of func(accepted.Engine) int) int {
 	f := v.book.InForce()
 	if f == nil {
 		return 0
 	}
-	least := 0
+	var all []int
 	for _, s := range f.Services {
-		if s.Engine != nil && (least == 0 || s.Engine.Listeners < least) {
-			least = s.Engine.Listeners
+		if s.Engine != nil {
+			all = append(all, of(*s.Engine))
 		}
 	}
-	return least
+	return lo.Min(all)
 }
 
 // importRates are how many tokens of cache a second one engine fetches from another
