--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -313,7 +313,10 @@
 	defer a.mu.Unlock()
 	at := a.ticker.at(now)
 	a.peers.expire(now)
-	s := Summary{Node: node, At: now, HotLevels: a.hotLevels(at), Pace: a.pace.told()}
+	s := Summary{Node: node, At: now, HotLevels: a.hotLevels(at)}
+	if slices.ContainsFunc(a.fleet.eligible, func(m *member) bool { return m.Prefill == 0 }) {
+		s.Pace = a.pace.told()
+	}
 	for _, m := range a.fleet.eligible {
 		if m.own > 0 {
 			s.InFlight = append(s.InFlight, InFlight{Upstream: m.Name, Requests: m.own, Tokens: m.tokens})
