--- a/request/placement/source_test.go
+++ b/request/placement/source_test.go
@@ -28,6 +28,7 @@
 		{"nobody holds it", nil, nil, time.Second, ""},
 		{"an engine", []Upstream{far}, nil, time.Second, far.Name},
 		{"the nearer of two", []Upstream{far, near}, nil, time.Second, near.Name},
+		{"the nearer of two, heard of first", []Upstream{near, far}, nil, time.Second, near.Name},
 		{"the store alone", nil, kept("v1"), time.Second, "store"},
 		{"the store, of other weights", nil, kept("v2"), time.Second, ""},
 		{"a near engine before a far store", []Upstream{near}, kept("v1"), time.Second, near.Name},
