--- a/version/accepted/accepted_test.go
+++ b/version/accepted/accepted_test.go
@@ -40,6 +40,24 @@
 	}
 }
 
+// Two questions to the platform are on their way, and the one that began first is
+// answered last. A node that went back to its proof would take itself for one without a
+// way to the platform, and leave the rotation. What a peer has told is no own proof.
+func TestOwnProofNeverGoesBack(t *testing.T) {
+	b := NewBook()
+	at := time.Unix(100, 0)
+	b.ConfirmOwn(at.Add(2 * time.Second))
+	b.ConfirmOwn(at)
+	b.Confirm(at.Add(4 * time.Second))
+	now := at.Add(5 * time.Second)
+	if age, ok := b.OwnAge(now); !ok || age != 3*time.Second {
+		t.Errorf("own proof %v old, %v", age, ok)
+	}
+	if age, ok := b.Age(now); !ok || age != time.Second {
+		t.Errorf("proof %v old, %v", age, ok)
+	}
+}
+
 // Versions are named every few seconds. How long an engine's weights have been
 // outdated counts from the first newer version, not from the newest: a request
 // must not begin on weights that were replaced longer ago than the bound.
