--- a/process/policy/summary.go
+++ b/process/policy/summary.go
@@ -53,7 +53,7 @@
 		b = binary.LittleEndian.AppendUint64(b, h.Level)
 		b = binary.LittleEndian.AppendUint32(b, math.Float32bits(float32(h.Rate)))
 	}
-	return appendPace(b, s.Pace)
+	return appendPace(b, s.Pace())
 }
 
 func appendPace(b []byte, p placement.Pace) []byte {
@@ -105,6 +105,5 @@
 		})
 		b = b[hotBytes:]
 	}
-	s.Pace = decodePace(b)
-	return group, s, nil
+	return group, s.WithPace(decodePace(b)), nil
 }
--- a/process/policy/summary_test.go
+++ b/process/policy/summary_test.go
@@ -31,17 +31,17 @@
 
 func TestSummaryComesBackWhole(t *testing.T) {
 	s, names := summary(12, mostHot)
-	for _, s.Pace = range []placement.Pace{{}, {Rate: 40_000, Answers: 20}} {
-		comesBackWhole(t, s, names)
+	for _, p := range []placement.Pace{{}, {Rate: 40_000, Answers: 20}} {
+		comesBackWhole(t, s.WithPace(p), names)
 	}
 }
 
 // A peer's rate that is none would have every wait expected at nothing or for ever.
 func TestRateThatIsNoneIsNotTold(t *testing.T) {
 	for _, rate := range []float64{0, -1, math.NaN(), math.Inf(1)} {
-		_, got, err := DecodeSummary(EncodeSummary(testGroup, placement.Summary{Pace: placement.Pace{Rate: rate, Answers: 3}}), nil)
-		if err != nil || got.Pace != (placement.Pace{}) {
-			t.Errorf("%f: %+v, %v", rate, got.Pace, err)
+		_, got, err := DecodeSummary(EncodeSummary(testGroup, placement.Summary{}.WithPace(placement.Pace{Rate: rate, Answers: 3})), nil)
+		if err != nil || got.Pace() != (placement.Pace{}) {
+			t.Errorf("%f: %+v, %v", rate, got.Pace(), err)
 		}
 	}
 }
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -315,7 +315,7 @@
 	a.peers.expire(now)
 	s := Summary{Node: node, At: now, HotLevels: a.hotLevels(at)}
 	if slices.ContainsFunc(a.fleet.eligible, func(m *member) bool { return m.Prefill == 0 }) {
-		s.Pace = a.pace.told()
+		s = s.WithPace(a.pace.told())
 	}
 	for _, m := range a.fleet.eligible {
 		if m.own > 0 {
--- a/request/placement/pace.go
+++ b/request/placement/pace.go
@@ -77,9 +77,9 @@
 	n := float64(paceFirst + min(p.answers, mostTold))
 	sum := n * p.perToken
 	for _, s := range peers {
-		if s.Pace.Answers > 0 && s.Pace.Rate > 0 {
-			sum += float64(min(s.Pace.Answers, mostTold)) / s.Pace.Rate
-			n += float64(min(s.Pace.Answers, mostTold))
+		if s.pace.Answers > 0 && s.pace.Rate > 0 {
+			sum += float64(min(s.pace.Answers, mostTold)) / s.pace.Rate
+			n += float64(min(s.pace.Answers, mostTold))
 		}
 	}
 	return n / sum
--- a/request/placement/pace_test.go
+++ b/request/placement/pace_test.go
@@ -105,7 +105,7 @@
 func TestFreshNodeTakesItsPeersRate(t *testing.T) {
 	a := untold(12, 1)
 	for i, rate := range []float64{40_000, 41_000, 39_000, 40_000, 1e9} {
-		a.Merge(epoch, Summary{Node: string(rune('a' + i)), At: epoch, Pace: Pace{Rate: rate, Answers: 200}})
+		a.Merge(epoch, Summary{Node: string(rune('a' + i)), At: epoch}.WithPace(Pace{Rate: rate, Answers: 200}))
 	}
 	if got := a.fleet.reads; got < 30_000 || got > 55_000 {
 		t.Errorf("takes the engines to read %.0f tokens a second", got)
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -116,7 +116,18 @@
 	At        time.Time
 	InFlight  []InFlight
 	HotLevels []HotLevel
-	Pace      Pace
+
+	pace Pace // told by few: where engines state their rate, there is none
+}
+
+// Pace is how fast the teller has seen engines read; the zero one where they say so
+// themselves.
+func (s Summary) Pace() Pace { return s.pace }
+
+// WithPace gives a copy that tells a pace.
+func (s Summary) WithPace(p Pace) Summary {
+	s.pace = p
+	return s
 }
 
 // InFlight is a node's own unfinished work on one upstream.
