Choose the caches to follow once for each change, and look rates up without tables

Cause: read once more: ten times a second each node hashed all engines with all nodes (0.37 ms at 75 nodes and 90 engines, 34 ms at 360 and 1,700, a third of a core there); each request made a table of all groups' rates to read one; and each request told the policy of stores' caches, which it knows no member for, under a salt made for nothing. Ruled out: a longer interval (a node that starts waits for its first list). Change: the choice rests while neither the configuration nor the nodes have changed; Table.Rate; a store has no incarnation and is left out of Recall; one way to reach the policies that can do more.

--- a/process/gateway/caches.go
+++ b/process/gateway/caches.go
@@ -14,6 +14,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/event"
@@ -61,6 +62,12 @@
 // place is an engine or a store at an address. A store keeps its name when it moves.
 type place struct{ name, address string }
 
+// choice is what a node has last chosen its engines by.
+type choice struct {
+	cfg   platform.Offset
+	nodes []string // sorted
+}
+
 // cacheFollower follows what the engines' caches hold. No answer tells what was
 // found in a cache, so that without it nothing corrects what is believed of them:
 // evictions are not noticed, nor what other nodes have had computed until they tell.
@@ -74,6 +81,7 @@
 	peers     *peers
 	inventory *inventory.Inventory
 	contents  *cachenews.Contents
+	chosen    choice
 	following map[place]context.CancelFunc
 	pause     atomic.Int64 // between two questions to one engine, in nanoseconds
 	cancel    context.CancelFunc
@@ -103,10 +111,17 @@
 	}
 }
 
-// choose begins to follow the engines that this node has to, and leaves the others.
+// choose begins to follow the engines that this node has to, and leaves the others. It
+// hashes each engine with each node, so that it rests while neither has changed.
 func (f *cacheFollower) choose(ctx context.Context, now time.Time) {
+	cfg := f.view.Config()
 	nodes := append(lo.Map(f.peers.live(now), func(m member.Member, _ int) string { return m.Name }), f.node)
-	wanted := followed(f.node, nodes, f.view.Config(), f.view.listeners())
+	slices.Sort(nodes)
+	if f.chosen.cfg == cfg.Offset && slices.Equal(f.chosen.nodes, nodes) {
+		return
+	}
+	f.chosen = choice{cfg: cfg.Offset, nodes: nodes}
+	wanted := followed(f.node, nodes, cfg, f.view.listeners())
 	f.pause.Store(int64(max(changesPause, time.Duration(len(wanted))*pausePerEngine)))
 	for at, cancel := range f.following {
 		if u, ok := wanted[at.name]; !ok || u.Address != at.address {
@@ -201,7 +216,11 @@
 	if err != nil {
 		return upstream.CacheContents{Lost: true}, fmt.Errorf("list: %w", err)
 	}
-	f.contents.List(time.Now(), u.Name, roster.Incarnation(u.Name), all.Parts)
+	incarnation := uint64(0)
+	if u.Kind == config.Engine {
+		incarnation = roster.Incarnation(u.Name)
+	}
+	f.contents.List(time.Now(), u.Name, incarnation, all.Parts)
 	event.Info(f.log, event.CacheListed, zap.String("Upstream", u.Name), zap.Uint64("Epoch", all.Epoch), zap.Int("Parts", len(all.Parts)))
 	return all, nil
 }
--- a/process/gateway/caches_test.go
+++ b/process/gateway/caches_test.go
@@ -177,3 +177,16 @@
 		t.Errorf("all nodes follow the same %d engines", len(all))
 	}
 }
+
+// BenchmarkFollowed gives what one choice of the engines to follow costs, which a
+// node makes when the nodes or the engines have changed.
+func BenchmarkFollowed(b *testing.B) {
+	for _, size := range []struct{ nodes, engines int }{{9, 12}, {75, 90}, {360, 1700}} {
+		b.Run(fmt.Sprintf("%d nodes, %d engines", size.nodes, size.engines), func(b *testing.B) {
+			names, cfg := nodeNames(size.nodes), engines(size.engines)
+			for b.Loop() {
+				followed(names[0], names, cfg, 12)
+			}
+		})
+	}
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -196,7 +195,7 @@
 		Workspace: x.owner.Name,
 		Model:     x.model(),
 		MaxTokens: x.in.Output,
-		Priority:  engineRank(x.priority(), x.in.Parts, x.g.rate(x.service.Name)),
+		Priority:  engineRank(x.priority(), x.in.Parts, x.g.policies.Rate(x.service.Name)),
 		Deadline:  deadline,
 		Once:      !x.route.MayRepeat(),
 		Passage:   x.passage(deadline),
@@ -213,18 +212,6 @@
 	return x.relay(a)
 }
 
-// rate is how many prompt tokens a second the slowest engines of a pool read, as far as
-// answers have shown; before any has, no prompt counts as long.
-func (g *Gateway) rate(pool string) float64 {
-	least := math.Inf(1)
-	for key, rate := range g.policies.Rates() {
-		if key.Pool == pool {
-			least = min(least, rate)
-		}
-	}
-	return least
-}
-
 // model is the one that the request names, or the service's only one.
 func (x *serving) model() string {
 	if x.in.Model == "" && len(x.service.Engine.Models) == 1 {
--- a/process/policy/peers.go
+++ b/process/policy/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -71,38 +72,58 @@
 	})
 }
 
-// Rates gives, for each group, how many prompt tokens a second its engines are taken to
-// compute where they don't tell.
-func (p *Table) Rates() map[catalogue.Group]float64 {
-	all := map[catalogue.Group]float64{}
+// eachThat calls f for every policy that also is a T, outside the lock.
+func eachThat[T any](p *Table, f func(key catalogue.Group, policy T)) {
 	p.Each(func(key catalogue.Group, policy placement.Policy) {
-		if learner, ok := policy.(interface{ Rate() float64 }); ok {
-			all[key] = learner.Rate()
+		if t, ok := policy.(T); ok {
+			f(key, t)
 		}
 	})
+}
+
+// rater learns how many prompt tokens a second engines compute that don't tell.
+type rater interface{ Rate() float64 }
+
+// Rates gives the learnt rate of each group.
+func (p *Table) Rates() map[catalogue.Group]float64 {
+	all := map[catalogue.Group]float64{}
+	eachThat(p, func(key catalogue.Group, r rater) { all[key] = r.Rate() })
 	return all
 }
 
+// Rate gives the learnt rate of a pool's slowest group; infinite if it has none yet.
+func (p *Table) Rate(pool string) float64 {
+	least := math.Inf(1)
+	for _, r := range p.raters(pool) {
+		least = min(least, r.Rate())
+	}
+	return least
+}
+
+func (p *Table) raters(pool string) []rater {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var found []rater
+	for key, g := range p.groups {
+		if r, ok := g.policy.(rater); ok && key.Pool == pool {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
 // SetNodes tells the policies how many nodes share the traffic.
 func (p *Table) SetNodes(n int) {
-	p.Each(func(_ catalogue.Group, policy placement.Policy) {
-		if sharer, ok := policy.(interface{ SetNodes(n int) }); ok {
-			sharer.SetNodes(n)
-		}
-	})
+	eachThat(p, func(_ catalogue.Group, s interface{ SetNodes(n int) }) { s.SetNodes(n) })
 }
 
 // InFlight gives how many requests each engine has, as far as the nodes have told
 // each other.
 func (p *Table) InFlight(now time.Time) map[string]int {
 	all := map[string]int{}
-	p.Each(func(_ catalogue.Group, policy placement.Policy) {
-		teller, ok := policy.(interface {
-			InFlight(now time.Time) map[string]int
-		})
-		if !ok {
-			return
-		}
+	eachThat(p, func(_ catalogue.Group, teller interface {
+		InFlight(now time.Time) map[string]int
+	}) {
 		for name, n := range teller.InFlight(now) {
 			all[name] += n
 		}
--- a/request/cachenews/contents.go
+++ b/request/cachenews/contents.go
@@ -18,9 +18,9 @@
 	// forgetAfter is how long an engine's contents are kept without a word; a cache
 	// turns over within seconds, and one that is heard again is listed anew.
 	forgetAfter = 10 * tellingLife
-	// MostParts bounds what is remembered of one cache: some 300 parts fill one of
+	// mostParts bounds what is remembered of one cache: some 300 parts fill one of
 	// 100,000 tokens, and single questions' parts come and go beside them.
-	MostParts = 1 << 14
+	mostParts = 1 << 14
 	// wholePart is the part of a level's tokens that has to be held for the level
 	// to count as held: engines evict by blocks, from a part's end on.
 	wholePart = 0.9
@@ -34,9 +34,9 @@
 	caches map[string]*cache
 }
 
-// cache is one engine's.
+// cache is one engine's, or a store's.
 type cache struct {
-	incarnation uint64
+	incarnation uint64 // 0: a store's, where no request is placed
 	heard       time.Time
 	parts       map[uint64]int // tokens held, by partHash
 }
@@ -65,7 +65,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	one := c.caches[name]
-	if one == nil || len(one.parts) > MostParts {
+	if one == nil || len(one.parts) > mostParts {
 		return false
 	}
 	one.heard = now
@@ -96,7 +96,7 @@
 		if silent > forgetAfter {
 			delete(c.caches, name)
 		}
-		if silent > tellingLife {
+		if silent > tellingLife || one.incarnation == 0 {
 			continue
 		}
 		s := salt(name)
--- a/request/cachenews/contents_test.go
+++ b/request/cachenews/contents_test.go
@@ -100,7 +100,7 @@
 func TestContentsAreBounded(t *testing.T) {
 	var c Contents
 	c.List(start, "engine", 7, nil)
-	many := make([]upstream.HeldPart, MostParts+1)
+	many := make([]upstream.HeldPart, mostParts+1)
 	for i := range many {
 		many[i] = held("s", string(rune(i)), 1)
 	}
