--- a/measure/days/days.go
+++ b/measure/days/days.go
@@ -1,14 +1,12 @@
 package days
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strconv"
 
 	"golang.org/x/sync/errgroup"
@@ -76,7 +74,6 @@
 	if err := g.Wait(); err != nil {
 		return nil, err
 	}
-	slices.SortStableFunc(reports, func(a, b Report) int { return cmp.Compare(a.Day, b.Day) })
 	return reports, nil
 }
 
--- a/request/placement/pace.go
+++ b/request/placement/pace.go
@@ -46,7 +46,7 @@
 	case took <= 0:
 	case computed <= shortTokens && backlog <= shortTokens:
 		p.shorts++
-		p.first += step(p.shorts) * (min(took, max(p.first, took/mostPaceChange)*mostPaceChange) - p.first)
+		p.first += step(p.shorts) * (took - p.first)
 	case computed >= cleanTokens && backlog <= cleanBacklog*computed:
 		p.answers++
 		seen := max(0, took-p.first) / computed
