Tell what shedding judged by, and what became of requests by length

Cause: an incident, long prompts refused on the large fleets. A line of a shed request said what it would wait, not which part of that is its own reading, at which learnt rate, nor what was allowed: the logs could not tell a threshold that counts a request's own length from a rate that is learnt wrong. Ruled out: nothing yet; no decision changes here.

--- a/measure/serving.go
+++ b/measure/serving.go
@@ -156,19 +156,19 @@
 
 // shed refuses a request that would wait too long for its first token.
 func (c *call) shed(r placement.Request, d placement.Decision) bool {
-	err := c.serving.shedder.Decide(c.now(), shedding.Ask{
+	v := c.serving.shedder.Decide(c.now(), shedding.Ask{
 		ID:           c.id(),
 		Workspace:    c.request.Workspace,
 		Urgent:       c.request.Urgent,
 		Wait:         d.Wait,
 		FirstTokenBy: c.deadline(),
 	})
-	if err == nil {
+	if v.Err == nil {
 		c.serving.shedder.Sent(c.now(), c.request.Workspace, 0, r.Chain.Tokens()-d.Cached)
 		return false
 	}
 	c.release()
-	c.refuse(err)
+	c.refuse(v.Err)
 	return true
 }
 
--- a/process/command/command.go
+++ b/process/command/command.go
@@ -124,6 +124,7 @@
 			p.statusCommand(),
 			p.checkCommand(),
 			p.hashCommand(),
+			p.outcomesCommand(),
 			p.versionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -71,6 +71,9 @@
 // firstTokenBuckets are in seconds, closest around the aim of 1 s.
 var firstTokenBuckets = []float64{.01, .025, .05, .1, .2, .35, .5, .75, 1, 1.5, 2.5, 5, 10, 30}
 
+// promptBuckets are in tokens.
+var promptBuckets = prometheus.ExponentialBuckets(256, 2, 9)
+
 // journalBuckets are in seconds.
 var journalBuckets = []float64{.001, .0025, .005, .01, .02, .05, .1, .25, .5, 1, 2.5, 5}
 
@@ -84,6 +87,7 @@
 	refusals       *prometheus.CounterVec
 	firstToken     *prometheus.HistogramVec
 	promptTokens   *prometheus.CounterVec
+	promptLength   *prometheus.HistogramVec
 	retries        *prometheus.CounterVec
 	imports        *prometheus.CounterVec
 	inFlight       prometheus.Gauge
@@ -106,6 +110,7 @@
 		refusals:       counters("refusals_total", "Requests that got an error, by failure code and by whether they ran.", "code", "ran"),
 		firstToken:     firstToken(),
 		promptTokens:   counters("prompt_tokens_total", "Prompt tokens by whether the engine had them cached or computed them.", "from"),
+		promptLength:   promptLength(),
 		retries:        counters("retries_total", "Requests that were sent again, resumed or continued.", "kind"),
 		imports:        counters("imports_total", "Decided imports of a prefix from another engine's cache, by result.", "result"),
 		inFlight:       gauge("in_flight_requests", "Requests that this node has taken and not ended."),
@@ -119,7 +124,7 @@
 		journalLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "journal_append_seconds", Help: "Time that an append to the journal took, whatever became of it.", Buckets: journalBuckets}),
 	}
 	m.classes.Store(&Classes{})
-	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.retries, m.imports,
+	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.promptLength, m.retries, m.imports,
 		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.peers,
 		m.journalAppends, m.journalLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -143,6 +148,16 @@
 	}, []string{"class"})
 }
 
+// promptLength tells whether long prompts are shed more often than short ones.
+func promptLength() *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "prompt_length_tokens",
+		Help:      "Prompt tokens of judged requests, by whether they were Sent or Shed.",
+		Buckets:   promptBuckets,
+	}, []string{"verdict"})
+}
+
 // Registry gives the registry, for further collectors.
 func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
 
@@ -168,6 +183,15 @@
 	m.promptTokens.WithLabelValues("computed").Add(float64(max(tokens-cached, 0)))
 }
 
+// Judged notes the length of a prompt, and whether its request was shed.
+func (m *Metrics) Judged(tokens int, shed bool) {
+	verdict := "Sent"
+	if shed {
+		verdict = "Shed"
+	}
+	m.promptLength.WithLabelValues(verdict).Observe(float64(tokens))
+}
+
 // Retried counts a retry.
 func (m *Metrics) Retried(r Retry) { m.retries.WithLabelValues(r.String()).Inc() }
 
--- a/process/metric/observer.go
+++ b/process/metric/observer.go
@@ -20,6 +20,9 @@
 	}
 }
 
+// Judged counts a verdict of the shedder.
+func (o Observer) Judged(tokens int, shed bool) { o.Metrics.Judged(tokens, shed) }
+
 // Retried counts what was done about a failed send.
 func (o Observer) Retried(_ completion.Request, a retry.Action) {
 	switch a {
--- /dev/null
+++ b/process/outcome/table.go
@@ -0,0 +1,87 @@
+package outcome
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// tenths is how many parts the requests of a route are split into, by length.
+const tenths = 10
+
+// Row is what became of the requests of one route whose prompts are in one
+// tenth by length.
+type Row struct {
+	Route string
+	Tenth int // 1 has the shortest prompts
+	Least int // tokens
+	Most  int // tokens
+	Asked int
+	Ends  [endCount]int
+	// Medians over those that have the figure.
+	Wait  time.Duration
+	Idle  time.Duration
+	First time.Duration
+}
+
+// Share is the part of the row's requests that ended so.
+func (r Row) Share(e End) float64 { return float64(r.Ends[e]) / float64(r.Asked) }
+
+// Tenths splits the requests of each route into tenths by length. Routes with
+// fewer requests than tenths are left out.
+func Tenths(requests []Request) []Row {
+	var rows []Row
+	byRoute := lo.GroupBy(requests, func(r Request) string { return r.Route })
+	routes := lo.Keys(byRoute)
+	slices.Sort(routes)
+	for _, route := range routes {
+		all := byRoute[route]
+		if len(all) < tenths {
+			continue
+		}
+		slices.SortStableFunc(all, func(a, b Request) int { return cmp.Compare(a.Tokens, b.Tokens) })
+		for i := range tenths {
+			part := all[i*len(all)/tenths : (i+1)*len(all)/tenths]
+			rows = append(rows, row(route, i+1, part))
+		}
+	}
+	return rows
+}
+
+func row(route string, tenth int, part []Request) Row {
+	r := Row{Route: route, Tenth: tenth, Least: part[0].Tokens, Most: part[len(part)-1].Tokens, Asked: len(part)}
+	for _, q := range part {
+		r.Ends[q.End]++
+	}
+	r.Wait = median(part, func(q Request) time.Duration { return q.Wait })
+	r.Idle = median(part, func(q Request) time.Duration { return q.Idle })
+	r.First = median(part, func(q Request) time.Duration { return q.First })
+	return r
+}
+
+// median is that of the figures that are there; 0 without any.
+func median(part []Request, of func(Request) time.Duration) time.Duration {
+	all := lo.FilterMap(part, func(q Request, _ int) (time.Duration, bool) { return of(q), of(q) > 0 })
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
+// Write prints the rows.
+func Write(w io.Writer, rows []Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "route\ttenth\ttokens\tasked\tserved\tshed\trefused\tfailed\twait ms\tidle ms\tfirst ms\t")
+	for _, r := range rows {
+		fmt.Fprintf(t, "%s\t%d\t%d-%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%d\t\n", r.Route, r.Tenth, r.Least, r.Most, r.Asked,
+			r.Share(Served), r.Share(Shed), r.Share(Refused), r.Share(Failed),
+			r.Wait.Milliseconds(), r.Idle.Milliseconds(), r.First.Milliseconds())
+	}
+	return t.Flush()
+}
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -216,8 +216,10 @@
 func (s *site) Holds(_ time.Time, name, _, version string)        { s.versions[name] = version }
 func (s *site) Note(time.Time, prefix.Identity, []prefix.Message) {}
 func (s *site) Answered(Request, Info, time.Duration)             {}
-func (s *site) Retried(Request, retry.Action)                     {}
-func (s *site) Imported(_ Request, err error)                     { s.imports = append(s.imports, err) }
+func (s *site) Judged(int, bool)                                  {}
+
+func (s *site) Retried(Request, retry.Action) {}
+func (s *site) Imported(_ Request, err error) { s.imports = append(s.imports, err) }
 func (s *site) Policy(time.Time, catalogue.Group) placement.Policy {
 	return s.policy
 }
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -9,7 +9,6 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
-	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/placement"
@@ -73,8 +72,8 @@
 
 // Shedder refuses requests that would wait too long for their first token.
 type Shedder interface {
-	// Decide gives nil if the request may be sent, else its final answer.
-	Decide(now time.Time, a shedding.Ask) *failure.Error
+	// Decide says whether the request may be sent.
+	Decide(now time.Time, a shedding.Ask) shedding.Verdict
 	// Sent notes the prompt tokens that a request has an engine compute.
 	Sent(now time.Time, workspace string, weight float64, tokens int)
 }
@@ -88,6 +87,8 @@
 
 // Observer counts what the router does.
 type Observer interface {
+	// Judged notes whether a request with so many prompt tokens was shed.
+	Judged(tokens int, shed bool)
 	// Answered notes the head of an answer.
 	Answered(r Request, i Info, firstToken time.Duration)
 	// Retried notes what was done about a failed send.
--- a/request/completion/shed.go
+++ b/request/completion/shed.go
@@ -26,18 +26,21 @@
 	if !s.r.Deadline.IsZero() {
 		a.FirstTokenBy = s.r.Deadline.Add(-s.decoding(now))
 	}
-	err := s.rt.Shedder.Decide(now, a)
-	if err == nil {
+	v := s.rt.Shedder.Decide(now, a)
+	s.rt.Observer.Judged(s.chain.Tokens(), v.Err != nil)
+	if v.Err == nil {
 		s.rt.Shedder.Sent(now, s.r.Workspace, a.Weight, s.chain.Tokens()-d.Cached)
 		return nil
 	}
 	event.Info(s.rt.Log, event.RequestShed, zap.String("Request", s.r.ID), zap.String("Upstream", d.Upstream),
-		zap.Stringer("Reason", d.Reason), zap.Duration("Wait", d.Wait), zap.Int("CachedTokens", d.Cached),
-		zap.Int("PromptTokens", s.chain.Tokens()), zap.Int("Upstreams", len(s.target.list.Names)), zap.Int("Excluded", excluded))
+		zap.Stringer("Reason", d.Reason), zap.Duration("Wait", d.Wait), zap.Duration("Idle", d.Idle), zap.Float64("ReadRate", d.ReadRate),
+		zap.Duration("Allowed", v.Allowed), zap.Float64("Overload", v.Overload), zap.Float64("Share", v.Share),
+		zap.Int("CachedTokens", d.Cached), zap.Int("PromptTokens", s.chain.Tokens()),
+		zap.Int("Upstreams", len(s.target.list.Names)), zap.Int("Excluded", excluded))
 	if s.sent {
-		return err.WithRan(failure.Unknown)
+		return v.Err.WithRan(failure.Unknown)
 	}
-	return err
+	return v.Err
 }
 
 // decoding is the time that the answer needs after its first token, at most
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -61,6 +61,7 @@
 	Wait     time.Duration // expected time to first token
 	Import   bool          // fetch the prefix from Source's cache first
 	Idle     time.Duration // time to first token that an idle upstream would take; 0: not estimated
+	ReadRate float64       // prompt tokens a second that the upstream is taken to compute; 0: not estimated
 	Source   string        // the upstream to export the prefix from; empty without Import
 	// Try is an upstream that may hold the prefix, though nothing is known of
 	// it: an engine that fetches by itself can ask there at the cost of a round
--- a/request/placement/price.go
+++ b/request/placement/price.go
@@ -192,6 +192,7 @@
 		Cached:   p.cached,
 		Wait:     time.Duration(p.wait * float64(time.Second)),
 		Idle:     time.Duration(p.idle * float64(time.Second)),
+		ReadRate: p.prefill(),
 		Import:   p.source != "",
 		Source:   p.source,
 		estimate: p.known,
--- a/request/shedding/shedding.go
+++ b/request/shedding/shedding.go
@@ -142,27 +142,39 @@
 	d.at = now
 }
 
-// Decide gives nil if the request may be sent, else its final answer: it was
-// not run, and when to come back.
-func (s *Shedder) Decide(now time.Time, a Ask) *failure.Error {
-	allowed := s.allowed(now, a)
-	if a.Wait <= allowed {
-		return nil
+// Verdict is what was decided about a request, and by what.
+type Verdict struct {
+	// Err is nil if the request may be sent, else its final answer: it was not
+	// run, and when to come back.
+	Err      *failure.Error
+	Allowed  time.Duration // the longest wait with which it is sent
+	Overload float64       // 0 in calm, 1 under full overload
+	Share    float64       // the factor of its workspace's share
+}
+
+// Decide says whether the request may be sent.
+func (s *Shedder) Decide(now time.Time, a Ask) Verdict {
+	v := s.judge(now, a)
+	if a.Wait <= v.Allowed {
+		return v
 	}
-	back := limit.Spread(s.cfg.Seed, a.ID, max(s.cfg.MinReturn, a.Wait-allowed))
-	return failure.ErrOverloaded.WithRetryAfter(back).
-		WithCause(fmt.Errorf("expected wait %s, allowed %s", a.Wait, allowed))
+	back := limit.Spread(s.cfg.Seed, a.ID, max(s.cfg.MinReturn, a.Wait-v.Allowed))
+	v.Err = failure.ErrOverloaded.WithRetryAfter(back).
+		WithCause(fmt.Errorf("expected wait %s, allowed %s", a.Wait, v.Allowed))
+	return v
 }
 
-// allowed is the longest wait with which the request is sent.
-func (s *Shedder) allowed(now time.Time, a Ask) time.Duration {
+// judge gives the longest wait with which the request is sent.
+func (s *Shedder) judge(now time.Time, a Ask) Verdict {
 	patience := float64(s.patience(now, a))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	tight := s.factor(now, a) * s.part(a)
+	share := s.factor(now, a)
+	tight := share * s.part(a)
 	s.note(now, float64(a.Wait) > tight*patience)
 	overload := s.overload(now)
-	return time.Duration((s.cfg.Calm + overload*(min(tight, s.cfg.Calm)-s.cfg.Calm)) * patience)
+	allowed := time.Duration((s.cfg.Calm + overload*(min(tight, s.cfg.Calm)-s.cfg.Calm)) * patience)
+	return Verdict{Allowed: allowed, Overload: overload, Share: share}
 }
 
 // note counts a request for the measure of overload.
--- a/request/shedding/shedding_test.go
+++ b/request/shedding/shedding_test.go
@@ -49,7 +49,7 @@
 		for w, tokens := range c.took {
 			s.Sent(start, w, c.ask.Weight*boolTo(w == c.ask.Workspace), tokens)
 		}
-		err := s.Decide(start, c.ask)
+		err := s.Decide(start, c.ask).Err
 		if (err != nil) != c.shed {
 			t.Errorf("%s: %v, want shed %v", c.name, err, c.shed)
 		}
@@ -71,14 +71,14 @@
 	s.Sent(start, "a", 1, 1_000_000)
 	s.Sent(start, "b", 1, 10_000)
 	ask := Ask{Workspace: "a", Wait: time.Second, FirstTokenBy: start.Add(10 * time.Second)}
-	if s.Decide(start, ask) == nil {
+	if s.Decide(start, ask).Err == nil {
 		t.Error("a workspace far over its share was not refused")
 	}
 	later := start.Add(time.Minute)
 	s.Sent(later, "a", 1, 100)
 	s.Sent(later, "b", 1, 100)
 	ask.FirstTokenBy = later.Add(10 * time.Second)
-	if err := s.Decide(later, ask); err != nil {
+	if err := s.Decide(later, ask).Err; err != nil {
 		t.Errorf("a minute later: %v", err)
 	}
 }
