Take each start of an upstream for one of its own, and no entry for none

Cause: an upstream was known by its id alone and its time of start was read nowhere, so that one that starts again under its id would have been believed to hold the caches, loads and refusals of before. An entry that can't be read was passed over and left in use what its key had said before; a state that is none passed for ready, missing slots for none. Ruled out: a counter of starts beside the id, compared in each place (docs/design/incarnations.md). Change: the adapter names a start by id and time; the register's key says which starts follow each other, by the order of its records. What a report or a list of caches tells of another start is not believed. Decoding is strict; what is no entry names nobody from that moment on, here and at the peers, and is logged once for each change. What is left open is in the design note.

--- a/process/event/upstream.go
+++ b/process/event/upstream.go
@@ -6,7 +6,7 @@
 	UpstreamEntered Event = iota + 800
 	// UpstreamLeft: an upstream's entry is missing; if the register was away, it stays in use until it has had time to come back.
 	UpstreamLeft
-	// EntryUnreadable: an entry of the register can't be read and was passed over. To do: bring this node to the version that the entry needs; the upstream gets no work from it.
+	// EntryUnreadable: what the register has under a key is no entry of an upstream, or lacks the time of start that its upstream told before; the key names nobody until a proper entry stands there. Logged once for each change. To do: look who else writes to the register; else bring this node to the version that the entry needs.
 	EntryUnreadable
 	// RegisterLost: the register is not reached; the upstreams known stay in use. To do: see to the platform; upstreams that leave or come are not noticed meanwhile.
 	RegisterLost
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -30,13 +31,14 @@
 	mu sync.Mutex // held while the parts take in a new view
 
 	saidMu sync.Mutex
-	said   map[string]said // what each upstream's newest record says
+	said   map[string]said // what each key's newest record says
 }
 
 // said is what a record of the register says.
 type said struct {
 	roster.Entry
-	offset uint64
+	unusable bool // it names none
+	offset   uint64
 }
 
 // refresh has the parts that keep lists of upstreams follow the view.
@@ -134,12 +136,7 @@
 	}
 	read := RegisterRead{From: u.From, Next: u.Next}
 	for _, r := range u.Records {
-		e, err := t.decoder.Upstream(r)
-		if err != nil {
-			event.Warn(t.log, event.EntryUnreadable, zap.String("Key", r.Key), zap.Uint64("Offset", r.Offset), zap.Error(err))
-			continue
-		}
-		n := RegisterNews{Entry: e, Gone: r.Dropped, Offset: r.Offset}
+		n := t.news(r)
 		n.Sure = t.enter(now, n)
 		if t.says(n, u.From) && !read.has(n) {
 			read.News = append(read.News, n)
@@ -152,6 +149,41 @@
 	}
 }
 
+// ErrNoStart means that an entry doesn't tell when its upstream started, although an
+// earlier one under the same key did.
+var ErrNoStart = errors.New("gateway: time of start is missing")
+
+// news reads a record. One that can't be read may come from anybody and names no
+// upstream to use. Passed over, it left in use what the key said before: a runner
+// that had started again, or was leaving.
+func (t *registerTaker) news(r keyed.Record) RegisterNews {
+	n := RegisterNews{Entry: roster.Entry{ID: r.Key, Key: r.Key}, Gone: r.Dropped, Offset: r.Offset}
+	if r.Dropped {
+		return n
+	}
+	e, err := t.decoder.Upstream(r)
+	if err == nil && e.Born == 0 && t.roster.TellsStart(e.RegisterKey()) {
+		err = ErrNoStart
+	}
+	if err == nil {
+		n.Entry = e
+		return n
+	}
+	n.Gone, n.Unusable = true, true
+	if !t.knownUnusable(r.Key) {
+		event.Warn(t.log, event.EntryUnreadable, zap.String("Key", r.Key), zap.Uint64("Offset", r.Offset), zap.Error(err))
+	}
+	return n
+}
+
+// knownUnusable says whether the key's record before could not be used either: a
+// writer that repeats itself is logged and told once.
+func (l *learner) knownUnusable(key string) bool {
+	l.saidMu.Lock()
+	defer l.saidMu.Unlock()
+	return l.said[key].unusable
+}
+
 // RegisterRead is what a node has just read of the register.
 type RegisterRead struct {
 	From, Next uint64 // offsets
@@ -164,8 +196,8 @@
 // follow each other within one look.
 func (r RegisterRead) has(n RegisterNews) bool {
 	for _, o := range slices.Backward(r.News) {
-		if o.Entry.ID == n.Entry.ID {
-			return !o.Gone && !n.Gone && o.Entry.Equal(n.Entry)
+		if o.Entry.RegisterKey() == n.Entry.RegisterKey() {
+			return o.Gone == n.Gone && o.Unusable == n.Unusable && (n.Unusable || !n.Gone && o.Entry.Equal(n.Entry))
 		}
 	}
 	return false
@@ -173,9 +205,12 @@
 
 // RegisterNews is one record of the register that has changed something.
 type RegisterNews struct {
-	Entry  roster.Entry // the ID alone if Gone
+	Entry  roster.Entry // the key alone if Gone
 	Gone   bool
 	Offset uint64
+	// Unusable says that the record is there and names no upstream to use. It counts
+	// as gone, also while the register itself comes and goes.
+	Unusable bool
 	// Sure says that the entry has not just lapsed with the register, which the
 	// teller has read all the while.
 	Sure bool
@@ -184,9 +219,9 @@
 // enter takes one record in, and says whether its upstream is out of use by it.
 func (l *learner) enter(now time.Time, n RegisterNews) (gone bool) {
 	if n.Gone {
-		changed, gone := l.roster.Drop(now, n.Entry.ID, n.Offset, n.Sure)
+		changed, gone := l.roster.Drop(now, n.Entry.RegisterKey(), n.Offset, n.Sure || n.Unusable)
 		if changed {
-			event.Info(l.log, event.UpstreamLeft, zap.String("Upstream", n.Entry.ID), zap.Uint64("Offset", n.Offset), zap.Bool("MayComeBack", !gone))
+			event.Info(l.log, event.UpstreamLeft, zap.String("Upstream", n.Entry.RegisterKey()), zap.Uint64("Offset", n.Offset), zap.Bool("MayComeBack", !gone))
 		}
 		return gone
 	}
@@ -205,15 +240,20 @@
 func (l *learner) says(n RegisterNews, from uint64) bool {
 	l.saidMu.Lock()
 	defer l.saidMu.Unlock()
-	before, known := l.said[n.Entry.ID]
-	if n.Gone {
-		delete(l.said, n.Entry.ID)
+	key := n.Entry.RegisterKey()
+	before, known := l.said[key]
+	switch {
+	case n.Unusable:
+		l.said[key] = said{unusable: true, offset: n.Offset}
+		return !before.unusable || before.offset >= from
+	case n.Gone:
+		delete(l.said, key)
 		return true
 	}
-	if known && before.Equal(n.Entry) && before.offset < from {
+	if known && !before.unusable && before.Equal(n.Entry) && before.offset < from {
 		return false
 	}
-	l.said[n.Entry.ID] = said{Entry: n.Entry, offset: n.Offset}
+	l.said[key] = said{Entry: n.Entry, offset: n.Offset}
 	return true
 }
 
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -4,6 +4,7 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -15,6 +16,8 @@
 // Entry is an upstream's own account of itself.
 type Entry struct {
 	ID         string // of this start of it
+	Key        string // under which the register lists all its starts; empty: ID
+	Born       int64  // when it started, in Unix milliseconds by its own clock; 0: it does not tell
 	Service    string
 	Address    string // IP:port
 	DataCentre string
@@ -25,10 +28,13 @@
 
 // Equal says whether two accounts say the same.
 func (e Entry) Equal(o Entry) bool {
-	return e.Service == o.Service && e.Address == o.Address && e.DataCentre == o.DataCentre &&
+	return e.ID == o.ID && e.Service == o.Service && e.Address == o.Address && e.DataCentre == o.DataCentre &&
 		e.Slots == o.Slots && e.Leaving == o.Leaving && maps.Equal(e.Weights, o.Weights)
 }
 
+// RegisterKey is the key under which the register lists the upstream.
+func (e Entry) RegisterKey() string { return cmp.Or(e.Key, e.ID) }
+
 // Incarnation is the number of a start, by which nodes tell each other of it.
 func Incarnation(id string) uint64 { return xxhash.Sum64String(id) }
 
@@ -47,9 +53,10 @@
 // Roster is the table. mu guards all of it.
 type Roster struct {
 	mu      sync.Mutex
-	entries map[string]record
-	read    bool // the register has been read whole
-	away    bool // the register is not reached
+	entries map[string]record // by Entry.ID
+	starts  map[string]string // the ID of each key's latest start
+	read    bool              // the register has been read whole
+	away    bool              // the register is not reached
 	// settled is when an entry that is missing counts as gone: the grace after
 	// the register's return. Zero: the register was never away.
 	settled time.Time
@@ -57,7 +64,7 @@
 	// superseded are the starts whose address a later one has taken. A late
 	// heartbeat of theirs must not push the later one out again.
 	superseded map[string]bool
-	// seen is the offset of the newest record of each upstream, also of gone
+	// seen is the offset of the newest record of each key, also of gone
 	// ones: a peer's news that comes late must not bring one back.
 	seen map[string]uint64
 	busy map[string]time.Time // until when an upstream takes no requests
@@ -69,7 +76,7 @@
 
 // New starts without upstreams.
 func New() *Roster {
-	return &Roster{entries: map[string]record{}, superseded: map[string]bool{}, seen: map[string]uint64{}, busy: map[string]time.Time{}}
+	return &Roster{entries: map[string]record{}, starts: map[string]string{}, superseded: map[string]bool{}, seen: map[string]uint64{}, busy: map[string]time.Time{}}
 }
 
 // Put takes in an entry. Leaving that was once read holds, whatever comes
@@ -79,9 +86,17 @@
 func (r *Roster) Put(e Entry, offset uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.superseded[e.ID] || !r.newer(e.ID, offset) {
+	key := e.RegisterKey()
+	if r.superseded[e.ID] || !r.newer(key, offset) {
 		return false
 	}
+	// Another start under the same key: it holds nothing that the former did, and
+	// whatever still comes of that one is late. The later record says which one is
+	// the newer, not the times: a clock may have gone back between them.
+	if former, ok := r.starts[key]; ok && former != e.ID {
+		r.supersede(former)
+	}
+	r.starts[key] = e.ID
 	old, known := r.entries[e.ID]
 	if known {
 		e.Leaving = e.Leaving || old.Leaving
@@ -97,19 +112,19 @@
 	return true
 }
 
-// newer notes the offset of a record, and says whether it is not older than the
-// newest one known.
-func (r *Roster) newer(id string, offset uint64) bool {
-	if offset < r.seen[id] {
+// newer notes the offset of a key's record, and says whether it is not older than
+// the newest one known.
+func (r *Roster) newer(key string, offset uint64) bool {
+	if offset < r.seen[key] {
 		return false
 	}
 	if len(r.seen) >= maxSuperseded {
-		maps.DeleteFunc(r.seen, func(id string, _ uint64) bool {
-			_, known := r.entries[id]
+		maps.DeleteFunc(r.seen, func(key string, _ uint64) bool {
+			_, known := r.starts[key]
 			return !known
 		})
 	}
-	r.seen[id] = offset
+	r.seen[key] = offset
 	return true
 }
 
@@ -128,6 +143,14 @@
 		clear(r.superseded)
 	}
 	r.superseded[id] = true
+	r.remove(id)
+}
+
+func (r *Roster) remove(id string) {
+	key := r.entries[id].RegisterKey()
+	if r.starts[key] == id {
+		delete(r.starts, key)
+	}
 	delete(r.entries, id)
 }
 
@@ -155,14 +178,15 @@
 	r.changes++
 }
 
-// Drop takes in the record that an entry is gone, and says whether that is new
+// Drop takes in the record that a key's entry is gone, and says whether that is new
 // and whether the upstream is out of use. It may only have lapsed with the register,
 // unless it is sure that it has not.
-func (r *Roster) Drop(now time.Time, id string, offset uint64, sure bool) (changed, gone bool) {
+func (r *Roster) Drop(now time.Time, key string, offset uint64, sure bool) (changed, gone bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	id := r.starts[key]
 	e, known := r.entries[id]
-	if !r.newer(id, offset) || !known {
+	if !r.newer(key, offset) || !known {
 		return false, false
 	}
 	gone = r.drop(now, id, sure)
@@ -178,7 +202,7 @@
 		r.entries[id] = e
 		return false
 	}
-	delete(r.entries, id)
+	r.remove(id)
 	r.changes++
 	return true
 }
@@ -205,12 +229,12 @@
 	}
 }
 
-// Only drops all entries but these.
-func (r *Roster) Only(now time.Time, ids []string) {
+// Only drops all entries but those of these keys.
+func (r *Roster) Only(now time.Time, keys []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id := range r.entries {
-		if !slices.Contains(ids, id) {
+	for id, e := range r.entries {
+		if !slices.Contains(keys, e.RegisterKey()) {
 			r.drop(now, id, false)
 		}
 	}
@@ -252,12 +276,19 @@
 	}
 	for id, e := range r.entries {
 		if e.lapsed {
-			delete(r.entries, id)
+			r.remove(id)
 			r.changes++
 		}
 	}
 }
 
+// TellsStart says whether the upstream under a key tells when it started.
+func (r *Roster) TellsStart(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entries[r.starts[key]].Born != 0
+}
+
 // Entries gives all upstreams, and a number that changes with them.
 func (r *Roster) Entries() ([]Entry, uint64) {
 	r.mu.Lock()
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -165,3 +167,72 @@
 		t.Errorf("holds %d", got)
 	}
 }
+
+func startOf(key string, born int64) Entry {
+	return Entry{ID: fmt.Sprintf("%s@%d", key, born), Key: key, Born: born, Address: key}
+}
+
+func (r *Roster) ids() []string {
+	entries, _ := r.Entries()
+	var ids []string
+	for _, e := range entries {
+		ids = append(ids, e.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// An engine crashes and starts again under its id within a heartbeat. Under one name its
+// caches, loads and refusals of before would be believed of it. Each start is an upstream
+// of its own; the later record says which is the newer, whatever the clocks say, and
+// nothing late brings a former one back.
+func TestAStartUnderTheSameKeyReplacesTheFormer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		name string
+		do   func(r *Roster)
+		want []string
+	}{
+		{"starts again", func(r *Roster) { r.Put(startOf("a", 20), 8) }, []string{"a@20"}},
+		{"twice in a heartbeat", func(r *Roster) { r.Put(startOf("a", 20), 8); r.Put(startOf("a", 30), 8) }, []string{"a@30"}},
+		{"its clock went back", func(r *Roster) { r.Put(startOf("a", 5), 8) }, []string{"a@5"}},
+		{"at another address", func(r *Roster) {
+			e := startOf("a", 20)
+			e.Address = "elsewhere"
+			r.Put(e, 8)
+		}, []string{"a@20"}},
+		{"a late heartbeat of the former", func(r *Roster) { r.Put(startOf("a", 20), 8); r.Put(startOf("a", 10), 9) }, []string{"a@20"}},
+		{"an older record read again", func(r *Roster) { r.Put(startOf("a", 20), 8); r.Put(startOf("a", 10), 7) }, []string{"a@20"}},
+		{"a peer knows the older one", func(r *Roster) { r.Put(startOf("a", 20), 3) }, []string{"a@10"}},
+		{"it answered as another start first", func(r *Roster) { r.Replaced("a@10"); r.Put(startOf("a", 10), 8) }, nil},
+		{"and then told so", func(r *Roster) { r.Replaced("a@10"); r.Put(startOf("a", 20), 8) }, []string{"a@20"}},
+		{"its key is dropped", func(r *Roster) { r.Put(startOf("a", 20), 8); r.Drop(now, "a", 9, true) }, nil},
+		{"its key is not listed", func(r *Roster) { r.Put(startOf("a", 20), 8); r.Only(now, nil) }, nil},
+		{"its key is listed", func(r *Roster) { r.Put(startOf("a", 20), 8); r.Only(now, []string{"a"}) }, []string{"a@20"}},
+	}
+	for _, c := range cases {
+		r := New()
+		r.Put(startOf("a", 10), 7)
+		c.do(r)
+		if got := r.ids(); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// What the former start was told to be, leaving or with newer weights, is not the
+// later one's.
+func TestANewStartHasNothingOfTheFormer(t *testing.T) {
+	r := New()
+	e := startOf("a", 10)
+	e.Leaving, e.Weights = true, map[string]uint64{"m": 7}
+	r.Put(e, 7)
+	e = startOf("a", 20)
+	e.Weights = map[string]uint64{"m": 6}
+	r.Put(e, 8)
+	r.Holds("a@10", "m", 9)
+	entries, _ := r.Entries()
+	if len(entries) != 1 || entries[0].Leaving || entries[0].Weights["m"] != 6 || r.Weights("a@20", "m") != 6 {
+		t.Errorf("%+v", entries)
+	}
+}
