--- a/process/gateway/unusable_test.go
+++ b/process/gateway/unusable_test.go
@@ -97,3 +97,18 @@
 		}
 	}
 }
+
+// While the register is away an entry that is missing may only have lapsed with it. One
+// that stands there and is none has not: its upstream is out of use at once.
+func TestUnusableEntryHasNotLapsed(t *testing.T) {
+	l := newLearner()
+	l.decoder = born{}
+	taker := &registerTaker{learner: l, tell: func(RegisterRead) {}}
+	now := time.Unix(1000, 0)
+	taker.Take(now, keyed.Update{From: 1, Next: 2, Records: []keyed.Record{{Key: "a", Value: []byte("10"), Offset: 1}}})
+	taker.Missed(now, nil)
+	taker.Take(now, keyed.Update{From: 2, Next: 3, Records: []keyed.Record{{Key: "a", Value: []byte("?"), Offset: 2}}})
+	if got := ids(l.roster); len(got) != 0 {
+		t.Errorf("still in use: %v", got)
+	}
+}
--- a/request/shedding/shedding_test.go
+++ b/request/shedding/shedding_test.go
@@ -150,3 +150,40 @@
 		t.Errorf("sent with a first token after %s of %s", late.Wait, Default.UrgentPatience)
 	}
 }
+
+// The floor is for who is refused, not for how much: a length whose requests others' work
+// alone makes late gets none of it, and one class owes another nothing.
+func TestFloorLetsInNoLateRequestAndNoOtherClass(t *testing.T) {
+	cases := []struct {
+		name  string
+		class int
+		wait  time.Duration
+		own   time.Duration
+		sent  bool
+	}{
+		{"same class", 0, time.Second, 500 * time.Millisecond, true},
+		{"same class, its own reading alone is long", 0, 2600 * time.Millisecond, 2300 * time.Millisecond, true},
+		{"same class, late by others' work", 0, 2600 * time.Millisecond, 100 * time.Millisecond, false},
+		{"another class", 3, time.Second, 500 * time.Millisecond, false},
+	}
+	for _, c := range cases {
+		s := shedder(t)
+		now, sent := start, 0
+		for i := range 1000 {
+			now = now.Add(10 * time.Millisecond)
+			short := Ask{Workspace: "a", Urgent: true, Tokens: 500, Wait: 100 * time.Millisecond}
+			if v := s.Decide(now, short); v.Err != nil {
+				t.Fatalf("%s: short request %d is refused: %v", c.name, i, v.Err)
+			}
+			s.Sent(now, "a", 1, 1000)
+			s.Sent(now, "b", 1, 1000)
+			long := Ask{Workspace: "a", Urgent: true, Class: c.class, Tokens: 8000, Wait: c.wait, Own: c.own}
+			if v := s.Decide(now, long); v.Err == nil && i > 100 {
+				sent++
+			}
+		}
+		if (sent > 0) != c.sent {
+			t.Errorf("%s: %d sent, want some: %t", c.name, sent, c.sent)
+		}
+	}
+}
