--- a/process/event/request.go
+++ b/process/event/request.go
@@ -2,7 +2,7 @@
 
 // Events of single requests.
 const (
-	// RequestPlaced: an upstream was chosen for a request, for the reason given; CachedTokens is what its cache is expected to hold.
+	// RequestPlaced: an upstream was chosen for a request, for the reason given; CachedTokens is what its cache is expected to hold, Idle what an engine without other work would take, Floored that it is sent beyond the wait allowed as too few of its length were.
 	RequestPlaced Event = iota + 100
 	// RequestAnswered: the first token has come; CachedTokens is what the engine says it had cached.
 	RequestAnswered
@@ -24,7 +24,7 @@
 	PrefixNotImported
 	// RequestServed: a request that was passed through has got its whole answer; Status is the upstream's.
 	RequestServed
-	// RequestShed: the best upstream would have given the first token too late for the request, which was refused; Excluded upstreams were not to be used. To do: when it goes on, look whether engines are changing weights, ejected or gone; else add engines.
+	// RequestShed: the best upstream would have given the first token too late for the request, which was refused; Excluded upstreams were not to be used; Allowed is the longest wait with which it would have been sent, by Overload and its workspace's Share. To do: when it goes on, look whether engines are changing weights, ejected or gone; else add engines.
 	RequestShed
 	// UpstreamPassedOver: an engine was chosen whose weights were replaced, and a request might not begin there in the time BeginWithin that is left for them; another one is chosen. To do: when it goes on, look why the roll-out does not get on.
 	UpstreamPassedOver
