Show that an upstream which no longer tells its start comes back a heartbeat later

Cause under test: found by reading. The refused entry takes the upstream out of the roster, and with it the knowledge that its key told a start; the next one without it is accepted. Change: two cases that fail, one for a key that was given up between.

--- a/process/gateway/unusable_test.go
+++ b/process/gateway/unusable_test.go
@@ -81,6 +81,9 @@
 		{"started again twice in one look", []look{{{"a", "10"}, {"a", "20"}, {"a", "30"}}}, "a@30", 0},
 		{"a late word of the former", []look{{{"a", "10"}}, {{"a", "20"}}, {{"a", "10"}}}, "a@20", 0},
 		{"no longer tells its start", []look{{{"a", "10"}}, {{"a", "0"}}}, "", 1},
+		{"no longer tells its start, heartbeat after heartbeat", []look{{{"a", "10"}}, {{"a", "0"}}, {{"a", "0"}, {"a", "0"}}}, "", 1},
+		{"no longer tells its start after what is none", []look{{{"a", "10"}}, {{"a", "?"}}, {{"a", "0"}}}, "", 1},
+		{"another upstream under the key, gone between", []look{{{"a", "10"}}, {{"a", ""}}, {{"a", "0"}}}, "a", 0},
 		{"never told its start", []look{{{"a", "0"}}, {{"a", "0"}}}, "a", 0},
 		{"gone", []look{{{"a", "10"}}, {{"a", "?"}}, {{"a", ""}}}, "", 1},
 	}
