Remember that a key told a start while it names nobody

Cause: whether a key tells a start was asked of the roster, which has nobody under a key whose entry was refused. Change: it is kept with what the key's record said, until the key itself ends. Before: the second entry without a start was used, here and at the peers; now none is (TestWhatAKeySaysLastHolds).

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -38,6 +38,7 @@
 type said struct {
 	roster.Entry
 	unusable bool // it names none
+	started  bool // some record of the key since its last end told a time of start
 	offset   uint64
 }
 
@@ -162,7 +163,7 @@
 		return n
 	}
 	e, err := t.decoder.Upstream(r)
-	if err == nil && e.Born == 0 && t.roster.TellsStart(e.RegisterKey()) {
+	if err == nil && e.Born == 0 && t.before(r.Key).started {
 		err = ErrNoStart
 	}
 	if err == nil {
@@ -170,18 +171,18 @@
 		return n
 	}
 	n.Gone, n.Unusable = true, true
-	if !t.knownUnusable(r.Key) {
+	// A writer that repeats itself is logged once.
+	if !t.before(r.Key).unusable {
 		event.Warn(t.log, event.EntryUnreadable, zap.String("Key", r.Key), zap.Uint64("Offset", r.Offset), zap.Error(err))
 	}
 	return n
 }
 
-// knownUnusable says whether the key's record before could not be used either: a
-// writer that repeats itself is logged and told once.
-func (l *learner) knownUnusable(key string) bool {
+// before gives what the key's record before said.
+func (l *learner) before(key string) said {
 	l.saidMu.Lock()
 	defer l.saidMu.Unlock()
-	return l.said[key].unusable
+	return l.said[key]
 }
 
 // RegisterRead is what a node has just read of the register.
@@ -244,7 +245,7 @@
 	before, known := l.said[key]
 	switch {
 	case n.Unusable:
-		l.said[key] = said{unusable: true, offset: n.Offset}
+		l.said[key] = said{unusable: true, started: before.started, offset: n.Offset}
 		return !before.unusable || before.offset >= from
 	case n.Gone:
 		delete(l.said, key)
@@ -253,7 +254,7 @@
 	if known && !before.unusable && before.Equal(n.Entry) && before.offset < from {
 		return false
 	}
-	l.said[key] = said{Entry: n.Entry, offset: n.Offset}
+	l.said[key] = said{Entry: n.Entry, started: before.started || n.Entry.Born != 0, offset: n.Offset}
 	return true
 }
 
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -282,13 +282,6 @@
 	}
 }
 
-// TellsStart says whether the upstream under a key tells when it started.
-func (r *Roster) TellsStart(key string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.entries[r.starts[key]].Born != 0
-}
-
 // Entries gives all upstreams, and a number that changes with them.
 func (r *Roster) Entries() ([]Entry, uint64) {
 	r.mu.Lock()
