Judge warming in the class of its own priority

Cause: a request's class is set beside its priority, and warming set one of the two. Its long prompts counted among the most urgent callers' and had a floor of their share. Ruled out: to derive the class from the priority. On the users' platform the priority holds the rank by length, and who counts as urgent goes by it. Change: warming sets both. Users' platform: untouched, it warms no pool. Before: class 0; after: 7 (TestWarmingIsJudgedInItsOwnClass).

--- a/request/completion/warm.go
+++ b/request/completion/warm.go
@@ -19,7 +19,7 @@
 // asks for one token, as an engine computes a prompt only with an answer.
 func (rt *Router) Warm(ctx context.Context, r Request, pool string) error {
 	r.MaxTokens = 1
-	r.Priority = leastUrgent
+	r.Priority, r.Class = leastUrgent, leastUrgent
 	s := &start{rt: rt, r: r, began: time.Now(), chain: rt.chain(r)}
 	c := rt.View.Catalogue()
 	if _, ok := c.Config().Models[r.Model]; !ok {
