--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -61,7 +61,7 @@
 	// Configuration gives what a record of the operators' topic says: a
 	// configuration, the newest version of a model's weights, or neither.
 	Configuration(r keyed.Record) (Publication, error)
-	// Upstream gives an entry of the register.
+	// Upstream gives an entry of the register; the record is not a dropped one.
 	Upstream(r keyed.Record) (roster.Entry, error)
 }
 
