--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -14,7 +14,7 @@
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
-//go:generate go tool stringer -type=Retry,Append,PeerState,Import -output=metric_string.go
+//go:generate go tool stringer -type=Retry,Append,PeerState,Import,Verdict -output=metric_string.go
 
 const namespace = "dunlinmill"
 
@@ -68,6 +68,16 @@
 	NotImported
 )
 
+// Verdict is what the shedder decided about a request.
+type Verdict uint8
+
+const (
+	// Sent requests may go to an upstream.
+	Sent Verdict = iota
+	// Shed requests would have waited too long.
+	Shed
+)
+
 // firstTokenBuckets are in seconds, closest around the aim of 1 s.
 var firstTokenBuckets = []float64{.01, .025, .05, .1, .2, .35, .5, .75, 1, 1.5, 2.5, 5, 10, 30}
 
@@ -108,9 +118,9 @@
 		registry:       prometheus.NewRegistry(),
 		requests:       counters("requests_total", "Requests that ended, by workspace class and outcome (Answered or a failure code).", "class", "outcome"),
 		refusals:       counters("refusals_total", "Requests that got an error, by failure code and by whether they ran.", "code", "ran"),
-		firstToken:     firstToken(),
+		firstToken:     histograms("first_token_seconds", "Time from the request's arrival to its first token, by workspace class.", firstTokenBuckets, "class"),
 		promptTokens:   counters("prompt_tokens_total", "Prompt tokens by whether the engine had them cached or computed them.", "from"),
-		promptLength:   promptLength(),
+		promptLength:   histograms("prompt_length_tokens", "Prompt tokens of judged requests, by whether they were Sent or Shed.", promptBuckets, "verdict"),
 		retries:        counters("retries_total", "Requests that were sent again, resumed or continued.", "kind"),
 		imports:        counters("imports_total", "Decided imports of a prefix from another engine's cache, by result.", "result"),
 		inFlight:       gauge("in_flight_requests", "Requests that this node has taken and not ended."),
@@ -139,23 +149,8 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
 
-func firstToken() *prometheus.HistogramVec {
-	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace,
-		Name:      "first_token_seconds",
-		Help:      "Time from the request's arrival to its first token, by workspace class.",
-		Buckets:   firstTokenBuckets,
-	}, []string{"class"})
-}
-
-// promptLength tells whether long prompts are shed more often than short ones.
-func promptLength() *prometheus.HistogramVec {
-	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace,
-		Name:      "prompt_length_tokens",
-		Help:      "Prompt tokens of judged requests, by whether they were Sent or Shed.",
-		Buckets:   promptBuckets,
-	}, []string{"verdict"})
+func histograms(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
 }
 
 // Registry gives the registry, for further collectors.
@@ -183,13 +178,9 @@
 	m.promptTokens.WithLabelValues("computed").Add(float64(max(tokens-cached, 0)))
 }
 
-// Judged notes the length of a prompt, and whether its request was shed.
-func (m *Metrics) Judged(tokens int, shed bool) {
-	verdict := "Sent"
-	if shed {
-		verdict = "Shed"
-	}
-	m.promptLength.WithLabelValues(verdict).Observe(float64(tokens))
+// Judged notes the length of a prompt, and what the shedder decided about its request.
+func (m *Metrics) Judged(tokens int, v Verdict) {
+	m.promptLength.WithLabelValues(v.String()).Observe(float64(tokens))
 }
 
 // Retried counts a retry.
--- a/process/metric/metric_test.go
+++ b/process/metric/metric_test.go
@@ -33,6 +33,7 @@
 	m.Failed("sofia", failure.ErrOverloaded)
 	m.FirstToken("sofia", 400*time.Millisecond)
 	m.Prompt(1000, 900)
+	m.Judged(3000, Shed)
 	m.Retried(Resumed)
 	m.Imported(NotImported)
 	m.Queued(3)
@@ -48,6 +49,7 @@
 		`dunlinmill_first_token_seconds_bucket{class="sofia",le="0.5"} 1`,
 		`dunlinmill_prompt_tokens_total{from="cached"} 900`,
 		`dunlinmill_prompt_tokens_total{from="computed"} 100`,
+		`dunlinmill_prompt_length_tokens_bucket{verdict="Shed",le="4096"} 1`,
 		`dunlinmill_retries_total{kind="Resumed"} 1`,
 		`dunlinmill_imports_total{result="NotImported"} 1`,
 		`dunlinmill_in_flight_requests 1`,
--- a/process/metric/observer.go
+++ b/process/metric/observer.go
@@ -21,7 +21,13 @@
 }
 
 // Judged counts a verdict of the shedder.
-func (o Observer) Judged(tokens int, shed bool) { o.Metrics.Judged(tokens, shed) }
+func (o Observer) Judged(tokens int, shed bool) {
+	if shed {
+		o.Metrics.Judged(tokens, Shed)
+		return
+	}
+	o.Metrics.Judged(tokens, Sent)
+}
 
 // Retried counts what was done about a failed send.
 func (o Observer) Retried(_ completion.Request, a retry.Action) {
