Say plainly when two records of the register are the same

Cause: one condition of four parts, of which two follow from the others (an unusable record counts as gone); an exported error that nobody outside reads; a comment on bands that told more than was measured.

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -150,9 +150,9 @@
 	}
 }
 
-// ErrNoStart means that an entry doesn't tell when its upstream started, although an
+// errNoStart means that an entry doesn't tell when its upstream started, although an
 // earlier one under the same key did.
-var ErrNoStart = errors.New("gateway: time of start is missing")
+var errNoStart = errors.New("gateway: time of start is missing")
 
 // news reads a record. One that can't be read may come from anybody and names no
 // upstream to use. Passed over, it left in use what the key said before: a runner
@@ -164,7 +164,7 @@
 	}
 	e, err := t.decoder.Upstream(r)
 	if err == nil && e.Born == 0 && t.before(r.Key).started {
-		err = ErrNoStart
+		err = errNoStart
 	}
 	if err == nil {
 		n.Entry = e
@@ -198,7 +198,7 @@
 func (r RegisterRead) has(n RegisterNews) bool {
 	for _, o := range slices.Backward(r.News) {
 		if o.Entry.RegisterKey() == n.Entry.RegisterKey() {
-			return o.Gone == n.Gone && o.Unusable == n.Unusable && (n.Unusable || !n.Gone && o.Entry.Equal(n.Entry))
+			return o.Unusable && n.Unusable || !o.Gone && !n.Gone && o.Entry.Equal(n.Entry)
 		}
 	}
 	return false
--- a/request/shedding/lengths.go
+++ b/request/shedding/lengths.go
@@ -8,7 +8,7 @@
 const (
 	// bandsPerOctave is how many bands of lengths lie between a length and its double:
 	// the longest prompt of a band is a fifth longer than its shortest. With half as
-	// many, the longest of a wide band were still served a third less than its shortest.
+	// many, two tenths of one kind by length were still served 0.67 of their kind's share.
 	bandsPerOctave = 4
 	// mostBands reaches a million tokens.
 	mostBands = 80
