--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -298,7 +298,7 @@
 	case e.Stored:
 		a.beliefs.note(m, e.Level, at)
 	case e.Certain:
-		a.beliefs.absent(m, e.Level, at)
+		a.beliefs.absent(m, e.Level, at, e.Lag.Seconds())
 	default:
 		a.beliefs.drop(m, e.Level)
 	}
--- a/request/placement/belief.go
+++ b/request/placement/belief.go
@@ -84,15 +84,16 @@
 	comingLife = 1.0
 )
 
-// absent takes in that an engine doesn't tell of a level. What a request is about to
-// bring there, or has just brought, it can't tell yet.
-func (b *beliefs) absent(m *member, level uint64, at tick) {
+// absent takes in that an engine doesn't tell of a level, by word that may be so many
+// seconds old. What a request is about to bring there, or has just brought, it can't
+// tell yet.
+func (b *beliefs) absent(m *member, level uint64, at tick, lag float64) {
 	v, stamp := b.known.get(mix(level, m.engine.epoch))
 	if v == nil {
 		return
 	}
 	age := seconds(stamp, at)
-	if age < tellingLag || v.pending && age < comingLife {
+	if age < tellingLag+lag || v.pending && age < comingLife+lag {
 		return
 	}
 	b.drop(m, level)
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -106,8 +106,11 @@
 	// Certain says that the engine itself tells all that it holds: what it does not
 	// tell of is not there, and no other level of it has to be assumed.
 	Certain bool
-	Level   uint64 // prefix.Level.ID
-	Tokens  int
+	// Lag is how much older than the engine's own word what is told may be, as other
+	// nodes have passed it on.
+	Lag    time.Duration
+	Level  uint64 // prefix.Level.ID
+	Tokens int
 }
 
 // Summary is what a node tells its peers about its own traffic, a bounded
