Add up what nodes have under way

Cause: a node of 195 keeps the summaries of 32 others, each told every 4.9 s, so that a sixth of the work under way is known, 2.4 s old in the mean. A level's demand is told only if one node's part of it is over a bound that does not shrink with the nodes: of 195 nodes none tells of any.

Up to eight nodes it is what it was.

--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -149,7 +149,7 @@
 // of any peer, a node takes its own part for the mean.
 func (a *Affinity) total(at tick, level uint64, own float64) float64 {
 	seen := own/window(1, at) + a.peers.levels[level]
-	known := 1 + len(a.peers.last)
+	known := 1 + a.peers.nodes()
 	return seen * float64(max(a.sharers(), known)) / float64(known)
 }
 
@@ -255,7 +255,7 @@
 	if a.nodes > 0 {
 		return a.nodes
 	}
-	return max(a.cfg.Nodes, 1+len(a.peers.last))
+	return max(a.cfg.Nodes, 1+a.peers.nodes())
 }
 
 // Finished implements Policy.
@@ -348,17 +348,23 @@
 	return all
 }
 
+// hotPart is the least demand of all nodes for a level that a node tells its part of, as
+// a part of the load that one upstream is planned to get. What one node sees of a level
+// shrinks with their number: with a bound that did not, 195 nodes told of none.
+const hotPart = 0.08
+
 // hotLevels gives the levels with the most demand from this node.
 func (a *Affinity) hotLevels(at tick) []HotLevel {
 	var hot []HotLevel
 	span := window(1, at)
+	least := hotPart * a.cfg.TargetLoad / float64(max(a.sharers(), defaultNodes))
 	for i := range a.demands.values {
 		d := &a.demands.values[i]
 		if a.demands.stamps[i] == 0 || seconds(d.at, at) > 2*demandLife {
 			continue
 		}
 		d.decay(at)
-		if rate := float64(d.cost) / span; rate > 0.01*a.cfg.TargetLoad {
+		if rate := float64(d.cost) / span; rate > least {
 			hot = append(hot, HotLevel{Level: a.demands.keys[i], Rate: rate})
 		}
 	}
--- a/request/placement/pace.go
+++ b/request/placement/pace.go
@@ -78,8 +78,9 @@
 	sum := n * p.perToken
 	for _, s := range peers {
 		if s.pace.Answers > 0 && s.pace.Rate > 0 {
-			sum += float64(min(s.pace.Answers, mostTold)) / s.pace.Rate
-			n += float64(min(s.pace.Answers, mostTold))
+			told := float64(min(s.pace.Answers, mostTold*max(1, s.Nodes)))
+			sum += told / s.pace.Rate
+			n += told
 		}
 	}
 	return n / sum
--- a/request/placement/peers.go
+++ b/request/placement/peers.go
@@ -30,8 +30,10 @@
 
 func (p *peers) merge(now time.Time, s Summary) {
 	p.expire(now)
-	s.HotLevels = s.HotLevels[:min(len(s.HotLevels), maxHotLevels)]
-	s.InFlight = s.InFlight[:min(len(s.InFlight), maxInFlight)]
+	if s.Nodes <= 1 {
+		s.HotLevels = s.HotLevels[:min(len(s.HotLevels), maxHotLevels)]
+		s.InFlight = s.InFlight[:min(len(s.InFlight), maxInFlight)]
+	}
 	i := slices.IndexFunc(p.last, func(o Summary) bool { return o.Node == s.Node })
 	switch {
 	case i < 0 && len(p.last) >= maxPeers:
@@ -77,3 +79,12 @@
 		p.work[f.Upstream] = w
 	}
 }
+
+// nodes is how many peers the kept summaries stand for.
+func (p *peers) nodes() int {
+	n := 0
+	for _, s := range p.last {
+		n += max(1, s.Nodes)
+	}
+	return n
+}
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -116,7 +116,9 @@
 // Summary is what a node tells its peers about its own traffic, a bounded
 // number of bytes whatever the size of the fleet.
 type Summary struct {
-	Node      string
+	Node string
+	// Nodes is how many nodes it stands for, if these were added up; 0: one.
+	Nodes     int
 	At        time.Time
 	InFlight  []InFlight
 	HotLevels []HotLevel
