Show that an engine whose name comes late is never known

Cause: found by reading. A node is told of an engine's cache before it has read in the register that there is such an engine, passes that over, and every later change as well, as those add to what it was never told whole.

Measured: it fails on the code as it is.

--- a/request/cachenews/aggregate_test.go
+++ b/request/cachenews/aggregate_test.go
@@ -364,3 +364,25 @@
 		t.Errorf("a prompt without shared parts: %v", got)
 	}
 }
+
+// An engine registers. Its followers tell of it at once, and a node reads the register only
+// later. What it was told in between has to count then: it would else know nothing of that
+// engine for as long as the engine lives.
+func TestEngineThatIsNotKnownYetIsRemembered(t *testing.T) {
+	a := NewAggregate(1)
+	a.Tell(start, "n1", commonParts, []Telling{wholeTelling(1, row("rules", 100))})
+	var c Contents
+	first := a.Since(start, Ask{})
+	c.Relay(start, first, func(UpstreamID) (string, uint64) { return "", 0 })
+	if got := c.Recall(start, func(string) string { return "s" }, declared, levels); len(got) > 0 {
+		t.Errorf("of an engine without a name: %+v", got)
+	}
+	now := start.Add(refreshPause)
+	a.Tell(now, "n1", nil, []Telling{{Upstream: IDOf("engine"), Start: 1, Number: 2, Rows: []Row{row("site", 200)}}})
+	r := reader{ask: Ask{By: first.By, From: first.Next}}
+	r.contents.relayed = c.relayed
+	r.read(now, a)
+	if got := r.known(now); !slices.Equal(got, []uint64{1, 2}) {
+		t.Errorf("knows %v", got)
+	}
+}
