Keep what is told of an engine until its name is known

Cause: what a node was told of an engine before it read in the register that there is one was passed over, and all later changes with it.

Change: caches that others follow are kept by the id that they are told under, and get their name once the register has it.

Measured: TestEngineThatIsNotKnownYetIsRemembered, which failed, passes.

--- a/request/cachenews/contents.go
+++ b/request/cachenews/contents.go
@@ -32,7 +32,7 @@
 type Contents struct {
 	mu      sync.Mutex // guards all below
 	caches  map[string]*cache
-	relayed map[string]*relayedCache // that other nodes follow
+	relayed map[UpstreamID]*relayedCache // that other nodes follow
 	shared  sharedParts
 	starts  uint64 // caches listed so far
 }
@@ -129,9 +129,9 @@
 			add(name, one.incarnation, one, 0)
 		}
 	}
-	for name, one := range c.relayed {
-		if c.direct(now, name) == nil && one.tells(now) && one.incarnation != 0 {
-			add(name, one.incarnation, one, relayLag)
+	for _, one := range c.relayed {
+		if c.direct(now, one.name) == nil && one.tells(now) && one.incarnation != 0 {
+			add(one.name, one.incarnation, one, relayLag)
 		}
 	}
 	return found
@@ -154,7 +154,7 @@
 	var from source
 	if one := c.direct(now, name); one != nil {
 		from = one
-	} else if one := c.relayed[name]; one != nil && one.tells(now) {
+	} else if one := c.relayed[IDOf(name)]; one != nil && one.tells(now) {
 		from = one
 	} else {
 		return 0
--- a/request/cachenews/relay.go
+++ b/request/cachenews/relay.go
@@ -165,7 +165,8 @@
 
 // relayedCache is what other nodes tell of a cache: the shared parts that it holds.
 type relayedCache struct {
-	incarnation uint64
+	name        string // empty: not known yet
+	incarnation uint64 // as a cache's
 	by          uint64 // the Aggregate that told
 	heard       time.Time
 	parts       map[uint64]struct{} // by partHash
@@ -179,44 +180,46 @@
 }
 
 // Relay takes in an answer of an Aggregate. Name gives the name and the incarnation behind
-// an id; empty if the upstream isn't known here, or is gone. What the answer doesn't name
-// has not changed, if the same Aggregate has told of it before.
+// an id; empty if the upstream isn't known here yet, or is gone: its followers may have
+// told of it before this node has read that there is one. What the answer doesn't name has
+// not changed, if the same Aggregate has told of it before.
 func (c *Contents) Relay(now time.Time, a Answer, name func(UpstreamID) (string, uint64)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.relayed == nil {
-		c.relayed = map[string]*relayedCache{}
+		c.relayed = map[UpstreamID]*relayedCache{}
 	}
-	named := map[string]bool{}
+	named := map[UpstreamID]bool{}
 	for _, ch := range a.Changes {
-		if n, incarnation := name(ch.Upstream); n != "" {
-			named[n] = true
-			c.change(n, incarnation, a.By, ch)
-		}
+		named[ch.Upstream] = true
+		c.change(a.By, ch)
 	}
-	for n, one := range c.relayed {
+	for id, one := range c.relayed {
+		if one.name == "" {
+			one.name, one.incarnation = name(id)
+		}
 		switch {
-		case a.All && one.by == a.By && !named[n]:
-			delete(c.relayed, n)
+		case a.All && one.by == a.By && !named[id]:
+			delete(c.relayed, id)
 		case one.by == a.By:
 			one.heard = now
 		case now.Sub(one.heard) > forgetAfter:
-			delete(c.relayed, n)
+			delete(c.relayed, id)
 		}
 	}
 }
 
 // change takes in what has changed in one cache. Changes that add to what this node was
 // never told whole are passed over: it would believe that the rest isn't there.
-func (c *Contents) change(name string, incarnation, by uint64, ch Change) {
-	one := c.relayed[name]
+func (c *Contents) change(by uint64, ch Change) {
+	one := c.relayed[ch.Upstream]
 	switch {
 	case ch.Silent:
-		delete(c.relayed, name)
+		delete(c.relayed, ch.Upstream)
 		return
 	case ch.Whole:
-		one = &relayedCache{incarnation: incarnation, by: by, parts: make(map[uint64]struct{}, len(ch.Held))}
-		c.relayed[name] = one
+		one = &relayedCache{by: by, parts: make(map[uint64]struct{}, len(ch.Held))}
+		c.relayed[ch.Upstream] = one
 	case one == nil || one.by != by:
 		return
 	}
