Have a large fleet's readers look at the register for the others

Cause: all nodes look at one pace, and who looks tells the others. Of 195 that were started together a third looks while the first one is telling, and each of those tells all again: calls to the platform, and a connection of each to each. Nodes that the platform turns away ask again every 0.4 s, each refusal at the price of a call.

Change: from 16 nodes on the two of each data centre that read the configuration look at the register before any of the others is due; those look by themselves when they were not told for 1.2 to 1.7 s, and ask again at that pace, not after 0.4 s, where nobody answers.

Ruled out: to have nodes that are told not look at all while they are turned away: they would not notice that the register is back.

--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -279,7 +279,8 @@
 	waiting, looking := pace, pace
 	waiting.Wait = configWait
 	waiting.Peers, waiting.RelyPause, waiting.RelyMost = relay{others}, relyPause, relyMost
-	looking.Pause, looking.Spread = registerPause, registerSpread
+	looking.Pause, looking.Spread, looking.Pace = registerPause, registerSpread, relay{others}.lookPace
+	looking.Spare = relay{others}.Rely
 	looking.Hurry, looking.Soon = do.MustInvoke[*roster.Roster](i).Lapsed, lapsedPause
 	f := followers{
 		configuration: keyed.New(waiting, p.Configuration, &configurationTaker{learner: l}),
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -26,6 +26,13 @@
 	// proof, 2.2 s old at most, it keeps a proof under 3 s, past which a node leaves
 	// the rotation; bounds of 2 s for a change hold with 1.6 s to spare.
 	relyPause = 300 * time.Millisecond
+	// readersLook and othersLook are what the pause between two looks at the register is
+	// multiplied with in such a fleet, for its readers and for the other nodes. While a
+	// reader looks and tells, none of the others is due: at one pace for all, a third of
+	// 195 nodes looked while the first one was telling them, and each that told opened a
+	// connection to all. Alone, a node still looks every 1.7 s at the latest.
+	readersLook = 0.8
+	othersLook  = 1.2
 	// relayTries is how many peers a node asks that the platform does not answer:
 	// those in its own data centre may be turned away as well.
 	relayTries = 3
@@ -54,6 +61,19 @@
 	return len(r.readers(others)) == relyReaders
 }
 
+// lookPace is what this node's pause between two looks at the register is multiplied with.
+func (r relay) lookPace() float64 { return r.paceAmong(r.peers.live(time.Now())) }
+
+func (r relay) paceAmong(others []member.Member) float64 {
+	switch {
+	case len(others)+1 < relyFrom:
+		return 1
+	case len(r.readers(others)) == relyReaders:
+		return othersLook
+	}
+	return readersLook
+}
+
 // readers are the nodes of this data centre that ask the platform, if this one is
 // not among them. All nodes choose alike: those whose names hash highest.
 func (r relay) readers(others []member.Member) []member.Member {
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -66,7 +66,12 @@
 	Wait   time.Duration // that the platform may hold a question without news
 	Pause  time.Duration // between an answer and the next question
 	Spread float64       // part of Pause by which it varies, to either side
-	Retry  time.Duration // after a question without an answer
+	// Pace is what Pause is multiplied with; nil: 1.
+	Pace  func() float64
+	Retry time.Duration // after a question without an answer
+	// Spare says that other nodes ask and tell this one: it asks again after Pause then,
+	// not Retry. nil: never.
+	Spare func() bool
 	// Hurry says that the next answer is waited for; the pause is Soon then. nil:
 	// never.
 	Hurry   func() bool
@@ -145,7 +150,7 @@
 		}
 		if err != nil {
 			f.taker.Missed(f.cfg.Clock(), errors.Join(err, f.askPeers(ctx, true)))
-			clock.Sleep(ctx, f.cfg.Retry)
+			clock.Sleep(ctx, f.cfg.retry())
 			continue
 		}
 		f.rest(ctx)
@@ -179,7 +184,19 @@
 	if c.relies() {
 		return c.RelyPause
 	}
-	return time.Duration(float64(c.Pause) * (1 + c.Spread*(2*rand.Float64()-1)))
+	pace := 1.0
+	if c.Pace != nil {
+		pace = c.Pace()
+	}
+	return time.Duration(float64(c.Pause) * pace * (1 + c.Spread*(2*rand.Float64()-1)))
+}
+
+// retry is the pause after a question without an answer.
+func (c Config) retry() time.Duration {
+	if c.Spare != nil && c.Spare() {
+		return max(c.Retry, c.Pause)
+	}
+	return c.Retry
 }
 
 func (c Config) hurries() bool { return c.Hurry != nil && c.Hurry() }
--- a/version/keyed/keyed_test.go
+++ b/version/keyed/keyed_test.go
@@ -188,3 +188,24 @@
 		t.Errorf("reads on from %d, took %+v", next, k.updates[1])
 	}
 }
+
+// The platform turns a third of 195 nodes away, or all of them. Each asked again every
+// 0.4 s, and paid for each refusal, while the readers of its data centre ask as well and
+// tell it. Those others are to ask at the pace of a node that is answered.
+func TestNodeThatIsToldAsksAgainAtItsPace(t *testing.T) {
+	cases := []struct {
+		name  string
+		spare func() bool
+		want  time.Duration
+	}{
+		{"alone", nil, 400 * time.Millisecond},
+		{"a reader", func() bool { return false }, 400 * time.Millisecond},
+		{"told by others", func() bool { return true }, 1200 * time.Millisecond},
+	}
+	for _, c := range cases {
+		cfg := Config{Pause: 1200 * time.Millisecond, Retry: 400 * time.Millisecond, Spare: c.spare}
+		if got := cfg.retry(); got != c.want {
+			t.Errorf("%s: asks again after %v, want %v", c.name, got, c.want)
+		}
+	}
+}
