Ask the other data centres without sharing a table between the calls

Cause: found by reading. An aggregator wrote down up to where each data centre has told it while it made the next question from the same table: two goroutines on one map, which ends the process. The time at which it was last asked lost its steady clock, so that a step of the time of day could stop it for a second.

Change: the answers are gathered first and taken in by the goroutine that asks; the time is kept whole.

Measured: the race detector over gateway, cachenews and policy; it also found the fleet of the tests counting bytes without a lock, which has one now.

--- a/process/gateway/share.go
+++ b/process/gateway/share.go
@@ -80,7 +80,7 @@
 	// What this node has as an aggregator.
 	aggregate *cachenews.Aggregate
 	near, far policy.LoadBook
-	asked     atomic.Int64 // when it last was, in nanoseconds since 1970
+	asked     atomic.Pointer[time.Time] // when it last was; nil: never
 
 	// Of the goroutine that asks.
 	position  cachenews.Ask
@@ -99,7 +99,7 @@
 
 // answer answers a node's question.
 func (s *sharer) answer(now time.Time, q Share) Shared {
-	s.asked.Store(now.UnixNano())
+	s.asked.Store(&now)
 	if q.Ask.Near {
 		return Shared{Caches: s.aggregate.Since(now, q.Ask), Loads: policy.Join(s.near.All(now, ""))}
 	}
@@ -114,7 +114,8 @@
 
 // acts says whether this node is to know what the other data centres tell.
 func (s *sharer) acts(now time.Time) bool {
-	return now.Sub(time.Unix(0, s.asked.Load())) < actsFor
+	asked := s.asked.Load()
+	return asked != nil && now.Sub(*asked) < actsFor
 }
 
 // round asks once.
@@ -131,7 +132,7 @@
 	}
 	if s.acts(now) {
 		delete(chosen, s.dataCentre)
-		s.askFar(ctx, now, chosen)
+		s.askFar(ctx, chosen)
 	}
 }
 
@@ -203,27 +204,32 @@
 	return roster.Incarnation(u.Name)
 }
 
-// askFar asks one aggregator of each other data centre.
-func (s *sharer) askFar(ctx context.Context, now time.Time, chosen map[string][]member.Member) {
+// askFar asks one aggregator of each other data centre. What one told that does not answer
+// ages out.
+func (s *sharer) askFar(ctx context.Context, chosen map[string][]member.Member) {
 	var calls sync.WaitGroup
-	var mu sync.Mutex // guards positions
+	var mu sync.Mutex // guards answered
+	answered := map[string]Shared{}
 	for dataCentre, candidates := range chosen {
 		q := Share{Node: s.node, Ask: s.positions[dataCentre]}
 		q.Ask.Near = true
 		calls.Go(func() {
 			a, err := s.askOneFar(ctx, candidates, q)
 			if err != nil {
-				return // what it told ages out
+				return
 			}
-			then := s.clock()
-			s.aggregate.Take(then, dataCentre, a.Caches)
-			s.far.Put(then, dataCentre, a.Loads)
 			mu.Lock()
 			defer mu.Unlock()
-			s.positions[dataCentre] = cachenews.Ask{By: a.Caches.By, From: a.Caches.Next}
+			answered[dataCentre] = a
 		})
 	}
 	calls.Wait()
+	now := s.clock()
+	for dataCentre, a := range answered {
+		s.aggregate.Take(now, dataCentre, a.Caches)
+		s.far.Put(now, dataCentre, a.Loads)
+		s.positions[dataCentre] = cachenews.Ask{By: a.Caches.By, From: a.Caches.Next}
+	}
 }
 
 func (s *sharer) askOneFar(ctx context.Context, candidates []member.Member, q Share) (Shared, error) {
--- a/process/gateway/share_test.go
+++ b/process/gateway/share_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -63,6 +64,8 @@
 	byName  map[string]*sharingNode
 	engines []*sharingEngine
 	counted bool // messages are encoded, to count their bytes
+
+	mu sync.Mutex // guards the counts: an aggregator asks all data centres at once
 }
 
 const (
@@ -114,6 +117,8 @@
 	}
 	*a = to.sharer.answer(f.now, q)
 	if f.counted {
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		asked, answered := size(q), size(*a)
 		from.out, from.in = from.out+asked, from.in+answered
 		to.out, to.in = to.out+answered, to.in+asked
