--- a/request/cachenews/aggregate_test.go
+++ b/request/cachenews/aggregate_test.go
@@ -386,3 +386,89 @@
 		t.Errorf("knows %v", got)
 	}
 }
+
+// An aggregator that asks another data centre's is told what that one's own nodes hear
+// alone. Told everything, two of them would keep what neither hears any more alive in each
+// other for good.
+func TestAggregatorsTellEachOtherTheirOwnAlone(t *testing.T) {
+	far, near := NewAggregate(2), NewAggregate(1)
+	far.Tell(start, "n1", commonParts, []Telling{wholeTelling(1, row("rules", 100))})
+	near.Take(start, "dc2", far.Since(start, Ask{Near: true}))
+	if got := near.Since(start, Ask{Near: true}); len(got.Changes) > 0 {
+		t.Errorf("everything: %+v", got.Changes)
+	}
+	position := Ask{By: 1, From: 1, Near: true}
+	if got := near.Since(start.Add(refreshPause), position); len(got.Changes) > 0 {
+		t.Errorf("what has changed: %+v", got.Changes)
+	}
+	if got := near.Since(start.Add(refreshPause), Ask{By: 1, From: 1}); len(got.Changes) != 1 {
+		t.Errorf("a node of its own: %+v", got.Changes)
+	}
+}
+
+// Two aggregators speak of one cache: the one of this data centre, whose nodes hear it, and
+// another one, or the successor of the one that told of it first. What they say does not
+// fit together; taken as one, parts would be believed that none of them tells of.
+func TestWordsOfTwoAggregatorsAreNotMixed(t *testing.T) {
+	heldBy := func(by uint64, whole bool, part string) Answer {
+		return Answer{By: by, Changes: []Change{{Upstream: IDOf("engine"), Whole: whole, Held: []uint64{partHash("s", part)}}}}
+	}
+	rules := []Row{row("rules", 100)}
+	cases := []struct {
+		name  string
+		tells bool // the cache is heard in this data centre
+		takes []Answer
+		want  []uint64
+	}{
+		{"one", false, []Answer{heldBy(2, true, "rules"), heldBy(2, false, "site")}, []uint64{1, 2}},
+		{"heard here", true, []Answer{heldBy(2, true, "rules"), heldBy(2, false, "site")}, []uint64{1}},
+		{"a successor adds", false, []Answer{heldBy(2, true, "rules"), heldBy(3, false, "site")}, []uint64{1}},
+		{"a successor begins anew", false, []Answer{heldBy(2, true, "site"), heldBy(3, true, "rules")}, []uint64{1}},
+		{"it is no longer there", false, []Answer{heldBy(2, true, "rules"), {By: 2, All: true}}, nil},
+	}
+	for _, c := range cases {
+		a := NewAggregate(1)
+		var r reader
+		a.Tell(start, "n1", commonParts, nil)
+		if c.tells {
+			a.Tell(start, "n1", nil, []Telling{wholeTelling(1, rules...)})
+		}
+		a.Since(start, Ask{})
+		for _, answer := range c.takes {
+			a.Take(start, "dc2", answer)
+		}
+		now := start.Add(wholePause)
+		r.read(now, a)
+		if got := r.known(now); !slices.Equal(got, c.want) {
+			t.Errorf("aggregator, %s: knows %v, want %v", c.name, got, c.want)
+		}
+		if c.tells {
+			continue
+		}
+		var node reader // that is told by both itself
+		for _, answer := range c.takes {
+			node.contents.Relay(start, answer, func(UpstreamID) (string, uint64) { return "engine", 7 })
+		}
+		if got := node.known(start); !slices.Equal(got, c.want) {
+			t.Errorf("node, %s: knows %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// A follower can't reach its aggregator while its engine's cache turns over. What waits to
+// be told is bounded; past that everything is told anew.
+func TestWhatWaitsToBeToldIsBounded(t *testing.T) {
+	var c Contents
+	c.List(start, "engine", 7, nil)
+	c.Tell(start)
+	for i := range 2 * mostNoted {
+		c.Change(start, "engine", []upstream.HeldPart{held("s", "question", i%2)})
+	}
+	if n := len(c.caches["engine"].telling.keys); n > mostNoted {
+		t.Errorf("%d changes wait", n)
+	}
+	c.Change(start, "engine", []upstream.HeldPart{held("s", "rules", 100)})
+	if told := c.Tell(start); !told[0].Whole || !slices.ContainsFunc(told[0].Rows, func(r Row) bool { return r == row("rules", 100) }) {
+		t.Errorf("tells %+v", told)
+	}
+}
--- a/request/placement/told_test.go
+++ b/request/placement/told_test.go
@@ -100,3 +100,39 @@
 		}
 	}
 }
+
+// In a large fleet other nodes pass an engine's telling on, three quarters of a second
+// late. It must not take back what this node's own answer, or a request on its way, has
+// brought there meanwhile, nor be doubted for longer than it is late.
+func TestTellingThatWasPassedOnDoesNotOutdoWhatIsNewer(t *testing.T) {
+	const lag = 750 * time.Millisecond
+	cases := []struct {
+		answered bool
+		after    time.Duration
+		believed bool
+	}{
+		{true, 900 * time.Millisecond, true},
+		{true, 1100 * time.Millisecond, false},
+		{false, 1600 * time.Millisecond, true},
+		{false, 1900 * time.Millisecond, false},
+	}
+	for _, c := range cases {
+		a := listening(6)
+		r := request(prompt(1, 1, 1, 1))
+		d, err := a.Place(epoch, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Sent(epoch, r, d)
+		if c.answered {
+			a.Answered(epoch, r, d, Answer{Incarnation: 1, Version: "v1", CacheUnknown: true})
+		}
+		now := epoch.Add(c.after)
+		for _, l := range r.Chain.Shared() {
+			a.Cached(now, d.Upstream, CacheEvent{Incarnation: 1, Certain: true, Lag: lag, Level: l.ID})
+		}
+		if got := believed(a, now, r.Chain, d.Upstream) > 0; got != c.believed {
+			t.Errorf("answered %t, %v later: believed %t", c.answered, c.after, got)
+		}
+	}
+}
