Read a refused body to its declared length

Cause: a client that stood still for more than 200 ms while it sent a body far too large saw a reset in place of the refusal, as the server took that for the body's end.

Ruled out: a longer quiet, which every refused caller would wait for.

Change: until the declared length has come, only the time for the whole counts. The former test declares what it sends, as callers do; its assertion is the same. The listeners of callers and operators alone use it; nothing on the users' platform does.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -196,7 +196,7 @@
 	}
 	e := refusal.Of(err)
 	if e.Code == failure.BodyTooLarge {
-		transport.Drain(c.Context().Conn())
+		transport.Drain(c.Context().Conn(), c.Request().Header.ContentLength())
 	}
 	return writeFailure(c, e)
 }
@@ -212,7 +212,7 @@
 	if !pending(conn) {
 		return conn.SetWriteDeadline(time.Unix(1, 0))
 	}
-	transport.Drain(conn)
+	transport.Drain(conn, 0)
 	return writeFailure(c, failure.ErrOverloaded.WithMessage("this node was too late to read the request").
 		WithRetryAfter(lateRetryAfter))
 }
--- a/connection/operator/listener.go
+++ b/connection/operator/listener.go
@@ -222,7 +222,7 @@
 func (l *Listener) failed(c *fiber.Ctx, err error) error {
 	e := refusal.Of(err)
 	if e.Code == failure.BodyTooLarge {
-		transport.Drain(c.Context().Conn())
+		transport.Drain(c.Context().Conn(), c.Request().Header.ContentLength())
 	}
 	if e.Code == failure.Internal {
 		event.Error(l.log, event.OperatorCallFailed, zap.String("Path", c.Path()), zap.Error(e))
--- a/connection/transport/drain_test.go
+++ b/connection/transport/drain_test.go
@@ -22,7 +22,7 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		Drain(conn)
+		Drain(conn, 8<<20)
 		_, _ = io.WriteString(conn, refusal)
 	}()
 	conn, err := net.Dial("tcp", ln.Addr().String())
@@ -56,7 +56,7 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		Drain(conn)
+		Drain(conn, length)
 		_, _ = io.WriteString(conn, refusal)
 	}()
 	conn, err := net.Dial("tcp", ln.Addr().String())
