Tell what was sent, and whether an upstream's process has ended

The logs of the incident could not tell a request that came again from one that differs, nor an upstream that ended from one that dropped a connection. RequestPlaced gets Content, a digest of method, host, path, workspace and body; a send that the other side broke off is followed by one more connection, whose refusal makes it ErrEnded. A connection that comes about is kept for the next exchange, so that an upstream that lives gets no more of them.

--- a/connection/upstream/overhttp/engine.go
+++ b/connection/upstream/overhttp/engine.go
@@ -28,7 +28,7 @@
 
 // NewEngine makes the adapter of the engine at address, an IP:port.
 func NewEngine(address string, cfg Config) *Engine {
-	return &Engine{client: exchange.New(address, cfg)}
+	return &Engine{client: newClient(address, cfg)}
 }
 
 // Close closes the connections at rest; calls under way run to their end.
@@ -143,6 +143,12 @@
 	}
 }
 
+// newClient makes a client that tells an upstream's end from a lost connection.
+func newClient(address string, cfg Config) *exchange.Client {
+	cfg.Verify = true
+	return exchange.New(address, cfg)
+}
+
 // mapped turns an error of the exchange into the router's.
 func mapped(err error) error {
 	if errors.Is(err, exchange.ErrNotSent) {
--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -59,6 +59,10 @@
 	// Unframed accepts an answer that has neither a length nor chunks and ends
 	// with an orderly close. Without it such an answer is broken.
 	Unframed bool
+	// Verify has a client connect once more after the other side has broken off an
+	// exchange, to tell a process that has ended, by upstream.ErrEnded, from one that
+	// dropped a connection. A connection that comes about serves the next exchange.
+	Verify bool
 	// Foreign says that an answer belongs to another request than req. It is
 	// read and dropped, the next one is awaited, and the connection is not used
 	// again. nil: whatever comes is the answer.
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -77,6 +77,22 @@
 	return c, nil
 }
 
+// verifyTimeout bounds the look whether a process has ended. Its host has just
+// been heard, so that the answer takes one round trip.
+const verifyTimeout = 100 * time.Millisecond
+
+// refused connects once more and says whether the address refuses it.
+func (p *pool) refused() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
+	defer cancel()
+	c, err := p.dial(ctx)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(c)
+	return false
+}
+
 // probes is how many unanswered probes end a connection.
 const probes = 2
 
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -5,11 +5,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
 )
 
 // Stream is an answer whose body is being read. It belongs to one goroutine.
@@ -100,9 +104,19 @@
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF // io.EOF is the end of a whole answer
 	}
+	if s.client.cfg.Verify && closedByPeer(err) && s.client.pool.refused() {
+		err = fmt.Errorf("%w: %w", upstream.ErrEnded, err)
+	}
 	return fmt.Errorf("%s %s: %w: %w", step, s.client.pool.address, ErrBroken, err)
 }
 
+// closedByPeer says that the other side has closed or reset the connection. A
+// silence tells nothing of its process, nor does a caller who went away.
+func closedByPeer(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
+		errors.Is(err, net.ErrClosed) // by the sending of a long request that found it so
+}
+
 func (s *Stream) readHeader() error {
 	for {
 		if err := s.resp.Header.Read(s.conn.br); err != nil {
--- a/connection/upstream/overhttp/service.go
+++ b/connection/upstream/overhttp/service.go
@@ -20,7 +20,7 @@
 
 // NewService makes the adapter of the plain service at address, an IP:port.
 func NewService(address string, cfg Config) *Service {
-	return &Service{client: exchange.New(address, cfg)}
+	return &Service{client: newClient(address, cfg)}
 }
 
 // Close closes the connections at rest; calls under way run to their end.
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -24,6 +24,9 @@
 	ErrWrongVersion = errors.New("upstream: other weights version")
 	// ErrBroken means that the call broke after the send began.
 	ErrBroken = errors.New("upstream: broken off")
+	// ErrEnded is an ErrBroken by the end of the upstream's process: nobody listens
+	// at its address any more.
+	ErrEnded = errors.New("upstream: its process has ended")
 	// ErrOutOfOrder means a gap, a repeat or a foreign event in a stream.
 	ErrOutOfOrder = errors.New("upstream: event out of order")
 	// ErrUnknownStream means that the engine does not hold that stream.
--- a/process/event/request.go
+++ b/process/event/request.go
@@ -2,7 +2,7 @@
 
 // Events of single requests.
 const (
-	// RequestPlaced: an upstream was chosen for a request, for the reason given; CachedTokens is what its cache is expected to hold, Idle what an engine without other work would take, Floored that it is sent beyond the wait allowed as too few of its length were.
+	// RequestPlaced: an upstream was chosen for a request, for the reason given; Content is the same for tries of the same request, under whatever id; CachedTokens is what its cache is expected to hold, Idle what an engine without other work would take, Floored that it is sent beyond the wait allowed as too few of its length were.
 	RequestPlaced Event = iota + 100
 	// RequestAnswered: the first token has come; CachedTokens is what the engine says it had cached.
 	RequestAnswered
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/route"
@@ -66,6 +67,7 @@
 	route   route.Route
 	owner   accepted.Workspace // of the key; the zero one on a public route
 	service accepted.Service
+	content quarantine.Content
 	status  int // passed on; 0: none yet
 
 	version uint64        // of the configuration that decided; 0: none known
@@ -93,6 +95,7 @@
 	if err := x.admit(Boot()); err != nil {
 		return err
 	}
+	x.content = quarantine.ContentOf([]byte(x.in.Method), []byte(x.in.Host), []byte(x.in.Path), []byte(x.owner.Name), x.in.Body)
 	deadline := x.deadline()
 	if !deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -192,6 +195,7 @@
 func (x *serving) generate(ctx context.Context, deadline time.Time) error {
 	a, err := x.g.completions.Start(ctx, completion.Request{
 		ID:        x.in.ID,
+		Content:   x.content,
 		Workspace: x.owner.Name,
 		Model:     x.model(),
 		MaxTokens: x.in.Output,
@@ -264,6 +268,7 @@
 func (x *serving) call(ctx context.Context, deadline time.Time) error {
 	reply, err := x.g.calls.Do(ctx, call.Request{
 		ID:         x.in.ID,
+		Content:    x.content,
 		Workspace:  x.owner.Name,
 		Service:    x.service.Name,
 		Method:     x.in.Method,
--- a/request/call/call.go
+++ b/request/call/call.go
@@ -9,12 +9,14 @@
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/idempotency"
 	"github.com/dunlinmill/dunlinmill/request/journal"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 )
 
 // Request is a caller's request, read and checked. Nothing in it points into
 // a connection's buffers.
 type Request struct {
 	ID        string
+	Content   quarantine.Content
 	Workspace string
 	Service   string
 	Method    string
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -10,12 +10,14 @@
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/idempotency"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 )
 
 // Request is a caller's request, read and checked. Nothing in it points into
 // a connection's buffers.
 type Request struct {
 	ID        string // unique for this request, in every log line about it
+	Content   quarantine.Content
 	Workspace string
 	Model     string
 	Adapter   string
