--- a/request/completion/warm_test.go
+++ b/request/completion/warm_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 )
@@ -36,3 +37,18 @@
 		t.Errorf("judged as %+v, want class %d", shedder.got, leastUrgent)
 	}
 }
+
+// A pool is warmed, and its engine fails the prompt. The node looked whether the caller had
+// gone, in a place where warming put none, and its process ended with all requests in it.
+// Found by a test that takes each way of a request past engines that end.
+func TestWarmingOutlivesAnEngineThatFails(t *testing.T) {
+	for _, behave := range []script{{generate: upstream.ErrBroken}, {cutAfter: 1}} {
+		rt := newSite(&engine{name: "e1", script: behave}).router()
+		r := Request{ID: "w", Workspace: "sofia", Model: "base", Messages: []prefix.Message{{Role: "user", Content: "opening"}}}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		if err := rt.Warm(ctx, r, ""); err == nil {
+			t.Error("warmed by an engine that fails")
+		}
+		cancel()
+	}
+}
