Keep back requests that end the upstreams that run them

Callers' symptom: streams of everybody break, over and over, and a third of the engines are down: one caller's request ends each engine that begins to run it, and comes again.

Cause: what is learnt of a failed send is kept by upstream alone, so that the next try of the same request, at any node, is a request like any other.

Change: request/quarantine counts ends by the request's content, nodes tell each other with what they exchange anyway, and after three ends it is refused on all of them, at once and truly as not run. A whole answer clears it, one of the last 5 s keeps an end from counting; a hold is tried again after 5 min, by one node. Held ones are recorded, for a loss of all nodes.

Ruled out: counting failed sends (cuts are many times as frequent), the register's word (3.6 s late), blaming all that ran at one end.

--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -67,6 +67,12 @@
 	_ = x[RequestServed-110]
 	_ = x[RequestShed-111]
 	_ = x[UpstreamPassedOver-112]
+	_ = x[RequestSuspected-113]
+	_ = x[RequestHeld-114]
+	_ = x[RequestTried-115]
+	_ = x[RequestCleared-116]
+	_ = x[QuarantineRead-117]
+	_ = x[QuarantineMissed-118]
 	_ = x[UpstreamEntered-800]
 	_ = x[UpstreamLeft-801]
 	_ = x[EntryUnreadable-802]
@@ -103,7 +109,7 @@
 }
 
 const (
-	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelledPrefixImportedPrefixNotImportedRequestServedRequestShedUpstreamPassedOver"
+	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelledPrefixImportedPrefixNotImportedRequestServedRequestShedUpstreamPassedOverRequestSuspectedRequestHeldRequestTriedRequestClearedQuarantineReadQuarantineMissed"
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailedPeersNotJoinedNewsNotHeardCaughtUpAggregatorChosenAggregatorMissed"
 	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepairedPublicationUnreadableWeightsNamedLeaseNotGivenBackLeaseLookedLeaseNotConfirmed"
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
@@ -114,7 +120,7 @@
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 13, 28, 42, 56, 69, 82, 97, 112, 126, 143, 156, 167, 185}
+	_Event_index_0 = [...]uint16{0, 13, 28, 42, 56, 69, 82, 97, 112, 126, 143, 156, 167, 185, 201, 212, 224, 238, 252, 268}
 	_Event_index_1 = [...]uint16{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215, 229, 241, 249, 265, 281}
 	_Event_index_2 = [...]uint16{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239, 260, 272, 289, 300, 317}
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
@@ -126,7 +132,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 112:
+	case 100 <= i && i <= 118:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 200 <= i && i <= 218:
--- a/process/event/request.go
+++ b/process/event/request.go
@@ -28,4 +28,16 @@
 	RequestShed
 	// UpstreamPassedOver: an engine was chosen whose weights were replaced, and a request might not begin there in the time BeginWithin that is left for them; another one is chosen. To do: when it goes on, look why the roll-out does not get on.
 	UpstreamPassedOver
+	// RequestSuspected: an upstream's process ended while it had a request of this Content; Ends counts such ends, Nodes saw them, Age is that of the first. Most are on the spot by chance, and cleared.
+	RequestSuspected
+	// RequestHeld: upstreams have ended one after the other under requests of this Content, and none has lived through one; they are refused for Hold. To do: look what the request asks, by its RequestPlaced lines, and what the upstreams logged as they ended; tell its caller.
+	RequestHeld
+	// RequestTried: the time for which requests of this Content are held is over, and one is sent to see whether upstreams live through it now.
+	RequestTried
+	// RequestCleared: an upstream has lived through a request of this Content; it is held no more.
+	RequestCleared
+	// QuarantineRead: the requests that are held were read from the platform's records; those that could not be read are in the error.
+	QuarantineRead
+	// QuarantineMissed: the records of the requests that are held could not be read or written; it is tried again. To do: when it goes on, see to the platform; held requests that are not recorded come back if all nodes are lost at once.
+	QuarantineMissed
 )
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -97,6 +97,7 @@
 	Decoder       Decoder
 	Group         Group
 	Directory     Directory
+	Quarantine    QuarantineRecords
 	// Dialer makes the upstreams' clients. Gone is called when another start
 	// turns out to have an upstream's address.
 	Dialer func(gone func(upstream string)) inventory.Dialer
@@ -156,6 +157,7 @@
 		func() error { _, err := do.Invoke[*joiner](i); return err },
 		func() error { _, err := do.Invoke[*exchanger](i); return err },
 		func() error { _, err := do.Invoke[*cacheFollower](i); return err },
+		func() error { _, err := do.Invoke[*quarantineKeeper](i); return err },
 	} {
 		if err := start(); err != nil {
 			return err
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -9,6 +9,7 @@
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
@@ -64,6 +65,7 @@
 	now := time.Now()
 	h.peers.policies.Merge(now, now, v.Node, v.Placement)
 	h.peers.policies.Heard(now, v.Caches)
+	h.peers.held.Hear(now, v.Quarantine)
 	return nil
 }
 
@@ -78,12 +80,14 @@
 
 // Known is what a node knows that one that has just started can't read.
 type Known struct {
-	Namings []accepted.Naming
+	Namings    []accepted.Naming
+	Quarantine []quarantine.News
 }
 
 // Known gives what this node knows.
 func (h *enginesHandler) Known(_ Heard, k *Known) error {
 	k.Namings = h.peers.book.Namings(clock.Boot())
+	k.Quarantine = h.peers.held.Known(time.Now())
 	return nil
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -21,6 +21,7 @@
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
@@ -53,6 +54,7 @@
 	book     *accepted.Book
 	policies *policy.Table
 	learner  *learner
+	held     *quarantine.Book
 	sharer   atomic.Pointer[sharer] // nil: not started yet
 	// The followers of the platform's topics; nil: not followed yet.
 	configuration, register atomic.Pointer[keyed.Follower]
@@ -73,7 +75,7 @@
 		name: g.settings.Node, dataCentre: g.settings.DataCentre, log: g.log,
 		roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i),
 		book: do.MustInvoke[*accepted.Book](i), policies: do.MustInvoke[*policy.Table](i),
-		learner: do.MustInvoke[*learner](i), cancel: cancel, holder: clock.Boot(),
+		learner: do.MustInvoke[*learner](i), held: do.MustInvoke[*quarantine.Book](i), cancel: cancel, holder: clock.Boot(),
 	}
 	self := platform.VM{Name: g.settings.Node, Address: g.settings.Peers, DataCentre: g.settings.DataCentre}
 	ps.work.Go(func() { ps.enter(ctx, p.Directory, self) })
@@ -131,7 +133,11 @@
 // answer is none of the others' loss.
 func (p *peers) learnFrom(ctx context.Context, m member.Member) bool {
 	var k Known
-	if err := p.call(ctx, m.Address, "Known", Heard{}, &k); err != nil || len(k.Namings) == 0 {
+	if err := p.call(ctx, m.Address, "Known", Heard{}, &k); err != nil {
+		return false
+	}
+	p.held.Hear(time.Now(), k.Quarantine)
+	if len(k.Namings) == 0 {
 		return false
 	}
 	p.book.Learn(clock.Boot(), k.Namings)
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -18,6 +18,7 @@
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
@@ -88,11 +89,13 @@
 	do.Provide(i, g.newGuards)
 	do.Provide(i, func(i do.Injector) (*inventory.Inventory, error) { return g.newInventory(i, p), nil })
 	do.Provide(i, g.newPolicies)
+	do.Provide(i, g.newQuarantine)
 	do.Provide(i, g.newCompletions)
 	do.Provide(i, g.newCalls)
 	do.Provide(i, func(i do.Injector) (*learner, error) { return g.newLearner(i, p.Decoder), nil })
 	do.Provide(i, func(i do.Injector) (followers, error) { return g.newFollowers(i, p), nil })
 	do.Provide(i, g.newRollout)
+	do.Provide(i, func(i do.Injector) (*quarantineKeeper, error) { return g.newQuarantineKeeper(i, p.Quarantine), nil })
 	do.Provide(i, func(i do.Injector) (*joiner, error) { return g.newJoiner(i, p), nil })
 	do.Provide(i, func(i do.Injector) (*peers, error) { return g.newPeers(i, p), nil })
 }
@@ -205,6 +208,10 @@
 	otherWait  = 0.18
 )
 
+func (g *Gateway) newQuarantine(i do.Injector) (*quarantine.Book, error) {
+	return quarantine.NewBook(g.settings.Node, g.log, do.MustInvoke[*metric.Metrics](i)), nil
+}
+
 func (g *Gateway) newCompletions(i do.Injector) (*completion.Router, error) {
 	shed := shedding.Default
 	shed.Seed = g.seed()
@@ -229,6 +236,7 @@
 		News:        do.MustInvoke[*cachenews.Book](i),
 		Contents:    do.MustInvoke[*cachenews.Contents](i),
 		Stores:      do.MustInvoke[*view](i),
+		Quarantine:  do.MustInvoke[*quarantine.Book](i),
 		Observer:    metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
 		Log:         g.log,
 	}, nil
@@ -242,6 +250,8 @@
 		Guard:     do.MustInvoke[guard.Pair](i).Services,
 		Admission: open{},
 		Log:       g.log,
+
+		Quarantine: do.MustInvoke[*quarantine.Book](i),
 	}, nil
 }
 
--- /dev/null
+++ b/process/gateway/quarantine_test.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
+)
+
+// uncounted counts nothing.
+type uncounted struct{}
+
+// Quarantined does nothing.
+func (uncounted) Quarantined(quarantine.Step) {}
+
+// heldBy counts the nodes that hold a request.
+func (f *sharingFleet) heldBy(c quarantine.Content) int {
+	held := 0
+	for _, n := range f.nodes {
+		if errors.Is(n.sharer.held.Admit(f.now, c), quarantine.ErrHeld) {
+			held++
+		}
+	}
+	return held
+}
+
+// The platform's rule counts from three seconds after the third end on. In a large fleet a
+// request ends engines under nodes of three data centres, of which one has lost the
+// aggregator that its nodes ask first. All nodes have to hold it by then.
+func TestLargeFleetHoldsARequestInTime(t *testing.T) {
+	const bound = 3 * time.Second
+	for _, size := range []struct{ nodes, dataCentres int }{{68, 4}, {195, 6}, {360, 7}} {
+		f := newSharingFleet(size.nodes, size.dataCentres, size.dataCentres)
+		f.run(2*time.Second, func() {})
+		f.byName[aggregatorsOf(f.live())["dc1"][0].Name].down = true
+		c := quarantine.ContentOf([]byte("x"))
+		for i := range 3 {
+			n := f.nodes[i*size.dataCentres+i] // one of each of three data centres
+			n.sharer.held.Ended(f.now, c, fmt.Sprint(i))
+			f.run(100*time.Millisecond, func() {})
+		}
+		took := time.Duration(0)
+		for ; took < bound && f.heldBy(c) < len(f.nodes)-1; took += 100 * time.Millisecond {
+			f.run(100*time.Millisecond, func() {})
+		}
+		if held := f.heldBy(c); held < len(f.nodes)-1 { // all but the one that is down
+			t.Errorf("%d nodes: %d hold it after %v", size.nodes, held, took)
+		}
+		t.Logf("%d nodes in %d data centres: held by all after %v", size.nodes, size.dataCentres, took)
+	}
+}
+
+// Hundreds of requests are on the spot as engines end. What nodes tell of them is bounded:
+// the busiest node takes no more than its part of what control may cost, 14 KB a second
+// in a fleet of 360.
+func TestTellingOfManyEndsIsBounded(t *testing.T) {
+	const nodes, dataCentres, requests, perSecond = 360, 7, 800, 14 << 10
+	over := 10 * time.Second
+	bytes := func(ends bool) int {
+		f := newSharingFleet(nodes, dataCentres, dataCentres)
+		f.run(2*time.Second, func() {})
+		f.counted = true
+		for i := range requests {
+			if ends {
+				f.nodes[i%nodes].sharer.held.Ended(f.now, quarantine.ContentOf([]byte(fmt.Sprint(i))), "a")
+			}
+		}
+		f.run(over, func() {})
+		all := 0
+		for _, n := range f.nodes {
+			all += n.in
+		}
+		return all / nodes
+	}
+	without, with := bytes(false), bytes(true)
+	t.Logf("a node reads %d bytes a second more over %v", (with-without)/int(over.Seconds()), over)
+	if more := float64(with-without) / over.Seconds(); more > perSecond/4 {
+		t.Errorf("%.0f bytes a second more", more)
+	}
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -313,7 +313,7 @@
 	x.g.metrics.Failed(x.owner.Name, e)
 	fields := []zap.Field{
 		zap.String("Request", x.in.ID), zap.String("Workspace", x.owner.Name), zap.String("Route", x.route.Name),
-		zap.Stringer("Code", e.Code), zap.String("Ran", e.Ran.Text()), zap.Duration("Took", time.Since(x.began)),
+		zap.Stringer("Content", x.content), zap.Stringer("Code", e.Code), zap.String("Ran", e.Ran.Text()), zap.Duration("Took", time.Since(x.began)),
 		zap.Duration("Grant", x.in.Grant), zap.Uint64("ConfigVersion", x.version), zap.Duration("ConfigAge", x.age), zap.Error(err),
 	}
 	if x.status != 0 {
--- a/process/gateway/share.go
+++ b/process/gateway/share.go
@@ -17,6 +17,7 @@
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -54,6 +55,8 @@
 	// Tellings are of the caches that the node follows.
 	Tellings []cachenews.Telling
 	Loads    []policy.GroupLoad
+	// Quarantine is of requests under which upstreams have ended.
+	Quarantine []quarantine.News
 }
 
 // Shared is the answer.
@@ -61,6 +64,8 @@
 	Caches cachenews.Answer
 	Again  []cachenews.UpstreamID // caches to be told whole
 	Loads  []policy.GroupLoad     // of all other nodes, or of this data centre's alone
+	// Quarantine is what the aggregator has seen or heard lately.
+	Quarantine []quarantine.News
 }
 
 // sharer has the nodes of a large fleet know the same of the engines, by one aggregator
@@ -73,6 +78,7 @@
 	policies   *policy.Table
 	contents   *cachenews.Contents
 	view       *view
+	held       *quarantine.Book
 	// call asks the node at an address.
 	call  func(ctx context.Context, address string, q Share, a *Shared) error
 	clock func() time.Time
@@ -89,9 +95,9 @@
 	positions map[string]cachenews.Ask // by data centre
 }
 
-func newSharer(node, dataCentre string, log *zap.Logger, policies *policy.Table, contents *cachenews.Contents, v *view) *sharer {
+func newSharer(node, dataCentre string, log *zap.Logger, policies *policy.Table, contents *cachenews.Contents, v *view, held *quarantine.Book) *sharer {
 	return &sharer{
-		node: node, dataCentre: dataCentre, log: log, policies: policies, contents: contents, view: v, clock: time.Now,
+		node: node, dataCentre: dataCentre, log: log, policies: policies, contents: contents, view: v, held: held, clock: time.Now,
 		aggregate: cachenews.NewAggregate(rand.Uint64()),
 		avoided:   map[string]time.Time{}, positions: map[string]cachenews.Ask{},
 	}
@@ -100,8 +106,9 @@
 // answer answers a node's question.
 func (s *sharer) answer(now time.Time, q Share) Shared {
 	s.asked.Store(&now)
+	s.held.Hear(now, q.Quarantine)
 	if q.Ask.Near {
-		return Shared{Caches: s.aggregate.Since(now, q.Ask), Loads: policy.Join(s.near.All(now, ""))}
+		return Shared{Caches: s.aggregate.Since(now, q.Ask), Loads: policy.Join(s.near.All(now, "")), Quarantine: s.held.Recent(now)}
 	}
 	again := s.aggregate.Tell(now, q.Node, q.Parts, q.Tellings)
 	s.near.Put(now, q.Node, q.Loads)
@@ -109,6 +116,8 @@
 		Caches: s.aggregate.Since(now, q.Ask),
 		Again:  again,
 		Loads:  policy.Join(append(s.near.All(now, q.Node), s.far.All(now, "")...)),
+
+		Quarantine: s.held.Recent(now),
 	}
 }
 
@@ -124,7 +133,7 @@
 	chosen := aggregatorsOf(append(slices.Clone(others), self))
 	q := Share{
 		Node: s.node, Ask: s.position, Parts: s.contents.Shared(),
-		Tellings: s.contents.Tell(now), Loads: s.policies.Loads(now, s.node),
+		Tellings: s.contents.Tell(now), Loads: s.policies.Loads(now, s.node), Quarantine: s.held.Untold(now),
 	}
 	if !s.askNear(ctx, now, chosen[s.dataCentre], q) {
 		s.contents.ShareAgain()
@@ -190,6 +199,7 @@
 		return name, incarnationOf(cfg.Upstreams[name])
 	})
 	s.policies.MergeLoads(now, fleetTeller, a.Loads)
+	s.held.Hear(now, a.Quarantine)
 }
 
 // fleetTeller is the name under which the other nodes' joint load is kept. No node has it:
@@ -228,6 +238,7 @@
 	for dataCentre, a := range answered {
 		s.aggregate.Take(now, dataCentre, a.Caches)
 		s.far.Put(now, dataCentre, a.Loads)
+		s.held.Hear(now, a.Quarantine)
 		s.positions[dataCentre] = cachenews.Ask{By: a.Caches.By, From: a.Caches.Next}
 	}
 }
--- a/process/gateway/share_test.go
+++ b/process/gateway/share_test.go
@@ -22,6 +22,7 @@
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -101,7 +102,7 @@
 		due: f.now.Add(rand.N(sharePause)), polls: f.now, read: map[string]int{},
 	}
 	policies := policy.New(catalogue.NewCurrent(v), nil, func() placement.Policy { return placement.New(placement.Config{}) })
-	n.sharer = newSharer(name, dataCentre, zap.NewNop(), policies, n.contents, v)
+	n.sharer = newSharer(name, dataCentre, zap.NewNop(), policies, n.contents, v, quarantine.NewBook(name, zap.NewNop(), uncounted{}))
 	n.sharer.clock = func() time.Time { return f.now }
 	n.sharer.call = func(_ context.Context, address string, q Share, a *Shared) error { return f.call(n, address, q, a) }
 	f.nodes = append(f.nodes, n)
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -100,6 +101,7 @@
 	promptLength   *prometheus.HistogramVec
 	retries        *prometheus.CounterVec
 	imports        *prometheus.CounterVec
+	quarantine     *prometheus.CounterVec
 	inFlight       prometheus.Gauge
 	queueLength    prometheus.Gauge
 	configOffset   prometheus.Gauge
@@ -123,6 +125,7 @@
 		promptLength:   histograms("prompt_length_tokens", "Prompt tokens of judged requests, by whether they were Sent or Shed.", promptBuckets, "verdict"),
 		retries:        counters("retries_total", "Requests that were sent again, resumed or continued.", "kind"),
 		imports:        counters("imports_total", "Decided imports of a prefix from another engine's cache, by result.", "result"),
+		quarantine:     counters("quarantine_total", "Requests under which upstreams ended: suspected, held, turned away, tried again or cleared.", "step"),
 		inFlight:       gauge("in_flight_requests", "Requests that this node has taken and not ended."),
 		queueLength:    gauge("queued_requests", "Requests that wait for an upstream."),
 		configOffset:   gauge("config_offset", "Log offset of the configuration in force."),
@@ -134,7 +137,7 @@
 		journalLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "journal_append_seconds", Help: "Time that an append to the journal took, whatever became of it.", Buckets: journalBuckets}),
 	}
 	m.classes.Store(&Classes{})
-	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.promptLength, m.retries, m.imports,
+	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.promptLength, m.retries, m.imports, m.quarantine,
 		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.peers,
 		m.journalAppends, m.journalLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -189,6 +192,9 @@
 // Imported counts an import.
 func (m *Metrics) Imported(i Import) { m.imports.WithLabelValues(i.String()).Inc() }
 
+// Quarantined counts a step of a request that upstreams may have ended under.
+func (m *Metrics) Quarantined(s quarantine.Step) { m.quarantine.WithLabelValues(s.String()).Inc() }
+
 // Began counts a request that this node has taken.
 func (m *Metrics) Began() { m.inFlight.Inc() }
 
--- a/process/node/maintenance.go
+++ b/process/node/maintenance.go
@@ -17,6 +17,7 @@
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/limit"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/follower"
@@ -47,6 +48,7 @@
 	metrics    *metric.Metrics
 	news       *cachenews.Book
 	upstreams  *member.Upstreams
+	held       *quarantine.Book
 
 	inForce  platform.Offset        // of the configuration that the parts have; of one goroutine alone
 	shared   time.Time              // last exchange of limits; of one goroutine alone
@@ -69,6 +71,7 @@
 		inventory:  do.MustInvoke[*inventory.Inventory](i),
 		metrics:    do.MustInvoke[*metric.Metrics](i),
 		news:       do.MustInvoke[*cachenews.Book](i),
+		held:       do.MustInvoke[*quarantine.Book](i),
 		upstreams:  do.MustInvoke[*member.Upstreams](i),
 		taken:      map[valueKey]time.Time{},
 	}
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -14,6 +14,7 @@
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/recent"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
@@ -22,12 +23,17 @@
 
 // provideRequests registers the request paths and the listeners before them.
 func (n *Node) provideRequests() {
+	do.Provide(n.injector, n.newQuarantine)
 	do.Provide(n.injector, n.newCompletions)
 	do.Provide(n.injector, n.newCalls)
 	do.Provide(n.injector, n.newCallers)
 	do.Provide(n.injector, n.newOperators)
 }
 
+func (n *Node) newQuarantine(i do.Injector) (*quarantine.Book, error) {
+	return quarantine.NewBook(n.settings.Node, n.log, do.MustInvoke[*metric.Metrics](i)), nil
+}
+
 func (n *Node) newCompletions(i do.Injector) (*completion.Router, error) {
 	return &completion.Router{
 		Config:    completion.Config{DataCentre: n.settings.DataCentre}.WithDefaults(),
@@ -42,6 +48,8 @@
 		News:      do.MustInvoke[*cachenews.Book](i),
 		Observer:  metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
 		Log:       n.log,
+
+		Quarantine: do.MustInvoke[*quarantine.Book](i),
 	}, nil
 }
 
@@ -54,6 +62,8 @@
 		Admission: do.MustInvoke[*admission](i),
 		Journal:   do.MustInvoke[*journal.Journal](i),
 		Log:       n.log,
+
+		Quarantine: do.MustInvoke[*quarantine.Book](i),
 	}, nil
 }
 
--- a/process/node/values.go
+++ b/process/node/values.go
@@ -10,6 +10,7 @@
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -22,6 +23,7 @@
 	Engines    []byte // see encodeStatuses
 	Caches     []byte // see cachenews.Book
 	Evidence   []byte // which upstreams failed its sends; see member.EncodeReports
+	Quarantine []byte // requests under which upstreams ended; see quarantine.Encode
 }
 
 // Names of the values on the heartbeats.
@@ -30,6 +32,7 @@
 	enginesValue   = "Engines"
 	cachesValue    = "Caches"
 	evidenceValue  = "Upstreams"
+	heldValue      = "Quarantine"
 )
 
 const (
@@ -56,6 +59,7 @@
 		Engines:    encodeStatuses(m.ownStatuses(now)),
 		Caches:     m.news.Value(now, cachenews.ValueBytes),
 		Evidence:   member.EncodeReports(m.upstreams.Reports(now)),
+		Quarantine: quarantine.Encode(m.held.Untold(now), member.MaxBlobBytes),
 	}
 }
 
@@ -108,10 +112,13 @@
 	for _, value := range []struct {
 		name  string
 		value []byte
-	}{{placementValue, v.Placement}, {enginesValue, v.Engines}, {cachesValue, v.Caches}, {evidenceValue, v.Evidence}} {
+	}{{placementValue, v.Placement}, {enginesValue, v.Engines}, {cachesValue, v.Caches}, {evidenceValue, v.Evidence}, {heldValue, v.Quarantine}} {
 		if value.name == evidenceValue && !m.worthTelling(v.Evidence) {
 			continue
 		}
+		if value.name == heldValue && len(v.Quarantine) == 0 {
+			continue // what was told holds
+		}
 		_ = publish(now, value.name, value.value) // each is bounded below what fits
 	}
 }
@@ -129,7 +136,7 @@
 func (m *maintenance) learnPublished(now time.Time) {
 	before := m.taken
 	m.taken = map[valueKey]time.Time{} // of the nodes still heard; else it would grow with each node replaced
-	for _, name := range []string{placementValue, enginesValue, cachesValue, evidenceValue} {
+	for _, name := range []string{placementValue, enginesValue, cachesValue, evidenceValue, heldValue} {
 		for _, v := range m.members.Latest(name) {
 			key := valueKey{node: v.Node, name: name}
 			if !v.At.After(before[key]) {
@@ -164,6 +171,8 @@
 		v.Caches = told.Value
 	case evidenceValue:
 		v.Evidence = told.Value
+	case heldValue:
+		v.Quarantine = told.Value
 	}
 	return v
 }
@@ -180,6 +189,9 @@
 	}
 	m.policies.Merge(now, at, v.Node, v.Placement)
 	m.policies.Heard(now, v.Caches)
+	if news, err := quarantine.Decode(v.Quarantine); err == nil {
+		m.held.Hear(at, news)
+	}
 }
 
 // takeEvidence replaces what a peer has told of upstreams that failed its
--- a/request/call/call.go
+++ b/request/call/call.go
@@ -15,7 +15,9 @@
 // Request is a caller's request, read and checked. Nothing in it points into
 // a connection's buffers.
 type Request struct {
-	ID        string
+	ID string
+	// Content is the same for each try of the same request; zero: that of the
+	// workspace, the service, the method, the path and the body.
 	Content   quarantine.Content
 	Workspace string
 	Service   string
@@ -53,6 +55,14 @@
 	return r.Repeatable
 }
 
+// content is what tries of the same request have in common.
+func (r Request) content() quarantine.Content {
+	if r.Content != 0 {
+		return r.Content
+	}
+	return quarantine.ContentOf([]byte(r.Workspace), []byte(r.Service), []byte(r.Method), []byte(r.Path), r.Body)
+}
+
 func (r Request) call() upstream.Call {
 	return upstream.Call{
 		Method: r.Method,
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/journal"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -89,6 +91,8 @@
 	Admission Admission
 	Journal   Journal
 	Log       *zap.Logger
+	// Quarantine keeps back requests that end the instances that run them; nil: none is.
+	Quarantine *quarantine.Book
 }
 
 // Do serves one call. The error is always a *failure.Error.
@@ -103,7 +107,7 @@
 		return upstream.Reply{}, err
 	}
 	defer release()
-	s := &sending{rt: rt, r: r, instances: instances}
+	s := &sending{rt: rt, r: r, content: r.content(), instances: instances}
 	if !r.Key.Set() {
 		return s.sendAll(ctx)
 	}
@@ -125,6 +129,7 @@
 type sending struct {
 	rt        *Router
 	r         Request
+	content   quarantine.Content
 	instances catalogue.List
 	claim     *journal.Claim // nil for a call that may be repeated
 	attempts  int
@@ -169,6 +174,9 @@
 		if !s.r.Deadline.IsZero() && !now.Before(s.r.Deadline) {
 			return upstream.Reply{}, s.refusal(failure.ErrDeadlineExceeded, nil)
 		}
+		if err := s.rt.Quarantine.Admit(now, s.content); err != nil {
+			return upstream.Reply{}, s.refusal(failure.ErrQuarantined, err).WithRetryAfter(0)
+		}
 		u, ok := s.choose(now)
 		if !ok {
 			return upstream.Reply{}, s.refusal(failure.ErrNoUpstream, s.last)
@@ -234,6 +242,7 @@
 	reply, err := s.do(ctx, now, u)
 	took := time.Since(now)
 	s.rt.Guard.End(time.Now(), u.Name, guard.Send{Err: err, FirstToken: took})
+	s.noteQuarantine(time.Now(), u.Name, err)
 	if err != nil {
 		if !retry.SurelyNotRun(err) {
 			s.sent = true
@@ -244,6 +253,18 @@
 	return reply, nil
 }
 
+// noteQuarantine notes whether the instance lived through the call, were it that it
+// answered with a failure. Other ends of a send tell nothing of that.
+func (s *sending) noteQuarantine(now time.Time, name string, err error) {
+	var whole *upstream.FailedReply
+	switch {
+	case err == nil || errors.As(err, &whole):
+		s.rt.Quarantine.Survived(now, s.content)
+	case errors.Is(err, upstream.ErrEnded):
+		s.rt.Quarantine.Ended(now, s.content, name)
+	}
+}
+
 func (s *sending) do(ctx context.Context, now time.Time, u config.Upstream) (upstream.Reply, error) {
 	if s.claim != nil && !s.claim.MayBegin(now) {
 		return upstream.Reply{}, fmt.Errorf("claim is over: %w", upstream.ErrRefused)
@@ -278,6 +299,7 @@
 		Fault:      retry.Classify(cause, 0),
 		SentBefore: s.sent,
 		Others:     s.others(name),
+		Doubted:    errors.Is(cause, upstream.ErrEnded) && s.rt.Quarantine.Doubted(time.Now(), s.content),
 		Deadline:   s.r.Deadline,
 		Cause:      cause,
 	})
@@ -308,6 +330,6 @@
 	})
 }
 
-func (s *sending) refusal(e *failure.Error, cause error) error {
+func (s *sending) refusal(e *failure.Error, cause error) *failure.Error {
 	return retry.Refusal(s.r.ID, s.sent, e, cause)
 }
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -135,6 +135,7 @@
 // holds it if only the connection broke, then on another one that goes on
 // after the text given out.
 func (a *Answer) mend(cause error) error {
+	a.s.noteEnd(time.Now(), a.up.Name, cause)
 	if err := a.s.ctx.Err(); err != nil {
 		return retry.Gone(a.s.ctx).WithRan(failure.Unknown).WithCause(err)
 	}
@@ -252,6 +253,9 @@
 		a.abandon()
 	}
 	now := time.Now()
+	if a.finished {
+		a.s.noteSurvival(now, nil)
+	}
 	a.visit.end(now, a.failed)
 	if a.s.claim != nil {
 		a.settle(now)
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -16,7 +16,9 @@
 // Request is a caller's request, read and checked. Nothing in it points into
 // a connection's buffers.
 type Request struct {
-	ID        string // unique for this request, in every log line about it
+	ID string // unique for this request, in every log line about it
+	// Content is the same for each try of the same request; zero: that of the
+	// workspace, the model and the messages.
 	Content   quarantine.Content
 	Workspace string
 	Model     string
@@ -57,6 +59,18 @@
 // run.
 func (r Request) mayRepeat() bool { return !r.Key.Set() && !r.Once }
 
+// content is what tries of the same request have in common.
+func (r Request) content() quarantine.Content {
+	if r.Content != 0 {
+		return r.Content
+	}
+	parts := [][]byte{[]byte(r.Workspace), []byte(r.Model), []byte(r.Adapter)}
+	for _, m := range r.Messages {
+		parts = append(parts, []byte(m.Role), []byte(m.Content))
+	}
+	return quarantine.ContentOf(parts...)
+}
+
 // identity is what the request's cached prefixes belong to.
 func (r Request) identity() prefix.Identity {
 	return prefix.Identity{Workspace: cmp.Or(r.Scope, r.Workspace), Model: r.Model, Adapter: r.Adapter}
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -34,6 +34,7 @@
 	reborn   bool // whether a resumed stream is of another incarnation
 	early    bool // whether the cut looks like an end
 	frozen   bool // takes the request and never answers
+	ends     bool // whether its process ends: at the cut, or before any answer
 
 	export  error // instead of an export
 	kv      int   // bytes of an export
@@ -50,6 +51,7 @@
 	sends     []upstream.Generation
 	cancelled int
 	exported  []upstream.Generation
+	ended     bool
 	imported  int  // successful imports
 	unbounded bool // an export or import came without a time limit
 }
@@ -61,7 +63,14 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.ended {
+		return nil, upstream.ErrNotSent
+	}
+	e.ended = e.ends
 	e.sends = append(e.sends, g)
+	if e.ends && e.cutAfter == 0 {
+		return nil, errEnded
+	}
 	if e.generate != nil {
 		return nil, e.generate
 	}
@@ -131,6 +140,9 @@
 	return ctx.Err()
 }
 
+// errEnded is what a send gives whose engine's process has ended.
+var errEnded = fmt.Errorf("%w: %w", upstream.ErrBroken, upstream.ErrEnded)
+
 type stream struct {
 	e           *engine
 	id          string
@@ -150,6 +162,9 @@
 		if s.e.early {
 			return upstream.Token{}, io.EOF
 		}
+		if s.e.ends {
+			return upstream.Token{}, errEnded
+		}
 		return upstream.Token{}, upstream.ErrBroken
 	}
 	if len(s.rest) == 0 {
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -13,6 +13,7 @@
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
@@ -181,8 +182,10 @@
 	News      News
 	Contents  Contents // nil: no engine tells
 	Stores    Stores   // nil: there are none
-	Observer  Observer
-	Log       *zap.Logger
+	// Quarantine keeps back requests that end the engines that run them; nil: none is.
+	Quarantine *quarantine.Book
+	Observer   Observer
+	Log        *zap.Logger
 	// BeginWithin is the time in which a request that is sent to an engine now has
 	// to begin, as its weights of the model have been replaced; 0: at any time.
 	// nil: always at any time.
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -53,7 +53,10 @@
 		err = fmt.Errorf("%w: %w", ctx.Err(), err)
 	}
 	if err != nil {
-		v.end(time.Now(), err)
+		ended := time.Now()
+		v.end(ended, err)
+		s.noteEnd(ended, u.Name, err)
+		s.noteSurvival(ended, err)
 		return nil, u.Name, fmt.Errorf("upstream %s: %w", u.Name, err)
 	}
 	return a, u.Name, nil
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -8,6 +8,7 @@
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/journal"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 )
 
@@ -17,7 +18,7 @@
 // answer too.
 func (rt *Router) Start(ctx context.Context, r Request) (*Answer, error) {
 	now := time.Now()
-	s := &start{rt: rt, ctx: ctx, r: r, began: now, chain: rt.chain(r)}
+	s := &start{rt: rt, ctx: ctx, r: r, content: r.content(), began: now, chain: rt.chain(r)}
 	t, err := rt.target(r, s.chain)
 	if err != nil {
 		return nil, err
@@ -44,6 +45,7 @@
 	rt       *Router
 	ctx      context.Context // ends when the caller goes away
 	r        Request
+	content  quarantine.Content
 	began    time.Time
 	chain    prefix.Chain
 	target   target
@@ -98,6 +100,9 @@
 		if s.late(now) {
 			return nil, s.refusal(failure.ErrDeadlineExceeded, nil)
 		}
+		if err := s.rt.Quarantine.Admit(now, s.content); err != nil {
+			return nil, s.refusal(failure.ErrQuarantined, err).WithRetryAfter(0)
+		}
 		a, name, err := s.attempt(ctx, now)
 		if err == nil {
 			return a, nil
--- a/request/completion/warm.go
+++ b/request/completion/warm.go
@@ -20,7 +20,7 @@
 func (rt *Router) Warm(ctx context.Context, r Request, pool string) error {
 	r.MaxTokens = 1
 	r.Priority, r.Class = leastUrgent, leastUrgent
-	s := &start{rt: rt, ctx: ctx, r: r, began: time.Now(), chain: rt.chain(r)}
+	s := &start{rt: rt, ctx: ctx, r: r, content: r.content(), began: time.Now(), chain: rt.chain(r)}
 	c := rt.View.Catalogue()
 	if _, ok := c.Config().Models[r.Model]; !ok {
 		return failure.ErrUnknownModel
--- a/request/failure/failure.go
+++ b/request/failure/failure.go
@@ -72,6 +72,7 @@
 	PlatformUnavailable
 	Cancelled
 	OutcomeUnknown
+	Quarantined
 )
 
 // Error is an immutable failure value. The With methods return changed
@@ -117,6 +118,7 @@
 	ErrMalformedIntent     = newError(MalformedIntent, http.StatusBadRequest, "the intent could not be read")
 	ErrPlatformUnavailable = newError(PlatformUnavailable, http.StatusServiceUnavailable, "the platform's log can't be reached")
 	ErrCancelled           = newError(Cancelled, 499, "the caller went away")
+	ErrQuarantined         = newError(Quarantined, http.StatusServiceUnavailable, "upstreams have ended under this request; it is not sent any more")
 	ErrOutcomeUnknown      = newError(OutcomeUnknown, http.StatusConflict, "a request with this Idempotency-Key was begun; whether it ran is not known").WithRan(Unknown)
 )
 
--- a/request/failure/failure_string.go
+++ b/request/failure/failure_string.go
@@ -39,11 +39,12 @@
 	_ = x[PlatformUnavailable-28]
 	_ = x[Cancelled-29]
 	_ = x[OutcomeUnknown-30]
+	_ = x[Quarantined-31]
 }
 
-const _Code_name = "InternalMalformedRequestBodyTooLargeHeaderTooLargeUnauthenticatedUnknownModelUnknownServiceUnknownWorkspaceNotFoundRateLimitedOverloadedDeadlineExceededNoUpstreamUpstreamFailedStreamCutWeightsChangedKeyRequiredKeyInvalidKeyExpiredKeyReusedKeyInProgressAlreadyRanJournalUnavailableShuttingDownUnknownPlanPlanOvertakenPlanRefusedMalformedIntentPlatformUnavailableCancelledOutcomeUnknown"
+const _Code_name = "InternalMalformedRequestBodyTooLargeHeaderTooLargeUnauthenticatedUnknownModelUnknownServiceUnknownWorkspaceNotFoundRateLimitedOverloadedDeadlineExceededNoUpstreamUpstreamFailedStreamCutWeightsChangedKeyRequiredKeyInvalidKeyExpiredKeyReusedKeyInProgressAlreadyRanJournalUnavailableShuttingDownUnknownPlanPlanOvertakenPlanRefusedMalformedIntentPlatformUnavailableCancelledOutcomeUnknownQuarantined"
 
-var _Code_index = [...]uint16{0, 8, 24, 36, 50, 65, 77, 91, 107, 115, 126, 136, 152, 162, 176, 185, 199, 210, 220, 230, 239, 252, 262, 280, 292, 303, 316, 327, 342, 361, 370, 384}
+var _Code_index = [...]uint16{0, 8, 24, 36, 50, 65, 77, 91, 107, 115, 126, 136, 152, 162, 176, 185, 199, 210, 220, 230, 239, 252, 262, 280, 292, 303, 316, 327, 342, 361, 370, 384, 395}
 
 func (i Code) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/request/quarantine/record_test.go
@@ -0,0 +1,79 @@
+package quarantine
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+// All nodes lose power at once. The request that they held is known again from the
+// records, before any engine ends under it.
+func TestHeldRequestOutlivesAllNodes(t *testing.T) {
+	a, c := newBook("n1"), content("x")
+	now := end(a, start, c, "a", "b", "c")
+	records := a.Unsaved()
+	if len(records) != 1 || len(a.Unsaved()) != 0 {
+		t.Fatalf("%d records", len(records))
+	}
+	b := newBook("n2")
+	if held, err := b.Restore(now.Add(10*time.Second), records); err != nil || held != 1 {
+		t.Fatal(held, err)
+	}
+	if err := b.Admit(now.Add(11*time.Second), c); !errors.Is(err, ErrHeld) {
+		t.Error(err)
+	}
+	if held, err := newBook("n3").Restore(now.Add(firstHold+heldMemory+time.Hour), records); err != nil || held != 0 {
+		t.Errorf("of a record long past: %d, %v", held, err)
+	}
+}
+
+// A cleared request's record is dropped; a node that starts later must not hold it.
+func TestRecordOfAClearedRequestIsDropped(t *testing.T) {
+	b, c := newBook("n1"), content("x")
+	now := end(b, start, c, "a", "b", "c")
+	key := b.Unsaved()[0].Key
+	b.Survived(now, c)
+	records := b.Unsaved()
+	if len(records) != 1 || records[0].Key != key || len(records[0].Value) != 0 {
+		t.Errorf("%+v", records)
+	}
+}
+
+// What could not be written is given again, as it stands by then.
+func TestRecordThatWasNotWrittenIsGivenAgain(t *testing.T) {
+	b, c := newBook("n1"), content("x")
+	end(b, start, c, "a", "b", "c")
+	b.NotSaved(b.Unsaved())
+	select {
+	case <-b.Saves():
+	default:
+		t.Error("nobody is told")
+	}
+	if records := b.Unsaved(); len(records) != 1 || len(records[0].Value) == 0 {
+		t.Errorf("%+v", records)
+	}
+}
+
+// Only nodes that saw an end write it down: in a fleet of hundreds each would.
+func TestWhoHearsOfAHoldDoesNotRecordIt(t *testing.T) {
+	a, b, c := newBook("n1"), newBook("n2"), content("x")
+	now := end(a, start, c, "a", "b", "c")
+	b.Hear(now, a.Untold(now))
+	if records := b.Unsaved(); len(records) != 0 {
+		t.Errorf("%+v", records)
+	}
+}
+
+// Somebody else's bytes stand among the records. The others count all the same, and the
+// error names the key.
+func TestDamagedRecordIsPassedOver(t *testing.T) {
+	a, b, c := newBook("n1"), newBook("n2"), content("x")
+	now := end(a, start, c, "a", "b", "c")
+	records := append([]Record{{Key: "held/000", Value: []byte("{")}, {Key: "held/001", Value: []byte(`{"Until":-1}`)}}, a.Unsaved()...)
+	if held, err := b.Restore(now, records); err == nil || held != 1 {
+		t.Errorf("%d held, %v", held, err)
+	}
+	if err := b.Admit(now, c); !errors.Is(err, ErrHeld) {
+		t.Error(err)
+	}
+}
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -92,6 +92,9 @@
 	// Others is how many eligible upstreams were not tried yet; for a
 	// BrokenAfter, those with the same weights version alone.
 	Others int
+	// Doubted says that the upstream has ended under the request, and others before
+	// it: sent on, it may end the next one.
+	Doubted bool
 	// Expected is the time that another try needs to be of use: up to the
 	// first token, or to the whole answer of a plain service.
 	Expected time.Duration
