Hear from its answers that an upstream leaves

Callers' symptom: requests run on an instance that is about to end, up to 12 s after it has said that it leaves; the platform allows 2 s.

Cause: that an upstream leaves was taken from its entry in the register alone, which can't change while the store is away. The field in its answers was not read.

Change: the adapter decodes the field of all answers of a runner once and tells the roster, where it holds for that start of the upstream whatever its entry says. The request paths follow at once, also when another start turns out to have an upstream's address, and look again before each send. Peers hear of it for 2 s with what nodes tell each other.

Why it holds: the field is read before the answer is passed on, so that no later request of a caller finds the upstream in use; nothing but another start takes it back.

Ruled out: that a later record takes the word back (no line says so), and that it was all there was to send to (two other instances served).

--- a/process/event/upstream.go
+++ b/process/event/upstream.go
@@ -19,4 +19,6 @@
 	CacheFollowed
 	// RateLearnt: by the answers of this node and its peers, engines of a group read so many prompt tokens a second; logged when it has changed by a quarter. To do: when it falls and stays low, look whether the engines share their accelerators.
 	RateLearnt
+	// UpstreamLeaving: an answer of the upstream says that it leaves, or a peer that got one does; this node sends it nothing any more, whatever its entry says.
+	UpstreamLeaving
 )
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -47,6 +47,8 @@
 	Caches    []byte // see cachenews.Book
 	// Quarantine is of requests under which upstreams have ended.
 	Quarantine []quarantine.News
+	// Leaving are the upstreams whose answers have said so lately.
+	Leaving []string
 }
 
 // exchanger tells the peers of this node's traffic.
@@ -56,6 +58,7 @@
 	policies *policy.Table
 	news     *cachenews.Book
 	held     *quarantine.Book
+	hearing  *hearing
 	sharer   *sharer
 	metrics  *metric.Metrics
 	log      *zap.Logger
@@ -68,10 +71,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &exchanger{
 		node: g.settings.Node, peers: do.MustInvoke[*peers](i), policies: do.MustInvoke[*policy.Table](i),
-		news: do.MustInvoke[*cachenews.Book](i), held: do.MustInvoke[*quarantine.Book](i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
+		news: do.MustInvoke[*cachenews.Book](i), held: do.MustInvoke[*quarantine.Book](i),
+		hearing: do.MustInvoke[*hearing](i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
 		log: g.log, rates: map[catalogue.Group]float64{},
 	}
-	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.held)
+	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.held, e.hearing)
 	e.sharer.call = func(ctx context.Context, address string, q Share, a *Shared) error {
 		return e.peers.callWithin(ctx, shareTimeout, address, "Share", q, a)
 	}
@@ -101,7 +105,7 @@
 		e.sharer.round(ctx, now, others)
 		return time.Duration(float64(sharePause) * (1 + shareSpread*(2*rand.Float64()-1)))
 	}
-	v := Values{Node: e.node, Placement: e.policies.Value(now, e.node, turn), Caches: e.news.Untold(now, newsBytes), Quarantine: e.held.Untold(now)}
+	v := Values{Node: e.node, Placement: e.policies.Value(now, e.node, turn), Caches: e.news.Untold(now, newsBytes), Quarantine: e.held.Untold(now), Leaving: e.hearing.lately(clock.Boot())}
 	e.peers.toAll("Exchange", v)
 	return exchangeAfter(len(others))
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -98,9 +98,8 @@
 	Group         Group
 	Directory     Directory
 	Quarantine    QuarantineRecords
-	// Dialer makes the upstreams' clients. Gone is called when another start
-	// turns out to have an upstream's address.
-	Dialer func(gone func(upstream string)) inventory.Dialer
+	// Dialer makes the upstreams' clients.
+	Dialer func(h Hearing) inventory.Dialer
 }
 
 // Gateway is one node.
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -66,6 +66,7 @@
 	h.peers.policies.Merge(now, now, v.Node, v.Placement)
 	h.peers.policies.Heard(now, v.Caches)
 	h.peers.held.Hear(now, v.Quarantine)
+	h.peers.hearing.told(clock.Boot(), v.Leaving)
 	return nil
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -55,6 +55,7 @@
 	policies *policy.Table
 	learner  *learner
 	held     *quarantine.Book
+	hearing  *hearing
 	sharer   atomic.Pointer[sharer] // nil: not started yet
 	// The followers of the platform's topics; nil: not followed yet.
 	configuration, register atomic.Pointer[keyed.Follower]
@@ -75,7 +76,7 @@
 		name: g.settings.Node, dataCentre: g.settings.DataCentre, log: g.log,
 		roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i),
 		book: do.MustInvoke[*accepted.Book](i), policies: do.MustInvoke[*policy.Table](i),
-		learner: do.MustInvoke[*learner](i), held: do.MustInvoke[*quarantine.Book](i), cancel: cancel, holder: clock.Boot(),
+		learner: do.MustInvoke[*learner](i), held: do.MustInvoke[*quarantine.Book](i), hearing: do.MustInvoke[*hearing](i), cancel: cancel, holder: clock.Boot(),
 	}
 	self := platform.VM{Name: g.settings.Node, Address: g.settings.Peers, DataCentre: g.settings.DataCentre}
 	ps.work.Go(func() { ps.enter(ctx, p.Directory, self) })
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -87,6 +87,7 @@
 	do.Provide(i, g.newCacheFollower)
 	do.Provide(i, g.newExchanger)
 	do.Provide(i, g.newGuards)
+	do.Provide(i, func(i do.Injector) (*hearing, error) { return g.newHearing(i), nil })
 	do.Provide(i, func(i do.Injector) (*inventory.Inventory, error) { return g.newInventory(i, p), nil })
 	do.Provide(i, g.newPolicies)
 	do.Provide(i, g.newQuarantine)
@@ -140,8 +141,7 @@
 }
 
 func (g *Gateway) newInventory(i do.Injector, p Platform) *inventory.Inventory {
-	r := do.MustInvoke[*roster.Roster](i)
-	inv := inventory.New(inventory.Config{Interval: statusInterval}, p.Dialer(r.Replaced),
+	inv := inventory.New(inventory.Config{Interval: statusInterval}, p.Dialer(do.MustInvoke[*hearing](i)),
 		do.MustInvoke[*view](i), noOwner{}, noListener{})
 	g.onClose("inventory", inv.Close)
 	return inv
--- a/process/gateway/share.go
+++ b/process/gateway/share.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/policy"
@@ -57,6 +58,8 @@
 	Loads    []policy.GroupLoad
 	// Quarantine is of requests under which upstreams have ended.
 	Quarantine []quarantine.News
+	// Leaving are the upstreams whose answers have said so lately.
+	Leaving []string
 }
 
 // Shared is the answer.
@@ -64,8 +67,9 @@
 	Caches cachenews.Answer
 	Again  []cachenews.UpstreamID // caches to be told whole
 	Loads  []policy.GroupLoad     // of all other nodes, or of this data centre's alone
-	// Quarantine is what the aggregator has seen or heard lately.
+	// Quarantine and Leaving are what the aggregator has seen or heard lately.
 	Quarantine []quarantine.News
+	Leaving    []string
 }
 
 // sharer has the nodes of a large fleet know the same of the engines, by one aggregator
@@ -79,6 +83,7 @@
 	contents   *cachenews.Contents
 	view       *view
 	held       *quarantine.Book
+	hearing    *hearing
 	// call asks the node at an address.
 	call  func(ctx context.Context, address string, q Share, a *Shared) error
 	clock func() time.Time
@@ -95,9 +100,9 @@
 	positions map[string]cachenews.Ask // by data centre
 }
 
-func newSharer(node, dataCentre string, log *zap.Logger, policies *policy.Table, contents *cachenews.Contents, v *view, held *quarantine.Book) *sharer {
+func newSharer(node, dataCentre string, log *zap.Logger, policies *policy.Table, contents *cachenews.Contents, v *view, held *quarantine.Book, h *hearing) *sharer {
 	return &sharer{
-		node: node, dataCentre: dataCentre, log: log, policies: policies, contents: contents, view: v, held: held, clock: time.Now,
+		node: node, dataCentre: dataCentre, log: log, policies: policies, contents: contents, view: v, held: held, hearing: h, clock: time.Now,
 		aggregate: cachenews.NewAggregate(rand.Uint64()),
 		avoided:   map[string]time.Time{}, positions: map[string]cachenews.Ask{},
 	}
@@ -107,18 +112,17 @@
 func (s *sharer) answer(now time.Time, q Share) Shared {
 	s.asked.Store(&now)
 	s.held.Hear(now, q.Quarantine)
+	s.hearing.told(clock.Boot(), q.Leaving)
+	news := Shared{Quarantine: s.held.Recent(now), Leaving: s.hearing.lately(clock.Boot())}
 	if q.Ask.Near {
-		return Shared{Caches: s.aggregate.Since(now, q.Ask), Loads: policy.Join(s.near.All(now, "")), Quarantine: s.held.Recent(now)}
+		news.Caches, news.Loads = s.aggregate.Since(now, q.Ask), policy.Join(s.near.All(now, ""))
+		return news
 	}
 	again := s.aggregate.Tell(now, q.Node, q.Parts, q.Tellings)
 	s.near.Put(now, q.Node, q.Loads)
-	return Shared{
-		Caches: s.aggregate.Since(now, q.Ask),
-		Again:  again,
-		Loads:  policy.Join(append(s.near.All(now, q.Node), s.far.All(now, "")...)),
-
-		Quarantine: s.held.Recent(now),
-	}
+	news.Caches, news.Again = s.aggregate.Since(now, q.Ask), again
+	news.Loads = policy.Join(append(s.near.All(now, q.Node), s.far.All(now, "")...))
+	return news
 }
 
 // acts says whether this node is to know what the other data centres tell.
@@ -134,6 +138,7 @@
 	q := Share{
 		Node: s.node, Ask: s.position, Parts: s.contents.Shared(),
 		Tellings: s.contents.Tell(now), Loads: s.policies.Loads(now, s.node), Quarantine: s.held.Untold(now),
+		Leaving: s.hearing.lately(clock.Boot()),
 	}
 	if !s.askNear(ctx, now, chosen[s.dataCentre], q) {
 		s.contents.ShareAgain()
@@ -200,6 +205,7 @@
 	})
 	s.policies.MergeLoads(now, fleetTeller, a.Loads)
 	s.held.Hear(now, a.Quarantine)
+	s.hearing.told(clock.Boot(), a.Leaving)
 }
 
 // fleetTeller is the name under which the other nodes' joint load is kept. No node has it:
@@ -239,6 +245,7 @@
 		s.aggregate.Take(now, dataCentre, a.Caches)
 		s.far.Put(now, dataCentre, a.Loads)
 		s.held.Hear(now, a.Quarantine)
+		s.hearing.told(clock.Boot(), a.Leaving)
 		s.positions[dataCentre] = cachenews.Ask{By: a.Caches.By, From: a.Caches.Next}
 	}
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -68,6 +68,9 @@
 	// ones: a peer's news that comes late must not bring one back.
 	seen map[string]uint64
 	busy map[string]time.Time // until when an upstream takes no requests
+	// leaving are the starts that said so with an answer, and when that was heard. It
+	// outlives their entries: one that comes again, from before, would bring them back.
+	leaving map[string]time.Time
 }
 
 // maxSuperseded bounds what is remembered of former starts; a late heartbeat is
@@ -76,7 +79,7 @@
 
 // New starts without upstreams.
 func New() *Roster {
-	return &Roster{entries: map[string]record{}, starts: map[string]string{}, superseded: map[string]bool{}, seen: map[string]uint64{}, busy: map[string]time.Time{}}
+	return &Roster{entries: map[string]record{}, starts: map[string]string{}, superseded: map[string]bool{}, seen: map[string]uint64{}, busy: map[string]time.Time{}, leaving: map[string]time.Time{}}
 }
 
 // Put takes in an entry. Leaving that was once read holds, whatever comes
@@ -97,6 +100,9 @@
 		r.supersede(former)
 	}
 	r.starts[key] = e.ID
+	if _, left := r.leaving[e.ID]; left {
+		e.Leaving = true
+	}
 	old, known := r.entries[e.ID]
 	if known {
 		e.Leaving = e.Leaving || old.Leaving
@@ -229,6 +235,43 @@
 	}
 }
 
+// Leave notes that an upstream's answer says that it leaves, and says whether that is new.
+// It holds for that start whatever its entry says.
+func (r *Roster) Leave(now time.Time, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.leaving[id]; known {
+		return false
+	}
+	if len(r.leaving) >= maxSuperseded {
+		maps.DeleteFunc(r.leaving, func(id string, _ time.Time) bool {
+			_, listed := r.entries[id]
+			return !listed
+		})
+	}
+	r.leaving[id] = now
+	if e, ok := r.entries[id]; ok && !e.Leaving {
+		e.Leaving = true
+		r.entries[id] = e
+		r.changes++
+	}
+	return true
+}
+
+// Left gives those that were noted to leave since a time.
+func (r *Roster) Left(since time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var left []string
+	for id, at := range r.leaving {
+		if !at.Before(since) {
+			left = append(left, id)
+		}
+	}
+	slices.Sort(left)
+	return left
+}
+
 // Only drops all entries but those of these keys.
 func (r *Roster) Only(now time.Time, keys []string) {
 	r.mu.Lock()
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -236,3 +237,55 @@
 		t.Errorf("%+v", entries)
 	}
 }
+
+// An upstream's answer says that it leaves. No entry of the same start takes that back,
+// whether it comes late, again, or after the register had lost it; another start's does.
+func TestLeavingByAnAnswerHolds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New()
+	r.Put(startOf("a", 10), 1)
+	if !r.Leave(now, "a@10") || r.Leave(now, "a@10") {
+		t.Error("it is not new once")
+	}
+	leaving := func() bool {
+		entries, _ := r.Entries()
+		return len(entries) == 1 && entries[0].Leaving
+	}
+	for i, f := range []func(){
+		func() {},
+		func() { r.Put(startOf("a", 10), 2) },
+		func() { r.Drop(now, "a", 3, true); r.Put(startOf("a", 10), 4) },
+	} {
+		if f(); !leaving() {
+			t.Errorf("step %d: it stays", i)
+		}
+	}
+	if r.Put(startOf("a", 20), 5); leaving() {
+		t.Error("another start leaves")
+	}
+	if got := r.Left(now); len(got) != 1 || len(r.Left(now.Add(time.Second))) != 0 {
+		t.Errorf("told: %v", got)
+	}
+}
+
+// An answer names an upstream that the register does not list yet, as the register is late.
+// Its entry finds it leaving.
+func TestLeavingBeforeTheEntry(t *testing.T) {
+	r := New()
+	r.Leave(time.Unix(1000, 0), "a@10")
+	r.Put(startOf("a", 10), 1)
+	if entries, _ := r.Entries(); len(entries) != 1 || !entries[0].Leaving {
+		t.Errorf("%+v", entries)
+	}
+}
+
+// Upstreams come and go for months. What is remembered of those that left is bounded.
+func TestRememberedLeavingsAreBounded(t *testing.T) {
+	r := New()
+	for i := range 3 * maxSuperseded {
+		r.Leave(time.Unix(1000, 0), strconv.Itoa(i))
+	}
+	if len(r.leaving) > maxSuperseded {
+		t.Errorf("%d", len(r.leaving))
+	}
+}
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -204,8 +204,11 @@
 // leaving out those that were tried.
 func (s *sending) choose(now time.Time) (config.Upstream, bool) {
 	excluded := append(s.rt.Guard.Excluded(now, s.instances.Names), s.tried...)
+	present := s.rt.View.Catalogue().Config().Upstreams
 	open := lo.Filter(s.instances.Upstreams, func(u config.Upstream, _ int) bool {
-		return !lo.Contains(excluded, u.Name)
+		// One may have left, or begun to leave, since the instances were listed.
+		p, listed := present[u.Name]
+		return listed && p.State == config.Active && !lo.Contains(excluded, u.Name)
 	})
 	usable := lo.Filter(open, func(u config.Upstream, _ int) bool {
 		return s.rt.Upstreams.Usable(now, u.Name)
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -7,6 +7,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
 // goOn starts the rest of an answer on another engine that holds the same
@@ -21,7 +22,7 @@
 		return nil, fmt.Errorf("place the rest: %w", err)
 	}
 	u, ok := s.rt.View.Catalogue().Config().Upstreams[d.Upstream]
-	if !ok {
+	if !ok || u.State != config.Active {
 		return nil, failure.ErrNoUpstream
 	}
 	v, ok := s.visit(now, p, pr, d)
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -32,6 +32,11 @@
 	if !ok {
 		return nil, "", fmt.Errorf("upstream %q left: %w", d.Upstream, placement.ErrNoCandidate)
 	}
+	if u.State != config.Active {
+		// It has begun to leave since the request's engines were listed.
+		s.excluded = append(s.excluded, u.Name)
+		return s.attempt(ctx, now)
+	}
 	if s.mayBeginLate(d) {
 		s.excluded = append(s.excluded, u.Name)
 		return s.attempt(ctx, now)
