Leave an upstream alone for as long as it wants nothing

Cause: the time that a runner adds to its refusal was not read; a refusal lowered this node's limit for it by a tenth, no more.

A request that finds none is refused at once, with when to come back, spread; one that waits for the only upstream is sent spread after its end.

Why it holds: each send passes the guard once as it is decided and once as it begins, so that only what is on its way at the answer still arrives. Another start of the runner is not bound.

Decided: orders, reports and questions about caches go on, as they take no slot; 10 min are the longest that is believed.

--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -40,6 +40,29 @@
 	ErrStaleFencing = errors.New("upstream: stale fencing number")
 )
 
+// HoldOff is the error of a send by whose answer an upstream says for how long it wants
+// nothing from this node.
+type HoldOff struct {
+	For   time.Duration
+	Cause error
+}
+
+// Error gives the cause and the time.
+func (e *HoldOff) Error() string { return fmt.Sprintf("%v: nothing for %v", e.Cause, e.For) }
+
+// Unwrap gives the cause.
+func (e *HoldOff) Unwrap() error { return e.Cause }
+
+// HeldOff is for how long an upstream wants nothing from this node, by the error of a
+// send; 0: it does not say.
+func HeldOff(err error) time.Duration {
+	var h *HoldOff
+	if errors.As(err, &h) {
+		return h.For
+	}
+	return 0
+}
+
 // Generation asks an engine for an answer.
 type Generation struct {
 	StreamID  string // chosen by the router, unique for every try
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -46,6 +46,9 @@
 	Request(workspace, name string)
 	// Decide says what becomes of a call after a failed send.
 	Decide(now time.Time, a retry.Attempt) retry.Verdict
+	// Opens is after how long the first of those that want nothing takes calls again;
+	// 0: none has said so.
+	Opens(now time.Time, names []string) time.Duration
 	// InFlight is this node's own sends on the instance.
 	InFlight(name string) int
 }
@@ -179,7 +182,7 @@
 		}
 		u, ok := s.choose(now)
 		if !ok {
-			return upstream.Reply{}, s.refusal(failure.ErrNoUpstream, s.last)
+			return upstream.Reply{}, retry.NoneLeft(s.r.ID, s.sent, s.rt.Guard.Opens(now, s.instances.Names), s.last)
 		}
 		if !s.rt.Guard.Begin(now, u.Name) {
 			// Another call took the last place: nothing was sent.
@@ -302,6 +305,7 @@
 		Fault:      retry.Classify(cause, 0),
 		SentBefore: s.sent,
 		Others:     s.others(name),
+		Return:     upstream.HeldOff(cause),
 		Doubted:    errors.Is(cause, upstream.ErrEnded) && s.rt.Quarantine.Doubted(time.Now(), s.content),
 		Deadline:   s.r.Deadline,
 		Cause:      cause,
--- a/request/completion/again.go
+++ b/request/completion/again.go
@@ -52,6 +52,7 @@
 		CanResume:  canResume,
 		Others:     s.others(name),
 		Doubted:    s.doubted(cause),
+		Return:     upstream.HeldOff(cause),
 		Deadline:   s.r.Deadline,
 		Cause:      cause,
 	})
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -57,6 +57,9 @@
 	// Readable gives those of the excluded upstreams whose caches can be fetched
 	// from all the same.
 	Readable(now time.Time, excluded []string) []string
+	// Opens is after how long the first of those that want nothing takes requests
+	// again; 0: none has said so.
+	Opens(now time.Time, names []string) time.Duration
 	// Full says whether waiting a little for a place may help.
 	Full(names []string) bool
 	// Begin takes the place for one send; every true is followed by one End.
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -133,7 +133,7 @@
 // caller's error if there is none to wait for.
 func (s *start) awaitPlace(ctx context.Context, now time.Time, cause error) error {
 	if !s.rt.Guard.Full(s.target.list.Names) {
-		return s.refusal(failure.ErrNoUpstream, cause)
+		return retry.NoneLeft(s.r.ID, s.sent, s.rt.Guard.Opens(now, s.target.list.Names), cause)
 	}
 	if s.placeless.IsZero() {
 		s.placeless = now
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +74,8 @@
 
 	mu       sync.Mutex
 	inFlight map[string]int // own sends by upstream, none of them zero
+	// heldOff is until when an upstream wants nothing from this node, by its own word.
+	heldOff map[string]time.Time
 }
 
 // New starts without upstreams.
@@ -88,6 +92,7 @@
 		detector:    ejection.New(cfg.Ejection),
 		retrier:     r,
 		inFlight:    map[string]int{},
+		heldOff:     map[string]time.Time{},
 	}, nil
 }
 
@@ -102,6 +107,9 @@
 func (g *Guard) SetUpstreams(now time.Time, names []string) {
 	g.detector.SetUpstreams(now, names)
 	g.concurrency.Retain(names)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.heldOff, func(name string, _ time.Time) bool { return !slices.Contains(names, name) })
 }
 
 // Capacity is how many requests these upstreams may have from this node.
@@ -110,11 +118,48 @@
 }
 
 // Excluded gives those of the upstreams that must not get a request now. The
-// ejected ones among them are never all of them.
+// ejected ones among them are never all of them; those that want nothing may be.
 func (g *Guard) Excluded(now time.Time, names []string) []string {
 	ejected := g.unhealthy(now, names)
 	full := lo.Filter(names, func(name string, _ int) bool { return !g.concurrency.Free(name) })
-	return append(ejected, full...)
+	return append(append(ejected, full...), lo.Keys(g.away(now, names))...)
+}
+
+// longestHoldOff bounds for how long an upstream is taken at its word that it wants
+// nothing. One that has said more, by a mistake, is tried again.
+const longestHoldOff = 10 * time.Minute
+
+// holdOff takes in for how long an upstream wants nothing. Answers to requests that were
+// under way together come in any order: the latest end holds.
+func (g *Guard) holdOff(now time.Time, name string, wait time.Duration) {
+	until := now.Add(min(wait, longestHoldOff))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if until.After(g.heldOff[name]) {
+		g.heldOff[name] = until
+	}
+}
+
+// away gives those of the upstreams that want nothing now, and for how long yet.
+func (g *Guard) away(now time.Time, names []string) map[string]time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.heldOff) == 0 {
+		return nil
+	}
+	waits := map[string]time.Duration{}
+	for _, name := range names {
+		if left := g.heldOff[name].Sub(now); left > 0 {
+			waits[name] = left
+		}
+	}
+	return waits
+}
+
+// Opens is after how long the first of the upstreams that want nothing takes requests
+// again; 0: none of them has said so.
+func (g *Guard) Opens(now time.Time, names []string) time.Duration {
+	return lo.Min(lo.Values(g.away(now, names)))
 }
 
 // Readable gives those of the excluded upstreams whose caches other upstreams can
@@ -162,6 +207,9 @@
 // one since the decision, which has to be made again. Every true is followed
 // by one End.
 func (g *Guard) Begin(now time.Time, name string) bool {
+	if len(g.away(now, []string{name})) > 0 {
+		return false
+	}
 	if !g.detector.Take(now, name) {
 		return false
 	}
@@ -213,6 +261,9 @@
 func (g *Guard) End(now time.Time, name string, s Send) {
 	g.count(name, -1)
 	g.concurrency.Release(now, name, result(s))
+	if wait := upstream.HeldOff(s.Err); wait > 0 {
+		g.holdOff(now, name, wait)
+	}
 	if tellsNothing(s) {
 		g.detector.Release(now, name)
 		return
@@ -261,6 +312,9 @@
 
 // Restarted notes that an upstream runs under another incarnation.
 func (g *Guard) Restarted(now time.Time, name string, incarnation uint64) {
+	g.mu.Lock()
+	delete(g.heldOff, name)
+	g.mu.Unlock()
 	g.detector.Restarted(now, name, incarnation)
 }
 
--- a/request/guard/guard_test.go
+++ b/request/guard/guard_test.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -108,3 +109,61 @@
 		}
 	}
 }
+
+// refuses gives what a send gets from an upstream that wants nothing for so long.
+func refuses(wait time.Duration) Send {
+	return Send{Err: &upstream.HoldOff{For: wait, Cause: fmt.Errorf("%w: %w", upstream.ErrBusy, upstream.ErrRefused)}}
+}
+
+// An upstream turns requests away and says for how long it wants nothing. Until then it is
+// out of use, also if it is the only one left, and takes requests again by itself; the
+// latest end of several answers holds, and an upstream that started anew is not bound.
+func TestUpstreamThatWantsNothingIsLeftAlone(t *testing.T) {
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	names := []string{"a", "b"}
+	g := lo.Must(New(ForServices))
+	g.SetUpstreams(start, names)
+	for range 3 {
+		if !g.Begin(start, "a") {
+			t.Fatal("no place")
+		}
+	}
+	for _, wait := range []time.Duration{3 * time.Second, 5 * time.Second, time.Second} {
+		g.End(start, "a", refuses(wait))
+	}
+	if got := g.Excluded(at(4*time.Second), names); !slices.Contains(got, "a") || slices.Contains(got, "b") {
+		t.Errorf("excluded: %v", got)
+	}
+	if g.Begin(at(4*time.Second), "a") {
+		t.Error("a send began that was decided before")
+	}
+	if got := g.Excluded(at(4*time.Second), []string{"a"}); len(got) != 1 {
+		t.Errorf("the only one: %v", got)
+	}
+	if got := g.Opens(at(4*time.Second), names); got != time.Second {
+		t.Errorf("opens after %v", got)
+	}
+	if got := g.Excluded(at(5*time.Second), names); len(got) != 0 || g.Opens(at(5*time.Second), names) != 0 {
+		t.Errorf("when the time is over: %v", got)
+	}
+	g.Begin(at(6*time.Second), "b")
+	g.End(at(6*time.Second), "b", refuses(time.Hour))
+	if got := g.Opens(at(6*time.Second), names); got != longestHoldOff {
+		t.Errorf("for an hour: opens after %v", got)
+	}
+	g.Restarted(at(7*time.Second), "b", 2)
+	if got := g.Excluded(at(7*time.Second), names); len(got) != 0 {
+		t.Errorf("started anew: %v", got)
+	}
+}
+
+// Upstreams come and go. What they said goes with them.
+func TestHoldOffsOfUpstreamsThatLeftAreForgotten(t *testing.T) {
+	g := lo.Must(New(ForServices))
+	g.SetUpstreams(start, []string{"a"})
+	g.Begin(start, "a")
+	g.End(start, "a", refuses(time.Minute))
+	if g.SetUpstreams(start, []string{"b"}); len(g.heldOff) != 0 {
+		t.Errorf("%v", g.heldOff)
+	}
+}
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -104,7 +104,7 @@
 		if a.Return > cfg.Backoff.Max {
 			return giveUp(cfg, a, "the only upstream is busy for longer than a request is held")
 		}
-		wait := max(a.Return, cfg.Backoff.Wait(cfg.Seed, a.ID, a.Tries))
+		wait := max(limit.Spread(cfg.Seed, a.ID, a.Return), cfg.Backoff.Wait(cfg.Seed, a.ID, a.Tries))
 		return Verdict{Action: RetrySame, Wait: wait, Reason: "the only upstream is busy"}
 	}
 	wait := cfg.Backoff.Wait(cfg.Seed, a.ID, a.Tries)
--- a/request/retry/flow.go
+++ b/request/retry/flow.go
@@ -36,6 +36,16 @@
 	return e.WithRan(ran).WithRetryAfter(limit.Spread(0, id, comeBack)).WithCause(cause)
 }
 
+// NoneLeft is the final answer of a request for which there is no upstream. If some want
+// nothing for a while, it is to come back after the first of them takes requests again,
+// spread over as long: all callers at once would have them turned away again.
+func NoneLeft(id string, sent bool, opens time.Duration, cause error) *failure.Error {
+	if opens == 0 {
+		return Refusal(id, sent, failure.ErrNoUpstream, cause)
+	}
+	return Refusal(id, sent, failure.ErrOverloaded, cause).WithRetryAfter(limit.Spread(0, id, opens))
+}
+
 // Gone is the failure of a request whose ctx has ended: its time ran out, or
 // its caller went away.
 func Gone(ctx context.Context) *failure.Error {
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -272,3 +273,23 @@
 		t.Errorf("%d continuations of a reserve of %v", went, cfg.Reserve)
 	}
 }
+
+// The only upstream wants nothing for a moment, and requests of a hundred callers wait for
+// its end. Sent all at once they would be turned away once more.
+func TestRequestsAreSentAgainSpreadAfterAHoldOff(t *testing.T) {
+	const wait = 100 * time.Millisecond
+	now := time.Unix(1000, 0)
+	early := 0
+	for i := range 100 {
+		v := Decide(now, Default, Attempt{ID: strconv.Itoa(i), Fault: Busy, Tries: 1, Repeatable: true, Return: wait})
+		if v.Action != RetrySame || v.Wait < wait {
+			t.Fatalf("%v after %v", v.Action, v.Wait)
+		}
+		if v.Wait < wait+wait/4 {
+			early++
+		}
+	}
+	if early > 50 {
+		t.Errorf("%d of 100 in the first quarter of the time after it", early)
+	}
+}
