--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -1,6 +1,12 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+)
 
 // Fault is what is wrong with an engine. POST /fault and Engine.Fault
 // replace the whole of it; the zero value is a sound engine. Counts of
@@ -23,6 +29,7 @@
 	LoadLagMillis  int     // load reports are so old
 	FailLoads      bool    // loading weights fails half-way
 	Crash          bool    // once: come back empty, as a new incarnation, at the same address
+	CrashOn        string  // each time a prompt that contains it begins to run: as Crash
 	DownMillis     int     // how long a crash lasts
 	RefuseMillis   int     // once: refuse connections for so long, without a crash
 }
@@ -70,6 +77,23 @@
 	e.begin()
 }
 
+// crashOn ends the process if a prompt that is about to run is one that no process
+// survives; the lock is held.
+func (e *Engine) crashOn(g upstream.Generation) bool {
+	text := e.fault.CrashOn
+	if text == "" || !slices.ContainsFunc(g.Prompt, func(p upstream.Part) bool { return strings.Contains(p.Content, text) }) {
+		return false
+	}
+	down := time.Duration(e.fault.DownMillis) * time.Millisecond
+	go func() {
+		e.listener.Down(down) // before anybody is told of the crash
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.crash()
+	}()
+	return true
+}
+
 // answerFault gives the faults that hit the next answer.
 func (e *Engine) answerFault() Fault {
 	e.mu.Lock()
--- a/standin/engine/schedule.go
+++ b/standin/engine/schedule.go
@@ -80,6 +80,9 @@
 		}
 		e.running++
 		e.counters.Runs++
+		if e.crashOn(s.g) {
+			return
+		}
 		ctx, computing := e.ctx, e.computing
 		run, cancel := context.WithCancel(ctx)
 		s.cancel = cancel
