Restore all records of the quarantine, not the first 512

After a loss of all nodes a request held before could end three upstreams more: what a node reads from the platform was bounded like what a peer tells it. Found by reading; TestAllRecordsAreRestored, 512 of 598 before.

--- a/request/quarantine/record.go
+++ b/request/quarantine/record.go
@@ -95,7 +95,11 @@
 			told = append(told, n)
 		}
 	}
-	b.Hear(now, told)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range told {
+		b.hear(now, n)
+	}
 	return len(told), errors.Join(faults...)
 }
 
--- a/request/quarantine/record_test.go
+++ b/request/quarantine/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 )
@@ -77,3 +78,26 @@
 		t.Error(err)
 	}
 }
+
+// As many requests are held as there can be records. All of them are known again.
+func TestAllRecordsAreRestored(t *testing.T) {
+	a, b := newBook("n1"), newBook("n2")
+	now := start
+	for i := range 900 {
+		now = end(a, start, content(fmt.Sprint(i)), "a", "b", "c")
+	}
+	newest := newestOf(a.Unsaved())
+	held, err := b.Restore(now, newest)
+	if err != nil || held != len(newest) || held <= mostKnown {
+		t.Fatalf("%d of %d, %v", held, len(newest), err)
+	}
+	known := 0
+	for i := range 900 {
+		if errors.Is(b.Admit(now, content(fmt.Sprint(i))), ErrHeld) {
+			known++
+		}
+	}
+	if known != held {
+		t.Errorf("%d are held of %d records", known, held)
+	}
+}
