--- a/request/call/router.go
+++ b/request/call/router.go
@@ -243,7 +243,7 @@
 		s.rt.Guard.Request(s.r.Workspace, u.Name)
 	}
 	event.Info(s.rt.Log, event.RequestPlaced, zap.String("Request", s.r.ID),
-		zap.Stringer("Content", s.r.Content), zap.String("Workspace", s.r.Workspace), zap.String("Service", s.r.Service),
+		zap.Stringer("Content", s.content), zap.String("Workspace", s.r.Workspace), zap.String("Service", s.r.Service),
 		zap.String("Upstream", u.Name), zap.Int("Attempt", s.attempts))
 	reply, err := s.do(ctx, now, u)
 	took := time.Since(now)
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -69,7 +69,7 @@
 
 func (s *start) logPlacement(d placement.Decision) {
 	event.Info(s.rt.Log, event.RequestPlaced, zap.String("Request", s.r.ID),
-		zap.Stringer("Content", s.r.Content), zap.String("Workspace", s.r.Workspace), zap.String("Model", s.r.Model),
+		zap.Stringer("Content", s.content), zap.String("Workspace", s.r.Workspace), zap.String("Model", s.r.Model),
 		zap.String("Upstream", d.Upstream), zap.Stringer("Reason", d.Reason),
 		zap.Int("CachedTokens", d.Cached), zap.Int("PromptTokens", s.chain.Tokens()),
 		zap.Duration("Wait", d.Wait), zap.Duration("Idle", d.Idle), zap.Float64("ReadRate", d.ReadRate), zap.Bool("Floored", s.floored), zap.Int("Attempt", s.attempts), zap.String("Source", cmp.Or(d.Source, d.Try)),
