--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -55,6 +55,11 @@
 
 // Decide is the decision without the budget, as a pure function.
 func Decide(now time.Time, cfg Config, a Attempt) Verdict {
+	if a.Doubted {
+		v := giveUp(cfg, a, "upstreams end under it")
+		v.Err = v.Err.WithRetryAfter(0) // coming back would end more of them
+		return v
+	}
 	if a.Tries >= cfg.MaxTries {
 		return giveUp(cfg, a, "all tries are used")
 	}
@@ -64,11 +69,6 @@
 	if a.MaxRuns > 0 && a.Runs >= a.MaxRuns {
 		return giveUp(cfg, a, "as many upstreams as may have run it")
 	}
-	if a.Doubted {
-		v := giveUp(cfg, a, "upstreams end under it")
-		v.Err = v.Err.WithRetryAfter(0) // coming back would end more of them
-		return v
-	}
 	v := choose(cfg, a)
 	if v.Action != GiveUp && a.pastDeadline(now, v.Wait) {
 		return pastDeadline(cfg, a)
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -293,3 +293,18 @@
 		t.Errorf("%d of 100 in the first quarter of the time after it", early)
 	}
 }
+
+// An engine has ended under a request, and others before it. Whatever else would allow a
+// further try, the request isn't sent on, and its caller isn't asked to come back.
+func TestDoubtedRequestIsNotSentOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, f := range []Fault{BrokenBefore, BrokenAfter} {
+		for _, runs := range []int{0, 1} {
+			a := Attempt{ID: "r", Fault: f, Tries: 1, Runs: 1, MaxRuns: runs, Repeatable: true, Others: 3, CanResume: true, Doubted: true}
+			v := Decide(now, Default, a)
+			if v.Action != GiveUp || v.Err.RetryAfter != 0 || v.Err.Ran != failure.Unknown {
+				t.Errorf("%v, at most %d runs: %v, %v", f, runs, v.Action, v.Err)
+			}
+		}
+	}
+}
