--- a/request/quarantine/book.go
+++ b/request/quarantine/book.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -120,6 +121,7 @@
 	entries  map[Content]*entry
 	survived recently
 	turn     int // of the held ones that are told again
+	swept    time.Time
 	unsaved  map[Content]struct{}
 	saves    chan struct{}
 }
@@ -288,19 +290,23 @@
 	return e
 }
 
+// sweepPause is the time between two sweeps. What has lapsed would be looked through with
+// each telling.
+const sweepPause = 10 * time.Second
+
+// sweep forgets what has lapsed.
+func (b *Book) sweep(now time.Time) {
+	b.swept = now
+	maps.DeleteFunc(b.entries, func(_ Content, e *entry) bool { return e.lapsed(now) })
+}
+
 // makeRoom forgets what has lapsed; if nothing has, the one that matters least.
 func (b *Book) makeRoom(now time.Time) {
-	held := 0
-	for c, e := range b.entries {
-		if e.lapsed(now) {
-			delete(b.entries, c)
-		} else if e.held() {
-			held++
-		}
-	}
+	b.sweep(now)
 	if len(b.entries) < maxEntries {
 		return
 	}
+	held := lo.CountBy(lo.Values(b.entries), (*entry).held)
 	// The held ones go first only if they are too many themselves.
 	evictHeld := held > maxHeld
 	least, found := Content(0), false
--- a/request/quarantine/book_test.go
+++ b/request/quarantine/book_test.go
@@ -262,3 +262,20 @@
 		t.Error("no digest of the content")
 	}
 }
+
+// Hundreds of requests were on the spot once, and cleared. They are not looked through for
+// ever: aggregators choose what to tell hundreds of times a second.
+func TestWhatHasLapsedIsForgotten(t *testing.T) {
+	b := newBook("n1")
+	for i := range 500 {
+		c := content(fmt.Sprint(i))
+		b.Ended(start, c, "a")
+		b.Survived(at(time.Second), c)
+	}
+	held := content("held")
+	now := end(b, start, held, "a", "b", "c")
+	b.Untold(now.Add(clearedMemory + sweepPause))
+	if len(b.entries) != 1 || !errors.Is(b.Admit(now, held), ErrHeld) {
+		t.Errorf("%d entries", len(b.entries))
+	}
+}
--- a/request/quarantine/fleet_test.go
+++ b/request/quarantine/fleet_test.go
@@ -15,7 +15,7 @@
 	read   bool      // the records
 }
 
-// try is one send of the request on its way.
+// fleetTry is one send of the request on its way.
 type fleetTry struct {
 	node   *fleetNode
 	engine string
--- a/request/quarantine/news.go
+++ b/request/quarantine/news.go
@@ -85,6 +85,9 @@
 func (b *Book) choose(now time.Time, wanted func(*entry) bool) []News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if now.Sub(b.swept) >= sweepPause {
+		b.sweep(now)
+	}
 	chosen := b.news(now, mostNews, wanted)
 	return lo.UniqBy(append(chosen, b.heldInTurn(now)...), func(n News) Content { return n.Content })
 }
