--- /dev/null
+++ b/process/gateway/sharingfleet_test.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/policy"
+	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/placement"
+	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
+	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/catalogue"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+var errDown = errors.New("down")
+
+// sharingNode is one node of a fleet in virtual time.
+type sharingNode struct {
+	member.Member
+	sharer   *sharer
+	contents *cachenews.Contents
+	due      time.Time // of its next round
+	polls    time.Time // of its next question to the engines that it follows
+	followed []string
+	read     map[string]int // of each engine's events
+	down     bool
+	in, out  int // bytes of messages, where counted
+}
+
+// sharingEngine is an engine whose cache changes; the events of it are read late.
+type sharingEngine struct {
+	name, dataCentre string
+	parts            map[string]bool // shared ones
+	events           []sharingEvent
+	due              time.Time // of its next change
+}
+
+type sharingEvent struct {
+	at   time.Time
+	held upstream.HeldPart
+}
+
+// sharingFleet is nodes and engines without a network.
+type sharingFleet struct {
+	now     time.Time
+	rand    *rand.Rand
+	cfg     config.Config
+	nodes   []*sharingNode
+	byName  map[string]*sharingNode
+	engines []*sharingEngine
+	asked   map[string]time.Time // when a request first had a part
+	counted bool                 // messages are encoded, to count their bytes
+
+	mu sync.Mutex // guards the counts: an aggregator asks all data centres at once
+}
+
+const (
+	sharingStep = 25 * time.Millisecond
+	// eventLag is how late engines tell their events.
+	eventLag = 80 * time.Millisecond
+	// changesApart is the time between two changes of an engine's cache, of which one in
+	// six is of a shared part: nine requests a second, each with a question of its own.
+	changesApart = 55 * time.Millisecond
+	partsPerNode = 10 // shared parts, for each node of the fleet
+	partTokens   = 1000
+)
+
+func newSharingFleet(nodes, engines, dataCentres int) *sharingFleet {
+	return newSeededFleet(1, nodes, engines, dataCentres)
+}
+
+func newSeededFleet(seed uint64, nodes, engines, dataCentres int) *sharingFleet {
+	f := &sharingFleet{
+		now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 2)), cfg: config.New().WithOffset(1),
+		byName: map[string]*sharingNode{}, asked: map[string]time.Time{},
+	}
+	for i := range engines {
+		e := &sharingEngine{name: fmt.Sprintf("engine-%d", i), dataCentre: fmt.Sprintf("dc%d", i%dataCentres), parts: map[string]bool{}, due: f.now}
+		f.engines = append(f.engines, e)
+		f.cfg.Upstreams[e.name] = config.Upstream{Name: e.name, Kind: config.Engine, DataCentre: e.dataCentre}
+	}
+	for i := range nodes {
+		f.addNode(fmt.Sprintf("node-%d", i), fmt.Sprintf("dc%d", i%dataCentres))
+	}
+	f.follow()
+	return f
+}
+
+func (f *sharingFleet) addNode(name, dataCentre string) {
+	v := newView(accepted.NewBook(), roster.New())
+	v.cfg = f.cfg
+	n := &sharingNode{
+		Member: member.Member{Name: name, Address: name, DataCentre: dataCentre}, contents: &cachenews.Contents{},
+		due: f.now.Add(time.Duration(f.rand.Int64N(int64(sharePause)))), polls: f.now, read: map[string]int{},
+	}
+	policies := policy.New(catalogue.NewCurrent(v), nil, func() placement.Policy { return placement.New(placement.Config{}) })
+	n.sharer = newSharer(name, dataCentre, zap.NewNop(), policies, n.contents, v, quarantine.NewBook(name, zap.NewNop(), uncounted{}),
+		&hearing{roster: roster.New(), refresh: func(time.Time) {}, log: zap.NewNop()})
+	n.sharer.clock = func() time.Time { return f.now }
+	n.sharer.call = func(_ context.Context, address string, q Share, a *Shared) error { return f.call(n, address, q, a) }
+	f.nodes = append(f.nodes, n)
+	f.byName[name] = n
+}
+
+func (f *sharingFleet) parts() int { return partsPerNode * len(f.nodes) }
+
+func (f *sharingFleet) call(from *sharingNode, address string, q Share, a *Shared) error {
+	to := f.byName[address]
+	if to.down {
+		return errDown
+	}
+	*a = to.sharer.answer(f.now, q)
+	if f.counted {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		asked, answered := size(q), size(*a)
+		from.out, from.in = from.out+asked, from.in+answered
+		to.out, to.in = to.out+answered, to.in+asked
+	}
+	return nil
+}
+
+// size is that of a message, without the description of its type, which goes once over
+// each connection.
+func size(v any) int {
+	var b bytes.Buffer
+	e := gob.NewEncoder(&b)
+	if e.Encode(v) != nil {
+		return 0
+	}
+	first := b.Len()
+	if e.Encode(v) != nil {
+		return 0
+	}
+	return b.Len() - first
+}
+
+func (f *sharingFleet) live() []member.Member {
+	var all []member.Member
+	for _, n := range f.nodes {
+		if !n.down {
+			all = append(all, n.Member)
+		}
+	}
+	return all
+}
+
+// follow has the nodes choose their engines.
+func (f *sharingFleet) follow() {
+	live := f.live()
+	for _, n := range f.nodes {
+		n.followed = nil
+		for name := range followedNear(n.Name, live, f.cfg) {
+			n.followed = append(n.followed, name)
+		}
+		slices.Sort(n.followed)
+	}
+}
+
+// run plays so much time; seen is called after each step. The nodes do not learn from
+// their membership that one is down: they find that it does not answer.
+func (f *sharingFleet) run(d time.Duration, seen func()) {
+	members := lo.Map(f.nodes, func(n *sharingNode, _ int) member.Member { return n.Member })
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(sharingStep)
+		for _, e := range f.engines {
+			f.change(e)
+		}
+		for _, n := range f.nodes {
+			if n.down {
+				continue
+			}
+			if !f.now.Before(n.polls) {
+				n.polls = f.now.Add(relayedPause)
+				f.poll(n)
+			}
+			if !f.now.Before(n.due) {
+				n.due = f.now.Add(time.Duration(float64(sharePause) * (1 + shareSpread*(2*f.rand.Float64()-1))))
+				f.ask(n)
+				others := slices.DeleteFunc(slices.Clone(members), func(m member.Member) bool { return m.Name == n.Name })
+				n.sharer.round(context.Background(), f.now, others)
+			}
+		}
+		seen()
+	}
+}
+
+// change has an engine take in a question and drop another, and now and then a shared part.
+func (f *sharingFleet) change(e *sharingEngine) {
+	for !f.now.Before(e.due) {
+		e.due = e.due.Add(changesApart)
+		event := func(part string, tokens int) {
+			e.events = append(e.events, sharingEvent{at: f.now, held: upstream.HeldPart{Salt: "s", Part: part, Tokens: tokens}})
+		}
+		if f.rand.IntN(6) > 0 {
+			event(fmt.Sprint("question-", e.name, len(e.events)), 300)
+			continue
+		}
+		part := fmt.Sprint("part-", f.rand.IntN(f.parts()))
+		if e.parts[part] {
+			delete(e.parts, part)
+			event(part, 0)
+			continue
+		}
+		e.parts[part] = true
+		event(part, partTokens)
+		if len(e.parts) > 60 {
+			for old := range e.parts {
+				delete(e.parts, old)
+				event(old, 0)
+				break
+			}
+		}
+	}
+}
+
+// poll reads what the followed engines have told by now.
+func (f *sharingFleet) poll(n *sharingNode) {
+	for _, e := range f.engines {
+		if !slices.Contains(n.followed, e.name) {
+			continue
+		}
+		from, known := n.read[e.name]
+		var parts []upstream.HeldPart
+		for from < len(e.events) && !e.events[from].at.Add(eventLag).After(f.now) {
+			parts = append(parts, e.events[from].held)
+			from++
+		}
+		n.read[e.name] = from
+		if !known || !n.contents.Change(f.now, e.name, parts) {
+			n.contents.List(f.now, e.name, roster.Incarnation(e.name), parts)
+		}
+	}
+}
+
+// prompt is one with a shared part.
+func prompt(part string) ([]prefix.Part, prefix.Chain) {
+	return []prefix.Part{{ID: part, Tokens: partTokens}, {ID: "own", Tokens: 1}}, prefix.Chain{{ID: 1, Tokens: partTokens}, {ID: 2, Tokens: partTokens + 1}}
+}
+
+// ask has a node place some requests.
+func (f *sharingFleet) ask(n *sharingNode) {
+	part := fmt.Sprint("part-", f.rand.IntN(f.parts()))
+	if _, before := f.asked[part]; !before {
+		f.asked[part] = f.now
+	}
+	declared, chain := prompt(part)
+	n.contents.Recall(f.now, func(string) string { return "s" }, declared, chain)
+}
+
+func (f *sharingFleet) knows(n *sharingNode, e *sharingEngine, part string) bool {
+	declared, chain := prompt(part)
+	return n.contents.Kept(f.now, e.name, "s", declared, chain) > 0
+}
