--- a/request/quarantine/book_test.go
+++ b/request/quarantine/book_test.go
@@ -258,7 +258,7 @@
 	if ContentOf([]byte("ab"), []byte("c")) == ContentOf([]byte("a"), []byte("bc")) {
 		t.Error("the same digest")
 	}
-	if content("a") != content("a") || content("a") == content("b") {
+	if a, again := content("a"), content("a"); a != again || a == content("b") {
 		t.Error("no digest of the content")
 	}
 }
--- a/request/quarantine/news_test.go
+++ b/request/quarantine/news_test.go
@@ -64,13 +64,12 @@
 func TestHeldRequestsAreToldAgain(t *testing.T) {
 	a, back := newBook("n1"), newBook("n2")
 	var all []Content
-	now := start
 	for i := range 10 {
 		c := content(fmt.Sprint(i))
 		all = append(all, c)
 		end(a, start, c, "a", "b", "c")
 	}
-	now = at(9 * time.Second)
+	now := at(9 * time.Second)
 	for range tellTimes * 2 {
 		a.Untold(now)
 	}
