Write the quarantine's two long tests in steps

Each was one function of 70 lines. The same crowd and the same troubles, with the same bounds; what a caller's try may reach is counted by try now.

--- a/request/quarantine/fleet_test.go
+++ b/request/quarantine/fleet_test.go
@@ -7,11 +7,44 @@
 	"time"
 )
 
-// fleetNode is a node of a fleet in virtual time.
+// A fleet whose nodes meet troubles, before engines that end under one request.
+const (
+	fleetNodes   = 8
+	fleetStep    = 20 * time.Millisecond
+	fleetTelling = 200 * time.Millisecond
+	lostPart     = 0.1         // of the tellings
+	troubleEvery = time.Minute // a kill and a freeze of each node, in the mean
+	longFreeze   = 4 * time.Second
+	readAfter    = 500 * time.Millisecond // from a node's start to its look at the records
+	// Of the request at an engine: it waits, and the engine ends under it.
+	longWait  = 600 * time.Millisecond
+	untilEnds = 60 * time.Millisecond
+	// The platform's rule: from stableAfter after the third end on, nodes that nothing has
+	// happened to for as long may let the request through so many times.
+	stableAfter  = 3 * time.Second
+	mostRetries  = 3
+	endsToCount  = 3
+	runsOfOneTry = 2
+)
+
+// troubledFleet plays the request in virtual time.
+type troubledFleet struct {
+	t       *testing.T
+	rand    *rand.Rand
+	now     time.Time
+	nodes   []*fleetNode
+	started int // nodes so far
+	records []Record
+	tries   []fleetTry
+	engines int // that the request was sent to so far
+	ends    []time.Time
+	late    int // sends that the rule counts
+}
+
 type fleetNode struct {
 	book   *Book
 	calm   time.Time // since when nothing has happened to it
-	frozen time.Time // until when it stands still; zero: it runs
+	frozen time.Time // until when it stands still
 	read   bool      // the records
 }
 
@@ -19,7 +52,107 @@
 type fleetTry struct {
 	node   *fleetNode
 	engine string
-	ends   time.Time // when it ends its engine
+	ends   time.Time
+	runs   int // engines that this try of the caller has reached, this one included
+}
+
+func newTroubledFleet(t *testing.T, seed uint64) *troubledFleet {
+	f := &troubledFleet{t: t, rand: rand.New(rand.NewPCG(seed, 3)), now: start}
+	for range fleetNodes {
+		f.nodes = append(f.nodes, f.boot(start.Add(-time.Minute)))
+	}
+	return f
+}
+
+func (f *troubledFleet) boot(now time.Time) *fleetNode {
+	f.started++
+	return &fleetNode{book: newBook(fmt.Sprintf("n%d", f.started)), calm: now}
+}
+
+func (f *troubledFleet) below(d time.Duration) time.Duration {
+	return time.Duration(f.rand.Int64N(int64(d)))
+}
+
+var fatal = content("no engine survives it")
+
+// ask has the caller try at any node.
+func (f *troubledFleet) ask() {
+	if n := f.nodes[f.rand.IntN(fleetNodes)]; !f.now.Before(n.frozen) {
+		f.send(n, 1)
+	}
+}
+
+func (f *troubledFleet) send(n *fleetNode, runs int) {
+	if n.book.Admit(f.now, fatal) != nil {
+		return
+	}
+	counts := len(f.ends) >= endsToCount && f.now.Sub(f.ends[endsToCount-1]) > stableAfter
+	if counts && f.now.Sub(n.calm) >= stableAfter {
+		f.late++
+	}
+	f.engines++
+	f.tries = append(f.tries, fleetTry{node: n, engine: fmt.Sprint(f.engines), ends: f.now.Add(untilEnds + f.below(longWait)), runs: runs})
+}
+
+// end has engines end that are due, and their nodes send the request on if they may.
+func (f *troubledFleet) end() {
+	tries := f.tries
+	f.tries = nil
+	for _, x := range tries {
+		if f.now.Before(x.ends) {
+			f.tries = append(f.tries, x)
+			continue
+		}
+		f.ends = append(f.ends, f.now)
+		x.node.book.Ended(f.now, fatal, x.engine)
+		if x.runs < runsOfOneTry && !x.node.book.Doubted(f.now, fatal) {
+			f.send(x.node, x.runs+1)
+		}
+	}
+}
+
+// trouble kills some nodes, which come back empty, and freezes others.
+func (f *troubledFleet) trouble() {
+	chance := fleetStep.Seconds() / troubleEvery.Seconds()
+	for i, n := range f.nodes {
+		switch {
+		case f.rand.Float64() < chance:
+			f.nodes[i] = f.boot(f.now)
+		case f.rand.Float64() < chance:
+			n.frozen = f.now.Add(f.below(longFreeze))
+			n.calm = n.frozen
+		}
+	}
+}
+
+// powerOff loses all nodes, and what they had on its way.
+func (f *troubledFleet) powerOff() {
+	for i := range f.nodes {
+		f.nodes[i] = f.boot(f.now)
+	}
+	f.tries = nil
+}
+
+// tell has each node write its records, read them once, and tell the others.
+func (f *troubledFleet) tell() {
+	for _, n := range f.nodes {
+		if f.now.Before(n.frozen) {
+			continue
+		}
+		f.records = append(f.records, n.book.Unsaved()...)
+		if !n.read && f.now.Sub(n.calm) > readAfter {
+			n.read = true
+			if _, err := n.book.Restore(f.now, newestOf(f.records)); err != nil {
+				f.t.Fatal(err)
+			}
+		}
+		news := n.book.Untold(f.now)
+		for _, o := range f.nodes {
+			if o != n && !f.now.Before(o.frozen) && f.rand.Float64() >= lostPart {
+				o.book.Hear(f.now, news)
+			}
+		}
+	}
 }
 
 // A caller sends a request that ends its engines every 0.3 to 3 s to any node, each of which
@@ -28,109 +161,32 @@
 // three seconds after the third end on, nodes to which nothing has happened for as long
 // may let it through three times in all.
 func TestFleetHoldsARequestThroughTroubles(t *testing.T) {
-	const (
-		seeds    = 200
-		nodes    = 8
-		step     = 20 * time.Millisecond
-		length   = 90 * time.Second
-		telling  = 200 * time.Millisecond
-		lost     = 0.1 // part of the tellings
-		stable   = 3 * time.Second
-		allowed  = 3
-		runs     = 2                      // engines that may run one try
-		longWait = 600 * time.Millisecond // in an engine's queue
-	)
+	const seeds, length = 200, 90 * time.Second
 	worst := 0
 	for seed := range uint64(seeds) {
-		r := rand.New(rand.NewPCG(seed, 3))
-		var records []Record
-		started := 0
-		boot := func(now time.Time) *fleetNode {
-			started++
-			return &fleetNode{book: newBook(fmt.Sprintf("n%d", started)), calm: now}
-		}
-		var fleet []*fleetNode
-		for range nodes {
-			fleet = append(fleet, boot(start.Add(-time.Minute)))
-		}
-		c := content("x")
-		var under []fleetTry
-		var ends []time.Time
-		late, engine := 0, 0
-		pace := 300*time.Millisecond + time.Duration(r.IntN(2700))*time.Millisecond
-		due := start
-		send := func(now time.Time, n *fleetNode) {
-			if n.book.Admit(now, c) != nil {
-				return
-			}
-			if len(ends) >= 3 && now.Sub(ends[2]) > stable && now.Sub(n.calm) >= stable {
-				late++
-			}
-			engine++
-			under = append(under, fleetTry{node: n, engine: fmt.Sprint(engine), ends: now.Add(60*time.Millisecond + time.Duration(r.Float64()*float64(longWait)))})
-		}
-		powerOff := at(30 * time.Second).Add(time.Duration(r.IntN(20_000)) * time.Millisecond)
-		for now := start; now.Before(at(length)); now = now.Add(step) {
-			if !now.Before(due) {
+		f := newTroubledFleet(t, seed)
+		pace := 300*time.Millisecond + f.below(2700*time.Millisecond)
+		off := at(30 * time.Second).Add(f.below(20 * time.Second)).Truncate(fleetStep)
+		for due := start; f.now.Before(at(length)); f.now = f.now.Add(fleetStep) {
+			if !f.now.Before(due) {
 				due = due.Add(pace)
-				if n := fleet[r.IntN(nodes)]; !now.Before(n.frozen) {
-					send(now, n)
-				}
-			}
-			rest := under
-			under = nil
-			for _, x := range rest {
-				if now.Before(x.ends) {
-					under = append(under, x)
-					continue
-				}
-				ends = append(ends, now)
-				x.node.book.Ended(now, c, x.engine)
-				if x.node.book.Doubted(now, c) || len(ends)%runs == 0 {
-					continue
-				}
-				send(now, x.node)
+				f.ask()
 			}
-			for i, n := range fleet {
-				switch {
-				case r.Float64() < step.Seconds()/60: // a kill a minute each
-					fleet[i] = boot(now)
-				case r.Float64() < step.Seconds()/60:
-					n.frozen = now.Add(time.Duration(r.IntN(4000)) * time.Millisecond)
-					n.calm = n.frozen
-				}
+			f.end()
+			f.trouble()
+			if f.now.Equal(off) {
+				f.powerOff()
 			}
-			if d := now.Sub(powerOff); d >= 0 && d < step {
-				for i := range fleet {
-					fleet[i] = boot(now)
-				}
-				under = nil
-			}
-			if now.Sub(start)%telling != 0 {
-				continue
-			}
-			for _, n := range fleet {
-				if now.Before(n.frozen) {
-					continue
-				}
-				records = append(records, n.book.Unsaved()...)
-				if !n.read && now.Sub(n.calm) > 500*time.Millisecond {
-					n.read = true
-					if _, err := n.book.Restore(now, newestOf(records)); err != nil {
-						t.Fatal(err)
-					}
-				}
-				news := n.book.Untold(now)
-				for _, o := range fleet {
-					if o != n && !now.Before(o.frozen) && r.Float64() >= lost {
-						o.book.Hear(now, news)
-					}
-				}
+			if f.now.Sub(start)%fleetTelling == 0 {
+				f.tell()
 			}
 		}
-		worst = max(worst, late)
-		if late > allowed {
-			t.Errorf("seed %d: let through %d times more, of %d allowed; %d ends", seed, late, allowed, len(ends))
+		if f.started < 2*fleetNodes || len(f.ends) < endsToCount {
+			t.Fatalf("seed %d: %d nodes started, %d engines ended", seed, f.started, len(f.ends))
+		}
+		worst = max(worst, f.late)
+		if f.late > mostRetries {
+			t.Errorf("seed %d: let through %d times, of %d allowed; %d ends", seed, f.late, mostRetries, len(f.ends))
 		}
 	}
 	t.Logf("%d at the worst of %d seeds", worst, seeds)
