Write no record for a request that was never held

Each crash of an engine had the nodes append a dropped record to the platform for every request that had been on the spot and was served elsewhere; each call has a price, and 400 a second are the bound of all. Cause: a cleared request's record was dropped whether or not it had one. Found by reading; TestClearedSuspectsAreNotRecorded, 30 records before, none now.

--- a/request/quarantine/book.go
+++ b/request/quarantine/book.go
@@ -179,8 +179,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.survived.add(now, c)
-	if e := b.entries[c]; e != nil && b.clear(now, now, c, e) {
-		b.noteOwn(now, e)
+	if e := b.entries[c]; e != nil {
+		b.clearOwn(now, now, c, e)
+	}
+}
+
+// clearOwn clears a request by what this node has seen itself: the others don't know, and
+// a record that it is held has to go.
+func (b *Book) clearOwn(now, at time.Time, c Content, e *entry) {
+	wasHeld := e.held()
+	if !b.clear(now, at, c, e) {
+		return
+	}
+	b.noteOwn(now, e)
+	if wasHeld && !e.held() {
 		b.save(c)
 	}
 }
--- a/request/quarantine/news.go
+++ b/request/quarantine/news.go
@@ -160,9 +160,8 @@
 	for _, o := range n.Ends {
 		news = e.add(End{Upstream: o.Upstream, Node: o.Node, At: now.Add(-o.Age)}) || news
 	}
-	if at, ok := b.survived.at(n.Content); ok && b.clear(now, at.Add(survivalCounts), n.Content, e) {
-		b.noteOwn(now, e) // the others don't know
-		b.save(n.Content)
+	if at, ok := b.survived.at(n.Content); ok {
+		b.clearOwn(now, at.Add(survivalCounts), n.Content, e)
 	}
 	if news {
 		e.changed = now
--- a/request/quarantine/record_test.go
+++ b/request/quarantine/record_test.go
@@ -101,3 +101,17 @@
 		t.Errorf("%d are held of %d records", known, held)
 	}
 }
+
+// An engine crashes, and tens of requests that ran there are served elsewhere. None of them
+// was held, so that nothing is written to the platform, where each call has a price.
+func TestClearedSuspectsAreNotRecorded(t *testing.T) {
+	b := newBook("n1")
+	for i := range 30 {
+		c := content(fmt.Sprint(i))
+		b.Ended(start, c, "a")
+		b.Survived(at(time.Second), c)
+	}
+	if records := b.Unsaved(); len(records) != 0 {
+		t.Errorf("%d records", len(records))
+	}
+}
