Judge in one place what a send's end says of its request

Cause: streams and calls each had their own sorting of errors into ends, whole answers and neither, and their own refusal without a time to come back. They had drifted: a continuation that an engine failed by a whole answer was not counted for the request, a first send was.

Ruled out: leaving the condition to retry.Decide, which would need the upstream's errors a second time. The one difference is the continuation, as docs/design/quarantine.md has it.

--- a/request/call/router.go
+++ b/request/call/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -178,7 +177,7 @@
 			return upstream.Reply{}, s.refusal(failure.ErrDeadlineExceeded, nil)
 		}
 		if err := s.rt.Quarantine.Admit(now, s.content); err != nil {
-			return upstream.Reply{}, s.refusal(failure.ErrQuarantined, err).WithRetryAfter(0)
+			return upstream.Reply{}, retry.KeptBack(s.r.ID, s.sent, err)
 		}
 		u, ok := s.choose(now)
 		if !ok {
@@ -248,7 +247,7 @@
 	reply, err := s.do(ctx, now, u)
 	took := time.Since(now)
 	s.rt.Guard.End(time.Now(), u.Name, guard.Send{Err: err, FirstToken: took})
-	s.noteQuarantine(time.Now(), u.Name, err)
+	s.rt.Quarantine.Sent(time.Now(), s.content, u.Name, err)
 	if err != nil {
 		if !retry.SurelyNotRun(err) {
 			s.sent = true
@@ -259,18 +258,6 @@
 	return reply, nil
 }
 
-// noteQuarantine notes whether the instance lived through the call, were it that it
-// answered with a failure. Other ends of a send tell nothing of that.
-func (s *sending) noteQuarantine(now time.Time, name string, err error) {
-	var whole *upstream.FailedReply
-	switch {
-	case err == nil || errors.As(err, &whole):
-		s.rt.Quarantine.Survived(now, s.content)
-	case errors.Is(err, upstream.ErrEnded):
-		s.rt.Quarantine.Ended(now, s.content, name)
-	}
-}
-
 func (s *sending) do(ctx context.Context, now time.Time, u config.Upstream) (upstream.Reply, error) {
 	if s.claim != nil && !s.claim.MayBegin(now) {
 		return upstream.Reply{}, fmt.Errorf("claim is over: %w", upstream.ErrRefused)
@@ -306,7 +293,7 @@
 		SentBefore: s.sent,
 		Others:     s.others(name),
 		Return:     upstream.HeldOff(cause),
-		Doubted:    errors.Is(cause, upstream.ErrEnded) && s.rt.Quarantine.Doubted(time.Now(), s.content),
+		Doubted:    s.rt.Quarantine.Doubts(time.Now(), s.content, cause),
 		Deadline:   s.r.Deadline,
 		Cause:      cause,
 	})
@@ -337,6 +324,6 @@
 	})
 }
 
-func (s *sending) refusal(e *failure.Error, cause error) *failure.Error {
+func (s *sending) refusal(e *failure.Error, cause error) error {
 	return retry.Refusal(s.r.ID, s.sent, e, cause)
 }
--- a/request/completion/again.go
+++ b/request/completion/again.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -51,7 +50,7 @@
 		SentBefore: s.sent,
 		CanResume:  canResume,
 		Others:     s.others(name),
-		Doubted:    s.doubted(cause),
+		Doubted:    s.rt.Quarantine.Doubts(time.Now(), s.content, cause),
 		Return:     upstream.HeldOff(cause),
 		Deadline:   s.r.Deadline,
 		Cause:      cause,
@@ -65,26 +64,6 @@
 	return v
 }
 
-// doubted says that the request may be what ended the upstream that just ran it.
-func (s *start) doubted(cause error) bool {
-	return errors.Is(cause, upstream.ErrEnded) && s.rt.Quarantine.Doubted(time.Now(), s.content)
-}
-
-// noteEnd notes it if a send failed by the end of the upstream's process.
-func (s *start) noteEnd(now time.Time, name string, cause error) {
-	if errors.Is(cause, upstream.ErrEnded) {
-		s.rt.Quarantine.Ended(now, s.content, name)
-	}
-}
-
-// noteSurvival notes it if the upstream gave a whole answer, were it that it failed.
-func (s *start) noteSurvival(now time.Time, cause error) {
-	var whole *upstream.FailedReply
-	if cause == nil || errors.As(cause, &whole) {
-		s.rt.Quarantine.Survived(now, s.content)
-	}
-}
-
 // others counts the upstreams that were not tried yet, but for name.
 func (s *start) others(name string) int {
 	return lo.CountBy(s.target.list.Names, func(n string) bool {
@@ -92,6 +71,6 @@
 	})
 }
 
-func (s *start) refusal(e *failure.Error, cause error) *failure.Error {
+func (s *start) refusal(e *failure.Error, cause error) error {
 	return retry.Refusal(s.r.ID, s.sent, e, cause)
 }
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -135,7 +135,7 @@
 // holds it if only the connection broke, then on another one that goes on
 // after the text given out.
 func (a *Answer) mend(cause error) error {
-	a.s.noteEnd(time.Now(), a.up.Name, cause)
+	a.s.rt.Quarantine.Sent(time.Now(), a.s.content, a.up.Name, cause)
 	if err := a.s.ctx.Err(); err != nil {
 		return retry.Gone(a.s.ctx).WithRan(failure.Unknown).WithCause(err)
 	}
@@ -254,7 +254,7 @@
 	}
 	now := time.Now()
 	if a.finished {
-		a.s.noteSurvival(now, nil)
+		a.s.rt.Quarantine.Sent(now, a.s.content, a.up.Name, nil)
 	}
 	a.visit.end(now, a.failed)
 	if a.s.claim != nil {
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -48,14 +48,14 @@
 		err = silent.blame(err)
 		cancel()
 		v.end(time.Now(), err)
-		s.noteEnd(time.Now(), u.Name, err)
+		s.rt.Quarantine.Sent(time.Now(), s.content, u.Name, err)
 		return nil, err
 	}
 	a := newAnswer(s, v, u, g, stream, cancel)
 	if err := silent.blame(a.first()); err != nil {
 		a.abandon()
 		v.end(time.Now(), err)
-		s.noteEnd(time.Now(), u.Name, err)
+		s.rt.Quarantine.Sent(time.Now(), s.content, u.Name, err)
 		return nil, err
 	}
 	v.answered(time.Now(), stream.Head(), time.Since(v.began))
--- a/request/completion/quarantine_test.go
+++ b/request/completion/quarantine_test.go
@@ -104,3 +104,18 @@
 		t.Errorf("%+v", known)
 	}
 }
+
+// An engine ends in the middle of an answer, and the one that goes on with it fails by a
+// whole answer of its own. It lived through the request as if it had been asked first.
+func TestFailureOfAContinuationSpeaksForARequest(t *testing.T) {
+	failed := &engine{name: "fails", script: script{generate: &upstream.FailedReply{Reply: upstream.Reply{Status: 500}}}}
+	rt := newSite(append(enginesThat(script{cutAfter: 1, ends: true}, 1), failed)...).router()
+	b := quarantine.NewBook("n1", zap.NewNop(), uncounted{})
+	rt.Quarantine = b
+	if err := try(rt, request); !errors.Is(err, failure.ErrStreamCut) {
+		t.Fatal(err)
+	}
+	if known := b.Known(time.Now()); len(known) != 1 || len(known[0].Ends) != 0 || !known[0].Survived {
+		t.Errorf("%+v", known)
+	}
+}
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -60,8 +60,7 @@
 	if err != nil {
 		ended := time.Now()
 		v.end(ended, err)
-		s.noteEnd(ended, u.Name, err)
-		s.noteSurvival(ended, err)
+		s.rt.Quarantine.Sent(ended, s.content, u.Name, err)
 		return nil, u.Name, fmt.Errorf("upstream %s: %w", u.Name, err)
 	}
 	return a, u.Name, nil
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -101,7 +101,7 @@
 			return nil, s.refusal(failure.ErrDeadlineExceeded, nil)
 		}
 		if err := s.rt.Quarantine.Admit(now, s.content); err != nil {
-			return nil, s.refusal(failure.ErrQuarantined, err).WithRetryAfter(0)
+			return nil, retry.KeptBack(s.r.ID, s.sent, err)
 		}
 		a, name, err := s.attempt(ctx, now)
 		if err == nil {
--- a/request/quarantine/book.go
+++ b/request/quarantine/book.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/event"
 )
 
@@ -151,6 +152,25 @@
 	return e != nil && !e.lapsed(now) && (e.held() || len(e.ends) >= endsToDoubt)
 }
 
+// Doubts is Doubted for a request whose send has just failed for a cause. Only the end of
+// the upstream's process speaks against the request.
+func (b *Book) Doubts(now time.Time, c Content, cause error) bool {
+	return errors.Is(cause, upstream.ErrEnded) && b.Doubted(now, c)
+}
+
+// Sent notes how a send to an upstream ended, nil being a whole answer. A whole answer by
+// which the upstream says that it failed shows as well that it lives. Other errors, as of a
+// lost connection or a caller who went away, tell nothing.
+func (b *Book) Sent(now time.Time, c Content, name string, err error) {
+	var failed *upstream.FailedReply
+	switch {
+	case err == nil, errors.As(err, &failed):
+		b.Survived(now, c)
+	case errors.Is(err, upstream.ErrEnded):
+		b.Ended(now, c, name)
+	}
+}
+
 // Ended notes that an upstream's process has ended while it had the request.
 func (b *Book) Ended(now time.Time, c Content, upstream string) {
 	if b == nil || c == 0 {
--- a/request/retry/flow.go
+++ b/request/retry/flow.go
@@ -36,6 +36,12 @@
 	return e.WithRan(ran).WithRetryAfter(limit.Spread(0, id, comeBack)).WithCause(cause)
 }
 
+// KeptBack is the final answer of a request under which upstreams end. It does not say
+// when to come back: that would end more of them.
+func KeptBack(id string, sent bool, cause error) *failure.Error {
+	return Refusal(id, sent, failure.ErrQuarantined, cause).WithRetryAfter(0)
+}
+
 // NoneLeft is the final answer of a request for which there is no upstream. If some want
 // nothing for a while, it is to come back after the first of them takes requests again,
 // spread over as long: all callers at once would have them turned away again.
