Tell the two kinds of ending upstreams by one piece of news

Cause: what nodes tell of requests that end upstreams and of upstreams that leave went side by side, as two fields of three messages and two calls at each of seven places that tell, answer or take in; the exchange, the aggregator and the peers each held both sources.

Change: Endings is the news, endings where it comes from and goes to. Ruled out: one source for both in request/quarantine, which knows no register.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -15,7 +15,6 @@
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
-	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 )
 
@@ -45,10 +44,7 @@
 	Node      string
 	Placement []byte // see policy.EncodeSummary
 	Caches    []byte // see cachenews.Book
-	// Quarantine is of requests under which upstreams have ended.
-	Quarantine []quarantine.News
-	// Leaving are the upstreams whose answers have said so lately.
-	Leaving []string
+	Endings   Endings
 }
 
 // exchanger tells the peers of this node's traffic.
@@ -57,8 +53,7 @@
 	peers    *peers
 	policies *policy.Table
 	news     *cachenews.Book
-	held     *quarantine.Book
-	hearing  *hearing
+	endings  endings
 	sharer   *sharer
 	metrics  *metric.Metrics
 	log      *zap.Logger
@@ -71,11 +66,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &exchanger{
 		node: g.settings.Node, peers: do.MustInvoke[*peers](i), policies: do.MustInvoke[*policy.Table](i),
-		news: do.MustInvoke[*cachenews.Book](i), held: do.MustInvoke[*quarantine.Book](i),
-		hearing: do.MustInvoke[*hearing](i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
+		news: do.MustInvoke[*cachenews.Book](i), endings: newEndings(i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
 		log: g.log, rates: map[catalogue.Group]float64{},
 	}
-	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.held, e.hearing)
+	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.endings)
 	e.sharer.call = func(ctx context.Context, address string, q Share, a *Shared) error {
 		return e.peers.callWithin(ctx, shareTimeout, address, "Share", q, a)
 	}
@@ -105,7 +99,7 @@
 		e.sharer.round(ctx, now, others)
 		return time.Duration(float64(sharePause) * (1 + shareSpread*(2*rand.Float64()-1)))
 	}
-	v := Values{Node: e.node, Placement: e.policies.Value(now, e.node, turn), Caches: e.news.Untold(now, newsBytes), Quarantine: e.held.Untold(now), Leaving: e.hearing.lately(clock.Boot())}
+	v := Values{Node: e.node, Placement: e.policies.Value(now, e.node, turn), Caches: e.news.Untold(now, newsBytes), Endings: e.endings.untold(now)}
 	e.peers.toAll("Exchange", v)
 	return exchangeAfter(len(others))
 }
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -65,8 +65,7 @@
 	now := time.Now()
 	h.peers.policies.Merge(now, now, v.Node, v.Placement)
 	h.peers.policies.Heard(now, v.Caches)
-	h.peers.held.Hear(now, v.Quarantine)
-	h.peers.hearing.told(clock.Boot(), v.Leaving)
+	h.peers.endings.take(now, v.Endings)
 	return nil
 }
 
@@ -88,7 +87,7 @@
 // Known gives what this node knows.
 func (h *enginesHandler) Known(_ Heard, k *Known) error {
 	k.Namings = h.peers.book.Namings(clock.Boot())
-	k.Quarantine = h.peers.held.Known(time.Now())
+	k.Quarantine = h.peers.endings.held.Known(time.Now())
 	return nil
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -21,7 +21,6 @@
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
-	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
@@ -54,8 +53,7 @@
 	book     *accepted.Book
 	policies *policy.Table
 	learner  *learner
-	held     *quarantine.Book
-	hearing  *hearing
+	endings  endings
 	sharer   atomic.Pointer[sharer] // nil: not started yet
 	// The followers of the platform's topics; nil: not followed yet.
 	configuration, register atomic.Pointer[keyed.Follower]
@@ -76,7 +74,7 @@
 		name: g.settings.Node, dataCentre: g.settings.DataCentre, log: g.log,
 		roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i),
 		book: do.MustInvoke[*accepted.Book](i), policies: do.MustInvoke[*policy.Table](i),
-		learner: do.MustInvoke[*learner](i), held: do.MustInvoke[*quarantine.Book](i), hearing: do.MustInvoke[*hearing](i), cancel: cancel, holder: clock.Boot(),
+		learner: do.MustInvoke[*learner](i), endings: newEndings(i), cancel: cancel, holder: clock.Boot(),
 	}
 	self := platform.VM{Name: g.settings.Node, Address: g.settings.Peers, DataCentre: g.settings.DataCentre}
 	ps.work.Go(func() { ps.enter(ctx, p.Directory, self) })
@@ -137,7 +135,7 @@
 	if err := p.call(ctx, m.Address, "Known", Heard{}, &k); err != nil {
 		return false
 	}
-	p.held.Hear(time.Now(), k.Quarantine)
+	p.endings.held.Hear(time.Now(), k.Quarantine)
 	if len(k.Namings) == 0 {
 		return false
 	}
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -19,7 +19,7 @@
 func (f *sharingFleet) heldBy(c quarantine.Content) int {
 	held := 0
 	for _, n := range f.nodes {
-		if errors.Is(n.sharer.held.Admit(f.now, c), quarantine.ErrHeld) {
+		if errors.Is(n.sharer.endings.held.Admit(f.now, c), quarantine.ErrHeld) {
 			held++
 		}
 	}
@@ -38,7 +38,7 @@
 		c := quarantine.ContentOf([]byte("x"))
 		for i := range 3 {
 			n := f.nodes[i*size.dataCentres+i] // one of each of three data centres
-			n.sharer.held.Ended(f.now, c, fmt.Sprint(i))
+			n.sharer.endings.held.Ended(f.now, c, fmt.Sprint(i))
 			f.run(100*time.Millisecond, func() {})
 		}
 		took := time.Duration(0)
@@ -64,7 +64,7 @@
 		f.counted = true
 		for i := range requests {
 			if ends {
-				f.nodes[i%nodes].sharer.held.Ended(f.now, quarantine.ContentOf([]byte(fmt.Sprint(i))), "a")
+				f.nodes[i%nodes].sharer.endings.held.Ended(f.now, quarantine.ContentOf([]byte(fmt.Sprint(i))), "a")
 			}
 		}
 		f.run(over, func() {})
--- a/process/gateway/share.go
+++ b/process/gateway/share.go
@@ -12,13 +12,11 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
-	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
-	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -56,10 +54,7 @@
 	// Tellings are of the caches that the node follows.
 	Tellings []cachenews.Telling
 	Loads    []policy.GroupLoad
-	// Quarantine is of requests under which upstreams have ended.
-	Quarantine []quarantine.News
-	// Leaving are the upstreams whose answers have said so lately.
-	Leaving []string
+	Endings  Endings
 }
 
 // Shared is the answer.
@@ -67,9 +62,8 @@
 	Caches cachenews.Answer
 	Again  []cachenews.UpstreamID // caches to be told whole
 	Loads  []policy.GroupLoad     // of all other nodes, or of this data centre's alone
-	// Quarantine and Leaving are what the aggregator has seen or heard lately.
-	Quarantine []quarantine.News
-	Leaving    []string
+	// Endings is what the aggregator has seen or heard lately.
+	Endings Endings
 }
 
 // sharer has the nodes of a large fleet know the same of the engines, by one aggregator
@@ -82,8 +76,7 @@
 	policies   *policy.Table
 	contents   *cachenews.Contents
 	view       *view
-	held       *quarantine.Book
-	hearing    *hearing
+	endings    endings
 	// call asks the node at an address.
 	call  func(ctx context.Context, address string, q Share, a *Shared) error
 	clock func() time.Time
@@ -100,9 +93,9 @@
 	positions map[string]cachenews.Ask // by data centre
 }
 
-func newSharer(node, dataCentre string, log *zap.Logger, policies *policy.Table, contents *cachenews.Contents, v *view, held *quarantine.Book, h *hearing) *sharer {
+func newSharer(node, dataCentre string, log *zap.Logger, policies *policy.Table, contents *cachenews.Contents, v *view, e endings) *sharer {
 	return &sharer{
-		node: node, dataCentre: dataCentre, log: log, policies: policies, contents: contents, view: v, held: held, hearing: h, clock: time.Now,
+		node: node, dataCentre: dataCentre, log: log, policies: policies, contents: contents, view: v, endings: e, clock: time.Now,
 		aggregate: cachenews.NewAggregate(rand.Uint64()),
 		avoided:   map[string]time.Time{}, positions: map[string]cachenews.Ask{},
 	}
@@ -111,9 +104,8 @@
 // answer answers a node's question.
 func (s *sharer) answer(now time.Time, q Share) Shared {
 	s.asked.Store(&now)
-	s.held.Hear(now, q.Quarantine)
-	s.hearing.told(clock.Boot(), q.Leaving)
-	news := Shared{Quarantine: s.held.Recent(now), Leaving: s.hearing.lately(clock.Boot())}
+	s.endings.take(now, q.Endings)
+	news := Shared{Endings: s.endings.recent(now)}
 	if q.Ask.Near {
 		news.Caches, news.Loads = s.aggregate.Since(now, q.Ask), policy.Join(s.near.All(now, ""))
 		return news
@@ -137,8 +129,7 @@
 	chosen := aggregatorsOf(append(slices.Clone(others), self))
 	q := Share{
 		Node: s.node, Ask: s.position, Parts: s.contents.Shared(),
-		Tellings: s.contents.Tell(now), Loads: s.policies.Loads(now, s.node), Quarantine: s.held.Untold(now),
-		Leaving: s.hearing.lately(clock.Boot()),
+		Tellings: s.contents.Tell(now), Loads: s.policies.Loads(now, s.node), Endings: s.endings.untold(now),
 	}
 	if !s.askNear(ctx, now, chosen[s.dataCentre], q) {
 		s.contents.ShareAgain()
@@ -204,8 +195,7 @@
 		return name, incarnationOf(cfg.Upstreams[name])
 	})
 	s.policies.MergeLoads(now, fleetTeller, a.Loads)
-	s.held.Hear(now, a.Quarantine)
-	s.hearing.told(clock.Boot(), a.Leaving)
+	s.endings.take(now, a.Endings)
 }
 
 // fleetTeller is the name under which the other nodes' joint load is kept. No node has it:
@@ -244,8 +234,7 @@
 	for dataCentre, a := range answered {
 		s.aggregate.Take(now, dataCentre, a.Caches)
 		s.far.Put(now, dataCentre, a.Loads)
-		s.held.Hear(now, a.Quarantine)
-		s.hearing.told(clock.Boot(), a.Leaving)
+		s.endings.take(now, a.Endings)
 		s.positions[dataCentre] = cachenews.Ask{By: a.Caches.By, From: a.Caches.Next}
 	}
 }
--- a/process/gateway/sharingfleet_test.go
+++ b/process/gateway/sharingfleet_test.go
@@ -109,8 +109,10 @@
 		due: f.now.Add(time.Duration(f.rand.Int64N(int64(sharePause)))), polls: f.now, read: map[string]int{},
 	}
 	policies := policy.New(catalogue.NewCurrent(v), nil, func() placement.Policy { return placement.New(placement.Config{}) })
-	n.sharer = newSharer(name, dataCentre, zap.NewNop(), policies, n.contents, v, quarantine.NewBook(name, zap.NewNop(), uncounted{}),
-		&hearing{roster: roster.New(), refresh: func(time.Time) {}, log: zap.NewNop()})
+	n.sharer = newSharer(name, dataCentre, zap.NewNop(), policies, n.contents, v, endings{
+		held:    quarantine.NewBook(name, zap.NewNop(), uncounted{}),
+		hearing: &hearing{roster: roster.New(), refresh: func(time.Time) {}, log: zap.NewNop()},
+	})
 	n.sharer.clock = func() time.Time { return f.now }
 	n.sharer.call = func(_ context.Context, address string, q Share, a *Shared) error { return f.call(n, address, q, a) }
 	f.nodes = append(f.nodes, n)
