Keep a held request's record in the form in which nodes tell of it

Cause: a record had types of its own, saved and savedEnd, which were News and ToldEnd with times in place of ages, and two conversions between them.

Change: a record is the news and when they were known. Ruled out: telling times between nodes too, as their clocks differ by seconds.

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -84,7 +84,7 @@
 }
 
 func (k *quarantineKeeper) write(ctx context.Context) error {
-	records := k.book.Unsaved()
+	records := k.book.Unsaved(time.Now())
 	if len(records) == 0 {
 		return nil
 	}
--- a/request/quarantine/fleet_test.go
+++ b/request/quarantine/fleet_test.go
@@ -139,7 +139,7 @@
 		if f.now.Before(n.frozen) {
 			continue
 		}
-		f.records = append(f.records, n.book.Unsaved()...)
+		f.records = append(f.records, n.book.Unsaved(f.now)...)
 		if !n.read && f.now.Sub(n.calm) > readAfter {
 			n.read = true
 			if _, err := n.book.Restore(f.now, newestOf(f.records)); err != nil {
--- a/request/quarantine/record.go
+++ b/request/quarantine/record.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"time"
-
-	"github.com/samber/lo"
 )
 
 // recordSlots bounds the records that are kept for good: a request that is held has one
@@ -20,18 +18,10 @@
 	Value   []byte
 }
 
-// saved is the value of a record. Times are in Unix milliseconds.
+// saved is the value of a record: what was known at a time, in Unix milliseconds.
 type saved struct {
-	Content Content
-	Ends    []savedEnd
-	Until   int64
-	Holds   int
-}
-
-type savedEnd struct {
-	Upstream uint64
-	Node     string
-	At       int64
+	At   int64
+	News News
 }
 
 func keyOf(c Content) string { return fmt.Sprintf("held/%03x", uint64(c)%recordSlots) }
@@ -50,14 +40,14 @@
 func (b *Book) Saves() <-chan struct{} { return b.saves }
 
 // Unsaved gives the records that are to be written, once each.
-func (b *Book) Unsaved() []Record {
+func (b *Book) Unsaved(now time.Time) []Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var all []Record
 	for c := range b.unsaved {
 		r := Record{Content: c, Key: keyOf(c)}
 		if e := b.entries[c]; e != nil && e.held() {
-			r.Value, _ = json.Marshal(e.saved(c)) // numbers and text: never fails
+			r.Value, _ = json.Marshal(saved{At: now.UnixMilli(), News: e.news(now, c)}) // numbers and text: never fails
 		}
 		all = append(all, r)
 	}
@@ -74,12 +64,6 @@
 	}
 }
 
-func (e *entry) saved(c Content) saved {
-	return saved{Content: c, Until: e.until.UnixMilli(), Holds: e.holds, Ends: lo.Map(e.ends, func(o End, _ int) savedEnd {
-		return savedEnd{Upstream: o.Upstream, Node: o.Node, At: o.At.UnixMilli()}
-	})}
-}
-
 // Restore takes in the records that were kept, and gives how many requests they hold
 // back. Those that can't be read are in the error; the others are taken in all the same.
 func (b *Book) Restore(now time.Time, records []Record) (int, error) {
@@ -91,7 +75,7 @@
 			faults = append(faults, fmt.Errorf("quarantine: record %s: %w", r.Key, err))
 			continue
 		}
-		if n, ok := s.news(now); ok {
+		if n, ok := s.since(now); ok {
 			told = append(told, n)
 		}
 	}
@@ -103,16 +87,18 @@
 	return len(told), errors.Join(faults...)
 }
 
-// news gives what a record says now, if that still counts. The clock of the node that
+// since gives what a record says now, if that still counts. The clock of the node that
 // wrote it may be seconds off.
-func (s saved) news(now time.Time) (News, bool) {
-	left := time.UnixMilli(s.Until).Sub(now)
-	if s.Content == 0 || left < -heldMemory {
+func (s saved) since(now time.Time) (News, bool) {
+	passed := max(0, now.Sub(time.UnixMilli(s.At)))
+	n := s.News
+	if n.Content == 0 || passed-n.Held > heldMemory {
 		return News{}, false
 	}
-	n := News{Content: s.Content, Holds: s.Holds, Held: max(0, left)}
-	for _, o := range s.Ends {
-		n.Ends = append(n.Ends, ToldEnd{Upstream: o.Upstream, Node: o.Node, Age: max(0, now.Sub(time.UnixMilli(o.At)))})
+	n.Held = max(0, n.Held-passed)
+	n.SurvivedAge += passed
+	for i := range n.Ends {
+		n.Ends[i].Age += passed
 	}
 	return n, true
 }
--- a/request/quarantine/record_test.go
+++ b/request/quarantine/record_test.go
@@ -12,8 +12,8 @@
 func TestHeldRequestOutlivesAllNodes(t *testing.T) {
 	a, c := newBook("n1"), content("x")
 	now := end(a, start, c, "a", "b", "c")
-	records := a.Unsaved()
-	if len(records) != 1 || len(a.Unsaved()) != 0 {
+	records := a.Unsaved(now)
+	if len(records) != 1 || len(a.Unsaved(now)) != 0 {
 		t.Fatalf("%d records", len(records))
 	}
 	b := newBook("n2")
@@ -32,9 +32,9 @@
 func TestRecordOfAClearedRequestIsDropped(t *testing.T) {
 	b, c := newBook("n1"), content("x")
 	now := end(b, start, c, "a", "b", "c")
-	key := b.Unsaved()[0].Key
+	key := b.Unsaved(now)[0].Key
 	b.Survived(now, c)
-	records := b.Unsaved()
+	records := b.Unsaved(now)
 	if len(records) != 1 || records[0].Key != key || len(records[0].Value) != 0 {
 		t.Errorf("%+v", records)
 	}
@@ -44,13 +44,13 @@
 func TestRecordThatWasNotWrittenIsGivenAgain(t *testing.T) {
 	b, c := newBook("n1"), content("x")
 	end(b, start, c, "a", "b", "c")
-	b.NotSaved(b.Unsaved())
+	b.NotSaved(b.Unsaved(at(9 * time.Second)))
 	select {
 	case <-b.Saves():
 	default:
 		t.Error("nobody is told")
 	}
-	if records := b.Unsaved(); len(records) != 1 || len(records[0].Value) == 0 {
+	if records := b.Unsaved(at(10 * time.Second)); len(records) != 1 || len(records[0].Value) == 0 {
 		t.Errorf("%+v", records)
 	}
 }
@@ -60,7 +60,7 @@
 	a, b, c := newBook("n1"), newBook("n2"), content("x")
 	now := end(a, start, c, "a", "b", "c")
 	b.Hear(now, a.Untold(now))
-	if records := b.Unsaved(); len(records) != 0 {
+	if records := b.Unsaved(now); len(records) != 0 {
 		t.Errorf("%+v", records)
 	}
 }
@@ -70,7 +70,7 @@
 func TestDamagedRecordIsPassedOver(t *testing.T) {
 	a, b, c := newBook("n1"), newBook("n2"), content("x")
 	now := end(a, start, c, "a", "b", "c")
-	records := append([]Record{{Key: "held/000", Value: []byte("{")}, {Key: "held/001", Value: []byte(`{"Until":-1}`)}}, a.Unsaved()...)
+	records := append([]Record{{Key: "held/000", Value: []byte("{")}, {Key: "held/001", Value: []byte(`{"Until":-1}`)}}, a.Unsaved(now)...)
 	if held, err := b.Restore(now, records); err == nil || held != 1 {
 		t.Errorf("%d held, %v", held, err)
 	}
@@ -86,7 +86,7 @@
 	for i := range 900 {
 		now = end(a, start, content(fmt.Sprint(i)), "a", "b", "c")
 	}
-	newest := newestOf(a.Unsaved())
+	newest := newestOf(a.Unsaved(now))
 	held, err := b.Restore(now, newest)
 	if err != nil || held != len(newest) || held <= mostKnown {
 		t.Fatalf("%d of %d, %v", held, len(newest), err)
@@ -111,7 +111,7 @@
 		b.Ended(start, c, "a")
 		b.Survived(at(time.Second), c)
 	}
-	if records := b.Unsaved(); len(records) != 0 {
+	if records := b.Unsaved(at(2 * time.Second)); len(records) != 0 {
 		t.Errorf("%d records", len(records))
 	}
 }
