Choose what is told of the quarantine under one lock

Cause: a telling took the lock twice, once to choose and once to count what was told, and had to allow for an entry that went in between; two tests had the same loop of requests on the spot at one end.

Change: the callers of choose hold the lock; onTheSpot serves both tests. Ruled out: an observer that may be nil in place of the three that tests have, as it would add a case to the product for them alone.

Measured: the tests of request/quarantine and process/gateway pass with their assertions as they were; the linter is clean.

--- a/request/quarantine/book_test.go
+++ b/request/quarantine/book_test.go
@@ -33,6 +33,16 @@
 	return now
 }
 
+// onTheSpot has one engine end under so many requests, each of which another engine serves
+// a second later.
+func onTheSpot(b *Book, count int) {
+	for i := range count {
+		c := content(fmt.Sprint(i))
+		b.Ended(start, c, "a")
+		b.Survived(at(time.Second), c)
+	}
+}
+
 // A caller's request ends the engine that runs it, and comes again under another id each
 // time, until the third end.
 func TestHeldAfterThreeEnds(t *testing.T) {
@@ -267,11 +277,7 @@
 // ever: aggregators choose what to tell hundreds of times a second.
 func TestWhatHasLapsedIsForgotten(t *testing.T) {
 	b := newBook("n1")
-	for i := range 500 {
-		c := content(fmt.Sprint(i))
-		b.Ended(start, c, "a")
-		b.Survived(at(time.Second), c)
-	}
+	onTheSpot(b, 500)
 	held := content("held")
 	now := end(b, start, held, "a", "b", "c")
 	b.Untold(now.Add(clearedMemory + sweepPause))
--- a/request/quarantine/news.go
+++ b/request/quarantine/news.go
@@ -56,11 +56,11 @@
 	if b == nil {
 		return nil
 	}
-	told := b.choose(now, func(e *entry) bool { return e.tells > 0 })
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	told := b.choose(now, func(e *entry) bool { return e.tells > 0 })
 	for _, n := range told {
-		if e := b.entries[n.Content]; e != nil && e.tells > 0 {
+		if e := b.entries[n.Content]; e.tells > 0 {
 			e.tells--
 		}
 	}
@@ -72,6 +72,8 @@
 	if b == nil {
 		return nil
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return b.choose(now, func(e *entry) bool { return now.Sub(e.changed) <= passOnFor })
 }
 
@@ -82,9 +84,8 @@
 	return b.news(now, mostKnown, func(*entry) bool { return true })
 }
 
+// choose gives the wanted entries of one telling; the lock is held.
 func (b *Book) choose(now time.Time, wanted func(*entry) bool) []News {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if now.Sub(b.swept) >= sweepPause {
 		b.sweep(now)
 	}
--- a/request/quarantine/record_test.go
+++ b/request/quarantine/record_test.go
@@ -106,11 +106,7 @@
 // was held, so that nothing is written to the platform, where each call has a price.
 func TestClearedSuspectsAreNotRecorded(t *testing.T) {
 	b := newBook("n1")
-	for i := range 30 {
-		c := content(fmt.Sprint(i))
-		b.Ended(start, c, "a")
-		b.Survived(at(time.Second), c)
-	}
+	onTheSpot(b, 30)
 	if records := b.Unsaved(at(2 * time.Second)); len(records) != 0 {
 		t.Errorf("%d records", len(records))
 	}
