--- a/process/gateway/share_test.go
+++ b/process/gateway/share_test.go
@@ -134,8 +134,8 @@
 // gone for longer than an engine's own silence would have them.
 //
 // With some starts of the nodes a change was not known, one start in fifty. A trace of the
-// seeds below shows why: no request had had the part until then, and what requests don't
-// share is not told to all. Parts count that a request had before the loss.
+// seeds below shows why: no request had had the part until after the loss, in three of four
+// until the look itself, and what requests don't share is not told to all. Parts count that a request had before the loss.
 func TestAggregatorIsReplaced(t *testing.T) {
 	for _, seed := range []uint64{1, 9, 32, 47, 57} {
 		aggregatorIsReplaced(t, seed)
