Say in the log which requests a stop cuts, and how far they were

A node that cuts requests at the end of its grace logged each as cancelled, "the caller went away", so that nobody could tell the two apart, and how many were cut and in what state was not told at all.

The reason of a cut travels with the request's context now and is its failure's code, in the log and in the counters by code. The lines of a request's failure say how long the node had been leaving, and for how long when the request came; GraceExceeded counts what was cut by how far it was; the end of the process says how long the stop took. No decision changes: what callers see is the same.

--- a/process/event/process.go
+++ b/process/event/process.go
@@ -8,11 +8,11 @@
 	ListenerOpen
 	// ProcessReady: the node takes requests; Lacks names what it still has to do without.
 	ProcessReady
-	// ProcessLeaving: the node was told to stop; readiness has turned, requests in flight run to their end.
+	// ProcessLeaving: the node was told to stop; readiness has turned, requests in flight run to their end; Connections are open.
 	ProcessLeaving
-	// ProcessStopped: the last request has ended and all listeners are closed.
+	// ProcessStopped: the last request has ended and all listeners are closed, so long (Leaving) after the node was told to stop.
 	ProcessStopped
-	// GraceExceeded: requests were still in flight at the end of Shutdown.Grace and were cut. To do: raise Shutdown.Grace above the longest stream.
+	// GraceExceeded: requests were still in flight at the end of Shutdown.Grace and were cut: Unread ones, read ones without any answer (Unanswered), and ones in their answer (CutInAnswer). To do: raise Shutdown.Grace above the longest stream.
 	GraceExceeded
 	// ProcessFailed: a part of the process failed and the process stops. To do: read Error; the platform should start the process again.
 	ProcessFailed
--- a/process/event/request.go
+++ b/process/event/request.go
@@ -6,11 +6,11 @@
 	RequestPlaced Event = iota + 100
 	// RequestAnswered: the first token has come; CachedTokens is what the engine says it had cached.
 	RequestAnswered
-	// RequestRefused: the caller got a typed error before any answer.
+	// RequestRefused: the caller got a typed error before any answer; Leaving is for how long the node had been told to stop by then, BegunAfterLeaving how long after that the request came.
 	RequestRefused
 	// RequestRetried: a send failed, and Action says what is done about it. To do: when it goes on for one upstream, look at that upstream.
 	RequestRetried
-	// RequestFailed: an answer ended before its end mark, and the caller was told so, or had gone.
+	// RequestFailed: an answer ended before its end mark, and the caller was told so, or had gone; Code ShuttingDown: the node stopped. Leaving and BegunAfterLeaving are as for RequestRefused.
 	RequestFailed
 	// StreamResumed: the same engine went on with a stream after its connection broke.
 	StreamResumed
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -17,7 +17,6 @@
 	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/closer"
 	"github.com/dunlinmill/dunlinmill/process/duty"
-	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/policy"
@@ -118,7 +117,7 @@
 	metrics     *metric.Metrics
 	keeper      *duty.Keeper
 	group       Group
-	leaving     atomic.Bool
+	left        atomic.Pointer[time.Time] // when the node was told to stop; nil: it was not
 
 	closers closer.List
 }
@@ -193,17 +192,16 @@
 }
 
 // Leave has the node tell that it takes no new connections.
-func (g *Gateway) Leave() {
-	if g.leaving.Swap(true) {
+func (g *Gateway) Leave(now time.Time) {
+	if !g.left.CompareAndSwap(nil, &now) {
 		return
 	}
-	event.Info(g.log, event.ProcessLeaving)
 	do.MustInvoke[*joiner](g.injector).leave()
 	do.MustInvoke[*peers](g.injector).leave()
 }
 
 // Leaving says that callers should close their connections.
-func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+func (g *Gateway) Leaving() bool { return g.left.Load() != nil }
 
 // earningPart is the part of KeyLife past which a node without a way to the
 // platform leaves the rotation: what follows is too short for a caller's next
@@ -214,7 +212,7 @@
 // peers alone, as the platform turns it away, serves who comes and leaves the
 // rotation all the same: it hangs on others where they do not.
 func (g *Gateway) Ready(now time.Time) bool {
-	if g.leaving.Load() || !g.view.Whole() {
+	if g.Leaving() || !g.view.Whole() {
 		return false
 	}
 	age, ok := g.book.OwnAge(now)
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -316,6 +316,9 @@
 		zap.Stringer("Content", x.content), zap.Stringer("Code", e.Code), zap.String("Ran", e.Ran.Text()), zap.Duration("Took", time.Since(x.began)),
 		zap.Duration("Grant", x.in.Grant), zap.Uint64("ConfigVersion", x.version), zap.Duration("ConfigAge", x.age), zap.Error(err),
 	}
+	if left := x.g.left.Load(); left != nil {
+		fields = append(fields, zap.Duration("BegunAfterLeaving", x.began.Sub(*left)), zap.Duration("Leaving", time.Since(*left)))
+	}
 	if x.status != 0 {
 		event.Info(x.g.log, event.RequestFailed, append(fields, zap.Int("Status", x.status))...)
 		return ErrCut
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -194,7 +194,7 @@
 		}
 		s.last = err
 		if ctx.Err() != nil {
-			return upstream.Reply{}, s.refusal(retry.Gone(ctx), err)
+			return upstream.Reply{}, s.refusal(failure.Gone(ctx), err)
 		}
 		if err := s.again(ctx, u.Name, err); err != nil {
 			return upstream.Reply{}, err
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -137,7 +137,7 @@
 func (a *Answer) mend(cause error) error {
 	a.s.rt.Quarantine.Sent(time.Now(), a.s.content, a.up.Name, cause)
 	if err := a.s.ctx.Err(); err != nil {
-		return retry.Gone(a.s.ctx).WithRan(failure.Unknown).WithCause(err)
+		return failure.Gone(a.s.ctx).WithRan(failure.Unknown).WithCause(err)
 	}
 	// The engine of an answer passed through holds no stream.
 	canResume := a.s.r.Passage == nil && a.resumes < a.s.rt.Config.MaxResumes && !a.resumeFailed
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -108,7 +108,7 @@
 			return a, nil
 		}
 		if ctx.Err() != nil {
-			return nil, s.refusal(retry.Gone(ctx), ctx.Err())
+			return nil, s.refusal(failure.Gone(ctx), ctx.Err())
 		}
 		if errors.Is(err, failure.ErrOverloaded) {
 			return nil, err
--- a/request/failure/failure.go
+++ b/request/failure/failure.go
@@ -5,6 +5,7 @@
 package failure
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -172,6 +173,19 @@
 	return &c
 }
 
+// Gone is the failure of a request whose ctx has ended: by the cause given with
+// it, because its time ran out, or because its caller went away.
+func Gone(ctx context.Context) *Error {
+	var e *Error
+	switch {
+	case errors.As(context.Cause(ctx), &e):
+		return e
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return ErrDeadlineExceeded
+	}
+	return ErrCancelled
+}
+
 // From gives the Error inside err, or ErrInternal around it, in which case
 // nothing is known about whether the request ran.
 func From(err error) *Error {
--- a/request/journal/journal.go
+++ b/request/journal/journal.go
@@ -152,11 +152,8 @@
 		c.NotSent(now)
 	}
 	f := failure.ErrJournalUnavailable
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		f = failure.ErrCancelled
-	case ctx.Err() != nil:
-		f = failure.ErrDeadlineExceeded
+	if ctx.Err() != nil {
+		f = failure.Gone(ctx)
 	}
 	return nil, nil, f.WithRan(failure.Unknown).WithRetryAfter(j.settings.retryAfter(c.record.Key)).WithCause(cause)
 }
--- a/request/limit/gate.go
+++ b/request/limit/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -39,7 +38,7 @@
 			g.Expire(late)
 			overdue = nil
 		case <-ctx.Done():
-			return g.abandon(e, context.Cause(ctx))
+			return g.abandon(ctx, e)
 		}
 	}
 }
@@ -88,19 +87,16 @@
 	return e
 }
 
-// abandon ends a wait whose caller went away. An entry that was granted in
+// abandon ends a wait whose ctx has ended. An entry that was granted in
 // the same moment is kept: its caller finds ctx ended and gives it back.
-func (g *Gate) abandon(e *Entry, cause error) (*Entry, error) {
+func (g *Gate) abandon(ctx context.Context, e *Entry) (*Entry, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if e.State != Waiting {
 		return e.outcome()
 	}
 	g.q.Cancel(e)
-	if errors.Is(cause, context.DeadlineExceeded) {
-		return nil, failure.ErrDeadlineExceeded.WithCause(cause)
-	}
-	return nil, failure.ErrCancelled.WithCause(cause)
+	return nil, failure.Gone(ctx).WithCause(context.Cause(ctx))
 }
 
 func (e *Entry) outcome() (*Entry, error) {
--- a/request/retry/flow.go
+++ b/request/retry/flow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/process/clock"
@@ -51,12 +50,3 @@
 	}
 	return Refusal(id, sent, failure.ErrOverloaded, cause).WithRetryAfter(limit.Spread(0, id, opens))
 }
-
-// Gone is the failure of a request whose ctx has ended: its time ran out, or
-// its caller went away.
-func Gone(ctx context.Context) *failure.Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return failure.ErrDeadlineExceeded
-	}
-	return failure.ErrCancelled
-}
