Answer requests in flight before a stopping node cuts their connections

Callers of a node that had been told to stop saw their connection close without a status line. Cause: a process knows when it will be killed, but only the listener did; at the end of the grace it closed all connections, and the request paths took that for callers who had left, for whom there is nothing to answer.

--- /dev/null
+++ b/process/drain/drain.go
@@ -0,0 +1,95 @@
+// Package drain ends the requests of a process that was told to stop, before the
+// process is killed.
+package drain
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/failure"
+)
+
+// Schedule says when the steps of a stop are due, counted from its begin.
+type Schedule struct {
+	// Notice is how long new requests are served, so that callers and the balancer
+	// can learn that the process leaves.
+	Notice time.Duration
+	// Finish is when requests in flight are ended. What has no answer yet gets a
+	// failure, which takes a while to leave.
+	Finish time.Duration
+	// Cut is when connections that are still open are closed.
+	Cut time.Duration
+}
+
+// Stop is the stop of one process.
+type Stop struct {
+	ctx    context.Context // ends at Finish
+	cancel context.CancelCauseFunc
+
+	mu       sync.Mutex // guards all below
+	schedule Schedule
+	began    time.Time // zero: not begun
+	finish   *time.Timer
+}
+
+// New makes the stop of a process that runs.
+func New() *Stop {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return &Stop{ctx: ctx, cancel: cancel}
+}
+
+// Begin starts the stop; false if it had begun before, and goes on as it was.
+func (s *Stop) Begin(now time.Time, sch Schedule) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.began.IsZero() {
+		return false
+	}
+	s.schedule, s.began = sch, now
+	s.finish = time.AfterFunc(sch.Finish, func() { s.cancel(failure.ErrShuttingDown) })
+	return true
+}
+
+// Close releases what the stop holds and ends the requests that are left.
+func (s *Stop) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.finish != nil {
+		s.finish.Stop()
+	}
+	s.cancel(failure.ErrShuttingDown)
+}
+
+// Began is when the stop began; false if it has not.
+func (s *Stop) Began() (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.began, !s.began.IsZero()
+}
+
+// FinishAt is when requests in flight are ended; false if the stop has not begun.
+func (s *Stop) FinishAt() (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.began.Add(s.schedule.Finish), !s.began.IsZero()
+}
+
+// CutAt is when connections that are still open are closed; false if the stop has
+// not begun.
+func (s *Stop) CutAt() (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.began.Add(s.schedule.Cut), !s.began.IsZero()
+}
+
+// Bound gives a context for one request. It ends with ctx, and at Finish by the cause
+// failure.ErrShuttingDown. The caller calls release at the request's end.
+func (s *Stop) Bound(ctx context.Context) (bounded context.Context, release func()) {
+	bounded, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(s.ctx, func() { cancel(context.Cause(s.ctx)) })
+	return bounded, func() {
+		stop()
+		cancel(nil)
+	}
+}
--- /dev/null
+++ b/process/drain/drain_test.go
@@ -0,0 +1,90 @@
+package drain
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/failure"
+)
+
+var schedule = Schedule{Notice: time.Second, Finish: 4 * time.Second, Cut: 5 * time.Second}
+
+// Guards against requests that outlast the time that a stop grants them, whether they
+// came before its begin or after.
+func TestRequestsEndAtFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New()
+		defer s.Close()
+		before, release := s.Bound(context.Background())
+		defer release()
+		now := time.Now()
+		s.Begin(now, schedule)
+		time.Sleep(2 * time.Second)
+		after, release := s.Bound(context.Background())
+		defer release()
+		time.Sleep(2*time.Second - time.Nanosecond)
+		synctest.Wait()
+		for _, ctx := range []context.Context{before, after} {
+			if ctx.Err() != nil {
+				t.Errorf("ended before Finish: %v", context.Cause(ctx))
+			}
+		}
+		time.Sleep(time.Nanosecond)
+		synctest.Wait()
+		late, release := s.Bound(context.Background())
+		defer release()
+		synctest.Wait()
+		for _, ctx := range []context.Context{before, after, late} {
+			if !errors.Is(failure.Gone(ctx), failure.ErrShuttingDown) {
+				t.Errorf("not ended by the stop: %v", context.Cause(ctx))
+			}
+		}
+	})
+}
+
+// Guards against a request whose own caller or deadline is taken for the stop.
+func TestOwnEndsAreNotTheStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New()
+		defer s.Close()
+		s.Begin(time.Now(), schedule)
+		gone, leave := context.WithCancel(context.Background())
+		late, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		leave()
+		for _, c := range []struct {
+			ctx  context.Context
+			want error
+		}{{gone, failure.ErrCancelled}, {late, failure.ErrDeadlineExceeded}} {
+			ctx, release := s.Bound(c.ctx)
+			<-ctx.Done()
+			if got := failure.Gone(ctx); !errors.Is(got, c.want) {
+				t.Errorf("%v instead of %v", got, c.want)
+			}
+			release()
+		}
+	})
+}
+
+// Guards against a second signal that begins the time of a stop anew.
+func TestStopBeginsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New()
+		defer s.Close()
+		if _, stopping := s.FinishAt(); stopping {
+			t.Error("stops without a signal")
+		}
+		now := time.Now()
+		if !s.Begin(now, schedule) || s.Begin(now.Add(time.Second), Schedule{}) {
+			t.Error("does not begin just once")
+		}
+		finish, _ := s.FinishAt()
+		cut, _ := s.CutAt()
+		if !finish.Equal(now.Add(schedule.Finish)) || !cut.Equal(now.Add(schedule.Cut)) {
+			t.Errorf("finishes at %v, cuts at %v", finish.Sub(now), cut.Sub(now))
+		}
+	})
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/closer"
+	"github.com/dunlinmill/dunlinmill/process/drain"
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/inventory"
 	"github.com/dunlinmill/dunlinmill/process/metric"
@@ -117,14 +118,14 @@
 	metrics     *metric.Metrics
 	keeper      *duty.Keeper
 	group       Group
-	left        atomic.Pointer[time.Time] // when the node was told to stop; nil: it was not
+	stop        *drain.Stop
 
 	closers closer.List
 }
 
 // New makes a node and starts to follow the platform.
 func New(s Settings, p Platform, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{settings: s, bounds: &atomic.Pointer[Bounds]{}, log: log, injector: do.New(), group: p.Group}
+	g := &Gateway{settings: s, bounds: &atomic.Pointer[Bounds]{}, log: log, injector: do.New(), group: p.Group, stop: drain.New()}
 	g.bounds.Store(&s.Bounds)
 	g.provide(p)
 	if err := g.build(); err != nil {
@@ -172,6 +173,7 @@
 
 // Close stops all parts in the reverse order of their making.
 func (g *Gateway) Close() {
+	g.stop.Close()
 	g.closers.CloseAll(g.log)
 }
 
@@ -191,9 +193,10 @@
 	return f.Limits, true
 }
 
-// Leave has the node tell that it takes no new connections.
-func (g *Gateway) Leave(now time.Time) {
-	if !g.left.CompareAndSwap(nil, &now) {
+// Leave begins the node's stop: it tells that it takes no new connections, and ends
+// what it serves by the schedule.
+func (g *Gateway) Leave(now time.Time, sch drain.Schedule) {
+	if !g.stop.Begin(now, sch) {
 		return
 	}
 	do.MustInvoke[*joiner](g.injector).leave()
@@ -201,7 +204,14 @@
 }
 
 // Leaving says that callers should close their connections.
-func (g *Gateway) Leaving() bool { return g.left.Load() != nil }
+func (g *Gateway) Leaving() bool {
+	_, leaving := g.stop.Began()
+	return leaving
+}
+
+// CutAt is when connections that are still open are closed; false if the node does not
+// stop.
+func (g *Gateway) CutAt() (time.Time, bool) { return g.stop.CutAt() }
 
 // earningPart is the part of KeyLife past which a node without a way to the
 // platform leaves the rotation: what follows is too short for a caller's next
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -81,6 +81,10 @@
 	g.metrics.Began()
 	defer g.metrics.Ended()
 	x := &serving{g: g, in: in, out: out, began: now}
+	// A request that outlasts the grace is ended here while its answer can still be
+	// given; the end of its connection would tell the caller nothing.
+	ctx, release := g.stop.Bound(ctx)
+	defer release()
 	err := x.serve(ctx)
 	if err == nil {
 		g.metrics.Answered(x.owner.Name)
@@ -316,8 +320,8 @@
 		zap.Stringer("Content", x.content), zap.Stringer("Code", e.Code), zap.String("Ran", e.Ran.Text()), zap.Duration("Took", time.Since(x.began)),
 		zap.Duration("Grant", x.in.Grant), zap.Uint64("ConfigVersion", x.version), zap.Duration("ConfigAge", x.age), zap.Error(err),
 	}
-	if left := x.g.left.Load(); left != nil {
-		fields = append(fields, zap.Duration("BegunAfterLeaving", x.began.Sub(*left)), zap.Duration("Leaving", time.Since(*left)))
+	if left, leaving := x.g.stop.Began(); leaving {
+		fields = append(fields, zap.Duration("BegunAfterLeaving", x.began.Sub(left)), zap.Duration("Leaving", time.Since(left)))
 	}
 	if x.status != 0 {
 		event.Info(x.g.log, event.RequestFailed, append(fields, zap.Int("Status", x.status))...)
@@ -333,6 +337,9 @@
 const comeBackPart = 0.25
 
 func (x *serving) comeBack(e *failure.Error) time.Duration {
+	if errors.Is(e, failure.ErrShuttingDown) {
+		return limit.Spread(0, x.in.ID, soon)
+	}
 	if x.in.Grant == 0 || e.RetryAfter == 0 {
 		return e.RetryAfter
 	}
