--- a/process/gateway/ready_test.go
+++ b/process/gateway/ready_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/process/drain"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
@@ -17,7 +18,7 @@
 // come back at once.
 func TestNodeIsNotReadyBeforeItHasReadTheRegister(t *testing.T) {
 	book, r := accepted.NewBook(), roster.New()
-	g := &Gateway{book: book, roster: r, view: newView(book, r), bounds: &atomic.Pointer[Bounds]{}}
+	g := &Gateway{book: book, roster: r, view: newView(book, r), bounds: &atomic.Pointer[Bounds]{}, stop: drain.New()}
 	g.bounds.Store(&Bounds{ConfigLag: time.Hour})
 	now := Boot()
 	g.book.Accept(accepted.Configuration{Version: 1})
