Let an answer under way use all the time that its caller has granted

Callers of streams saw the connection close in the middle of an answer, 0.1 or 0.2 s before they would have given up. Cause: one deadline bounded both the first token and the rest. What is kept back of the granted time for the way of an answer is right for a final answer that is still to be given; an answer that has begun is with its caller but for its last bytes. Ruled out: the upstream breaking off, as it was told the same end.

The deadline is that of the first token now, and of the waits before it; the stream that has begun, and the upstream that runs it, have until the end of the granted time or of the route's. It holds as the two ends are two contexts, of which the first one is over once there is a first token. A first token that does not come in time is the upstream's failure, as before.

--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -100,16 +100,10 @@
 		return err
 	}
 	x.content = quarantine.ContentOf([]byte(x.in.Method), []byte(x.in.Host), []byte(x.in.Path), []byte(x.owner.Name), x.in.Body)
-	deadline := x.deadline()
-	if !deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline)
-		defer cancel()
-	}
 	if x.service.Engine != nil {
-		return x.generate(ctx, deadline)
+		return x.generate(ctx)
 	}
-	return x.call(ctx, deadline)
+	return x.call(ctx)
 }
 
 // admit finds the request's route, workspace and service. What is not found is
@@ -164,17 +158,37 @@
 	return err
 }
 
-// deadline is when the answer is given up: when the caller would get it too
-// late, or the route's time is over, whichever is first.
+// deadline is when a request without an answer is given up: when the caller would
+// get an answer too late, or the route's time is over, whichever is first.
 func (x *serving) deadline() time.Time {
-	var d time.Time
-	if x.in.Grant > 0 {
-		d = x.began.Add(max(x.in.Grant-x.g.bounds.Load().Transit, x.in.Grant/2))
+	if x.in.Grant == 0 {
+		return x.within(0)
+	}
+	return x.within(max(x.in.Grant-x.g.bounds.Load().Transit, x.in.Grant/2))
+}
+
+// end is when an answer under way is given up. Nothing is kept back for its way: all
+// but its last bytes are with the caller by then.
+func (x *serving) end() time.Time { return x.within(x.in.Grant) }
+
+// within is the end of a time granted by the caller, or the route's if that is sooner;
+// zero if neither grants one.
+func (x *serving) within(granted time.Duration) time.Time {
+	if t := x.route.Timeout; t > 0 && (granted == 0 || t < granted) {
+		granted = t
 	}
-	if t := x.route.Timeout; t > 0 && (d.IsZero() || x.began.Add(t).Before(d)) {
-		d = x.began.Add(t)
+	if granted == 0 {
+		return time.Time{}
 	}
-	return d
+	return x.began.Add(granted)
+}
+
+// until gives a context that ends at a time as well; the zero time is no end.
+func until(ctx context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	if at.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, at)
 }
 
 func (x *serving) priority() int {
@@ -196,7 +210,10 @@
 }
 
 // generate serves a request for generated text.
-func (x *serving) generate(ctx context.Context, deadline time.Time) error {
+func (x *serving) generate(ctx context.Context) error {
+	deadline, end := x.deadline(), x.end()
+	ctx, cancel := until(ctx, end)
+	defer cancel()
 	a, err := x.g.completions.Start(ctx, completion.Request{
 		ID:        x.in.ID,
 		Content:   x.content,
@@ -207,7 +224,7 @@
 		Class:     x.priority(),
 		Deadline:  deadline,
 		Once:      !x.route.MayRepeat(),
-		Passage:   x.passage(deadline),
+		Passage:   x.passage(end),
 		Declared:  x.in.Parts,
 		Pool:      x.service.Name,
 		Scope:     x.scope(),
@@ -269,7 +286,10 @@
 }
 
 // call serves a call to a plain service.
-func (x *serving) call(ctx context.Context, deadline time.Time) error {
+func (x *serving) call(ctx context.Context) error {
+	deadline := x.deadline()
+	ctx, cancel := until(ctx, deadline)
+	defer cancel()
 	reply, err := x.g.calls.Do(ctx, call.Request{
 		ID:         x.in.ID,
 		Content:    x.content,
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -97,7 +97,8 @@
 	}
 }
 
-// send calls the engine and waits for the first token.
+// send calls the engine and waits for the first token, which has to come before ctx
+// ends. The stream goes on until the end of the whole answer's context.
 func (s *start) send(ctx context.Context, now time.Time, v *visit, u config.Upstream) (*Answer, error) {
 	s.fetchFrom, s.saveTo = "", ""
 	switch {
@@ -111,14 +112,16 @@
 	if s.claim != nil && !s.claim.MayBegin(now) {
 		return nil, fmt.Errorf("claim is over: %w", upstream.ErrRefused)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	streaming, cancel := context.WithCancel(s.ctx)
+	begun := context.AfterFunc(ctx, cancel)
+	defer begun()
 	silent := s.watch(now, u.Name, cancel)
-	g, stream, err := s.generate(ctx, u)
+	g, stream, err := s.generate(streaming, u)
 	if err != nil {
 		err = silent.blame(err)
 		cancel()
 		s.failedToSend(err)
-		if s.ctx.Err() != nil {
+		if ctx.Err() != nil {
 			s.cancelWork(u, g.StreamID)
 		}
 		return nil, err
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -15,7 +15,7 @@
 // Start sends the request and returns when its first token is there, so that
 // a failure before it still gets a status of its own. The error is always a
 // *failure.Error. The end of ctx means that the caller went away; it ends the
-// answer too.
+// answer too. The request's deadline is that of the first token alone.
 func (rt *Router) Start(ctx context.Context, r Request) (*Answer, error) {
 	now := time.Now()
 	s := &start{rt: rt, ctx: ctx, r: r, content: r.content(), began: now, chain: rt.chain(r)}
@@ -27,11 +27,17 @@
 	if r.Passage == nil {
 		rt.Recent.Note(now, r.identity(), r.Messages)
 	}
-	release, err := rt.Admission.Admit(ctx, now, r, s.chain.Tokens())
+	beginning := ctx
+	if !r.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		beginning, cancel = context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+	}
+	release, err := rt.Admission.Admit(beginning, now, r, s.chain.Tokens())
 	if err != nil {
 		return nil, err
 	}
-	a, err := s.claimed(ctx)
+	a, err := s.claimed(beginning)
 	if err != nil {
 		release()
 		return nil, err
@@ -43,7 +49,7 @@
 // start is one request on its way to the first token.
 type start struct {
 	rt       *Router
-	ctx      context.Context // ends when the caller goes away
+	ctx      context.Context // of the whole answer; ends when the caller goes away
 	r        Request
 	content  quarantine.Content
 	began    time.Time
--- a/request/completion/visit.go
+++ b/request/completion/visit.go
@@ -67,8 +67,10 @@
 		return
 	}
 	v.ended = true
-	// A caller that went away is no failure of the upstream.
-	good := err == nil || errors.Is(err, context.Canceled)
+	// A caller that went away is no failure of the upstream; a first token that did
+	// not come in time is, whatever ended the send then.
+	left := errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+	good := err == nil || left
 	v.policy.Finished(now, v.request, v.decision, good)
 	v.rt.Guard.End(now, v.decision.Upstream, guard.Send{
 		Err:         err,
