Show that pauses take the stop for a caller who left

A request that waits for a place on an engine, or before another send, when the stop of its node ends it: its failure is "the caller went away", NotRun, to whom nothing is answered.

--- /dev/null
+++ b/request/call/stop_test.go
@@ -0,0 +1,28 @@
+package call
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/version/fakelog"
+)
+
+// Guards against a pause before another send that takes the stop of the process for a
+// caller who left, and leaves the call without an answer.
+func TestEveryWaitEndsWithTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancelCause(context.Background())
+		time.AfterFunc(time.Millisecond, func() { stop(failure.ErrShuttingDown) })
+		s := newSite(false, &instance{name: "a", answers: []error{upstream.ErrBusy}})
+		_, err := s.router(t, &fakelog.Log{}).Do(ctx, request(http.MethodPost))
+		if !errors.Is(err, failure.ErrShuttingDown) || failure.From(err).Ran != failure.NotRun {
+			t.Errorf("%v, %v", err, failure.From(err).Ran)
+		}
+	})
+}
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -57,6 +57,9 @@
 }
 
 func (e *engine) Generate(ctx context.Context, g upstream.Generation) (upstream.Stream, error) {
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
+	}
 	if e.frozen {
 		<-ctx.Done()
 		return nil, fmt.Errorf("%w: %w", upstream.ErrBroken, ctx.Err())
