Say of a pause that ended why it did

Callers whose request waited for a place, or before another send, when their node's stop ended it got no answer: the pauses called each end of their context a caller's leaving, without a look at its cause, and nothing is answered to one who has left. They give the cause now, like the sends beside them; a deadline that is over in a pause is told as such too.

--- a/request/completion/again.go
+++ b/request/completion/again.go
@@ -31,7 +31,7 @@
 
 func (s *start) pause(ctx context.Context, wait time.Duration) error {
 	if err := retry.Pause(ctx, wait); err != nil {
-		return s.refusal(failure.ErrCancelled, err)
+		return s.refusal(failure.Gone(ctx), err)
 	}
 	return nil
 }
