Show that the notice of a stop outlasts a short grace

With a grace of 2 s or less the notice of 2.5 s is over after the process has been killed, so that requests neither end nor get an answer: three of five graces tested.

--- a/process/drain/drain.go
+++ b/process/drain/drain.go
@@ -93,3 +93,15 @@
 		cancel(nil)
 	}
 }
+
+// Parts of a grace.
+const (
+	finishPart = 0.9
+	cutPart    = 0.95
+)
+
+// Within gives the schedule of a process that is killed grace after the signal, and
+// whose callers take notice of its leaving for so long.
+func Within(grace, notice time.Duration) Schedule {
+	return Schedule{Notice: notice, Finish: time.Duration(finishPart * float64(grace)), Cut: time.Duration(cutPart * float64(grace))}
+}
--- a/process/drain/drain_test.go
+++ b/process/drain/drain_test.go
@@ -88,3 +88,16 @@
 		}
 	})
 }
+
+// Guards against a stop whose steps are due after the process has been killed.
+func TestStepsOfAStopFitIntoItsGrace(t *testing.T) {
+	for _, grace := range []time.Duration{100 * time.Millisecond, time.Second, 2 * time.Second, 8 * time.Second, time.Minute} {
+		s := Within(grace, 2500*time.Millisecond)
+		if s.Notice <= 0 || s.Notice >= s.Finish || s.Finish >= s.Cut || s.Cut >= grace {
+			t.Errorf("grace of %v: %+v", grace, s)
+		}
+		if s.Finish < grace*3/4 {
+			t.Errorf("grace of %v: requests get %v of it", grace, s.Finish)
+		}
+	}
+}
