Derive the steps of a stop from the grace that the platform grants

With a short grace callers of a stopping node lost their requests to the platform's kill: the notice was 2.5 s whatever the grace, and what is kept back for the end a tenth of it, however long that is. The notice takes a third of the grace at most now; 0.8 s are kept back for failures to leave and the process to end, a fifth of a grace under 4 s.

--- a/process/drain/drain.go
+++ b/process/drain/drain.go
@@ -94,14 +94,22 @@
 	}
 }
 
-// Parts of a grace.
+// Bounds of a schedule.
 const (
-	finishPart = 0.9
-	cutPart    = 0.95
+	// noticePart is the part of the grace that the notice takes at most: what comes
+	// last in it has to have time to end.
+	noticePart = 1.0 / 3
+	// reserve is kept back from the grace for failures to leave and for the process to
+	// end, on a VM with a small share of a core; of a short grace a part.
+	reserve     = 800 * time.Millisecond
+	reservePart = 1.0 / 5
 )
 
 // Within gives the schedule of a process that is killed grace after the signal, and
 // whose callers take notice of its leaving for so long.
 func Within(grace, notice time.Duration) Schedule {
-	return Schedule{Notice: notice, Finish: time.Duration(finishPart * float64(grace)), Cut: time.Duration(cutPart * float64(grace))}
+	kept := min(reserve, part(grace, reservePart))
+	return Schedule{Notice: min(notice, part(grace, noticePart)), Finish: grace - kept, Cut: grace - kept/2}
 }
+
+func part(d time.Duration, p float64) time.Duration { return time.Duration(p * float64(d)) }
