Serve whoever comes to a stopping node for as long as it serves others

Callers found no connection at nodes that were stopping, and those whose connection the system had taken lost it.

After the notice a request is served if its own time ends before the node does, so that the stop cuts none; any other is refused at once, as not run, and may come back to another node at once.

--- a/process/drain/drain.go
+++ b/process/drain/drain.go
@@ -68,6 +68,15 @@
 	return s.began, !s.began.IsZero()
 }
 
+// Noticed says that callers and the balancer have had the time of the notice. Whoever
+// comes all the same has to end before finish.
+func (s *Stop) Noticed(now time.Time) (finish time.Time, noticed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	noticed = !s.began.IsZero() && !now.Before(s.began.Add(s.schedule.Notice))
+	return s.began.Add(s.schedule.Finish), noticed
+}
+
 // FinishAt is when requests in flight are ended; false if the stop has not begun.
 func (s *Stop) FinishAt() (time.Time, bool) {
 	s.mu.Lock()
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -209,9 +209,8 @@
 	return leaving
 }
 
-// CutAt is when connections that are still open are closed; false if the node does not
-// stop.
-func (g *Gateway) CutAt() (time.Time, bool) { return g.stop.CutAt() }
+// Stop is the node's stop; it has begun if the node leaves.
+func (g *Gateway) Stop() *drain.Stop { return g.stop }
 
 // earningPart is the part of KeyLife past which a node without a way to the
 // platform leaves the rotation: what follows is too short for a caller's next
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -132,9 +132,20 @@
 	if x.service, ok = f.Services[r.Choose(x.in.ID)]; !ok {
 		return x.unsure()
 	}
+	if x.outlasts() {
+		return failure.ErrShuttingDown
+	}
 	return nil
 }
 
+// outlasts says that the request came after the notice of the node's stop and might
+// not end before the node does. Another node has the time for it.
+func (x *serving) outlasts() bool {
+	finish, noticed := x.g.stop.Noticed(x.began)
+	end := x.end()
+	return noticed && (end.IsZero() || end.After(finish))
+}
+
 // unsure is the answer of a node that does not know enough. Others do: the
 // caller is to come back soon.
 func (x *serving) unsure() *failure.Error {
