Show that a node of the product ends requests without an answer as it stops

The same as on the users' platform, on the other way to stop a process: at the end of Shutdown.Grace the callers' listener returns and the process ends under its requests. A caller who waits for a whole answer sees EOF, one who reads a stream an unexpected EOF.

--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
@@ -45,6 +46,7 @@
 	engineFlags []string
 	nodes       int
 	settings    string // more of the nodes' settings
+	grace       string // of the nodes' stops; empty: 30s
 }
 
 // standard is the site of most tests: three engines, one plain service and
@@ -189,9 +191,9 @@
 Peers: {Secret: %s}
 Operators: {BootstrapToken: %s}
 Plans: {Settle: 500ms}
-Shutdown: {Notice: 500ms, Grace: 30s}
+Shutdown: {Notice: 500ms, Grace: %s}
 `, nodeName(i), dataCentre(i), n.callers, open, n.operators, open, n.peers, mutual,
-		s.log.address, s.vms.address, s.weights.address, secret, bootstrap) + s.layout.settings
+		s.log.address, s.vms.address, s.weights.address, secret, bootstrap, cmp.Or(s.layout.grace, "30s")) + s.layout.settings
 }
 
 // write writes a file into the site's folder, and gives its path.
--- /dev/null
+++ b/e2e/stop_test.go
@@ -0,0 +1,77 @@
+package e2e
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// post sends the body of a chat to a node and gives the status and the whole body of the
+// answer; the error is of an answer that is not whole.
+func (s *site) post(node int, stream bool) (status int, body string, err error) {
+	text := `{"model":"` + model + `","max_tokens":1000,"messages":[{"role":"user","content":"question"}]}`
+	if stream {
+		text = strings.Replace(text, "{", `{"stream":true,`, 1)
+	}
+	r, err := http.NewRequest(http.MethodPost, s.url(s.nodes[node].callers)+"/v1/chat/completions", bytes.NewBufferString(text))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+keyOf(alpha))
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	all, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(all), err
+}
+
+// Guards against requests that a node of the product has read and, as it stops, ends
+// without an answer.
+func TestStoppedNodeAnswersWhatItHasRead(t *testing.T) {
+	t.Parallel()
+	l := small
+	// Answers of 1,000 tokens take longer than the test waits for anything.
+	l.engineFlags = []string{"--slots", "64", "--prefill-rate", "200000", "--cache-tokens", "200000", "--decode", "1s"}
+	l.grace = "1s"
+	s := newSite(t, l)
+	type answer struct {
+		stream bool
+		status int
+		body   string
+		err    error
+	}
+	answers := make(chan answer, 2)
+	for _, stream := range []bool{false, true} {
+		go func() {
+			status, body, err := s.post(0, stream)
+			answers <- answer{stream, status, body, err}
+		}()
+	}
+	await(t, "both requests run", func() error {
+		if n := s.engineCounters(0).SentTokens; n < 2 {
+			return fmt.Errorf("%d tokens sent", n)
+		}
+		return nil
+	})
+	s.nodes[0].signal(syscall.SIGTERM)
+	for range 2 {
+		switch a := <-answers; {
+		case a.err != nil:
+			t.Errorf("stream %t: %v", a.stream, a.err)
+		case !strings.Contains(a.body, "ShuttingDown"):
+			t.Errorf("stream %t: status %d, %s", a.stream, a.status, a.body)
+		case a.stream && strings.Contains(a.body, "[DONE]"):
+			t.Errorf("a stream that was cut looks whole: %s", a.body)
+		}
+	}
+	if err := s.nodes[0].awaitEnd(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
