Answer requests before a stopping node of the product cuts them

Callers of a node of the product saw EOF as it stopped, for the same cause as on the users' platform: the end of the process was the listener's alone. More is kept back than on the users' platform, as engines of the product are told to stop their work first, which takes up to 2 s.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -51,6 +51,13 @@
 	Leaving() bool
 }
 
+// Stop ends requests that outlast the stop of the process.
+type Stop interface {
+	// Bound gives a context that ends with ctx, and with the time for requests when the
+	// process stops. The caller calls release at the request's end.
+	Bound(ctx context.Context) (bounded context.Context, release func())
+}
+
 // Counter counts requests for the metrics.
 type Counter interface {
 	Began()
@@ -107,6 +114,7 @@
 	directory   Directory
 	presence    Presence
 	counter     Counter
+	stop        Stop
 	log         *zap.Logger
 	app         *fiber.App
 	watcher     watcher
@@ -119,6 +127,7 @@
 	Directory   Directory
 	Presence    Presence
 	Counter     Counter
+	Stop        Stop
 	Metrics     prometheus.Gatherer
 	Log         *zap.Logger
 }
@@ -133,6 +142,7 @@
 		directory:   s.Directory,
 		presence:    s.Presence,
 		counter:     s.Counter,
+		stop:        s.Stop,
 		log:         s.Log,
 	}
 	l.app = fiber.New(fiber.Config{
--- a/connection/caller/completions.go
+++ b/connection/caller/completions.go
@@ -137,14 +137,19 @@
 	l.counter.Answered(workspace)
 }
 
-// whileWanted gives a context that ends when the caller goes away. The answer
-// to a request that may run once at most is wanted all the same: the caller
-// may come back for it with its key.
+// whileWanted gives a context that ends when the caller goes away or the process
+// stops. The answer to a request that may run once at most is wanted without its
+// caller: it may come back for it with its key.
 func (l *Listener) whileWanted(c *fiber.Ctx, r completion.Request) (context.Context, func()) {
 	if r.Key.Set() {
-		return context.Background(), func() {}
+		return l.stop.Bound(context.Background())
+	}
+	watched, unwatch := l.watcher.watch(c.Context().Conn())
+	ctx, release := l.stop.Bound(watched)
+	return ctx, func() {
+		release()
+		unwatch()
 	}
-	return l.watcher.watch(c.Context().Conn())
 }
 
 func (l *Listener) completionRequest(c *fiber.Ctx, t terms, messages func(completionBody) ([]prefix.Message, error)) (completion.Request, bool, error) {
--- a/connection/caller/service.go
+++ b/connection/caller/service.go
@@ -36,7 +36,9 @@
 	}
 	r := callRequest(c, t)
 	l.counter.Began()
-	reply, err := l.calls.Do(context.Background(), r)
+	ctx, release := l.stop.Bound(context.Background())
+	defer release()
+	reply, err := l.calls.Do(ctx, r)
 	l.ended(r.Workspace, err)
 	if err != nil {
 		event.Info(l.log, event.RequestRefused, zap.String("Request", r.ID),
--- a/process/drain/drain.go
+++ b/process/drain/drain.go
@@ -112,6 +112,9 @@
 	// end, on a VM with a small share of a core; of a short grace a part.
 	reserve     = 800 * time.Millisecond
 	reservePart = 1.0 / 5
+	// cancelReserve is kept back where engines are told to stop their work before the
+	// failure is given, which may take 2 s.
+	cancelReserve = 3 * time.Second
 )
 
 // Within gives the schedule of a process that is killed grace after the signal, and
@@ -121,4 +124,11 @@
 	return Schedule{Notice: min(notice, part(grace, noticePart)), Finish: grace - kept, Cut: grace - kept/2}
 }
 
+// After gives the schedule of a process that lets requests take grace after the notice,
+// and that nobody kills before.
+func After(notice, grace time.Duration) Schedule {
+	cut := notice + grace
+	return Schedule{Notice: notice, Finish: cut - min(cancelReserve, part(grace, reservePart)), Cut: cut}
+}
+
 func part(d time.Duration, p float64) time.Duration { return time.Duration(p * float64(d)) }
--- a/process/drain/drain_test.go
+++ b/process/drain/drain_test.go
@@ -99,5 +99,10 @@
 		if s.Finish < grace*3/4 {
 			t.Errorf("grace of %v: requests get %v of it", grace, s.Finish)
 		}
+		const notice = 2 * time.Second
+		s = After(notice, grace)
+		if s.Notice != notice || s.Finish < notice+grace*3/4 || s.Finish >= s.Cut || s.Cut != notice+grace {
+			t.Errorf("grace of %v after the notice: %+v", grace, s)
+		}
 	}
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/caller"
 	"github.com/dunlinmill/dunlinmill/connection/operator"
 	"github.com/dunlinmill/dunlinmill/process/closer"
+	"github.com/dunlinmill/dunlinmill/process/drain"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/settings"
@@ -43,6 +44,7 @@
 	injector *do.RootScope
 	log      *zap.Logger
 	closers  closer.List
+	stop     *drain.Stop
 
 	callers   net.Listener
 	operators net.Listener
@@ -65,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, injector: do.New(), log: log}
+	n := &Node{settings: s, injector: do.New(), log: log, stop: drain.New()}
 	event.Info(log, event.ProcessStarting, zap.String("Callers", s.Listen.Callers.Address),
 		zap.String("Operators", s.Listen.Operators.Address), zap.String("Peers", s.Listen.Peers.Address))
 	n.provide()
@@ -127,6 +129,7 @@
 // they are stopped: callers first, since their requests need all the rest.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.closers.CloseAll(n.log)
+	defer n.stop.Close()
 	stop, cancel := context.WithCancel(context.Background())
 	callers := do.MustInvoke[*caller.Listener](n.injector)
 	operators := do.MustInvoke[*operator.Listener](n.injector)
@@ -168,7 +171,9 @@
 		return nil
 	case <-ctx.Done():
 	}
-	event.Info(n.log, event.ProcessLeaving, zap.Duration("Notice", n.settings.Shutdown.Notice))
+	sch := drain.After(n.settings.Shutdown.Notice, n.settings.Shutdown.Grace)
+	event.Info(n.log, event.ProcessLeaving, zap.Duration("Notice", sch.Notice), zap.Duration("Finish", sch.Finish), zap.Duration("Cut", sch.Cut))
+	n.stop.Begin(time.Now(), sch)
 	do.MustInvoke[*presence](n.injector).leaving.Store(true)
 	do.MustInvoke[*member.Runner](n.injector).Leave()
 	select {
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -82,6 +82,7 @@
 		Directory:   do.MustInvoke[directory](i),
 		Presence:    do.MustInvoke[*presence](i),
 		Counter:     do.MustInvoke[*metric.Metrics](i),
+		Stop:        n.stop,
 		Metrics:     do.MustInvoke[*metric.Metrics](i).Registry(),
 		Log:         n.log,
 	}), nil
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -130,7 +130,8 @@
 type Shutdown struct {
 	// Notice is how long readiness says "leaving" before the listener closes.
 	Notice time.Duration
-	// Grace is how long requests in flight may take after that.
+	// Grace is how long requests in flight may take after that. Those that are left 3 s
+	// before its end (a fifth of a grace under 15 s) are ended with a failure.
 	Grace time.Duration
 }
 
