Show that a hangup ends a node of the product with its requests

SIGHUP has the system's own effect on the program, before a stop and during it: two of four series of signals lose the request, the reader of a stream sees an unexpected EOF; a second SIGTERM and an interrupt during a stop lose none.

--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -75,3 +76,50 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// Guards against a signal that ends a node at once, before its stop or during it, and
+// with it all requests that a stop lets run to their end.
+func TestSignalsEndNoRequest(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name    string
+		signals []syscall.Signal
+	}{
+		{"a hangup", []syscall.Signal{syscall.SIGHUP}},
+		{"a hangup during a stop", []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}},
+		{"a second stop", []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM}},
+		{"an interrupt during a stop", []syscall.Signal{syscall.SIGTERM, syscall.SIGINT}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			l := small
+			// 10 tokens take longer than the signals.
+			l.engineFlags = []string{"--slots", "64", "--prefill-rate", "200000", "--cache-tokens", "200000", "--decode", "300ms"}
+			s := newSite(t, l)
+			before := s.engineCounters(0).SentTokens
+			answers := make(chan error, 1)
+			go func() { answers <- s.askOnce(t.Context(), 0, chatOf(alpha, 1)) }()
+			await(t, "the request runs", func() error {
+				if s.engineCounters(0).SentTokens == before {
+					return errors.New("no token sent")
+				}
+				return nil
+			})
+			for _, signal := range tt.signals {
+				s.nodes[0].signal(signal)
+				await(t, "the node leaves", func() error {
+					if s.look(s.nodes[0], "/ready") == nil {
+						return errors.New("ready")
+					}
+					return nil
+				})
+			}
+			if err := <-answers; err != nil {
+				t.Error(err)
+			}
+			if err := s.nodes[0].awaitEnd(); err != nil {
+				t.Errorf("ended with %v", err)
+			}
+		})
+	}
+}
