--- a/process/command/serve.go
+++ b/process/command/serve.go
@@ -17,8 +17,8 @@
 		Name:       "serve",
 		ShortUsage: "dunlinmill serve --settings FILE [flags]",
 		ShortHelp:  "run a node until it is told to stop",
-		LongHelp: help(`Runs a node. SIGTERM and SIGINT make it leave: readiness turns, the
-listeners close and requests in flight run to their end.`,
+		LongHelp: help(`Runs a node. SIGTERM, SIGINT and SIGHUP make it leave: readiness turns,
+the listeners close and requests in flight run to their end.`,
 			"dunlinmill serve --settings examples/hidrantis/settings.yaml --node entry-2"),
 		FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
