Plan a request that comes during a stop by the node's end

A request that comes while its node stops was placed as if it had all of the time that its caller grants, also on an engine where it could not begin before the node ends; it was ended then, after seconds, in place of being refused at once. The time for its first token is bounded by the cut of the connections now, so that the shedder refuses what can't be expected to begin by then.

Test: TestRequestsEndByTheNodesOwnEnd; three of its eight cases fail without the bound, the others are of what was there before. No run has shown what it buys: in an own run of overlapping stops no request in the notice was refused at the end of the grace that had not begun.

--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -170,12 +170,19 @@
 }
 
 // deadline is when a request without an answer is given up: when the caller would
-// get an answer too late, or the route's time is over, whichever is first.
+// get an answer too late, the route's time is over, or the node cuts its connections,
+// whichever is first. What can't be expected to begin by then is refused before it is
+// sent. The stop ends requests before the cut, so that none is taken for late by it.
 func (x *serving) deadline() time.Time {
-	if x.in.Grant == 0 {
-		return x.within(0)
+	granted := x.in.Grant
+	if granted > 0 {
+		granted = max(granted-x.g.bounds.Load().Transit, granted/2)
 	}
-	return x.within(max(x.in.Grant-x.g.bounds.Load().Transit, x.in.Grant/2))
+	at := x.within(granted)
+	if cut, leaving := x.g.stop.CutAt(); leaving && (at.IsZero() || cut.Before(at)) {
+		return cut
+	}
+	return at
 }
 
 // end is when an answer under way is given up. Nothing is kept back for its way: all
