--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -32,22 +32,24 @@
 		{"late, bounded by nothing", 3 * s, 0, 0, 5 * s, 0, true},
 	}
 	for _, c := range cases {
-		synctest.Test(t, func(t *testing.T) {
-			g := &Gateway{bounds: &atomic.Pointer[Bounds]{}, stop: drain.New()}
-			defer g.stop.Close()
-			g.bounds.Store(&Bounds{Transit: s})
-			g.stop.Begin(time.Now(), schedule)
-			time.Sleep(c.after)
-			x := &serving{g: g, in: Inbound{Grant: c.granted}, began: time.Now(), route: route.Route{Timeout: c.timeout}}
-			if got := x.deadline().Sub(x.began); got != c.deadline {
-				t.Errorf("%s: a first token is waited for %v", c.name, got)
-			}
-			if end := x.end(); end.IsZero() != (c.end == 0) || !end.IsZero() && end.Sub(x.began) != c.end {
-				t.Errorf("%s: ends at %v", c.name, end)
-			}
-			if x.outlasts() != c.outlasts {
-				t.Errorf("%s: outlasts the node: %t", c.name, x.outlasts())
-			}
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := &Gateway{bounds: &atomic.Pointer[Bounds]{}, stop: drain.New()}
+				defer g.stop.Close()
+				g.bounds.Store(&Bounds{Transit: s})
+				g.stop.Begin(time.Now(), schedule)
+				time.Sleep(c.after)
+				x := &serving{g: g, in: Inbound{Grant: c.granted}, began: time.Now(), route: route.Route{Timeout: c.timeout}}
+				if got := x.deadline().Sub(x.began); got != c.deadline {
+					t.Errorf("a first token is waited for %v", got)
+				}
+				if end := x.end(); end.IsZero() != (c.end == 0) || !end.IsZero() && end.Sub(x.began) != c.end {
+					t.Errorf("ends at %v", end)
+				}
+				if x.outlasts() != c.outlasts {
+					t.Errorf("outlasts the node: %t", x.outlasts())
+				}
+			})
 		})
 	}
 }
