Show that a stopping node of the product refuses connections

Its listener closes after Shutdown.Notice, while requests run on for up to Shutdown.Grace; callers that a balancer still sends there are refused their connection. The same as on the users' platform.

--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -11,13 +11,10 @@
 	"testing"
 )
 
-// post sends the body of a chat to a node and gives the status and the whole body of the
+// post sends a chat for so many tokens to a node and gives the status and the whole body of the
 // answer; the error is of an answer that is not whole.
-func (s *site) post(node int, stream bool) (status int, body string, err error) {
-	text := `{"model":"` + model + `","max_tokens":1000,"messages":[{"role":"user","content":"question"}]}`
-	if stream {
-		text = strings.Replace(text, "{", `{"stream":true,`, 1)
-	}
+func (s *site) post(node, tokens int, stream bool) (status int, body string, err error) {
+	text := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"stream":%t,"messages":[{"role":"user","content":"question"}]}`, model, tokens, stream)
 	r, err := http.NewRequest(http.MethodPost, s.url(s.nodes[node].callers)+"/v1/chat/completions", bytes.NewBufferString(text))
 	if err != nil {
 		return 0, "", err
@@ -51,7 +48,7 @@
 	answers := make(chan answer, 2)
 	for _, stream := range []bool{false, true} {
 		go func() {
-			status, body, err := s.post(0, stream)
+			status, body, err := s.post(0, 1000, stream)
 			answers <- answer{stream, status, body, err}
 		}()
 	}
@@ -123,3 +120,39 @@
 		})
 	}
 }
+
+// Guards against callers who find no connection while a stopping node of the product
+// still serves others.
+func TestStoppingNodeAnswersWhoeverComes(t *testing.T) {
+	t.Parallel()
+	l := small
+	// 10 tokens take longer than the notice.
+	l.engineFlags = []string{"--slots", "64", "--prefill-rate", "200000", "--cache-tokens", "200000", "--decode", "300ms"}
+	s := newSite(t, l)
+	before := s.engineCounters(0).SentTokens
+	answers := make(chan error, 1)
+	go func() { answers <- s.askOnce(t.Context(), 0, chatOf(alpha, 1)) }()
+	await(t, "the request runs", func() error {
+		if s.engineCounters(0).SentTokens == before {
+			return errors.New("no token sent")
+		}
+		return nil
+	})
+	s.nodes[0].signal(syscall.SIGTERM)
+	await(t, "callers are turned away", func() error {
+		status, body, err := s.post(0, 1, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if status != http.StatusServiceUnavailable || !strings.Contains(body, "ShuttingDown") {
+			return fmt.Errorf("status %d, %s", status, body)
+		}
+		return nil
+	})
+	if err := <-answers; err != nil {
+		t.Error(err)
+	}
+	if err := s.nodes[0].awaitEnd(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
