Turn callers away by an answer while a node of the product drains

Callers that a balancer still sent to a stopping node of the product were refused their connection, as the listener closed when the drain began. It closes once no request is in flight now, or when requests are ended; requests that come after the notice get 503 ShuttingDown at once, as not run, with a line in the log.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -19,6 +20,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/refusal"
 	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/failure"
@@ -56,6 +58,8 @@
 	// Bound gives a context that ends with ctx, and with the time for requests when the
 	// process stops. The caller calls release at the request's end.
 	Bound(ctx context.Context) (bounded context.Context, release func())
+	// Noticed says that callers have had the time to learn that the process leaves.
+	Noticed(now time.Time) (finish time.Time, noticed bool)
 }
 
 // Counter counts requests for the metrics.
@@ -118,6 +122,7 @@
 	log         *zap.Logger
 	app         *fiber.App
 	watcher     watcher
+	inFlight    atomic.Int64
 }
 
 // Services are what a Listener serves from.
@@ -175,6 +180,40 @@
 // Serve takes connections from ln until Shutdown.
 func (l *Listener) Serve(ln net.Listener) error { return l.app.Listener(ln) }
 
+const (
+	// idlePoll is the time between two looks whether a request is in flight.
+	idlePoll = 20 * time.Millisecond
+	// nextNode is when to come back to a node that leaves: another one gets the request.
+	nextNode = time.Second
+)
+
+// AwaitIdle waits until no request is in flight, or until a time. Callers who come
+// meanwhile are turned away by an answer; a closed listener would leave them without.
+func (l *Listener) AwaitIdle(until time.Time) {
+	for l.inFlight.Load() > 0 && time.Now().Before(until) {
+		time.Sleep(idlePoll)
+	}
+}
+
+// began counts a request, unless it came after the notice of the process's stop.
+func (l *Listener) began(now time.Time, id, workspace string) error {
+	l.inFlight.Add(1)
+	l.counter.Began()
+	if _, noticed := l.stop.Noticed(now); !noticed {
+		return nil
+	}
+	err := failure.ErrShuttingDown.WithRetryAfter(nextNode)
+	l.refused(id, workspace, err)
+	return err
+}
+
+// refused notes the end of a request that got a failure before any answer.
+func (l *Listener) refused(id, workspace string, err error, more ...zap.Field) {
+	l.ended(workspace, err)
+	fields := []zap.Field{zap.String("Request", id), zap.String("Workspace", workspace)}
+	event.Info(l.log, event.RequestRefused, append(append(fields, more...), zap.Error(err))...)
+}
+
 // Shutdown stops taking connections and waits for the requests in flight,
 // for up to grace.
 func (l *Listener) Shutdown(grace time.Duration) error {
--- a/connection/caller/completions.go
+++ b/connection/caller/completions.go
@@ -107,14 +107,14 @@
 	if err != nil {
 		return err
 	}
-	l.counter.Began()
+	if err := l.began(now, r.ID, r.Workspace); err != nil {
+		return err
+	}
 	ctx, stop := l.whileWanted(c, r)
 	a, err := l.completions.Start(ctx, r)
 	if err != nil {
 		stop()
-		l.ended(r.Workspace, err)
-		event.Info(l.log, event.RequestRefused, zap.String("Request", r.ID),
-			zap.String("Workspace", r.Workspace), zap.Error(err))
+		l.refused(r.ID, r.Workspace, err)
 		return err
 	}
 	info := a.Info()
@@ -129,6 +129,7 @@
 
 // ended counts a request's end.
 func (l *Listener) ended(workspace string, err error) {
+	l.inFlight.Add(-1)
 	l.counter.Ended()
 	if err != nil {
 		l.counter.Failed(workspace, failure.From(err))
--- a/connection/caller/service.go
+++ b/connection/caller/service.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
-	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/call"
 )
 
@@ -35,16 +34,17 @@
 		return err
 	}
 	r := callRequest(c, t)
-	l.counter.Began()
+	if err := l.began(now, r.ID, r.Workspace); err != nil {
+		return err
+	}
 	ctx, release := l.stop.Bound(context.Background())
 	defer release()
 	reply, err := l.calls.Do(ctx, r)
-	l.ended(r.Workspace, err)
 	if err != nil {
-		event.Info(l.log, event.RequestRefused, zap.String("Request", r.ID),
-			zap.String("Workspace", r.Workspace), zap.String("Service", r.Service), zap.Error(err))
+		l.refused(r.ID, r.Workspace, err, zap.String("Service", r.Service))
 		return err
 	}
+	l.ended(r.Workspace, nil)
 	for _, f := range reply.Header {
 		if passedOn(f.Name) {
 			c.Set(f.Name, f.Value)
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -185,7 +185,13 @@
 
 // drain lets the requests in flight run to their end.
 func (n *Node) drain(l *caller.Listener) {
-	if err := l.Shutdown(n.settings.Shutdown.Grace); err != nil {
+	grace := n.settings.Shutdown.Grace
+	if finish, leaving := n.stop.FinishAt(); leaving {
+		l.AwaitIdle(finish)
+		cut, _ := n.stop.CutAt()
+		grace = time.Until(cut)
+	}
+	if err := l.Shutdown(grace); err != nil {
 		event.Warn(n.log, event.GraceExceeded, zap.Error(err))
 	}
 }
