--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -30,6 +30,29 @@
 	return resp.StatusCode, string(all), err
 }
 
+// slow has one node whose answers of 10 tokens outlast the notice of its stop.
+var slow = layout{
+	engines:     small.engines,
+	engineFlags: []string{"--slots", "64", "--prefill-rate", "200000", "--cache-tokens", "200000", "--decode", "300ms"},
+	nodes:       1,
+}
+
+// begin sends a chat to the first node and returns once its answer is under way; its end
+// comes on the channel.
+func (s *site) begin() <-chan error {
+	s.t.Helper()
+	before := s.engineCounters(0).SentTokens
+	answers := make(chan error, 1)
+	go func() { answers <- s.askOnce(s.t.Context(), 0, chatOf(alpha, 1)) }()
+	await(s.t, "the request runs", func() error {
+		if s.engineCounters(0).SentTokens == before {
+			return errors.New("no token sent")
+		}
+		return nil
+	})
+	return answers
+}
+
 // Guards against requests that a node of the product has read and, as it stops, ends
 // without an answer.
 func TestStoppedNodeAnswersWhatItHasRead(t *testing.T) {
@@ -89,19 +112,8 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			l := small
-			// 10 tokens take longer than the signals.
-			l.engineFlags = []string{"--slots", "64", "--prefill-rate", "200000", "--cache-tokens", "200000", "--decode", "300ms"}
-			s := newSite(t, l)
-			before := s.engineCounters(0).SentTokens
-			answers := make(chan error, 1)
-			go func() { answers <- s.askOnce(t.Context(), 0, chatOf(alpha, 1)) }()
-			await(t, "the request runs", func() error {
-				if s.engineCounters(0).SentTokens == before {
-					return errors.New("no token sent")
-				}
-				return nil
-			})
+			s := newSite(t, slow)
+			answers := s.begin()
 			for _, signal := range tt.signals {
 				s.nodes[0].signal(signal)
 				await(t, "the node leaves", func() error {
@@ -125,19 +137,8 @@
 // still serves others.
 func TestStoppingNodeAnswersWhoeverComes(t *testing.T) {
 	t.Parallel()
-	l := small
-	// 10 tokens take longer than the notice.
-	l.engineFlags = []string{"--slots", "64", "--prefill-rate", "200000", "--cache-tokens", "200000", "--decode", "300ms"}
-	s := newSite(t, l)
-	before := s.engineCounters(0).SentTokens
-	answers := make(chan error, 1)
-	go func() { answers <- s.askOnce(t.Context(), 0, chatOf(alpha, 1)) }()
-	await(t, "the request runs", func() error {
-		if s.engineCounters(0).SentTokens == before {
-			return errors.New("no token sent")
-		}
-		return nil
-	})
+	s := newSite(t, slow)
+	answers := s.begin()
 	s.nodes[0].signal(syscall.SIGTERM)
 	await(t, "callers are turned away", func() error {
 		status, body, err := s.post(0, 1, false)
