Give up an answer whose first token comes as its time is over

A first token that came in the moment in which the time for it ended was taken for an answer under way, on a stream that was cancelled already: its caller got a head and a cut in place of a failure with a reason. The end of the wait is asked for once it is over now. Found by reading; it has no test of its own, as it takes two events at one moment.

A method that counts requests in and refuses late ones says both by its name.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -195,8 +195,9 @@
 	}
 }
 
-// began counts a request, unless it came after the notice of the process's stop.
-func (l *Listener) began(now time.Time, id, workspace string) error {
+// begin counts a request in. One that came after the notice of the process's stop is
+// refused, and counted out again.
+func (l *Listener) begin(now time.Time, id, workspace string) error {
 	l.inFlight.Add(1)
 	l.counter.Began()
 	if _, noticed := l.stop.Noticed(now); !noticed {
--- a/connection/caller/completions.go
+++ b/connection/caller/completions.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	if err := l.began(now, r.ID, r.Workspace); err != nil {
+	if err := l.begin(now, r.ID, r.Workspace); err != nil {
 		return err
 	}
 	ctx, stop := l.whileWanted(c, r)
--- a/connection/caller/service.go
+++ b/connection/caller/service.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	r := callRequest(c, t)
-	if err := l.began(now, r.ID, r.Workspace); err != nil {
+	if err := l.begin(now, r.ID, r.Workspace); err != nil {
 		return err
 	}
 	ctx, release := l.stop.Bound(context.Background())
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -114,7 +114,6 @@
 	}
 	streaming, cancel := context.WithCancel(s.ctx)
 	begun := context.AfterFunc(ctx, cancel)
-	defer begun()
 	silent := s.watch(now, u.Name, cancel)
 	g, stream, err := s.generate(streaming, u)
 	if err != nil {
@@ -133,6 +132,11 @@
 		a.abandon()
 		return nil, err
 	}
+	if !begun() {
+		// The time was over as the first token came: the stream is cancelled already.
+		a.abandon()
+		return nil, fmt.Errorf("first token: %w", ctx.Err())
+	}
 	s.answered(v, a)
 	return a, nil
 }
