--- a/process/event/process.go
+++ b/process/event/process.go
@@ -8,7 +8,7 @@
 	ListenerOpen
 	// ProcessReady: the node takes requests; Lacks names what it still has to do without.
 	ProcessReady
-	// ProcessLeaving: the node was told to stop; readiness has turned, requests in flight run to their end; Connections are open.
+	// ProcessLeaving: the node was told to stop; readiness has turned, requests in flight run to their end; Connections are open. New requests are served for Notice, requests are ended after Finish, connections are cut after Cut, all from here on.
 	ProcessLeaving
 	// ProcessStopped: the last request has ended and all listeners are closed, so long (Leaving) after the node was told to stop.
 	ProcessStopped
