Keep quotas over all nodes by node time that is handed over

Quotas count tokens, or requests, over all nodes, whatever is cut, frozen, killed or started anew. Each node earns a part of each rate as time passes, and hands it to an allocator before the time comes; that lets requests of all nodes in by what it got. What is earned is spent once or lapses after the time of the burst, so no agreement is needed, and nobody has to be known dead.

--- /dev/null
+++ b/request/quota/client.go
@@ -0,0 +1,301 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+const (
+	// AskPause is the time between two questions of a node to its allocator; a request
+	// that waits is asked for at once.
+	AskPause = 300 * time.Millisecond
+	// handAhead is for how long ahead a node hands over its time. The next question
+	// comes before it is over, and a node that starts earns nothing for as long.
+	handAhead = AskPause + 150*time.Millisecond
+	// startWait is how long a node that has started earns nothing: the process before it
+	// may have handed over as much.
+	startWait = handAhead + cell
+	// joinWait is the same for a node that the others may not count yet.
+	joinWait = 5 * time.Second
+	// maxWants bounds the workspaces of one question, and maxCosts the requests of each.
+	maxWants = 256
+	maxCosts = 256
+	// demandTime is over which time the demand is smoothed.
+	demandTime = time.Second
+)
+
+// Ticket is one request that waits for its workspace's quota.
+type Ticket struct {
+	Cost float64
+	// Done gets one Verdict.
+	Done chan Verdict
+	left bool // its caller waits no more
+}
+
+// Verdict says whether a request may run.
+type Verdict struct {
+	Admitted bool
+	// ComeBack is when its caller is to come back, if it may not.
+	ComeBack time.Duration
+	// Until is until when it may be given back.
+	Until time.Time
+}
+
+// Client is one node's part: it hands over its node time, and lets requests in by what an
+// allocator gives. Times are by the boot clock.
+type Client struct {
+	node    string
+	started int64
+	wake    func()
+
+	mu       sync.Mutex // guards all below
+	handed   time.Time  // its time is handed over, or lost, until then
+	accounts map[string]*local
+}
+
+// local is what a node has of one workspace.
+type local struct {
+	quota   config.Quota
+	stock   float64 // granted ahead
+	until   time.Time
+	owed    float64
+	waiting []*Ticket
+	used    demand // units
+	asked   demand // requests
+}
+
+// NewClient starts a node's part. Again says that the others have counted the node
+// before. Wake is called when a request waits.
+func NewClient(now time.Time, node string, started int64, again bool, wake func()) *Client {
+	wait := joinWait
+	if again {
+		wait = startWait
+	}
+	return &Client{node: node, started: started, wake: wake, handed: now.Add(wait), accounts: map[string]*local{}}
+}
+
+// Take lets a request in, or has it wait for the allocator's word.
+func (c *Client) Take(now time.Time, workspace string, q config.Quota, cost float64) *Ticket {
+	t := &Ticket{Cost: cost, Done: make(chan Verdict, 1)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.accounts[workspace]
+	if l == nil {
+		l = &local{}
+		c.accounts[workspace] = l
+	}
+	if l.quota != q {
+		l.quota, l.stock = q, 0 // granted by another quota
+	}
+	l.used.add(now, cost)
+	l.asked.add(now, 1)
+	if now.Before(l.until) && l.stock >= cost {
+		l.stock -= cost
+		t.Done <- Verdict{Admitted: true, Until: l.until}
+		return t
+	}
+	l.waiting = append(l.waiting, t)
+	c.wake()
+	return t
+}
+
+// Leave ends a request's wait. What it is granted all the same is given back.
+func (c *Client) Leave(workspace string, t *Ticket) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.left = true
+	select {
+	case v := <-t.Done:
+		c.giveBack(workspace, t.Cost, v)
+	default:
+	}
+}
+
+// GiveBack takes in what a request was let in for that has not run.
+func (c *Client) GiveBack(workspace string, cost float64, v Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.giveBack(workspace, cost, v)
+}
+
+func (c *Client) giveBack(workspace string, cost float64, v Verdict) {
+	l := c.accounts[workspace]
+	if l == nil || !v.Admitted {
+		return
+	}
+	if l.stock == 0 || v.Until.Before(l.until) {
+		l.until = v.Until
+	}
+	l.stock += cost
+}
+
+// Owe notes what a request has used beyond what it was let in for.
+func (c *Client) Owe(workspace string, units float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.accounts[workspace]; l != nil {
+		l.owed += units
+	}
+}
+
+// OweAll notes what this node has let in as an allocator, beyond what was there.
+func (c *Client) OweAll(owed map[string]float64) {
+	for workspace, units := range owed {
+		c.Owe(workspace, units)
+	}
+}
+
+// Question is an Ask with the requests that wait for its answer.
+type Question struct {
+	Ask
+	tickets [][]*Ticket // of each Want
+}
+
+// Waiting says whether requests wait.
+func (c *Client) Waiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.accounts {
+		if len(l.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Question gives what is to be asked now. Whatever becomes of it, the node time in it is
+// this node's no more.
+func (c *Client) Question(now time.Time, version uint64) Question {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q := Question{Ask: Ask{Node: c.node, Started: c.started, Sent: now, From: c.handed, To: now.Add(handAhead), Version: version}}
+	if q.To.After(c.handed) {
+		c.handed = q.To
+	}
+	for _, name := range c.byNeed() {
+		if len(q.Wants) == maxWants {
+			break
+		}
+		l := c.accounts[name]
+		if w, tickets, ok := l.want(now, name); ok {
+			q.Wants = append(q.Wants, w)
+			q.tickets = append(q.tickets, tickets)
+		} else if l.idle(now) {
+			delete(c.accounts, name)
+		}
+	}
+	return q
+}
+
+// byNeed gives the workspaces, those first whose requests wait.
+func (c *Client) byNeed() []string {
+	names := slices.Sorted(maps.Keys(c.accounts))
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(len(c.accounts[b].waiting), len(c.accounts[a].waiting))
+	})
+	return names
+}
+
+// want gives what a workspace wants, and takes out what waits and what is given back.
+func (l *local) want(now time.Time, name string) (Want, []*Ticket, bool) {
+	w := Want{Workspace: name, Quota: l.quota, Owed: l.owed}
+	if l.asked.rate(now)*AskPause.Seconds() >= 1 {
+		w.Ahead = l.used.rate(now) * AskPause.Seconds()
+	}
+	if now.Before(l.until) {
+		w.Back = l.stock
+	}
+	l.stock = 0
+	l.waiting = slices.DeleteFunc(l.waiting, func(t *Ticket) bool { return t.left })
+	n := min(len(l.waiting), maxCosts)
+	tickets := l.waiting[:n:n]
+	l.waiting = l.waiting[n:]
+	for _, t := range tickets {
+		w.Costs = append(w.Costs, t.Cost)
+	}
+	return w, tickets, n > 0 || w.Ahead > 0 || w.Back > 0 || w.Owed > 0
+}
+
+// idle says that nothing is known of a workspace that is worth keeping.
+func (l *local) idle(now time.Time) bool {
+	return len(l.waiting) == 0 && l.owed == 0 && l.used.rate(now) < 1e-3
+}
+
+// Learn takes in an allocator's answer, which may come late.
+func (c *Client) Learn(now time.Time, q Question, r Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, w := range q.Wants {
+		if i >= len(r.Grants) || r.Grants[i].Workspace != w.Workspace {
+			c.wait(w.Workspace, q.tickets[i])
+			continue
+		}
+		c.learn(now, q.Sent, w, r.Grants[i], q.tickets[i])
+	}
+}
+
+func (c *Client) learn(now, sent time.Time, w Want, g Grant, tickets []*Ticket) {
+	until := sent.Add(g.Life)
+	l := c.accounts[w.Workspace]
+	if l != nil {
+		l.owed = max(0, l.owed-w.Owed)
+		if now.Before(until) && g.Ahead > 0 {
+			l.stock, l.until = l.stock+g.Ahead, until
+		}
+	}
+	for i, t := range tickets {
+		switch {
+		case i >= len(g.Waits) || g.Waits[i] == admitted && !now.Before(until):
+			c.wait(w.Workspace, tickets[i:i+1])
+		case g.Waits[i] != admitted:
+			t.Done <- Verdict{ComeBack: max(0, g.Waits[i])}
+		case t.left:
+			c.giveBack(w.Workspace, t.Cost, Verdict{Admitted: true, Until: until})
+		default:
+			t.Done <- Verdict{Admitted: true, Until: until}
+		}
+	}
+}
+
+// Missed takes back the requests of a question that got no answer.
+func (c *Client) Missed(q Question) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, w := range q.Wants {
+		c.wait(w.Workspace, q.tickets[i])
+	}
+}
+
+// wait has requests wait on, before those that have come since.
+func (c *Client) wait(workspace string, tickets []*Ticket) {
+	l := c.accounts[workspace]
+	if l == nil {
+		l = &local{}
+		c.accounts[workspace] = l
+	}
+	l.waiting = append(slices.Clone(tickets), l.waiting...)
+}
+
+// demand is a smoothed rate.
+type demand struct {
+	value float64
+	at    time.Time
+}
+
+func (d *demand) add(now time.Time, v float64) {
+	d.value = d.decayed(now) + v
+	d.at = now
+}
+
+func (d *demand) decayed(now time.Time) float64 {
+	return d.value * math.Exp(-max(0, now.Sub(d.at).Seconds())/demandTime.Seconds())
+}
+
+// rate is a second.
+func (d *demand) rate(now time.Time) float64 { return d.decayed(now) / demandTime.Seconds() }
