Say how many nodes there may be, and which are not tried yet

What all nodes share is divided by the nodes that may be there, also behind a cut; a node that has just started knows the others by the list alone.

--- /dev/null
+++ b/process/member/count_test.go
@@ -0,0 +1,50 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/connection/platform"
+)
+
+// Guards against a node that takes itself for one of few, and a larger part of what all
+// share: those that it can't reach count as long as they may be there.
+func TestNodesOutOfSightAreCounted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := lo.Must(NewTable(Config{Name: "a", Address: "127.0.0.1:1", DataCentre: "one", Incarnation: 1}, now))
+	if _, listed := table.Count(now); listed {
+		t.Error("says how many there are before the list was read")
+	}
+	table.SetVMs(now, []platform.VM{
+		{Name: "a", Address: "127.0.0.1:1", DataCentre: "one"}, {Name: "b", Address: "127.0.0.1:2", DataCentre: "two"},
+		{Name: "c", Address: "127.0.0.1:3", DataCentre: "one"},
+	})
+	if n, listed := table.Count(now); n != 3 || !listed {
+		t.Errorf("%d nodes, %v", n, listed)
+	}
+	if untried := table.Untried(); len(untried) != 2 {
+		t.Errorf("untried: %+v", untried)
+	}
+	heard := Record{Name: "b", Address: "127.0.0.1:2", DataCentre: "two", Incarnation: 1, Heartbeat: 1, State: Alive}
+	table.Receive(now, Message{From: heard})
+	if n, _ := table.Count(now); n != 3 {
+		t.Errorf("%d nodes once one is heard of", n)
+	}
+	now = now.Add(time.Second)
+	heard.State = Suspect
+	table.Receive(now, Message{From: Record{Name: "d", Address: "127.0.0.1:4", DataCentre: "two", Incarnation: 1, Heartbeat: 1}, Updates: []Record{heard}})
+	for range 100 {
+		now = now.Add(time.Second)
+		table.Tick(now)
+	}
+	if n, _ := table.Count(now); n != 4 {
+		t.Errorf("%d nodes once one is dead and one has come", n)
+	}
+	now = now.Add(2 * table.cfg.DeadRetention)
+	table.Tick(now)
+	if n, _ := table.Count(now); n != 2 {
+		t.Errorf("%d nodes long after", n)
+	}
+}
--- a/process/member/evidence.go
+++ b/process/member/evidence.go
@@ -255,6 +255,7 @@
 func (t *Table) SetVMs(now time.Time, vms []platform.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.listed = true
 	known := map[string]*entry{}
 	for _, e := range t.members {
 		// Of two processes that had the address, the later one has it now.
@@ -269,7 +270,7 @@
 		if e := known[vm.Address]; e != nil {
 			t.setListedLeaving(e, vm.Leaving)
 		} else if !vm.Leaving {
-			t.addCandidate(vm.Address)
+			t.addCandidate(now, vm)
 		}
 	}
 	for address, c := range t.candidates {
@@ -279,12 +280,12 @@
 	}
 }
 
-func (t *Table) addCandidate(address string) {
-	if address == "" || len(address) > MaxNameBytes || address == t.self.Address {
+func (t *Table) addCandidate(now time.Time, vm platform.VM) {
+	if vm.Address == "" || len(vm.Address) > MaxNameBytes || vm.Address == t.self.Address {
 		return
 	}
-	if t.candidates[address] == nil && len(t.candidates) < MaxCandidates {
-		t.candidates[address] = &candidate{}
+	if t.candidates[vm.Address] == nil && len(t.candidates) < MaxCandidates {
+		t.candidates[vm.Address] = &candidate{since: now, dataCentre: vm.DataCentre}
 	}
 }
 
--- a/process/member/table.go
+++ b/process/member/table.go
@@ -24,6 +24,7 @@
 	offset     uint64
 	members    map[string]*entry
 	candidates map[string]*candidate // by address
+	listed     bool                  // the VM list was read
 	urgent     []string              // names to probe next
 	near, far  link                  // to members in this data centre, and elsewhere
 	local      ring
@@ -93,6 +94,9 @@
 	fixed bool // from the settings
 	tries int
 	next  time.Time
+	since time.Time // when it was listed first
+	// dataCentre is what the list says; empty for an address from the settings.
+	dataCentre string
 }
 
 // Change is one transition, for the log.
@@ -227,6 +231,38 @@
 	return t.viewAt(now).all
 }
 
+// Count is how many nodes there may be, this one included: members in any state, and
+// listed addresses that nobody was heard from, for as long as dead members are kept.
+// False until the VM list was read.
+func (t *Table) Count(now time.Time) (n int, listed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	addresses := map[string]bool{t.self.Address: true}
+	for _, e := range t.members {
+		addresses[e.record.Address] = true
+	}
+	for address, c := range t.candidates {
+		if !c.fixed && now.Sub(c.since) < t.cfg.DeadRetention {
+			addresses[address] = true
+		}
+	}
+	return len(addresses), t.listed
+}
+
+// Untried gives the listed nodes that this one has not tried to reach yet, without their
+// names: a node that has just started knows most others by the list alone.
+func (t *Table) Untried() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var untried []Member
+	for address, c := range t.candidates {
+		if c.tries == 0 && !c.fixed {
+			untried = append(untried, Member{Address: address, DataCentre: c.dataCentre})
+		}
+	}
+	return untried
+}
+
 // Changes gives the transitions since the last call.
 func (t *Table) Changes() []Change {
 	t.mu.Lock()
