--- a/request/call/call.go
+++ b/request/call/call.go
@@ -35,6 +35,9 @@
 	// Once says that the request may run once at most and that no other node
 	// has it: its caller tries each time under another name. It needs no claim.
 	Once bool
+	// RunsAgain is called for each instance beyond the first that may run the request;
+	// nil: nobody is told.
+	RunsAgain func()
 	// MaxRuns is how many instances may have run the request; 0: no own bound.
 	MaxRuns int
 	// Host and Target are those of a request that is passed through as it came.
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -251,7 +251,7 @@
 	if err != nil {
 		if !retry.SurelyNotRun(err) {
 			s.sent = true
-			s.runs++
+			s.ran()
 		}
 		return reply, fmt.Errorf("upstream %s: %w", u.Name, err)
 	}
@@ -327,3 +327,11 @@
 func (s *sending) refusal(e *failure.Error, cause error) error {
 	return retry.Refusal(s.r.ID, s.sent, e, cause)
 }
+
+// ran notes that one more instance may have run the call.
+func (s *sending) ran() {
+	s.runs++
+	if s.runs > 1 && s.r.RunsAgain != nil {
+		s.r.RunsAgain()
+	}
+}
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -53,6 +53,9 @@
 	MaxRuns int
 	// After is the id of the last event that the caller has of an earlier try.
 	After string
+	// RunsAgain is called for each engine beyond the first that may run the request;
+	// nil: nobody is told.
+	RunsAgain func()
 }
 
 // mayRepeat says whether the request may be sent again although it may have
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -30,7 +30,7 @@
 		return nil, upstream.ErrBusy
 	}
 	s.attempts++
-	s.runs++
+	s.ran()
 	s.fetchFrom, s.saveTo = "", ""
 	s.logPlacement(d)
 	g := s.generation(version)
--- a/request/completion/passage_test.go
+++ b/request/completion/passage_test.go
@@ -74,6 +74,7 @@
 		s := newSite(&engine{name: "a", script: script{generate: c.first}}, other)
 		r := passage()
 		r.MaxRuns = 1
+		r.RunsAgain = func() { t.Errorf("%s: told of a further run", c.name) }
 		a, err := s.router().Start(context.Background(), r)
 		if err == nil {
 			a.Close()
@@ -134,3 +135,20 @@
 		t.Errorf("told of %+v, %v; the shared part is %+v", entries, err, chain[0])
 	}
 }
+
+// Guards against a request that runs on a second engine and counts once.
+func TestFurtherRunsAreTold(t *testing.T) {
+	s := newSite(&engine{name: "a", script: script{generate: upstream.ErrBroken}}, &engine{name: "b"})
+	r := passage()
+	r.MaxRuns = 2
+	further := 0
+	r.RunsAgain = func() { further++ }
+	a, err := s.router().Start(context.Background(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	if further != 1 {
+		t.Errorf("told of %d further runs", further)
+	}
+}
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -126,7 +126,7 @@
 		return nil, err
 	}
 	s.sent = true
-	s.runs++
+	s.ran()
 	a := newAnswer(s, v, u, g, stream, cancel)
 	if err := silent.blame(a.first()); err != nil {
 		a.abandon()
@@ -159,7 +159,7 @@
 func (s *start) failedToSend(err error) {
 	if !retry.SurelyNotRun(err) {
 		s.sent = true
-		s.runs++
+		s.ran()
 		return
 	}
 	if s.claim != nil {
@@ -167,6 +167,14 @@
 	}
 }
 
+// ran notes that one more engine may run the request.
+func (s *start) ran() {
+	s.runs++
+	if s.runs > 1 && s.r.RunsAgain != nil {
+		s.r.RunsAgain()
+	}
+}
+
 func (s *start) patience(now time.Time) time.Duration {
 	if s.r.Deadline.IsZero() {
 		return s.rt.Config.HeadTimeout
