--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -20,6 +20,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/refusal"
 	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/drain"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
@@ -180,19 +181,13 @@
 // Serve takes connections from ln until Shutdown.
 func (l *Listener) Serve(ln net.Listener) error { return l.app.Listener(ln) }
 
-const (
-	// idlePoll is the time between two looks whether a request is in flight.
-	idlePoll = 20 * time.Millisecond
-	// nextNode is when to come back to a node that leaves: another one gets the request.
-	nextNode = time.Second
-)
+// nextNode is when to come back to a node that leaves: another one gets the request.
+const nextNode = time.Second
 
 // AwaitIdle waits until no request is in flight, or until a time. Callers who come
 // meanwhile are turned away by an answer; a closed listener would leave them without.
 func (l *Listener) AwaitIdle(until time.Time) {
-	for l.inFlight.Load() > 0 && time.Now().Before(until) {
-		time.Sleep(idlePoll)
-	}
+	drain.AwaitIdle(func() bool { return l.inFlight.Load() > 0 }, until)
 }
 
 // begin counts a request in. One that came after the notice of the process's stop is
--- a/process/drain/drain.go
+++ b/process/drain/drain.go
@@ -103,6 +103,16 @@
 	}
 }
 
+// idlePoll is the time between two looks whether a request is in flight.
+const idlePoll = 20 * time.Millisecond
+
+// AwaitIdle waits until no request is in flight, or until a time.
+func AwaitIdle(busy func() bool, until time.Time) {
+	for busy() && time.Now().Before(until) {
+		time.Sleep(idlePoll)
+	}
+}
+
 // Bounds of a schedule.
 const (
 	// noticePart is the part of the grace that the notice takes at most: what comes
