Keep workspaces to their quotas on the users' platform

Callers saw: a workspace at several times its usual was let in without a bound, 8,599,348 tokens in 8 s of the 8,403,956 that its quota and the tolerance allow. Cause: the quotas of the configuration were not read, and the node admits by none.

Each request counts once, by the tokens that it states, its parts or the configured figure, before an engine is chosen; it is given back if it was refused as not run, and counts again for a further run. One node, the same in all eyes, lets it in by the node time that all hand over. 429 at once, as not run, with the time to come back. A quota that can't be kept to fails its configuration; a count that can't be read is refused.

Ruled out: leases by an owner (three times the quota in a cut, in virtual time), and leaving suspects out (nodes choose differently while a roll goes on).

--- a/process/event/request.go
+++ b/process/event/request.go
@@ -40,4 +40,12 @@
 	QuarantineRead
 	// QuarantineMissed: the records of the requests that are held could not be read or written; it is tried again. To do: when it goes on, see to the platform; held requests that are not recorded come back if all nodes are lost at once.
 	QuarantineMissed
+	// QuotaExceeded: a request is beyond its workspace's quota and was refused as not run; Cost is what it counts, ComeBack when it would be within the quota, behind those refused before it. To do: look at the QuotaUsed lines of the workspace for who uses the quota.
+	QuotaExceeded
+	// QuotaUsed: a workspace's quota was not enough for its requests since the last such line of this node; ByNode is what each node let in. It comes from the node that the others ask, see QuotaAllocator.
+	QuotaUsed
+	// QuotaAllocator: another node than before is asked for what workspaces may use.
+	QuotaAllocator
+	// QuotaMissed: the node that was asked for what workspaces may use did not answer; another one is asked, in the end this one, which has its own part of the quotas alone. To do: when it goes on, look at that node and the way to it.
+	QuotaMissed
 )
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -84,12 +84,17 @@
 
 // Directory is where nodes find each other.
 type Directory interface {
-	// Enter says where this node is reached, and gives the secret by which the
-	// nodes know each other.
-	Enter(ctx context.Context, self platform.VM) (secret []byte, err error)
+	// Enter says where this node is reached.
+	Enter(ctx context.Context, self platform.VM) (Entered, error)
 	platform.VMList
 }
 
+// Entered is what a node that has entered the directory is told.
+type Entered struct {
+	Secret []byte // by which the nodes know each other
+	Again  bool   // a node of this name had entered before
+}
+
 // Platform is what the adapter gives.
 type Platform struct {
 	Configuration keyed.Topic
@@ -112,6 +117,7 @@
 	book        *accepted.Book
 	roster      *roster.Roster
 	view        *view
+	quotas      *quotas
 	policies    *policy.Table
 	completions *completion.Router
 	calls       *call.Router
@@ -148,6 +154,7 @@
 	g.book = do.MustInvoke[*accepted.Book](i)
 	g.roster = do.MustInvoke[*roster.Roster](i)
 	g.view = do.MustInvoke[*view](i)
+	g.quotas = do.MustInvoke[*quotas](i)
 	g.metrics = do.MustInvoke[*metric.Metrics](i)
 	g.keeper = do.MustInvoke[*duty.Keeper](i)
 	for _, start := range []func() error{
@@ -157,6 +164,7 @@
 		func() error { _, err := do.Invoke[*exchanger](i); return err },
 		func() error { _, err := do.Invoke[*cacheFollower](i); return err },
 		func() error { _, err := do.Invoke[*quarantineKeeper](i); return err },
+		func() error { _, err := do.Invoke[*quotas](i); return err },
 	} {
 		if err := start(); err != nil {
 			return err
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -10,6 +10,7 @@
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/quarantine"
+	"github.com/dunlinmill/dunlinmill/request/quota"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
@@ -78,6 +79,17 @@
 	return errNotJoined
 }
 
+// Quota answers a node that asks this one for what its workspaces may use.
+func (h *enginesHandler) Quota(q quota.Ask, r *quota.Reply) error {
+	s := h.peers.quotas.Load()
+	if s == nil {
+		return errNotJoined
+	}
+	var err error
+	*r, err = s.answer(clock.Boot(), time.Now(), q)
+	return err
+}
+
 // Known is what a node knows that one that has just started can't read.
 type Known struct {
 	Namings    []accepted.Naming
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -54,7 +54,9 @@
 	policies *policy.Table
 	learner  *learner
 	endings  endings
-	sharer   atomic.Pointer[sharer] // nil: not started yet
+	sharer   atomic.Pointer[sharer]  // nil: not started yet
+	quotas   atomic.Pointer[quotas]  // nil: not started yet
+	entered  atomic.Pointer[Entered] // nil: not yet
 	// The followers of the platform's topics; nil: not followed yet.
 	configuration, register atomic.Pointer[keyed.Follower]
 
@@ -92,11 +94,12 @@
 // enter tries to enter the directory until it has, and then joins the others.
 func (p *peers) enter(ctx context.Context, d Directory, self platform.VM) {
 	for ctx.Err() == nil {
-		secret, err := p.ask(ctx, d, self)
+		entered, err := p.ask(ctx, d, self)
 		if err == nil {
-			err = p.join(d, self, secret)
+			err = p.join(d, self, entered.Secret)
 		}
 		if err == nil {
+			p.entered.Store(&entered)
 			p.catchUp(ctx)
 			return
 		}
@@ -144,7 +147,7 @@
 	return true
 }
 
-func (p *peers) ask(ctx context.Context, d Directory, self platform.VM) ([]byte, error) {
+func (p *peers) ask(ctx context.Context, d Directory, self platform.VM) (Entered, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	return d.Enter(ctx, self)
@@ -222,6 +225,29 @@
 	return lo.Reject(p.members.Live(now), func(m member.Member, _ int) bool { return m.Name == self })
 }
 
+// count is how many nodes there may be, this one included; false if nobody can say.
+func (p *peers) count(now time.Time) (int, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members == nil {
+		return 0, false
+	}
+	return p.members.Count(now)
+}
+
+// reachable gives the other nodes that this one may hope to reach: live ones, and those
+// that it has not tried yet.
+func (p *peers) reachable(now time.Time) []member.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members == nil {
+		return nil
+	}
+	self := p.members.Self().Name
+	others := lo.Filter(p.members.Live(now), func(m member.Member, _ int) bool { return m.Name != self })
+	return append(others, p.members.Untried()...)
+}
+
 // heardHolder notes a sign that a node has the duty.
 func (p *peers) heardHolder(boot time.Time) {
 	p.mu.Lock()
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -102,5 +102,5 @@
 // nobody is a directory without nodes.
 type nobody struct{}
 
-func (nobody) Enter(context.Context, platform.VM) ([]byte, error) { return nil, nil }
-func (nobody) VMs(context.Context) ([]platform.VM, error)         { return nil, nil }
+func (nobody) Enter(context.Context, platform.VM) (Entered, error) { return Entered{}, nil }
+func (nobody) VMs(context.Context) ([]platform.VM, error)          { return nil, nil }
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -98,6 +98,7 @@
 	do.Provide(i, g.newRollout)
 	do.Provide(i, func(i do.Injector) (*quarantineKeeper, error) { return g.newQuarantineKeeper(i, p.Quarantine), nil })
 	do.Provide(i, func(i do.Injector) (*joiner, error) { return g.newJoiner(i, p), nil })
+	do.Provide(i, g.newQuotas)
 	do.Provide(i, func(i do.Injector) (*peers, error) { return g.newPeers(i, p), nil })
 }
 
@@ -199,10 +200,9 @@
 const longestFetch = time.Second
 
 // Parts of a request's patience that its expected wait may take under overload. The
-// expectation is right in the mean, by rates that answers have shown: half as much
-// again as shedding.Default grants, whose engines tell their queues, refuses half as
-// many. A refusal costs a caller whose late answer still counts more than the queue
-// gains: on 25 troubled days of such users Default's parts were worth 0.02 less.
+// expectation is right in the mean, by rates that answers have shown, so that more than
+// shedding.Default grants, whose engines tell their queues, is borne: a refusal costs a
+// caller whose late answer still counts more than the queue gains.
 const (
 	urgentWait = 0.3
 	otherWait  = 0.18
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -35,10 +35,17 @@
 	// Grant is how long the caller will wait; 0: it does not say.
 	Grant time.Duration
 	// What a request for generated text declares.
-	Model  string
-	Parts  []prefix.Part
-	Output int
-	After  string // id of the last event that the caller has
+	Model    string
+	Parts    []prefix.Part
+	Declared Declared
+	After    string // id of the last event that the caller has
+}
+
+// Declared is what a request says of its tokens.
+type Declared struct {
+	Prompt, Output int // Output: at most
+	Stated         bool
+	Unreadable     bool // stated, but not as two numbers
 }
 
 // Sink takes an answer that is passed through. An error of it means that the
@@ -69,6 +76,7 @@
 	service accepted.Service
 	content quarantine.Content
 	status  int // passed on; 0: none yet
+	charged charged
 
 	version uint64        // of the configuration that decided; 0: none known
 	age     time.Duration // of the proof that it is the newest
@@ -99,6 +107,16 @@
 	if err := x.admit(Boot()); err != nil {
 		return err
 	}
+	if err := x.charge(ctx); err != nil {
+		return err
+	}
+	err := x.send(ctx)
+	x.settle(err)
+	return err
+}
+
+// send has an upstream serve the request.
+func (x *serving) send(ctx context.Context) error {
 	x.content = quarantine.ContentOf([]byte(x.in.Method), []byte(x.in.Host), []byte(x.in.Path), []byte(x.owner.Name), x.in.Body)
 	if x.service.Engine != nil {
 		return x.generate(ctx)
@@ -237,7 +255,7 @@
 		Content:   x.content,
 		Workspace: x.owner.Name,
 		Model:     x.model(),
-		MaxTokens: x.in.Output,
+		MaxTokens: x.in.Declared.Output,
 		Priority:  engineRank(x.priority(), x.in.Parts, x.g.policies.Rate(x.service.Name)),
 		Class:     x.priority(),
 		Deadline:  deadline,
@@ -248,6 +266,7 @@
 		Scope:     x.scope(),
 		MaxRuns:   max(1, x.route.MaxRuns),
 		After:     x.in.After,
+		RunsAgain: x.owe,
 	})
 	if err != nil {
 		return x.orFailedReply(err)
@@ -323,6 +342,7 @@
 		MaxRuns:    max(1, x.route.MaxRuns),
 		Host:       x.in.Host,
 		Target:     x.in.Target,
+		RunsAgain:  x.owe,
 	})
 	if err != nil {
 		return x.orFailedReply(err)
--- a/request/quota/allocator.go
+++ b/request/quota/allocator.go
@@ -25,6 +25,9 @@
 	// comeBackMost bounds the time to come back: what is known of the demand is no
 	// older than seconds.
 	comeBackMost = 5 * time.Second
+	// stallGap is the time between two ticks from which on an allocator has stood still,
+	// and settleTime for how long it then distrusts what has come meanwhile.
+	stallGap, settleTime = 3 * AskPause, 2 * AskPause
 	// silentFor is after how long a node that asks no more is not counted for asking.
 	silentFor = 10 * time.Second
 )
@@ -44,6 +47,8 @@
 	askers  map[string]asker
 	returns map[string]time.Time // by workspace when the callers told to come back are through
 	uses    map[string]*Use      // by workspace since the last report
+	ticked  time.Time
+	settled time.Time // until then it distrusts Asks of nodes whose clock it does not know
 }
 
 // asker is a node that asks.
@@ -67,6 +72,20 @@
 	a.nodes = max(1, n)
 }
 
+// Tick says that the process runs. It is to be called once in each AskPause.
+func (a *Allocator) Tick(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tick(now)
+}
+
+func (a *Allocator) tick(now time.Time) {
+	if now.Sub(a.ticked) > stallGap {
+		a.settled = now.Add(settleTime)
+	}
+	a.ticked = now
+}
+
 // Answer answers a node. The time is by the boot clock.
 func (a *Allocator) Answer(now time.Time, q Ask) Reply {
 	a.mu.Lock()
@@ -80,8 +99,9 @@
 	return Reply{Grants: grants}
 }
 
-// earn takes in the node time that is handed over. The first Ask of a process only sets
-// its clock: it may have been on its way for any time.
+// earn takes in the node time that is handed over. The first Ask of a process sets its
+// clock. It may have been on its way for any time if this process stood still; then that
+// is all that it does.
 func (a *Allocator) earn(now time.Time, q Ask) {
 	took := now.Sub(q.Sent)
 	if q.Node == a.node {
@@ -91,6 +111,9 @@
 	k, known := a.askers[q.Node]
 	if !known || k.started != q.Started {
 		a.askers[q.Node] = asker{started: q.Started, ahead: took, heard: now}
+		if now.Sub(a.ticked) <= stallGap && !now.Before(a.settled) {
+			a.pool.add(now, q.From.Add(took), q.To.Add(took))
+		}
 		return
 	}
 	k.ahead, k.heard = min(k.ahead, took), now
@@ -223,7 +246,7 @@
 func (a *Allocator) comeBack(now time.Time, t account, seconds, missing, full float64) time.Duration {
 	pace := full / t.depth.Seconds() // seconds earned in one second
 	if pace <= 0 {
-		return comeBackMost
+		return startWait // nothing is earned yet, here or anywhere
 	}
 	at := now.Add(min(comeBackMost, time.Duration(missing/pace*float64(time.Second))))
 	if next := a.returns[t.workspace]; next.After(at) {
--- a/request/quota/client.go
+++ b/request/quota/client.go
@@ -52,6 +52,7 @@
 type Client struct {
 	node    string
 	started int64
+	begun   time.Time
 	wake    func()
 
 	mu       sync.Mutex // guards all below
@@ -77,9 +78,13 @@
 	if again {
 		wait = startWait
 	}
-	return &Client{node: node, started: started, wake: wake, handed: now.Add(wait), accounts: map[string]*local{}}
+	return &Client{node: node, started: started, begun: now, wake: wake, handed: now.Add(wait), accounts: map[string]*local{}}
 }
 
+// StartsFor is for how much longer this node counts as just started: what it can't let
+// in yet it may soon, as the others that started with it.
+func (c *Client) StartsFor(now time.Time) time.Duration { return c.begun.Add(2 * startWait).Sub(now) }
+
 // Take lets a request in, or has it wait for the allocator's word.
 func (c *Client) Take(now time.Time, workspace string, q config.Quota, cost float64) *Ticket {
 	t := &Ticket{Cost: cost, Done: make(chan Verdict, 1)}
--- a/request/quota/fleet_test.go
+++ b/request/quota/fleet_test.go
@@ -147,6 +147,7 @@
 		return
 	}
 	n.wake, n.next = false, f.now.Add(AskPause)
+	n.allocator.Tick(f.now.Add(n.clock))
 	f.asked++
 	to := f.choose(f, i)
 	q := n.client.Question(f.now.Add(n.clock), n.version)
--- a/request/quota/pool_test.go
+++ b/request/quota/pool_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -59,6 +60,7 @@
 	}
 	now := start
 	for ; now.Before(start.Add(2 * time.Second)); now = now.Add(AskPause) {
+		a.Tick(now)
 		a.Answer(now, ask(now, now))
 	}
 	letIn(now, a, Ask{Node: "n", Sent: now})
@@ -74,6 +76,34 @@
 	}
 }
 
+// Guards against the same from a node that it has not heard of before.
+func TestFirstQuestionThatWaitedIsNotFresh(t *testing.T) {
+	a := NewAllocator("n", alwaysTest)
+	now := start
+	for range 10 {
+		a.Tick(now)
+		now = now.Add(AskPause)
+	}
+	sent := now
+	now = now.Add(4 * time.Second)
+	for _, ticks := range []bool{false, true} {
+		if ticks {
+			a.Tick(now)
+		}
+		node := fmt.Sprint("m", ticks)
+		a.Answer(now, Ask{Node: node, Sent: sent, From: sent, To: sent.Add(AskPause)})
+	}
+	if got := letIn(now.Add(AskPause), a, Ask{Node: "n", Sent: now.Add(AskPause)}); got > 0 {
+		t.Errorf("%v let in by time of long ago", got)
+	}
+	now = now.Add(settleTime + AskPause)
+	a.Tick(now)
+	a.Answer(now, Ask{Node: "m", Sent: now, From: now, To: now.Add(AskPause)})
+	if got := letIn(now.Add(AskPause), a, Ask{Node: "n", Sent: now.Add(AskPause)}); got == 0 {
+		t.Error("nothing let in by a node's first question")
+	}
+}
+
 // Guards against a process that hands over the time that the one before it has handed
 // over ahead of its end.
 func TestRestartedNodeEarnsNothingAtFirst(t *testing.T) {
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/keyring"
 	"github.com/dunlinmill/dunlinmill/version/route"
 )
@@ -47,6 +48,7 @@
 	HasPriority bool
 	// Isolated workspaces share no cached prefix with any other.
 	Isolated bool
+	Quota    config.Quota
 }
 
 // Limits bound what a caller may send.
@@ -72,12 +74,15 @@
 	Configuration
 	table  route.Table
 	owners map[string]string // workspace by hash of the key
+	// limited says that some workspace has a quota.
+	limited bool
 }
 
 // New makes the tables of a configuration.
 func New(c Configuration) *InForce {
 	f := &InForce{Configuration: c, table: route.NewTable(c.Routes), owners: map[string]string{}}
 	for name, w := range c.Workspaces {
+		f.limited = f.limited || w.Quota.Limited()
 		for _, hash := range w.Keys {
 			f.owners[hash] = name
 		}
@@ -88,6 +93,9 @@
 // Route finds a request's route.
 func (f *InForce) Route(host, path string) (route.Route, bool) { return f.table.Find(host, path) }
 
+// Limited says whether some workspace has a quota.
+func (f *InForce) Limited() bool { return f.limited }
+
 // Owner gives the workspace that a key belongs to.
 func (f *InForce) Owner(key string) (Workspace, bool) {
 	if key == "" {
