--- a/process/gateway/caches.go
+++ b/process/gateway/caches.go
@@ -76,9 +76,6 @@
 // cacheFollower follows what the engines' caches hold. No answer tells what was
 // found in a cache, so that without it nothing corrects what is believed of them:
 // evictions are not noticed, nor what other nodes have had computed until they tell.
-// On 25 troubled days of a fleet whose memory holds one copy and a half of what is
-// shared it gained 0.055 of the users' worth, and a sixth of the shared tokens that were
-// computed again; with the store of caches, which it makes known, 0.114 and a half.
 type cacheFollower struct {
 	log       *zap.Logger
 	node      string
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -21,9 +21,7 @@
 const (
 	// exchangePause is the time between two tellings of this node's load and of
 	// what its answers say of caches. A summary that is older draws all nodes to
-	// the same idle engine. Over 40 troubled days, 200 ms with all news served
-	// 0.5% more of the users' worth than 500 ms with bounded ones, and 100 ms no
-	// more than 200 ms.
+	// the same idle engine.
 	exchangePause = 200 * time.Millisecond
 	// exchangeRate is how many peers a node tells in a second at most: beyond 8
 	// nodes the pause grows with their number.
--- a/request/completion/begin.go
+++ b/request/completion/begin.go
@@ -27,10 +27,10 @@
 	mostUrgent = 0
 	// pressing is the time left to begin from which on nobody is overtaken in an
 	// engine's queue. Before, a long prompt that shorter ones overtake has time
-	// enough: the longest such wait that was seen is 4.6 s.
+	// enough.
 	pressing = 6 * time.Second
-	// waitMargin is how many times longer than expected a wait may turn out. Five
-	// times was seen, as prompts that other engines had cached came all at once.
+	// waitMargin is how many times longer than expected a wait may turn out, as when
+	// prompts that other engines have cached come all at once.
 	waitMargin = 5
 	// lateMargin is kept back from the time left, for the way to the engine.
 	lateMargin = 200 * time.Millisecond
