--- a/request/quota/pool_test.go
+++ b/request/quota/pool_test.go
@@ -76,6 +76,27 @@
 	}
 }
 
+// Guards against node time that was on its way for long to an allocator that has spent
+// all it got: it has lapsed meanwhile.
+func TestNodeTimeThatComesLateHasLapsed(t *testing.T) {
+	a := NewAllocator("n", alwaysTest)
+	a.SetNodes(2)
+	ask := func(at, sent time.Time) { a.Answer(at, Ask{Node: "m", Sent: sent, From: sent, To: sent.Add(AskPause)}) }
+	now, got := start, 0.0
+	for ; now.Before(start.Add(5 * time.Second)); now = now.Add(AskPause) {
+		a.Tick(now)
+		ask(now, now)
+		a.Answer(now, Ask{Node: "n", Sent: now, From: now, To: now.Add(AskPause)})
+		got = letIn(now, a, Ask{Node: "n", Sent: now})
+	}
+	for range 20 {
+		ask(now, now.Add(-4*time.Second))
+	}
+	if more := letIn(now, a, Ask{Node: "n", Sent: now}); more > got {
+		t.Errorf("%v let in, %v without what came late", more, got)
+	}
+}
+
 // Guards against the same from a node that it has not heard of before.
 func TestFirstQuestionThatWaitedIsNotFresh(t *testing.T) {
 	a := NewAllocator("n", alwaysTest)
