Save shared openings of prompts whose question is longer

Engines' memory holds a few seconds of work where audits are most of it: a shared opening is evicted before the next request for it, and was kept in a store only if it was half of its prompt, which few audits' are. It is saved from 0.15 of the prompt on now.

--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -251,6 +251,7 @@
 	names    []string
 	finished []bool
 	source   string // of an import; empty: none
+	reads    int    // tokens that others share and that are computed
 	wait     time.Duration
 }
 
@@ -261,7 +262,7 @@
 			excluded = excluded || x == n
 		}
 		if !excluded {
-			return placement.Decision{Upstream: n, Import: p.source != "", Source: p.source, Wait: p.wait}, nil
+			return placement.Decision{Upstream: n, Import: p.source != "", Source: p.source, Reads: p.reads, Wait: p.wait}, nil
 		}
 	}
 	return placement.Decision{}, placement.ErrNoCandidate
--- a/request/completion/told.go
+++ b/request/completion/told.go
@@ -51,7 +51,7 @@
 // savedPart is the part of a prompt that has to be shared with others, and computed
 // here for the first time, for the prompt to be kept in a store: the rest of it is
 // kept too, takes as much room and link, and is never asked for again.
-const savedPart = 0.5
+const savedPart = 0.15
 
 // saveAddress is the store that a prompt's cache is sent to, near the engine if one
 // is; empty if it isn't to be kept. What some engine holds is fetched from there. What
