Read an oversized header to its end before it is refused

Operators and callers whose header is too large saw a reset now and then in place of the answer that says so. Cause: the listener answered once its buffer was full and closed with the rest unread; what the client still wrote met a closed connection. Ruled out: the load, which only widens the gap (with pauses it came each time). The same stood in the callers' listener.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -240,8 +240,11 @@
 		return l.noRequest(c)
 	}
 	e := refusal.Of(err)
-	if e.Code == failure.BodyTooLarge {
+	switch e.Code {
+	case failure.BodyTooLarge:
 		transport.Drain(c.Context().Conn(), c.Request().Header.ContentLength())
+	case failure.HeaderTooLarge:
+		transport.DrainHeader(c.Context().Conn())
 	}
 	return writeFailure(c, e)
 }
--- a/connection/operator/listener.go
+++ b/connection/operator/listener.go
@@ -221,8 +221,11 @@
 // failed answers every error with its typed form.
 func (l *Listener) failed(c *fiber.Ctx, err error) error {
 	e := refusal.Of(err)
-	if e.Code == failure.BodyTooLarge {
+	switch e.Code {
+	case failure.BodyTooLarge:
 		transport.Drain(c.Context().Conn(), c.Request().Header.ContentLength())
+	case failure.HeaderTooLarge:
+		transport.DrainHeader(c.Context().Conn())
 	}
 	if e.Code == failure.Internal {
 		event.Error(l.log, event.OperatorCallFailed, zap.String("Path", c.Path()), zap.Error(e))
--- a/connection/transport/drain.go
+++ b/connection/transport/drain.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -43,5 +44,27 @@
 	}
 }
 
+// headerEnd ends a header.
+const headerEnd = "\r\n\r\n"
+
+// DrainHeader reads on what a client still sends of a header that is refused as too large,
+// until its end, or for its time. See Drain for why.
+func DrainHeader(conn net.Conn) {
+	if conn.SetReadDeadline(time.Now().Add(drainTime)) != nil {
+		return
+	}
+	var last []byte // as many bytes as could begin the end
+	b := make([]byte, 4<<10)
+	for n := 0; n < drainBytes; {
+		m, err := conn.Read(b)
+		n += m
+		last = append(last, b[:m]...)
+		if err != nil || bytes.Contains(last, []byte(headerEnd)) {
+			return
+		}
+		last = append([]byte(nil), last[max(0, len(last)-len(headerEnd)+1):]...)
+	}
+}
+
 // drainChunk is the most that is read within one deadline.
 const drainChunk = 1 << 20
--- a/connection/transport/drain_test.go
+++ b/connection/transport/drain_test.go
@@ -73,3 +73,23 @@
 		t.Errorf("got %q, %v", got, err)
 	}
 }
+
+// Guards against a refused client that sees a reset as the rest of its header comes in
+// pieces, and against a wait for more than the header.
+func TestDrainHeaderReadsToItsEnd(t *testing.T) {
+	for _, parts := range [][]string{{"xx\r\n\r\n"}, {"xx", "x\r\n", "\r\n"}, {"x\r", "\n", "\r", "\n"}} {
+		client, server := net.Pipe()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			DrainHeader(server)
+		}()
+		for _, p := range parts {
+			if _, err := io.WriteString(client, p); err != nil {
+				t.Errorf("%q: %v", parts, err)
+			}
+		}
+		<-done
+		_, _ = client.Close(), server.Close()
+	}
+}
