--- /dev/null
+++ b/request/quota/cost_test.go
@@ -0,0 +1,49 @@
+package quota
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// size is that of a message on a connection that knows its type.
+func size(b *testing.B, v any) int {
+	var buf bytes.Buffer
+	e := gob.NewEncoder(&buf)
+	for range 2 {
+		buf.Reset()
+		if err := e.Encode(v); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return buf.Len()
+}
+
+// BenchmarkAnswer measures what a question takes of the allocator, for requests of so many
+// workspaces at once, and its bytes both ways, without the call.
+func BenchmarkAnswer(b *testing.B) {
+	for _, nodes := range []int{8, 58, 360} {
+		for _, workspaces := range []int{0, 1, 16} {
+			b.Run(fmt.Sprintf("%d/%d", nodes, workspaces), func(b *testing.B) {
+				q := config.Quota{Unit: config.Tokens, PerSecond: 1e9, Burst: 1e9}
+				a := NewAllocator("n", func(string) (config.Quota, uint64) { return q, 1 })
+				a.SetNodes(nodes)
+				ask := Ask{Node: "edge-lozenets-12", Started: 1}
+				for i := range workspaces {
+					ask.Wants = append(ask.Wants, Want{Workspace: fmt.Sprintf("workspace-%d", i), Quota: q, Costs: []float64{12_000}})
+				}
+				now, r := start, Reply{}
+				for b.Loop() {
+					now = now.Add(AskPause / time.Duration(nodes))
+					ask.Sent, ask.From, ask.To = now, now, now.Add(AskPause)
+					r = a.Answer(now, ask)
+				}
+				b.ReportMetric(float64(size(b, ask)+size(b, r)), "bytes")
+			})
+		}
+	}
+}
