Show that what is owed is lost as the allocator changes

Found by reading: a node that hands the duty on told its debt to nobody unless it had requests of that workspace itself, and took everything spent for unspent.

--- a/request/quota/pool_test.go
+++ b/request/quota/pool_test.go
@@ -189,11 +189,14 @@
 	if len(large.Done) != 1 || !(<-large.Done).Admitted {
 		t.Fatal("the large request was not let in")
 	}
+	client = NewClient(start, "n", 2, true, func() {}) // that knows nothing of the workspace
 	client.OweAll(before.Owed(start))
 	q = client.Question(start, 1)
 	client.Learn(start, q, after.Answer(start, q.Ask))
-	if got := letIn(start, after, Ask{Node: "n", Sent: start}); got != 0 {
-		t.Errorf("%v let in before the large request is paid off", got)
+	for name, a := range map[string]*Allocator{"the next": after, "the former": before} {
+		if got := letIn(start, a, Ask{Node: "n", Sent: start}); got != 0 {
+			t.Errorf("%v let in by %s allocator before the large request is paid off", got, name)
+		}
 	}
 	if owed := before.Owed(start); len(owed) != 0 {
 		t.Errorf("%v is owed still", owed)
