Keep what is owed as the allocator changes

A workspace whose large request was let in ahead of its quota got as much again after a change of the allocator: what it owed was dropped by a node that had no request of it, and with it all that it had spent there. Cause: the debt was kept by an account that may not be there, and taking it off forgot the workspace. Only the debt is taken off now, and it carries its quota. Test: 890 units let in by each, 0 since.

--- a/process/gateway/charge.go
+++ b/process/gateway/charge.go
@@ -136,6 +136,6 @@
 // owe counts a further run of the request.
 func (x *serving) owe() {
 	if x.charged.cost > 0 {
-		x.g.quotas.client.Load().Owe(x.owner.Name, x.charged.cost)
+		x.g.quotas.client.Load().Owe(quota.Debt{Workspace: x.owner.Name, Quota: x.owner.Quota, Units: x.charged.cost})
 	}
 }
--- a/process/gateway/quota.go
+++ b/process/gateway/quota.go
@@ -158,7 +158,7 @@
 	c := s.client.Load()
 	for _, m := range s.candidates(now) {
 		if m.Address != s.address {
-			c.OweAll(s.allocator.Owed(boot))
+			c.Owe(s.allocator.Owed(boot)...)
 		}
 		q := c.Question(clock.Boot(), version)
 		began := clock.Boot()
--- a/request/quota/allocator.go
+++ b/request/quota/allocator.go
@@ -271,20 +271,22 @@
 	return g
 }
 
-// Owed gives what workspaces have been let in beyond the node time that was there, in
-// units, and takes it off: it is told to another allocator.
-func (a *Allocator) Owed(now time.Time) map[string]float64 {
+// Debt is what a workspace has been let in beyond the node time that was there.
+type Debt struct {
+	Workspace string
+	Quota     config.Quota
+	Units     float64
+}
+
+// Owed gives what all workspaces owe, and takes it off: it is told to another allocator.
+func (a *Allocator) Owed(now time.Time) []Debt {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	owed := map[string]float64{}
+	var owed []Debt
 	for name := range a.pool.spent {
-		seconds := a.pool.owed(now, name)
 		q, _ := a.quotas(name)
-		if seconds > 0 && q.Limited() {
-			owed[name] = seconds * q.PerSecond / float64(a.sharers(now))
-		}
-		if seconds > 0 {
-			a.pool.forget(name)
+		if seconds := a.pool.takeOwed(now, name); seconds > 0 && q.Limited() {
+			owed = append(owed, Debt{Workspace: name, Quota: q, Units: seconds * q.PerSecond / float64(a.sharers(now))})
 		}
 	}
 	return owed
--- a/request/quota/client.go
+++ b/request/quota/client.go
@@ -90,11 +90,7 @@
 	t := &Ticket{Cost: cost, Done: make(chan Verdict, 1)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.accounts[workspace]
-	if l == nil {
-		l = &local{}
-		c.accounts[workspace] = l
-	}
+	l := c.of(workspace)
 	if l.quota != q {
 		l.quota, l.stock = q, 0 // granted by another quota
 	}
@@ -140,19 +136,13 @@
 	l.stock += cost
 }
 
-// Owe notes what a request has used beyond what it was let in for.
-func (c *Client) Owe(workspace string, units float64) {
+// Owe notes what was used beyond what was let in.
+func (c *Client) Owe(debts ...Debt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if l := c.accounts[workspace]; l != nil {
-		l.owed += units
-	}
-}
-
-// OweAll notes what this node has let in as an allocator, beyond what was there.
-func (c *Client) OweAll(owed map[string]float64) {
-	for workspace, units := range owed {
-		c.Owe(workspace, units)
+	for _, d := range debts {
+		l := c.of(d.Workspace)
+		l.quota, l.owed = d.Quota, l.owed+d.Units
 	}
 }
 
@@ -277,13 +267,19 @@
 	}
 }
 
-// wait has requests wait on, before those that have come since.
-func (c *Client) wait(workspace string, tickets []*Ticket) {
+// of gives what this node has of a workspace.
+func (c *Client) of(workspace string) *local {
 	l := c.accounts[workspace]
 	if l == nil {
 		l = &local{}
 		c.accounts[workspace] = l
 	}
+	return l
+}
+
+// wait has requests wait on, before those that have come since.
+func (c *Client) wait(workspace string, tickets []*Ticket) {
+	l := c.of(workspace)
 	l.waiting = append(slices.Clone(tickets), l.waiting...)
 }
 
--- a/request/quota/pool.go
+++ b/request/quota/pool.go
@@ -126,9 +126,13 @@
 // giveBack takes in what was spent and is not used.
 func (p *pool) giveBack(workspace string, seconds float64) { p.spent[workspace] -= seconds }
 
-// owed is what a workspace has spent beyond what is earned by now, in seconds.
-func (p *pool) owed(now time.Time, workspace string) float64 {
-	return max(0, p.spent[workspace]-p.earned(cellAt(now)))
+// takeOwed gives what a workspace has spent beyond what is earned by now, in seconds, and
+// takes it off.
+func (p *pool) takeOwed(now time.Time, workspace string) float64 {
+	earned := p.earned(cellAt(now))
+	owed := max(0, p.spent[workspace]-earned)
+	p.spent[workspace] -= owed
+	return owed
 }
 
 // forget drops what is known of a workspace.
--- a/request/quota/pool_test.go
+++ b/request/quota/pool_test.go
@@ -190,7 +190,7 @@
 		t.Fatal("the large request was not let in")
 	}
 	client = NewClient(start, "n", 2, true, func() {}) // that knows nothing of the workspace
-	client.OweAll(before.Owed(start))
+	client.Owe(before.Owed(start)...)
 	q = client.Question(start, 1)
 	client.Learn(start, q, after.Answer(start, q.Ask))
 	for name, a := range map[string]*Allocator{"the next": after, "the former": before} {
