Join the quotas at once, and work out less for each question

A node that has started looked for the others only after 0.3 s, in which its requests waited or were refused; it looks every 20 ms until it has joined, if there are quotas. The order of allocators and the count of nodes are worked out once in 0.3 s: for each question both grew with the nodes.

--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -86,7 +86,7 @@
 		return errNotJoined
 	}
 	var err error
-	*r, err = s.answer(clock.Boot(), time.Now(), q)
+	*r, err = s.answer(clock.Boot(), q)
 	return err
 }
 
--- a/process/gateway/quota.go
+++ b/process/gateway/quota.go
@@ -49,18 +49,22 @@
 	// call asks the node at an address.
 	call func(ctx context.Context, address string, q quota.Ask, r *quota.Reply) error
 
+	listed atomic.Bool // the allocator knows how many nodes there may be
+
 	// Of the goroutine that asks.
 	avoided  map[string]time.Time // until when, by address
-	last     string               // address that answered last
+	order    []member.Member      // see candidates
+	ordered  time.Time
+	last     string // address that answered last
 	reported time.Time
 }
 
 func (g *Gateway) newQuotas(i do.Injector) (*quotas, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &quotas{
-		node: g.settings.Node, address: g.settings.Peers, dataCentre: g.settings.DataCentre, book: do.MustInvoke[*accepted.Book](i), peers: do.MustInvoke[*peers](i), ready: make(chan struct{}),
-		wake: make(chan struct{}, 1), log: g.log,
-		avoided: map[string]time.Time{},
+		node: g.settings.Node, address: g.settings.Peers, dataCentre: g.settings.DataCentre,
+		book: do.MustInvoke[*accepted.Book](i), peers: do.MustInvoke[*peers](i), log: g.log,
+		ready: make(chan struct{}), wake: make(chan struct{}, 1), avoided: map[string]time.Time{},
 	}
 	s.allocator = quota.NewAllocator(s.node, s.quotaOf)
 	s.call = func(ctx context.Context, address string, q quota.Ask, r *quota.Reply) error {
@@ -100,10 +104,14 @@
 
 // await returns when a request waits, or it is time to ask all the same.
 func (s *quotas) await(ctx context.Context) {
-	if c := s.client.Load(); c != nil && c.Waiting() {
+	c, f, pause := s.client.Load(), s.book.InForce(), quota.AskPause
+	switch {
+	case c != nil && c.Waiting():
 		return
+	case c == nil && (f == nil || f.Limited()):
+		pause = notJoinedPause
 	}
-	t := time.NewTimer(quota.AskPause)
+	t := time.NewTimer(pause)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -117,11 +125,11 @@
 	n, listed := s.peers.count(now)
 	entered := s.peers.entered.Load()
 	if !listed || entered == nil {
-		clock.Wait(nil, notJoinedPause)
 		return false
 	}
 	s.allocator.SetNodes(n)
 	s.allocator.Tick(boot)
+	s.listed.Store(true)
 	if s.client.Load() == nil {
 		s.client.Store(quota.NewClient(boot, s.node, now.UnixNano(), entered.Again, s.awake))
 		close(s.ready)
@@ -181,6 +189,7 @@
 
 // avoid leaves an allocator alone that did not answer.
 func (s *quotas) avoid(now time.Time, m member.Member, took time.Duration) {
+	s.ordered = time.Time{}
 	if took < quotaTimeout {
 		s.avoided[m.Address] = now.Add(quotaAvoidDown)
 		return
@@ -188,10 +197,18 @@
 	s.avoided[m.Address] = now.Add(quotaAvoid)
 }
 
-// candidates are the nodes to be asked one after the other: the first one of all, by a
-// hash that all nodes compute alike, the first one of this data centre, which may be cut
-// off, and this node.
+// candidates are the nodes to be asked one after the other. They are worked out anew once
+// in each AskPause, and when one has not answered.
 func (s *quotas) candidates(now time.Time) []member.Member {
+	if now.Sub(s.ordered) >= quota.AskPause {
+		s.order, s.ordered = s.workOut(now), now
+	}
+	return s.order
+}
+
+// workOut gives the first node of all, by a hash that all nodes compute alike, the first
+// one of this data centre, which may be cut off, and this node.
+func (s *quotas) workOut(now time.Time) []member.Member {
 	self := member.Member{Address: s.address, DataCentre: s.dataCentre}
 	all := append(s.peers.reachable(now), self)
 	slices.SortFunc(all, func(a, b member.Member) int {
@@ -217,12 +234,10 @@
 }
 
 // answer answers another node.
-func (s *quotas) answer(boot, now time.Time, q quota.Ask) (quota.Reply, error) {
-	n, listed := s.peers.count(now)
-	if !listed {
+func (s *quotas) answer(boot time.Time, q quota.Ask) (quota.Reply, error) {
+	if !s.listed.Load() {
 		return quota.Reply{}, errNotJoined
 	}
-	s.allocator.SetNodes(n)
 	return s.allocator.Answer(boot, q), nil
 }
 
