Test upstreams that go down and up by turns

Each spoils at most what it has in flight and as many more as eject it, each time that it goes down, and the others' traffic doesn't swing with it (one and three of twelve, in virtual time).

--- a/request/ejection/ejection_test.go
+++ b/request/ejection/ejection_test.go
@@ -278,3 +278,29 @@
 		}
 	}
 }
+
+// Guards against an upstream that goes down and up by turns and spoils more requests each
+// time, and against a fleet whose whole traffic swings with it.
+func TestFlappingUpstreamSpoilsFewRequests(t *testing.T) {
+	const phase, played = 700 * time.Millisecond, time.Minute
+	for _, flapping := range []int{1, 3} {
+		f := newFleet(12)
+		f.run(5 * time.Second)
+		for at := time.Duration(0); at < played; at += 2 * phase {
+			for _, down := range []bool{true, false} {
+				bound := f.failed
+				for _, n := range f.names[:flapping] {
+					f.failing[n] = down
+					bound += len(f.running[n]) + Default.Consecutive // those under way are lost
+				}
+				f.run(phase)
+				if f.failed > bound {
+					t.Errorf("%d flapping: %d requests spoilt at once beyond the bound", flapping, f.failed-bound)
+				}
+			}
+		}
+		if f.most > flapping || f.nowhere > 0 {
+			t.Errorf("%d flapping: %d upstreams without work at once, %d requests without an upstream", flapping, f.most, f.nowhere)
+		}
+	}
+}
