Mend four faults of the quotas that reading found

Callers would have seen: quotas passed a little where units given back or granted by another quota lived on with a later grant; and a node that used a whole core for good once the operators took all quotas away while a request waited. Causes: one time of lapse for all that a node has, taken from the last grant; grants that were added whatever quota they came from; requests whose callers have left counted as waiting, and a loop that goes on at once while any waits. Three tests, each seen to fail before (two cases and one); the loop by reading.

--- a/process/gateway/charge.go
+++ b/process/gateway/charge.go
@@ -103,10 +103,10 @@
 	case v := <-t.Done:
 		return v, nil
 	case <-ctx.Done():
-		c.Leave(x.owner.Name, t)
+		c.Leave(Boot(), x.owner.Name, t)
 		return quota.Verdict{}, failure.Gone(ctx)
 	case <-wait.C:
-		c.Leave(x.owner.Name, t)
+		c.Leave(Boot(), x.owner.Name, t)
 		return quota.Verdict{}, x.unsure().WithCause(errUnknownQuota)
 	}
 }
@@ -130,7 +130,7 @@
 	if x.charged.cost == 0 || err == nil || x.status != 0 || failure.From(err).Ran != failure.NotRun {
 		return
 	}
-	x.g.quotas.client.Load().GiveBack(x.owner.Name, x.charged.cost, x.charged.verdict)
+	x.g.quotas.client.Load().GiveBack(Boot(), x.owner.Name, x.charged.cost, x.charged.verdict)
 }
 
 // owe counts a further run of the request.
--- a/process/gateway/quota.go
+++ b/process/gateway/quota.go
@@ -95,7 +95,7 @@
 		s.await(ctx)
 		boot, now := clock.Boot(), time.Now()
 		f := s.book.InForce()
-		if f == nil || !f.Limited() || !s.begin(boot, now) {
+		if f == nil || !f.Limited() && !s.waiting() || !s.begin(boot, now) {
 			continue
 		}
 		s.round(ctx, boot, now, f.Version)
@@ -104,11 +104,11 @@
 
 // await returns when a request waits, or it is time to ask all the same.
 func (s *quotas) await(ctx context.Context) {
-	c, f, pause := s.client.Load(), s.book.InForce(), quota.AskPause
+	f, pause := s.book.InForce(), quota.AskPause
 	switch {
-	case c != nil && c.Waiting():
+	case s.waiting():
 		return
-	case c == nil && (f == nil || f.Limited()):
+	case s.client.Load() == nil && (f == nil || f.Limited()):
 		pause = notJoinedPause
 	}
 	t := time.NewTimer(pause)
@@ -120,6 +120,13 @@
 	}
 }
 
+// waiting says whether requests wait for a word; also those from before the configuration
+// had no quota any more.
+func (s *quotas) waiting() bool {
+	c := s.client.Load()
+	return c != nil && c.Waiting()
+}
+
 // begin makes this node's part once it has joined the others; false before.
 func (s *quotas) begin(boot, now time.Time) bool {
 	n, listed := s.peers.count(now)
--- a/request/quota/allocator.go
+++ b/request/quota/allocator.go
@@ -44,6 +44,8 @@
 	mu      sync.Mutex // guards all below
 	pool    *pool
 	nodes   int // that may earn node time, as far as is known
+	sharing int // by which rates are divided, as counted last
+	counted time.Time
 	askers  map[string]asker
 	returns map[string]time.Time // by workspace when the callers told to come back are through
 	uses    map[string]*Use      // by workspace since the last report
@@ -91,6 +93,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.earn(now, q)
+	a.count(now)
 	grants := make([]Grant, len(q.Wants))
 	for i, w := range q.Wants {
 		grants[i] = a.grant(now, q.Version, w)
@@ -121,8 +124,13 @@
 	a.pool.add(now, q.From.Add(k.ahead), q.To.Add(k.ahead))
 }
 
-// sharers is the number of nodes by which rates are divided.
-func (a *Allocator) sharers(now time.Time) int {
+// count counts the nodes by which rates are divided, once in each AskPause; nodes that it
+// has not heard of before count at once.
+func (a *Allocator) count(now time.Time) {
+	if a.sharing = max(a.sharing, a.nodes, 1+len(a.askers)); now.Sub(a.counted) < AskPause {
+		return
+	}
+	a.counted = now
 	heard := 1
 	for node, k := range a.askers {
 		if now.Sub(k.heard) > silentFor {
@@ -131,7 +139,7 @@
 		}
 		heard++
 	}
-	return max(heard, a.nodes)
+	a.sharing = max(heard, a.nodes)
 }
 
 // account is one workspace's balance for as long as a Want is answered.
@@ -154,7 +162,7 @@
 		a.pool.forget(w.Workspace)
 		return g.unlimited(w)
 	}
-	t := account{workspace: w.Workspace, worth: q.PerSecond / float64(a.sharers(now)), depth: depth(q.PerSecond, q.Burst)}
+	t := account{workspace: w.Workspace, worth: q.PerSecond / float64(a.sharing), depth: depth(q.PerSecond, q.Burst)}
 	a.pool.giveBack(w.Workspace, w.Back/t.worth)
 	if w.Owed > 0 {
 		a.pool.spend(now, w.Workspace, t.depth, 0, w.Owed/t.worth)
@@ -286,7 +294,7 @@
 	for name := range a.pool.spent {
 		q, _ := a.quotas(name)
 		if seconds := a.pool.takeOwed(now, name); seconds > 0 && q.Limited() {
-			owed = append(owed, Debt{Workspace: name, Quota: q, Units: seconds * q.PerSecond / float64(a.sharers(now))})
+			owed = append(owed, Debt{Workspace: name, Quota: q, Units: seconds * q.PerSecond / float64(max(1, a.sharing))})
 		}
 	}
 	return owed
--- a/request/quota/client.go
+++ b/request/quota/client.go
@@ -107,33 +107,43 @@
 }
 
 // Leave ends a request's wait. What it is granted all the same is given back.
-func (c *Client) Leave(workspace string, t *Ticket) {
+func (c *Client) Leave(now time.Time, workspace string, t *Ticket) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t.left = true
 	select {
 	case v := <-t.Done:
-		c.giveBack(workspace, t.Cost, v)
+		c.giveBack(now, workspace, t.Cost, v)
 	default:
 	}
 }
 
 // GiveBack takes in what a request was let in for that has not run.
-func (c *Client) GiveBack(workspace string, cost float64, v Verdict) {
+func (c *Client) GiveBack(now time.Time, workspace string, cost float64, v Verdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.giveBack(workspace, cost, v)
+	c.giveBack(now, workspace, cost, v)
 }
 
-func (c *Client) giveBack(workspace string, cost float64, v Verdict) {
+func (c *Client) giveBack(now time.Time, workspace string, cost float64, v Verdict) {
 	l := c.accounts[workspace]
 	if l == nil || !v.Admitted {
 		return
 	}
-	if l.stock == 0 || v.Until.Before(l.until) {
-		l.until = v.Until
+	l.add(now, cost, v.Until)
+}
+
+// add takes in units that are good until a time; with what is there, until the earlier one.
+func (l *local) add(now time.Time, units float64, until time.Time) {
+	switch {
+	case units <= 0 || !now.Before(until):
+		return
+	case !now.Before(l.until):
+		l.stock = 0
+	case l.stock > 0 && l.until.Before(until):
+		until = l.until
 	}
-	l.stock += cost
+	l.stock, l.until = l.stock+units, until
 }
 
 // Owe notes what was used beyond what was let in.
@@ -157,7 +167,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, l := range c.accounts {
-		if len(l.waiting) > 0 {
+		if slices.ContainsFunc(l.waiting, func(t *Ticket) bool { return !t.left }) {
 			return true
 		}
 	}
@@ -240,8 +250,8 @@
 	l := c.accounts[w.Workspace]
 	if l != nil {
 		l.owed = max(0, l.owed-w.Owed)
-		if now.Before(until) && g.Ahead > 0 {
-			l.stock, l.until = l.stock+g.Ahead, until
+		if l.quota == w.Quota {
+			l.add(now, g.Ahead, until)
 		}
 	}
 	for i, t := range tickets {
@@ -251,7 +261,7 @@
 		case g.Waits[i] != admitted:
 			t.Done <- Verdict{ComeBack: max(0, g.Waits[i])}
 		case t.left:
-			c.giveBack(w.Workspace, t.Cost, Verdict{Admitted: true, Until: until})
+			c.giveBack(now, w.Workspace, t.Cost, Verdict{Admitted: true, Until: until})
 		default:
 			t.Done <- Verdict{Admitted: true, Until: until}
 		}
--- a/request/quota/fleet_test.go
+++ b/request/quota/fleet_test.go
@@ -175,7 +175,7 @@
 		if f.now.Sub(w.since) < f.patience {
 			return false
 		}
-		n.client.Leave(workspace, w.ticket)
+		n.client.Leave(f.now.Add(n.clock), workspace, w.ticket)
 	}
 	f.refused++
 	return true
--- a/request/quota/pool_test.go
+++ b/request/quota/pool_test.go
@@ -175,6 +175,40 @@
 	}
 }
 
+// Guards against what was given back, or granted by another quota, and lives on with what
+// is granted after it.
+func TestGrantsDoNotRenewWhatIsThere(t *testing.T) {
+	low := testQuota
+	low.PerSecond = 1
+	for _, c := range []struct {
+		name  string
+		quota config.Quota // when the answer comes
+		most  float64      // units that the node may let in then
+	}{{"given back", testQuota, 100}, {"another quota", low, 0}} {
+		client := NewClient(start, "n", 1, true, func() {})
+		first := client.Take(start, workspace, testQuota, 10)
+		q := client.Question(start, 1)
+		client.GiveBack(start, workspace, 500, Verdict{Admitted: true, Until: start.Add(100 * time.Millisecond)})
+		client.Take(start, workspace, c.quota, 1e6)
+		client.Learn(start, q, Reply{Grants: []Grant{{Workspace: workspace, Waits: []time.Duration{admitted}, Ahead: 100, Life: time.Second}}})
+		if len(first.Done) != 1 {
+			t.Errorf("%s: the first one is not let in", c.name)
+		}
+		if over := client.Take(start.Add(500*time.Millisecond), workspace, c.quota, c.most+1); len(over.Done) != 0 {
+			t.Errorf("%s: lets in more than %v", c.name, c.most)
+		}
+	}
+}
+
+// Guards against a node that goes on asking for requests whose callers have left.
+func TestNobodyWaitsWhoHasLeft(t *testing.T) {
+	client := NewClient(start, "n", 1, true, func() {})
+	client.Leave(start, workspace, client.Take(start, workspace, testQuota, 10))
+	if client.Waiting() {
+		t.Error("a request waits whose caller has left")
+	}
+}
+
 // Guards against a request that is larger than what was there, and is paid off by nobody
 // once another node allocates.
 func TestWhatIsOwedGoesToTheNextAllocator(t *testing.T) {
