--- a/request/quota/pool_test.go
+++ b/request/quota/pool_test.go
@@ -257,3 +257,30 @@
 		}
 	}
 }
+
+// Guards against an allocator that has not read the newest configuration and lets in what
+// only the one before allows, or an asker that has not.
+func TestQuotaOfTheNewerConfigurationHolds(t *testing.T) {
+	low := testQuota
+	low.PerSecond, low.Burst = 100, 100
+	for _, c := range []struct {
+		name    string
+		own     config.Quota // of version 5
+		asked   config.Quota
+		version uint64
+		most    float64
+	}{{"the asker's", testQuota, low, 6, low.Burst}, {"the allocator's", low, testQuota, 4, low.Burst}, {"none any more", testQuota, config.Quota{}, 6, 1e9}} {
+		a := NewAllocator("n", func(string) (config.Quota, uint64) { return c.own, 5 })
+		hand(start, a, "n", 3*time.Second)
+		got := 0.0
+		for range 50 {
+			w := Want{Workspace: workspace, Quota: c.asked, Costs: []float64{10}}
+			if a.Answer(start, Ask{Node: "n", Sent: start, Version: c.version, Wants: []Want{w}}).Grants[0].Waits[0] == admitted {
+				got += 10
+			}
+		}
+		if got > c.most || got < c.most/2 && c.most < 500 {
+			t.Errorf("%s: %v let in, %v at most", c.name, got, c.most)
+		}
+	}
+}
