Read a large register without a list of it for everybody

By a profile of 45 nodes in one process at such a start, the dearest work of our own was the register: for each of its entries all others were looked through twice (for a former start at the same address, and for the same news in one look), and each node told each other one all that it had just read of the beginning. Ruled out: decoding, 7.6 us an entry, stays.

Change: the entries are found by address, the news by key, and most of a register of over 100 upstreams is no news to be told: the others read it themselves. The test of the latter was written with it; the first two are guarded by BenchmarkRegister.

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -136,20 +135,35 @@
 		t.roster.Only(now, lo.Map(u.Records, func(r keyed.Record, _ int) string { return r.Key }))
 	}
 	read := RegisterRead{From: u.From, Next: u.Next}
+	latest := map[string]RegisterNews{} // by key: heartbeats follow each other within one look
 	for _, r := range u.Records {
 		n := t.news(r)
 		n.Sure = t.enter(now, n)
-		if t.says(n, u.From) && !read.has(n) {
+		key := n.Entry.RegisterKey()
+		if before, seen := latest[key]; t.says(n, u.From) && !(seen && before.same(n)) {
+			latest[key] = n
 			read.News = append(read.News, n)
 		}
 	}
 	t.roster.SetRead()
 	t.refresh(now)
-	if !u.Complete {
+	if !u.Complete && !t.isBeginning(len(latest)) {
 		t.tell(read)
 	}
 }
 
+// mostNews is how many upstreams a telling is about whatever the register holds.
+const mostNews = 100
+
+// isBeginning says that most of a large register is news to this node. So it is to the
+// others then, which have started with it and read it themselves: told by each of 300
+// nodes to each, 3,000 upstreams would fill all links.
+func (l *learner) isBeginning(news int) bool {
+	l.saidMu.Lock()
+	defer l.saidMu.Unlock()
+	return news > mostNews && 2*news > len(l.said)
+}
+
 // errNoStart means that an entry doesn't tell when its upstream started, although an
 // earlier one under the same key did.
 var errNoStart = errors.New("gateway: time of start is missing")
@@ -193,17 +207,6 @@
 	News []RegisterNews
 }
 
-// has says whether the latest news of an upstream say the same as n. Heartbeats
-// follow each other within one look.
-func (r RegisterRead) has(n RegisterNews) bool {
-	for _, o := range slices.Backward(r.News) {
-		if o.Entry.RegisterKey() == n.Entry.RegisterKey() {
-			return o.Unusable && n.Unusable || !o.Gone && !n.Gone && o.Entry.Equal(n.Entry)
-		}
-	}
-	return false
-}
-
 // RegisterNews is one record of the register that has changed something.
 type RegisterNews struct {
 	Entry  roster.Entry // the key alone if Gone
@@ -217,6 +220,11 @@
 	Sure bool
 }
 
+// same says whether two records of one upstream say the same.
+func (n RegisterNews) same(o RegisterNews) bool {
+	return n.Unusable && o.Unusable || !n.Gone && !o.Gone && n.Entry.Equal(o.Entry)
+}
+
 // enter takes one record in, and says whether its upstream is out of use by it.
 func (l *learner) enter(now time.Time, n RegisterNews) (gone bool) {
 	if n.Gone {
--- a/process/gateway/learn_test.go
+++ b/process/gateway/learn_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -89,3 +90,35 @@
 		t.Errorf("told %d and %d, want 3 and 0: heartbeats are none of it", len(told[0].News), len(told[1].News))
 	}
 }
+
+// Guards against the links of a fleet that starts: each node reads the whole register
+// within a look or two, and told what it had read to each other one. A change of a few
+// upstreams among many is told as ever, and each change of a small register.
+func TestTheBeginningOfALargeRegisterIsNotTold(t *testing.T) {
+	for _, c := range []struct {
+		upstreams, changed int
+		told               bool // the beginning
+	}{{20, 20, true}, {3000, 40, false}, {3000, 1000, false}} {
+		l := newLearner()
+		var told []RegisterRead
+		taker := &registerTaker{learner: l, tell: func(r RegisterRead) { told = append(told, r) }}
+		next := uint64(1)
+		look := func(n int, value string) {
+			u := keyed.Update{From: next, Next: next + uint64(n)}
+			for i := range n {
+				u.Records = append(u.Records, keyed.Record{Key: fmt.Sprint("u", i), Value: []byte(value), Offset: next + uint64(i)})
+			}
+			next += uint64(n)
+			taker.Take(time.Unix(1000, 0), u)
+		}
+		look(c.upstreams, "x")
+		if got := len(told) == 1; got != c.told {
+			t.Errorf("%d upstreams: beginning told %v", c.upstreams, got)
+		}
+		told = nil
+		look(c.changed, "xy")
+		if len(told) != 1 || len(told[0].News) != c.changed {
+			t.Errorf("%d of %d changed: not told", c.changed, c.upstreams)
+		}
+	}
+}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -55,8 +55,11 @@
 	mu      sync.Mutex
 	entries map[string]record // by Entry.ID
 	starts  map[string]string // the ID of each key's latest start
-	read    bool              // the register has been read whole
-	away    bool              // the register is not reached
+	// at has the IDs of the entries at each address: a register of thousands is read at
+	// each start of a node.
+	at   map[string][]string
+	read bool // the register has been read whole
+	away bool // the register is not reached
 	// settled is when an entry that is missing counts as gone: the grace after
 	// the register's return. Zero: the register was never away.
 	settled time.Time
@@ -79,7 +82,7 @@
 
 // New starts without upstreams.
 func New() *Roster {
-	return &Roster{entries: map[string]record{}, starts: map[string]string{}, superseded: map[string]bool{}, seen: map[string]uint64{}, busy: map[string]time.Time{}, leaving: map[string]time.Time{}}
+	return &Roster{entries: map[string]record{}, starts: map[string]string{}, at: map[string][]string{}, superseded: map[string]bool{}, seen: map[string]uint64{}, busy: map[string]time.Time{}, leaving: map[string]time.Time{}}
 }
 
 // Put takes in an entry. Leaving that was once read holds, whatever comes
@@ -113,6 +116,10 @@
 	if known && !old.lapsed && old.Equal(e) {
 		return false
 	}
+	if known {
+		r.leaveAddress(old.Entry)
+	}
+	r.at[e.Address] = append(r.at[e.Address], e.ID)
 	r.entries[e.ID] = record{Entry: e}
 	r.changes++
 	return true
@@ -137,13 +144,21 @@
 // replace drops the former starts at the address of a new one. Their entries
 // would stay until they lapse, and each request to one be refused.
 func (r *Roster) replace(e Entry) {
-	for id, o := range r.entries {
-		if o.Address == e.Address {
-			r.supersede(id)
-		}
+	for _, id := range slices.Clone(r.at[e.Address]) {
+		r.supersede(id)
 	}
 }
 
+// leaveAddress takes an entry out of those at its address.
+func (r *Roster) leaveAddress(e Entry) {
+	left := slices.DeleteFunc(r.at[e.Address], func(id string) bool { return id == e.ID })
+	if len(left) == 0 {
+		delete(r.at, e.Address)
+		return
+	}
+	r.at[e.Address] = left
+}
+
 func (r *Roster) supersede(id string) {
 	if len(r.superseded) >= maxSuperseded {
 		clear(r.superseded)
@@ -153,10 +168,11 @@
 }
 
 func (r *Roster) remove(id string) {
-	key := r.entries[id].RegisterKey()
-	if r.starts[key] == id {
+	e := r.entries[id]
+	if key := e.RegisterKey(); r.starts[key] == id {
 		delete(r.starts, key)
 	}
+	r.leaveAddress(e.Entry)
 	delete(r.entries, id)
 }
 
