Count what happened lately in one place

Cause: found by reading; the quotas' smoothed demand was shedding's decaying sum written again. Change: one type in request/decay that both use, by shedding's formula; the quotas' guard against a clock that goes back is gone with it, as their clock does not. Ruled out: the failures' penalty of placement, which has rules of its own. Result: the tests of both packages pass unchanged.

--- a/request/quota/client.go
+++ b/request/quota/client.go
@@ -3,11 +3,11 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/request/decay"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -26,8 +26,10 @@
 	// maxWants bounds the workspaces of one question, and maxCosts the requests of each.
 	maxWants = 256
 	maxCosts = 256
-	// demandTime is over which time the demand is smoothed.
-	demandTime = time.Second
+	// demandTime is over which time the demand is smoothed, and leastDemand the units under
+	// which there is none.
+	demandTime  = time.Second
+	leastDemand = 1e-3
 )
 
 // Ticket is one request that waits for its workspace's quota.
@@ -67,8 +69,8 @@
 	until   time.Time
 	owed    float64
 	waiting []*Ticket
-	used    demand // units
-	asked   demand // requests
+	used    decay.Sum // units
+	asked   decay.Sum // requests
 }
 
 // NewClient starts a node's part. Again says that the others have counted the node
@@ -94,8 +96,8 @@
 	if l.quota != q {
 		l.quota, l.stock = q, 0 // granted by another quota
 	}
-	l.used.add(now, cost)
-	l.asked.add(now, 1)
+	l.used.Add(now, demandTime, cost)
+	l.asked.Add(now, demandTime, 1)
 	if now.Before(l.until) && l.stock >= cost {
 		l.stock -= cost
 		t.Done <- Verdict{Admitted: true, Until: l.until}
@@ -200,18 +202,16 @@
 
 // byNeed gives the workspaces, those first whose requests wait.
 func (c *Client) byNeed() []string {
-	names := slices.Sorted(maps.Keys(c.accounts))
-	slices.SortStableFunc(names, func(a, b string) int {
-		return cmp.Compare(len(c.accounts[b].waiting), len(c.accounts[a].waiting))
+	return slices.SortedFunc(maps.Keys(c.accounts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(c.accounts[b].waiting), len(c.accounts[a].waiting)), cmp.Compare(a, b))
 	})
-	return names
 }
 
 // want gives what a workspace wants, and takes out what waits and what is given back.
 func (l *local) want(now time.Time, name string) (Want, []*Ticket, bool) {
 	w := Want{Workspace: name, Quota: l.quota, Owed: l.owed}
-	if l.asked.rate(now)*AskPause.Seconds() >= 1 {
-		w.Ahead = l.used.rate(now) * AskPause.Seconds()
+	if next := AskPause.Seconds() / demandTime.Seconds(); l.asked.At(now, demandTime)*next >= 1 {
+		w.Ahead = l.used.At(now, demandTime) * next
 	}
 	if now.Before(l.until) {
 		w.Back = l.stock
@@ -229,7 +229,7 @@
 
 // idle says that nothing is known of a workspace that is worth keeping.
 func (l *local) idle(now time.Time) bool {
-	return len(l.waiting) == 0 && l.owed == 0 && l.used.rate(now) < 1e-3
+	return len(l.waiting) == 0 && l.owed == 0 && l.used.At(now, demandTime) < leastDemand
 }
 
 // Learn takes in an allocator's answer, which may come late.
@@ -292,21 +292,3 @@
 	l := c.of(workspace)
 	l.waiting = append(slices.Clone(tickets), l.waiting...)
 }
-
-// demand is a smoothed rate.
-type demand struct {
-	value float64
-	at    time.Time
-}
-
-func (d *demand) add(now time.Time, v float64) {
-	d.value = d.decayed(now) + v
-	d.at = now
-}
-
-func (d *demand) decayed(now time.Time) float64 {
-	return d.value * math.Exp(-max(0, now.Sub(d.at).Seconds())/demandTime.Seconds())
-}
-
-// rate is a second.
-func (d *demand) rate(now time.Time) float64 { return d.decayed(now) / demandTime.Seconds() }
--- a/request/shedding/lengths.go
+++ b/request/shedding/lengths.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/dunlinmill/dunlinmill/request/decay"
 )
 
 const (
@@ -25,22 +27,22 @@
 }
 
 // counts is how many requests asked lately, and how many of them were sent.
-type counts struct{ asked, sent decaying }
+type counts struct{ asked, sent decay.Sum }
 
 func (c *counts) add(now time.Time, memory time.Duration, sent bool) {
-	c.asked.add(now, memory, 1)
+	c.asked.Add(now, memory, 1)
 	if sent {
-		c.sent.add(now, memory, 1)
+		c.sent.Add(now, memory, 1)
 	}
 }
 
 // share is the part that was sent, in which prior counts for so many requests more.
 func (c *counts) share(now time.Time, memory time.Duration, prior, requests float64) float64 {
-	asked := c.asked.now(now, memory) + requests
+	asked := c.asked.At(now, memory) + requests
 	if asked == 0 {
 		return 1
 	}
-	return (c.sent.now(now, memory) + prior*requests) / asked
+	return (c.sent.At(now, memory) + prior*requests) / asked
 }
 
 // lengths counts requests by the length of their prompts: those of one class, and of
--- a/request/shedding/shedding.go
+++ b/request/shedding/shedding.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/request/decay"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/limit"
 )
@@ -124,10 +125,10 @@
 
 	mu         sync.Mutex
 	workspaces map[string]*usage
-	total      decaying
+	total      decay.Sum
 	lengths    [mostClasses][2]lengths // by Ask.Class; of workspaces over their share, and of others
-	asks       decaying                // requests
-	over       decaying                // of them, those with a wait over Urgent or Other
+	asks       decay.Sum               // requests
+	over       decay.Sum               // of them, those with a wait over Urgent or Other
 	weights    float64                 // of the workspaces with usage, as of counted
 	counted    time.Time               // when they were last added up
 }
@@ -142,25 +143,10 @@
 
 // usage is what one workspace took lately.
 type usage struct {
-	decaying
+	decay.Sum
 	weight float64
 }
 
-// decaying is a sum whose parts lose their weight with age.
-type decaying struct {
-	value float64
-	at    time.Time
-}
-
-func (d decaying) now(now time.Time, memory time.Duration) float64 {
-	return d.value * math.Exp(-now.Sub(d.at).Seconds()/memory.Seconds())
-}
-
-func (d *decaying) add(now time.Time, memory time.Duration, v float64) {
-	d.value = d.now(now, memory) + v
-	d.at = now
-}
-
 // Verdict is what was decided about a request, and by what.
 type Verdict struct {
 	// Err is nil if the request may be sent, else its final answer: it was not
@@ -221,15 +207,15 @@
 
 // note counts a request for the measure of overload.
 func (s *Shedder) note(now time.Time, over bool) {
-	s.asks.add(now, s.cfg.Memory, 1)
+	s.asks.Add(now, s.cfg.Memory, 1)
 	if over {
-		s.over.add(now, s.cfg.Memory, 1)
+		s.over.Add(now, s.cfg.Memory, 1)
 	}
 }
 
 // overload is 0 in calm and 1 under full overload.
 func (s *Shedder) overload(now time.Time) float64 {
-	part := s.over.now(now, s.cfg.Memory) / s.asks.now(now, s.cfg.Memory)
+	part := s.over.At(now, s.cfg.Memory) / s.asks.At(now, s.cfg.Memory)
 	return min(1, max(0, (part-s.cfg.Low)/(s.cfg.High-s.cfg.Low)))
 }
 
@@ -261,8 +247,8 @@
 		s.workspaces[workspace] = u
 	}
 	u.weight = weightOf(weight)
-	u.add(now, s.cfg.Memory, float64(tokens))
-	s.total.add(now, s.cfg.Memory, float64(tokens))
+	u.Add(now, s.cfg.Memory, float64(tokens))
+	s.total.Add(now, s.cfg.Memory, float64(tokens))
 }
 
 func weightOf(w float64) float64 {
@@ -277,12 +263,12 @@
 // keep the small ones' waiting as long as its own.
 func (s *Shedder) factor(now time.Time, a Ask) float64 {
 	u, ok := s.workspaces[a.Workspace]
-	total := s.total.now(now, s.cfg.Memory)
+	total := s.total.At(now, s.cfg.Memory)
 	if !ok || total <= 0 {
 		return s.cfg.MostFactor
 	}
 	s.count(now)
-	took := u.now(now, s.cfg.Memory) / total
+	took := u.At(now, s.cfg.Memory) / total
 	fair := weightOf(a.Weight) / max(s.weights, weightOf(a.Weight))
 	return min(s.cfg.MostFactor, max(s.cfg.LeastFactor, fair/max(took, math.SmallestNonzeroFloat32)))
 }
@@ -301,9 +287,9 @@
 	}
 	s.counted = now
 	s.weights = 0
-	least := activePart * s.total.now(now, s.cfg.Memory)
+	least := activePart * s.total.At(now, s.cfg.Memory)
 	for name, u := range s.workspaces {
-		v := u.now(now, s.cfg.Memory)
+		v := u.At(now, s.cfg.Memory)
 		switch {
 		case v >= least:
 			s.weights += u.weight
@@ -320,7 +306,7 @@
 	}
 	least, name := math.Inf(1), ""
 	for n, u := range s.workspaces {
-		if v := u.now(now, s.cfg.Memory); v < least || v == least && n < name {
+		if v := u.At(now, s.cfg.Memory); v < least || v == least && n < name {
 			least, name = v, n
 		}
 	}
