Read on what is refused as too large in one place

Cause: found by reading; the two listeners had the same branch on which part of a request is too large. Change: refusal.Drain, which both call. Result: their tests pass unchanged.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -240,12 +240,7 @@
 		return l.noRequest(c)
 	}
 	e := refusal.Of(err)
-	switch e.Code {
-	case failure.BodyTooLarge:
-		transport.Drain(c.Context().Conn(), c.Request().Header.ContentLength())
-	case failure.HeaderTooLarge:
-		transport.DrainHeader(c.Context().Conn())
-	}
+	refusal.Drain(c, e)
 	return writeFailure(c, e)
 }
 
--- a/connection/operator/listener.go
+++ b/connection/operator/listener.go
@@ -16,7 +16,6 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/connection/refusal"
-	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -221,12 +220,7 @@
 // failed answers every error with its typed form.
 func (l *Listener) failed(c *fiber.Ctx, err error) error {
 	e := refusal.Of(err)
-	switch e.Code {
-	case failure.BodyTooLarge:
-		transport.Drain(c.Context().Conn(), c.Request().Header.ContentLength())
-	case failure.HeaderTooLarge:
-		transport.DrainHeader(c.Context().Conn())
-	}
+	refusal.Drain(c, e)
 	if e.Code == failure.Internal {
 		event.Error(l.log, event.OperatorCallFailed, zap.String("Path", c.Path()), zap.Error(e))
 	}
--- a/connection/refusal/refusal.go
+++ b/connection/refusal/refusal.go
@@ -11,6 +11,7 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 )
 
@@ -33,6 +34,17 @@
 	return failure.ErrMalformedRequest.WithCause(err)
 }
 
+// Drain reads on what a caller still sends of a request that is refused as too large:
+// closed with it unread, the connection would be reset and the answer lost.
+func Drain(c *fiber.Ctx, e *failure.Error) {
+	switch e.Code {
+	case failure.BodyTooLarge:
+		transport.Drain(c.Context().Conn(), c.Request().Header.ContentLength())
+	case failure.HeaderTooLarge:
+		transport.DrainHeader(c.Context().Conn())
+	}
+}
+
 // Write answers with body, the failure's status and, where coming back helps,
 // a Retry-After in whole seconds, rounded up: who comes back early is refused
 // again.
