Log what the floor of a length saw of a shed request

The log could not tell why the floor for lengths did not let a long prompt in: whether other work alone made it late, or its length looked as well served as the others, and by how many requests. RequestShed has LateByOthers, ClassShare, LengthShare and LengthCount now. No decision changes: the tests of the package pass as they were.

--- a/process/event/request.go
+++ b/process/event/request.go
@@ -24,7 +24,7 @@
 	PrefixNotImported
 	// RequestServed: a request that was passed through got its whole answer; Status is the upstream's.
 	RequestServed
-	// RequestShed: the best upstream would have given the first token too late, so the request was refused; Excluded upstreams were not to be used; Allowed is the longest wait with which the request would have been sent, given Overload and its workspace's Share. To do: if it continues, check whether engines are changing weights, ejected or gone; otherwise add engines.
+	// RequestShed: the best upstream would have given the first token too late, so the request was refused; Excluded upstreams were not to be used; Allowed is the longest wait with which the request would have been sent, given Overload and its workspace's Share. LateByOthers: the floor of its length did not apply, as other work alone makes it late; otherwise LengthShare of the LengthCount recent requests of its length were sent, and ClassShare of all those compared with it. To do: if it continues, check whether engines are changing weights, ejected or gone; otherwise add engines.
 	RequestShed
 	// UpstreamPassedOver: an engine was chosen whose weights are being replaced, and a request might not begin there within BeginWithin, the time that is left for the old weights; another engine is chosen. To do: if it continues, find out why the roll-out makes no progress.
 	UpstreamPassedOver
--- a/request/completion/shed.go
+++ b/request/completion/shed.go
@@ -39,6 +39,7 @@
 	event.Info(s.rt.Log, event.RequestShed, zap.String("Request", s.r.ID), zap.String("Upstream", d.Upstream),
 		zap.Stringer("Reason", d.Reason), zap.Duration("Wait", d.Wait), zap.Duration("Idle", d.IdleWait), zap.Float64("ReadRate", d.PrefillRate),
 		zap.Duration("Allowed", v.AllowedWait), zap.Float64("Overload", v.Overload), zap.Float64("Share", v.ShareFactor),
+		zap.Bool("LateByOthers", v.LateByOthers), zap.Float64("ClassShare", v.ClassShare), zap.Float64("LengthShare", v.LengthShare), zap.Float64("LengthCount", v.LengthCount),
 		zap.Int("CachedTokens", d.CachedTokens), zap.Int("PromptTokens", s.chain.Tokens()),
 		zap.Int("Upstreams", len(s.target.list.Names)), zap.Int("Excluded", excluded))
 	if s.mayHaveRun {
--- a/request/shedding/lengths.go
+++ b/request/shedding/lengths.go
@@ -57,12 +57,13 @@
 	bands [maxBands]sendCounts
 }
 
-// belowFloor reports whether the sent fraction of the prompt's band is less than
-// LengthFloor times that of all requests counted here.
-func (l *lengthCounts) belowFloor(now time.Time, cfg Config, tokens int) bool {
-	overallShare := l.all.share(now, cfg.LengthDecay, 0, 0)
-	bandShare := l.bands[bandOf(tokens)].share(now, cfg.LengthDecay, overallShare, priorRequests)
-	return bandShare < cfg.LengthFloor*overallShare
+// shares returns the sent fraction of all requests counted here and of those of the
+// prompt's band, and how many requests of the band are counted.
+func (l *lengthCounts) shares(now time.Time, cfg Config, tokens int) (overall, band, count float64) {
+	counts := &l.bands[bandOf(tokens)]
+	overall = l.all.share(now, cfg.LengthDecay, 0, 0)
+	band = counts.share(now, cfg.LengthDecay, overall, priorRequests)
+	return overall, band, counts.requests.ValueAt(now, cfg.LengthDecay)
 }
 
 func (l *lengthCounts) add(now time.Time, life time.Duration, tokens int, sent bool) {
--- a/request/shedding/shedding.go
+++ b/request/shedding/shedding.go
@@ -160,6 +160,12 @@
 	// FloorApplied means that the request is sent although it exceeds AllowedWait,
 	// because too few requests of its length were sent.
 	FloorApplied bool
+	// LateByOthers means that the floor does not apply, as other work alone makes the
+	// request late.
+	LateByOthers bool
+	ClassShare   float64 // fraction of the requests compared with it that were sent recently
+	LengthShare  float64 // the same for those of its length
+	LengthCount  float64 // recent requests of its length, without the prior ones
 }
 
 // Decide decides whether the request may be sent.
@@ -193,8 +199,9 @@
 	// floor of its length. Its own computing is left out: an estimate that assumed a
 	// fifth of the engines' real prefill rate excluded half of the longest prompts
 	// from the floor.
-	inTime := budget > 0 && float64(r.Wait-r.IdleWait) <= s.cfg.NormalWaitFraction*budget
-	d.FloorApplied = r.Wait > allowed && inTime && counts.belowFloor(now, s.cfg, r.PromptTokens)
+	d.LateByOthers = budget <= 0 || float64(r.Wait-r.IdleWait) > s.cfg.NormalWaitFraction*budget
+	d.ClassShare, d.LengthShare, d.LengthCount = counts.shares(now, s.cfg, r.PromptTokens)
+	d.FloorApplied = r.Wait > allowed && !d.LateByOthers && d.LengthShare < s.cfg.LengthFloor*d.ClassShare
 	counts.add(now, s.cfg.LengthDecay, r.PromptTokens, r.Wait <= allowed || d.FloorApplied)
 	return d
 }
