Count the requests of all nodes by prompt length, not each node its own

Cause: a floor for each length compares what was sent of the length with what was sent of all, by the node's own counts of 30 s. Change: nodes add up their counts once a second, through the aggregators of a large fleet and directly in a small one; a report replaces the one before and is used for 3 s. The estimator is as it was, so that a node by itself decides as before (the bounds of the measurement hold unchanged). It hands the counts on once a second now, as the nodes do; traffic and check are as they were.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 )
 
@@ -42,6 +43,7 @@
 	Placement []byte // see policy.EncodeSummary
 	Caches    []byte // see cachenews.Book
 	Endings   Endings
+	Lengths   []shedding.LengthCount // nil: not due
 }
 
 // exchanger reports this node's traffic to its peers.
@@ -51,22 +53,25 @@
 	policies    *policy.Table
 	cacheNews   *cachenews.EntryBuffer
 	endings     endingsStore
+	lengths     *shedding.Shedder
 	sharer      *sharer
 	metrics     *metric.Metrics
 	log         *zap.Logger
 	loggedRates map[catalogue.Group]float64 // by pool and model, as last logged
-	cancel      context.CancelFunc
-	work        sync.WaitGroup
+
+	lengthsSentAt time.Time
+	cancel        context.CancelFunc
+	work          sync.WaitGroup
 }
 
 func (g *Gateway) newExchanger(i do.Injector) (*exchanger, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &exchanger{
 		node: g.settings.Node, peers: do.MustInvoke[*peers](i), policies: do.MustInvoke[*policy.Table](i),
-		cacheNews: do.MustInvoke[*cachenews.EntryBuffer](i), endings: newEndingsStore(i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
+		cacheNews: do.MustInvoke[*cachenews.EntryBuffer](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
 		log: g.log, loggedRates: map[catalogue.Group]float64{},
 	}
-	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.endings)
+	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.endings, e.lengths)
 	e.sharer.call = func(ctx context.Context, address string, q Share, a *Shared) error {
 		return e.peers.callWithin(ctx, shareTimeout, address, "Share", q, a)
 	}
@@ -98,6 +103,10 @@
 		return time.Duration(float64(sharePause) * (1 + shareSpread*(2*rand.Float64()-1)))
 	}
 	v := Values{Node: e.node, Placement: e.policies.EncodedSummary(now, e.node, turn), Caches: e.cacheNews.EncodeUnsent(now, maxCacheNewsBytes), Endings: e.endings.unsent(now)}
+	if now.Sub(e.lengthsSentAt) >= lengthsPause {
+		e.lengthsSentAt = now
+		v.Lengths = e.lengths.LengthCounts(now)
+	}
 	e.peers.callAll("Exchange", v)
 	return exchangeInterval(len(others))
 }
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -67,6 +67,9 @@
 	h.peers.policies.MergeSummary(now, now, v.Node, v.Placement)
 	h.peers.policies.MergeCacheNews(now, v.Caches)
 	h.peers.endings.merge(now, v.Endings)
+	if v.Lengths != nil {
+		h.peers.lengths.MergeLengthCounts(now, v.Node, v.Lengths)
+	}
 	return nil
 }
 
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -90,6 +90,7 @@
 	do.Provide(i, func(i do.Injector) (*inventory.Inventory, error) { return g.newInventory(i, p), nil })
 	do.Provide(i, g.newPolicies)
 	do.Provide(i, g.newQuarantine)
+	do.Provide(i, g.newShedder)
 	do.Provide(i, g.newCompletions)
 	do.Provide(i, g.newCalls)
 	do.Provide(i, func(i do.Injector) (*learner, error) { return g.newLearner(i, p.Decoder), nil })
@@ -211,14 +212,14 @@
 	return quarantine.NewTracker(g.settings.Node, g.log, do.MustInvoke[*metric.Metrics](i)), nil
 }
 
+func (g *Gateway) newShedder(do.Injector) (*shedding.Shedder, error) {
+	cfg := shedding.DefaultConfig
+	cfg.Seed = g.seed()
+	cfg.UrgentWaitFraction, cfg.OtherWaitFraction = urgentWaitFraction, otherWaitFraction
+	return shedding.New(cfg)
+}
+
 func (g *Gateway) newCompletions(i do.Injector) (*completion.Router, error) {
-	shed := shedding.DefaultConfig
-	shed.Seed = g.seed()
-	shed.UrgentWaitFraction, shed.OtherWaitFraction = urgentWaitFraction, otherWaitFraction
-	shedder, err := shedding.New(shed)
-	if err != nil {
-		return nil, err
-	}
 	engineGuard := weightsGuard{
 		Guard: do.MustInvoke[guard.Pair](i).Engines, roster: do.MustInvoke[*roster.Roster](i),
 		book: do.MustInvoke[*accepted.Tracker](i), view: do.MustInvoke[*view](i), bounds: g.bounds,
@@ -233,7 +234,7 @@
 		BeginWithin: func(name, model string) time.Duration {
 			return engineGuard.beginWithin(clock.BoottimeNow(), name, model)
 		},
-		Shedder:       shedder,
+		Shedder:       do.MustInvoke[*shedding.Shedder](i),
 		CacheNews:     do.MustInvoke[*cachenews.EntryBuffer](i),
 		CacheContents: do.MustInvoke[*cachenews.Contents](i),
 		CacheStores:   do.MustInvoke[*view](i),
--- a/process/gateway/share.go
+++ b/process/gateway/share.go
@@ -17,6 +17,7 @@
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -42,6 +43,9 @@
 	// aggregatorAvoidTime is how long an aggregator that did not answer is not asked again. Each
 	// change to another aggregator costs about 30 KB.
 	aggregatorAvoidTime = 3 * time.Second
+	// lengthsPause is the time between two exchanges of the counts by prompt length, which change
+	// over tens of seconds. They are the largest part of a message.
+	lengthsPause = time.Second
 	// aggregatorActiveTime is how long a node goes on to query the other data centres after it was
 	// last asked as an aggregator.
 	aggregatorActiveTime = time.Second
@@ -56,6 +60,10 @@
 	Tellings []cachenews.Report
 	Loads    []policy.GroupLoad
 	Endings  Endings
+	// Lengths counts the node's requests by prompt length; LengthsDue asks for the other nodes'
+	// counts.
+	Lengths    []shedding.LengthCount
+	LengthsDue bool
 }
 
 // Shared is the aggregator's answer.
@@ -65,6 +73,14 @@
 	Loads  []policy.GroupLoad     // of all other nodes, or of this data centre's alone
 	// Endings is what the aggregator has found or received recently.
 	Endings Endings
+	// Lengths are the sums for the same nodes as Loads, if they were asked for.
+	Lengths []shedding.LengthCount
+}
+
+// lengthCounter counts requests by prompt length, here and at the peers.
+type lengthCounter interface {
+	LengthCounts(now time.Time) []shedding.LengthCount
+	MergeLengthCounts(now time.Time, source string, counts []shedding.LengthCount)
 }
 
 // sharer gives all nodes of a large fleet the same knowledge of the engines, through one aggregator
@@ -78,6 +94,7 @@
 	contents   *cachenews.Contents
 	view       *view
 	endings    endingsStore
+	lengths    lengthCounter
 	// call asks the node at an address.
 	call  func(ctx context.Context, address string, q Share, a *Shared) error
 	clock func() time.Time
@@ -85,6 +102,8 @@
 	// The state of this node as an aggregator.
 	aggregate               *cachenews.Aggregator
 	localLoads, remoteLoads policy.LoadReports
+	localLengths            policy.Reports[shedding.LengthCount]
+	remoteLengths           policy.Reports[shedding.LengthCount]
 	lastAsked               atomic.Pointer[time.Time] // when it was last asked; nil: never
 
 	// The following are used only by the goroutine that asks.
@@ -92,11 +111,12 @@
 	lastAggregator  string // the aggregator that answered last
 	avoidedUntil    map[string]time.Time
 	remotePositions map[string]cachenews.Ask // by data centre
+	lengthsSentAt   time.Time
 }
 
-func newSharer(node, dataCentre string, log *zap.Logger, policies *policy.Table, contents *cachenews.Contents, v *view, e endingsStore) *sharer {
+func newSharer(node, dataCentre string, log *zap.Logger, policies *policy.Table, contents *cachenews.Contents, v *view, e endingsStore, l lengthCounter) *sharer {
 	return &sharer{
-		node: node, dataCentre: dataCentre, log: log, policies: policies, contents: contents, view: v, endings: e, clock: time.Now,
+		node: node, dataCentre: dataCentre, log: log, policies: policies, contents: contents, view: v, endings: e, lengths: l, clock: time.Now,
 		aggregate:    cachenews.NewAggregator(rand.Uint64()),
 		avoidedUntil: map[string]time.Time{}, remotePositions: map[string]cachenews.Ask{},
 	}
@@ -109,12 +129,19 @@
 	news := Shared{Endings: s.endings.recent(now)}
 	if q.Ask.Near {
 		news.Caches, news.Loads = s.aggregate.ChangesSince(now, q.Ask), policy.SumLoads(s.localLoads.Recent(now, ""))
+		if q.LengthsDue {
+			news.Lengths = shedding.SumLengthCounts(s.localLengths.Recent(now, ""))
+		}
 		return news
 	}
 	again := s.aggregate.ApplyReports(now, q.Node, q.Parts, q.Tellings)
 	s.localLoads.Put(now, q.Node, q.Loads)
 	news.Caches, news.Again = s.aggregate.ChangesSince(now, q.Ask), again
 	news.Loads = policy.SumLoads(append(s.localLoads.Recent(now, q.Node), s.remoteLoads.Recent(now, "")...))
+	if q.LengthsDue {
+		s.localLengths.Put(now, q.Node, q.Lengths)
+		news.Lengths = shedding.SumLengthCounts(append(s.localLengths.Recent(now, q.Node), s.remoteLengths.Recent(now, "")...))
+	}
 	return news
 }
 
@@ -132,13 +159,17 @@
 		Node: s.node, Ask: s.localPosition, Parts: s.contents.TakeShared(),
 		Tellings: s.contents.TakeReports(now), Loads: s.policies.OwnLoads(now, s.node), Endings: s.endings.unsent(now),
 	}
+	if now.Sub(s.lengthsSentAt) >= lengthsPause {
+		s.lengthsSentAt = now
+		q.Lengths, q.LengthsDue = s.lengths.LengthCounts(now), true
+	}
 	if !s.askLocalAggregator(ctx, now, chosen[s.dataCentre], q) {
 		s.contents.ResendShared()
 		s.contents.RequireFullReports()
 	}
 	if s.isActiveAggregator(now) {
 		delete(chosen, s.dataCentre)
-		s.askRemoteAggregators(ctx, chosen)
+		s.askRemoteAggregators(ctx, chosen, q.LengthsDue)
 	}
 }
 
@@ -196,6 +227,9 @@
 		return name, incarnationOf(cfg.Upstreams[name])
 	})
 	s.policies.MergeLoads(now, fleetLoadName, a.Loads)
+	if a.Lengths != nil {
+		s.lengths.MergeLengthCounts(now, fleetLoadName, a.Lengths)
+	}
 	s.endings.merge(now, a.Endings)
 }
 
@@ -213,12 +247,12 @@
 
 // askRemoteAggregators asks one aggregator of each other data centre. What one has reported that no
 // longer answers ages out.
-func (s *sharer) askRemoteAggregators(ctx context.Context, chosen map[string][]member.Member) {
+func (s *sharer) askRemoteAggregators(ctx context.Context, chosen map[string][]member.Member, lengthsDue bool) {
 	var calls sync.WaitGroup
 	var mu sync.Mutex // guards answered
 	answered := map[string]Shared{}
 	for dataCentre, candidates := range chosen {
-		q := Share{Node: s.node, Ask: s.remotePositions[dataCentre]}
+		q := Share{Node: s.node, Ask: s.remotePositions[dataCentre], LengthsDue: lengthsDue}
 		q.Ask.Near = true
 		calls.Go(func() {
 			a, err := s.askRemoteAggregator(ctx, candidates, q)
@@ -235,6 +269,9 @@
 	for dataCentre, a := range answered {
 		s.aggregate.ApplyPeerAnswer(now, dataCentre, a.Caches)
 		s.remoteLoads.Put(now, dataCentre, a.Loads)
+		if lengthsDue {
+			s.remoteLengths.Put(now, dataCentre, a.Lengths)
+		}
 		s.endings.merge(now, a.Endings)
 		s.remotePositions[dataCentre] = cachenews.Ask{By: a.Caches.By, From: a.Caches.Next}
 	}
--- a/process/gateway/share_test.go
+++ b/process/gateway/share_test.go
@@ -9,6 +9,7 @@
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -249,3 +250,25 @@
 		})
 	}
 }
+
+// Guards against each node of a large fleet judging by its own few requests which prompt
+// lengths are refused most: all nodes must count the requests of all nodes, those of other
+// data centres too, and each request once.
+func TestAllNodesOfALargeFleetCountTheSameLengths(t *testing.T) {
+	f := newSharingFleet(60, 3, 3)
+	const requests = 5 // of each node
+	f.run(3*time.Second, func() {})
+	for _, n := range f.nodes {
+		for range requests {
+			n.shedder.Decide(f.now, shedding.Request{Workspace: "w", PromptTokens: 4000, FirstTokenDeadline: f.now.Add(time.Second)})
+		}
+	}
+	f.run(4*time.Second, func() {})
+	want := float64(requests * len(f.nodes))
+	for _, n := range f.nodes {
+		d := n.shedder.Decide(f.now, shedding.Request{Workspace: "w", PromptTokens: 4000, Wait: 900 * time.Millisecond, FirstTokenDeadline: f.now.Add(time.Second)})
+		if d.LengthCount < 0.8*want || d.LengthCount > want {
+			t.Errorf("%s counts %.1f requests of the length, want %.0f less what has decayed in 4 s", n.Name, d.LengthCount, want)
+		}
+	}
+}
--- a/process/gateway/sharingfleet_test.go
+++ b/process/gateway/sharingfleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/quarantine"
+	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -34,6 +35,7 @@
 	member.Member
 	sharer     *sharer
 	contents   *cachenews.Contents
+	shedder    *shedding.Shedder
 	nextRound  time.Time // time of its next round
 	nextPoll   time.Time // time of its next query to the engines that it follows
 	followed   []string
@@ -108,11 +110,16 @@
 		Member: member.Member{Name: name, Address: name, DataCentre: dataCentre}, contents: &cachenews.Contents{},
 		nextRound: f.now.Add(time.Duration(f.rand.Int64N(int64(sharePause)))), nextPoll: f.now, eventsRead: map[string]int{},
 	}
+	shedder, err := shedding.New(shedding.DefaultConfig)
+	if err != nil {
+		panic(err) // the default settings are in range
+	}
+	n.shedder = shedder
 	policies := policy.New(catalogue.NewCurrent(v), nil, func() placement.Policy { return placement.New(placement.Config{}) })
 	n.sharer = newSharer(name, dataCentre, zap.NewNop(), policies, n.contents, v, endingsStore{
 		quarantine: quarantine.NewTracker(name, zap.NewNop(), noCounter{}),
 		notices:    &noticeHandler{roster: roster.New(), refresh: func(time.Time) {}, log: zap.NewNop()},
-	})
+	}, n.shedder)
 	n.sharer.clock = func() time.Time { return f.now }
 	n.sharer.call = func(_ context.Context, address string, q Share, a *Shared) error { return f.call(n, address, q, a) }
 	f.nodes = append(f.nodes, n)
--- a/process/policy/loads.go
+++ b/process/policy/loads.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// maxLoadAge is how long a node's load counts without a new report: eight
+	// maxReportAge is how long a node's report counts without a new one: eight
 	// report intervals. The work of a node that is gone ends on the engines
 	// soon after.
-	maxLoadAge = 2 * time.Second
+	maxReportAge = 2 * time.Second
 	// maxSummedHotLevels limits the hot levels of several nodes together; the
 	// levels beyond it are cool.
 	maxSummedHotLevels = 128
@@ -89,40 +89,43 @@
 	return s
 }
 
-// LoadReports keeps the latest report of each of several sources. The zero
-// value is empty and ready to use.
-type LoadReports struct {
-	mu    sync.Mutex // guards loads
-	loads map[string]reportedLoads
+// Reports keeps the latest report of each of several sources, a list of values of one
+// kind. The zero value is empty and ready to use.
+type Reports[T any] struct {
+	mu       sync.Mutex // guards bySource
+	bySource map[string]report[T]
 }
 
-type reportedLoads struct {
-	at    time.Time
-	loads []GroupLoad
+type report[T any] struct {
+	at     time.Time
+	values []T
 }
 
+// LoadReports keeps the nodes' loads.
+type LoadReports = Reports[GroupLoad]
+
 // Put replaces a source's previous report.
-func (b *LoadReports) Put(now time.Time, source string, loads []GroupLoad) {
+func (b *Reports[T]) Put(now time.Time, source string, values []T) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.loads == nil {
-		b.loads = map[string]reportedLoads{}
+	if b.bySource == nil {
+		b.bySource = map[string]report[T]{}
 	}
-	b.loads[source] = reportedLoads{at: now, loads: loads}
+	b.bySource[source] = report[T]{at: now, values: values}
 }
 
-// Recent returns the loads that the sources have reported within maxLoadAge,
-// except for one source.
-func (b *LoadReports) Recent(now time.Time, except string) []GroupLoad {
+// Recent returns what the sources have reported within maxReportAge, except for one
+// source.
+func (b *Reports[T]) Recent(now time.Time, except string) []T {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var all []GroupLoad
-	for source, d := range b.loads {
+	var all []T
+	for source, r := range b.bySource {
 		switch {
-		case now.Sub(d.at) > maxLoadAge:
-			delete(b.loads, source)
+		case now.Sub(r.at) > maxReportAge:
+			delete(b.bySource, source)
 		case source != except:
-			all = append(all, d.loads...)
+			all = append(all, r.values...)
 		}
 	}
 	return all
--- a/process/policy/loads_test.go
+++ b/process/policy/loads_test.go
@@ -50,8 +50,8 @@
 	}{
 		{time.Second, "", 2},
 		{time.Second, "a", 1},
-		{maxLoadAge + time.Millisecond, "", 1},
-		{2 * maxLoadAge, "", 0},
+		{maxReportAge + time.Millisecond, "", 1},
+		{2 * maxReportAge, "", 0},
 	}
 	for _, c := range cases {
 		if got := b.Recent(loadTime.Add(c.after), c.except); len(got) != c.want {
--- a/request/shedding/fleetsize_test.go
+++ b/request/shedding/fleetsize_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -85,6 +86,7 @@
 	capacity := offeredTokens(rng) / 2
 	total := lo.SumBy(fleetKinds, func(k fleetKind) float64 { return k.perSecond })
 	var all []fleetRequest
+	nextReport := time.Second
 	last, backlog := time.Duration(0), make([]float64, len(fleetKinds))
 	for at := time.Duration(0); at < fleetDuration; {
 		rate := total
@@ -92,6 +94,10 @@
 			rate /= 3
 		}
 		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at > nextReport {
+			nextReport += time.Second
+			exchangeCounts(start.Add(at), shedders)
+		}
 		work := capacity * (at - last).Seconds()
 		for i, tokens := range backlog {
 			backlog[i] = max(0, tokens-work)
@@ -120,6 +126,24 @@
 	return all
 }
 
+// exchangeCounts gives each node the counts of all others, as aggregators do.
+func exchangeCounts(now time.Time, shedders []*Shedder) {
+	own := lo.Map(shedders, func(s *Shedder, _ int) []LengthCount { return s.LengthCounts(now) })
+	sums := map[LengthCount]LengthCount{}
+	for _, c := range SumLengthCounts(lo.Flatten(own)) {
+		sums[c.key()] = c
+	}
+	for i, s := range shedders {
+		others := maps.Clone(sums)
+		for _, c := range own[i] {
+			sum := others[c.key()]
+			sum.Requests, sum.Sent = sum.Requests-c.Requests, sum.Sent-c.Sent
+			others[c.key()] = sum
+		}
+		s.MergeLengthCounts(now, "others", lo.Values(others))
+	}
+}
+
 // Guards against refusing the longest prompts of a large fleet: the more nodes share the
 // traffic, the fewer requests of a length a node gets, down to none, and what it has seen
 // of a length must not be needed to serve that length like the others.
--- a/request/shedding/lengths.go
+++ b/request/shedding/lengths.go
@@ -37,14 +37,14 @@
 	}
 }
 
-// share returns the fraction of requests that were sent, after adding priorCount
-// requests with the sent fraction priorShare.
-func (c *sendCounts) share(now time.Time, life time.Duration, priorShare, priorCount float64) float64 {
-	requests := c.requests.ValueAt(now, life) + priorCount
+// share returns the fraction of requests that were sent, here and by the peers, after
+// adding priorCount requests with the sent fraction priorShare.
+func (c *sendCounts) share(now time.Time, life time.Duration, peers peerCount, priorShare, priorCount float64) float64 {
+	requests := c.requests.ValueAt(now, life) + peers.requests + priorCount
 	if requests == 0 {
 		return 1
 	}
-	return (c.sent.ValueAt(now, life) + priorShare*priorCount) / requests
+	return (c.sent.ValueAt(now, life) + peers.sent + priorShare*priorCount) / requests
 }
 
 // lengthCounts counts requests by the length of their prompts, for one priority and
@@ -57,13 +57,14 @@
 	bands [maxBands]sendCounts
 }
 
-// shares returns the sent fraction of all requests counted here and of those of the
-// prompt's band, and how many requests of the band are counted.
-func (l *lengthCounts) shares(now time.Time, cfg Config, tokens int) (overall, band, count float64) {
-	counts := &l.bands[bandOf(tokens)]
-	overall = l.all.share(now, cfg.LengthDecay, 0, 0)
-	band = counts.share(now, cfg.LengthDecay, overall, priorRequests)
-	return overall, band, counts.requests.ValueAt(now, cfg.LengthDecay)
+// shares returns the sent fraction of all requests counted here and by the peers and of
+// those of the prompt's band, and how many requests of the band are counted.
+func (l *lengthCounts) shares(now time.Time, cfg Config, peers *peerCounts, tokens int) (overall, band, count float64) {
+	i := bandOf(tokens)
+	counts, peerBand := &l.bands[i], peers.bands[i]
+	overall = l.all.share(now, cfg.LengthDecay, peers.all, 0, 0)
+	band = counts.share(now, cfg.LengthDecay, peerBand, overall, priorRequests)
+	return overall, band, counts.requests.ValueAt(now, cfg.LengthDecay) + peerBand.requests
 }
 
 func (l *lengthCounts) add(now time.Time, life time.Duration, tokens int, sent bool) {
--- a/request/shedding/shedding.go
+++ b/request/shedding/shedding.go
@@ -128,7 +128,10 @@
 	mu              sync.Mutex
 	workspaces      map[string]*usage
 	totalTokens     decay.Sum
-	lengthCounts    [maxPriorities][2]lengthCounts // by Request.Priority; of workspaces over their share, and of others
+	lengthCounts    [maxPriorities][2]lengthCounts // by Request.Priority and side of the share
+	peerReports     map[string]peerReport          // by source
+	peerCounts      [maxPriorities][2]peerCounts   // sum of peerReports at peersSummedAt
+	peersSummedAt   time.Time
 	requests        decay.Sum
 	overLimit       decay.Sum // requests with a wait over UrgentWaitFraction or OtherWaitFraction
 	activeWeight    float64   // sum over the workspaces with usage, at weightsSummedAt
@@ -140,7 +143,7 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	return &Shedder{cfg: cfg, workspaces: map[string]*usage{}}, nil
+	return &Shedder{cfg: cfg, workspaces: map[string]*usage{}, peerReports: map[string]peerReport{}}, nil
 }
 
 // usage is the recent usage of one workspace in prompt tokens.
@@ -194,25 +197,33 @@
 	overload := s.overload(now)
 	allowed := time.Duration((s.cfg.NormalWaitFraction + overload*(min(overloadFraction, s.cfg.NormalWaitFraction)-s.cfg.NormalWaitFraction)) * budget)
 	d := Decision{AllowedWait: allowed, Overload: overload, ShareFactor: share}
-	counts := s.lengthCountsOf(r, share)
+	priority, side := min(max(r.Priority, 0), maxPriorities-1), sideOf(share < 1)
+	counts := &s.lengthCounts[priority][side]
 	// A request that is late because of other work alone is refused, whatever the
 	// floor of its length. Its own computing is left out: an estimate that assumed a
 	// fifth of the engines' real prefill rate excluded half of the longest prompts
 	// from the floor.
 	d.LateByOthers = budget <= 0 || float64(r.Wait-r.IdleWait) > s.cfg.NormalWaitFraction*budget
-	d.ClassShare, d.LengthShare, d.LengthCount = counts.shares(now, s.cfg, r.PromptTokens)
+	if now.Sub(s.peersSummedAt) > reportLife {
+		s.sumPeerReports(now)
+	}
+	d.ClassShare, d.LengthShare, d.LengthCount = counts.shares(now, s.cfg, &s.peerCounts[priority][side], r.PromptTokens)
 	d.FloorApplied = r.Wait > allowed && !d.LateByOthers && d.LengthShare < s.cfg.LengthFloor*d.ClassShare
 	counts.add(now, s.cfg.LengthDecay, r.PromptTokens, r.Wait <= allowed || d.FloorApplied)
 	return d
 }
 
-// lengthCountsOf returns the counts that a request is compared with.
-func (s *Shedder) lengthCountsOf(r Request, share float64) *lengthCounts {
-	byShare := &s.lengthCounts[min(max(r.Priority, 0), maxPriorities-1)]
-	if share < 1 {
-		return &byShare[0]
+// Sides of a workspace's share, by which requests are compared.
+const (
+	overShare = iota
+	withinShare
+)
+
+func sideOf(over bool) int {
+	if over {
+		return overShare
 	}
-	return &byShare[1]
+	return withinShare
 }
 
 // recordWait counts a request for the estimate of overload.
