Keep all nodes together to the request rate that an upstream states

What upstreams saw: engines that had named 1.8 and 1.6 requests a second for all nodes together got 28 and 23 in 4 s, where 16 and 15 are allowed. Cause: the field of the answers was not read. Nodes sent by their own load and caches alone, 7 to 17 requests a second, as before the limit was named. Ruled out by the logs of all nodes: that nodes keep to it each for itself, or that those not told send what the others turn away; the rate falls on no node. Change: request/ratelimit keeps what each upstream states. A lower rate applies at once, a higher one or its end only by an answer to a request sent since. Nodes report it to each other with the upstreams that leave. All choose the same few senders for a limited upstream by a hash, one for each 2 requests a second; each keeps to its part by itself, all others place elsewhere.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/process/clock"
@@ -15,6 +16,7 @@
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
 )
@@ -54,6 +56,7 @@
 	cacheNews   *cachenews.EntryBuffer
 	endings     endingsStore
 	lengths     *shedding.Shedder
+	limiter     *ratelimit.Limiter
 	sharer      *sharer
 	metrics     *metric.Metrics
 	log         *zap.Logger
@@ -68,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &exchanger{
 		node: g.settings.Node, peers: do.MustInvoke[*peers](i), policies: do.MustInvoke[*policy.Table](i),
-		cacheNews: do.MustInvoke[*cachenews.EntryBuffer](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
+		cacheNews: do.MustInvoke[*cachenews.EntryBuffer](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), limiter: do.MustInvoke[*ratelimit.Limiter](i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
 		log: g.log, loggedRates: map[catalogue.Group]float64{},
 	}
 	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.endings, e.lengths)
@@ -89,6 +92,9 @@
 		now := time.Now()
 		others := e.peers.live(now)
 		e.metrics.SetPeers(metric.Live, len(others))
+		if e.peers.hasJoined() {
+			e.limiter.SetNodes(append(lo.Map(others, func(m member.Member, _ int) string { return m.Name }), e.node))
+		}
 		pause = e.exchangeOnce(ctx, now, turn, others)
 		e.policies.SetNodes(len(others) + 1)
 		e.logRates()
--- a/process/gateway/hearing.go
+++ b/process/gateway/hearing.go
@@ -8,7 +8,9 @@
 
 	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 )
 
 // UpstreamNotices receives what upstreams report of themselves with their answers. The report
@@ -18,6 +20,12 @@
 	Replaced(upstream string)
 	// Leaving reports that the upstream is leaving and must get no further requests.
 	Leaving(upstream string)
+	// RateLimit reports what an answer to a request that was sent at a time states about the rate
+	// that the upstream takes.
+	RateLimit(upstream string, sentAt time.Time, l ratelimit.Limit)
+	// RateLimitUnreadable reports that an answer states a rate that can't be read, which leaves the
+	// known one in force.
+	RateLimitUnreadable(upstream string, err error)
 }
 
 // noticeHandler applies the notices to the roster and updates the request paths at once. Otherwise
@@ -26,13 +34,15 @@
 type noticeHandler struct {
 	roster  *roster.Roster
 	refresh func(now time.Time) // see learner.refresh
+	limiter *ratelimit.Limiter
+	metrics *metric.Metrics
 	log     *zap.Logger
 }
 
 var _ UpstreamNotices = (*noticeHandler)(nil)
 
 func (g *Gateway) newNoticeHandler(i do.Injector) *noticeHandler {
-	return &noticeHandler{roster: do.MustInvoke[*roster.Roster](i), refresh: do.MustInvoke[*learner](i).refresh, log: g.log}
+	return &noticeHandler{roster: do.MustInvoke[*roster.Roster](i), refresh: do.MustInvoke[*learner](i).refresh, limiter: do.MustInvoke[*ratelimit.Limiter](i), metrics: do.MustInvoke[*metric.Metrics](i), log: g.log}
 }
 
 // Replaced takes the upstream out of use.
@@ -66,3 +76,27 @@
 func (h *noticeHandler) recent(now time.Time) []string {
 	return h.roster.LeavingSince(now.Add(-leavingRepeat))
 }
+
+// RateLimit applies the rate that the upstream states.
+func (h *noticeHandler) RateLimit(upstream string, sentAt time.Time, l ratelimit.Limit) {
+	if h.limiter.Observe(time.Now(), sentAt, upstream, l) {
+		h.recordLimit(upstream, l, "")
+	}
+}
+
+// RateLimitUnreadable logs the error.
+func (h *noticeHandler) RateLimitUnreadable(upstream string, err error) {
+	event.Warn(h.log, event.UpstreamLimitUnreadable, zap.String("Upstream", upstream), zap.Error(err))
+}
+
+// limitsByPeer applies a peer's list of rates.
+func (h *noticeHandler) limitsByPeer(now time.Time, reports []ratelimit.Report) {
+	for _, r := range h.limiter.Merge(now, reports) {
+		h.recordLimit(r.Upstream, r.Limit, "a peer")
+	}
+}
+
+func (h *noticeHandler) recordLimit(upstream string, l ratelimit.Limit, by string) {
+	event.Info(h.log, event.UpstreamLimited, zap.String("Upstream", upstream), zap.Bool("Limited", l.Limited), zap.Float64("PerSecond", l.PerSecond), zap.String("By", by))
+	h.metrics.SetRateLimit(upstream, l.Limited, l.PerSecond)
+}
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -12,6 +12,7 @@
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/config"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
@@ -25,6 +26,7 @@
 	roster  *roster.Roster
 	view    *view
 	guards  guard.Pair
+	limiter *ratelimit.Limiter
 	metrics *metric.Metrics
 
 	mu sync.Mutex // held while the parts update to a new view
@@ -50,8 +52,12 @@
 	if !changed {
 		return
 	}
-	l.guards.Engines.SetUpstreams(now, activeNames(cfg, config.Engine))
-	l.guards.Services.SetUpstreams(now, activeNames(cfg, config.Service))
+	engines, services := activeNames(cfg, config.Engine), activeNames(cfg, config.Service)
+	l.guards.Engines.SetUpstreams(now, engines)
+	l.guards.Services.SetUpstreams(now, services)
+	for _, name := range l.limiter.SetUpstreams(append(engines, services...)) {
+		l.metrics.SetRateLimit(name, false, 0)
+	}
 	l.metrics.SetConfig(cfg)
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -227,6 +227,13 @@
 	return lo.Reject(p.members.Live(now), func(m member.Member, _ int) bool { return m.Name == self })
 }
 
+// hasJoined reports whether this node knows the others.
+func (p *peers) hasJoined() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members != nil
+}
+
 // count returns how many nodes there may be, including this one; false if that is not known.
 func (p *peers) count(now time.Time) (int, bool) {
 	p.mu.Lock()
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -19,6 +19,7 @@
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/quarantine"
+	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
@@ -85,6 +86,7 @@
 	do.Provide(i, func(do.Injector) (*cachenews.Contents, error) { return &cachenews.Contents{}, nil })
 	do.Provide(i, g.newCacheFollower)
 	do.Provide(i, g.newExchanger)
+	do.Provide(i, g.newLimiter)
 	do.Provide(i, g.newGuards)
 	do.Provide(i, func(i do.Injector) (*noticeHandler, error) { return g.newNoticeHandler(i), nil })
 	do.Provide(i, func(i do.Injector) (*inventory.Inventory, error) { return g.newInventory(i, p), nil })
@@ -130,13 +132,24 @@
 	maxEjectFor = 10 * time.Second
 )
 
-func (g *Gateway) newGuards(do.Injector) (guard.Pair, error) {
-	return guard.NewPair(func(c *guard.Config) {
+func (g *Gateway) newGuards(i do.Injector) (guard.Pair, error) {
+	pair, err := guard.NewPair(func(c *guard.Config) {
 		c.Retry = resendConfig
 		c.Retry.Seed = g.seed()
 		c.Ejection.ConsecutiveFailures = ejectAfter
 		c.Ejection.EjectionTime, c.Ejection.MaxEjectionTime = ejectFor, maxEjectFor
 	})
+	if err != nil {
+		return pair, err
+	}
+	limiter := do.MustInvoke[*ratelimit.Limiter](i)
+	pair.Engines.WithRateLimits(limiter)
+	pair.Services.WithRateLimits(limiter)
+	return pair, nil
+}
+
+func (g *Gateway) newLimiter(do.Injector) (*ratelimit.Limiter, error) {
+	return ratelimit.New(g.settings.Node), nil
 }
 
 func (g *Gateway) newInventory(i do.Injector, p Platform) *inventory.Inventory {
@@ -274,7 +287,7 @@
 func (g *Gateway) newLearner(i do.Injector, d Decoder) *learner {
 	return &learner{
 		keyStates: map[string]keyState{}, log: g.log, decoder: d, book: do.MustInvoke[*accepted.Tracker](i), roster: do.MustInvoke[*roster.Roster](i),
-		view: do.MustInvoke[*view](i), guards: do.MustInvoke[guard.Pair](i), metrics: do.MustInvoke[*metric.Metrics](i),
+		view: do.MustInvoke[*view](i), guards: do.MustInvoke[guard.Pair](i), limiter: do.MustInvoke[*ratelimit.Limiter](i), metrics: do.MustInvoke[*metric.Metrics](i),
 	}
 }
 
--- a/process/gateway/sharingfleet_test.go
+++ b/process/gateway/sharingfleet_test.go
@@ -16,12 +16,14 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/quarantine"
+	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
@@ -118,7 +120,7 @@
 	policies := policy.New(catalogue.NewCurrent(v), nil, func() placement.Policy { return placement.New(placement.Config{}) })
 	n.sharer = newSharer(name, dataCentre, zap.NewNop(), policies, n.contents, v, endingsStore{
 		quarantine: quarantine.NewTracker(name, zap.NewNop(), noCounter{}),
-		notices:    &noticeHandler{roster: roster.New(), refresh: func(time.Time) {}, log: zap.NewNop()},
+		notices:    &noticeHandler{roster: roster.New(), refresh: func(time.Time) {}, limiter: ratelimit.New(name), metrics: metric.New(), log: zap.NewNop()},
 	}, n.shedder)
 	n.sharer.clock = func() time.Time { return f.now }
 	n.sharer.call = func(_ context.Context, address string, q Share, a *Shared) error { return f.call(n, address, q, a) }
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -109,6 +109,7 @@
 	logReachable   prometheus.Gauge
 	peers          *prometheus.GaugeVec
 	dutyHeld       prometheus.Gauge
+	rateLimit      *prometheus.GaugeVec
 	journalAppends *prometheus.CounterVec
 	journalLatency prometheus.Histogram
 }
@@ -133,12 +134,13 @@
 		logReachable:   newGauge("log_reachable", "1 if the last call to the platform's log succeeded, else 0."),
 		dutyHeld:       newGauge("duty_held", "1 while this node has the duty to give orders, else 0."),
 		peers:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "peers", Help: "Other nodes by state."}, []string{"state"}),
+		rateLimit:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "upstream_rate_limit", Help: "Requests a second that an upstream takes from all nodes together, while it states so."}, []string{"upstream"}),
 		journalAppends: newCounterVec("journal_appends_total", "Appends to the journal by what became of them.", "result"),
 		journalLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "journal_append_seconds", Help: "Time that an append to the journal took, whatever became of it.", Buckets: journalBuckets}),
 	}
 	m.classes.Store(&Classes{})
 	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.promptLength, m.retries, m.imports, m.quarantine,
-		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.peers,
+		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.rateLimit, m.peers,
 		m.journalAppends, m.journalLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -243,6 +245,15 @@
 	m.dutyHeld.Set(value)
 }
 
+// SetRateLimit sets the rate that an upstream takes; without a limit it has no series.
+func (m *Metrics) SetRateLimit(upstream string, limited bool, perSecond float64) {
+	if !limited {
+		m.rateLimit.DeleteLabelValues(upstream)
+		return
+	}
+	m.rateLimit.WithLabelValues(upstream).Set(perSecond)
+}
+
 // RecordAppend records the outcome and the duration of an append to the
 // journal.
 func (m *Metrics) RecordAppend(a Append, d time.Duration) {
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -62,6 +62,17 @@
 	Down(now time.Time, names []string) []string
 }
 
+// RateLimits keeps to the request rates that upstreams state for all nodes together.
+type RateLimits interface {
+	// Excluded returns the upstreams that this node must not send a request to now.
+	Excluded(now time.Time, names []string) []string
+	// Take uses up one request to the upstream; false: there is none left.
+	Take(now time.Time, name string) bool
+	// RetryAfter returns the time until the first of the limited upstreams takes another
+	// request; 0 if none is limited.
+	RetryAfter(now time.Time, names []string) time.Duration
+}
+
 // Guard is used by the request paths around each send to the upstreams of one node.
 // Its mutex guards only its own fields. Its parts have their own locks, which are
 // taken one after the other and never nested.
@@ -69,7 +80,8 @@
 	concurrency *limit.Concurrency[string]
 	detector    *ejection.Detector
 	retrier     *retry.Retrier
-	evidence    Evidence // nil: only this node's own sends count
+	evidence    Evidence   // nil: only this node's own sends count
+	rateLimits  RateLimits // nil: upstreams state no rate
 
 	mu       sync.Mutex
 	inFlight map[string]int // own sends by upstream, without zero entries
@@ -102,6 +114,13 @@
 	return g
 }
 
+// WithRateLimits makes the guard keep to the rates that upstreams state; it must be called
+// before the first send.
+func (g *Guard) WithRateLimits(r RateLimits) *Guard {
+	g.rateLimits = r
+	return g
+}
+
 // SetUpstreams replaces the configured upstreams.
 func (g *Guard) SetUpstreams(now time.Time, names []string) {
 	g.detector.SetUpstreams(now, names)
@@ -117,11 +136,15 @@
 }
 
 // Excluded returns the upstreams that must not get a request now. Ejection never
-// excludes all of them; hold-offs and concurrency limits may.
+// excludes all of them; hold-offs, rate limits and concurrency limits may.
 func (g *Guard) Excluded(now time.Time, names []string) []string {
 	ejected := g.unhealthy(now, names)
 	full := lo.Filter(names, func(name string, _ int) bool { return !g.concurrency.CanAcquire(name) })
-	return append(append(ejected, full...), lo.Keys(g.remainingHoldOffs(now, names))...)
+	excluded := append(append(ejected, full...), lo.Keys(g.remainingHoldOffs(now, names))...)
+	if g.rateLimits == nil {
+		return excluded
+	}
+	return append(excluded, g.rateLimits.Excluded(now, names)...)
 }
 
 // maxHoldOff bounds the hold-off that an upstream can ask for. An upstream that asks
@@ -155,10 +178,14 @@
 	return waits
 }
 
-// ShortestHoldOff returns the time until the first upstream in a hold-off accepts
-// requests again; 0 if none is in one.
+// ShortestHoldOff returns the time until the first upstream in a hold-off or with a rate
+// limit accepts another request; 0 if there is none.
 func (g *Guard) ShortestHoldOff(now time.Time, names []string) time.Duration {
-	return lo.Min(lo.Values(g.remainingHoldOffs(now, names)))
+	waits := lo.Values(g.remainingHoldOffs(now, names))
+	if g.rateLimits != nil {
+		waits = append(waits, g.rateLimits.RetryAfter(now, names))
+	}
+	return lo.Min(lo.Without(waits, 0))
 }
 
 // WithReadableCache returns the excluded upstreams whose caches other upstreams can
@@ -203,8 +230,8 @@
 }
 
 // Begin takes a slot for one send. It returns false if, since the placement decision,
-// another request took the last one or the upstream asked for a hold-off; the decision
-// must then be made again. Each true must be followed by one End.
+// another request took the last one, or the upstream asked for a hold-off or a lower
+// rate; the decision must then be made again. Each true must be followed by one End.
 func (g *Guard) Begin(now time.Time, name string) bool {
 	if len(g.remainingHoldOffs(now, []string{name})) > 0 {
 		return false
@@ -212,8 +239,12 @@
 	if !g.detector.Acquire(now, name) {
 		return false
 	}
-	ok := g.concurrency.Acquire(now, name)
-	if !ok {
+	if !g.concurrency.Acquire(now, name) {
+		g.detector.Release(now, name)
+		return false
+	}
+	if g.rateLimits != nil && !g.rateLimits.Take(now, name) {
+		g.concurrency.Release(now, name, limit.Result{Outcome: limit.Dropped})
 		g.detector.Release(now, name)
 		return false
 	}
--- /dev/null
+++ b/request/ratelimit/senders.go
@@ -0,0 +1,60 @@
+package ratelimit
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// minBurst is how many requests a sender may be ahead of its rate. With one, a sender
+	// that gets two requests at once leaves a third of its rate unused.
+	minBurst = 2.0
+	// minSenderRate is the least rate of a sender where there are several, so that all of
+	// them are ahead by no more than what the upstream takes in a second.
+	minSenderRate = minBurst
+	// burstTime is the time for which a sender may save up its rate.
+	burstTime = 250 * time.Millisecond
+	// shareInterval is how long a node uses its part of a rate before it determines it
+	// again from the live nodes.
+	shareInterval = 500 * time.Millisecond
+)
+
+// burst returns how many requests a sender may be ahead of its rate; 0 for a node that is
+// no sender.
+func burst(ownRate float64) float64 {
+	if ownRate == 0 {
+		return 0
+	}
+	return max(minBurst, ownRate*burstTime.Seconds())
+}
+
+// ownRate returns the part of an upstream's rate that a node may send; 0 if it is no
+// sender. The senders are the nodes with the highest hashes of their names and the
+// upstream's: nodes that know the same nodes choose the same senders, and another node's
+// coming or going changes one of them at most.
+func ownRate(node string, nodes []string, upstream string, rate float64) float64 {
+	senders := max(1, min(len(nodes), int(rate/minSenderRate)))
+	own, ahead, listed := senderHash(node, upstream), 0, false
+	for _, n := range nodes {
+		if n == node {
+			listed = true
+			continue
+		}
+		if h := senderHash(n, upstream); h > own || h == own && n < node {
+			ahead++
+		}
+	}
+	if !listed || ahead >= senders {
+		return 0
+	}
+	return rate / float64(senders)
+}
+
+func senderHash(node, upstream string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(node) // never fails
+	_, _ = d.WriteString("/")
+	_, _ = d.WriteString(upstream)
+	return d.Sum64()
+}
