Compare prompt lengths within one kind of request, not across kinds

Callers of the short kind on the large fleet: of the longest tenth 0.46 were served by content, of all 0.75, although the floor was in force for all nodes together. Cause: lengths were compared within one priority, and workspaces have priorities of their own, so that both kinds stand side by side. Prompts of 5 to 8 thousand tokens are the longest of the one and the shorter half of the other, whose callers wait five times as long and are nearly always sent; so the length looked served. Change: requests are counted by their route as well, 64 groups at most; what is beyond is counted by priority alone. With the two kinds apart and counts of all nodes the floor does all that it says; on the users' platform it is 0.7 of the share of the kind, our aim, in place of 0.85, which leaves room for the error of one node's counts. The test failed before: 0.00 of two lengths were sent where 0.37 of the kind were.

--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -221,6 +221,11 @@
 	otherWaitFraction  = 0.18
 )
 
+// lengthFloor is the least fraction of the share sent of a kind of request that each prompt length
+// gets. It is lower than that of shedding.Default, which leaves room for the error of one node's
+// counts: here the counts are those of all nodes.
+const lengthFloor = 0.7
+
 func (g *Gateway) newQuarantine(i do.Injector) (*quarantine.Tracker, error) {
 	return quarantine.NewTracker(g.settings.Node, g.log, do.MustInvoke[*metric.Metrics](i)), nil
 }
@@ -229,6 +234,7 @@
 	cfg := shedding.DefaultConfig
 	cfg.Seed = g.seed()
 	cfg.UrgentWaitFraction, cfg.OtherWaitFraction = urgentWaitFraction, otherWaitFraction
+	cfg.LengthFloor = lengthFloor
 	return shedding.New(cfg)
 }
 
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -255,6 +255,7 @@
 		MaxTokens:     x.in.Declared.Output,
 		Priority:      engineRank(x.priority(), x.in.Parts, x.g.policies.SlowestRate(x.service.Name)),
 		Class:         x.priority(),
+		Kind:          x.route.Name,
 		Deadline:      deadline,
 		RunOnce:       !x.route.MayRepeat(),
 		Passage:       x.upstreamCall(end),
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -31,6 +31,9 @@
 	// alike whatever their length; Priority may put shorter prompts of a class
 	// first.
 	Class int
+	// Kind names what the request is for, such as its route. Lengths are compared
+	// among requests of one kind. Empty: not known.
+	Kind string
 	// Deadline is when the whole answer must be complete; zero: none.
 	Deadline time.Time
 	// Key is set if the request may run at most once.
--- a/request/completion/shed.go
+++ b/request/completion/shed.go
@@ -22,6 +22,7 @@
 		Weight:       s.workspaceWeight(),
 		Urgent:       s.r.Urgent(),
 		Priority:     s.r.Class,
+		Kind:         s.r.Kind,
 		PromptTokens: s.chain.Tokens(),
 		Wait:         d.Wait,
 		IdleWait:     d.IdleWait,
--- a/request/shedding/lengths.go
+++ b/request/shedding/lengths.go
@@ -1,6 +1,8 @@
 package shedding
 
 import (
+	"hash/fnv"
+	"maps"
 	"math"
 	"time"
 
@@ -15,8 +17,12 @@
 	bandsPerOctave = 4
 	// maxBands covers prompts of up to a million tokens.
 	maxBands = 80
-	// maxPriorities bounds the priorities whose lengths are counted separately.
-	maxPriorities = 10
+	// maxGroups bounds the groups whose lengths are counted separately. Requests of kinds
+	// beyond it are compared with each other.
+	maxGroups = 64
+	// idleGroup is the number of recent requests below which a group is forgotten if there
+	// are too many.
+	idleGroup = 0.5
 	// priorRequests is how many requests at the share of the whole priority are added
 	// to those of a band: one or two requests alone say nothing about a share.
 	priorRequests = 4
@@ -47,7 +53,50 @@
 	return (c.sent.ValueAt(now, life) + peers.sent + priorShare*priorCount) / requests
 }
 
-// lengthCounts counts requests by the length of their prompts, for one priority and
+// groupKey identifies the requests whose lengths are compared: those of one kind and one
+// priority. When kinds were compared with each other, the short prompts of one whose
+// callers wait long hid that the long ones of another were refused.
+type groupKey struct {
+	Priority uint8
+	Kind     uint32 // hash of the kind's name; 0: not known, or one of too many
+}
+
+func keyOf(r Request) groupKey {
+	key := groupKey{Priority: uint8(min(max(r.Priority, 0), math.MaxUint8))}
+	if r.Kind != "" {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(r.Kind)) // never fails
+		key.Kind = h.Sum32()
+	}
+	return key
+}
+
+// groups are the counts of all groups, by side of the share.
+type groups map[groupKey]*[2]lengthCounts
+
+// of returns the counts of a group, and the group under which they are kept.
+func (g groups) of(now time.Time, life time.Duration, key groupKey) (groupKey, *[2]lengthCounts) {
+	if counts := g[key]; counts != nil {
+		return key, counts
+	}
+	if len(g) >= maxGroups {
+		maps.DeleteFunc(g, func(_ groupKey, counts *[2]lengthCounts) bool { return requestsOf(counts, now, life) < idleGroup })
+	}
+	if len(g) >= maxGroups {
+		key.Kind = 0
+	}
+	if g[key] == nil {
+		g[key] = &[2]lengthCounts{}
+	}
+	return key, g[key]
+}
+
+// requestsOf returns how many requests of a group are counted.
+func requestsOf(counts *[2]lengthCounts, now time.Time, life time.Duration) float64 {
+	return counts[overShare].all.requests.ValueAt(now, life) + counts[withinShare].all.requests.ValueAt(now, life)
+}
+
+// lengthCounts counts requests by the length of their prompts, for one group and
 // for workspaces either over or within their share. A workspace over its share is
 // refused more often on purpose, whatever it sends. When it was compared with all
 // others, the floor admitted its long prompts, and under a flood from one workspace,
--- a/request/shedding/report.go
+++ b/request/shedding/report.go
@@ -13,7 +13,8 @@
 // many of them were sent, at one node or at several together.
 type LengthCount struct {
 	Priority  uint8
-	OverShare bool // the requests' workspaces had used more than their share
+	Kind      uint32 // hash of the requests' kind; 0: not known
+	OverShare bool   // the requests' workspaces had used more than their share
 	Band      uint8
 	Requests  float32
 	Sent      float32
@@ -28,12 +29,12 @@
 
 // key identifies a length within a report.
 func (c LengthCount) key() LengthCount {
-	return LengthCount{Priority: c.Priority, OverShare: c.OverShare, Band: c.Band}
+	return LengthCount{Priority: c.Priority, Kind: c.Kind, OverShare: c.OverShare, Band: c.Band}
 }
 
 // isValid reports whether a node can have counted this.
 func (c LengthCount) isValid() bool {
-	return c.Priority < maxPriorities && c.Band < maxBands && c.Requests > 0 && !math.IsInf(float64(c.Requests), 1) &&
+	return c.Band < maxBands && c.Requests > 0 && !math.IsInf(float64(c.Requests), 1) &&
 		c.Sent >= 0 && c.Sent <= c.Requests
 }
 
@@ -51,7 +52,7 @@
 	}
 	all := lo.Values(sums)
 	slices.SortFunc(all, func(a, b LengthCount) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(boolToInt(a.OverShare), boolToInt(b.OverShare)), cmp.Compare(a.Band, b.Band))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Kind, b.Kind), cmp.Compare(boolToInt(a.OverShare), boolToInt(b.OverShare)), cmp.Compare(a.Band, b.Band))
 	})
 	return all
 }
@@ -68,16 +69,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var own []LengthCount
-	for priority := range s.lengthCounts {
-		for side := range s.lengthCounts[priority] {
-			for band := range s.lengthCounts[priority][side].bands {
-				counts := &s.lengthCounts[priority][side].bands[band]
+	for group, sides := range s.groups {
+		for side := range sides {
+			for band := range sides[side].bands {
+				counts := &sides[side].bands[band]
 				requests := roundCount(counts.requests.ValueAt(now, s.cfg.LengthDecay))
 				if requests == 0 {
 					continue
 				}
 				own = append(own, LengthCount{
-					Priority: uint8(priority), OverShare: side == overShare, Band: uint8(band),
+					Priority: group.Priority, Kind: group.Kind, OverShare: side == overShare, Band: uint8(band),
 					Requests: requests, Sent: min(requests, roundCount(counts.sent.ValueAt(now, s.cfg.LengthDecay))),
 				})
 			}
@@ -105,7 +106,7 @@
 
 // sumPeerReports adds up the reports that are still used.
 func (s *Shedder) sumPeerReports(now time.Time) {
-	s.peerCounts = [maxPriorities][2]peerCounts{}
+	s.peerCounts = peerGroups{}
 	for source, r := range s.peerReports {
 		if now.Sub(r.at) > reportLife {
 			delete(s.peerReports, source)
@@ -113,13 +114,38 @@
 		}
 		for _, c := range r.counts {
 			if c.isValid() {
-				s.peerCounts[c.Priority][sideOf(c.OverShare)].add(c)
+				s.peerCounts.add(c)
 			}
 		}
 	}
 	s.peersSummedAt = now
 }
 
+// peerGroups are the counts of the peers by group and side of the share.
+type peerGroups map[groupKey]*[2]peerCounts
+
+// of returns the counts of a group; none if no peer has reported any.
+func (p peerGroups) of(key groupKey, side int) *peerCounts {
+	if counts := p[key]; counts != nil {
+		return &counts[side]
+	}
+	return &noPeerCounts
+}
+
+var noPeerCounts peerCounts
+
+// add adds a count. Groups beyond maxGroups are left out.
+func (p peerGroups) add(c LengthCount) {
+	key := groupKey{Priority: c.Priority, Kind: c.Kind}
+	if p[key] == nil {
+		if len(p) >= maxGroups {
+			return
+		}
+		p[key] = &[2]peerCounts{}
+	}
+	p[key][sideOf(c.OverShare)].add(c)
+}
+
 // peerCounts are the counts of the peers for requests that are compared with each other.
 type peerCounts struct {
 	all   peerCount
--- a/request/shedding/shedding.go
+++ b/request/shedding/shedding.go
@@ -110,8 +110,9 @@
 	Workspace    string
 	Weight       float64 // of the workspace, from the configuration; 0 counts as 1
 	Urgent       bool
-	Priority     int // priority of the caller, 0 to 9; lengths are compared within one priority
-	PromptTokens int // length of its prompt
+	Priority     int    // priority of the caller, 0 to 9
+	Kind         string // name of the requests that are alike but for their length, such as a route's; empty: not known
+	PromptTokens int    // length of its prompt
 	// Wait is the expected time to first token on the chosen upstream, and IdleWait
 	// the part of it that the request would take there without any other work.
 	Wait     time.Duration
@@ -128,9 +129,9 @@
 	mu              sync.Mutex
 	workspaces      map[string]*usage
 	totalTokens     decay.Sum
-	lengthCounts    [maxPriorities][2]lengthCounts // by Request.Priority and side of the share
-	peerReports     map[string]peerReport          // by source
-	peerCounts      [maxPriorities][2]peerCounts   // sum of peerReports at peersSummedAt
+	groups          groups
+	peerReports     map[string]peerReport // by source
+	peerCounts      peerGroups            // sum of peerReports at peersSummedAt
 	peersSummedAt   time.Time
 	requests        decay.Sum
 	overLimit       decay.Sum // requests with a wait over UrgentWaitFraction or OtherWaitFraction
@@ -143,7 +144,7 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	return &Shedder{cfg: cfg, workspaces: map[string]*usage{}, peerReports: map[string]peerReport{}}, nil
+	return &Shedder{cfg: cfg, workspaces: map[string]*usage{}, groups: groups{}, peerReports: map[string]peerReport{}}, nil
 }
 
 // usage is the recent usage of one workspace in prompt tokens.
@@ -197,8 +198,9 @@
 	overload := s.overload(now)
 	allowed := time.Duration((s.cfg.NormalWaitFraction + overload*(min(overloadFraction, s.cfg.NormalWaitFraction)-s.cfg.NormalWaitFraction)) * budget)
 	d := Decision{AllowedWait: allowed, Overload: overload, ShareFactor: share}
-	priority, side := min(max(r.Priority, 0), maxPriorities-1), sideOf(share < 1)
-	counts := &s.lengthCounts[priority][side]
+	group, countsBySide := s.groups.of(now, s.cfg.LengthDecay, keyOf(r))
+	side := sideOf(share < 1)
+	counts := &countsBySide[side]
 	// A request that is late because of other work alone is refused, whatever the
 	// floor of its length. Its own computing is left out: an estimate that assumed a
 	// fifth of the engines' real prefill rate excluded half of the longest prompts
@@ -207,7 +209,7 @@
 	if now.Sub(s.peersSummedAt) > reportLife {
 		s.sumPeerReports(now)
 	}
-	d.ClassShare, d.LengthShare, d.LengthCount = counts.shares(now, s.cfg, &s.peerCounts[priority][side], r.PromptTokens)
+	d.ClassShare, d.LengthShare, d.LengthCount = counts.shares(now, s.cfg, s.peerCounts.of(group, side), r.PromptTokens)
 	d.FloorApplied = r.Wait > allowed && !d.LateByOthers && d.LengthShare < s.cfg.LengthFloor*d.ClassShare
 	counts.add(now, s.cfg.LengthDecay, r.PromptTokens, r.Wait <= allowed || d.FloorApplied)
 	return d
--- a/request/shedding/shedding_test.go
+++ b/request/shedding/shedding_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -189,3 +190,69 @@
 		}
 	}
 }
+
+// Guards against callers with long prompts of one kind being refused because requests of
+// another kind are served at that length: those whose callers wait longer are admitted at
+// any length and have the same priority.
+func TestLengthsAreComparedWithinKind(t *testing.T) {
+	s := newTestShedder(t)
+	now, sent, asked := start, map[int]int{}, map[int]int{}
+	for i := range 4000 {
+		now = now.Add(10 * time.Millisecond)
+		tokens := 1000 << (i % 4) // 62 to 500 ms of computing
+		idle := time.Duration(tokens) * 62500 * time.Nanosecond
+		wait := 450*time.Millisecond + idle
+		if tokens >= 4000 {
+			patient := Request{Workspace: "a", Kind: "patient", PromptTokens: tokens, Wait: wait, IdleWait: idle, FirstTokenDeadline: now.Add(15 * time.Second)}
+			if v := s.Decide(now, patient); v.Err != nil {
+				t.Fatalf("a patient request is refused: %v", v.Err)
+			}
+		}
+		asked[tokens]++
+		if v := s.Decide(now, Request{Workspace: "a", Kind: "hasty", PromptTokens: tokens, Wait: wait, IdleWait: idle, FirstTokenDeadline: now.Add(4400 * time.Millisecond)}); v.Err == nil {
+			sent[tokens]++
+		}
+		s.RecordSent(now, "a", 1, 1000)
+		s.RecordSent(now, "b", 1, 1000)
+	}
+	all := float64(sent[1000]+sent[2000]+sent[4000]+sent[8000]) / float64(asked[1000]*4)
+	for tokens, n := range asked {
+		if got := float64(sent[tokens]) / float64(n); got < 0.75*all {
+			t.Errorf("of the hasty prompts with %d tokens, %.2f were sent; of all of them, %.2f", tokens, got, all)
+		}
+	}
+}
+
+// Guards against a peer's broken report, or one of more kinds than are kept, changing what
+// is sent or taking memory without bound.
+func TestBrokenReportsAreOmitted(t *testing.T) {
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	s := newTestShedder(t)
+	reports := []LengthCount{{Requests: -1}, {Requests: nan}, {Requests: inf}, {Requests: 1, Sent: -1}, {Requests: 1, Sent: 2}, {Requests: 1, Sent: nan}, {Requests: 1, Band: maxBands}}
+	s.MergeLengthCounts(start, "a", reports)
+	if n := len(s.peerCounts) + len(SumLengthCounts(reports)); n > 0 {
+		t.Errorf("%d groups or sums are kept", n)
+	}
+	var many []LengthCount
+	for i := range 10 * maxGroups {
+		many = append(many, LengthCount{Kind: uint32(i), Requests: 1})
+		s.Decide(start, Request{Workspace: "a", Kind: fmt.Sprint(i), PromptTokens: 100, FirstTokenDeadline: start.Add(time.Second)})
+	}
+	s.MergeLengthCounts(start, "a", many)
+	if len(s.peerCounts) > maxGroups || len(s.groups) > maxGroups+1 {
+		t.Errorf("%d groups of peers and %d own ones, at most %d", len(s.peerCounts), len(s.groups), maxGroups)
+	}
+}
+
+// Guards against the reports of nodes that are gone counting for ever.
+func TestReportsAgeOut(t *testing.T) {
+	s := newTestShedder(t)
+	s.MergeLengthCounts(start, "a", []LengthCount{{Band: uint8(bandOf(4000)), Requests: 100}})
+	later := Request{Workspace: "a", PromptTokens: 4000, Wait: time.Second, FirstTokenDeadline: start.Add(10 * time.Second)}
+	if d := s.Decide(start.Add(reportLife), later); d.LengthCount != 100 {
+		t.Errorf("%g requests are counted at the end of the report's life", d.LengthCount)
+	}
+	if d := s.Decide(start.Add(reportLife+time.Second), later); d.LengthCount > 1 {
+		t.Errorf("%g requests are counted after it", d.LengthCount)
+	}
+}
