Log a stated limit when it begins, ends or has changed by a quarter

An upstream may state another rate with each answer, and each of 195 nodes would have logged each of them. What is sent does not change; the gauge has each value.

--- a/process/event/upstream.go
+++ b/process/event/upstream.go
@@ -21,7 +21,7 @@
 	RateLearnt
 	// UpstreamLeaving: an answer of the upstream says that it is leaving, or a peer that got such an answer says so; this node sends it nothing more, whatever its entry says.
 	UpstreamLeaving
-	// UpstreamLimited: an answer of the upstream, or a peer that got such an answer, states how many requests a second it takes from all nodes together, or that it takes any number again (Limited false). Logged at each change. Few nodes send it requests meanwhile. To do: find out why the upstream is short of capacity.
+	// UpstreamLimited: an answer of the upstream, or a peer that got such an answer, states how many requests a second it takes from all nodes together, or that it takes any number again (Limited false). Logged when it begins, ends or has changed by a quarter. Few nodes send it requests meanwhile. To do: find out why the upstream is short of capacity.
 	UpstreamLimited
 	// UpstreamLimitUnreadable: an answer of the upstream states a rate that is no decimal number; what it stated before stays in force. To do: check the upstream's version.
 	UpstreamLimitUnreadable
--- a/process/gateway/hearing.go
+++ b/process/gateway/hearing.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -37,12 +38,15 @@
 	limiter *ratelimit.Limiter
 	metrics *metric.Metrics
 	log     *zap.Logger
+
+	mu           sync.Mutex
+	loggedLimits map[string]ratelimit.Limit // by upstream, as last logged; guarded by mu
 }
 
 var _ UpstreamNotices = (*noticeHandler)(nil)
 
 func (g *Gateway) newNoticeHandler(i do.Injector) *noticeHandler {
-	return &noticeHandler{roster: do.MustInvoke[*roster.Roster](i), refresh: do.MustInvoke[*learner](i).refresh, limiter: do.MustInvoke[*ratelimit.Limiter](i), metrics: do.MustInvoke[*metric.Metrics](i), log: g.log}
+	return &noticeHandler{roster: do.MustInvoke[*roster.Roster](i), refresh: do.MustInvoke[*learner](i).refresh, limiter: do.MustInvoke[*ratelimit.Limiter](i), metrics: do.MustInvoke[*metric.Metrics](i), log: g.log, loggedLimits: map[string]ratelimit.Limit{}}
 }
 
 // Replaced takes the upstream out of use.
@@ -97,6 +101,26 @@
 }
 
 func (h *noticeHandler) recordLimit(upstream string, l ratelimit.Limit, by string) {
-	event.Info(h.log, event.UpstreamLimited, zap.String("Upstream", upstream), zap.Bool("Limited", l.Limited), zap.Float64("PerSecond", l.PerSecond), zap.String("By", by))
 	h.metrics.SetRateLimit(upstream, l.Limited, l.PerSecond)
+	if !h.isLimitToLog(upstream, l) {
+		return
+	}
+	event.Info(h.log, event.UpstreamLimited, zap.String("Upstream", upstream), zap.Bool("Limited", l.Limited), zap.Float64("PerSecond", l.PerSecond), zap.String("By", by))
+}
+
+// isLimitToLog reports whether a limit has begun, ended or changed by a quarter since it was logged.
+// An upstream may state another one with each answer.
+func (h *noticeHandler) isLimitToLog(upstream string, l ratelimit.Limit) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	last := h.loggedLimits[upstream]
+	if l.Limited == last.Limited && l.PerSecond <= last.PerSecond*rateLogFactor && l.PerSecond*rateLogFactor >= last.PerSecond {
+		return false
+	}
+	if !l.Limited {
+		delete(h.loggedLimits, upstream)
+		return true
+	}
+	h.loggedLimits[upstream] = l
+	return true
 }
--- a/process/gateway/hearing_test.go
+++ b/process/gateway/hearing_test.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 )
 
 // While the register is unreachable, an engine announces with an answer to one node of a large
@@ -28,3 +29,21 @@
 		t.Errorf("%d of %d nodes don't know that the upstream leaves", unaware, len(f.nodes))
 	}
 }
+
+// Guards against one log line of every node for each answer of an upstream that states
+// another limit each time.
+func TestLimitIsLoggedWhenItChangesMuch(t *testing.T) {
+	h := &noticeHandler{loggedLimits: map[string]ratelimit.Limit{}}
+	limit := func(rate float64) ratelimit.Limit { return ratelimit.Limit{Limited: true, PerSecond: rate} }
+	for i, c := range []struct {
+		limit ratelimit.Limit
+		want  bool
+	}{
+		{limit(2), true}, {limit(2.2), false}, {limit(1.8), false}, {limit(1), true}, {limit(0), true}, {limit(0), false},
+		{ratelimit.Limit{}, true}, {ratelimit.Limit{}, false}, {limit(0), true},
+	} {
+		if got := h.isLimitToLog("e1", c.limit); got != c.want {
+			t.Errorf("limit %d, %+v: logged %t", i, c.limit, got)
+		}
+	}
+}
