--- a/process/policy/loads.go
+++ b/process/policy/loads.go
@@ -16,7 +16,7 @@
 
 const (
 	// maxReportAge is how long a node's report counts without a new one: eight
-	// report intervals. The work of a node that is gone ends on the engines
+	// intervals of loads, two of counts by prompt length. The work of a node that is gone ends on the engines
 	// soon after.
 	maxReportAge = 2 * time.Second
 	// maxSummedHotLevels limits the hot levels of several nodes together; the
--- a/request/shedding/report.go
+++ b/request/shedding/report.go
@@ -52,18 +52,11 @@
 	}
 	all := lo.Values(sums)
 	slices.SortFunc(all, func(a, b LengthCount) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Kind, b.Kind), cmp.Compare(boolToInt(a.OverShare), boolToInt(b.OverShare)), cmp.Compare(a.Band, b.Band))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Kind, b.Kind), cmp.Compare(sideOf(a.OverShare), sideOf(b.OverShare)), cmp.Compare(a.Band, b.Band))
 	})
 	return all
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // LengthCounts returns this node's own counts, for its peers.
 func (s *Shedder) LengthCounts(now time.Time) []LengthCount {
 	s.mu.Lock()
