Place requests by the rates of unlike engines, and keep engines' memory

Cause: engines of unlike speed got the same share of the work and the same expected wait; the slow ones had queues in calm already. Engines crash if the requests that they hold exceed their memory, and nothing kept to it.

With Forecasts, the waits of a decision are forecasts from latency, rate and the tokens ahead. With MemoryTokens, an engine without room is not chosen.

--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -29,6 +29,7 @@
 	coverage           coverage
 	typicalLength      typicalLength
 	prefillEstimate    prefillRate
+	engineRates        engineRates
 	intake             tokenIntake
 	estimatedRetention retention // for engines whose answers do not report cached tokens; 0: learnt from answers
 	nodeCount          int       // nodes that share the traffic; 0: not known
@@ -72,6 +73,9 @@
 		rand:               rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 	a.fleet.assumedPrefillRate = cfg.InitialPrefillRate
+	if cfg.EngineRates {
+		a.engineRates = newEngineRates(cfg.InitialPrefillRate)
+	}
 	return a
 }
 
@@ -96,11 +100,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	at := a.clock.tickAt(now)
+	a.engineRates.refresh(now, &a.fleet)
 	a.computeSetSizes(at, r.Chain)
 	found := a.candidates(at, r)
 	if len(found) == 0 {
 		return Decision{}, ErrNoCandidate
 	}
+	found = a.withRoom(at, found, r)
+	if len(found) == 0 {
+		return Decision{}, ErrMemoryFull
+	}
 	a.sources = a.findSources(at, r.Chain)
 	best := a.costAt(now, at, r, found[0])
 	for _, c := range found[1:] {
@@ -228,8 +237,7 @@
 	}
 	computedTokens := float64(r.Chain.Tokens() - cached)
 	if !d.Import {
-		a.prefillEstimate.learn(answer.FirstToken, computedTokens, d.estimate.queueSeconds*m.prefillRate())
-		a.fleet.assumedPrefillRate = a.prefillEstimate.combinedRate(a.peers.summaries)
+		a.learnRate(now, m, computedTokens, d.estimate, answer.FirstToken)
 	}
 	computeSeconds := computedTokens/m.prefillRate() + m.DecodeInterval.Seconds()
 	a.queueingFor(r).learn(answer.FirstToken, computeSeconds, d.estimate.queueSeconds)
@@ -239,6 +247,15 @@
 	}
 }
 
+// learnRate updates the estimate of the rate at which engines compute prompts.
+func (a *Affinity) learnRate(now time.Time, m *member, computedTokens float64, e estimate, firstToken time.Duration) {
+	if a.engineRates.enabled() {
+		a.engineRates.observe(now, m, int(computedTokens), e, firstToken)
+	}
+	a.prefillEstimate.learn(firstToken, computedTokens, e.queueSeconds*m.prefillRate())
+	a.fleet.assumedPrefillRate = a.prefillEstimate.combinedRate(a.peers.summaries)
+}
+
 // learnFromAnswer compares the cached tokens that the answer reports with what was
 // expected, and updates the retention, accuracy and coverage.
 func (a *Affinity) learnFromAnswer(m *member, e estimate, cached int) {
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -44,12 +44,24 @@
 	// InitialPrefillRate is the prefill rate, in prompt tokens per second, assumed for
 	// engines that do not state one, until answers have shown it.
 	InitialPrefillRate float64
+	// EngineRates means that engines may differ in speed: the rate of each engine that
+	// does not state one is estimated apart, from the answers of all nodes, together with
+	// the latency that all answers share. Otherwise one rate applies to all engines.
+	EngineRates bool
+	// Forecasts means that the waits of a decision are forecasts from the engines' rates and
+	// the latency, for a load shedder that compares them with goals. It needs EngineRates.
+	// Otherwise they are the waits by which placement compares upstreams, which count the
+	// latency as computing.
+	Forecasts bool
 	// Retention is how long a prefix is assumed to stay cached until answers have
 	// shown more. If they never do, it applies for good.
 	Retention time.Duration
 	// CacheTokens is how many tokens the memory of one engine holds; 0: not known, so
 	// that only Retention applies.
 	CacheTokens int
+	// MemoryTokens is how many tokens of unfinished requests make an engine crash; 0:
+	// engines preempt requests instead when their memory is full.
+	MemoryTokens int
 	// MaxCacheEntries bounds the cache index, over all upstreams.
 	MaxCacheEntries int
 	// MaxDemandLevels bounds the table of demands.
--- a/request/placement/cost.go
+++ b/request/placement/cost.go
@@ -57,6 +57,7 @@
 	b := c.backlog(now, a.peers.inFlight[c.Name], meanTokens)
 	queueSeconds := float64(b.tokens) / c.prefillRate()
 	e.queueSeconds = queueSeconds
+	e.aheadTokens, e.urgent = c.tokensAhead(b, a.peers.inFlight[c.Name]), r.Urgent
 	// Each second of computing also delays everything that waits on the upstream.
 	// Without this cost, a fleet that falls behind spreads every prefix to the
 	// upstream with the shortest queue, computes more because of it, and never catches
@@ -84,7 +85,7 @@
 		outsideCost += outsideSetImportCost * savedSeconds
 	}
 	w := a.cfg.Weighing
-	return placementCost{
+	p := placementCost{
 		candidate:         c,
 		total:             w.Wait*(wait+computeSeconds*delayedRequests+c.failures.waitSeconds(now)) + w.Recompute*computeSeconds + outsideCost,
 		cachedTokens:      int(cached),
@@ -96,6 +97,15 @@
 		inSet:             c.depth == len(r.Chain),
 		estimate:          e,
 	}
+	if a.cfg.Forecasts && a.engineRates.enabled() {
+		uncached := float64(r.Chain.Tokens()) - cached
+		if plan.source != "" {
+			uncached = float64(max(0, r.Chain.Tokens()-plan.tokens))
+		}
+		p.wait, p.idleWait = a.engineRates.forecast(now, c.member, r.Urgent, uncached, plan.importSeconds, e)
+		p.wait += slotWait(r, c.member, b)
+	}
+	return p
 }
 
 func (a *Affinity) queueingFor(r Request) *queueing {
@@ -123,6 +133,8 @@
 	longestKnown  int     // tokens of the longest prefix in the cache index, whatever its age
 	knownAge      float64 // age of its entry, in seconds
 	queueSeconds  float64 // seconds of computing ahead of the request
+	aheadTokens   int     // prompt tokens sent there before by all nodes, and not answered yet
+	urgent        bool
 }
 
 // expectedCached returns the number of tokens expected in the cache.
--- a/request/placement/fleet.go
+++ b/request/placement/fleet.go
@@ -25,7 +25,9 @@
 	sendCount     int
 	engine        engineState
 	failures      penalty
-	reportAt      tick // time of the last authoritative report about its cache; 0: never
+	reportAt      tick    // time of the last authoritative report about its cache; 0: never
+	relativeRate  float64 // its rate in relation to that of the fleet; 0: not estimated
+	ownHeld       int     // prompt and output tokens of this node's unfinished requests
 }
 
 // fleet holds the upstreams of one policy.
@@ -40,6 +42,7 @@
 	byID               []*member      // index 0 is not used
 	queuedTokens       int            // waiting prompt tokens, by the last load reports of all members
 	unansweredTokens   map[uint64]int // prompt tokens of own requests, by decision
+	held               heldTokens
 	decisionCount      uint64
 }
 
@@ -49,6 +52,7 @@
 		members:          map[string]*member{},
 		byID:             make([]*member, 1),
 		unansweredTokens: map[uint64]int{},
+		held:             newHeldTokens(),
 	}
 }
 
@@ -97,6 +101,9 @@
 	if m.PrefillRate > 0 {
 		return m.PrefillRate
 	}
+	if m.relativeRate > 0 {
+		return max(1, m.relativeRate*m.fleet.assumedPrefillRate)
+	}
 	return max(1, m.fleet.assumedPrefillRate)
 }
 
@@ -116,6 +123,7 @@
 	m.ownTokens += tokens
 	m.recordSend(now, tokens)
 	f.unansweredTokens[d.id] = tokens
+	f.held.add(m, r, d)
 }
 
 // recordAnswer removes the request's tokens from the upstream's backlog. For a request
@@ -134,6 +142,7 @@
 	if m == nil {
 		return
 	}
+	f.held.remove(m, d)
 	m.ownRequests = max(0, m.ownRequests-1)
 	if m.ownRequests == 0 && !m.eligible {
 		f.remove(m)
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -157,7 +157,8 @@
 type Policy interface {
 	// SetUpstreams replaces the eligible upstreams.
 	SetUpstreams(now time.Time, upstreams []Upstream)
-	// Place chooses an upstream. It returns ErrNoCandidate if none is eligible.
+	// Place chooses an upstream. It returns ErrNoCandidate if none is eligible, and
+	// ErrMemoryFull if none of the eligible ones has memory for the request.
 	Place(now time.Time, r Request) (Decision, error)
 	// RecordSent records that r is being sent to the chosen upstream.
 	RecordSent(now time.Time, r Request, d Decision)
