Admit requests by their goals and the load of the fleet, where settings ask for it

Cause: at a peak 14,520 requests were rejected, 9,932 of them because their own computing at a rate believed too low exceeded what was allowed, while the engines computed a third of what they can. What was allowed was a part of the time that is left, 0.1 s for short requests of large workspaces whose callers have a goal of 0.5 s; overload and shares were each node's own.

Change: the goal of a route is decoded and reaches the load shedder. Nodes exchange counts of rates, forecasts and use once a second with those of lengths. New event EngineRatesLearnt, gauge fleet_overload, two fields of RequestShed.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -16,6 +16,8 @@
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/fleetload"
+	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
@@ -46,21 +48,25 @@
 	Caches    []byte // see cachenews.Book
 	Endings   Endings
 	Lengths   []shedding.LengthCount // nil: not due
+	Rates     []policy.GroupRates    // nil: not due
+	Use       *fleetload.Report      // nil: not due
 }
 
 // exchanger reports this node's traffic to its peers.
 type exchanger struct {
-	node        string
-	peers       *peers
-	policies    *policy.Table
-	cacheNews   *cachenews.EntryBuffer
-	endings     endingsStore
-	lengths     *shedding.Shedder
-	limiter     *ratelimit.Limiter
-	sharer      *sharer
-	metrics     *metric.Metrics
-	log         *zap.Logger
-	loggedRates map[catalogue.Group]float64 // by pool and model, as last logged
+	node              string
+	peers             *peers
+	policies          *policy.Table
+	cacheNews         *cachenews.EntryBuffer
+	endings           endingsStore
+	lengths           *shedding.Shedder
+	limiter           *ratelimit.Limiter
+	fleet             *fleetload.Tracker
+	sharer            *sharer
+	metrics           *metric.Metrics
+	log               *zap.Logger
+	loggedRates       map[catalogue.Group]float64               // by pool and model, as last logged
+	loggedEngineRates map[catalogue.Group]placement.RateSummary // the same
 
 	lengthsSentAt time.Time
 	cancel        context.CancelFunc
@@ -71,10 +77,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &exchanger{
 		node: g.settings.Node, peers: do.MustInvoke[*peers](i), policies: do.MustInvoke[*policy.Table](i),
-		cacheNews: do.MustInvoke[*cachenews.EntryBuffer](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), limiter: do.MustInvoke[*ratelimit.Limiter](i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
-		log: g.log, loggedRates: map[catalogue.Group]float64{},
+		cacheNews: do.MustInvoke[*cachenews.EntryBuffer](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), limiter: do.MustInvoke[*ratelimit.Limiter](i), fleet: do.MustInvoke[*fleetload.Tracker](i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
+		log: g.log, loggedRates: map[catalogue.Group]float64{}, loggedEngineRates: map[catalogue.Group]placement.RateSummary{},
 	}
-	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.endings, e.lengths)
+	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.endings, e.lengths, e.fleet)
 	e.sharer.call = func(ctx context.Context, address string, q Share, a *Shared) error {
 		return e.peers.callWithin(ctx, shareTimeout, address, "Share", q, a)
 	}
@@ -97,6 +103,7 @@
 		}
 		pause = e.exchangeOnce(ctx, now, turn, others)
 		e.policies.SetNodes(len(others) + 1)
+		e.metrics.SetFleetOverload(e.fleet.Overload(now))
 		e.logRates()
 	}
 }
@@ -112,6 +119,8 @@
 	if now.Sub(e.lengthsSentAt) >= lengthsPause {
 		e.lengthsSentAt = now
 		v.Lengths = e.lengths.LengthCounts(now)
+		use := e.fleet.Report(now)
+		v.Rates, v.Use = e.policies.OwnRates(now), &use
 	}
 	e.peers.callAll("Exchange", v)
 	return exchangeInterval(len(others))
@@ -122,11 +131,27 @@
 const rateLogFactor = 1.25
 
 func (e *exchanger) logRates() {
+	e.logEngineRates()
 	for key, rate := range e.policies.Rates() {
-		if last := e.loggedRates[key]; last > 0 && rate < last*rateLogFactor && rate > last/rateLogFactor {
+		if last := e.loggedRates[key]; last > 0 && isNear(rate, last) {
 			continue
 		}
 		e.loggedRates[key] = rate
 		event.Info(e.log, event.RateLearnt, zap.String("Pool", key.Pool), zap.String("Model", key.Model), zap.Float64("Rate", rate))
 	}
 }
+
+func (e *exchanger) logEngineRates() {
+	for key, r := range e.policies.RateSummaries(time.Now()) {
+		last, logged := e.loggedEngineRates[key]
+		if logged && r.Unlike == last.Unlike && isNear(r.Rate, last.Rate) && isNear(r.Latency.Seconds(), last.Latency.Seconds()) {
+			continue
+		}
+		e.loggedEngineRates[key] = r
+		event.Info(e.log, event.EngineRatesLearnt, zap.String("Pool", key.Pool), zap.String("Model", key.Model),
+			zap.Float64("Rate", r.Rate), zap.Duration("Latency", r.Latency), zap.Float64("Spread", r.Spread), zap.Bool("Unlike", r.Unlike))
+	}
+}
+
+// isNear reports whether two values differ by less than rateLogFactor.
+func isNear(a, b float64) bool { return a == b || a < b*rateLogFactor && a > b/rateLogFactor }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -33,7 +33,14 @@
 	Node        string
 	DataCentre  string
 	PeerAddress string // IP:port at which other nodes reach this one
-	Bounds      Bounds
+	// AdmitByGoal means that under overload requests are admitted by the goals of their routes and
+	// by what all nodes know of the load. Otherwise each node goes by the time that the callers
+	// still wait.
+	AdmitByGoal bool
+	// EnginesCrashWhenFull means that an engine crashes if the requests that it holds exceed its
+	// memory. Otherwise it preempts some of them.
+	EnginesCrashWhenFull bool
+	Bounds               Bounds
 }
 
 // Bounds holds the time limits of the platform that a gateway runs on. SetBounds replaces them
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -70,6 +70,12 @@
 	if v.Lengths != nil {
 		h.peers.lengths.MergeLengthCounts(now, v.Node, v.Lengths)
 	}
+	if v.Rates != nil {
+		h.peers.policies.MergeRates(now, v.Node, v.Rates)
+	}
+	if v.Use != nil {
+		h.peers.fleet.Merge(now, v.Node, *v.Use)
+	}
 	return nil
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -21,6 +21,7 @@
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/fleetload"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
@@ -56,6 +57,7 @@
 	learner  *learner
 	endings  endingsStore
 	lengths  *shedding.Shedder
+	fleet    *fleetload.Tracker
 	sharer   atomic.Pointer[sharer]      // nil: not started yet
 	quotas   atomic.Pointer[quotas]      // nil: not started yet
 	entered  atomic.Pointer[EnterResult] // nil: not entered yet
@@ -78,7 +80,7 @@
 		name: g.settings.Node, dataCentre: g.settings.DataCentre, log: g.log,
 		roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i),
 		book: do.MustInvoke[*accepted.Tracker](i), policies: do.MustInvoke[*policy.Table](i),
-		learner: do.MustInvoke[*learner](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), cancel: cancel, lastHolderSign: clock.BoottimeNow(),
+		learner: do.MustInvoke[*learner](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), fleet: do.MustInvoke[*fleetload.Tracker](i), cancel: cancel, lastHolderSign: clock.BoottimeNow(),
 	}
 	self := platform.VM{Name: g.settings.Node, Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre}
 	ps.work.Go(func() { ps.enter(ctx, p.Directory, self) })
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -16,11 +16,13 @@
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
+	"github.com/dunlinmill/dunlinmill/request/fleetload"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/request/retry"
+	"github.com/dunlinmill/dunlinmill/request/returning"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
@@ -92,6 +94,7 @@
 	do.Provide(i, func(i do.Injector) (*inventory.Inventory, error) { return g.newInventory(i, p), nil })
 	do.Provide(i, g.newPolicies)
 	do.Provide(i, g.newQuarantine)
+	do.Provide(i, func(do.Injector) (*fleetload.Tracker, error) { return fleetload.New(fleetload.DefaultConfig) })
 	do.Provide(i, g.newShedder)
 	do.Provide(i, g.newCompletions)
 	do.Provide(i, g.newCalls)
@@ -186,9 +189,13 @@
 			MaxImportTime:      maxFetchWait,
 			DeclaredParts:      true,
 			OutdatedCost:       outdatedCost,
-			CacheTokens:        v.cacheTokens(),
-			MaxCacheEntries:    placementEntries,
-			MaxDemandLevels:    placementLevels,
+			EngineRates:        true,
+			Forecasts:          g.settings.AdmitByGoal,
+			MemoryTokens:       g.memoryTokens(v),
+
+			CacheTokens:     v.cacheTokens(),
+			MaxCacheEntries: placementEntries,
+			MaxDemandLevels: placementLevels,
 		})
 	}).WithRegister(upstreams{roster: do.MustInvoke[*roster.Roster](i)}.Version, roster.Incarnation), nil
 }
@@ -230,12 +237,31 @@
 	return quarantine.NewTracker(g.settings.Node, g.log, do.MustInvoke[*metric.Metrics](i)), nil
 }
 
-func (g *Gateway) newShedder(do.Injector) (*shedding.Shedder, error) {
+func (g *Gateway) newShedder(i do.Injector) (*shedding.Shedder, error) {
 	cfg := shedding.DefaultConfig
 	cfg.Seed = g.seed()
 	cfg.UrgentWaitFraction, cfg.OtherWaitFraction = urgentWaitFraction, otherWaitFraction
 	cfg.LengthFloor = lengthFloor
-	return shedding.New(cfg)
+	s, err := shedding.New(cfg)
+	if err != nil || !g.settings.AdmitByGoal {
+		return s, err
+	}
+	retries := returning.DefaultConfig
+	retries.Seed = g.seed()
+	schedule, err := returning.New(retries)
+	if err != nil {
+		return nil, err
+	}
+	return s.WithGoals(do.MustInvoke[*fleetload.Tracker](i), schedule), nil
+}
+
+// memoryTokens returns how many tokens of requests an engine holds before it crashes; 0: engines
+// preempt requests instead.
+func (g *Gateway) memoryTokens(v *view) int {
+	if !g.settings.EnginesCrashWhenFull {
+		return 0
+	}
+	return v.cacheTokens()
 }
 
 func (g *Gateway) newCompletions(i do.Injector) (*completion.Router, error) {
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -256,6 +256,8 @@
 		Priority:      engineRank(x.priority(), x.in.Parts, x.g.policies.SlowestRate(x.service.Name)),
 		Class:         x.priority(),
 		Kind:          x.route.Name,
+		Goal:          x.route.Goal,
+		Grant:         x.in.Grant,
 		Deadline:      deadline,
 		RunOnce:       !x.route.MayRepeat(),
 		Passage:       x.upstreamCall(end),
--- a/process/gateway/share.go
+++ b/process/gateway/share.go
@@ -17,6 +17,7 @@
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/fleetload"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
@@ -64,6 +65,10 @@
 	// counts.
 	Lengths    []shedding.LengthCount
 	LengthsDue bool
+	// Rates are the node's observations of the engines' rates, sent along with Lengths.
+	Rates []policy.GroupRates
+	// Use is what the node knows of the fleet's load, sent along with Lengths.
+	Use fleetload.Report
 }
 
 // Shared is the aggregator's answer.
@@ -73,8 +78,10 @@
 	Loads  []policy.GroupLoad     // of all other nodes, or of this data centre's alone
 	// Endings is what the aggregator has found or received recently.
 	Endings Endings
-	// Lengths are the sums for the same nodes as Loads, if they were asked for.
+	// Lengths and Rates are the sums for the same nodes as Loads, if they were asked for.
 	Lengths []shedding.LengthCount
+	Rates   []policy.GroupRates
+	Use     fleetload.Report
 }
 
 // lengthCounter counts requests by prompt length, here and at the peers.
@@ -95,6 +102,7 @@
 	view       *view
 	endings    endingsStore
 	lengths    lengthCounter
+	fleet      *fleetload.Tracker
 	// call asks the node at an address.
 	call  func(ctx context.Context, address string, q Share, a *Shared) error
 	clock func() time.Time
@@ -104,6 +112,8 @@
 	localLoads, remoteLoads policy.LoadReports
 	localLengths            policy.Reports[shedding.LengthCount]
 	remoteLengths           policy.Reports[shedding.LengthCount]
+	localRates, remoteRates policy.Reports[policy.GroupRates]
+	localUse, remoteUse     policy.Reports[fleetload.Report]
 	lastAsked               atomic.Pointer[time.Time] // when it was last asked; nil: never
 
 	// The following are used only by the goroutine that asks.
@@ -114,9 +124,9 @@
 	lengthsSentAt   time.Time
 }
 
-func newSharer(node, dataCentre string, log *zap.Logger, policies *policy.Table, contents *cachenews.Contents, v *view, e endingsStore, l lengthCounter) *sharer {
+func newSharer(node, dataCentre string, log *zap.Logger, policies *policy.Table, contents *cachenews.Contents, v *view, e endingsStore, l lengthCounter, f *fleetload.Tracker) *sharer {
 	return &sharer{
-		node: node, dataCentre: dataCentre, log: log, policies: policies, contents: contents, view: v, endings: e, lengths: l, clock: time.Now,
+		node: node, dataCentre: dataCentre, log: log, policies: policies, contents: contents, view: v, endings: e, lengths: l, fleet: f, clock: time.Now,
 		aggregate:    cachenews.NewAggregator(rand.Uint64()),
 		avoidedUntil: map[string]time.Time{}, remotePositions: map[string]cachenews.Ask{},
 	}
@@ -131,6 +141,8 @@
 		news.Caches, news.Loads = s.aggregate.ChangesSince(now, q.Ask), policy.SumLoads(s.localLoads.Recent(now, ""))
 		if q.LengthsDue {
 			news.Lengths = shedding.SumLengthCounts(s.localLengths.Recent(now, ""))
+			news.Rates = policy.SumRates(s.localRates.Recent(now, ""))
+			news.Use = fleetload.Sum(s.localUse.Recent(now, ""))
 		}
 		return news
 	}
@@ -141,6 +153,10 @@
 	if q.LengthsDue {
 		s.localLengths.Put(now, q.Node, q.Lengths)
 		news.Lengths = shedding.SumLengthCounts(append(s.localLengths.Recent(now, q.Node), s.remoteLengths.Recent(now, "")...))
+		s.localRates.Put(now, q.Node, q.Rates)
+		news.Rates = policy.SumRates(append(s.localRates.Recent(now, q.Node), s.remoteRates.Recent(now, "")...))
+		s.localUse.Put(now, q.Node, []fleetload.Report{q.Use})
+		news.Use = fleetload.Sum(append(s.localUse.Recent(now, q.Node), s.remoteUse.Recent(now, "")...))
 	}
 	return news
 }
@@ -162,6 +178,7 @@
 	if now.Sub(s.lengthsSentAt) >= lengthsPause {
 		s.lengthsSentAt = now
 		q.Lengths, q.LengthsDue = s.lengths.LengthCounts(now), true
+		q.Rates, q.Use = s.policies.OwnRates(now), s.fleet.Report(now)
 	}
 	if !s.askLocalAggregator(ctx, now, chosen[s.dataCentre], q) {
 		s.contents.ResendShared()
@@ -229,6 +246,8 @@
 	s.policies.MergeLoads(now, fleetLoadName, a.Loads)
 	if a.Lengths != nil {
 		s.lengths.MergeLengthCounts(now, fleetLoadName, a.Lengths)
+		s.policies.MergeRates(now, fleetLoadName, a.Rates)
+		s.fleet.Merge(now, fleetLoadName, a.Use)
 	}
 	s.endings.merge(now, a.Endings)
 }
@@ -271,6 +290,8 @@
 		s.remoteLoads.Put(now, dataCentre, a.Loads)
 		if lengthsDue {
 			s.remoteLengths.Put(now, dataCentre, a.Lengths)
+			s.remoteRates.Put(now, dataCentre, a.Rates)
+			s.remoteUse.Put(now, dataCentre, []fleetload.Report{a.Use})
 		}
 		s.endings.merge(now, a.Endings)
 		s.remotePositions[dataCentre] = cachenews.Ask{By: a.Caches.By, From: a.Caches.Next}
--- a/process/gateway/sharingfleet_test.go
+++ b/process/gateway/sharingfleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
+	"github.com/dunlinmill/dunlinmill/request/fleetload"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/quarantine"
@@ -117,11 +118,15 @@
 		panic(err) // the default settings are in range
 	}
 	n.shedder = shedder
+	load, err := fleetload.New(fleetload.DefaultConfig)
+	if err != nil {
+		panic(err) // the default settings are in range
+	}
 	policies := policy.New(catalogue.NewCurrent(v), nil, func() placement.Policy { return placement.New(placement.Config{}) })
 	n.sharer = newSharer(name, dataCentre, zap.NewNop(), policies, n.contents, v, endingsStore{
 		quarantine: quarantine.NewTracker(name, zap.NewNop(), noCounter{}),
 		notices:    &noticeHandler{roster: roster.New(), refresh: func(time.Time) {}, limiter: ratelimit.New(name), metrics: metric.New(), log: zap.NewNop(), loggedLimits: map[string]ratelimit.Limit{}},
-	}, n.shedder)
+	}, n.shedder, load)
 	n.sharer.clock = func() time.Time { return f.now }
 	n.sharer.call = func(_ context.Context, address string, q Share, a *Shared) error { return f.call(n, address, q, a) }
 	f.nodes = append(f.nodes, n)
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -110,6 +110,7 @@
 	peers          *prometheus.GaugeVec
 	dutyHeld       prometheus.Gauge
 	rateLimit      *prometheus.GaugeVec
+	fleetOverload  prometheus.Gauge
 	journalAppends *prometheus.CounterVec
 	journalLatency prometheus.Histogram
 }
@@ -132,6 +133,7 @@
 		configOffset:   newGauge("config_offset", "Log offset of the configuration in force."),
 		configRead:     newGauge("config_read_timestamp_seconds", "When this node last knew its configuration to be the newest, in Unix time."),
 		logReachable:   newGauge("log_reachable", "1 if the last call to the platform's log succeeded, else 0."),
+		fleetOverload:  newGauge("fleet_overload", "Overload of the engines by the forecasts of all nodes, from 0 to 1; 0 where requests are not admitted by goals."),
 		dutyHeld:       newGauge("duty_held", "1 while this node has the duty to give orders, else 0."),
 		peers:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "peers", Help: "Other nodes by state."}, []string{"state"}),
 		rateLimit:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "upstream_rate_limit", Help: "Requests a second that an upstream takes from all nodes together, while it states so."}, []string{"upstream"}),
@@ -140,7 +142,7 @@
 	}
 	m.classes.Store(&Classes{})
 	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.promptLength, m.retries, m.imports, m.quarantine,
-		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.rateLimit, m.peers,
+		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.rateLimit, m.fleetOverload, m.peers,
 		m.journalAppends, m.journalLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -245,6 +247,9 @@
 	m.dutyHeld.Set(value)
 }
 
+// SetFleetOverload sets the overload of the engines, from 0 to 1.
+func (m *Metrics) SetFleetOverload(overload float64) { m.fleetOverload.Set(overload) }
+
 // SetRateLimit sets the rate that an upstream takes; without a limit it has no series.
 func (m *Metrics) SetRateLimit(upstream string, limited bool, perSecond float64) {
 	if !limited {
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -34,6 +34,11 @@
 	// Kind names what the request is for, such as its route. Lengths are compared
 	// among requests of one kind. Empty: not known.
 	Kind string
+	// Goal is the time from the arrival to the first token within which the answer is in
+	// time for its caller; 0: not known.
+	Goal time.Duration
+	// Grant is how long the caller waits, from the arrival on; 0: not stated.
+	Grant time.Duration
 	// Deadline is when the whole answer must be complete; zero: none.
 	Deadline time.Time
 	// Key is set if the request may run at most once.
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/retry"
@@ -25,6 +27,9 @@
 	pr := s.placementRequest(now)
 	pr.StoredPrefixes = s.storedPrefixes(now, salts)
 	d, err := p.Place(now, pr)
+	if errors.Is(err, placement.ErrMemoryFull) {
+		return nil, "", s.refusal(failure.ErrOverloaded, err)
+	}
 	if err != nil {
 		return nil, "", fmt.Errorf("place request: %w", err)
 	}
--- a/request/completion/shed.go
+++ b/request/completion/shed.go
@@ -26,6 +26,11 @@
 		PromptTokens: s.chain.Tokens(),
 		Wait:         d.Wait,
 		IdleWait:     d.IdleWait,
+		Work:         workOf(s.chain.Tokens()-d.CachedTokens, d.PrefillRate),
+		Grant:        s.r.Grant,
+	}
+	if s.r.Goal > 0 {
+		a.Goal = max(minGoal, s.r.Goal-now.Sub(s.startedAt))
 	}
 	if !s.r.Deadline.IsZero() {
 		a.FirstTokenDeadline = s.r.Deadline.Add(-s.decodeTime(now))
@@ -39,7 +44,7 @@
 	}
 	event.Info(s.rt.Log, event.RequestShed, zap.String("Request", s.r.ID), zap.String("Upstream", d.Upstream),
 		zap.Stringer("Reason", d.Reason), zap.Duration("Wait", d.Wait), zap.Duration("Idle", d.IdleWait), zap.Float64("ReadRate", d.PrefillRate),
-		zap.Duration("Allowed", v.AllowedWait), zap.Float64("Overload", v.Overload), zap.Float64("Share", v.ShareFactor),
+		zap.Duration("Goal", a.Goal), zap.Bool("Returning", v.Returning), zap.Duration("Allowed", v.AllowedWait), zap.Float64("Overload", v.Overload), zap.Float64("Share", v.ShareFactor),
 		zap.Bool("LateByOthers", v.LateByOthers), zap.Float64("ClassShare", v.ClassShare), zap.Float64("LengthShare", v.LengthShare), zap.Float64("LengthCount", v.LengthCount),
 		zap.Int("CachedTokens", d.CachedTokens), zap.Int("PromptTokens", s.chain.Tokens()),
 		zap.Int("Upstreams", len(s.target.list.Names)), zap.Int("Excluded", excluded))
@@ -49,6 +54,17 @@
 	return v.Err
 }
 
+// minGoal is the goal of a request whose goal has passed at this node, after a failed send.
+const minGoal = time.Millisecond
+
+// workOf returns the time that an engine takes to compute tokens; 0 if its rate is not known.
+func workOf(tokens int, rate float64) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(max(0, tokens)) / rate * float64(time.Second))
+}
+
 // decodeTime returns the time that the answer needs after its first token. It is at
 // most half of the time left, as the answer may be shorter than its token limit.
 func (s *requestState) decodeTime(now time.Time) time.Duration {
--- a/request/shedding/shedding.go
+++ b/request/shedding/shedding.go
@@ -117,6 +117,13 @@
 	// the part of it that the request would take there without any other work.
 	Wait     time.Duration
 	IdleWait time.Duration
+	// Goal is the time from now on within which the first token is in time for the caller;
+	// 0: not known.
+	Goal time.Duration
+	// Work is the engine time that computing its prompt takes; 0: not known.
+	Work time.Duration
+	// Grant is how long the caller waits; 0: not stated.
+	Grant time.Duration
 	// FirstTokenDeadline is the latest useful time of the first token; zero: the
 	// default first-token budget applies, from now on.
 	FirstTokenDeadline time.Time
@@ -124,7 +131,8 @@
 
 // Shedder decides for one node. mu guards all of it.
 type Shedder struct {
-	cfg Config
+	cfg   Config
+	goals *goals // nil: requests are not judged by their goals
 
 	mu              sync.Mutex
 	workspaces      map[string]*usage
@@ -170,16 +178,17 @@
 	ClassShare   float64 // fraction of the requests compared with it that were sent recently
 	LengthShare  float64 // the same for those of its length
 	LengthCount  float64 // recent requests of its length, without the prior ones
+	Returning    bool    // its caller has been rejected before
 }
 
 // Decide decides whether the request may be sent.
 func (s *Shedder) Decide(now time.Time, r Request) Decision {
 	d := s.evaluate(now, r)
 	if r.Wait <= d.AllowedWait || d.FloorApplied {
+		s.goals.recordSent(now, r)
 		return d
 	}
-	retryAfter := limit.AddJitter(s.cfg.Seed, r.ID, max(s.cfg.MinRetryAfter, r.Wait-d.AllowedWait))
-	d.Err = failure.ErrOverloaded.WithRetryAfter(retryAfter).
+	d.Err = failure.ErrOverloaded.WithRetryAfter(s.retryAfter(now, r, d)).
 		WithCause(fmt.Errorf("expected wait %s, allowed %s", r.Wait, d.AllowedWait))
 	return d
 }
@@ -192,12 +201,8 @@
 	budget := float64(s.firstTokenBudget(now, r))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	share := s.shareFactor(now, r)
-	overloadFraction := share * s.waitFraction(r)
-	s.recordWait(now, float64(r.Wait) > overloadFraction*budget)
-	overload := s.overload(now)
-	allowed := time.Duration((s.cfg.NormalWaitFraction + overload*(min(overloadFraction, s.cfg.NormalWaitFraction)-s.cfg.NormalWaitFraction)) * budget)
-	d := Decision{AllowedWait: allowed, Overload: overload, ShareFactor: share}
+	d := s.judge(now, r, budget)
+	share, allowed := d.ShareFactor, d.AllowedWait
 	group, countsBySide := s.groups.of(now, s.cfg.LengthDecay, keyOf(r))
 	side := sideOf(share < 1)
 	counts := &countsBySide[side]
@@ -215,6 +220,28 @@
 	return d
 }
 
+// judge returns the decision without the floor: by the goal of the request, if it has one.
+func (s *Shedder) judge(now time.Time, r Request, budget float64) Decision {
+	if s.goals != nil && r.Goal > 0 {
+		return s.goals.judge(now, r, time.Duration(s.cfg.NormalWaitFraction*budget))
+	}
+	share := s.shareFactor(now, r)
+	overloadFraction := share * s.waitFraction(r)
+	s.recordWait(now, float64(r.Wait) > overloadFraction*budget)
+	overload := s.overload(now)
+	allowed := time.Duration((s.cfg.NormalWaitFraction + overload*(min(overloadFraction, s.cfg.NormalWaitFraction)-s.cfg.NormalWaitFraction)) * budget)
+	return Decision{AllowedWait: allowed, Overload: overload, ShareFactor: share}
+}
+
+// retryAfter returns when the caller of a rejected request is to retry; 0 if a retry could
+// not be served either.
+func (s *Shedder) retryAfter(now time.Time, r Request, d Decision) time.Duration {
+	if s.goals != nil && r.Goal > 0 {
+		return s.goals.retryAfter(now, r, d)
+	}
+	return limit.AddJitter(s.cfg.Seed, r.ID, max(s.cfg.MinRetryAfter, r.Wait-d.AllowedWait))
+}
+
 // Sides of a workspace's share, by which requests are compared.
 const (
 	overShare = iota
--- a/version/route/route.go
+++ b/version/route/route.go
@@ -34,6 +34,9 @@
 	// Timeout is the longest time that a caller waits for the whole answer; 0: the
 	// route sets no bound.
 	Timeout time.Duration
+	// Goal is the time to the first event of a stream, or to the whole answer otherwise,
+	// within which an answer is in time for its caller; 0: not stated.
+	Goal time.Duration
 	// MaxRuns is how many upstreams may have run one request; 0: one.
 	MaxRuns  int
 	Priority int // 0 is the most urgent
