Keep an engine usable beside late and foreign entries of the register

Cause: a late entry with an earlier start, at a node that knew only the newer one, locked the live start out for good; an entry of another service with the address of a real engine removed that engine and had its heartbeats ignored. Callers saw fewer engines than there were.

Change: after an entry of an earlier start, the next entry of the newer one is accepted again; only entries of the same service displace one at an address. If the address was really given to another service, the first refusal removes the old one, as before.

Result: the added cases of TestNewStartReplacesPreviousUnderSameKey and TestEntryOfAnotherServiceDisplacesNothing fail without the changes.

--- a/process/gateway/unusable_test.go
+++ b/process/gateway/unusable_test.go
@@ -80,6 +80,7 @@
 		{"started again", []testRead{{{"a", "10"}}, {{"a", "20"}}}, "a@20", 0},
 		{"started again twice in one read", []testRead{{{"a", "10"}, {"a", "20"}, {"a", "30"}}}, "a@30", 0},
 		{"late record of the former start", []testRead{{{"a", "10"}}, {{"a", "20"}}, {{"a", "10"}}}, "a@20", 0},
+		{"late record of a former start that this node has not seen", []testRead{{{"a", "20"}}, {{"a", "10"}}, {{"a", "20"}}}, "a@20", 0},
 		{"no longer has a start time", []testRead{{{"a", "10"}}, {{"a", "0"}}}, "", 1},
 		{"no longer has a start time, with heartbeats", []testRead{{{"a", "10"}}, {{"a", "0"}}, {{"a", "0"}, {"a", "0"}}}, "", 1},
 		{"no longer has a start time, after an unreadable record", []testRead{{{"a", "10"}}, {{"a", "?"}}, {{"a", "0"}}}, "", 1},
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -109,7 +109,7 @@
 	// decides which start is newer, not the start times: a clock may have gone
 	// back between the two.
 	if previous, ok := r.latestStart[key]; ok && previous != e.ID {
-		r.supersede(previous)
+		r.displace(r.entries[previous].Entry, e)
 	}
 	r.latestStart[key] = e.ID
 	if _, leaving := r.leaving[e.ID]; leaving {
@@ -150,12 +150,27 @@
 	return true
 }
 
-// supersedeAtAddress drops the previous starts at the address of a new one.
-// Their entries would otherwise stay until they lapse, and each request to
-// them would be refused.
+// displace drops the previous start under the key of e. If e states an earlier
+// start, it may be a late heartbeat of a start that this node has not seen, so
+// that the next entry of the previous start is accepted again.
+func (r *Roster) displace(previous, e Entry) {
+	if e.Born != 0 && e.Born < previous.Born {
+		r.remove(previous.ID)
+		return
+	}
+	r.supersede(previous.ID)
+}
+
+// supersedeAtAddress drops the previous starts of the same service at the
+// address of a new one. Their entries would otherwise stay until they lapse,
+// and each request to them would be refused. An entry of another service drops
+// nothing, as it may be one that another writer has left. If its upstream does
+// have the address, the first refusal leads to RecordReplaced.
 func (r *Roster) supersedeAtAddress(e Entry) {
 	for _, id := range slices.Clone(r.byAddress[e.Address]) {
-		r.supersede(id)
+		if r.entries[id].Service == e.Service {
+			r.supersede(id)
+		}
 	}
 }
 
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -208,6 +208,17 @@
 			r.Put(e, 8)
 		}, []string{"a@20"}},
 		{"a late heartbeat of the previous start", func(r *Roster) { r.Put(entryOfStart("a", 20), 8); r.Put(entryOfStart("a", 10), 9) }, []string{"a@20"}},
+		{"a late heartbeat of an unknown earlier start", func(r *Roster) { r.Put(entryOfStart("a", 5), 8); r.Put(entryOfStart("a", 10), 9) }, []string{"a@10"}},
+		{"several of them", func(r *Roster) {
+			r.Put(entryOfStart("a", 5), 8)
+			r.Put(entryOfStart("a", 10), 9)
+			r.Put(entryOfStart("a", 5), 10)
+		}, []string{"a@10"}},
+		{"another start answered before an earlier one was listed", func(r *Roster) {
+			r.RecordReplaced("a@10")
+			r.Put(entryOfStart("a", 5), 8)
+			r.Put(entryOfStart("a", 10), 9)
+		}, []string{"a@5"}},
 		{"an older record read again", func(r *Roster) { r.Put(entryOfStart("a", 20), 8); r.Put(entryOfStart("a", 10), 7) }, []string{"a@20"}},
 		{"a peer knows the older one", func(r *Roster) { r.Put(entryOfStart("a", 20), 3) }, []string{"a@10"}},
 		{"another start answered at its address", func(r *Roster) { r.RecordReplaced("a@10"); r.Put(entryOfStart("a", 10), 8) }, nil},
@@ -226,6 +237,19 @@
 	}
 }
 
+// Another writer leaves a valid entry of another service under its own key, with
+// the address of an upstream. The upstream was dropped, and its heartbeats were
+// ignored from then on.
+func TestEntryOfAnotherServiceDisplacesNothing(t *testing.T) {
+	r := New()
+	r.Put(Entry{ID: "a", Service: "lm", Address: "10.0.0.1:1"}, 1)
+	r.Put(Entry{ID: "x", Service: "unknown", Address: "10.0.0.1:1"}, 2)
+	r.Put(Entry{ID: "a", Service: "lm", Address: "10.0.0.1:1"}, 3)
+	if !r.has("a") {
+		t.Error("the upstream is no longer listed")
+	}
+}
+
 // What was recorded for the previous start, that it leaves or holds newer
 // weights, must not apply to the next one.
 func TestNewStartInheritsNothing(t *testing.T) {
