Leave placement as it is beside the rates of the engines

Change: the rates of the engines serve the forecasts alone, and are estimated where requests are admitted by goals. A request whose time is over as its engine's timeout ends it is answered as such: which of the two came first decided between 504 and 502 (seen once, beside load, in TestNotRunStatusesKeepTheirPromise).

--- a/process/event/upstream.go
+++ b/process/event/upstream.go
@@ -25,6 +25,6 @@
 	UpstreamLimited
 	// UpstreamLimitUnreadable: an answer of the upstream states a rate that is no decimal number; what it stated before stays in force. To do: check the upstream's version.
 	UpstreamLimitUnreadable
-	// EngineRatesLearnt: by the answers to all nodes, an engine of a group computes Rate prompt tokens a second in the median, and a first token takes Latency beside that; the fast engines are Spread times as fast as the slow ones. If Unlike, requests are placed by the rate of each engine. Logged when Rate or Latency has changed by a quarter, or Unlike has changed. To do: if Unlike is unexpected, compare the slow engines' machines with the others.
+	// EngineRatesLearnt: by the answers to all nodes, an engine of a group computes Rate prompt tokens a second in the median, and a first token takes Latency beside that; the fast engines are Spread times as fast as the slow ones. Requests are admitted by forecasts from them. Logged when Rate or Latency has changed by a quarter. To do: if Spread is large and unexpected, compare the slow engines' machines with the others.
 	EngineRatesLearnt
 )
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -144,12 +144,12 @@
 func (e *exchanger) logEngineRates() {
 	for key, r := range e.policies.RateSummaries(time.Now()) {
 		last, logged := e.loggedEngineRates[key]
-		if logged && r.Unlike == last.Unlike && isNear(r.Rate, last.Rate) && isNear(r.Latency.Seconds(), last.Latency.Seconds()) {
+		if logged && isNear(r.Rate, last.Rate) && isNear(r.Latency.Seconds(), last.Latency.Seconds()) {
 			continue
 		}
 		e.loggedEngineRates[key] = r
 		event.Info(e.log, event.EngineRatesLearnt, zap.String("Pool", key.Pool), zap.String("Model", key.Model),
-			zap.Float64("Rate", r.Rate), zap.Duration("Latency", r.Latency), zap.Float64("Spread", r.Spread), zap.Bool("Unlike", r.Unlike))
+			zap.Float64("Rate", r.Rate), zap.Duration("Latency", r.Latency), zap.Float64("Spread", r.Spread))
 	}
 }
 
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -189,7 +189,6 @@
 			MaxImportTime:      maxFetchWait,
 			DeclaredParts:      true,
 			OutdatedCost:       outdatedCost,
-			EngineRates:        true,
 			Forecasts:          g.settings.AdmitByGoal,
 			MemoryTokens:       g.memoryTokens(v),
 
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -120,6 +120,10 @@
 		if errors.Is(err, failure.ErrOverloaded) {
 			return nil, err
 		}
+		if s.pastDeadline(time.Now()) {
+			// The timeout of the first token may end the send just before ctx ends.
+			return nil, s.refusal(failure.ErrDeadlineExceeded, err)
+		}
 		if name == "" {
 			if err := s.awaitSlot(ctx, now, err); err != nil {
 				return nil, err
--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -73,7 +73,7 @@
 		rand:               rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 	a.fleet.assumedPrefillRate = cfg.InitialPrefillRate
-	if cfg.EngineRates {
+	if cfg.Forecasts {
 		a.engineRates = newEngineRates(cfg.InitialPrefillRate)
 	}
 	return a
@@ -100,7 +100,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	at := a.clock.tickAt(now)
-	a.engineRates.refresh(now, &a.fleet)
+	a.engineRates.refresh(now)
 	a.computeSetSizes(at, r.Chain)
 	found := a.candidates(at, r)
 	if len(found) == 0 {
--- a/request/placement/config.go
+++ b/request/placement/config.go
@@ -44,14 +44,11 @@
 	// InitialPrefillRate is the prefill rate, in prompt tokens per second, assumed for
 	// engines that do not state one, until answers have shown it.
 	InitialPrefillRate float64
-	// EngineRates means that engines may differ in speed: the rate of each engine that
-	// does not state one is estimated apart, from the answers of all nodes, together with
-	// the latency that all answers share. Otherwise one rate applies to all engines.
-	EngineRates bool
-	// Forecasts means that the waits of a decision are forecasts from the engines' rates and
-	// the latency, for a load shedder that compares them with goals. It needs EngineRates.
-	// Otherwise they are the waits by which placement compares upstreams, which count the
-	// latency as computing.
+	// Forecasts means that the waits of a decision are forecasts, for a load shedder that
+	// compares them with goals: from the rate of each engine, estimated from the answers of
+	// all nodes, and the latency that all answers share. Otherwise they are the waits by
+	// which placement compares upstreams, which go by one rate for all engines and count the
+	// latency as computing. The choice of an upstream is the same either way.
 	Forecasts bool
 	// Retention is how long a prefix is assumed to stay cached until answers have
 	// shown more. If they never do, it applies for good.
--- a/request/placement/cost.go
+++ b/request/placement/cost.go
@@ -97,7 +97,7 @@
 		inSet:             c.depth == len(r.Chain),
 		estimate:          e,
 	}
-	if a.cfg.Forecasts && a.engineRates.enabled() {
+	if a.engineRates.enabled() {
 		uncached := float64(r.Chain.Tokens()) - cached
 		if plan.source != "" {
 			uncached = float64(max(0, r.Chain.Tokens()-plan.tokens))
--- a/request/placement/enginerates.go
+++ b/request/placement/enginerates.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/request/enginerate"
@@ -19,7 +18,7 @@
 	normalQueueing queueing // the same for all others
 }
 
-// rateRefreshInterval is the time for which the members' rates are reused.
+// rateRefreshInterval is the time for which the latency is reused.
 const rateRefreshInterval = 250 * time.Millisecond
 
 func newEngineRates(initial float64) engineRates {
@@ -31,38 +30,13 @@
 
 func (r *engineRates) enabled() bool { return r.estimator != nil }
 
-// refresh gives each member its relative rate.
-func (r *engineRates) refresh(now time.Time, f *fleet) {
+// refresh updates the latency.
+func (r *engineRates) refresh(now time.Time) {
 	if !r.enabled() || now.Sub(r.refreshedAt) < rateRefreshInterval {
 		return
 	}
 	r.refreshedAt = now
 	r.latency = r.estimator.Latency(now)
-	fleetRate := r.estimator.FleetRate(now)
-	r.unlike = r.estimator.Spread(now) >= minUnlikeSpread
-	for _, m := range f.eligible {
-		m.relativeRate = 1
-		if r.unlike {
-			rate, _ := r.estimator.Rate(now, m.rateID())
-			m.relativeRate = relativeRate(rate / fleetRate)
-		}
-	}
-}
-
-// minUnlikeSpread is the ratio of the fast engines' rates to those of the slow ones from
-// which on the engines count as unlike. Queues that no node sees make engines of one speed
-// appear to differ by a factor of two to three under load.
-const minUnlikeSpread = 3.0
-
-// likeRates is the distance of two rates, in octaves, up to which engines count as alike.
-// It is the noise of the estimate.
-const likeRates = 0.25
-
-func relativeRate(ratio float64) float64 {
-	if math.Abs(math.Log2(ratio)) <= likeRates {
-		return 1
-	}
-	return ratio
 }
 
 // forecast returns the expected time to the first token on the member, in seconds, and the
@@ -101,7 +75,6 @@
 	Rate    float64       // prompt tokens per second of an engine, in the median
 	Latency time.Duration // part of a first token's time that does not depend on the prompt
 	Spread  float64       // ratio of the fast engines' rates to those of the slow ones
-	Unlike  bool          // requests are placed by the rate of each engine
 }
 
 // RateSummary returns what is known of the engines' rates; false if they are not estimated.
@@ -112,7 +85,7 @@
 	if !r.enabled() {
 		return RateSummary{}, false
 	}
-	return RateSummary{Rate: r.estimator.FleetRate(now), Latency: r.estimator.Latency(now), Spread: r.estimator.Spread(now), Unlike: r.unlike}, true
+	return RateSummary{Rate: r.estimator.FleetRate(now), Latency: r.estimator.Latency(now), Spread: r.estimator.Spread(now)}, true
 }
 
 // RateReport returns this node's observations of the engines' rates, for its peers; false
--- a/request/placement/fleet.go
+++ b/request/placement/fleet.go
@@ -25,9 +25,8 @@
 	sendCount     int
 	engine        engineState
 	failures      penalty
-	reportAt      tick    // time of the last authoritative report about its cache; 0: never
-	relativeRate  float64 // its rate in relation to that of the fleet; 0: not estimated
-	ownHeld       int     // prompt and output tokens of this node's unfinished requests
+	reportAt      tick // time of the last authoritative report about its cache; 0: never
+	ownHeld       int  // prompt and output tokens of this node's unfinished requests
 }
 
 // fleet holds the upstreams of one policy.
@@ -101,9 +100,6 @@
 	if m.PrefillRate > 0 {
 		return m.PrefillRate
 	}
-	if m.relativeRate > 0 {
-		return max(1, m.relativeRate*m.fleet.assumedPrefillRate)
-	}
 	return max(1, m.fleet.assumedPrefillRate)
 }
 
