--- a/request/placement/enginerates.go
+++ b/request/placement/enginerates.go
@@ -11,7 +11,6 @@
 type engineRates struct {
 	estimator   *enginerate.Estimator // nil: disabled
 	latency     time.Duration         // as of the last refresh
-	unlike      bool                  // the engines differ in speed, as of the last refresh
 	refreshedAt time.Time
 
 	urgentQueueing queueing // part of the work ahead that urgent requests wait for
