Test a refused connection on a port that nobody can take

Cause: TestErrNotSentRequiresNoConnection failed once beside load: the port of its closed listener answered and closed, as another process had taken it between the close and the call. The client's verdict was right for that.

Change: the test keeps a port bound that nobody listens on. The check stays.

--- a/connection/upstream/overhttp/failure_test.go
+++ b/connection/upstream/overhttp/failure_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -117,7 +119,9 @@
 		t.Errorf("dropped connection: error is %v, want only %v", err, upstream.ErrFailedAfterSend)
 	}
 	ln.Close()
-	if _, err := a.Do(testContext(t), call); !errors.Is(err, upstream.ErrNotSent) {
+	closed := overhttp.NewService(closedPort(t), overhttp.Config{})
+	defer closed.Close()
+	if _, err := closed.Do(testContext(t), call); !errors.Is(err, upstream.ErrNotSent) {
 		t.Errorf("closed port: error is %v, want %v", err, upstream.ErrNotSent)
 	}
 	cancelled, cancel := context.WithCancel(context.Background())
@@ -127,6 +131,26 @@
 	}
 }
 
+// closedPort returns an address at which nobody listens and nobody else can: its port is
+// bound until the test ends. The port of a listener that was closed may be taken by
+// another process at once.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	addr, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", addr.(*syscall.SockaddrInet4).Port)
+}
+
 // A stream fails after a few tokens: it is cut, truncated, or has a repeated, missing
 // or foreign token. The caller must get the tokens before the failure in order and then
 // an error, and never the end of a complete answer.
