Report the rate behind a forecast with the decision

Cause: with forecasts, the logged rate of a decision and the engine time that counts for a workspace's share still went by the one rate of placement, an eighth of the engines'. Found on reading the diff.

Change: the decision carries the rate that its waits assume. The present time is passed to what logs rates.

Result: none measured apart; overload and shares weigh requests in relation to each other, which this leaves as it was but for the bounds of a weight.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -104,7 +104,7 @@
 		pause = e.exchangeOnce(ctx, now, turn, others)
 		e.policies.SetNodes(len(others) + 1)
 		e.metrics.SetFleetOverload(e.fleet.Overload(now))
-		e.logRates()
+		e.logRates(now)
 	}
 }
 
@@ -130,8 +130,8 @@
 // waits have at least this error.
 const rateLogFactor = 1.25
 
-func (e *exchanger) logRates() {
-	e.logEngineRates()
+func (e *exchanger) logRates(now time.Time) {
+	e.logEngineRates(now)
 	for key, rate := range e.policies.Rates() {
 		if last := e.loggedRates[key]; last > 0 && isNear(rate, last) {
 			continue
@@ -141,8 +141,8 @@
 	}
 }
 
-func (e *exchanger) logEngineRates() {
-	for key, r := range e.policies.RateSummaries(time.Now()) {
+func (e *exchanger) logEngineRates(now time.Time) {
+	for key, r := range e.policies.RateSummaries(now) {
 		last, logged := e.loggedEngineRates[key]
 		if logged && isNear(r.Rate, last.Rate) && isNear(r.Latency.Seconds(), last.Latency.Seconds()) {
 			continue
--- a/request/placement/cost.go
+++ b/request/placement/cost.go
@@ -37,6 +37,7 @@
 	cachedTokens      int     // expected tokens in the cache
 	wait              float64 // expected seconds to the first token
 	idleWait          float64 // the same without other work on the upstream
+	rate              float64 // prompt tokens per second that the waits assume
 	importFrom        string  // upstream or cache store; empty: no import
 	tokensAfterImport int     // prompt tokens in the cache after the import
 	warm              bool
@@ -95,6 +96,7 @@
 		tokensAfterImport: plan.tokens,
 		warm:              cached >= warmFraction*float64(r.Chain.Tokens()),
 		inSet:             c.depth == len(r.Chain),
+		rate:              c.prefillRate(),
 		estimate:          e,
 	}
 	if a.engineRates.enabled() {
@@ -102,6 +104,7 @@
 		if plan.source != "" {
 			uncached = float64(max(0, r.Chain.Tokens()-plan.tokens))
 		}
+		p.rate = a.engineRates.rateOf(now, c.member)
 		p.wait, p.idleWait = a.engineRates.forecast(now, c.member, r.Urgent, uncached, plan.importSeconds, e)
 		p.wait += slotWait(r, c.member, b)
 	}
@@ -206,7 +209,7 @@
 		CachedTokens: p.cachedTokens,
 		Wait:         time.Duration(p.wait * float64(time.Second)),
 		IdleWait:     time.Duration(p.idleWait * float64(time.Second)),
-		PrefillRate:  p.prefillRate(),
+		PrefillRate:  p.rate,
 		Import:       p.importFrom != "",
 		Source:       p.importFrom,
 		estimate:     p.estimate,
--- a/request/placement/enginerates.go
+++ b/request/placement/enginerates.go
@@ -41,11 +41,17 @@
 // forecast returns the expected time to the first token on the member, in seconds, and the
 // same without the work ahead.
 func (r *engineRates) forecast(now time.Time, m *member, urgent bool, uncached, importSeconds float64, e estimate) (wait, idle float64) {
-	rate, _ := r.estimator.Rate(now, m.rateID())
+	rate := r.rateOf(now, m)
 	idle = r.latency.Seconds() + importSeconds + uncached/rate
 	return idle + float64(e.aheadTokens)/rate*r.queueingOf(urgent).fraction(), idle
 }
 
+// rateOf returns the member's estimated rate in prompt tokens per second.
+func (r *engineRates) rateOf(now time.Time, m *member) float64 {
+	rate, _ := r.estimator.Rate(now, m.rateID())
+	return rate
+}
+
 func (r *engineRates) queueingOf(urgent bool) *queueing {
 	if urgent {
 		return &r.urgentQueueing
@@ -54,7 +60,7 @@
 }
 
 func (r *engineRates) observe(now time.Time, m *member, computed int, e estimate, firstToken time.Duration) {
-	rate, _ := r.estimator.Rate(now, m.rateID())
+	rate := r.rateOf(now, m)
 	idle := r.latency.Seconds() + float64(computed)/rate
 	r.queueingOf(e.urgent).learn(firstToken, idle, float64(e.aheadTokens)/rate)
 	r.estimator.Observe(now, enginerate.Observation{Engine: m.rateID(), Computed: computed, Ahead: e.aheadTokens, FirstToken: firstToken})
