--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -191,10 +191,9 @@
 			OutdatedCost:       outdatedCost,
 			Forecasts:          g.settings.AdmitByGoal,
 			MemoryTokens:       g.memoryTokens(v),
-
-			CacheTokens:     v.cacheTokens(),
-			MaxCacheEntries: placementEntries,
-			MaxDemandLevels: placementLevels,
+			CacheTokens:        v.cacheTokens(),
+			MaxCacheEntries:    placementEntries,
+			MaxDemandLevels:    placementLevels,
 		})
 	}).WithRegister(upstreams{roster: do.MustInvoke[*roster.Roster](i)}.Version, roster.Incarnation), nil
 }
