Count held tokens only where engines crash when they are full

Cause: found on reading the diff. Every deployment paid a map write and a deletion for each request, for a bound that only some of them have; and each candidate of a decision looked up the peers' load twice.

Change: held tokens are counted where MemoryTokens is set; the load is looked up once. Decisions are the same.

--- a/request/placement/affinity.go
+++ b/request/placement/affinity.go
@@ -73,6 +73,9 @@
 		rand:               rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 	a.fleet.assumedPrefillRate = cfg.InitialPrefillRate
+	if cfg.MemoryTokens > 0 {
+		a.fleet.held = newHeldTokens()
+	}
 	if cfg.Forecasts {
 		a.engineRates = newEngineRates(cfg.InitialPrefillRate)
 	}
--- a/request/placement/cost.go
+++ b/request/placement/cost.go
@@ -55,10 +55,11 @@
 	if !a.cfg.features.has(useBacklogDamping) {
 		meanTokens = -1
 	}
-	b := c.backlog(now, a.peers.inFlight[c.Name], meanTokens)
+	peer := a.peers.inFlight[c.Name]
+	b := c.backlog(now, peer, meanTokens)
 	queueSeconds := float64(b.tokens) / c.prefillRate()
 	e.queueSeconds = queueSeconds
-	e.aheadTokens, e.urgent = c.tokensAhead(b, a.peers.inFlight[c.Name]), r.Urgent
+	e.aheadTokens, e.urgent = c.tokensAhead(b, peer), r.Urgent
 	// Each second of computing also delays everything that waits on the upstream.
 	// Without this cost, a fleet that falls behind spreads every prefix to the
 	// upstream with the shortest queue, computes more because of it, and never catches
--- a/request/placement/fleet.go
+++ b/request/placement/fleet.go
@@ -51,7 +51,6 @@
 		members:          map[string]*member{},
 		byID:             make([]*member, 1),
 		unansweredTokens: map[uint64]int{},
-		held:             newHeldTokens(),
 	}
 }
 
--- a/request/placement/memory.go
+++ b/request/placement/memory.go
@@ -26,7 +26,7 @@
 )
 
 // heldTokens holds how many tokens of the engines' memory the unfinished requests of
-// this node take.
+// this node take. The zero value counts nothing.
 type heldTokens struct {
 	byDecision map[uint64]int
 	mean       float64     // moving average of a request; 0: no request yet
@@ -40,6 +40,9 @@
 func (r Request) memoryTokens() int { return r.Chain.Tokens() + r.OutputTokens }
 
 func (h *heldTokens) add(m *member, r Request, d Decision) {
+	if h.byDecision == nil {
+		return
+	}
 	tokens := r.memoryTokens()
 	h.byDecision[d.id] = tokens
 	m.ownHeld += tokens
