Know, log and count the software version of upstreams

Callers saw streams with events of two software versions, and neither logs nor metrics named one: the register's entries have it, and decoding dropped it. It is now part of an entry and of the configuration of the request paths. UpstreamEntered, RequestAnswered and StreamContinued name it, RequestAnswered names the attempt that a caller resumes, and the gauge upstreams counts the upstreams of each version. No decision uses it yet.

--- a/process/event/request.go
+++ b/process/event/request.go
@@ -4,7 +4,7 @@
 const (
 	// RequestPlaced: an upstream was chosen for a request, for the given reason; Content is the same for all tries of the same request, whatever their ids; CachedTokens is what the upstream's cache is expected to hold, Idle is the time that an engine without other work would take, Floored means that the request is sent although its wait exceeds the allowed one, because too few requests of its length were sent.
 	RequestPlaced Event = iota + 100
-	// RequestAnswered: the first token has arrived; CachedTokens is what the engine reports it had cached.
+	// RequestAnswered: the first token has arrived; CachedTokens is what the engine reports it had cached, Software its software version. If the caller asked for the rest of an earlier stream, After is the last event that it has, and Resumes its attempt that brought the first one.
 	RequestAnswered
 	// RequestRefused: the caller got a typed error before any answer; if the node had been told to stop, Leaving is the time from then to the refusal, and BegunAfterLeaving the time from then to the request's arrival.
 	RequestRefused
@@ -14,7 +14,7 @@
 	RequestFailed
 	// StreamResumed: the same engine continued a stream after its connection broke.
 	StreamResumed
-	// StreamContinued: another engine continues after the text that was passed on.
+	// StreamContinued: another engine continues after the text that was passed on; Software is its software version, FormerSoftware that of the engine before.
 	StreamContinued
 	// StreamCancelled: the engine was told to stop a stream that nobody reads.
 	StreamCancelled
--- a/process/event/upstream.go
+++ b/process/event/upstream.go
@@ -2,7 +2,7 @@
 
 // Events of the register of upstreams.
 const (
-	// UpstreamEntered: an upstream has registered, or its entry has changed.
+	// UpstreamEntered: an upstream has registered, or its entry has changed; Software is the version of its program.
 	UpstreamEntered Event = iota + 800
 	// UpstreamLeft: an upstream's entry is missing; if the register was unreachable, the upstream stays in use until it has had time to register again.
 	UpstreamLeft
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -64,6 +64,18 @@
 	l.rejects.SetUpstreams(append(engines, services...))
 	l.paths.SetUpstreams(addressesByService(cfg))
 	l.metrics.SetConfig(cfg)
+	l.metrics.SetUpstreams(countUpstreams(cfg))
+}
+
+// countUpstreams counts the upstreams that may get requests.
+func countUpstreams(cfg config.Config) map[metric.UpstreamGroup]int {
+	counts := map[metric.UpstreamGroup]int{}
+	for _, u := range cfg.Upstreams {
+		if u.State == config.Active && u.Kind != config.CacheStore {
+			counts[metric.UpstreamGroup{Service: u.Pool, Software: u.Software}]++
+		}
+	}
+	return counts
 }
 
 // addressesByService returns the addresses of the upstreams of each service.
@@ -261,7 +273,7 @@
 	e := n.Entry
 	if l.roster.Put(e, n.Offset) {
 		event.Info(l.log, event.UpstreamEntered, zap.String("Upstream", e.ID), zap.String("Service", e.Service),
-			zap.String("Address", e.Address), zap.Bool("Leaving", e.Leaving), zap.Any("Weights", e.Weights), zap.Uint64("Offset", n.Offset))
+			zap.String("Address", e.Address), zap.String("Software", e.Software), zap.Bool("Leaving", e.Leaving), zap.Any("Weights", e.Weights), zap.Uint64("Offset", n.Offset))
 	}
 	return false
 }
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -38,6 +38,7 @@
 	Parts       []prefix.Part
 	Declared    DeclaredTokens
 	LastEventID string // id of the last event that the caller has received
+	Resumes     string // ID of the caller's attempt that brought the first event; empty: not stated
 }
 
 // DeclaredTokens is what a request declares about its tokens.
@@ -266,6 +267,7 @@
 		CacheScope:    x.scope(),
 		MaxRuns:       max(1, x.route.MaxRuns),
 		LastEventID:   x.in.LastEventID,
+		Resumes:       x.in.Resumes,
 		OnFurtherRun:  x.chargeExtraRun,
 	})
 	if err != nil {
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -112,6 +112,7 @@
 		Kind:       config.Service,
 		Address:    e.Address,
 		DataCentre: e.DataCentre,
+		Software:   e.Software,
 		Pool:       s.Name,
 		Service:    s.Name,
 		Slots:      e.Slots,
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -124,6 +124,7 @@
 	rateLimit      *prometheus.GaugeVec
 	fleetOverload  prometheus.Gauge
 	pathLost       *prometheus.GaugeVec
+	upstreams      *prometheus.GaugeVec
 	relays         *prometheus.CounterVec
 	journalAppends *prometheus.CounterVec
 	journalLatency prometheus.Histogram
@@ -152,13 +153,14 @@
 		peers:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "peers", Help: "Other nodes by state."}, []string{"state"}),
 		rateLimit:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "upstream_rate_limit", Help: "Requests a second that an upstream takes from all nodes together, while it states so."}, []string{"upstream"}),
 		pathLost:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "path_lost", Help: "1 while this node cannot connect to the upstreams of a service, else no series."}, []string{"service"}),
+		upstreams:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "upstreams", Help: "Upstreams that may get requests, by service and by the version of their software."}, []string{"service", "software"}),
 		relays:         newCounterVec("relayed_connections_total", "Connections to upstreams that were asked of other nodes (Opened, NotOpened) or passed on for them (PassedOn).", "result"),
 		journalAppends: newCounterVec("journal_appends_total", "Appends to the journal by what became of them.", "result"),
 		journalLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "journal_append_seconds", Help: "Time that an append to the journal took, whatever became of it.", Buckets: journalBuckets}),
 	}
 	m.classes.Store(&Classes{})
 	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.promptLength, m.retries, m.imports, m.quarantine,
-		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.rateLimit, m.fleetOverload, m.pathLost, m.relays, m.peers,
+		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.rateLimit, m.fleetOverload, m.pathLost, m.upstreams, m.relays, m.peers,
 		m.journalAppends, m.journalLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -284,6 +286,20 @@
 	m.pathLost.WithLabelValues(service).Set(1)
 }
 
+// UpstreamGroup is a group of upstreams that are counted together.
+type UpstreamGroup struct {
+	Service  string
+	Software string
+}
+
+// SetUpstreams sets how many upstreams may get requests.
+func (m *Metrics) SetUpstreams(counts map[UpstreamGroup]int) {
+	m.upstreams.Reset()
+	for g, n := range counts {
+		m.upstreams.WithLabelValues(g.Service, g.Software).Set(float64(n))
+	}
+}
+
 // RecordRelay counts a connection that goes through another node.
 func (m *Metrics) RecordRelay(r Relay) { m.relays.WithLabelValues(r.String()).Inc() }
 
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -21,6 +21,7 @@
 	Service    string
 	Address    string // IP:port
 	DataCentre string
+	Software   string // version of the upstream's program; compared only, never ordered
 	Slots      int
 	Leaving    bool
 	Weights    map[string]uint64 // version by model
@@ -29,7 +30,7 @@
 // Equal reports whether e and o have the same values. It ignores Key and Born.
 func (e Entry) Equal(o Entry) bool {
 	return e.ID == o.ID && e.Service == o.Service && e.Address == o.Address && e.DataCentre == o.DataCentre &&
-		e.Slots == o.Slots && e.Leaving == o.Leaving && maps.Equal(e.Weights, o.Weights)
+		e.Software == o.Software && e.Slots == o.Slots && e.Leaving == o.Leaving && maps.Equal(e.Weights, o.Weights)
 }
 
 // RegisterKey returns the key under which the register lists the upstream.
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -59,6 +59,7 @@
 		info: Info{
 			Upstream:     engine.Name,
 			Version:      h.Version,
+			Software:     engine.Software,
 			PromptTokens: h.PromptTokens,
 			CachedTokens: h.CachedTokens,
 			Attempts:     state.attempts,
@@ -209,13 +210,15 @@
 	if err != nil {
 		return a.cutError(errors.Join(cause, err))
 	}
+	formerSoftware := a.engine.Software
 	a.send, a.engine, a.generation = next.send, next.engine, next.generation
 	a.replaceStream(next.stream, next.cancel)
 	a.pending = next.pending
 	a.lastIndex = -1
 	a.resumeFailed = false
 	event.Info(a.state.rt.Log, event.StreamContinued, zap.String("Request", a.state.r.ID),
-		zap.String("Upstream", a.engine.Name), zap.Int("Tokens", a.delivered.count))
+		zap.String("Upstream", a.engine.Name), zap.Int("Tokens", a.delivered.count),
+		zap.String("Software", a.engine.Software), zap.String("FormerSoftware", formerSoftware))
 	return nil
 }
 
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -65,6 +65,9 @@
 	// LastEventID is the ID of the last event that the caller received from an
 	// earlier try.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the caller the first event of the
+	// stream that it asks for the rest of; empty: not stated.
+	Resumes string
 	// OnFurtherRun is called for each engine after the first that may run the
 	// request; nil: not called.
 	OnFurtherRun func()
@@ -102,6 +105,7 @@
 type Info struct {
 	Upstream     string
 	Version      string // weights version that produced the answer
+	Software     string // software version of the engine
 	PromptTokens int
 	CachedTokens int
 	Attempts     int // sends, including the one that was answered
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -85,6 +85,9 @@
 	Models []string
 	// Service is the name under which callers reach a plain service.
 	Service string
+	// Software is the version of the upstream's program; empty if it is not known. Versions
+	// are compared only, as they have no order.
+	Software string `json:",omitempty"`
 	// Slots is how many requests run at once in an engine's batch.
 	Slots int
 	// PrefillRate is how many prompt tokens a second the engine computes.
