Continue a broken answer at the software version that began it

Callers saw answers whose events come from two software versions of the engines. What two versions write does not fit together, and engines don't check it.

A request is now pinned to the software version of the engine that gave its first event. Placement, the guard's exclusions, waits for a slot and the verdict on a retry see only the engines of that version, so that an ejection that spares one engine of all spares one of these. With none left the answer is cut visibly.

--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -90,7 +91,7 @@
 }
 
 func (s *requestState) placementRequest(now time.Time) placement.Request {
-	guardExcluded := s.rt.Guard.Excluded(now, s.target.list.Names)
+	guardExcluded := s.rt.Guard.Excluded(now, s.candidates())
 	return placement.Request{
 		Workspace:     s.r.Workspace,
 		DataCentre:    s.rt.Config.DataCentre,
@@ -98,7 +99,7 @@
 		OutputTokens:  s.r.MaxTokens,
 		Urgent:        s.r.Urgent(),
 		CacheReadable: lo.Without(s.rt.Guard.WithReadableCache(now, guardExcluded), s.excluded...),
-		Excluded:      append(guardExcluded, s.excluded...),
+		Excluded:      slices.Concat(guardExcluded, s.excluded, s.otherSoftware()),
 	}
 }
 
@@ -142,6 +143,7 @@
 		a.abandon()
 		return nil, fmt.Errorf("first token: %w", ctx.Err())
 	}
+	s.pin = pinTo(u.Software)
 	s.recordFirstToken(send, a)
 	return a, nil
 }
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -55,6 +55,7 @@
 	startedAt  time.Time
 	chain      prefix.Chain
 	target     target
+	pin        softwarePin    // set once the first event of the answer is known
 	claim      *journal.Claim // nil for a request without a key
 	mayHaveRun bool
 	runs       int // upstreams that may have run the request
@@ -143,8 +144,8 @@
 // awaitSlot returns nil when the request may look for an upstream again, or the error
 // for the caller if there is none to wait for.
 func (s *requestState) awaitSlot(ctx context.Context, now time.Time, cause error) error {
-	if !s.rt.Guard.AnyAtLimit(s.target.list.Names) {
-		return retry.NoUpstreamRefusal(s.r.ID, s.mayHaveRun, s.rt.Guard.ShortestHoldOff(now, s.target.list.Names), cause)
+	if !s.rt.Guard.AnyAtLimit(s.candidates()) {
+		return retry.NoUpstreamRefusal(s.r.ID, s.mayHaveRun, s.rt.Guard.ShortestHoldOff(now, s.candidates()), cause)
 	}
 	if s.noSlotSince.IsZero() {
 		s.noSlotSince = now
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -120,9 +120,9 @@
 		return Verdict{Action: Resume, Reason: "the engine may hold the stream"}
 	}
 	if a.UntriedUpstreams > 0 {
-		return Verdict{Action: ContinueElsewhere, Reason: "another engine has the same weights"}
+		return Verdict{Action: ContinueElsewhere, Reason: "another engine has the same weights and software"}
 	}
-	return giveUp(cfg, a, "no other engine has the same weights")
+	return giveUp(cfg, a, "no other engine has the same weights and software")
 }
 
 func giveUp(cfg Config, a Attempt, reason string) Verdict {
