Resume a stream at the software version that began it, on any node

Callers resumed broken streams and got events of another software version of the engines than they had.

A node keeps where its resumable streams began. While several versions have served within the life of a stream, or while it does not reach the register, it tells three nodes, chosen by rendezvous hashing of workspace and attempt. A node at which a stream is resumed looks the origin up or asks two nodes of each data centre, and pins the request. A stream that nobody knows goes on if one version alone has served, and is refused otherwise as not run (NotResumable), as is one whose version is gone. Such requests go before new ones at the few engines that are left. It holds without the node that began the stream, as its origin is told as the first event is passed on.

--- a/process/event/request.go
+++ b/process/event/request.go
@@ -48,4 +48,8 @@
 	QuotaAllocator
 	// QuotaMissed: the node that was asked for what workspaces may use did not answer; another one is asked, and finally this one, which has only its own part of the quotas. To do: if it continues, check that node and the network path to it.
 	QuotaMissed
+	// StreamResumeResolved: a caller asked for the rest of a stream of which it has the events up to After, and which its attempt Resumes began. Outcome says how Pool and Software were found where the stream began: OriginOwn, this node knew it; OriginTold, one of the nodes Asked did; OriginOnlyVersion, no node knew it, and one of the Versions alone has served recently; OriginUnknown, it was not found and the request is refused, as several Versions have served, or as no node asked reaches the register (Current is false). To do: if OriginUnknown continues, see whether callers name the attempt in Resumes, and whether the nodes that know were lost.
+	StreamResumeResolved
+	// OriginsNotTold: none of the Peers could be told where Streams of this node began; if this node is lost, their callers can't resume them while several software versions serve. To do: if it continues, check these nodes and the network path to them.
+	OriginsNotTold
 )
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -139,6 +139,7 @@
 	roster      *roster.Roster
 	view        *view
 	quotas      *quotas
+	origins     *origins
 	policies    *policy.Table
 	completions *completion.Router
 	calls       *call.Router
@@ -177,6 +178,7 @@
 	g.view = do.MustInvoke[*view](i)
 	g.quotas = do.MustInvoke[*quotas](i)
 	g.metrics = do.MustInvoke[*metric.Metrics](i)
+	g.origins = do.MustInvoke[*origins](i)
 	g.keeper = do.MustInvoke[*duty.Keeper](i)
 	for _, start := range []func() error{
 		func() error { _, err := do.Invoke[followers](i); return err },
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -9,10 +9,12 @@
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream/path"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/origin"
 	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/config"
@@ -31,6 +33,8 @@
 	rejects *rejectLimits
 	metrics *metric.Metrics
 	paths   *path.Monitor
+	// releases is told which software versions serve.
+	releases *origin.Releases
 
 	mu sync.Mutex // held while the parts update to a new view
 
@@ -65,6 +69,7 @@
 	l.paths.SetUpstreams(addressesByService(cfg))
 	l.metrics.SetConfig(cfg)
 	l.metrics.SetUpstreams(countUpstreams(cfg))
+	l.releases.Observe(clock.BoottimeNow(), softwareByPool(cfg))
 }
 
 // countUpstreams counts the upstreams that may get requests.
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -99,6 +99,26 @@
 	return err
 }
 
+// Origins records where streams of another node have begun.
+func (h *enginesHandler) Origins(r OriginRecords, _ *Heard) error {
+	o := h.peers.origins.Load()
+	if o == nil {
+		return errNotJoined
+	}
+	o.tracker.Merge(clock.BoottimeNow(), r.Records)
+	return nil
+}
+
+// Origin answers a node at which a stream is resumed.
+func (h *enginesHandler) Origin(q OriginQuery, r *OriginReply) error {
+	o := h.peers.origins.Load()
+	if o == nil {
+		return errNotJoined
+	}
+	*r = o.answer(clock.BoottimeNow(), q)
+	return nil
+}
+
 // Known is what a node knows that a node that has just started can't read.
 type Known struct {
 	Namings    []accepted.VersionAge
--- /dev/null
+++ b/process/gateway/origins.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/origin"
+	"github.com/dunlinmill/dunlinmill/version/config"
+)
+
+// origins finds the software version at which a stream began that a caller resumes. It tells some
+// of the other nodes where this node's streams have begun, before the events of the streams are
+// passed on, and asks them for streams that this node does not know.
+type origins struct {
+	tracker  *origin.Tracker
+	releases *origin.Releases
+	roster   *roster.Roster
+	peers    *peers
+	metrics  *metric.Metrics
+	log      *zap.Logger
+
+	changed chan struct{} // there may be records that the other nodes have not been told
+	cancel  context.CancelFunc
+	work    sync.WaitGroup
+}
+
+func (g *Gateway) newOrigins(i do.Injector) (*origins, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &origins{
+		tracker: do.MustInvoke[*origin.Tracker](i), releases: do.MustInvoke[*origin.Releases](i), roster: do.MustInvoke[*roster.Roster](i),
+		peers: do.MustInvoke[*peers](i), metrics: do.MustInvoke[*metric.Metrics](i), log: g.log,
+		changed: make(chan struct{}, 1), cancel: cancel,
+	}
+	o.peers.origins.Store(o)
+	o.work.Go(func() { o.run(ctx) })
+	g.onClose("origins", func() {
+		cancel()
+		o.work.Wait()
+	})
+	return o, nil
+}
+
+// softwareByPool returns the software versions of the engines, those that are leaving included, as
+// their streams go on.
+func softwareByPool(cfg config.Config) map[string][]string {
+	versions := map[string][]string{}
+	for _, u := range cfg.Upstreams {
+		if u.Kind == config.Engine {
+			versions[u.Pool] = append(versions[u.Pool], u.Software)
+		}
+	}
+	return lo.MapValues(versions, func(all []string, _ string) []string { return lo.Uniq(all) })
+}
+
+// sharingInterval is the time between two checks whether the other nodes have to be told.
+const sharingInterval = 100 * time.Millisecond
+
+// run tells the other nodes what they have to know.
+func (o *origins) run(ctx context.Context) {
+	tick := time.NewTicker(sharingInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			o.updateSharing(clock.BoottimeNow())
+		case <-o.changed:
+		}
+		o.tell(ctx, o.tracker.TakeUnsent(clock.BoottimeNow()))
+	}
+}
+
+// updateSharing makes this node tell the others of its streams while several versions serve, and
+// while it would not learn of another one.
+func (o *origins) updateSharing(boot time.Time) {
+	o.tracker.SetSharing(o.releases.Several(boot) || !o.roster.Reachable())
+}
+
+// begin records where a stream has begun whose caller may resume it within a time.
+func (o *origins) begin(boot time.Time, r origin.Record) {
+	o.releases.ObserveLife(r.Life)
+	if !o.tracker.Begin(boot, r) {
+		return
+	}
+	select {
+	case o.changed <- struct{}{}:
+	default: // the goroutine has not taken the last notice yet
+	}
+}
+
+// OriginRecords is what a node tells another one of its streams.
+type OriginRecords struct {
+	Records []origin.Record
+}
+
+// tell sends each record to its holders. It does not wait for the calls, so that a node that does
+// not answer delays no other record.
+func (o *origins) tell(ctx context.Context, records []origin.Record) {
+	if len(records) == 0 {
+		return
+	}
+	self, others := o.nodes()
+	sends := map[string]*originSend{}
+	for _, r := range records {
+		for _, group := range origin.Holders(r.Key, self, others) {
+			key := group[0].Address + group[len(group)-1].Address
+			if sends[key] == nil {
+				sends[key] = &originSend{group: group}
+			}
+			sends[key].Records = append(sends[key].Records, r)
+		}
+	}
+	for _, s := range sends {
+		o.work.Go(func() { o.send(ctx, s) })
+	}
+}
+
+// originSend is what the first node of a group that answers is told.
+type originSend struct {
+	OriginRecords
+	group []origin.Node
+}
+
+func (o *origins) send(ctx context.Context, s *originSend) {
+	for _, n := range s.group {
+		if o.peers.call(ctx, n.Address, "Origins", s.OriginRecords, &Heard{}) == nil {
+			return
+		}
+	}
+	event.Info(o.log, event.OriginsNotTold, zap.Int("Streams", len(s.Records)),
+		zap.Strings("Peers", lo.Map(s.group, func(n origin.Node, _ int) string { return n.Name })))
+}
+
+// nodes returns this node and the other live ones.
+func (o *origins) nodes() (self origin.Node, others []origin.Node) {
+	others = lo.Map(o.peers.live(time.Now()), func(m member.Member, _ int) origin.Node {
+		return origin.Node{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre}
+	})
+	return origin.Node{Name: o.peers.name, DataCentre: o.peers.dataCentre}, others
+}
+
+// OriginQuery asks a node where a stream began.
+type OriginQuery struct {
+	Key  origin.Key
+	Pool string
+}
+
+// OriginReply is what a node knows of a stream.
+type OriginReply struct {
+	Known bool
+	// Origin is where the stream began, if Known.
+	Origin origin.Origin
+	// Versions are those that have served in the pool recently, as far as the node has seen.
+	Versions []string
+	// Current means that the node learns of new versions.
+	Current bool
+}
+
+// answer returns what this node knows.
+func (o *origins) answer(boot time.Time, q OriginQuery) OriginReply {
+	began, known := o.tracker.Lookup(boot, q.Key)
+	return OriginReply{Known: known, Origin: began, Versions: o.releases.Recent(boot, q.Pool), Current: o.roster.Reachable()}
+}
+
+// errOriginUnknown means that a stream may have begun at any of several software versions.
+var errOriginUnknown = failure.ErrNotResumable.WithMessage("it is not known where the stream began; begin the request anew")
+
+// resolve returns where a stream began that a caller of the workspace resumes. A stream that no node
+// knows began in the given pool at the only version that has served there, if there is just one.
+func (o *origins) resolve(ctx context.Context, in Inbound, workspace, pool string) (origin.Origin, error) {
+	began := time.Now()
+	q := OriginQuery{Key: origin.KeyOf(workspace, in.Resumes), Pool: pool}
+	own := o.answer(clock.BoottimeNow(), q)
+	reply, asked := own, 0
+	if !own.Known {
+		reply, asked = o.ask(ctx, q, own)
+	}
+	outcome := outcomeOf(own, reply)
+	switch outcome {
+	case metric.OriginOnlyVersion:
+		reply.Origin = origin.Origin{Pool: pool, Software: reply.Versions[0]}
+	case metric.OriginUnknown:
+		reply.Origin = origin.Origin{}
+	}
+	o.metrics.RecordResume(outcome)
+	event.Info(o.log, event.StreamResumeResolved, zap.String("Request", in.ID), zap.String("Resumes", in.Resumes), zap.String("After", in.LastEventID),
+		zap.Stringer("Outcome", outcome), zap.String("Pool", reply.Origin.Pool), zap.String("Software", reply.Origin.Software), zap.Strings("Versions", reply.Versions),
+		zap.Bool("Current", reply.Current), zap.Int("Asked", asked), zap.Duration("Took", time.Since(began)))
+	if outcome == metric.OriginUnknown {
+		return origin.Origin{}, errOriginUnknown
+	}
+	return reply.Origin, nil
+}
+
+// outcomeOf returns how the origin was found, from what this node knows and what it knows after it has
+// asked.
+func outcomeOf(own, asked OriginReply) metric.Resume {
+	switch {
+	case own.Known:
+		return metric.OriginOwn
+	case asked.Known:
+		return metric.OriginTold
+	case asked.Current && len(asked.Versions) == 1:
+		return metric.OriginOnlyVersion
+	}
+	return metric.OriginUnknown
+}
+
+// ask asks the nodes that may know a stream, all at once, until one knows it or all have answered.
+// It returns what this node and they know together, and how many were asked.
+func (o *origins) ask(ctx context.Context, q OriginQuery, own OriginReply) (OriginReply, int) {
+	_, others := o.nodes()
+	candidates := origin.Candidates(q.Key, others)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan OriginReply, len(candidates))
+	for _, n := range candidates {
+		o.work.Go(func() {
+			var r OriginReply
+			_ = o.peers.call(ctx, n.Address, "Origin", q, &r) // a node that does not answer knows nothing
+			replies <- r
+		})
+	}
+	all := own
+	for range candidates {
+		r := <-replies
+		all.Versions = lo.Union(all.Versions, r.Versions)
+		all.Current = all.Current || r.Current
+		if r.Known {
+			all.Known, all.Origin = true, r.Origin
+			break
+		}
+	}
+	slices.Sort(all.Versions)
+	return all, len(candidates)
+}
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -20,6 +20,7 @@
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/fleetload"
 	"github.com/dunlinmill/dunlinmill/request/guard"
+	"github.com/dunlinmill/dunlinmill/request/origin"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/ratelimit"
@@ -109,6 +110,9 @@
 	do.Provide(i, func(i do.Injector) (*quarantineKeeper, error) { return g.newQuarantineKeeper(i, p.Quarantine), nil })
 	do.Provide(i, func(i do.Injector) (*joiner, error) { return g.newJoiner(i, p), nil })
 	do.Provide(i, g.newQuotas)
+	do.Provide(i, func(do.Injector) (*origin.Tracker, error) { return origin.NewTracker(), nil })
+	do.Provide(i, func(do.Injector) (*origin.Releases, error) { return origin.NewReleases(), nil })
+	do.Provide(i, g.newOrigins)
 	do.Provide(i, func(i do.Injector) (*peers, error) { return g.newPeers(i, p), nil })
 }
 
@@ -326,7 +330,7 @@
 	return &learner{
 		keyStates: map[string]keyState{}, log: g.log, decoder: d, book: do.MustInvoke[*accepted.Tracker](i), roster: do.MustInvoke[*roster.Roster](i),
 		view: do.MustInvoke[*view](i), guards: do.MustInvoke[guard.Pair](i), limiter: do.MustInvoke[*ratelimit.Limiter](i), rejects: do.MustInvoke[*rejectLimits](i), metrics: do.MustInvoke[*metric.Metrics](i),
-		paths: do.MustInvoke[*path.Monitor](i),
+		paths: do.MustInvoke[*path.Monitor](i), releases: do.MustInvoke[*origin.Releases](i),
 	}
 }
 
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -9,11 +10,13 @@
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/limit"
+	"github.com/dunlinmill/dunlinmill/request/origin"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/retry"
@@ -248,6 +251,10 @@
 	deadline, end := x.deadline(), x.answerEnd()
 	ctx, cancel := withDeadline(ctx, end)
 	defer cancel()
+	pin, err := x.resumePin(ctx)
+	if err != nil {
+		return err
+	}
 	a, err := x.g.completions.Start(ctx, completion.Request{
 		ID:            x.in.ID,
 		Content:       x.content,
@@ -268,15 +275,47 @@
 		MaxRuns:       max(1, x.route.MaxRuns),
 		LastEventID:   x.in.LastEventID,
 		Resumes:       x.in.Resumes,
+		Software:      pin,
 		OnFurtherRun:  x.chargeExtraRun,
 	})
 	if err != nil {
 		return x.relayFailedReply(err)
 	}
 	defer a.Close()
+	if x.in.LastEventID == "" {
+		x.recordOrigin(a.Info().Software)
+	}
 	return x.relay(a)
 }
 
+// resumePin returns the restriction of a request that resumes a stream; none for any other request.
+func (x *servedRequest) resumePin(ctx context.Context) (completion.SoftwarePin, error) {
+	if x.in.LastEventID == "" {
+		return completion.SoftwarePin{}, nil
+	}
+	o, err := x.g.origins.resolve(ctx, x.in, x.workspace.Name, x.service.Name)
+	if err != nil {
+		return completion.SoftwarePin{}, err
+	}
+	if s, ok := x.g.book.InForce().Services[o.Pool]; ok && x.route.LeadsTo(o.Pool) {
+		x.service = s // a route with several services chooses one by the attempt's ID
+	}
+	return completion.PinTo(o.Software), nil
+}
+
+// defaultResumeTime is how long a stream may be resumed whose caller states no time.
+const defaultResumeTime = time.Minute
+
+// recordOrigin records where the stream has begun, if its caller may resume it.
+func (x *servedRequest) recordOrigin(software string) {
+	if !x.route.Resumable {
+		return
+	}
+	x.g.origins.begin(clock.BoottimeNow(), origin.Record{
+		Key: origin.KeyOf(x.workspace.Name, x.in.ID), Origin: origin.Origin{Pool: x.service.Name, Software: software}, Life: cmp.Or(x.in.Grant, defaultResumeTime),
+	})
+}
+
 // model returns the model that the request names, or the service's only one.
 func (x *servedRequest) model() string {
 	if x.in.Model == "" && len(x.service.Engine.Models) == 1 {
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -15,7 +15,7 @@
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
-//go:generate go tool stringer -type=Retry,Append,PeerState,Import,Verdict,Relay -output=metric_string.go
+//go:generate go tool stringer -type=Retry,Append,PeerState,Import,Verdict,Relay,Resume -output=metric_string.go
 
 const namespace = "dunlinmill"
 
@@ -91,6 +91,20 @@
 	PassedOn
 )
 
+// Resume is how the origin of a stream was found that a caller resumes.
+type Resume uint8
+
+const (
+	// OriginOwn: the stream began at this node, or this node has been told of it.
+	OriginOwn Resume = iota
+	// OriginTold: another node that was asked knew it.
+	OriginTold
+	// OriginOnlyVersion: no node knew it, and one software version alone has served.
+	OriginOnlyVersion
+	// OriginUnknown: the stream may have begun at one of several versions, and was refused.
+	OriginUnknown
+)
+
 // firstTokenBuckets are in seconds, closest around the target of 1 s.
 var firstTokenBuckets = []float64{.01, .025, .05, .1, .2, .35, .5, .75, 1, 1.5, 2.5, 5, 10, 30}
 
@@ -125,6 +139,7 @@
 	fleetOverload  prometheus.Gauge
 	pathLost       *prometheus.GaugeVec
 	upstreams      *prometheus.GaugeVec
+	resumes        *prometheus.CounterVec
 	relays         *prometheus.CounterVec
 	journalAppends *prometheus.CounterVec
 	journalLatency prometheus.Histogram
@@ -154,13 +169,14 @@
 		rateLimit:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "upstream_rate_limit", Help: "Requests a second that an upstream takes from all nodes together, while it states so."}, []string{"upstream"}),
 		pathLost:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "path_lost", Help: "1 while this node cannot connect to the upstreams of a service, else no series."}, []string{"service"}),
 		upstreams:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "upstreams", Help: "Upstreams that may get requests, by service and by the version of their software."}, []string{"service", "software"}),
+		resumes:        newCounterVec("resumed_streams_total", "Streams that callers asked to resume, by how their origin was found.", "origin"),
 		relays:         newCounterVec("relayed_connections_total", "Connections to upstreams that were asked of other nodes (Opened, NotOpened) or passed on for them (PassedOn).", "result"),
 		journalAppends: newCounterVec("journal_appends_total", "Appends to the journal by what became of them.", "result"),
 		journalLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "journal_append_seconds", Help: "Time that an append to the journal took, whatever became of it.", Buckets: journalBuckets}),
 	}
 	m.classes.Store(&Classes{})
 	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.promptLength, m.retries, m.imports, m.quarantine,
-		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.rateLimit, m.fleetOverload, m.pathLost, m.upstreams, m.relays, m.peers,
+		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.rateLimit, m.fleetOverload, m.pathLost, m.upstreams, m.resumes, m.relays, m.peers,
 		m.journalAppends, m.journalLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -300,6 +316,9 @@
 	}
 }
 
+// RecordResume counts a stream that a caller asked to resume.
+func (m *Metrics) RecordResume(r Resume) { m.resumes.WithLabelValues(r.String()).Inc() }
+
 // RecordRelay counts a connection that goes through another node.
 func (m *Metrics) RecordRelay(r Relay) { m.relays.WithLabelValues(r.String()).Inc() }
 
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -335,6 +335,14 @@
 	r.unreachable = true
 }
 
+// Reachable reports whether the register was reached when it was last read, so that this node learns
+// of new upstreams.
+func (r *Roster) Reachable() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readWhole && !r.unreachable
+}
+
 // HasBeenRead reports whether the register has been read whole since the
 // start. Until then, an empty Roster says nothing about the register.
 func (r *Roster) HasBeenRead() bool {
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -68,6 +68,9 @@
 	// Resumes is the ID of the attempt that brought the caller the first event of the
 	// stream that it asks for the rest of; empty: not stated.
 	Resumes string
+	// Software pins the request to the software version of the events that the caller has
+	// already; not set: it has none.
+	Software SoftwarePin
 	// OnFurtherRun is called for each engine after the first that may run the
 	// request; nil: not called.
 	OnFurtherRun func()
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -143,7 +143,7 @@
 		a.abandon()
 		return nil, fmt.Errorf("first token: %w", ctx.Err())
 	}
-	s.pin = pinTo(u.Software)
+	s.pin = PinTo(u.Software)
 	s.recordFirstToken(send, a)
 	return a, nil
 }
--- a/request/completion/shed.go
+++ b/request/completion/shed.go
@@ -35,6 +35,12 @@
 	if !s.r.Deadline.IsZero() {
 		a.FirstTokenDeadline = s.r.Deadline.Add(-s.decodeTime(now))
 	}
+	if s.pin.set && (a.FirstTokenDeadline.IsZero() || now.Add(d.Wait).Before(a.FirstTokenDeadline)) {
+		// A caller that has a part of its answer is admitted before those that have none. The
+		// engines of its software version may be few.
+		s.rt.Shedder.RecordSent(now, s.r.Workspace, a.Weight, s.chain.Tokens()-d.CachedTokens)
+		return nil
+	}
 	v := s.rt.Shedder.Decide(now, a)
 	s.rt.Observer.Judged(s.chain.Tokens(), v.Err != nil)
 	if v.Err == nil {
--- a/request/completion/software.go
+++ b/request/completion/software.go
@@ -1,15 +1,20 @@
 package completion
 
-import "github.com/samber/lo"
+import (
+	"github.com/samber/lo"
 
-// softwarePin restricts a request to engines of one software version. The events that two
-// versions write don't fit together in one stream.
-type softwarePin struct {
+	"github.com/dunlinmill/dunlinmill/request/failure"
+)
+
+// SoftwarePin restricts a request to engines of one software version. The events that two
+// versions write don't fit together in one stream. The zero value restricts nothing.
+type SoftwarePin struct {
 	set     bool
 	version string
 }
 
-func pinTo(version string) softwarePin { return softwarePin{set: true, version: version} }
+// PinTo returns the restriction to a version.
+func PinTo(version string) SoftwarePin { return SoftwarePin{set: true, version: version} }
 
 // candidates returns the engines that the request may still be sent to.
 func (s *requestState) candidates() []string {
@@ -31,3 +36,6 @@
 	u, ok := s.rt.View.Catalogue().Config().Upstreams[name]
 	return ok && u.Software == s.pin.version
 }
+
+// errSoftwareGone means that no engine has the pinned software version any more.
+var errSoftwareGone = failure.ErrNotResumable.WithMessage("no upstream has the software that began the stream; begin the request anew")
--- a/request/completion/software_test.go
+++ b/request/completion/software_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/dunlinmill/dunlinmill/request/failure"
 )
@@ -49,3 +50,56 @@
 		}
 	}
 }
+
+// Guards against a resumed request that begins at another software version than the events that its
+// caller has, or waits for one that is gone.
+func TestResumedRequestKeepsSoftwareVersion(t *testing.T) {
+	cases := []struct {
+		name   string
+		pinned string
+		sends  map[string]int // to each engine
+	}{
+		{"first version", "s1", map[string]int{"a": 1, "b": 0}},
+		{"second version", "s2", map[string]int{"a": 0, "b": 1}},
+		{"version that is gone", "s3", map[string]int{"a": 0, "b": 0}},
+	}
+	for _, c := range cases {
+		engines := []*fakeEngine{{name: "a"}, {name: "b"}}
+		r := passthroughRequest()
+		r.LastEventID, r.Software = "2", PinTo(c.pinned)
+		err := startAndRead(newReleaseFixture(map[string]string{"a": "s1", "b": "s2"}, engines...).router(), r)
+		gone := c.sends["a"]+c.sends["b"] == 0
+		if gone && (!errors.Is(err, failure.ErrNotResumable) || failure.FromError(err).Ran != failure.NotRun || failure.FromError(err).RetryAfter != 0) || !gone && err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		for _, e := range engines {
+			if len(e.sends) != c.sends[e.name] {
+				t.Errorf("%s: %d sends to %s, want %d", c.name, len(e.sends), e.name, c.sends[e.name])
+			}
+		}
+	}
+}
+
+// Guards against resumed requests that are refused while new ones are admitted, as the few engines of
+// their software version are full.
+func TestResumedRequestGoesBeforeNewOnes(t *testing.T) {
+	s := newReleaseFixture(map[string]string{"a": "s1"}, &fakeEngine{name: "a"})
+	s.policy.wait = 5 * time.Second
+	rt := s.router()
+	r := passthroughRequest()
+	r.Priority, r.Deadline = 5, time.Now().Add(20*time.Second)
+	if err := startAndRead(rt, r); !errors.Is(err, failure.ErrOverloaded) {
+		t.Fatalf("the test checks nothing, as a new request is admitted: %v", err)
+	}
+	r.LastEventID, r.Software = "2", PinTo("s1")
+	if err := startAndRead(rt, r); err != nil {
+		t.Errorf("a resumed one: %v", err)
+	}
+	if got := s.engines["a"].sends[0].Priority; got != mostUrgent {
+		t.Errorf("sent with priority %d", got)
+	}
+	s.policy.wait = 30 * time.Second
+	if err := startAndRead(rt, r); !errors.Is(err, failure.ErrOverloaded) {
+		t.Errorf("one that would begin past its deadline: %v", err)
+	}
+}
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -23,7 +23,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s.target = t
+	s.target, s.pin = t, r.Software
+	if len(t.list.Names) > 0 && len(s.candidates()) == 0 {
+		return nil, errSoftwareGone
+	}
 	if r.Passage == nil {
 		rt.RecentPrompts.Record(now, r.identity(), r.Messages)
 	}
@@ -55,7 +58,7 @@
 	startedAt  time.Time
 	chain      prefix.Chain
 	target     target
-	pin        softwarePin    // set once the first event of the answer is known
+	pin        SoftwarePin    // set once the first event of the answer is known
 	claim      *journal.Claim // nil for a request without a key
 	mayHaveRun bool
 	runs       int // upstreams that may have run the request
--- a/request/completion/weightsexpiry.go
+++ b/request/completion/weightsexpiry.go
@@ -46,8 +46,12 @@
 	return s.rt.BeginWithin(upstream, s.r.Model)
 }
 
-// enginePriority returns the request's priority in the queue of an engine.
+// enginePriority returns the request's priority in the queue of an engine. A caller that has
+// begun to read its answer goes before those that have not.
 func (s *requestState) enginePriority(u config.Upstream) int {
+	if s.pin.set {
+		return mostUrgent
+	}
 	if within := s.beginWithin(u.Name); within > 0 && within < topPriorityWindow {
 		return mostUrgent
 	}
--- a/request/failure/failure.go
+++ b/request/failure/failure.go
@@ -73,6 +73,7 @@
 	Cancelled
 	OutcomeUnknown
 	Quarantined
+	NotResumable
 )
 
 // Error is an immutable failure value. The With methods return changed
@@ -119,6 +120,7 @@
 	ErrPlatformUnavailable = newError(PlatformUnavailable, http.StatusServiceUnavailable, "the platform's log can't be reached")
 	ErrCancelled           = newError(Cancelled, 499, "the caller went away")
 	ErrQuarantined         = newError(Quarantined, http.StatusServiceUnavailable, "upstreams have ended under this request; it is not sent any more")
+	ErrNotResumable        = newError(NotResumable, http.StatusServiceUnavailable, "the stream can't be resumed; begin the request anew")
 	ErrOutcomeUnknown      = newError(OutcomeUnknown, http.StatusConflict, "a request with this Idempotency-Key was begun; whether it ran is not known").WithRan(Unknown)
 )
 
--- a/request/failure/failure_string.go
+++ b/request/failure/failure_string.go
@@ -40,11 +40,12 @@
 	_ = x[Cancelled-29]
 	_ = x[OutcomeUnknown-30]
 	_ = x[Quarantined-31]
+	_ = x[NotResumable-32]
 }
 
-const _Code_name = "InternalMalformedRequestBodyTooLargeHeaderTooLargeUnauthenticatedUnknownModelUnknownServiceUnknownWorkspaceNotFoundRateLimitedOverloadedDeadlineExceededNoUpstreamUpstreamFailedStreamCutWeightsChangedKeyRequiredKeyInvalidKeyExpiredKeyReusedKeyInProgressAlreadyRanJournalUnavailableShuttingDownUnknownPlanPlanOvertakenPlanRefusedMalformedIntentPlatformUnavailableCancelledOutcomeUnknownQuarantined"
+const _Code_name = "InternalMalformedRequestBodyTooLargeHeaderTooLargeUnauthenticatedUnknownModelUnknownServiceUnknownWorkspaceNotFoundRateLimitedOverloadedDeadlineExceededNoUpstreamUpstreamFailedStreamCutWeightsChangedKeyRequiredKeyInvalidKeyExpiredKeyReusedKeyInProgressAlreadyRanJournalUnavailableShuttingDownUnknownPlanPlanOvertakenPlanRefusedMalformedIntentPlatformUnavailableCancelledOutcomeUnknownQuarantinedNotResumable"
 
-var _Code_index = [...]uint16{0, 8, 24, 36, 50, 65, 77, 91, 107, 115, 126, 136, 152, 162, 176, 185, 199, 210, 220, 230, 239, 252, 262, 280, 292, 303, 316, 327, 342, 361, 370, 384, 395}
+var _Code_index = [...]uint16{0, 8, 24, 36, 50, 65, 77, 91, 107, 115, 126, 136, 152, 162, 176, 185, 199, 210, 220, 230, 239, 252, 262, 280, 292, 303, 316, 327, 342, 361, 370, 384, 395, 407}
 
 func (i Code) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/request/origin/origin_test.go
@@ -0,0 +1,126 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const life = 15 * time.Second
+
+func record(attempt, software string) Record {
+	return Record{Key: KeyOf("sofia", attempt), Origin: Origin{Pool: "lm", Software: software}, Life: life}
+}
+
+func TestLookup(t *testing.T) {
+	cases := []struct {
+		name     string
+		records  []Record
+		key      Key
+		after    time.Duration
+		software string
+		known    bool
+	}{
+		{"known", []Record{record("a", "v1")}, KeyOf("sofia", "a"), time.Second, "v1", true},
+		{"told twice", []Record{record("a", "v1"), record("a", "v1")}, KeyOf("sofia", "a"), time.Second, "v1", true},
+		{"another attempt", []Record{record("a", "v1")}, KeyOf("sofia", "b"), time.Second, "", false},
+		{"another workspace's attempt", []Record{record("a", "v1")}, KeyOf("plovdiv", "a"), time.Second, "", false},
+		{"one attempt with two origins", []Record{record("a", "v1"), record("a", "v2")}, KeyOf("sofia", "a"), time.Second, "", false},
+		{"no longer resumed", []Record{record("a", "v1")}, KeyOf("sofia", "a"), life, "", false},
+		{"no attempt", []Record{record("a", "v1")}, KeyOf("sofia", ""), time.Second, "", false},
+	}
+	for _, c := range cases {
+		own, told := NewTracker(), NewTracker()
+		for _, r := range c.records {
+			own.Begin(start, r)
+		}
+		told.Merge(start, c.records)
+		for _, tr := range []*Tracker{own, told} {
+			if o, known := tr.Lookup(start.Add(c.after), c.key); o.Software != c.software || known != c.known {
+				t.Errorf("%s: %+v, %v", c.name, o, known)
+			}
+		}
+	}
+}
+
+// Guards against fields that run into each other in a key.
+func TestKeysDiffer(t *testing.T) {
+	if KeyOf("ab", "c") == KeyOf("a", "bc") {
+		t.Error("two streams have one key")
+	}
+}
+
+// Guards against streams that nobody else knows when a second version is first seen.
+func TestSharingBeginsWithEarlierStreams(t *testing.T) {
+	tr := NewTracker()
+	tr.Begin(start, record("before", "v1"))
+	tr.Merge(start, []Record{record("told", "v1")})
+	if got := tr.TakeUnsent(start); len(got) != 0 {
+		t.Errorf("shared before there is a reason: %v", got)
+	}
+	tr.SetSharing(true)
+	tr.Begin(start, record("after", "v1"))
+	if got := tr.TakeUnsent(start); len(got) != 2 {
+		t.Errorf("shares %v, want the two streams that began here", got)
+	}
+	tr.SetSharing(true)
+	if got := tr.TakeUnsent(start); len(got) != 0 {
+		t.Errorf("shared twice: %v", got)
+	}
+	tr.SetSharing(false)
+	tr.Begin(start, record("later", "v1"))
+	if got := tr.TakeUnsent(start); len(got) != 0 {
+		t.Errorf("shared without a reason: %v", got)
+	}
+}
+
+// Guards against a tracker that grows without bound, or forgets what it holds to take more.
+func TestTrackerIsBounded(t *testing.T) {
+	tr := NewTracker()
+	for i := range maxRecords + 100 {
+		tr.Begin(start, record(fmt.Sprint(i), "v1"))
+	}
+	if len(tr.entries) != maxRecords {
+		t.Errorf("%d entries", len(tr.entries))
+	}
+	if _, known := tr.Lookup(start, KeyOf("sofia", "0")); !known {
+		t.Error("the first entry was dropped")
+	}
+	tr.Begin(start.Add(life+pruneInterval), record("new", "v1"))
+	if len(tr.entries) != 1 {
+		t.Errorf("%d entries after all others have expired", len(tr.entries))
+	}
+}
+
+func TestRecentVersions(t *testing.T) {
+	r := NewReleases()
+	serve := func(after time.Duration, versions ...string) {
+		r.Observe(start.Add(after), map[string][]string{"lm": versions})
+	}
+	check := func(after time.Duration, want ...string) {
+		t.Helper()
+		now := start.Add(after)
+		if got := r.Recent(now, "lm"); fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("after %s: %v, want %v", after, got, want)
+		}
+		if r.Several(now) != (len(want) > 1) {
+			t.Errorf("after %s: several: %v", after, r.Several(now))
+		}
+	}
+	check(0)
+	serve(0, "v1")
+	check(time.Hour, "v1")
+	serve(time.Hour, "v1", "v2")
+	check(2*time.Hour, "v1", "v2")
+	serve(2*time.Hour, "v2")
+	check(2*time.Hour+minWindow, "v1", "v2")
+	check(2*time.Hour+minWindow+1, "v2")
+	serve(3*time.Hour, "v1")
+	check(3*time.Hour+minWindow, "v1", "v2")
+	r.ObserveLife(2 * time.Minute)
+	serve(4*time.Hour, "v2")
+	check(4*time.Hour+2*time.Minute, "v1", "v2")
+	check(4*time.Hour+2*time.Minute+1, "v2")
+}
--- a/version/route/route.go
+++ b/version/route/route.go
@@ -66,6 +66,11 @@
 	return r.firstService()
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && (t.Weight > 0 || len(r.Targets) == 1) })
+}
+
 func (r Route) firstService() string {
 	if len(r.Targets) == 0 {
 		return ""
