Confirm an engine's start before a stream goes on there

The register tells of a restart seconds later, and a request names the engine by an ID that the new process has too.

A node asks an engine that keeps its ID over restarts for its start before it sends the rest of a stream, and leaves it out if that is another one or is not to be had. A process can't end and be back between the answer and the request, some milliseconds later. New streams are sent as before.

--- a/connection/upstream/overhttp/engine.go
+++ b/connection/upstream/overhttp/engine.go
@@ -50,6 +50,9 @@
 	return s, nil
 }
 
+// ConfirmStart returns nil: each answer states the engine's incarnation.
+func (e *Engine) ConfirmStart(context.Context) error { return nil }
+
 // Resume continues a stream that the engine still has, after the event with index
 // after.
 func (e *Engine) Resume(ctx context.Context, streamID string, after int) (upstream.Stream, error) {
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -233,6 +233,9 @@
 	Resume(ctx context.Context, streamID string, after int) (Stream, error)
 	Cancel(ctx context.Context, streamID string) error
 	Report(ctx context.Context) (Report, error)
+	// ConfirmStart checks that the engine has not started again under its name since it
+	// registered, with other software perhaps. The error is ErrAddressReused if it has.
+	ConfirmStart(ctx context.Context) error
 	Events(ctx context.Context, from uint64) (CacheEvents, error)
 	Order(ctx context.Context, o Order) error
 	// Export returns the KV cache of a prompt as opaque bytes.
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -5,8 +5,12 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -29,6 +33,13 @@
 	if !ok {
 		return nil, upstream.ErrBusy
 	}
+	if err := s.confirmSoftware(s.ctx, u); err != nil {
+		send.end(time.Now(), err)
+		event.Info(s.rt.Log, event.RequestRetried, zap.String("Request", s.r.ID), zap.String("Upstream", u.Name),
+			zap.Int("Attempt", s.attempts), zap.Stringer("Action", retry.ContinueElsewhere), zap.Error(err))
+		s.excluded = append(s.excluded, u.Name)
+		return s.startContinuation(delivered, version)
+	}
 	s.attempts++
 	s.countRun()
 	s.fetchFrom, s.saveTo = "", ""
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -29,12 +29,13 @@
 type engineScript struct {
 	generateErr error // returned instead of a stream
 	version     string
-	cutAfter    int  // tokens of a new stream before it breaks; 0: never
-	resumable   bool // a cut stream can be resumed
-	restarted   bool // a resumed stream has another incarnation
-	endsEarly   bool // the cut looks like the end of the stream
-	frozen      bool // accepts the request and never answers
-	processEnds bool // the process ends, at the cut or before any answer
+	cutAfter    int   // tokens of a new stream before it breaks; 0: never
+	resumable   bool  // a cut stream can be resumed
+	restarted   bool  // a resumed stream has another incarnation
+	endsEarly   bool  // the cut looks like the end of the stream
+	frozen      bool  // accepts the request and never answers
+	processEnds bool  // the process ends, at the cut or before any answer
+	confirmErr  error // returned by checks of its start
 
 	exportErr     error // returned by exports
 	exportBytes   int   // size of an export
@@ -109,6 +110,7 @@
 }
 
 func (e *fakeEngine) Report(context.Context) (upstream.Report, error) { return upstream.Report{}, nil }
+func (e *fakeEngine) ConfirmStart(context.Context) error              { return e.confirmErr }
 func (e *fakeEngine) Events(context.Context, uint64) (upstream.CacheEvents, error) {
 	return upstream.CacheEvents{}, nil
 }
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -106,6 +106,9 @@
 // send calls the engine and waits for the first token, which must arrive before ctx
 // ends. The stream continues until the context of the whole answer ends.
 func (s *requestState) send(ctx context.Context, now time.Time, send *engineSend, u config.Upstream) (*Answer, error) {
+	if err := s.confirmSoftware(ctx, u); err != nil {
+		return nil, err
+	}
 	s.fetchFrom, s.saveTo = "", ""
 	switch {
 	case s.rt.Config.DirectFetch:
--- a/request/completion/software.go
+++ b/request/completion/software.go
@@ -1,9 +1,15 @@
 package completion
 
 import (
+	"context"
+	"fmt"
+	"time"
+
 	"github.com/samber/lo"
 
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
 // SoftwarePin restricts a request to engines of one software version. The events that two
@@ -39,3 +45,20 @@
 
 // errSoftwareGone means that no engine has the pinned software version any more.
 var errSoftwareGone = failure.ErrNotResumable.WithMessage("no upstream has the software that began the stream; begin the request anew")
+
+// confirmTimeout bounds the check of an engine's start.
+const confirmTimeout = 300 * time.Millisecond
+
+// confirmSoftware checks that an engine to which a pinned request goes has not started again, with
+// other software perhaps. Nothing of the request has been sent if it returns an error.
+func (s *requestState) confirmSoftware(ctx context.Context, u config.Upstream) error {
+	if !s.pin.set {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := s.rt.Upstreams.Engine(u).ConfirmStart(ctx); err != nil {
+		return fmt.Errorf("%w: the engine's start is not confirmed: %v", upstream.ErrNotSent, err)
+	}
+	return nil
+}
--- a/request/completion/software_test.go
+++ b/request/completion/software_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 )
 
@@ -103,3 +104,26 @@
 		t.Errorf("one that would begin past its deadline: %v", err)
 	}
 }
+
+// Guards against an answer that goes on, or is resumed, at an engine that has started again with other
+// software before its entry says so.
+func TestPinnedRequestAvoidsRestartedEngine(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		r, first := passthroughRequest(), &fakeEngine{name: "a", engineScript: engineScript{cutAfter: 2}}
+		if resumed {
+			r.LastEventID, r.Software = "2", PinTo("s1")
+			first.engineScript = engineScript{}
+			first.confirmErr = upstream.ErrAddressReused
+		}
+		restarted := &fakeEngine{name: "b", engineScript: engineScript{confirmErr: upstream.ErrAddressReused}}
+		sound := &fakeEngine{name: "c"}
+		s := newReleaseFixture(map[string]string{"a": "s1", "b": "s1", "c": "s1"}, first, restarted, sound)
+		err := startAndRead(s.router(), r)
+		if err != nil {
+			t.Errorf("resumed %v: %v", resumed, err)
+		}
+		if len(restarted.sends) != 0 || len(sound.sends) != 1 || resumed && len(first.sends) != 0 {
+			t.Errorf("resumed %v: %d, %d and %d sends", resumed, len(first.sends), len(restarted.sends), len(sound.sends))
+		}
+	}
+}
