Keep cached parts of different software versions apart

Engines fetched cached parts of prompts from engines of other versions and from stores that these had filled.

The salt under which parts are cached now has the software version, and placement names no source of another one, which would hold nothing under that salt. With one version nothing changes but the salt: nodes of an older build and of this one don't share caches while they run side by side.

TestOtherSoftwareIsNoSource fails in each of its three parts without the check for that part; TestCachesAreKeptBySoftwareVersion and TestNoLevelIsSharedAcrossIdentities fail without the version in the salt.

--- a/capacity/placement.go
+++ b/capacity/placement.go
@@ -192,7 +192,7 @@
 	events := upstream.CacheEvents{Incarnation: rnd.Uint64(), Next: 170_000_000}
 	for i := range n {
 		events.Events = append(events.Events, upstream.CacheEvent{
-			Sequence: 170_000_000 + uint64(i), Stored: i%2 == 0, Salt: prefix.Salt(prefix.Identity{Workspace: "w", Model: "m"}, "v1"),
+			Sequence: 170_000_000 + uint64(i), Stored: i%2 == 0, Salt: prefix.Salt(prefix.Identity{Workspace: "w", Model: "m"}, "v1", ""),
 			Block: rnd.Uint64(), Tokens: 4096,
 		})
 	}
--- a/process/policy/policy.go
+++ b/process/policy/policy.go
@@ -116,6 +116,7 @@
 			PrefillRate:    u.PrefillRate,
 			DecodeInterval: decodeInterval,
 			Version:        version,
+			Software:       u.Software,
 
 			Incarnation: incarnation,
 			Outdated:    version != "" && version != m.Version && version != m.Target,
--- a/request/completion/cachestore.go
+++ b/request/completion/cachestore.go
@@ -8,20 +8,34 @@
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
+// cacheSource is what has to be the same for two engines to use each other's caches.
+type cacheSource struct {
+	version  string // of the weights
+	software string // version
+}
+
+// cacheSourceOf returns what the named engine is known to have.
+func (s *requestState) cacheSourceOf(name string) cacheSource {
+	return cacheSource{
+		version:  s.rt.Upstreams.Version(name, s.r.Model),
+		software: s.rt.View.Catalogue().Config().Upstreams[name].Software,
+	}
+}
+
 // applyCacheReports passes to the policy what the engines report about the
 // cached parts of the prompt. It returns the salts under which the engines
-// look the prompt up, keyed by weights version.
-func (s *requestState) applyCacheReports(now time.Time, p placement.Policy) map[string]string {
+// look the prompt up.
+func (s *requestState) applyCacheReports(now time.Time, p placement.Policy) map[cacheSource]string {
 	if s.rt.CacheContents == nil || len(s.r.DeclaredParts) == 0 {
 		return nil
 	}
-	salts := map[string]string{} // small: engines hold few versions
+	salts := map[cacheSource]string{} // small: engines hold few versions
 	saltFor := func(upstream string) string {
-		version := s.rt.Upstreams.Version(upstream, s.r.Model)
-		if _, ok := salts[version]; !ok {
-			salts[version] = prefix.Salt(s.r.identity(), version)
+		c := s.cacheSourceOf(upstream)
+		if _, ok := salts[c]; !ok {
+			salts[c] = prefix.Salt(s.r.identity(), c.version, c.software)
 		}
-		return salts[version]
+		return salts[c]
 	}
 	for _, h := range s.rt.CacheContents.LevelStates(now, saltFor, s.r.DeclaredParts, s.chain) {
 		p.RecordCacheEvent(now, h.Upstream, h.Event)
@@ -30,12 +44,12 @@
 }
 
 // storedPrefixes returns what the cache stores report to hold of the prompt.
-func (s *requestState) storedPrefixes(now time.Time, salts map[string]string) []placement.StoredPrefix {
+func (s *requestState) storedPrefixes(now time.Time, salts map[cacheSource]string) []placement.StoredPrefix {
 	var all []placement.StoredPrefix
 	for _, store := range s.stores() {
-		for version, salt := range salts {
+		for c, salt := range salts {
 			if tokens := s.rt.CacheContents.HeldTokens(now, store.Name, salt, s.r.DeclaredParts, s.chain); tokens > 0 {
-				all = append(all, placement.StoredPrefix{Store: store.Name, DataCentre: store.DataCentre, Version: version, Tokens: tokens})
+				all = append(all, placement.StoredPrefix{Store: store.Name, DataCentre: store.DataCentre, Version: c.version, Software: c.software, Tokens: tokens})
 			}
 		}
 	}
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -44,7 +44,7 @@
 	s.countRun()
 	s.fetchFrom, s.saveTo = "", ""
 	s.logPlacement(d)
-	g := s.generation(version)
+	g := s.generation(u, version)
 	g.Priority = s.enginePriority(u)
 	if s.r.Passage != nil {
 		g.After = delivered.lastEvent
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -192,7 +192,7 @@
 	return min(s.rt.Config.FirstTokenTimeout, s.r.Deadline.Sub(now))
 }
 
-func (s *requestState) generation(version string) upstream.Generation {
+func (s *requestState) generation(u config.Upstream, version string) upstream.Generation {
 	parts := make([]upstream.Part, len(s.r.Messages))
 	for i, m := range s.r.Messages {
 		parts[i] = upstream.Part{Role: m.Role, Content: m.Content}
@@ -202,7 +202,7 @@
 		Model:     s.r.Model,
 		Version:   version,
 		Adapter:   s.r.Adapter,
-		Salt:      prefix.Salt(s.r.identity(), version),
+		Salt:      prefix.Salt(s.r.identity(), version, u.Software),
 		Prompt:    parts,
 		MaxTokens: s.r.MaxTokens,
 		Priority:  s.r.Priority,
--- a/request/completion/software_test.go
+++ b/request/completion/software_test.go
@@ -127,3 +127,18 @@
 		}
 	}
 }
+
+// Guards against caches that engines of two software versions share.
+func TestCachesAreKeptBySoftwareVersion(t *testing.T) {
+	salts := map[string]bool{}
+	for _, software := range []string{"s1", "s2"} {
+		e := &fakeEngine{name: "a"}
+		if err := startAndRead(newReleaseFixture(map[string]string{"a": software}, e).router(), passthroughRequest()); err != nil {
+			t.Fatal(err)
+		}
+		salts[e.sends[0].Salt] = true
+	}
+	if len(salts) != 2 {
+		t.Errorf("the salts are %v", salts)
+	}
+}
--- a/request/completion/transfer.go
+++ b/request/completion/transfer.go
@@ -20,6 +20,7 @@
 var (
 	errSourceGone      = errors.New("the source engine no longer serves this pool and model")
 	errOtherWeights    = errors.New("source and target are not known to hold the same accepted weights version")
+	errOtherSoftware   = errors.New("source and target have other software versions")
 	errTooManyImports  = errors.New("too many concurrent imports")
 	errCoolingDown     = errors.New("left out after a recent failed import")
 	errExportTooLarge  = errors.New("export exceeds the size limit")
@@ -71,7 +72,7 @@
 	defer t.end(source.Name, u.Name)
 	importCtx, cancel := context.WithTimeout(ctx, min(s.rt.Config.ImportTimeout, s.firstTokenTimeout(now)))
 	defer cancel()
-	kv, err := s.rt.Upstreams.Engine(source).Export(importCtx, s.generation(version))
+	kv, err := s.rt.Upstreams.Engine(source).Export(importCtx, s.generation(u, version))
 	if err == nil && len(kv) > s.rt.Config.MaxImportBytes {
 		err = fmt.Errorf("%w: %d bytes", errExportTooLarge, len(kv))
 	}
@@ -91,8 +92,8 @@
 
 // sourceAddress returns the address that the chosen engine itself fetches the prefix
 // from; empty if the source is gone. The engine looks up the salt of the request,
-// which depends on the weights version, so that it does not find blocks of other
-// weights.
+// which depends on the versions of weights and software, so that it does not find blocks
+// of others.
 func (s *requestState) sourceAddress(source string, u config.Upstream) string {
 	sourceUpstream, ok := s.rt.View.Catalogue().Config().Upstreams[source]
 	if !ok || sourceUpstream.Name == u.Name || sourceUpstream.Kind != config.CacheStore && !lo.Contains(s.target.list.Names, source) {
@@ -101,7 +102,8 @@
 	return sourceUpstream.Address
 }
 
-// commonVersion returns the accepted weights version that both engines report to hold.
+// commonVersion returns the accepted weights version that both engines report to hold,
+// if they have the same software.
 // Blocks of other weights would make the answer wrong without anyone noticing. If
 // one engine changes its weights in between, either the export is refused, as it
 // names the version, or the blocks are stored under a salt that no request for the
@@ -109,6 +111,9 @@
 // for the export and the send.
 func (s *requestState) commonVersion(source, target config.Upstream) (string, error) {
 	version := s.rt.Upstreams.Version(target.Name, s.r.Model)
+	if source.Software != target.Software {
+		return "", errOtherSoftware
+	}
 	if version == "" || !s.model().Accepts(version) || s.rt.Upstreams.Version(source.Name, s.r.Model) != version {
 		return "", errOtherWeights
 	}
--- a/request/completion/transfer_test.go
+++ b/request/completion/transfer_test.go
@@ -99,7 +99,7 @@
 		if x.Salt != g.Salt || x.Version != g.Version || x.Version != "v1" || x.Model != g.Model || x.Adapter != g.Adapter {
 			t.Errorf("exported %+v, sent %+v", x, g)
 		}
-		if x.Salt != prefix.Salt(r.identity(), "v1") || salts[x.Salt] {
+		if x.Salt != prefix.Salt(r.identity(), "v1", "") || salts[x.Salt] {
 			t.Errorf("workspace %s: salt %q", workspace, x.Salt)
 		}
 		salts[x.Salt] = true
--- a/request/completion/weights.go
+++ b/request/completion/weights.go
@@ -24,7 +24,7 @@
 		version = m.Version
 	}
 	e := s.rt.Upstreams.Engine(u)
-	g := s.generation(version)
+	g := s.generation(u, version)
 	g.Priority = s.enginePriority(u)
 	stream, err := e.Generate(ctx, g)
 	if m.Any && version != m.Version && errors.Is(err, upstream.ErrWrongVersion) {
@@ -35,7 +35,7 @@
 	if other == "" || !errors.Is(err, upstream.ErrWrongVersion) || !errors.Is(err, upstream.ErrRefused) {
 		return g, stream, err
 	}
-	g = s.generation(other)
+	g = s.generation(u, other)
 	stream, err = e.Generate(ctx, g)
 	if err == nil {
 		s.rt.Upstreams.Holds(time.Now(), u.Name, s.r.Model, other)
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -23,6 +23,7 @@
 	PrefillRate    float64       // prompt tokens per second, without other work; 0: not stated, to be learnt
 	DecodeInterval time.Duration // time between two output tokens
 	Version        string        // version of its weights, as last reported; empty: not known
+	Software       string        // version of its software; empty: not known
 	// Incarnation identifies the engine's current start, as listed; 0: not known
 	// before an answer reports it.
 	Incarnation uint64
@@ -43,11 +44,13 @@
 	StoredPrefixes []StoredPrefix // what cache stores hold of the prompt
 }
 
-// StoredPrefix is what a cache store holds of a prompt for one version of the weights.
+// StoredPrefix is what a cache store holds of a prompt for one version of the weights and
+// of the software.
 type StoredPrefix struct {
 	Store      string
 	DataCentre string
 	Version    string
+	Software   string
 	Tokens     int
 }
 
--- a/request/placement/source.go
+++ b/request/placement/source.go
@@ -58,12 +58,18 @@
 	return found
 }
 
-// bestFor returns the best source for m: one with the same weights, preferably in the
+// sharesCaches reports whether two upstreams may use each other's caches: they have the same
+// weights and the same software.
+func (m *member) sharesCaches(o *member) bool {
+	return m.engine.version == o.engine.version && m.Software == o.Software
+}
+
+// bestFor returns the best source for m: one with the same weights and software, preferably in the
 // same data centre, and of those the one most likely to hold the prefix.
 func (s sources) bestFor(m *member) source {
 	best := source{}
 	for _, o := range s.holders {
-		if o.member == m || o.engine.version != m.engine.version {
+		if o.member == m || !o.sharesCaches(m) {
 			continue
 		}
 		near, bestNear := o.DataCentre == m.DataCentre, best.member != nil && best.DataCentre == m.DataCentre
@@ -115,7 +121,7 @@
 		consider(s.Name, s.DataCentre, a.sources.tokens, s.chance, a.cfg.ImportRate)
 	}
 	for _, stored := range r.StoredPrefixes {
-		if stored.Version == m.engine.version {
+		if stored.Version == m.engine.version && stored.Software == m.Software {
 			consider(stored.Store, stored.DataCentre, stored.Tokens, 1, a.cfg.StoreImportRate)
 		}
 	}
@@ -142,7 +148,7 @@
 		return s.Name
 	}
 	for _, stored := range r.StoredPrefixes {
-		if stored.Version == chosen.engine.version {
+		if stored.Version == chosen.engine.version && stored.Software == chosen.Software {
 			return stored.Store
 		}
 	}
@@ -150,7 +156,9 @@
 	if entry, age, ok := a.cacheIndex.get(chosen, shared.ID, at); ok && !entry.pending && age < recentAnswerAge {
 		return ""
 	}
-	set, _, _ := a.replicas(r.Chain, func(m *member) bool { return m == chosen || m.Version != chosen.Version })
+	set, _, _ := a.replicas(r.Chain, func(m *member) bool {
+		return m == chosen || m.Version != chosen.Version || m.Software != chosen.Software
+	})
 	if len(set) == 0 {
 		return ""
 	}
--- a/request/placement/source_test.go
+++ b/request/placement/source_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"testing"
 	"time"
 )
@@ -82,3 +83,42 @@
 		}
 	}
 }
+
+// Guards against caches that an engine reads although another software version wrote them.
+func TestOtherSoftwareIsNoSource(t *testing.T) {
+	cases := []struct {
+		name         string
+		software     string // of the holder and of what the store keeps
+		holds, keeps bool
+		want         string // source or fallback source
+	}{
+		{"an engine of the version", "s1", true, false, "holder"},
+		{"the store has the version's", "s1", false, true, "store"},
+		{"the second choice has the version", "s1", false, false, "holder"},
+		{"an engine of another version", "s2", true, false, ""},
+		{"the store has another version's", "s2", false, true, ""},
+		{"the second choice has another version", "s2", false, false, ""},
+	}
+	for _, c := range cases {
+		target := Upstream{Name: "target", Slots: 64, PrefillRate: 100_000, DecodeInterval: 10 * time.Millisecond, Software: "s1"}
+		holder := target
+		holder.Name, holder.Software = "holder", c.software
+		a := New(Config{DeclaredParts: true, ImportRate: 200_000, StoreImportRate: 200_000, ImportLatency: time.Millisecond, MaxImportTime: time.Second})
+		a.SetUpstreams(epoch, []Upstream{holder, target})
+		r := request(prompt(1, 1, 1, 1))
+		for _, u := range []Upstream{holder, target} {
+			a.RecordLoad(epoch, u.Name, Load{Incarnation: 1, Version: "v1", At: epoch})
+		}
+		if c.holds {
+			reportCache(a, epoch, holder.Name, r, true)
+		}
+		if c.keeps {
+			r.StoredPrefixes = []StoredPrefix{{Store: "store", Version: "v1", Software: c.software, Tokens: r.Chain.SharedLevels().Tokens()}}
+		}
+		r.Excluded, r.CacheReadable = []string{holder.Name}, []string{holder.Name}
+		d, err := a.Place(epoch, r)
+		if got := cmp.Or(d.Source, d.FallbackSource); err != nil || got != c.want {
+			t.Errorf("%s: source %q, want %q, %v", c.name, got, c.want, err)
+		}
+	}
+}
--- a/request/prefix/chain_test.go
+++ b/request/prefix/chain_test.go
@@ -70,13 +70,16 @@
 		if n := countShared(t, a, FromMessages(id, msgs)); n != 0 {
 			t.Errorf("%+v shares %d levels", id, n)
 		}
-		if Salt(id, "1") == Salt(testIdentity, "1") {
+		if Salt(id, "1", "") == Salt(testIdentity, "1", "") {
 			t.Errorf("%+v has the salt of another identity", id)
 		}
 	}
-	if Salt(testIdentity, "1") == Salt(testIdentity, "2") {
+	if Salt(testIdentity, "1", "") == Salt(testIdentity, "2", "") {
 		t.Error("two versions of the weights have the same salt")
 	}
+	if Salt(testIdentity, "1", "a") == Salt(testIdentity, "1", "b") || Salt(testIdentity, "1", "a") == Salt(testIdentity, "1", "") {
+		t.Error("two versions of the software have the same salt")
+	}
 }
 
 func TestMessageBoundaryIsPartOfTheText(t *testing.T) {
