Decide on sharing origins without a timer of its own

The decision is now made as streams begin and with the exchanges between nodes; the check of TestSharingBeginsWithEarlierStreams and of the resumed streams holds.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -64,6 +64,7 @@
 	rejects           *rejectLimits
 	fleet             *fleetload.Tracker
 	sharer            *sharer
+	origins           *origins
 	metrics           *metric.Metrics
 	log               *zap.Logger
 	loggedRates       map[catalogue.Group]float64               // by pool and model, as last logged
@@ -81,6 +82,7 @@
 		cacheNews: do.MustInvoke[*cachenews.EntryBuffer](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), limiter: do.MustInvoke[*ratelimit.Limiter](i), rejects: do.MustInvoke[*rejectLimits](i), fleet: do.MustInvoke[*fleetload.Tracker](i), metrics: do.MustInvoke[*metric.Metrics](i), cancel: cancel,
 		log: g.log, loggedRates: map[catalogue.Group]float64{}, loggedEngineRates: map[catalogue.Group]placement.RateSummary{},
 	}
+	e.origins = do.MustInvoke[*origins](i)
 	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.endings, e.lengths, e.fleet)
 	e.sharer.call = func(ctx context.Context, address string, q Share, a *Shared) error {
 		return e.peers.callWithin(ctx, shareTimeout, address, "Share", q, a)
@@ -106,6 +108,7 @@
 		}
 		pause = e.exchangeOnce(ctx, now, turn, others)
 		e.policies.SetNodes(len(others) + 1)
+		e.origins.updateSharing(clock.BoottimeNow())
 		e.metrics.SetFleetOverload(e.fleet.Overload(now))
 		e.logRates(now)
 	}
--- a/process/gateway/origins.go
+++ b/process/gateway/origins.go
@@ -64,37 +64,37 @@
 	return lo.MapValues(versions, func(all []string, _ string) []string { return lo.Uniq(all) })
 }
 
-// sharingInterval is the time between two checks whether the other nodes have to be told.
-const sharingInterval = 100 * time.Millisecond
-
 // run tells the other nodes what they have to know.
 func (o *origins) run(ctx context.Context) {
-	tick := time.NewTicker(sharingInterval)
-	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
-			o.updateSharing(clock.BoottimeNow())
 		case <-o.changed:
+			o.tell(ctx, o.tracker.TakeUnsent(clock.BoottimeNow()))
 		}
-		o.tell(ctx, o.tracker.TakeUnsent(clock.BoottimeNow()))
 	}
 }
 
 // updateSharing makes this node tell the others of its streams while several versions serve, and
 // while it would not learn of another one.
 func (o *origins) updateSharing(boot time.Time) {
-	o.tracker.SetSharing(o.releases.Several(boot) || !o.roster.Reachable())
+	if o.tracker.SetSharing(o.releases.Several(boot) || !o.roster.Reachable()) {
+		o.wake()
+	}
 }
 
 // begin records where a stream has begun whose caller may resume it within a time.
 func (o *origins) begin(boot time.Time, r origin.Record) {
 	o.releases.ObserveLife(r.Life)
-	if !o.tracker.Begin(boot, r) {
-		return
+	o.updateSharing(boot)
+	if o.tracker.Begin(boot, r) {
+		o.wake()
 	}
+}
+
+// wake makes run tell the other nodes what they have not been told.
+func (o *origins) wake() {
 	select {
 	case o.changed <- struct{}{}:
 	default: // the goroutine has not taken the last notice yet
--- a/request/origin/origin.go
+++ b/request/origin/origin.go
@@ -130,18 +130,20 @@
 }
 
 // SetSharing sets whether other nodes are to be told of this node's streams. When it begins, they
-// are told of those that have begun before, too.
-func (t *Tracker) SetSharing(sharing bool) {
+// are told of those that have begun before, too; it then reports true if there are any.
+func (t *Tracker) SetSharing(sharing bool) (tell bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if sharing && !t.sharing {
 		for k, e := range t.entries {
 			if e.own {
 				t.unsent[k] = true
+				tell = true
 			}
 		}
 	}
 	t.sharing = sharing
+	return tell
 }
 
 // TakeUnsent returns the records that the other nodes are to be told and have not been told yet.
