Keep a stream off engines of other software that registered after it began

The engines of other versions are excluded by the list that a request takes as it arrives; placement also knows those that have registered since, and chose one.

The engine that placement has chosen is now checked itself, and another one is chosen if it has other software, for continuations and for resumed requests.

TestContinuationAvoidsOtherSoftwareRegisteredMeanwhile fails without the check (1 send to the new engine).

--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -29,6 +29,11 @@
 	if !ok || u.State != config.Active {
 		return nil, failure.ErrNoUpstream
 	}
+	if !s.hasPinnedSoftware(u.Name) {
+		// The engine registered after the request's engines were listed.
+		s.excluded = append(s.excluded, u.Name)
+		return s.startContinuation(delivered, version)
+	}
 	send, ok := s.beginSend(now, p, pr, d)
 	if !ok {
 		return nil, upstream.ErrBusy
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -43,6 +43,11 @@
 		s.excluded = append(s.excluded, u.Name)
 		return s.attempt(ctx, now)
 	}
+	if s.pin.set && !s.hasPinnedSoftware(u.Name) {
+		// The engine registered after the request's engines were listed.
+		s.excluded = append(s.excluded, u.Name)
+		return s.attempt(ctx, now)
+	}
 	if s.mayBeginLate(d) {
 		s.excluded = append(s.excluded, u.Name)
 		return s.attempt(ctx, now)
--- a/request/completion/software_test.go
+++ b/request/completion/software_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
 // newReleaseFixture provides engines by name with their software versions.
@@ -52,6 +53,24 @@
 	}
 }
 
+// Guards against an answer that goes on at an engine of another software version that has registered since
+// the answer began.
+func TestContinuationAvoidsOtherSoftwareRegisteredMeanwhile(t *testing.T) {
+	engines := []*fakeEngine{{name: "a", engineScript: engineScript{cutAfter: 2}}, {name: "c"}}
+	s := newReleaseFixture(map[string]string{"a": "s1", "c": "s1"}, engines...)
+	a, err := s.router().Start(context.Background(), passthroughRequest())
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := &fakeEngine{name: "b"}
+	s.engines["b"] = late
+	s.cfg = s.cfg.WithUpstream(config.Upstream{Name: "b", Models: []string{"base"}, Software: "s2"})
+	s.policy.names = []string{"b", "a", "c"}
+	if _, err := readAnswer(a); err != nil || len(late.sends) != 0 || len(engines[1].sends) != 1 {
+		t.Errorf("%d sends to the new engine, %d to the other one, %v", len(late.sends), len(engines[1].sends), err)
+	}
+}
+
 // Guards against a resumed request that begins at another software version than the events that its
 // caller has, or waits for one that is gone.
 func TestResumedRequestKeepsSoftwareVersion(t *testing.T) {
