Confirm where a stream began while software versions differ

While several versions may serve, a node asks such an engine for its start once the first event has come. Had the engine started again before, the answer says so; had it since, the stream would have broken. A stream whose engine is not confirmed has no origin: it is not continued, and is refused if its caller resumes it. With one version nothing is asked.

TestStreamOfRestartedEngineGoesOnNowhere fails without the check.

--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -78,7 +78,8 @@
 	_ = x[QuotaAllocator-121]
 	_ = x[QuotaMissed-122]
 	_ = x[StreamResumeResolved-123]
-	_ = x[OriginsNotTold-124]
+	_ = x[SoftwareNotConfirmed-124]
+	_ = x[OriginsNotTold-125]
 	_ = x[UpstreamEntered-800]
 	_ = x[UpstreamLeft-801]
 	_ = x[EntryUnreadable-802]
@@ -125,7 +126,7 @@
 }
 
 const (
-	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelledPrefixImportedPrefixNotImportedRequestServedRequestShedUpstreamPassedOverRequestSuspectedRequestHeldRequestTriedRequestClearedQuarantineReadQuarantineMissedQuotaExceededQuotaUsedQuotaAllocatorQuotaMissedStreamResumeResolvedOriginsNotTold"
+	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelledPrefixImportedPrefixNotImportedRequestServedRequestShedUpstreamPassedOverRequestSuspectedRequestHeldRequestTriedRequestClearedQuarantineReadQuarantineMissedQuotaExceededQuotaUsedQuotaAllocatorQuotaMissedStreamResumeResolvedSoftwareNotConfirmedOriginsNotTold"
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailedPeersNotJoinedNewsNotHeardCaughtUpAggregatorChosenAggregatorMissed"
 	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepairedPublicationUnreadableWeightsNamedLeaseNotGivenBackLeaseLookedLeaseNotConfirmedLeaseGivenBack"
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
@@ -136,7 +137,7 @@
 )
 
 var (
-	_Event_index_0 = [...]uint16{0, 13, 28, 42, 56, 69, 82, 97, 112, 126, 143, 156, 167, 185, 201, 212, 224, 238, 252, 268, 281, 290, 304, 315, 335, 349}
+	_Event_index_0 = [...]uint16{0, 13, 28, 42, 56, 69, 82, 97, 112, 126, 143, 156, 167, 185, 201, 212, 224, 238, 252, 268, 281, 290, 304, 315, 335, 355, 369}
 	_Event_index_1 = [...]uint16{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215, 229, 241, 249, 265, 281}
 	_Event_index_2 = [...]uint16{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239, 260, 272, 289, 300, 317, 331}
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
@@ -148,7 +149,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 124:
+	case 100 <= i && i <= 125:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 200 <= i && i <= 218:
--- a/process/event/request.go
+++ b/process/event/request.go
@@ -50,6 +50,8 @@
 	QuotaMissed
 	// StreamResumeResolved: a caller asked for the rest of a stream of which it has the events up to After, and which its attempt Resumes began. Outcome says how Pool and Software were found where the stream began: OriginOwn, this node knew it; OriginTold, one of the nodes Asked did; OriginOnlyVersion, no node knew it, and one of the Versions alone has served recently; OriginUnknown, it was not found and the request is refused, as several Versions have served, or as no node asked reaches the register (Current is false). To do: if OriginUnknown continues, see whether callers name the attempt in Resumes, and whether the nodes that know were lost.
 	StreamResumeResolved
+	// SoftwareNotConfirmed: an engine that keeps its name over restarts gave the first event of a stream, and could not be shown to be the start that registered, while software versions differ; if the stream breaks, it can't go on. To do: if it continues for one upstream, check why the register lists it late, or why it does not answer.
+	SoftwareNotConfirmed
 	// OriginsNotTold: none of the Peers could be told where Streams of this node began; if this node is lost, their callers can't resume them while several software versions serve. To do: if it continues, check these nodes and the network path to them.
 	OriginsNotTold
 )
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -289,13 +289,14 @@
 		BeginWithin: func(name, model string) time.Duration {
 			return engineGuard.beginWithin(clock.BoottimeNow(), name, model)
 		},
-		Shedder:       do.MustInvoke[*shedding.Shedder](i),
-		CacheNews:     do.MustInvoke[*cachenews.EntryBuffer](i),
-		CacheContents: do.MustInvoke[*cachenews.Contents](i),
-		CacheStores:   do.MustInvoke[*view](i),
-		Quarantine:    do.MustInvoke[*quarantine.Tracker](i),
-		Observer:      metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
-		Log:           g.log,
+		Shedder:         do.MustInvoke[*shedding.Shedder](i),
+		CacheNews:       do.MustInvoke[*cachenews.EntryBuffer](i),
+		CacheContents:   do.MustInvoke[*cachenews.Contents](i),
+		CacheStores:     do.MustInvoke[*view](i),
+		Quarantine:      do.MustInvoke[*quarantine.Tracker](i),
+		SoftwareDiffers: do.MustInvoke[*origin.Tracker](i).Sharing,
+		Observer:        metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
+		Log:             g.log,
 	}, nil
 }
 
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -283,7 +283,7 @@
 	}
 	defer a.Close()
 	if x.in.LastEventID == "" {
-		x.recordOrigin(a.Info().Software)
+		x.recordOrigin(a.Info())
 	}
 	return x.relay(a)
 }
@@ -307,12 +307,12 @@
 const defaultResumeTime = time.Minute
 
 // recordOrigin records where the stream has begun, if its caller may resume it.
-func (x *servedRequest) recordOrigin(software string) {
-	if !x.route.Resumable {
+func (x *servedRequest) recordOrigin(i completion.Info) {
+	if !x.route.Resumable || i.SoftwareUnknown {
 		return
 	}
 	x.g.origins.begin(clock.BoottimeNow(), origin.Record{
-		Key: origin.KeyOf(x.workspace.Name, x.in.ID), Origin: origin.Origin{Pool: x.service.Name, Software: software}, Life: cmp.Or(x.in.Grant, defaultResumeTime),
+		Key: origin.KeyOf(x.workspace.Name, x.in.ID), Origin: origin.Origin{Pool: x.service.Name, Software: i.Software}, Life: cmp.Or(x.in.Grant, defaultResumeTime),
 	})
 }
 
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -106,12 +106,14 @@
 
 // Info is what is known of an answer when its first token has arrived.
 type Info struct {
-	Upstream     string
-	Version      string // weights version that produced the answer
-	Software     string // software version of the engine
-	PromptTokens int
-	CachedTokens int
-	Attempts     int // sends, including the one that was answered
+	Upstream string
+	Version  string // weights version that produced the answer
+	Software string // software version of the engine
+	// SoftwareUnknown says that the engine may have started again with other software.
+	SoftwareUnknown bool
+	PromptTokens    int
+	CachedTokens    int
+	Attempts        int // sends, including the one that was answered
 	// CacheUnknown says that the engine did not report how much it had cached.
 	CacheUnknown bool
 	// Passage is the head of a passthrough answer; nil otherwise.
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -200,6 +200,10 @@
 	// 0: no limit. nil: no limit for any engine.
 	BeginWithin func(upstream, model string) time.Duration
 
+	// SoftwareDiffers reports whether engines of several software versions may serve; nil: they
+	// don't.
+	SoftwareDiffers func() bool
+
 	transfers transfers
 }
 
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -151,7 +151,8 @@
 		a.abandon()
 		return nil, fmt.Errorf("first token: %w", ctx.Err())
 	}
-	s.pin = PinTo(u.Software)
+	s.pin = s.pinToFirstEngine(ctx, u)
+	a.info.SoftwareUnknown = s.pin.unknown
 	s.recordFirstToken(send, a)
 	return a, nil
 }
--- a/request/completion/software.go
+++ b/request/completion/software.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/samber/lo"
+	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
@@ -16,6 +18,7 @@
 // versions write don't fit together in one stream. The zero value restricts nothing.
 type SoftwarePin struct {
 	set     bool
+	unknown bool // the version is not known, so that no engine has it
 	version string
 }
 
@@ -40,7 +43,7 @@
 
 func (s *requestState) hasPinnedSoftware(name string) bool {
 	u, ok := s.rt.View.Catalogue().Config().Upstreams[name]
-	return ok && u.Software == s.pin.version
+	return ok && !s.pin.unknown && u.Software == s.pin.version
 }
 
 // errSoftwareGone means that no engine has the pinned software version any more.
@@ -55,10 +58,31 @@
 	if !s.pin.set {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	if err := s.rt.Upstreams.Engine(u).ConfirmStart(ctx); err != nil {
+	if err := s.confirmStart(ctx, u); err != nil {
 		return fmt.Errorf("%w: the engine's start is not confirmed: %v", upstream.ErrNotSent, err)
 	}
 	return nil
 }
+
+func (s *requestState) confirmStart(ctx context.Context, u config.Upstream) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return s.rt.Upstreams.Engine(u).ConfirmStart(ctx)
+}
+
+// pinToFirstEngine returns the pin of a request whose first event an engine has given. While versions
+// differ, the engine's start is confirmed now: had it started again before it answered, its entry would
+// name the software of the former start, and had it since, the stream would have broken.
+func (s *requestState) pinToFirstEngine(ctx context.Context, u config.Upstream) SoftwarePin {
+	if s.pin.set {
+		return s.pin
+	}
+	if s.rt.SoftwareDiffers == nil || !s.rt.SoftwareDiffers() {
+		return PinTo(u.Software)
+	}
+	if err := s.confirmStart(ctx, u); err != nil {
+		event.Info(s.rt.Log, event.SoftwareNotConfirmed, zap.String("Request", s.r.ID), zap.String("Upstream", u.Name), zap.Error(err))
+		return SoftwarePin{set: true, unknown: true}
+	}
+	return PinTo(u.Software)
+}
--- a/request/completion/software_test.go
+++ b/request/completion/software_test.go
@@ -147,6 +147,25 @@
 	}
 }
 
+// Guards against a stream that counts for the former software of an engine that has started again, and then
+// goes on there.
+func TestStreamOfRestartedEngineGoesOnNowhere(t *testing.T) {
+	for _, differs := range []bool{false, true} {
+		restarted := &fakeEngine{name: "a", engineScript: engineScript{cutAfter: 2, confirmErr: upstream.ErrAddressReused}}
+		other := &fakeEngine{name: "b"}
+		rt := newReleaseFixture(map[string]string{"a": "s1", "b": "s1"}, restarted, other).router()
+		rt.SoftwareDiffers = func() bool { return differs }
+		a, err := rt.Start(context.Background(), passthroughRequest())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = readAnswer(a)
+		if cut := errors.Is(err, failure.ErrStreamCut); cut != differs || a.Info().SoftwareUnknown != differs || (len(other.sends) == 0) != differs {
+			t.Errorf("versions differ %v: %v, %d sends elsewhere, %+v", differs, err, len(other.sends), a.Info())
+		}
+	}
+}
+
 // Guards against caches that engines of two software versions share.
 func TestCachesAreKeptBySoftwareVersion(t *testing.T) {
 	salts := map[string]bool{}
