Judge from the first stream on whether software versions may differ

The judgement is now made whenever it is needed, from the versions seen and whether the register is reached. Until the register has been read, versions may differ.

--- a/process/gateway/origins.go
+++ b/process/gateway/origins.go
@@ -76,10 +76,15 @@
 	}
 }
 
-// updateSharing makes this node tell the others of its streams while several versions serve, and
-// while it would not learn of another one.
+// versionsMayDiffer reports whether several versions have served recently, or may serve without this
+// node learning of it.
+func (o *origins) versionsMayDiffer(boot time.Time) bool {
+	return o.releases.Several(boot) || !o.roster.Reachable()
+}
+
+// updateSharing makes this node tell the others of its streams while versions may differ.
 func (o *origins) updateSharing(boot time.Time) {
-	if o.tracker.SetSharing(o.releases.Several(boot) || !o.roster.Reachable()) {
+	if o.tracker.SetSharing(o.versionsMayDiffer(boot)) {
 		o.wake()
 	}
 }
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -294,7 +294,7 @@
 		CacheContents:   do.MustInvoke[*cachenews.Contents](i),
 		CacheStores:     do.MustInvoke[*view](i),
 		Quarantine:      do.MustInvoke[*quarantine.Tracker](i),
-		SoftwareDiffers: do.MustInvoke[*origin.Tracker](i).Sharing,
+		SoftwareDiffers: func() bool { return g.origins.versionsMayDiffer(clock.BoottimeNow()) },
 		Observer:        metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
 		Log:             g.log,
 	}, nil
--- a/request/origin/origin.go
+++ b/request/origin/origin.go
@@ -146,13 +146,6 @@
 	return tell
 }
 
-// Sharing reports whether other nodes are told of this node's streams.
-func (t *Tracker) Sharing() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.sharing
-}
-
 // TakeUnsent returns the records that the other nodes are to be told and have not been told yet.
 func (t *Tracker) TakeUnsent(now time.Time) []Record {
 	t.mu.Lock()
