Send callers on where this node can't ask for a stream's origin

A caller whose stream has no known origin is told to begin anew. A node that has just started, or that none of the asked nodes answers, would have told so to callers whose streams other nodes know. It now refuses with a time to come back, at which another node may have the request. TestRefusalOfUnknownOrigin covers both ways.

Finding an origin is split into steps.

--- a/process/gateway/origins.go
+++ b/process/gateway/origins.go
@@ -16,6 +16,7 @@
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/limit"
 	"github.com/dunlinmill/dunlinmill/request/origin"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
@@ -180,34 +181,48 @@
 	return OriginReply{Known: known, Origin: began, Versions: o.releases.Recent(boot, q.Pool), Current: o.roster.Reachable()}
 }
 
-// errOriginUnknown means that a stream may have begun at any of several software versions.
-var errOriginUnknown = failure.ErrNotResumable.WithMessage("it is not known where the stream began; begin the request anew")
+// resolution is what a node has found out about a stream that a caller resumes.
+type resolution struct {
+	OriginReply     // of this node and of those that have answered
+	outcome         metric.Resume
+	asked, answered int // nodes
+}
 
 // resolve returns where a stream began that a caller of the workspace resumes. A stream that no node
 // knows began in the given pool at the only version that has served there, if there is just one.
 func (o *origins) resolve(ctx context.Context, in Inbound, workspace, pool string) (origin.Origin, error) {
 	began := time.Now()
-	q := OriginQuery{Key: origin.KeyOf(workspace, in.Resumes), Pool: pool}
+	r := o.find(ctx, OriginQuery{Key: origin.KeyOf(workspace, in.Resumes), Pool: pool})
+	o.metrics.RecordResume(r.outcome)
+	event.Info(o.log, event.StreamResumeResolved, zap.String("Request", in.ID), zap.String("Resumes", in.Resumes), zap.String("After", in.LastEventID),
+		zap.Stringer("Outcome", r.outcome), zap.String("Pool", r.Origin.Pool), zap.String("Software", r.Origin.Software), zap.Strings("Versions", r.Versions),
+		zap.Bool("Current", r.Current), zap.Int("Asked", r.asked), zap.Int("Answered", r.answered), zap.Duration("Took", time.Since(began)))
+	if r.outcome == metric.OriginUnknown {
+		return origin.Origin{}, r.refusal(in.ID, o.peers.hasJoined())
+	}
+	return r.Origin, nil
+}
+
+func (o *origins) find(ctx context.Context, q OriginQuery) resolution {
 	own := o.answer(clock.BoottimeNow(), q)
-	reply, asked := own, 0
+	r := resolution{OriginReply: own}
 	if !own.Known {
-		reply, asked = o.ask(ctx, q, own)
+		r = o.ask(ctx, q, own)
 	}
-	outcome := outcomeOf(own, reply)
-	switch outcome {
-	case metric.OriginOnlyVersion:
-		reply.Origin = origin.Origin{Pool: pool, Software: reply.Versions[0]}
-	case metric.OriginUnknown:
-		reply.Origin = origin.Origin{}
+	r.outcome = outcomeOf(own, r.OriginReply)
+	if r.outcome == metric.OriginOnlyVersion {
+		r.Origin = origin.Origin{Pool: q.Pool, Software: r.Versions[0]}
 	}
-	o.metrics.RecordResume(outcome)
-	event.Info(o.log, event.StreamResumeResolved, zap.String("Request", in.ID), zap.String("Resumes", in.Resumes), zap.String("After", in.LastEventID),
-		zap.Stringer("Outcome", outcome), zap.String("Pool", reply.Origin.Pool), zap.String("Software", reply.Origin.Software), zap.Strings("Versions", reply.Versions),
-		zap.Bool("Current", reply.Current), zap.Int("Asked", asked), zap.Duration("Took", time.Since(began)))
-	if outcome == metric.OriginUnknown {
-		return origin.Origin{}, errOriginUnknown
+	return r
+}
+
+// refusal returns the final answer to a request whose stream has no known origin. If this node could
+// ask no other one, those may know it, and the caller is asked to retry soon.
+func (r resolution) refusal(id string, joined bool) *failure.Error {
+	if !joined || r.asked > 0 && r.answered == 0 {
+		return failure.ErrNotResumable.WithMessage("this node can't find out where the stream began").WithRetryAfter(limit.AddJitter(0, id, retrySoon))
 	}
-	return reply.Origin, nil
+	return failure.ErrNotResumable.WithMessage("it is not known where the stream began; begin the request anew")
 }
 
 // outcomeOf returns how the origin was found, from what this node knows and what it knows after it has
@@ -225,30 +240,40 @@
 }
 
 // ask asks the nodes that may know a stream, all at once, until one knows it or all have answered.
-// It returns what this node and they know together, and how many were asked.
-func (o *origins) ask(ctx context.Context, q OriginQuery, own OriginReply) (OriginReply, int) {
+func (o *origins) ask(ctx context.Context, q OriginQuery, own OriginReply) resolution {
 	_, others := o.nodes()
 	candidates := origin.Candidates(q.Key, others)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	replies := make(chan OriginReply, len(candidates))
+	replies := make(chan *OriginReply, len(candidates)) // nil: no answer
 	for _, n := range candidates {
 		o.work.Go(func() {
-			var r OriginReply
-			_ = o.peers.call(ctx, n.Address, "Origin", q, &r) // a node that does not answer knows nothing
-			replies <- r
+			reply := &OriginReply{}
+			if o.peers.call(ctx, n.Address, "Origin", q, reply) != nil {
+				reply = nil // its caller logs how many have answered
+			}
+			replies <- reply
 		})
 	}
-	all := own
+	r := resolution{OriginReply: own, asked: len(candidates)}
 	for range candidates {
-		r := <-replies
-		all.Versions = lo.Union(all.Versions, r.Versions)
-		all.Current = all.Current || r.Current
+		if reply := <-replies; reply != nil {
+			r.add(*reply)
+		}
 		if r.Known {
-			all.Known, all.Origin = true, r.Origin
 			break
 		}
 	}
-	slices.Sort(all.Versions)
-	return all, len(candidates)
+	slices.Sort(r.Versions)
+	return r
+}
+
+// add adds a node's answer.
+func (r *resolution) add(reply OriginReply) {
+	r.answered++
+	r.Versions = lo.Union(r.Versions, reply.Versions)
+	r.Current = r.Current || reply.Current
+	if reply.Known {
+		r.Known, r.Origin = true, reply.Origin
+	}
 }
--- a/process/gateway/origins_test.go
+++ b/process/gateway/origins_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/origin"
 )
 
@@ -58,3 +59,26 @@
 		}
 	}
 }
+
+// Guards against callers that begin a stream anew, although another node knows where it began, and against
+// those that come back in vain.
+func TestRefusalOfUnknownOrigin(t *testing.T) {
+	cases := []struct {
+		name            string
+		joined          bool
+		asked, answered int
+		retries         bool
+	}{
+		{"the nodes that may know it don't", true, 3, 3, false},
+		{"some don't answer", true, 3, 1, false},
+		{"there are no others", true, 0, 0, false},
+		{"none answers", true, 3, 0, true},
+		{"the others are not known yet", false, 0, 0, true},
+	}
+	for _, c := range cases {
+		err := resolution{asked: c.asked, answered: c.answered}.refusal("a", c.joined)
+		if err.Ran != failure.NotRun || (err.RetryAfter > 0) != c.retries {
+			t.Errorf("%s: %v, retry after %s", c.name, err, err.RetryAfter)
+		}
+	}
+}
