Don't take register entries from nodes of an older build

The same class, between the nodes themselves: during a rolling update a node of the former build would have told its entries without the software version, and the others would have taken the engines for ones of another version, refused resumed streams and cut broken ones. Found by reading.

What a node has read from the register is told by a method that older nodes don't have, and theirs is gone, so that each reads by itself while both builds run. TestEntriesOfOlderBuildAreNotTaken guards it.

--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -39,7 +39,7 @@
 }
 
 // broadcastRegister sends the other nodes what this node has just read from the register.
-func (p *peers) broadcastRegister(r RegisterRead) { p.callAll("Register", r) }
+func (p *peers) broadcastRegister(r RegisterRead) { p.callAll("Entries", r) }
 
 // broadcastHolder sends the other nodes a sign that this node holds the duty.
 func (p *peers) broadcastHolder() { p.callAll("Holder", Heard{}) }
@@ -52,8 +52,10 @@
 	peers *peers
 }
 
-// Register applies what a peer has read from the register.
-func (h *enginesHandler) Register(r RegisterRead, _ *Heard) error {
+// Entries applies what a peer has read from the register. Nodes of an older build, whose entries lack
+// the software version, call another method, so that during a rolling update each node reads by
+// itself.
+func (h *enginesHandler) Entries(r RegisterRead, _ *Heard) error {
 	h.peers.learner.applyPeerRead(clock.BoottimeNow(), r)
 	if f := h.peers.register.Load(); f != nil {
 		f.RecordPeerRead(r.From, r.Next)
--- a/process/gateway/origins_test.go
+++ b/process/gateway/origins_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -82,3 +83,11 @@
 		}
 	}
 }
+
+// Guards against entries without a software version, which nodes of an older build send during a rolling
+// update.
+func TestEntriesOfOlderBuildAreNotTaken(t *testing.T) {
+	if _, found := reflect.TypeFor[*enginesHandler]().MethodByName("Register"); found {
+		t.Error("nodes of an older build can send their entries")
+	}
+}
