Confirm no start for streams that can't go on elsewhere

A request that may run once is never continued or resumed, so that the question to its engine only delays it. TestStartIsNotConfirmedForRunOnce.

--- a/request/completion/software.go
+++ b/request/completion/software.go
@@ -77,8 +77,8 @@
 	if s.pin.set {
 		return s.pin
 	}
-	if s.rt.SoftwareDiffers == nil || !s.rt.SoftwareDiffers() {
-		return PinTo(u.Software)
+	if !s.r.mayRepeat() || s.rt.SoftwareDiffers == nil || !s.rt.SoftwareDiffers() {
+		return PinTo(u.Software) // a request that may not be repeated goes on nowhere else
 	}
 	if err := s.confirmStart(ctx, u); err != nil {
 		event.Info(s.rt.Log, event.SoftwareNotConfirmed, zap.String("Request", s.r.ID), zap.String("Upstream", u.Name), zap.Error(err))
--- a/request/completion/software_test.go
+++ b/request/completion/software_test.go
@@ -166,6 +166,22 @@
 	}
 }
 
+// Guards against a delay of requests that can't go on elsewhere.
+func TestStartIsNotConfirmedForRunOnce(t *testing.T) {
+	rt := newReleaseFixture(nil, &fakeEngine{name: "a", engineScript: engineScript{confirmErr: upstream.ErrAddressReused}}).router()
+	rt.SoftwareDiffers = func() bool { return true }
+	r := passthroughRequest()
+	r.RunOnce = true
+	a, err := rt.Start(context.Background(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	if a.Info().SoftwareUnknown {
+		t.Error("the engine was asked")
+	}
+}
+
 // Guards against caches that engines of two software versions share.
 func TestCachesAreKeptBySoftwareVersion(t *testing.T) {
 	salts := map[string]bool{}
