Probe free ports while nothing is forked

A test that starts a process beside it forks, and the child has a copy of the probe's listener until it executes its program; the port is in use for as long.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -217,12 +217,22 @@
 	for len(addresses) < n {
 		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
 		ports.next++
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if isFree(address) {
+			addresses = append(addresses, address)
 		}
-		_ = ln.Close()
-		addresses = append(addresses, address)
 	}
 	return addresses
 }
+
+// isFree reports whether nothing listens at an address. Nothing is forked meanwhile: a child would have a
+// copy of the listener until it executes its program, and the port would be in use for as long.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = ln.Close()
+	return true
+}
