--- a/version/route/route_test.go
+++ b/version/route/route_test.go
@@ -47,3 +47,24 @@
 		t.Errorf("without targets: %q", s)
 	}
 }
+
+// Guards against a resumed stream that is sent to a service to which its route does not lead.
+func TestLeadsTo(t *testing.T) {
+	cases := []struct {
+		name    string
+		targets []Target
+		want    bool // for service a
+	}{
+		{"only service", []Target{{"a", 1}}, true},
+		{"only service, without a weight", []Target{{"a", 0}}, true},
+		{"one of two", []Target{{"b", 1}, {"a", 1}}, true},
+		{"one of two that gets nothing", []Target{{"b", 1}, {"a", 0}}, false},
+		{"another service", []Target{{"b", 1}}, false},
+		{"no service", nil, false},
+	}
+	for _, c := range cases {
+		if got := (Route{Targets: c.targets}).LeadsTo("a"); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
