Name a resumed stream's first attempt in our own words, and log it once

Cause: the name of the users' header field, Resumes, had spread from platform/ to the gateway's and the completion's types and to log lines, and RequestAnswered repeated for every answer what StreamResumeResolved says of the few that are resumed.

Change: the gateway's field and log field are FirstAttempt (LastEvent beside it); the completion's request no longer has it, as nothing there used it but that log line. platform/ alone knows the header's name. No decision is changed.

--- a/process/event/request.go
+++ b/process/event/request.go
@@ -4,7 +4,7 @@
 const (
 	// RequestPlaced: an upstream was chosen for a request, for the given reason; Content is the same for all tries of the same request, whatever their ids; CachedTokens is what the upstream's cache is expected to hold, Idle is the time that an engine without other work would take, Floored means that the request is sent although its wait exceeds the allowed one, because too few requests of its length were sent.
 	RequestPlaced Event = iota + 100
-	// RequestAnswered: the first token has arrived; CachedTokens is what the engine reports it had cached, Software its software version. If the caller asked for the rest of an earlier stream, After is the last event that it has, and Resumes its attempt that brought the first one.
+	// RequestAnswered: the first token has arrived; CachedTokens is what the engine reports it had cached, Software its software version.
 	RequestAnswered
 	// RequestRefused: the caller got a typed error before any answer; if the node had been told to stop, Leaving is the time from then to the refusal, and BegunAfterLeaving the time from then to the request's arrival.
 	RequestRefused
@@ -48,7 +48,7 @@
 	QuotaAllocator
 	// QuotaMissed: the node that was asked for what workspaces may use did not answer; another one is asked, and finally this one, which has only its own part of the quotas. To do: if it continues, check that node and the network path to it.
 	QuotaMissed
-	// StreamResumeResolved: a caller asked for the rest of a stream of which it has the events up to After, and which its attempt Resumes began. Outcome says how Pool and Software were found where the stream began: OriginOwn, this node knew it; OriginTold, one of the nodes Asked did, of which Answered have replied by then; OriginOnlyVersion, no node knew it, and one of the Versions alone has served recently; OriginUnknown, it was not found and the request is refused, as several Versions have served, or as no node asked reaches the register (Current is false). To do: if OriginUnknown continues, see whether callers name the attempt in Resumes, and whether the nodes that know were lost.
+	// StreamResumeResolved: a caller asked for the rest of a stream of which it has the events up to LastEvent, and which its attempt FirstAttempt began. Outcome says how Pool and Software were found where the stream began: OriginOwn, this node knew it; OriginTold, one of the nodes Asked did, of which Answered have replied by then; OriginOnlyVersion, no node knew it, and one of the Versions alone has served recently; OriginUnknown, it was not found and the request is refused, as several Versions have served, or as no node asked reaches the register (Current is false). To do: if OriginUnknown continues, see whether callers name the first attempt, and whether the nodes that know were lost.
 	StreamResumeResolved
 	// SoftwareNotConfirmed: an engine that keeps its name over restarts gave the first event of a stream, and could not be shown to be the start that registered, while software versions differ; if the stream breaks, it can't go on. To do: if it continues for one upstream, check why the register lists it late, or why it does not answer.
 	SoftwareNotConfirmed
--- a/process/gateway/origins.go
+++ b/process/gateway/origins.go
@@ -192,9 +192,9 @@
 // knows began in the given pool at the only version that has served there, if there is just one.
 func (o *origins) resolve(ctx context.Context, in Inbound, workspace, pool string) (origin.Origin, error) {
 	began := time.Now()
-	r := o.find(ctx, OriginQuery{Key: origin.KeyOf(workspace, in.Resumes), Pool: pool})
+	r := o.find(ctx, OriginQuery{Key: origin.KeyOf(workspace, in.FirstAttempt), Pool: pool})
 	o.metrics.RecordResume(r.outcome)
-	event.Info(o.log, event.StreamResumeResolved, zap.String("Request", in.ID), zap.String("Resumes", in.Resumes), zap.String("After", in.LastEventID),
+	event.Info(o.log, event.StreamResumeResolved, zap.String("Request", in.ID), zap.String("FirstAttempt", in.FirstAttempt), zap.String("LastEvent", in.LastEventID),
 		zap.Stringer("Outcome", r.outcome), zap.String("Pool", r.Origin.Pool), zap.String("Software", r.Origin.Software), zap.Strings("Versions", r.Versions),
 		zap.Bool("Current", r.Current), zap.Int("Asked", r.asked), zap.Int("Answered", r.answered), zap.Duration("Took", time.Since(began)))
 	if r.outcome == metric.OriginUnknown {
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -41,7 +41,9 @@
 	Parts       []prefix.Part
 	Declared    DeclaredTokens
 	LastEventID string // id of the last event that the caller has received
-	Resumes     string // ID of the caller's attempt that brought the first event; empty: not stated
+	// FirstAttempt is the ID of the caller's attempt that brought the first event of a resumed
+	// stream; empty: not stated.
+	FirstAttempt string
 }
 
 // DeclaredTokens is what a request declares about its tokens.
@@ -274,7 +276,6 @@
 		CacheScope:    x.scope(),
 		MaxRuns:       max(1, x.route.MaxRuns),
 		LastEventID:   x.in.LastEventID,
-		Resumes:       x.in.Resumes,
 		Software:      pin,
 		OnFurtherRun:  x.chargeExtraRun,
 	})
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -65,9 +65,6 @@
 	// LastEventID is the ID of the last event that the caller received from an
 	// earlier try.
 	LastEventID string
-	// Resumes is the ID of the attempt that brought the caller the first event of the
-	// stream that it asks for the rest of; empty: not stated.
-	Resumes string
 	// Software pins the request to the software version of the events that the caller has
 	// already; not set: it has none.
 	Software SoftwarePin
