Log the shared parts of a prompt as a request is placed

Cause: the logs name a digest of the whole request and the part shared most widely, so what requests that were interrupted at an end have in common can't be seen. Change: RequestPlaced names the parts of the prompt without the last.

--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/idempotency"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
@@ -89,6 +91,16 @@
 	return quarantine.DigestOf(parts...)
 }
 
+// sharedParts returns the declared parts that other requests may have too: all but the last, which
+// belongs to this request.
+func (r Request) sharedParts() []prefix.Part {
+	return r.DeclaredParts[:max(0, len(r.DeclaredParts)-1)]
+}
+
+func (r Request) sharedPartIDs() []string {
+	return lo.Map(r.sharedParts(), func(p prefix.Part, _ int) string { return p.ID })
+}
+
 // identity returns what determines which cached prefixes the request can use.
 func (r Request) identity() prefix.Identity {
 	return prefix.Identity{Workspace: cmp.Or(r.CacheScope, r.Workspace), Model: r.Model, Adapter: r.Adapter}
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -83,7 +83,7 @@
 		zap.String("Upstream", d.Upstream), zap.Stringer("Reason", d.Reason),
 		zap.Int("CachedTokens", d.CachedTokens), zap.Int("PromptTokens", s.chain.Tokens()),
 		zap.Duration("Wait", d.Wait), zap.Duration("Idle", d.IdleWait), zap.Float64("ReadRate", d.PrefillRate), zap.Bool("Floored", s.admittedByFloor), zap.Int("Attempt", s.attempts), zap.String("Source", cmp.Or(d.Source, d.FallbackSource)),
-		zap.Uint64("Shared", s.sharedPromptID()), zap.String("Held", s.rt.Upstreams.Version(d.Upstream, s.r.Model)))
+		zap.Uint64("Shared", s.sharedPromptID()), zap.Strings("Parts", s.r.sharedPartIDs()), zap.String("Held", s.rt.Upstreams.Version(d.Upstream, s.r.Model)))
 }
 
 // sharedPromptID returns the ID of the part of the prompt that other requests share:
