Hold a part of a prompt under which engines end one after the other

Callers saw: engines ended every half second, one under each request with a certain part in its prompt.

Cause: the quarantine knew requests by a digest of all of them, so requests that differ but for one part counted as first ones each. Ruled out: reports lost between the nodes (on three nodes and stand-in runners no Content came twice, and the part was in all requests that ended one); further sends multiply the ends (36 of 171) but don't bring them about.

Change: parts of a prompt are suspects beside the whole request. What has been answered, or is being answered for half a second, clears its parts, and an answer that had gone on for as long does not accuse them. What was at three ends that nothing else accounts for is held, a part only if the requests differed; what was there because of a held one is released. A part that one workspace alone was seen with is held for that workspace.

Why it works: sound requests have all other parts in common with the bad ones, so someone answers on these within seconds, and never on the bad part; it is at all ends that it brought about, others are at some of them.

--- a/process/event/request.go
+++ b/process/event/request.go
@@ -28,13 +28,13 @@
 	RequestShed
 	// UpstreamPassedOver: an engine was chosen whose weights are being replaced, and a request might not begin there within BeginWithin, the time that is left for the old weights; another engine is chosen. To do: if it continues, find out why the roll-out makes no progress.
 	UpstreamPassedOver
-	// RequestSuspected: an upstream's process ended while it had a request of this Content; Ends counts such ends, Nodes saw them, Age is the time since the first. Most such requests did not cause the end and are cleared.
+	// RequestSuspected: an upstream's process ended while it had a request of this Content, or one whose prompt has this Part, as Grain says; Ends counts such ends, Nodes saw them, Age is the time since the first. Most did not cause the end and are cleared.
 	RequestSuspected
-	// RequestHeld: several upstreams have ended, one after the other, while they had requests of this Content, and none has survived one; such requests are refused for Hold. To do: look at what the request asks, by its RequestPlaced lines, and at what the upstreams logged as they ended; inform its caller.
+	// RequestHeld: several upstreams have ended, one after the other, while they had requests of this Content, or with this Part in their prompts, and none has survived one; such requests are refused for Hold. To do: look at what the request asks, by its RequestPlaced lines, and at what the upstreams logged as they ended; inform its caller.
 	RequestHeld
-	// RequestTried: the time for which requests of this Content are held is over, and one is sent to see whether upstreams survive it now.
+	// RequestTried: the time for which requests of this Content or with this Part are held is over, and one is sent to see whether upstreams survive it now.
 	RequestTried
-	// RequestCleared: an upstream has survived a request of this Content, which is no longer held.
+	// RequestCleared: an upstream has survived a request of this Content or with this Part, or its Ends are accounted for by another one that is held; it is no longer held.
 	RequestCleared
 	// QuarantineRead: the held requests were read from the platform's records; Error names those that could not be read.
 	QuarantineRead
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -157,7 +157,7 @@
 		promptLength:   newHistogramVec("prompt_length_tokens", "Prompt tokens of judged requests, by whether they were Sent or Shed.", promptBuckets, "verdict"),
 		retries:        newCounterVec("retries_total", "Requests that were sent again, resumed or continued.", "kind"),
 		imports:        newCounterVec("imports_total", "Decided imports of a prefix from another engine's cache, by result.", "result"),
-		quarantine:     newCounterVec("quarantine_total", "Requests under which upstreams ended: suspected, held, turned away, tried again or cleared.", "step"),
+		quarantine:     newCounterVec("quarantine_total", "Requests, and parts of prompts, under which upstreams ended: suspected, held, turned away, tried again or cleared.", "grain", "step"),
 		inFlight:       newGauge("in_flight_requests", "Requests that this node has taken and not ended."),
 		queueLength:    newGauge("queued_requests", "Requests that wait for an upstream."),
 		configOffset:   newGauge("config_offset", "Log offset of the configuration in force."),
@@ -233,9 +233,11 @@
 // RecordImport counts an import.
 func (m *Metrics) RecordImport(i Import) { m.imports.WithLabelValues(i.String()).Inc() }
 
-// Quarantined counts a step in the quarantine of a request during which
+// Quarantined counts a step in the quarantine of a request, or a part of a prompt, during which
 // upstreams may have crashed.
-func (m *Metrics) Quarantined(s quarantine.Step) { m.quarantine.WithLabelValues(s.String()).Inc() }
+func (m *Metrics) Quarantined(g quarantine.Grain, s quarantine.Step) {
+	m.quarantine.WithLabelValues(g.String(), s.String()).Inc()
+}
 
 // RequestStarted counts a request that this node has accepted.
 func (m *Metrics) RequestStarted() { m.inFlight.Inc() }
--- a/request/call/call.go
+++ b/request/call/call.go
@@ -61,12 +61,13 @@
 	return r.Repeatable
 }
 
-// content returns the digest that all tries of the same request have in common.
-func (r Request) content() quarantine.Digest {
-	if r.Content != 0 {
-		return r.Content
+// content returns what all tries of the same request have in common. A call has no prompt.
+func (r Request) content() quarantine.Content {
+	c := quarantine.Content{Request: r.Content, Workspace: r.Workspace}
+	if c.Request == 0 {
+		c.Request = quarantine.DigestOf([]byte(r.Workspace), []byte(r.Service), []byte(r.Method), []byte(r.Path), r.Body)
 	}
-	return quarantine.DigestOf([]byte(r.Workspace), []byte(r.Service), []byte(r.Method), []byte(r.Path), r.Body)
+	return c
 }
 
 func (r Request) upstreamCall() upstream.Call {
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -133,7 +133,7 @@
 type callState struct {
 	rt         *Router
 	r          Request
-	content    quarantine.Digest
+	content    quarantine.Content
 	instances  catalogue.List
 	claim      *journal.Claim // nil for a call without a key
 	attempts   int
@@ -246,12 +246,12 @@
 		s.rt.Guard.RecordRequest(s.r.Workspace, u.Name)
 	}
 	event.Info(s.rt.Log, event.RequestPlaced, zap.String("Request", s.r.ID),
-		zap.Stringer("Content", s.content), zap.String("Workspace", s.r.Workspace), zap.String("Service", s.r.Service),
+		zap.Stringer("Content", s.content.Request), zap.String("Workspace", s.r.Workspace), zap.String("Service", s.r.Service),
 		zap.String("Upstream", u.Name), zap.Int("Attempt", s.attempts))
 	reply, err := s.callInstance(ctx, now, u)
 	took := time.Since(now)
 	s.rt.Guard.End(time.Now(), u.Name, guard.SendResult{Err: err, FirstToken: took})
-	s.rt.Quarantine.ReportResult(time.Now(), s.content, u.Name, err)
+	s.rt.Quarantine.ReportResult(time.Now(), s.content, quarantine.Result{Upstream: u.Name, Err: err})
 	if err != nil {
 		if !retry.SurelyNotRun(err) {
 			s.mayHaveRun = true
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
@@ -95,6 +96,7 @@
 	for {
 		t, err := a.readToken()
 		if err == nil {
+			a.reportAnswering(time.Now())
 			return a.deliver(t), nil
 		}
 		if err := a.recoverStream(err); err != nil {
@@ -119,6 +121,20 @@
 	return t, err
 }
 
+// reportAnswering clears the parts of the prompt once the engine has answered for long enough.
+func (a *Answer) reportAnswering(now time.Time) {
+	if a.send.partsSurvived || a.send.answeringFor(now) < quarantine.PartSurvival {
+		return
+	}
+	a.send.partsSurvived = true
+	a.state.rt.Quarantine.ReportAnswering(now, a.state.content)
+}
+
+// reportResult tells the quarantine how the current send has ended.
+func (a *Answer) reportResult(now time.Time, err error) {
+	a.state.rt.Quarantine.ReportResult(now, a.state.content, quarantine.Result{Upstream: a.engine.Name, Err: err, Answering: a.send.answeringFor(now)})
+}
+
 func (a *Answer) deliver(t upstream.Token) Token {
 	a.lastIndex = t.Index
 	out := Token{Index: a.delivered.count, Text: t.Text, Finish: t.Finish}
@@ -136,7 +152,7 @@
 // same engine, which still holds it if only the connection broke. Otherwise it
 // continues the answer on another engine after the text already returned.
 func (a *Answer) recoverStream(cause error) error {
-	a.state.rt.Quarantine.ReportResult(time.Now(), a.state.content, a.engine.Name, cause)
+	a.reportResult(time.Now(), cause)
 	if err := a.state.ctx.Err(); err != nil {
 		return failure.FromContext(a.state.ctx).WithRan(failure.Unknown).WithCause(err)
 	}
@@ -257,7 +273,7 @@
 	}
 	now := time.Now()
 	if a.finished {
-		a.state.rt.Quarantine.ReportResult(now, a.state.content, a.engine.Name, nil)
+		a.reportResult(now, nil)
 	}
 	a.send.end(now, a.streamErr)
 	if a.state.claim != nil {
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -79,8 +79,22 @@
 // run.
 func (r Request) mayRepeat() bool { return !r.Key.IsSet() && !r.RunOnce }
 
-// content returns the digest that all tries of the same request have in common.
-func (r Request) content() quarantine.Digest {
+// content returns what the request has in common with its other tries, and the parts of its prompt
+// that it may have in common with other requests.
+func (r Request) content() quarantine.Content {
+	return quarantine.Content{Request: r.digest(), Workspace: r.Workspace, Parts: r.quarantineParts()}
+}
+
+func (r Request) quarantineParts() []quarantine.Part {
+	if r.Passage != nil {
+		return lo.Map(r.sharedParts(), func(p prefix.Part, _ int) quarantine.Part { return quarantine.NewPart(p.ID) })
+	}
+	shared := r.Messages[:min(quarantine.MaxParts, max(0, len(r.Messages)-1))]
+	return lo.Map(shared, func(m prefix.Message, _ int) quarantine.Part { return quarantine.NewTextPart(m.Role, m.Content) })
+}
+
+// digest returns the digest that all tries of the same request have in common.
+func (r Request) digest() quarantine.Digest {
 	if r.Content != 0 {
 		return r.Content
 	}
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -10,6 +10,7 @@
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
@@ -18,6 +19,9 @@
 // same weights version. Other weights would splice the texts of two models.
 func (s *requestState) startContinuation(delivered *deliveredOutput, version string) (*Answer, error) {
 	now := time.Now()
+	if err := s.rt.Quarantine.Admit(now, s.content); err != nil {
+		return nil, retry.QuarantineRefusal(s.r.ID, s.mayHaveRun, err)
+	}
 	p := s.rt.Policies.Policy(now, s.target.group)
 	pr := s.placementRequest(now)
 	pr.Excluded = append(pr.Excluded, s.upstreamsWithOtherWeights(version)...)
@@ -64,14 +68,14 @@
 		err = watch.stopAndClassify(err)
 		cancel()
 		send.end(time.Now(), err)
-		s.rt.Quarantine.ReportResult(time.Now(), s.content, u.Name, err)
+		s.rt.Quarantine.ReportResult(time.Now(), s.content, quarantine.Result{Upstream: u.Name, Err: err})
 		return nil, err
 	}
 	a := newAnswer(s, send, u, g, stream, cancel)
 	if err := watch.stopAndClassify(a.readFirstToken()); err != nil {
 		a.abandon()
 		send.end(time.Now(), err)
-		s.rt.Quarantine.ReportResult(time.Now(), s.content, u.Name, err)
+		s.rt.Quarantine.ReportResult(time.Now(), s.content, quarantine.Result{Upstream: u.Name, Err: err})
 		return nil, err
 	}
 	send.recordFirstToken(time.Now(), stream.Head(), time.Since(send.startedAt))
--- a/request/completion/enginesend.go
+++ b/request/completion/enginesend.go
@@ -22,7 +22,9 @@
 	firstToken  time.Duration
 	incarnation uint64
 	ended       bool
-	peerChain   prefix.Chain // prefix levels that are reported to peers
+	// partsSurvived says that the parts of the prompt were reported as survived.
+	partsSurvived bool
+	peerChain     prefix.Chain // prefix levels that are reported to peers
 }
 
 // beginSend takes a slot on the decided engine. It returns false if another request
@@ -63,6 +65,14 @@
 	e.rt.CacheNews.AddAnswer(now, e.decision.Upstream, e.peerChain, a)
 }
 
+// answeringFor returns how long the engine has been answering; 0 before its first token.
+func (e *engineSend) answeringFor(now time.Time) time.Duration {
+	if e.firstToken == 0 {
+		return 0
+	}
+	return now.Sub(e.startedAt.Add(e.firstToken))
+}
+
 func (e *engineSend) end(now time.Time, err error) {
 	if e.ended {
 		return
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -16,6 +16,7 @@
 	"github.com/dunlinmill/dunlinmill/request/failure"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/prefix"
+	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
@@ -71,7 +72,7 @@
 	if err != nil {
 		endedAt := time.Now()
 		send.end(endedAt, err)
-		s.rt.Quarantine.ReportResult(endedAt, s.content, u.Name, err)
+		s.rt.Quarantine.ReportResult(endedAt, s.content, quarantine.Result{Upstream: u.Name, Err: err})
 		return nil, u.Name, fmt.Errorf("upstream %s: %w", u.Name, err)
 	}
 	return a, u.Name, nil
@@ -79,7 +80,7 @@
 
 func (s *requestState) logPlacement(d placement.Decision) {
 	event.Info(s.rt.Log, event.RequestPlaced, zap.String("Request", s.r.ID),
-		zap.Stringer("Content", s.content), zap.String("Workspace", s.r.Workspace), zap.String("Model", s.r.Model),
+		zap.Stringer("Content", s.content.Request), zap.String("Workspace", s.r.Workspace), zap.String("Model", s.r.Model),
 		zap.String("Upstream", d.Upstream), zap.Stringer("Reason", d.Reason),
 		zap.Int("CachedTokens", d.CachedTokens), zap.Int("PromptTokens", s.chain.Tokens()),
 		zap.Duration("Wait", d.Wait), zap.Duration("Idle", d.IdleWait), zap.Float64("ReadRate", d.PrefillRate), zap.Bool("Floored", s.admittedByFloor), zap.Int("Attempt", s.attempts), zap.String("Source", cmp.Or(d.Source, d.FallbackSource)),
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -54,7 +54,7 @@
 	rt         *Router
 	ctx        context.Context // of the whole answer; ends when the caller goes away
 	r          Request
-	content    quarantine.Digest
+	content    quarantine.Content
 	startedAt  time.Time
 	chain      prefix.Chain
 	target     target
--- a/request/quarantine/entry.go
+++ b/request/quarantine/entry.go
@@ -1,28 +1,43 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 )
 
-// maxEnds bounds the ends that are kept of one request. Further ends add no
-// information.
-const maxEnds = 8
+// Bounds of the ends that are kept of one request, or of one part. Further ends add no
+// information. A held part accounts for the ends of others, so more of its ends are kept.
+const (
+	maxEnds     = 8
+	maxPartEnds = 16
+)
 
 // End records that an upstream's process ended while it handled a request.
 type End struct {
 	Upstream uint64 // digest of the upstream's name
 	Node     string // node that observed the end
 	At       time.Time
+	// Request and Workspace are of the request with the part; 0 for an end of a whole request.
+	Request   Digest
+	Workspace uint64 // digest of the workspace's name
+}
+
+// isSame reports whether two reports are of the same end.
+func (o End) isSame(k End) bool {
+	return k.Upstream == o.Upstream && k.At.Sub(o.At).Abs() < sameEndWindow
 }
 
-// entry is what is known of one request.
+// entry is what is known of one request, or of one part of prompts.
 type entry struct {
+	level      int    // 0: a request; n: a part, the nth of its prompt
+	partID     string // empty: a request, or a part without an ID
 	ends       []End
 	survivedAt time.Time // when an upstream last survived it; zero if unknown
 	heldUntil  time.Time // zero if it is not held
@@ -34,13 +49,40 @@
 
 func (e *entry) isHeld() bool { return !e.heldUntil.IsZero() }
 
+func (e *entry) isPart() bool { return e.level > 0 }
+
+func (e *entry) grain() Grain {
+	if e.isPart() {
+		return PromptPart
+	}
+	return Request
+}
+
+func (e *entry) maxEnds() int {
+	if e.isPart() {
+		return maxPartEnds
+	}
+	return maxEnds
+}
+
+// isHeldFor reports whether the requests of a workspace are held. A part that one workspace
+// alone was seen with is held for that workspace only: callers state the parts of their prompts,
+// so one of them could accuse the part of another.
+func (e *entry) isHeldFor(workspace string) bool {
+	if !e.isHeld() || !e.isPart() {
+		return e.isHeld()
+	}
+	w := xxhash.Sum64String(workspace)
+	return lo.ContainsBy(e.ends, func(o End) bool { return o.Workspace == w || o.Workspace != e.ends[0].Workspace })
+}
+
 // addEnd adds an end, and reports whether it was new.
 func (e *entry) addEnd(o End) bool {
-	full := len(e.ends) >= maxEnds
+	full := len(e.ends) >= e.maxEnds()
 	if !o.At.After(e.survivedAt) || full && o.At.Before(e.ends[0].At) {
 		return false
 	}
-	if lo.ContainsBy(e.ends, func(k End) bool { return k.Upstream == o.Upstream && k.At.Sub(o.At).Abs() < sameEndWindow }) {
+	if lo.ContainsBy(e.ends, o.isSame) {
 		return false
 	}
 	if full {
@@ -78,7 +120,10 @@
 
 // logFields returns the fields of a log line about the request.
 func (e *entry) logFields(now time.Time, c Digest) []zap.Field {
-	fields := []zap.Field{zap.Stringer("Content", c), zap.Int("Ends", len(e.ends)), zap.Strings("Nodes", e.nodes())}
+	fields := []zap.Field{zap.Stringer("Content", c), zap.Stringer("Grain", e.grain()), zap.Int("Ends", len(e.ends)), zap.Strings("Nodes", e.nodes())}
+	if e.partID != "" {
+		fields = append(fields, zap.String("Part", e.partID))
+	}
 	if len(e.ends) > 0 {
 		fields = append(fields, zap.Duration("Age", now.Sub(e.ends[0].At)))
 	}
@@ -95,5 +140,9 @@
 
 // describe returns the reason for a hold, for an error message.
 func (e *entry) describe(now time.Time) string {
-	return fmt.Sprintf("%d upstream ends, observed by %s; held for another %v", len(e.ends), strings.Join(e.nodes(), ", "), e.heldUntil.Sub(now).Round(time.Second))
+	reason := fmt.Sprintf("%d upstream ends, observed by %s; held for another %v", len(e.ends), strings.Join(e.nodes(), ", "), e.heldUntil.Sub(now).Round(time.Second))
+	if e.isPart() {
+		return fmt.Sprintf("part %d of its prompt (%s): %s", e.level, cmp.Or(e.partID, "without an ID"), reason)
+	}
+	return reason
 }
--- a/request/quarantine/record.go
+++ b/request/quarantine/record.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // recordSlots bounds the records that are stored permanently. The key of a held request's
@@ -40,6 +42,13 @@
 	}
 }
 
+// queueOwnSave is queueSave if this node observed one of the ends.
+func (b *Tracker) queueOwnSave(c Digest, e *entry) {
+	if lo.ContainsBy(e.ends, func(o End) bool { return o.Node == b.node }) {
+		b.queueSave(c)
+	}
+}
+
 // UnsavedReady returns a channel that receives a value when TakeUnsaved has records to
 // return.
 func (b *Tracker) UnsavedReady() <-chan struct{} { return b.unsavedReady }
--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -38,6 +38,10 @@
 	// once, so it is running whenever some of them end. During a longer window, a
 	// request that crashes engines after a change of weights could go on ending them.
 	survivalWindow = 5 * time.Second
+	// PartSurvival is how long an answer has to go on for the parts of its prompt to be ruled out
+	// as the cause of an end. Only the first moments of an answer can tell of them: a part ends an
+	// upstream's process as it begins to answer.
+	PartSurvival = 500 * time.Millisecond
 	// endRetention is how long an end counts against a request.
 	endRetention = 10 * time.Minute
 	// clearedRetention is how long a cleared request is remembered as such. It is
@@ -70,8 +74,8 @@
 
 // Observer counts what happens to suspected requests.
 type Observer interface {
-	// Quarantined counts one step of a request.
-	Quarantined(s Step)
+	// Quarantined counts one step of a request, or of a part of prompts.
+	Quarantined(g Grain, s Step)
 }
 
 //go:generate go tool stringer -type=Step -output=step_string.go
@@ -119,25 +123,35 @@
 
 // Admit returns nil if a request may be sent, and an error that wraps ErrHeld if
 // not. When its hold is over, the request is admitted once, as a trial.
-func (b *Tracker) Admit(now time.Time, c Digest) error {
+func (b *Tracker) Admit(now time.Time, c Content) error {
 	if b == nil {
 		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.entries[c]
-	if e == nil || !e.isHeld() {
-		return nil
+	var trials []suspect
+	for _, s := range c.suspects() {
+		e := b.entries[s.Digest]
+		if e == nil || !e.isHeldFor(c.Workspace) {
+			continue
+		}
+		if now.Before(e.heldUntil.Add(b.trialDelay(s.Digest))) {
+			b.observer.Quarantined(e.grain(), TurnedAway)
+			return fmt.Errorf("%w: %s", ErrHeld, e.describe(now))
+		}
+		trials = append(trials, s)
 	}
-	if now.Before(e.heldUntil.Add(b.trialDelay(c))) {
-		b.observer.Quarantined(TurnedAway)
-		return fmt.Errorf("%w: %s", ErrHeld, e.describe(now))
+	for _, s := range trials {
+		b.beginTrial(now, s.Digest, b.entries[s.Digest])
 	}
+	return nil
+}
+
+func (b *Tracker) beginTrial(now time.Time, c Digest, e *entry) {
 	e.trial, e.heldUntil = now, now.Add(maxTrial)
 	b.markLocalChange(now, e)
-	b.observer.Quarantined(Tried)
+	b.observer.Quarantined(e.grain(), Tried)
 	event.Info(b.log, event.RequestTried, e.logFields(now, c)...)
-	return nil
 }
 
 // trialDelay returns this node's delay of a trial, which differs between nodes.
@@ -148,68 +162,110 @@
 
 // ForbidsRetry reports whether a request must not be sent on to another upstream
 // after one has ended while it handled the request.
-func (b *Tracker) ForbidsRetry(now time.Time, c Digest) bool {
+func (b *Tracker) ForbidsRetry(now time.Time, c Content) bool {
 	if b == nil {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.entries[c]
-	return e != nil && !e.expired(now) && (e.isHeld() || len(e.ends) >= noRetryThreshold)
+	held := b.held()
+	return lo.ContainsBy(c.suspects(), func(s suspect) bool {
+		e := b.entries[s.Digest]
+		return e != nil && !e.expired(now) && (e.isHeldFor(c.Workspace) || len(unexplainedEnds(s.Digest, e, held)) >= noRetryThreshold)
+	})
 }
 
 // ForbidsRetryAfter is ForbidsRetry for a request whose send has just failed with
 // an error. Only the end of the upstream's process counts against the request.
-func (b *Tracker) ForbidsRetryAfter(now time.Time, c Digest, cause error) bool {
+func (b *Tracker) ForbidsRetryAfter(now time.Time, c Content, cause error) bool {
 	return errors.Is(cause, upstream.ErrProcessEnded) && b.ForbidsRetry(now, c)
 }
 
-// ReportResult records the result of a send to an upstream; a nil error is a
-// complete answer. A complete answer in which the upstream reports a failure also
-// shows that the upstream is alive. Other errors, such as a lost connection or a
-// caller that has disconnected, say nothing about the request.
-func (b *Tracker) ReportResult(now time.Time, c Digest, name string, err error) {
+// Result is the result of one send to an upstream.
+type Result struct {
+	Upstream string
+	Err      error // nil: a complete answer
+	// Answering is how long the upstream had been passing on the answer; 0: it had not begun.
+	Answering time.Duration
+}
+
+// ReportResult records the result of a send. A complete answer in which the upstream
+// reports a failure also shows that the upstream is alive, but not that it bears the prompt. Other
+// errors, such as a lost connection or a caller that has disconnected, say nothing about the request.
+func (b *Tracker) ReportResult(now time.Time, c Content, r Result) {
 	var failed *upstream.FailedReply
 	switch {
-	case err == nil, errors.As(err, &failed):
+	case r.Err == nil:
 		b.ReportSurvival(now, c)
-	case errors.Is(err, upstream.ErrProcessEnded):
-		b.ReportEnd(now, c, name)
+	case errors.As(r.Err, &failed):
+		b.ReportSurvival(now, Content{Request: c.Request})
+	case !errors.Is(r.Err, upstream.ErrProcessEnded):
+	case r.Answering >= PartSurvival:
+		b.ReportEnd(now, Content{Request: c.Request}, r.Upstream)
+	default:
+		b.ReportEnd(now, c, r.Upstream)
+	}
+}
+
+// ReportAnswering records that an upstream has been passing on the answer to a request for at least
+// PartSurvival, which clears the parts of its prompt.
+func (b *Tracker) ReportAnswering(now time.Time, c Content) {
+	if b == nil {
+		return
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.recordSurvival(now, c.partSuspects())
 }
 
 // ReportEnd records that an upstream's process has ended while it handled the
 // request.
-func (b *Tracker) ReportEnd(now time.Time, c Digest, upstream string) {
-	if b == nil || c == 0 {
+func (b *Tracker) ReportEnd(now time.Time, c Content, upstream string) {
+	if b == nil || c.Request == 0 {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.survivals.hasRecent(now, c) {
-		return
+	for _, s := range c.suspects() {
+		if b.survivals.hasRecent(now, s.Digest) {
+			continue
+		}
+		o := End{Upstream: xxhash.Sum64String(upstream), Node: b.node, At: now}
+		if s.level > 0 {
+			o.Request, o.Workspace = c.Request, xxhash.Sum64String(c.Workspace)
+		}
+		b.recordEnd(now, s, o)
 	}
-	e := b.entryFor(now, c)
-	if !e.addEnd(End{Upstream: xxhash.Sum64String(upstream), Node: b.node, At: now}) {
+}
+
+func (b *Tracker) recordEnd(now time.Time, s suspect, o End) {
+	e := b.entryFor(now, s)
+	if !e.addEnd(o) {
 		return
 	}
 	b.markLocalChange(now, e)
-	b.observer.Quarantined(Suspected)
-	event.Info(b.log, event.RequestSuspected, e.logFields(now, c)...)
-	b.holdIfDue(now, c, e)
+	b.observer.Quarantined(e.grain(), Suspected)
+	event.Info(b.log, event.RequestSuspected, e.logFields(now, s.Digest)...)
+	b.applyNewEnd(now, s.Digest, e)
 }
 
 // ReportSurvival records that an upstream answered the request completely and is
 // alive.
-func (b *Tracker) ReportSurvival(now time.Time, c Digest) {
-	if b == nil || c == 0 {
+func (b *Tracker) ReportSurvival(now time.Time, c Content) {
+	if b == nil || c.Request == 0 {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.survivals.add(now, c)
-	if e := b.entries[c]; e != nil {
-		b.clearLocally(now, now, c, e)
+	b.recordSurvival(now, c.suspects())
+}
+
+func (b *Tracker) recordSurvival(now time.Time, survived []suspect) {
+	for _, s := range survived {
+		b.survivals.add(now, s.Digest)
+		if e := b.entries[s.Digest]; e != nil {
+			b.clearLocally(now, now, s.Digest, e)
+		}
 	}
 }
 
@@ -226,23 +282,6 @@
 	}
 }
 
-// holdIfDue holds a request during which enough upstreams have ended. An end during
-// its trial holds it for longer; later ends of sends that were already running change
-// nothing.
-func (b *Tracker) holdIfDue(now time.Time, c Digest, e *entry) {
-	if len(e.ends) < holdThreshold || e.isHeld() && !e.inTrial(now) {
-		return
-	}
-	e.holdCount++
-	e.trial = time.Time{}
-	e.heldUntil = now.Add(holdDuration(e.holdCount))
-	if lo.ContainsBy(e.ends, func(o End) bool { return o.Node == b.node }) {
-		b.queueSave(c)
-	}
-	b.observer.Quarantined(Held)
-	event.Warn(b.log, event.RequestHeld, e.logFields(now, c)...)
-}
-
 // holdDuration returns the duration of the nth hold in a row.
 func holdDuration(n int) time.Duration {
 	d := initialHold
@@ -264,24 +303,26 @@
 	if len(e.ends) == before {
 		return false
 	}
-	if len(e.ends) < holdThreshold {
-		e.heldUntil, e.trial, e.holdCount = time.Time{}, time.Time{}, 0
-		b.observer.Quarantined(Cleared)
-		event.Info(b.log, event.RequestCleared, e.logFields(now, c)...)
+	if !isDue(c, e, b.held()) {
+		b.release(now, c, e)
 	}
 	return true
 }
 
-// entryFor returns the entry of a request, and adds an empty one if there is none.
-func (b *Tracker) entryFor(now time.Time, c Digest) *entry {
-	if e := b.entries[c]; e != nil {
+// maxPartIDLength bounds the IDs of parts that are kept for the log.
+const maxPartIDLength = 64
+
+// entryFor returns the entry of a suspect, and adds an empty one if there is none.
+func (b *Tracker) entryFor(now time.Time, s suspect) *entry {
+	if e := b.entries[s.Digest]; e != nil {
+		e.level = max(e.level, s.level)
 		return e
 	}
 	if len(b.entries) >= maxEntries {
 		b.evict(now)
 	}
-	e := &entry{}
-	b.entries[c] = e
+	e := &entry{level: s.level, partID: s.ID[:min(len(s.ID), maxPartIDLength)]}
+	b.entries[s.Digest] = e
 	return e
 }
 
--- a/request/quarantine/updates.go
+++ b/request/quarantine/updates.go
@@ -28,10 +28,12 @@
 	maxKnownUpdates = 512
 )
 
-// Update is the state of one request as one node sends it to another, or records it.
-// Ages are relative to the time of sending.
+// Update is the state of one request, or of one part of prompts, as one node sends it to another, or
+// records it. Ages are relative to the time of sending.
 type Update struct {
 	Content Digest
+	Level   int    `json:",omitempty"` // 0: a request; n: a part, the nth of its prompt
+	Part    string `json:",omitempty"` // ID of the part
 	Ends    []EndReport
 	// Held is how much longer the request is held; 0 if it is not held or its trial
 	// is due.
@@ -44,9 +46,11 @@
 
 // EndReport is an End with its age in place of its time.
 type EndReport struct {
-	Upstream uint64
-	Node     string
-	Age      time.Duration
+	Upstream  uint64
+	Node      string
+	Age       time.Duration
+	Request   Digest `json:",omitempty"`
+	Workspace uint64 `json:",omitempty"`
 }
 
 // markLocalChange schedules an entry to be sent by this node.
@@ -134,8 +138,8 @@
 
 // update returns the entry as it is sent to another node.
 func (e *entry) update(now time.Time, c Digest) Update {
-	n := Update{Content: c, Holds: e.holdCount, Ends: lo.Map(e.ends, func(o End, _ int) EndReport {
-		return EndReport{Upstream: o.Upstream, Node: o.Node, Age: now.Sub(o.At)}
+	n := Update{Content: c, Level: e.level, Part: e.partID, Holds: e.holdCount, Ends: lo.Map(e.ends, func(o End, _ int) EndReport {
+		return EndReport{Upstream: o.Upstream, Node: o.Node, Age: now.Sub(o.At), Request: o.Request, Workspace: o.Workspace}
 	})}
 	if e.isHeld() {
 		n.Held = max(0, e.heldUntil.Sub(now))
@@ -162,20 +166,20 @@
 
 // merge adds one update. The caller holds the lock.
 func (b *Tracker) merge(now time.Time, n Update) {
-	e := b.entryFor(now, n.Content)
+	e := b.entryFor(now, suspect{Part: Part{Digest: n.Content, ID: n.Part}, level: n.Level})
 	if n.Survived {
 		b.clearEnds(now, now.Add(-n.SurvivedAge), n.Content, e)
 	}
 	added := false
 	for _, o := range n.Ends {
-		added = e.addEnd(End{Upstream: o.Upstream, Node: o.Node, At: now.Add(-o.Age)}) || added
+		added = e.addEnd(End{Upstream: o.Upstream, Node: o.Node, At: now.Add(-o.Age), Request: o.Request, Workspace: o.Workspace}) || added
 	}
 	if at, ok := b.survivals.timeOf(n.Content); ok {
 		b.clearLocally(now, at.Add(survivalWindow), n.Content, e)
 	}
 	if added {
 		e.changedAt = now
-		b.holdIfDue(now, n.Content, e)
+		b.applyNewEnd(now, n.Content, e)
 	}
 	if e.isHeld() && n.Held > 0 {
 		b.extendHold(now, e, n)
