Divide the stated rates of upstreams by what nodes' callers ask for

Callers saw: where upstreams state how many requests a second they take, and most callers connect to one node, that node refused most of what it read, although the upstreams took more: the other nodes' parts lay unused.

Cause: each node had an equal part of a stated rate, whatever its callers ask for.

Change: with each report to all peers a node tells how many requests a second its callers send, and the parts go by that; a node has a tenth of the mean at least. Fleets from 40 nodes on don't report to all peers and keep equal parts.

Why it works: all nodes reckon with the same reported demands, their own as well, so the parts add up to the rate but for the reports on their way.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -47,6 +47,7 @@
 	Placement []byte // see policy.EncodeSummary
 	Caches    []byte // see cachenews.Book
 	Endings   Endings
+	Demand    *float64               // requests a second from this node's callers; nil: from a node of an older build
 	Lengths   []shedding.LengthCount // nil: not due
 	Rates     []policy.GroupRates    // nil: not due
 	Use       *fleetload.Report      // nil: not due
@@ -121,7 +122,8 @@
 		e.sharer.shareOnce(ctx, now, others)
 		return time.Duration(float64(sharePause) * (1 + shareSpread*(2*rand.Float64()-1)))
 	}
-	v := Values{Node: e.node, Placement: e.policies.EncodedSummary(now, e.node, turn), Caches: e.cacheNews.EncodeUnsent(now, maxCacheNewsBytes), Endings: e.endings.unsent(now)}
+	demand := e.limiter.ReportDemand(now)
+	v := Values{Node: e.node, Placement: e.policies.EncodedSummary(now, e.node, turn), Caches: e.cacheNews.EncodeUnsent(now, maxCacheNewsBytes), Endings: e.endings.unsent(now), Demand: &demand}
 	if now.Sub(e.lengthsSentAt) >= lengthsPause {
 		e.lengthsSentAt = now
 		v.Lengths = e.lengths.LengthCounts(now)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
+	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
 	"github.com/dunlinmill/dunlinmill/version/rollout"
@@ -144,6 +145,7 @@
 	completions *completion.Router
 	calls       *call.Router
 	metrics     *metric.Metrics
+	limiter     *ratelimit.Limiter
 	keeper      *duty.Keeper
 	group       Group
 	stop        *drain.Stop
@@ -178,6 +180,7 @@
 	g.view = do.MustInvoke[*view](i)
 	g.quotas = do.MustInvoke[*quotas](i)
 	g.metrics = do.MustInvoke[*metric.Metrics](i)
+	g.limiter = do.MustInvoke[*ratelimit.Limiter](i)
 	g.origins = do.MustInvoke[*origins](i)
 	g.keeper = do.MustInvoke[*duty.Keeper](i)
 	for _, start := range []func() error{
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -69,6 +69,9 @@
 	h.peers.policies.MergeSummary(now, now, v.Node, v.Placement)
 	h.peers.policies.MergeCacheNews(now, v.Caches)
 	h.peers.endings.merge(now, v.Endings)
+	if v.Demand != nil {
+		h.peers.endings.notices.limiter.MergeDemand(now, v.Node, *v.Demand)
+	}
 	if v.Lengths != nil {
 		h.peers.lengths.MergeLengthCounts(now, v.Node, v.Lengths)
 	}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -91,6 +91,7 @@
 // ErrAnswerCut if part of an answer has. The end of ctx means that the caller went away.
 func (g *Gateway) Serve(ctx context.Context, now time.Time, in Inbound, out Sink) error {
 	g.metrics.RequestStarted()
+	g.limiter.RecordRequest(now)
 	defer g.metrics.RequestEnded()
 	x := &servedRequest{g: g, in: in, out: out, began: now}
 	// Ends a request that outlasts the grace while a failure can still be answered. A closed
--- a/request/ratelimit/ratelimit.go
+++ b/request/ratelimit/ratelimit.go
@@ -58,7 +58,8 @@
 	mu        sync.Mutex // guards the fields below
 	nodes     []string   // live nodes, this one included; empty while it does not know the others
 	upstreams map[string]*state
-	count     atomic.Int32         // of upstreams
+	count     atomic.Int32 // of upstreams
+	demands   demands
 	shares    map[string]slotShare // see SlotShare
 }
 
@@ -76,7 +77,7 @@
 
 // New returns a Limiter without limits.
 func New(node string) *Limiter {
-	return &Limiter{node: node, upstreams: map[string]*state{}, shares: map[string]slotShare{}}
+	return &Limiter{node: node, upstreams: map[string]*state{}, demands: demands{nodes: map[string]reportedDemand{}}, shares: map[string]slotShare{}}
 }
 
 // SetNodes sets the names of the live nodes, this one included.
@@ -245,7 +246,7 @@
 	}
 	if now.Sub(s.sharedAt) >= shareInterval {
 		s.sharedAt = now
-		s.ownRate = ownRate(r.node, r.nodes, name, s.limit.rate())
+		s.ownRate = ownRate(r.node, r.nodes, name, s.limit.rate(), r.demands.weights(now, r.nodes))
 	}
 	s.tokens = min(burst(s.ownRate), s.tokens+s.ownRate*max(0, now.Sub(s.filledAt).Seconds()))
 	s.filledAt = now
--- a/request/ratelimit/senders.go
+++ b/request/ratelimit/senders.go
@@ -1,9 +1,14 @@
 package ratelimit
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
 const (
@@ -30,18 +35,45 @@
 }
 
 // ownRate returns the part of an upstream's rate that a node may send; 0 if it is no
-// sender. The senders are the nodes with the highest hashes of their names and the
-// upstream's: nodes that know the same nodes choose the same senders, and another node's
-// coming or going changes one of them at most.
-func ownRate(node string, nodes []string, upstream string, rate float64) float64 {
+// sender. The senders are the nodes with the highest scores: nodes that know the same nodes
+// and weights choose the same senders, and another node's coming or going changes one of them
+// at most. They divide the rate by their weights; nil stands for equal ones.
+func ownRate(node string, nodes []string, upstream string, rate float64, weights map[string]float64) float64 {
 	senders := max(1, min(len(nodes), int(rate/minSenderRate)))
-	if !isSender(node, nodes, upstream, senders) {
+	if weights == nil {
+		if !isSender(node, nodes, upstream, senders) {
+			return 0
+		}
+		return rate / float64(senders)
+	}
+	chosen := chooseSenders(nodes, upstream, senders, weights)
+	if !lo.Contains(chosen, node) {
 		return 0
 	}
-	return rate / float64(senders)
+	return rate * weights[node] / lo.SumBy(chosen, func(n string) float64 { return weights[n] })
+}
+
+// chooseSenders returns the nodes with the highest scores.
+func chooseSenders(nodes []string, upstream string, count int, weights map[string]float64) []string {
+	scores := make(map[string]float64, len(nodes))
+	for _, n := range nodes {
+		scores[n] = senderScore(senderHash(n, upstream), weights[n])
+	}
+	sorted := slices.SortedFunc(maps.Keys(scores), func(a, b string) int {
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
+	})
+	return sorted[:min(count, len(sorted))]
+}
+
+// senderScore returns the score of a node by weighted rendezvous hashing: of two nodes, one with
+// twice the weight is ahead of the other for two of three upstreams.
+func senderScore(hash uint64, weight float64) float64 {
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
+	return math.Log(uniform) / weight
 }
 
-// isSender reports whether a node is one of a number of senders to an upstream.
+// isSender reports whether a node is one of a number of senders to an upstream, where all nodes have
+// the same weight: one of those with the highest hashes.
 func isSender(node string, nodes []string, upstream string, senders int) bool {
 	own, ahead, listed := senderHash(node, upstream), 0, false
 	for _, n := range nodes {
