Tell the end of a runner's process from the end of an answer without framing

Callers saw: a stream that has neither a length nor chunks, and whose runner's process ended before its first event, reached them as a whole answer without events. Where a part of prompts ends runners, runner after runner ended all the same.

Cause: such an answer ends with its connection, so an orderly close before the first event counted as its end, and as a sign that the runner bears the prompt. One that ended within an event counted as broken, but nobody asked whether the process had ended.

Change: a stream without an event isn't whole; a stream that is not whole by its end is judged as any other that breaks off, with the check of the process.

--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -47,6 +47,12 @@
 	}
 }
 
+// CutError returns the error of an answer whose end shows that it was cut off, though its framing
+// allows that end.
+func (s *Stream) CutError(cause error) error {
+	return s.wrapError("read body", fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, cause))
+}
+
 // readTrailer reads the trailer after the last chunk. It returns io.EOF if the trailer
 // is complete.
 func (s *Stream) readTrailer() error {
