Compare held entries only where their ends may be the same

Cause: with thousands of parts held, each further end compares the ends of all of them with each other, under the quarantine's lock.

--- a/request/quarantine/verdict.go
+++ b/request/quarantine/verdict.go
@@ -101,13 +101,20 @@
 
 func withoutExplained(ends []End, c Digest, e *entry, held []heldEntry) []End {
 	for _, h := range held {
-		if len(ends) > 0 && h.explains(e, c) {
+		if len(ends) > 0 && h.overlaps(e) && h.explains(e, c) {
 			ends = lo.Reject(ends, func(o End, _ int) bool { return lo.ContainsBy(h.ends, o.isSame) })
 		}
 	}
 	return ends
 }
 
+// overlaps reports whether two entries may have ends in common, as most held ones don't.
+func (e *entry) overlaps(o *entry) bool {
+	return len(e.ends) > 0 && len(o.ends) > 0 &&
+		e.ends[0].At.Sub(o.ends[len(o.ends)-1].At) < sameEndWindow &&
+		o.ends[0].At.Sub(e.ends[len(e.ends)-1].At) < sameEndWindow
+}
+
 // explains reports whether a held entry accounts for the ends that it has in common with another
 // one: it was there at more of them. Between equals the narrower one accounts for the wider one, a
 // request for its parts and a part for those before it, as less is refused if it is held.
