Simulate bad parts beside long answers and rare workspaces

Cause: the simulation had whole answers within a second and eight workspaces, so every sound part was cleared at once. Change: four more layouts: answers of up to 10 s with six bad requests a second, and 200 workspaces of 20 contexts with the bad part first, second, and of one workspace.

--- a/request/quarantine/part_test.go
+++ b/request/quarantine/part_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -46,6 +47,7 @@
 	crashRate           float64
 	bad                 []badPartSpec
 	sameWorkspaceForBad bool
+	maxAnswer           time.Duration // 0: stormMaxTime
 }
 
 // storm simulates callers, nodes and engines in virtual time.
@@ -125,7 +127,7 @@
 		s.lateSends[r.bad]++
 	}
 	r.beginsAt = s.now.Add(s.below(stormMaxQueue))
-	r.endsAt = r.beginsAt.Add(100*time.Millisecond + s.below(stormMaxTime))
+	r.endsAt = r.beginsAt.Add(100*time.Millisecond + s.below(cmp.Or(s.maxAnswer, stormMaxTime)))
 	r.reportedAnswering = false
 	r.runs++
 	e := &s.engines[up[s.rand.IntN(len(up))]]
@@ -217,6 +219,10 @@
 		{name: "beside other crashes", nodes: 8, engines: 12, workspaces: 8, contexts: 100, perSecond: 100, bad: second, crashRate: 0.4},
 		{name: "few requests", nodes: 6, engines: 9, workspaces: 4, contexts: 20, perSecond: 50, bad: second},
 		{name: "many workspaces", nodes: 64, engines: 112, workspaces: 300, contexts: 200, perSecond: 1000, bad: []badPartSpec{{level: 2, perSecond: 10}}},
+		{name: "long answers", nodes: 8, engines: 12, workspaces: 8, contexts: 100, perSecond: 100, bad: []badPartSpec{{level: 2, perSecond: 6}}, maxAnswer: 10 * time.Second},
+		{name: "rare workspaces", nodes: 8, engines: 12, workspaces: 200, contexts: 20, perSecond: 50, bad: []badPartSpec{{level: 2, perSecond: 4}}},
+		{name: "rare workspaces, first part", nodes: 8, engines: 12, workspaces: 200, contexts: 20, perSecond: 50, bad: []badPartSpec{{level: 1, perSecond: 4}}, maxAnswer: 5 * time.Second},
+		{name: "rare workspaces, of one workspace", nodes: 8, engines: 12, workspaces: 200, contexts: 20, perSecond: 50, bad: []badPartSpec{{level: 2, perSecond: 4}}, sameWorkspaceForBad: true},
 		{name: "only other crashes", nodes: 8, engines: 12, workspaces: 100, contexts: 20, perSecond: 100, crashRate: 2},
 	}
 	for _, l := range layouts {
