Test held parts on continuations and in the product's own requests

Cause: the check before a continuation, and parts made of a caller's messages, were landed with the quarantine of parts and had no test of their own. Measured: with the check left out the stream goes on at the other engine; shared messages and declared parts are held after three ends of ten tries.

--- a/request/completion/quarantine_test.go
+++ b/request/completion/quarantine_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/failure"
+	"github.com/dunlinmill/dunlinmill/request/prefix"
 	"github.com/dunlinmill/dunlinmill/request/quarantine"
 )
 
@@ -130,3 +131,70 @@
 		}
 	}
 }
+
+// Guards against a stream that goes on at another engine although a part of its prompt has been held
+// since it began: its connection breaks while its engine lives on.
+func TestStreamWithHeldPartGoesOnNowhere(t *testing.T) {
+	cut, other := &fakeEngine{name: "a", engineScript: engineScript{cutAfter: 1}}, &fakeEngine{name: "b"}
+	for _, held := range []bool{false, true} {
+		cut.sends, other.sends = nil, nil
+		rt := newFixture(cut, other).router()
+		b := quarantine.NewTracker("n1", zap.NewNop(), discardObserver{})
+		rt.Quarantine = b
+		a, err := rt.Start(context.Background(), passthroughRequest())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if held {
+			for i := range 3 {
+				b.ReportEnd(time.Now(), quarantine.Content{
+					Request: quarantine.Digest(1 + i), Workspace: testRequest.Workspace, Parts: []quarantine.Part{quarantine.NewPart("a")},
+				}, fmt.Sprint(i))
+			}
+		}
+		sent := countSends([]*fakeEngine{cut, other})
+		_, err = readAnswer(a)
+		if more := countSends([]*fakeEngine{cut, other}) - sent; held && more > 0 {
+			t.Errorf("sent on %d times", more)
+		}
+		if held != errors.Is(err, failure.ErrStreamCut) {
+			t.Errorf("held %v: %v", held, err)
+		}
+	}
+}
+
+// Guards against a shared message, or a declared part, that crashes engine after engine in requests that
+// differ otherwise.
+func TestSharedPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	cases := []struct {
+		name string
+		make func(n int) Request
+	}{
+		{"messages", func(n int) Request {
+			r := testRequest
+			r.Messages = []prefix.Message{testRequest.Messages[0], {Role: "user", Content: fmt.Sprint("question ", n)}}
+			return r
+		}},
+		{"declared parts", func(n int) Request {
+			r := passthroughRequest()
+			r.Content = quarantine.Digest(1 + n)
+			r.DeclaredParts = []prefix.Part{{ID: fmt.Sprint("x", n), Tokens: 10}, {ID: "a", Tokens: 500}, {ID: fmt.Sprint("y", n), Tokens: 40}}
+			return r
+		}},
+	}
+	const tries, maxEnds = 10, 3
+	for _, c := range cases {
+		engines := enginesWithScript(engineScript{processEnds: true}, 12)
+		rt := newFixture(engines...).router()
+		rt.Quarantine = quarantine.NewTracker("n1", zap.NewNop(), discardObserver{})
+		var last error
+		for n := range tries {
+			r := c.make(n)
+			r.RunOnce = true
+			last = startAndRead(rt, r)
+		}
+		if got := countSends(engines); got != maxEnds || !errors.Is(last, failure.ErrQuarantined) {
+			t.Errorf("%s: %d engines crashed, want %d; %v", c.name, got, maxEnds, last)
+		}
+	}
+}
