Divide stated rates by demand in large fleets as well

Cause: from 40 nodes on the nodes don't report to all peers, so they didn't know each other's demands and kept to equal parts.

Change: nodes report their demand to the aggregator once a second, and get the demands of the busiest nodes and the sum of the others. A node that is not listed takes the mean of the others for its own, so that the parts add up to the rate. The weights are kept for half a second, and the senders chosen without maps.

--- a/process/gateway/share.go
+++ b/process/gateway/share.go
@@ -18,6 +18,7 @@
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/fleetload"
+	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
@@ -69,6 +70,9 @@
 	Rates []policy.GroupRates
 	// Use is what the node knows of the fleet's load, sent along with Lengths.
 	Use fleetload.Report
+	// Demand is how many requests a second the node's callers send, sent along with Lengths; nil: from
+	// a node of an older build, or from another data centre.
+	Demand *float64
 }
 
 // Shared is the aggregator's answer.
@@ -82,6 +86,8 @@
 	Lengths []shedding.LengthCount
 	Rates   []policy.GroupRates
 	Use     fleetload.Report
+	// Demands are those of all nodes, the one that asks included, or of this data centre's alone.
+	Demands ratelimit.DemandSummary
 }
 
 // lengthCounter counts requests by prompt length, here and at the peers.
@@ -114,6 +120,8 @@
 	remoteLengths           policy.Reports[shedding.LengthCount]
 	localRates, remoteRates policy.Reports[policy.GroupRates]
 	localUse, remoteUse     policy.Reports[fleetload.Report]
+	localDemands            policy.Reports[ratelimit.NodeDemand]
+	remoteDemands           policy.Reports[ratelimit.DemandSummary]
 	lastAsked               atomic.Pointer[time.Time] // when it was last asked; nil: never
 
 	// The following are used only by the goroutine that asks.
@@ -143,6 +151,7 @@
 			news.Lengths = shedding.SumLengthCounts(s.localLengths.Recent(now, ""))
 			news.Rates = policy.SumRates(s.localRates.Recent(now, ""))
 			news.Use = fleetload.Sum(s.localUse.Recent(now, ""))
+			news.Demands = s.localDemandSummary(now)
 		}
 		return news
 	}
@@ -157,10 +166,18 @@
 		news.Rates = policy.SumRates(append(s.localRates.Recent(now, q.Node), s.remoteRates.Recent(now, "")...))
 		s.localUse.Put(now, q.Node, []fleetload.Report{q.Use})
 		news.Use = fleetload.Sum(append(s.localUse.Recent(now, q.Node), s.remoteUse.Recent(now, "")...))
+		if q.Demand != nil {
+			s.localDemands.Put(now, q.Node, []ratelimit.NodeDemand{{Node: q.Node, PerSecond: *q.Demand}})
+		}
+		news.Demands = ratelimit.SumDemands(append(s.remoteDemands.Recent(now, ""), s.localDemandSummary(now)))
 	}
 	return news
 }
 
+func (s *sharer) localDemandSummary(now time.Time) ratelimit.DemandSummary {
+	return ratelimit.SummarizeDemands(s.localDemands.Recent(now, ""))
+}
+
 // isActiveAggregator reports whether this node has to know what the other data centres report.
 func (s *sharer) isActiveAggregator(now time.Time) bool {
 	asked := s.lastAsked.Load()
@@ -179,6 +196,8 @@
 		s.lengthsSentAt = now
 		q.Lengths, q.LengthsDue = s.lengths.LengthCounts(now), true
 		q.Rates, q.Use = s.policies.OwnRates(now), s.fleet.Report(now)
+		demand := s.endings.notices.limiter.ReportDemand(now)
+		q.Demand = &demand
 	}
 	if !s.askLocalAggregator(ctx, now, chosen[s.dataCentre], q) {
 		s.contents.ResendShared()
@@ -248,6 +267,7 @@
 		s.lengths.MergeLengthCounts(now, fleetLoadName, a.Lengths)
 		s.policies.MergeRates(now, fleetLoadName, a.Rates)
 		s.fleet.Merge(now, fleetLoadName, a.Use)
+		s.endings.notices.limiter.MergeDemandSummary(now, a.Demands)
 	}
 	s.endings.merge(now, a.Endings)
 }
@@ -292,6 +312,7 @@
 			s.remoteLengths.Put(now, dataCentre, a.Lengths)
 			s.remoteRates.Put(now, dataCentre, a.Rates)
 			s.remoteUse.Put(now, dataCentre, []fleetload.Report{a.Use})
+			s.remoteDemands.Put(now, dataCentre, []ratelimit.DemandSummary{a.Demands})
 		}
 		s.endings.merge(now, a.Endings)
 		s.remotePositions[dataCentre] = cachenews.Ask{By: a.Caches.By, From: a.Caches.Next}
--- a/request/ratelimit/demand.go
+++ b/request/ratelimit/demand.go
@@ -23,6 +23,9 @@
 type demands struct {
 	own   decay.Sum
 	nodes map[string]reportedDemand // by node, this one included
+	// summary is what a node of a large fleet knows in place of the demand of each.
+	summary   DemandSummary
+	summaryAt time.Time // zero: there is none
 }
 
 // reportedDemand is a node's demand as reported at a time.
@@ -62,18 +65,46 @@
 	maps.DeleteFunc(d.nodes, func(_ string, r reportedDemand) bool { return now.Sub(r.at) > reportedLife })
 }
 
-// weights returns the weights by which the nodes divide a rate: their demands as they were last
-// reported, this node's own as well, so that all nodes reckon with the same ones. It returns nil if
-// the demand of a node is not known, which divides the rate equally.
-func (d *demands) weights(now time.Time, nodes []string) map[string]float64 {
-	w := make(map[string]float64, len(nodes))
-	for _, n := range nodes {
+// currentWeights returns the weights by which the nodes divide a rate, in their order: their demands as they
+// were last reported, this node's own as well, so that all nodes reckon with the same ones. It returns nil
+// if the demands are not known, which divides the rate equally. The weights are used for shareInterval.
+func (r *Limiter) currentWeights(now time.Time) []float64 {
+	if len(r.weights.values) != len(r.nodes) || now.Sub(r.weights.at) >= shareInterval {
+		r.weights = nodeWeights{values: r.demands.weights(now, r.nodes), at: now}
+	}
+	return r.weights.values
+}
+
+// nodeWeights are the weights of the nodes as determined at a time.
+type nodeWeights struct {
+	values []float64
+	at     time.Time
+}
+
+func (d *demands) weights(now time.Time, nodes []string) []float64 {
+	w := d.known(now, nodes)
+	if w == nil && !d.summaryAt.IsZero() && now.Sub(d.summaryAt) <= reportedLife {
+		w = d.summary.demandsOf(nodes)
+	}
+	if w == nil {
+		return nil
+	}
+	least := minWeight * max(1, lo.Sum(w)/float64(len(nodes)))
+	for i := range w {
+		w[i] = max(w[i], least)
+	}
+	return w
+}
+
+// known returns the demands of the nodes; nil if one of them has not reported it lately.
+func (d *demands) known(now time.Time, nodes []string) []float64 {
+	w := make([]float64, len(nodes))
+	for i, n := range nodes {
 		r, ok := d.nodes[n]
 		if !ok || now.Sub(r.at) > reportedLife {
 			return nil
 		}
-		w[n] = r.perSecond
+		w[i] = r.perSecond
 	}
-	least := minWeight * max(1, lo.Sum(lo.Values(w))/float64(len(nodes)))
-	return lo.MapValues(w, func(v float64, _ string) float64 { return max(v, least) })
+	return w
 }
--- a/request/ratelimit/demand_test.go
+++ b/request/ratelimit/demand_test.go
@@ -125,7 +125,7 @@
 		t.Errorf("weights %v without the demand of n3", w)
 	}
 	r.MergeDemand(start, "n3", 1)
-	if w := r.demands.weights(start, r.nodes); w["n1"] <= w["n2"] {
+	if w := r.demands.weights(start, r.nodes); w[0] <= w[1] {
 		t.Errorf("weights %v", w)
 	}
 	if w := r.demands.weights(start.Add(2*reportedLife), r.nodes); w != nil {
--- a/request/ratelimit/ratelimit.go
+++ b/request/ratelimit/ratelimit.go
@@ -60,6 +60,7 @@
 	upstreams map[string]*state
 	count     atomic.Int32 // of upstreams
 	demands   demands
+	weights   nodeWeights          // see currentWeights
 	shares    map[string]slotShare // see SlotShare
 }
 
@@ -85,6 +86,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.nodes = names
+	r.weights = nodeWeights{}
 }
 
 // SetUpstreams forgets all other upstreams, and returns the names of those that had a
@@ -246,7 +248,7 @@
 	}
 	if now.Sub(s.sharedAt) >= shareInterval {
 		s.sharedAt = now
-		s.ownRate = ownRate(r.node, r.nodes, name, s.limit.rate(), r.demands.weights(now, r.nodes))
+		s.ownRate = ownRate(r.node, r.nodes, name, s.limit.rate(), r.currentWeights(now))
 	}
 	s.tokens = min(burst(s.ownRate), s.tokens+s.ownRate*max(0, now.Sub(s.filledAt).Seconds()))
 	s.filledAt = now
--- a/request/ratelimit/senders.go
+++ b/request/ratelimit/senders.go
@@ -2,13 +2,11 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/samber/lo"
 )
 
 const (
@@ -37,8 +35,9 @@
 // ownRate returns the part of an upstream's rate that a node may send; 0 if it is no
 // sender. The senders are the nodes with the highest scores: nodes that know the same nodes
 // and weights choose the same senders, and another node's coming or going changes one of them
-// at most. They divide the rate by their weights; nil stands for equal ones.
-func ownRate(node string, nodes []string, upstream string, rate float64, weights map[string]float64) float64 {
+// at most. They divide the rate by their weights, which are in the order of the nodes; nil stands for
+// equal ones.
+func ownRate(node string, nodes []string, upstream string, rate float64, weights []float64) float64 {
 	senders := max(1, min(len(nodes), int(rate/minSenderRate)))
 	if weights == nil {
 		if !isSender(node, nodes, upstream, senders) {
@@ -46,23 +45,33 @@
 		}
 		return rate / float64(senders)
 	}
-	chosen := chooseSenders(nodes, upstream, senders, weights)
-	if !lo.Contains(chosen, node) {
+	own, sum := 0.0, 0.0
+	for _, s := range chooseSenders(nodes, upstream, senders, weights) {
+		sum += s.weight
+		if s.node == node {
+			own = s.weight
+		}
+	}
+	if own == 0 {
 		return 0
 	}
-	return rate * weights[node] / lo.SumBy(chosen, func(n string) float64 { return weights[n] })
+	return rate * own / sum
+}
+
+// sender is a node that may be chosen to send requests to an upstream.
+type sender struct {
+	node          string
+	score, weight float64
 }
 
 // chooseSenders returns the nodes with the highest scores.
-func chooseSenders(nodes []string, upstream string, count int, weights map[string]float64) []string {
-	scores := make(map[string]float64, len(nodes))
-	for _, n := range nodes {
-		scores[n] = senderScore(senderHash(n, upstream), weights[n])
+func chooseSenders(nodes []string, upstream string, count int, weights []float64) []sender {
+	all := make([]sender, len(nodes))
+	for i, n := range nodes {
+		all[i] = sender{node: n, score: senderScore(senderHash(n, upstream), weights[i]), weight: weights[i]}
 	}
-	sorted := slices.SortedFunc(maps.Keys(scores), func(a, b string) int {
-		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
-	})
-	return sorted[:min(count, len(sorted))]
+	slices.SortFunc(all, func(a, b sender) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node)) })
+	return all[:min(count, len(all))]
 }
 
 // senderScore returns the score of a node by weighted rendezvous hashing: of two nodes, one with
