Collect held requests only where they may account for a part's ends

Cause: each hold of a request collected all held ones, though requests don't account for each other; TestHeldRequestsAreBounded took 16 s, 2.9 s before parts were held. Change: held parts are collected for requests, held requests for parts alone, and neither for entries with too few ends.

--- a/request/quarantine/tracker.go
+++ b/request/quarantine/tracker.go
@@ -168,10 +168,10 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	held := b.held()
 	return lo.ContainsBy(c.suspects(), func(s suspect) bool {
 		e := b.entries[s.Digest]
-		return e != nil && !e.expired(now) && (e.isHeldFor(c.Workspace) || len(unexplainedEnds(s.Digest, e, held)) >= noRetryThreshold)
+		return e != nil && !e.expired(now) && (e.isHeldFor(c.Workspace) || len(e.ends) >= noRetryThreshold &&
+			len(unexplainedEnds(s.Digest, e, b.explainersOf(e))) >= noRetryThreshold)
 	})
 }
 
@@ -303,7 +303,7 @@
 	if len(e.ends) == before {
 		return false
 	}
-	if !isDue(c, e, b.held()) {
+	if len(e.ends) < holdThreshold || !isDue(c, e, b.explainersOf(e)) {
 		b.release(now, c, e)
 	}
 	return true
--- a/request/quarantine/verdict.go
+++ b/request/quarantine/verdict.go
@@ -21,7 +21,7 @@
 // its trial holds it for longer; later ends of sends that were already running change
 // nothing.
 func (b *Tracker) holdIfDue(now time.Time, c Digest, e *entry) {
-	if len(e.ends) < holdThreshold || e.isHeld() && !e.inTrial(now) || !isDue(c, e, b.held()) {
+	if len(e.ends) < holdThreshold || e.isHeld() && !e.inTrial(now) || !isDue(c, e, b.explainersOf(e)) {
 		return
 	}
 	e.holdCount++
@@ -34,10 +34,11 @@
 
 // releaseExplained releases the held entries whose ends others account for.
 func (b *Tracker) releaseExplained(now time.Time) {
-	held := b.held()
+	held := heldEntries{parts: b.heldOf(PromptPart)}
 	if len(held.parts) == 0 {
-		return
+		return // requests don't account for each other
 	}
+	held.requests = b.heldOf(Request)
 	for _, h := range append(held.requests, held.parts...) {
 		if !h.inTrial(now) && !isDue(h.digest, h.entry, held) {
 			b.release(now, h.digest, h.entry)
@@ -62,15 +63,20 @@
 // heldEntries are the entries that are held, by what they stand for.
 type heldEntries struct{ requests, parts []heldEntry }
 
-func (b *Tracker) held() heldEntries {
-	var all heldEntries
+// explainersOf returns the held entries that may account for the ends of an entry.
+func (b *Tracker) explainersOf(e *entry) heldEntries {
+	held := heldEntries{parts: b.heldOf(PromptPart)}
+	if e.isPart() {
+		held.requests = b.heldOf(Request)
+	}
+	return held
+}
+
+func (b *Tracker) heldOf(g Grain) []heldEntry {
+	var all []heldEntry
 	for c, e := range b.entries {
-		switch {
-		case !e.isHeld():
-		case e.isPart():
-			all.parts = append(all.parts, heldEntry{e, c})
-		default:
-			all.requests = append(all.requests, heldEntry{e, c})
+		if e.isHeld() && e.grain() == g {
+			all = append(all, heldEntry{e, c})
 		}
 	}
 	return all
