Make the log queue surely full in the test of a stopped reader

It expected the last line to be dropped as the queue is full, but that line is shorter than the 20,000 before it and may fit where those did not: 3 of 20 runs with a queue that nothing is taken from. The queue may also have been taken just before, after 0.1 s.

Change: the test waits until the writer blocks, from when on nothing is taken, and the last line is the longest; its checks stay.

--- a/process/event/queue_test.go
+++ b/process/event/queue_test.go
@@ -11,11 +11,13 @@
 
 // blockedWriter is a log writer that blocks until unblock is closed.
 type blockedWriter struct {
+	entered chan struct{} // receives a value for each write
 	unblock chan struct{}
 	got     bytes.Buffer
 }
 
 func (s *blockedWriter) Write(p []byte) (int, error) {
+	s.entered <- struct{}{}
 	<-s.unblock
 	return s.got.Write(p)
 }
@@ -24,17 +26,20 @@
 // stay limited: lines are dropped and counted by their event. Once the reader
 // continues, the pending lines must be written.
 func TestStoppedLogReaderBlocksNobody(t *testing.T) {
-	r := &blockedWriter{unblock: make(chan struct{})}
+	r := &blockedWriter{entered: make(chan struct{}, 8), unblock: make(chan struct{})}
 	q := NewQueue(r)
 	l, err := NewQueuedLogger(q, "info", "entry-1", "sofia-1")
 	if err != nil {
 		t.Fatal(err)
 	}
 	const lines = 20_000
-	for range lines {
+	Info(l, RequestPlaced, zap.String("Request", strings.Repeat("x", 40)))
+	<-r.entered // from now on nothing is taken from the queue
+	for range lines - 1 {
 		Info(l, RequestPlaced, zap.String("Request", strings.Repeat("x", 40)))
 	}
-	Warn(l, OperatorRefused)
+	// Longer than the other lines, for whose length there may be some room left.
+	Warn(l, OperatorRefused, zap.String("Request", strings.Repeat("x", 80)))
 	dropped := q.DroppedLines()
 	if dropped["RequestPlaced"] == 0 || dropped["OperatorRefused"] != 1 {
 		t.Errorf("dropped %v", dropped)
