Let requests avoid upstreams for their first and for later tries

A request that is to be served by one software version names the upstreams that it must not go to. If none of the others takes its first try, it looks again without that restriction. The end of each send is told to an observer, with its time to the first token and the pauses between events.

--- a/request/call/call.go
+++ b/request/call/call.go
@@ -42,6 +42,11 @@
 	// MaxRuns bounds how many instances may have run the request; 0: no bound
 	// beside that on tries.
 	MaxRuns int
+	// Kind is what the request is counted as; empty: nothing.
+	Kind string
+	// Avoid lists instances that don't get the call's first try, if others may take it, and AvoidLater
+	// those that don't get a later one.
+	Avoid, AvoidLater []string
 	// Host and Target are those of a request that is passed through unchanged.
 	Host   string
 	Target string
--- a/request/call/router.go
+++ b/request/call/router.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -85,6 +87,21 @@
 	return c
 }
 
+// Send is how one send to an instance has ended.
+type Send struct {
+	Service, Kind string // of the call
+	Upstream      string
+	Took          time.Duration
+	Err           error
+	// CallerGone says that the caller went away before the end.
+	CallerGone bool
+}
+
+// SendObserver is told how each send has ended.
+type SendObserver interface {
+	CallEnded(now time.Time, s Send)
+}
+
 // Router serves calls to plain services for the lifetime of the process.
 type Router struct {
 	Config    Config
@@ -94,6 +111,8 @@
 	Admission Admission
 	Journal   Journal
 	Log       *zap.Logger
+	// Sends is told how each send has ended; nil: nobody is.
+	Sends SendObserver
 	// Quarantine holds back requests that crash the instances that run them; nil:
 	// no request is held back.
 	Quarantine *quarantine.Tracker
@@ -140,7 +159,9 @@
 	runs       int // instances that may have run the call
 	mayHaveRun bool
 	tried      []string
-	lastErr    error // error of the last failed send; nil: none failed
+	// firstTryOver says that no instance took the first try, so that Request.AvoidLater applies.
+	firstTryOver bool
+	lastErr      error // error of the last failed send; nil: none failed
 }
 
 // sendWithClaim claims the key before the first send and records the outcome in the
@@ -183,6 +204,9 @@
 			return upstream.Reply{}, retry.QuarantineRefusal(s.r.ID, s.mayHaveRun, err)
 		}
 		u, ok := s.chooseInstance(now)
+		if !ok && s.giveUpFirstTry() {
+			continue
+		}
 		if !ok {
 			return upstream.Reply{}, retry.NoUpstreamRefusal(s.r.ID, s.mayHaveRun, s.rt.Guard.ShortestHoldOff(now, s.instances.Names), s.lastErr)
 		}
@@ -208,7 +232,7 @@
 // chooseInstance returns the usable instance with the fewest of this node's calls in
 // flight, without those that were tried. If none is usable, it chooses among the others.
 func (s *callState) chooseInstance(now time.Time) (config.Upstream, bool) {
-	excluded := append(s.rt.Guard.Excluded(now, s.instances.Names), s.tried...)
+	excluded := slices.Concat(s.rt.Guard.Excluded(now, s.instances.Names), s.tried, s.avoided())
 	upstreams := s.rt.View.Catalogue().Config().Upstreams
 	eligible := lo.Filter(s.instances.Upstreams, func(u config.Upstream, _ int) bool {
 		// The instance may have been removed or started to drain since the
@@ -228,6 +252,25 @@
 	return lo.MinBy(eligible, s.lessLoaded), true
 }
 
+// avoided returns the instances that the current try must not go to, as the call is to be served by
+// another software version.
+func (s *callState) avoided() []string {
+	if s.attempts > 0 || s.firstTryOver {
+		return s.r.AvoidLater
+	}
+	return s.r.Avoid
+}
+
+// giveUpFirstTry makes the call look for an instance again, without the restriction of its first try. It
+// returns false if there was none, or if it has been tried.
+func (s *callState) giveUpFirstTry() bool {
+	if s.attempts > 0 || s.firstTryOver || len(s.r.Avoid) == 0 {
+		return false
+	}
+	s.firstTryOver, s.tried = true, nil
+	return true
+}
+
 // lessLoaded orders instances by this node's calls in flight. Most often the numbers are
 // equal; a hash of the call and the instance then decides. In the order of the names, the
 // calls of all nodes would go to the first instance.
@@ -252,6 +295,9 @@
 	took := time.Since(now)
 	s.rt.Guard.End(time.Now(), u.Name, guard.SendResult{Err: err, FirstToken: took})
 	s.rt.Quarantine.ReportResult(time.Now(), s.content, quarantine.Result{Upstream: u.Name, Err: err})
+	if s.rt.Sends != nil {
+		s.rt.Sends.CallEnded(time.Now(), Send{Service: s.r.Service, Kind: s.r.Kind, Upstream: u.Name, Took: took, Err: err, CallerGone: errors.Is(ctx.Err(), context.Canceled)})
+	}
 	if err != nil {
 		if !retry.SurelyNotRun(err) {
 			s.mayHaveRun = true
@@ -324,7 +370,7 @@
 // countUntried counts the instances that were not tried yet, without the named one.
 func (s *callState) countUntried(name string) int {
 	return lo.CountBy(s.instances.Names, func(n string) bool {
-		return n != name && !lo.Contains(s.tried, n)
+		return n != name && !lo.Contains(s.tried, n) && !lo.Contains(s.avoided(), n)
 	})
 }
 
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -219,6 +219,7 @@
 // after the text already returned. It must not be called for a request that may
 // not be repeated, as the request would run twice.
 func (a *Answer) continueElsewhere(cause error) error {
+	a.send.events = a.delivered.count
 	a.send.end(time.Now(), cause)
 	a.state.failedUpstreams = append(a.state.failedUpstreams, a.engine.Name)
 	a.state.excluded = slices.Clone(a.state.failedUpstreams)
@@ -275,6 +276,7 @@
 	if a.finished {
 		a.reportResult(now, nil)
 	}
+	a.send.events, a.send.abandoned = a.delivered.count, !a.finished && a.streamErr == nil
 	a.send.end(now, a.streamErr)
 	if a.state.claim != nil {
 		a.settleClaim(now)
--- a/request/completion/completion.go
+++ b/request/completion/completion.go
@@ -73,6 +73,10 @@
 	// OnFurtherRun is called for each engine after the first that may run the
 	// request; nil: not called.
 	OnFurtherRun func()
+	// Avoid lists engines that don't get the request's first try, if others may take it, and
+	// AvoidLater those that don't get a later one. They have no effect once the request is pinned to a
+	// software version.
+	Avoid, AvoidLater []string
 }
 
 // mayRepeat reports whether the request may be sent again although it may have
--- a/request/completion/enginesend.go
+++ b/request/completion/enginesend.go
@@ -25,6 +25,39 @@
 	// partsSurvived says that the parts of the prompt were reported as survived.
 	partsSurvived bool
 	peerChain     prefix.Chain // prefix levels that are reported to peers
+	pool, kind    string       // of the request
+	// events is how many events the engine has given, and abandoned says that the caller went away
+	// before the last one; both are set before the end.
+	events    int
+	abandoned bool
+}
+
+// Send is how one send to an engine has ended.
+type Send struct {
+	Pool, Kind string // of the request
+	Upstream   string
+	FirstToken time.Duration // 0: none has arrived
+	// Pause is the mean time between two events; 0: too few have arrived.
+	Pause time.Duration
+	Err   error
+	// CallerGone says that the caller went away before the end.
+	CallerGone bool
+}
+
+// SendObserver is told how each send has ended.
+type SendObserver interface {
+	SendEnded(now time.Time, s Send)
+}
+
+// minPausedEvents is the least number of events to determine the mean pause between them.
+const minPausedEvents = 8
+
+// pause returns the mean time between two events.
+func (e *engineSend) pause(now time.Time) time.Duration {
+	if e.events < minPausedEvents {
+		return 0
+	}
+	return e.answeringFor(now) / time.Duration(e.events-1)
 }
 
 // beginSend takes a slot on the decided engine. It returns false if another request
@@ -37,7 +70,7 @@
 		s.rt.Guard.RecordRequest(s.r.Workspace, d.Upstream)
 	}
 	p.RecordSent(now, r, d)
-	return &engineSend{rt: s.rt, policy: p, request: r, decision: d, startedAt: now, peerChain: s.peerChain()}, true
+	return &engineSend{rt: s.rt, policy: p, request: r, decision: d, startedAt: now, peerChain: s.peerChain(), pool: s.target.group.Pool, kind: s.r.Kind}, true
 }
 
 // peerChain returns the prefix levels that are reported to peers. The last level of
@@ -82,6 +115,12 @@
 	// did not arrive in time is one, whatever ended the send afterwards.
 	callerGone := errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
 	ok := err == nil || callerGone
+	if e.rt.Sends != nil {
+		e.rt.Sends.SendEnded(now, Send{
+			Pool: e.pool, Kind: e.kind, Upstream: e.decision.Upstream, FirstToken: e.firstToken, Pause: e.pause(now),
+			Err: err, CallerGone: callerGone || e.abandoned,
+		})
+	}
 	e.policy.RecordFinish(now, e.request, e.decision, ok)
 	e.rt.Guard.End(now, e.decision.Upstream, guard.SendResult{
 		Err:                err,
--- a/request/completion/retry.go
+++ b/request/completion/retry.go
@@ -67,7 +67,7 @@
 // countUntried counts the upstreams that were not tried yet, without the named one.
 func (s *requestState) countUntried(name string) int {
 	return lo.CountBy(s.candidates(), func(n string) bool {
-		return n != name && !lo.Contains(s.excluded, n)
+		return n != name && !lo.Contains(s.excluded, n) && !lo.Contains(s.avoided(), n)
 	})
 }
 
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -200,6 +200,9 @@
 	// 0: no limit. nil: no limit for any engine.
 	BeginWithin func(upstream, model string) time.Duration
 
+	// Sends is told how each send has ended; nil: nobody is.
+	Sends SendObserver
+
 	// SoftwareDiffers reports whether engines of several software versions may serve; nil: they
 	// don't.
 	SoftwareDiffers func() bool
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -105,7 +105,7 @@
 		OutputTokens:  s.r.MaxTokens,
 		Urgent:        s.r.Urgent(),
 		CacheReadable: lo.Without(s.rt.Guard.WithReadableCache(now, guardExcluded), s.excluded...),
-		Excluded:      slices.Concat(guardExcluded, s.excluded, s.otherSoftware()),
+		Excluded:      slices.Concat(guardExcluded, s.excluded, s.otherSoftware(), s.avoided()),
 	}
 }
 
--- a/request/completion/start.go
+++ b/request/completion/start.go
@@ -71,6 +71,7 @@
 	excluded        []string // not to be tried in the current attempt
 	failedUpstreams []string // the part of excluded on which a send failed
 	admittedByFloor bool     // sent despite its long wait, as too few requests of its length were sent
+	firstTryOver    bool     // no engine took the first try, so that Request.AvoidLater applies
 	// noSlotSince is the start of the wait for a free slot; zero: not waiting.
 	noSlotSince time.Time
 }
@@ -121,6 +122,9 @@
 		if ctx.Err() != nil {
 			return nil, s.refusal(failure.FromContext(ctx), ctx.Err())
 		}
+		if (name == "" || errors.Is(err, failure.ErrOverloaded)) && s.giveUpFirstTry() {
+			continue
+		}
 		if errors.Is(err, failure.ErrOverloaded) {
 			return nil, err
 		}
