Roll a service out to a software version that operators order

The holder of the duty asks all nodes for their counts each 0.4 s, decides, and tells them the phase; the platform's record is written with a condition on the end of its topic. Nodes withhold versions that are unproven, rolled back or newer than their proof of the configuration. An order that can't be carried out is answered and keeps no configuration from being confirmed.

--- a/process/event/version.go
+++ b/process/event/version.go
@@ -54,4 +54,16 @@
 	LeaseNotConfirmed
 	// LeaseGivenBack: this node has given back the duty to give orders, as it stops or has lost its path to the engines while other nodes reach them. To do: nothing.
 	LeaseGivenBack
+	// ReleaseOrdered: operators have ordered a service to be moved to a software version within Duration; Order is the offset of their record. Invalid says why the order can't be carried out, Withdrawn that it was removed.
+	ReleaseOrdered
+	// ReleaseStep: the roll-out of a software version goes on as Phase says; up to Share of the requests go to Upstreams of its upstreams (0: to all).
+	ReleaseStep
+	// ReleaseJudged: the answers of the two software versions of a service were compared; Test, Worse, Of, Expected and P are of the most significant comparison: Worse of the new version's answers, Of all, are failures or slow on Route (empty: on all), where a share of Expected is tolerated, and P is the probability of that if the version is as good as the other one.
+	ReleaseJudged
+	// ReleaseComplete: a service has been moved to the software version that was ordered, and its former upstreams may stop.
+	ReleaseComplete
+	// ReleaseRolledBack: a software version gets no more requests, for the given Reason. To do: if the version was worse, see its ReleaseJudged lines and what its upstreams logged; if its time was over, order it again with more time, or see why its upstreams did not come up.
+	ReleaseRolledBack
+	// ReleaseNotRecorded: the state of a roll-out could not be read from the platform or recorded there; this is retried. To do: if it continues, check the platform; the roll-out goes on all the same, but can't be completed.
+	ReleaseNotRecorded
 )
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
+	"github.com/dunlinmill/dunlinmill/version/release"
 	"github.com/dunlinmill/dunlinmill/version/rollout"
 )
 
@@ -44,7 +45,9 @@
 	// EnginesCrashWhenFull means that an engine crashes if the requests that it holds exceed its
 	// memory. Otherwise it preempts some of them.
 	EnginesCrashWhenFull bool
-	Bounds               Bounds
+	// Releases means that operators order services to be moved to new software versions.
+	Releases bool
+	Bounds   Bounds
 }
 
 // Bounds holds the time limits of the platform that a gateway runs on. SetBounds replaces them
@@ -81,6 +84,8 @@
 	Configuration *accepted.Configuration
 	Model         string // with Version; empty: no version named
 	Version       uint64
+	// Release is an order to move a service to a software version; nil: none.
+	Release *release.Order
 }
 
 // Group is the platform's group whose members compete for the duty, see package duty.
@@ -114,6 +119,7 @@
 	Group         Group
 	Directory     Directory
 	Quarantine    QuarantineRecords
+	Releases      ReleaseRecords
 	// Dialer returns the dialer of the upstreams' clients, which report notices to h and open their
 	// connections by paths.
 	Dialer func(h UpstreamNotices, paths Paths) inventory.Dialer
@@ -141,6 +147,7 @@
 	view        *view
 	quotas      *quotas
 	origins     *origins
+	releases    *releases
 	policies    *policy.Table
 	completions *completion.Router
 	calls       *call.Router
@@ -182,6 +189,8 @@
 	g.metrics = do.MustInvoke[*metric.Metrics](i)
 	g.limiter = do.MustInvoke[*ratelimit.Limiter](i)
 	g.origins = do.MustInvoke[*origins](i)
+	g.releases = do.MustInvoke[*releases](i)
+	do.MustInvoke[*peers](i).releases.Store(g.releases)
 	g.keeper = do.MustInvoke[*duty.Keeper](i)
 	for _, start := range []func() error{
 		func() error { _, err := do.Invoke[followers](i); return err },
@@ -191,6 +200,7 @@
 		func() error { _, err := do.Invoke[*cacheFollower](i); return err },
 		func() error { _, err := do.Invoke[*quarantineKeeper](i); return err },
 		func() error { _, err := do.Invoke[*quotas](i); return err },
+		func() error { _, err := do.Invoke[*releaseDecider](i); return err },
 	} {
 		if err := start(); err != nil {
 			return err
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -33,8 +33,9 @@
 	rejects *rejectLimits
 	metrics *metric.Metrics
 	paths   *path.Monitor
-	// releases is told which software versions serve.
-	releases *origin.Releases
+	// versions is told which software versions serve.
+	versions *origin.Releases
+	releases *releases
 
 	mu sync.Mutex // held while the parts update to a new view
 
@@ -59,6 +60,7 @@
 	if !changed {
 		return
 	}
+	l.releases.observe(clock.BoottimeNow(), cfg)
 	engines, services := activeNames(cfg, config.Engine), activeNames(cfg, config.Service)
 	l.guards.Engines.SetUpstreams(now, engines)
 	l.guards.Services.SetUpstreams(now, services)
@@ -69,7 +71,7 @@
 	l.paths.SetUpstreams(addressesByService(cfg))
 	l.metrics.SetConfig(cfg)
 	l.metrics.SetUpstreams(countUpstreams(cfg))
-	l.releases.Observe(clock.BoottimeNow(), softwareByPool(cfg))
+	l.versions.Observe(clock.BoottimeNow(), softwareByPool(cfg))
 }
 
 // countUpstreams counts the upstreams that may get requests.
@@ -141,6 +143,9 @@
 		event.Info(t.log, event.ConfigInForce, zap.Uint64("Version", c.Version), zap.Uint64("Offset", r.Offset),
 			zap.Int("Routes", len(c.Routes)), zap.Int("Workspaces", len(c.Workspaces)))
 	}
+	if p.Release != nil {
+		t.releases.putOrder(clock.BoottimeNow(), *p.Release, complete)
+	}
 	if p.Model != "" && t.book.RecordVersion(now, p.Model, p.Version, complete) {
 		event.Info(t.log, event.WeightsNamed, zap.String("Model", p.Model), zap.Uint64("Version", p.Version), zap.Uint64("Offset", r.Offset))
 	}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -68,6 +68,7 @@
 	sharer   atomic.Pointer[sharer]      // nil: not started yet
 	quotas   atomic.Pointer[quotas]      // nil: not started yet
 	origins  atomic.Pointer[origins]     // nil: not started yet
+	releases atomic.Pointer[releases]    // nil: not started yet
 	entered  atomic.Pointer[EnterResult] // nil: not entered yet
 	// The followers of the platform's topics; nil: not started yet.
 	configuration, register atomic.Pointer[keyed.Follower]
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -113,6 +113,8 @@
 	do.Provide(i, func(do.Injector) (*origin.Tracker, error) { return origin.NewTracker(), nil })
 	do.Provide(i, func(do.Injector) (*origin.Releases, error) { return origin.NewReleases(), nil })
 	do.Provide(i, g.newOrigins)
+	do.Provide(i, g.newReleases)
+	do.Provide(i, func(i do.Injector) (*releaseDecider, error) { return g.newReleaseDecider(i, p.Releases), nil })
 	do.Provide(i, func(i do.Injector) (*peers, error) { return g.newPeers(i, p), nil })
 }
 
@@ -275,7 +277,7 @@
 }
 
 func (g *Gateway) newCompletions(i do.Injector) (*completion.Router, error) {
-	engineGuard := weightsGuard{
+	weights := weightsGuard{
 		Guard: do.MustInvoke[guard.Pair](i).Engines, roster: do.MustInvoke[*roster.Roster](i),
 		book: do.MustInvoke[*accepted.Tracker](i), view: do.MustInvoke[*view](i), bounds: g.bounds,
 	}
@@ -285,15 +287,16 @@
 		Upstreams: upstreams{Inventory: do.MustInvoke[*inventory.Inventory](i), roster: do.MustInvoke[*roster.Roster](i)},
 		Policies:  do.MustInvoke[*policy.Table](i),
 		Admission: openAdmission{},
-		Guard:     engineGuard,
+		Guard:     engineGuard{weights, do.MustInvoke[*releases](i)},
 		BeginWithin: func(name, model string) time.Duration {
-			return engineGuard.beginWithin(clock.BoottimeNow(), name, model)
+			return weights.beginWithin(clock.BoottimeNow(), name, model)
 		},
 		Shedder:         do.MustInvoke[*shedding.Shedder](i),
 		CacheNews:       do.MustInvoke[*cachenews.EntryBuffer](i),
 		CacheContents:   do.MustInvoke[*cachenews.Contents](i),
 		CacheStores:     do.MustInvoke[*view](i),
 		Quarantine:      do.MustInvoke[*quarantine.Tracker](i),
+		Sends:           do.MustInvoke[*releases](i),
 		SoftwareDiffers: func() bool { return g.origins.versionsMayDiffer(clock.BoottimeNow()) },
 		Observer:        metric.Observer{Metrics: do.MustInvoke[*metric.Metrics](i)},
 		Log:             g.log,
@@ -305,11 +308,12 @@
 		Config:    call.Config{}.WithDefaults(),
 		View:      do.MustInvoke[*catalogue.Current](i),
 		Upstreams: do.MustInvoke[*inventory.Inventory](i),
-		Guard:     do.MustInvoke[guard.Pair](i).Services,
+		Guard:     serviceGuard{do.MustInvoke[guard.Pair](i).Services, do.MustInvoke[*releases](i)},
 		Admission: openAdmission{},
 		Log:       g.log,
 
 		Quarantine: do.MustInvoke[*quarantine.Tracker](i),
+		Sends:      do.MustInvoke[*releases](i),
 	}, nil
 }
 
@@ -331,7 +335,8 @@
 	return &learner{
 		keyStates: map[string]keyState{}, log: g.log, decoder: d, book: do.MustInvoke[*accepted.Tracker](i), roster: do.MustInvoke[*roster.Roster](i),
 		view: do.MustInvoke[*view](i), guards: do.MustInvoke[guard.Pair](i), limiter: do.MustInvoke[*ratelimit.Limiter](i), rejects: do.MustInvoke[*rejectLimits](i), metrics: do.MustInvoke[*metric.Metrics](i),
-		paths: do.MustInvoke[*path.Monitor](i), releases: do.MustInvoke[*origin.Releases](i),
+		paths: do.MustInvoke[*path.Monitor](i), versions: do.MustInvoke[*origin.Releases](i),
+		releases: do.MustInvoke[*releases](i),
 	}
 }
 
--- /dev/null
+++ b/process/gateway/releasedecider.go
@@ -0,0 +1,322 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/duty"
+	"github.com/dunlinmill/dunlinmill/process/event"
+	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/version/release"
+)
+
+const (
+	// releaseRound is the time between two rounds of the deciding node.
+	releaseRound = 400 * time.Millisecond
+	// releaseForwardTimeout is how long a node has that asks the others of its data centre. It is longer
+	// than peerCallTimeout, for which it waits itself.
+	releaseForwardTimeout = 2 * peerCallTimeout
+	// releaseTellMin is the size of a fleet from which the deciding node asks one node of each data
+	// centre to ask the others there.
+	releaseTellMin = aggregateMinNodes
+	// releaseRecordPause is the time after which a node reads how a roll-out has ended that nobody has
+	// told it about, and between two such reads.
+	releaseRecordPause = 2 * time.Second
+)
+
+// releaseDecider decides about the roll-outs while this node holds the duty. The platform's record is
+// written before the former upstreams are given up, and only if no other node has written it meanwhile,
+// so that a roll-out ends one way, whoever decides.
+type releaseDecider struct {
+	releases *releases
+	records  ReleaseRecords
+	keeper   *duty.Keeper
+	peers    *peers
+	log      *zap.Logger
+	cfg      release.Config
+
+	// The following are used only by the goroutine that decides.
+	step       uint64                    // number of this node's tellings
+	recorded   map[string]release.Record // as this node has written them, by service
+	lastRound  time.Time                 // zero: this node has not decided since it got the duty
+	recordRead time.Time                 // when the records were last read without the duty
+
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+func (g *Gateway) newReleaseDecider(i do.Injector, records ReleaseRecords) *releaseDecider {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &releaseDecider{
+		releases: do.MustInvoke[*releases](i), records: records, keeper: do.MustInvoke[*duty.Keeper](i), peers: do.MustInvoke[*peers](i),
+		log: g.log, cfg: release.DefaultConfig, recorded: map[string]release.Record{}, cancel: cancel,
+	}
+	d.work.Go(func() { d.run(ctx) })
+	g.onClose("release decisions", func() {
+		cancel()
+		d.work.Wait()
+	})
+	return d
+}
+
+func (d *releaseDecider) run(ctx context.Context) {
+	for clock.Sleep(ctx, releaseRound) {
+		open := d.releases.board.Open()
+		now := clock.BoottimeNow()
+		switch {
+		case len(open) == 0:
+			d.lastRound = time.Time{}
+		case d.keeper.Holds(now):
+			d.decide(ctx, now, open)
+		default:
+			d.lastRound = time.Time{}
+			d.readEnded(ctx, now, open)
+		}
+	}
+}
+
+// decide is one round: it asks all nodes for their reports, decides, and tells them at once if something
+// has changed. A node that takes the duty up first learns what the others know.
+func (d *releaseDecider) decide(ctx context.Context, now time.Time, open []release.Open) {
+	a := d.ask(ctx, now, open)
+	for _, t := range a.Known {
+		d.releases.hear(clock.BoottimeNow(), t)
+	}
+	changed := false
+	for _, o := range d.releases.board.Open() {
+		changed = d.decideOne(ctx, clock.BoottimeNow(), o, a) || changed
+	}
+	d.lastRound = clock.BoottimeNow()
+	if changed {
+		d.ask(ctx, d.lastRound, open)
+	}
+}
+
+// ask tells all nodes what this node knows, and returns their reports.
+func (d *releaseDecider) ask(ctx context.Context, now time.Time, open []release.Open) ReleaseAnswer {
+	q := ReleaseQuery{
+		From:     d.peers.name,
+		Tellings: d.releases.board.Tellings(now),
+		Orders: lo.Map(open, func(o release.Open, _ int) releaseOrder {
+			return releaseOrder{Service: o.Order.Service, Software: o.Order.Software, ID: o.Order.ID}
+		}),
+	}
+	own := d.releases.answer(now, q)
+	return sumReleaseAnswers(append(d.peers.askReleases(ctx, q), own))
+}
+
+// decideOne decides about one roll-out, and reports whether its phase has changed.
+func (d *releaseDecider) decideOne(ctx context.Context, now time.Time, o release.Open, a ReleaseAnswer) bool {
+	s, ended := d.currentState(ctx, now, o)
+	if s.ID == 0 {
+		return ended
+	}
+	if !s.Phase.IsFinal() {
+		d.record(ctx, s)
+	}
+	in := d.situation(s.Order, a)
+	next := d.cfg.Next(now, s, in)
+	if next.Phase != s.Phase && next.Finding.Of > 0 {
+		f := next.Finding
+		event.Info(d.log, event.ReleaseJudged, zap.String("Service", s.Service), zap.String("Software", s.Software), zap.Uint64("Order", s.ID),
+			zap.Stringer("Test", f.Test), zap.String("Route", f.Route), zap.Int("Worse", f.Worse), zap.Int("Of", f.Of), zap.Float64("Expected", f.Expected), zap.Float64("P", f.P))
+	}
+	t := release.Telling{State: next, Term: d.keeper.Generation(), Step: o.Told.Step}
+	if next != s || !o.IsTold() {
+		d.step++
+		t.Step = d.step
+	}
+	if next.Phase == release.Complete {
+		// The former upstreams stop as soon as this is recorded.
+		ok, conflict := d.record(ctx, next)
+		if conflict != nil {
+			t = *conflict
+		} else if !ok {
+			return false
+		}
+		t.Recorded = true
+	}
+	d.releases.hear(now, t.Sent(now))
+	if next.Phase == release.RolledBack {
+		if ok, conflict := d.record(ctx, next); ok {
+			t.Recorded = true
+			d.releases.hear(now, t.Sent(now))
+		} else if conflict != nil {
+			d.releases.hear(now, *conflict)
+		}
+	}
+	return t.Phase != s.Phase
+}
+
+// currentState returns the state to decide from; an empty one if it is not known yet, or if the roll-out
+// has ended already, which ended then says.
+func (d *releaseDecider) currentState(ctx context.Context, now time.Time, o release.Open) (s release.State, ended bool) {
+	switch {
+	case o.IsTold() && !d.lastRound.IsZero() && now.Sub(d.lastRound) < release.Lease:
+		return o.Told.State, false
+	case o.IsTold():
+		return o.Told.State.Resumed(now), false
+	}
+	records, _, err := d.readRecords(ctx)
+	if err != nil {
+		return release.State{}, false
+	}
+	r, known := records[o.Order.Service]
+	if t, ended := r.Ended(o.Order); known && ended {
+		d.releases.hear(now, t)
+		return release.State{}, true
+	}
+	if !o.ToldAt.IsZero() {
+		return o.Told.State.WithOrder(o.ReadAt, o.Order), false
+	}
+	s = release.New(o.ReadAt, o.Order)
+	if known && r.ID == o.Order.ID && o.AtStart {
+		s.Invalid = "all nodes were lost that knew when it was ordered"
+	}
+	return s, false
+}
+
+// situation returns what is known of an order's roll-out.
+func (d *releaseDecider) situation(o release.Order, a ReleaseAnswer) release.Situation {
+	in := release.Situation{Complete: a.Missed == 0}
+	for _, r := range a.Reports {
+		if r.Service == o.Service {
+			in.Report = r.Report
+		}
+	}
+	for _, u := range d.releases.active(o.Service) {
+		if u.Software == o.Software {
+			in.New++
+		} else {
+			in.Serving++
+		}
+	}
+	if f := d.releases.book.InForce(); f != nil {
+		_, in.Known = f.Services[o.Service]
+	}
+	return in
+}
+
+func (d *releaseDecider) readRecords(ctx context.Context) (map[string]release.Record, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	records, at, err := d.records.Read(ctx)
+	if err != nil {
+		event.Info(d.log, event.ReleaseNotRecorded, zap.Error(err))
+	}
+	return records, at, err
+}
+
+// record records a state, unless it is recorded. If the platform's record says that the roll-out has
+// ended another way, it returns that.
+func (d *releaseDecider) record(ctx context.Context, s release.State) (ok bool, conflict *release.Telling) {
+	r := release.RecordOf(s)
+	if d.recorded[s.Service] == r {
+		return true, nil
+	}
+	records, at, err := d.readRecords(ctx)
+	if err != nil {
+		return false, nil
+	}
+	if t, ended := records[s.Service].Ended(s.Order); ended && records[s.Service] != r {
+		return false, &t
+	}
+	if records[s.Service] != r {
+		if err := d.write(ctx, at, r); err != nil {
+			event.Info(d.log, event.ReleaseNotRecorded, zap.String("Service", s.Service), zap.Uint64("Order", s.ID), zap.Error(err))
+			return false, nil
+		}
+	}
+	d.recorded[s.Service] = r
+	return true, nil
+}
+
+func (d *releaseDecider) write(ctx context.Context, at uint64, r release.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	if err := d.records.Write(ctx, at, r); err != nil {
+		return fmt.Errorf("write the record of a roll-out: %w", err)
+	}
+	return nil
+}
+
+// readEnded reads from the platform's records how roll-outs have ended that nobody has told this node
+// about, as it has started since.
+func (d *releaseDecider) readEnded(ctx context.Context, now time.Time, open []release.Open) {
+	untold := lo.Filter(open, func(o release.Open, _ int) bool { return !o.IsTold() && now.Sub(o.ReadAt) >= releaseRecordPause })
+	if len(untold) == 0 || now.Sub(d.recordRead) < releaseRecordPause+rand.N(releaseRecordPause) {
+		return
+	}
+	d.recordRead = now
+	records, _, err := d.readRecords(ctx)
+	if err != nil {
+		return
+	}
+	for _, o := range untold {
+		if t, ended := records[o.Order.Service].Ended(o.Order); ended {
+			d.releases.hear(now, t)
+		}
+	}
+}
+
+// askReleases sends a query to all live nodes and returns their answers. In a large fleet one node of
+// each data centre asks the others there.
+func (p *peers) askReleases(ctx context.Context, q ReleaseQuery) []ReleaseAnswer {
+	others := p.live(time.Now())
+	if len(others)+1 < releaseTellMin {
+		return p.askEach(ctx, others, q)
+	}
+	q.Forward = true
+	groups := lo.Values(lo.GroupBy(others, func(m member.Member) string { return m.DataCentre }))
+	return waitAll(groups, func(group []member.Member) ReleaseAnswer { return p.askGroup(ctx, group, q) })
+}
+
+// askEach sends a query to each node.
+func (p *peers) askEach(ctx context.Context, nodes []member.Member, q ReleaseQuery) []ReleaseAnswer {
+	return waitAll(nodes, func(m member.Member) ReleaseAnswer {
+		var a ReleaseAnswer
+		if p.call(ctx, m.Address, "Releases", q, &a) != nil {
+			return ReleaseAnswer{Missed: 1}
+		}
+		return a
+	})
+}
+
+// askGroup sends a query to one of the nodes of a data centre, which asks the others there. If neither
+// of the first two answers, all of them are missed in this round.
+func (p *peers) askGroup(ctx context.Context, group []member.Member, q ReleaseQuery) ReleaseAnswer {
+	for _, m := range aggregatorsOf(group)[group[0].DataCentre] {
+		var a ReleaseAnswer
+		if p.callWithin(ctx, releaseForwardTimeout, m.Address, "Releases", q, &a) == nil {
+			return a
+		}
+	}
+	return ReleaseAnswer{Missed: len(group)}
+}
+
+// Releases applies the states of roll-outs that the deciding node tells, and answers with this node's
+// reports, or with those of its data centre.
+func (h *enginesHandler) Releases(q ReleaseQuery, a *ReleaseAnswer) error {
+	r := h.peers.releases.Load()
+	if r == nil {
+		return errNotJoined
+	}
+	*a = r.answer(clock.BoottimeNow(), q)
+	if !q.Forward {
+		return nil
+	}
+	q.Forward = false
+	near := lo.Filter(h.peers.live(time.Now()), func(m member.Member, _ int) bool {
+		return m.DataCentre == h.peers.dataCentre && m.Name != q.From
+	})
+	*a = sumReleaseAnswers(append(h.peers.askEach(context.Background(), near, q), *a))
+	return nil
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -21,6 +21,7 @@
 	"github.com/dunlinmill/dunlinmill/request/quarantine"
 	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/release"
 	"github.com/dunlinmill/dunlinmill/version/route"
 )
 
@@ -258,6 +259,10 @@
 	if err != nil {
 		return err
 	}
+	var division release.Division
+	if x.in.LastEventID == "" {
+		division = x.g.releases.divide(x.service.Name)
+	}
 	a, err := x.g.completions.Start(ctx, completion.Request{
 		ID:            x.in.ID,
 		Content:       x.content,
@@ -279,6 +284,8 @@
 		LastEventID:   x.in.LastEventID,
 		Software:      pin,
 		OnFurtherRun:  x.chargeExtraRun,
+		Avoid:         division.First,
+		AvoidLater:    division.Later,
 	})
 	if err != nil {
 		return x.relayFailedReply(err)
@@ -370,6 +377,7 @@
 	deadline := x.deadline()
 	ctx, cancel := withDeadline(ctx, deadline)
 	defer cancel()
+	division := x.g.releases.divide(x.service.Name)
 	reply, err := x.g.calls.Do(ctx, call.Request{
 		ID:           x.in.ID,
 		Content:      x.content,
@@ -386,6 +394,9 @@
 		Host:         x.in.Host,
 		Target:       x.in.Target,
 		OnFurtherRun: x.chargeExtraRun,
+		Kind:         x.route.Name,
+		Avoid:        division.First,
+		AvoidLater:   division.Later,
 	})
 	if err != nil {
 		return x.relayFailedReply(err)
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -141,6 +141,8 @@
 	upstreams      *prometheus.GaugeVec
 	resumes        *prometheus.CounterVec
 	relays         *prometheus.CounterVec
+	releasePhase   *prometheus.GaugeVec
+	releaseSends   *prometheus.CounterVec
 	journalAppends *prometheus.CounterVec
 	journalLatency prometheus.Histogram
 }
@@ -171,12 +173,14 @@
 		upstreams:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "upstreams", Help: "Upstreams that may get requests, by service and by the version of their software."}, []string{"service", "software"}),
 		resumes:        newCounterVec("resumed_streams_total", "Streams that callers asked to resume, by how their origin was found.", "origin"),
 		relays:         newCounterVec("relayed_connections_total", "Connections to upstreams that were asked of other nodes (Opened, NotOpened) or passed on for them (PassedOn).", "result"),
+		releasePhase:   prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "release_phase", Help: "How far the roll-out of a service's software version has come as this node knows: 0 Pending, 1 Watching, 2 Loading, 3 Shifting, 4 Draining, 5 Complete, 6 RolledBack."}, []string{"service", "software"}),
+		releaseSends:   newCounterVec("release_sends_total", "Sends to the upstreams of a service during a roll-out, by whether their software version is the new one.", "service", "version"),
 		journalAppends: newCounterVec("journal_appends_total", "Appends to the journal by what became of them.", "result"),
 		journalLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "journal_append_seconds", Help: "Time that an append to the journal took, whatever became of it.", Buckets: journalBuckets}),
 	}
 	m.classes.Store(&Classes{})
 	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.promptLength, m.retries, m.imports, m.quarantine,
-		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.rateLimit, m.fleetOverload, m.pathLost, m.upstreams, m.resumes, m.relays, m.peers,
+		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.rateLimit, m.fleetOverload, m.pathLost, m.upstreams, m.resumes, m.relays, m.releasePhase, m.releaseSends, m.peers,
 		m.journalAppends, m.journalLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -330,3 +334,18 @@
 	m.journalAppends.WithLabelValues(a.String()).Inc()
 	m.journalLatency.Observe(d.Seconds())
 }
+
+// SetReleasePhase sets how far the roll-out of a service's software version has come.
+func (m *Metrics) SetReleasePhase(service, software string, phase int) {
+	m.releasePhase.DeletePartialMatch(prometheus.Labels{"service": service})
+	m.releasePhase.WithLabelValues(service, software).Set(float64(phase))
+}
+
+// RecordReleaseSend counts a send to an upstream of a service that has a roll-out.
+func (m *Metrics) RecordReleaseSend(service string, toNew bool) {
+	version := "serving"
+	if toNew {
+		version = "new"
+	}
+	m.releaseSends.WithLabelValues(service, version).Inc()
+}
