Read large registers page by page, and without falling behind

All pages of the register together had 1.5 s, and 10,000 entries take a link of 20 Mbit/s longer than that, so each node began anew for good. Each page has the time now.

Behind that, more heartbeats arrive in the pause between two reads than the platform gives with one answer (1 MB): a reader fell behind until the log had lost what it needed, and read all entries again. It asks again at once while it is behind the end.

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -17,7 +17,7 @@
 // QuarantineRecords is the platform's store of the quarantine.
 type QuarantineRecords interface {
 	// Newest returns the newest record of each key.
-	Newest(ctx context.Context) ([]keyed.Record, uint64, error)
+	Newest(ctx context.Context, pageTimeout time.Duration) ([]keyed.Record, uint64, error)
 	// Append adds records.
 	Append(ctx context.Context, records ...keyed.Record) error
 }
@@ -70,9 +70,7 @@
 }
 
 func (k *quarantineKeeper) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	stored, _, err := k.records.Newest(ctx)
+	stored, _, err := k.records.Newest(ctx, platformTimeout)
 	if err != nil {
 		event.Info(k.log, event.QuarantineMissed, zap.Error(err))
 		return err
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -31,11 +31,12 @@
 }
 
 // Topic is the platform's interface to one topic. Its methods return by the end of
-// ctx.
+// ctx. A read returns as many records as the platform gives at once.
 type Topic interface {
 	// Newest returns the newest record of each key, and the offset from which on
-	// records may have been missed while the pages were read.
-	Newest(ctx context.Context) (records []Record, next uint64, err error)
+	// records may have been missed while the pages were read. Each page is bounded by
+	// pageTimeout.
+	Newest(ctx context.Context, pageTimeout time.Duration) (records []Record, next uint64, err error)
 	// Read returns the records from an offset on without a gap; none if none arrives
 	// within wait. end is the offset after the last record of the topic.
 	Read(ctx context.Context, from uint64, wait time.Duration) (records []Record, end uint64, err error)
@@ -82,7 +83,7 @@
 	// then AwaitedPause. nil: never.
 	AnswerAwaited func() bool
 	AwaitedPause  time.Duration
-	Timeout       time.Duration // bounds a question, in addition to HoldTime
+	Timeout       time.Duration // bounds a question, or each page of its answer, in addition to HoldTime
 	Clock         func() time.Time
 	// Peers are asked while the platform does not answer, and instead of the platform
 	// while they are preferred, PeerPause after each answer; nil: there are none. If
@@ -99,6 +100,7 @@
 	topic      Topic
 	consumer   Consumer
 	lastFailed bool // the last question got no answer; used by the reading goroutine only
+	behind     bool // the last answer did not reach the end of the topic; the same
 
 	mu        sync.Mutex // guards the fields below
 	hasNewest bool       // the newest record of each key is known
@@ -163,8 +165,12 @@
 	}
 }
 
-// waitUntilDue waits until the next question is due.
+// waitUntilDue waits until the next question is due. It is due at once while the platform has more
+// records than it gives with one answer: the follower would fall behind further with each pause.
 func (f *Follower) waitUntilDue(ctx context.Context) {
+	if f.behind {
+		return
+	}
 	pause := f.cfg.pause()
 	for ctx.Err() == nil {
 		left := pause - f.cfg.Clock().Sub(f.lastKnownAt())
@@ -261,6 +267,7 @@
 	}
 	now := f.cfg.Clock()
 	next := from + uint64(len(records))
+	f.behind = next < end
 	u := Update{Records: records, From: from, Next: next, AsOf: proofTime(now, askedAt, wait, len(records) > 0)}
 	f.consumer.Consume(now, u)
 	f.recordProgress(next, now, u)
@@ -307,9 +314,7 @@
 // with the first page. An answer older than what is known already is rejected,
 // because it would bring back replaced values.
 func (f *Follower) readNewest(ctx context.Context, askedAt time.Time) error {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
-	defer cancel()
-	records, next, err := f.topic.Newest(ctx)
+	records, next, err := f.topic.Newest(ctx, f.cfg.Timeout)
 	if err != nil {
 		return fmt.Errorf("read the newest: %w", err)
 	}
