Search no entries of the register with each heartbeat

The roster forgets the offsets of removed entries once it holds 4,096. With more entries than that, each heartbeat searched all of them and removed none: 5,000 heartbeats a second through 10,000 entries. It searches again when it holds twice as many as after the last search. A read of all entries compared each of them with each one that is known; it looks them up now.

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -176,7 +176,7 @@
 	}
 	t.roster.SetReachable(now)
 	if u.Complete {
-		t.roster.RetainOnly(now, lo.Map(u.Records, func(r keyed.Record, _ int) string { return r.Key }))
+		t.roster.RetainOnly(now, lo.SliceToMap(u.Records, func(r keyed.Record) (string, bool) { return r.Key, true }))
 	}
 	read := RegisterRead{From: u.From, Next: u.Next}
 	latest := map[string]RegisterNews{} // by key: one read may hold several heartbeats of an upstream
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -75,17 +75,19 @@
 	// ones included: an update that a peer sends late must not restore a
 	// removed entry.
 	newestOffset map[string]uint64
-	busy         map[string]time.Time // until when an upstream takes no requests
+	// offsetsPruneAt is the size of newestOffset at which it loses what belongs to no present entry.
+	offsetsPruneAt int
+	busy           map[string]time.Time // until when an upstream takes no requests
 	// leaving holds the starts whose answers said that they leave, and when
 	// each was first recorded. It outlives their entries, since an outdated
 	// entry that arrives again would otherwise make them usable.
 	leaving map[string]time.Time
 }
 
-// maxSuperseded is the size at which superseded is cleared, and newestOffset
-// and leaving lose what belongs to no present entry. A late heartbeat is only
-// seconds old, and the upstreams of a fleet start fewer times than this within
-// minutes.
+// maxSuperseded is the size at which superseded is cleared, and the least one at
+// which newestOffset and leaving lose what belongs to no present entry. A late
+// heartbeat is only seconds old, and the upstreams of a fleet start fewer times
+// than this within minutes.
 const maxSuperseded = 4096
 
 // New returns a Roster without upstreams.
@@ -141,11 +143,13 @@
 	if offset < r.newestOffset[key] {
 		return false
 	}
-	if len(r.newestOffset) >= maxSuperseded {
+	if len(r.newestOffset) >= max(maxSuperseded, r.offsetsPruneAt) {
 		maps.DeleteFunc(r.newestOffset, func(key string, _ uint64) bool {
 			_, known := r.latestStart[key]
 			return !known
 		})
+		// In a register with more entries than maxSuperseded, each heartbeat would prune otherwise.
+		r.offsetsPruneAt = 2 * len(r.newestOffset)
 	}
 	r.newestOffset[key] = offset
 	return true
@@ -318,11 +322,11 @@
 }
 
 // RetainOnly drops all entries except those with the given keys.
-func (r *Roster) RetainOnly(now time.Time, keys []string) {
+func (r *Roster) RetainOnly(now time.Time, keys map[string]bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, e := range r.entries {
-		if !slices.Contains(keys, e.RegisterKey()) {
+		if !keys[e.RegisterKey()] {
 			r.dropEntry(now, id, false)
 		}
 	}
@@ -390,6 +394,14 @@
 	return all, r.changes
 }
 
+// Entry returns the entry with an ID; false if there is none.
+func (r *Roster) Entry(id string) (Entry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[id]
+	return e.Entry, ok
+}
+
 // ChangeCount returns the number that Entries returns, without the entries.
 func (r *Roster) ChangeCount() uint64 {
 	r.mu.Lock()
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -225,7 +225,7 @@
 		{"its own entry follows that answer", func(r *Roster) { r.RecordReplaced("a@10"); r.Put(entryOfStart("a", 20), 8) }, []string{"a@20"}},
 		{"its key is dropped", func(r *Roster) { r.Put(entryOfStart("a", 20), 8); r.Drop(now, "a", 9, true) }, nil},
 		{"its key is not listed", func(r *Roster) { r.Put(entryOfStart("a", 20), 8); r.RetainOnly(now, nil) }, nil},
-		{"its key is listed", func(r *Roster) { r.Put(entryOfStart("a", 20), 8); r.RetainOnly(now, []string{"a"}) }, []string{"a@20"}},
+		{"its key is listed", func(r *Roster) { r.Put(entryOfStart("a", 20), 8); r.RetainOnly(now, map[string]bool{"a": true}) }, []string{"a@20"}},
 	}
 	for _, c := range cases {
 		r := New()
@@ -320,3 +320,33 @@
 		t.Errorf("%d", len(r.leaving))
 	}
 }
+
+// Guards against a search through all entries with each heartbeat, in a register with more upstreams
+// than late records are kept for.
+func TestHeartbeatsOfManyUpstreamsSearchNothing(t *testing.T) {
+	const upstreams, heartbeats = 3 * maxSuperseded, 5 * maxSuperseded
+	r := New()
+	put := func(i, offset int) {
+		r.Put(Entry{ID: fmt.Sprint("i-", i), Address: fmt.Sprint("10.0.0.1:", i)}, uint64(offset))
+	}
+	for i := range upstreams {
+		put(i, i)
+	}
+	searches, last := 0, r.offsetsPruneAt
+	for i := range heartbeats {
+		put(i%upstreams, upstreams+i)
+		if r.offsetsPruneAt != last || len(r.newestOffset) >= r.offsetsPruneAt {
+			searches, last = searches+1, r.offsetsPruneAt
+		}
+	}
+	if searches > 0 {
+		t.Errorf("%d searches with %d heartbeats", searches, heartbeats)
+	}
+	for i := range maxSuperseded {
+		r.Drop(time.Unix(1000, 0), fmt.Sprint("i-", i), uint64(10*upstreams+i), true)
+		put(2*upstreams+i, 20*upstreams+i)
+	}
+	if len(r.newestOffset) > 2*upstreams+maxSuperseded {
+		t.Errorf("%d offsets are kept for %d entries", len(r.newestOffset), len(r.entries))
+	}
+}
