Let a few large VMs of each data centre read the register for the others

In a fleet of hundreds of nodes each read of the register was reported to all others at once within 150 ms. Who missed a report read for itself: the heartbeats of 10,000 upstreams, 1.5 MB a second on a link of 2.5. When all nodes started, each read all entries from the platform.

From 40 nodes on, two nodes of each data centre read the register. The readers of the configuration and of the register are the largest VMs of their data centre, by the sizes that nodes enter into the directory. Before the membership has heard of a node, the directory counts, so that a fleet that starts together knows its readers at once. Smaller fleets report each read as before.

--- a/connection/platform/platform.go
+++ b/connection/platform/platform.go
@@ -53,6 +53,10 @@
 	Address    string // IP:port of the node's peer listener
 	DataCentre string
 	Leaving    bool
+	// Cores is the share of processor cores that the VM has, and LinkMbps the bandwidth of its link in
+	// Mbit/s; 0: not stated.
+	Cores    float64
+	LinkMbps float64
 }
 
 // VMList is the platform's list of VMs, which can lag behind the real state.
--- a/process/gateway/directory_test.go
+++ b/process/gateway/directory_test.go
@@ -31,7 +31,7 @@
 	for _, c := range cases {
 		l := &countingList{}
 		s := &throttledVMList{list: l, fleetSize: func() int { return c.nodes }}
-		for boot := time.Unix(1000, 0); boot.Before(time.Unix(1000, 0).Add(5 * time.Minute)); boot = boot.Add(directoryInterval) {
+		for boot := time.Unix(1000, 0); boot.Before(time.Unix(1000, 0).Add(5 * time.Minute)); boot = boot.Add(directoryCheckInterval) {
 			if vms, err := s.vmsAt(t.Context(), boot); err != nil || len(vms) != 1 {
 				t.Fatalf("%d nodes: %v, %v", c.nodes, vms, err)
 			}
@@ -41,3 +41,21 @@
 		}
 	}
 }
+
+// Guards against nodes that go on choosing roles without the sizes of those that have entered since, and
+// against lookups by every node each time that a single one enters.
+func TestManyUnlistedNodesAreLookedUp(t *testing.T) {
+	for _, c := range []struct{ nodes, unlisted, lookups int }{{8, 4, 2}, {100, 5, 2}, {100, 6, 4}, {986, 500, 4}} {
+		l := &countingList{}
+		s := &throttledVMList{list: l, fleetSize: func() int { return c.nodes }, unlisted: func() int { return c.unlisted }}
+		began := time.Unix(1000, 0)
+		for boot := began; boot.Sub(began) <= directoryInterval; boot = boot.Add(directoryCheckInterval) {
+			if _, err := s.vmsAt(t.Context(), boot); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if l.lookups != c.lookups {
+			t.Errorf("%d nodes, %d of them unlisted: %d lookups in %v, want %d", c.nodes, c.unlisted, l.lookups, directoryInterval, c.lookups)
+		}
+	}
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -38,6 +38,10 @@
 	Node        string
 	DataCentre  string
 	PeerAddress string // IP:port at which other nodes reach this one
+	// Cores is the share of processor cores that the VM has, and LinkMbps the bandwidth of its link in
+	// Mbit/s; 0: not stated. Larger VMs get the roles that cost more.
+	Cores    float64
+	LinkMbps float64
 	// AdmitByGoal means that under overload requests are admitted by the goals of their routes and
 	// by what all nodes know of the load. Otherwise each node goes by the time that the callers
 	// still wait.
@@ -100,8 +104,9 @@
 
 // Directory is where nodes find each other.
 type Directory interface {
-	// Enter registers the address at which other nodes reach this one.
-	Enter(ctx context.Context, self platform.VM) (EnterResult, error)
+	// Enter registers the address at which other nodes reach this one. The nodes that have entered before
+	// are passed to listed, which happens before their answer to this entry.
+	Enter(ctx context.Context, self platform.VM, listed func([]platform.VM)) (EnterResult, error)
 	platform.VMList
 }
 
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +41,9 @@
 
 	mu sync.Mutex // held while the parts update to a new view
 
-	keyStatesMu sync.Mutex
+	keyStatesMu sync.Mutex          // guards the fields below
 	keyStates   map[string]keyState // by key: what the key's newest record says
+	registerLog registerLog
 }
 
 // keyState is what the newest record of a key of the register says.
@@ -176,26 +179,57 @@
 	}
 	t.roster.SetReachable(now)
 	if u.Complete {
-		t.roster.RetainOnly(now, lo.SliceToMap(u.Records, func(r keyed.Record) (string, bool) { return r.Key, true }))
+		t.retainOnly(now, u.Records)
+	}
+	if u.Complete {
+		// The records come in the order of their keys.
+		slices.SortFunc(u.Records, func(a, b keyed.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	}
 	read := RegisterRead{From: u.From, Next: u.Next}
 	latest := map[string]RegisterNews{} // by key: one read may hold several heartbeats of an upstream
 	for _, r := range u.Records {
 		n := t.readRecord(r)
-		n.Sure = t.applyNews(now, n)
+		n.Sure = t.applyNews(now, n) || n.Sure
 		key := n.Entry.RegisterKey()
-		if previous, seen := latest[key]; t.recordState(n, u.From) && !(seen && previous.sameState(n)) {
+		if previous, seen := latest[key]; t.recordState(now, n, u.From) && !(seen && previous.sameState(n)) {
 			latest[key] = n
 			read.News = append(read.News, n)
 		}
 	}
 	t.roster.MarkRead()
 	t.refresh(now)
-	if !u.Complete && !t.isInitialRead(len(latest)) {
+	if !u.Complete && !u.FromPeer && !t.isInitialRead(len(latest)) {
 		t.tellPeers(read)
 	}
 }
 
+// retainOnly drops all entries that the newest records of all keys don't have.
+func (t *registerHandler) retainOnly(now time.Time, records []keyed.Record) {
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+	}
+	t.roster.RetainOnly(now, listed)
+	t.keyStatesMu.Lock()
+	defer t.keyStatesMu.Unlock()
+	for key := range t.keyStates {
+		if !listed[key] {
+			delete(t.keyStates, key)
+		}
+	}
+	// Who knows what was there before can't be told what is missing since.
+	t.registerLog = registerLog{prunedBefore: lastOffset(records) + 1}
+}
+
+// lastOffset returns the greatest offset of the records.
+func lastOffset(records []keyed.Record) uint64 {
+	last := uint64(0)
+	for _, r := range records {
+		last = max(last, r.Offset)
+	}
+	return last
+}
+
 // alwaysToldNews is the number of changed upstreams up to which a read is always reported to the
 // peers, whatever the size of the register.
 const alwaysToldNews = 100
@@ -217,6 +251,9 @@
 // upstream to use. Skipping it would keep the key's previous entry in use, although its upstream
 // may have been started again or be leaving.
 func (t *registerHandler) readRecord(r keyed.Record) RegisterNews {
+	if n, ok := r.Decoded.(RegisterNews); ok {
+		return n
+	}
 	n := RegisterNews{Entry: roster.Entry{ID: r.Key, Key: r.Key}, Gone: r.Dropped, Offset: r.Offset}
 	if r.Dropped {
 		return n
@@ -292,23 +329,33 @@
 // that knows all records before the offset from. Whether it changes anything on this node does not
 // matter. This node may know the weights from an answer that its peers have not got, or the record
 // itself from a peer's report that other nodes may have missed.
-func (l *learner) recordState(n RegisterNews, from uint64) bool {
+func (l *learner) recordState(now time.Time, n RegisterNews, from uint64) bool {
 	l.keyStatesMu.Lock()
 	defer l.keyStatesMu.Unlock()
 	key := n.Entry.RegisterKey()
 	previous, known := l.keyStates[key]
+	if n.Offset < max(previous.offset, l.registerLog.gone[key].offset) {
+		return false // a peer's late report
+	}
+	l.registerLog.compact(now, l.keyStates)
 	switch {
 	case n.Unusable:
-		l.keyStates[key] = keyState{unusable: true, hadStartTime: previous.hadStartTime, offset: n.Offset}
-		return !previous.unusable || previous.offset >= from
+		isNew := !previous.unusable || previous.offset >= from
+		if !previous.unusable {
+			l.keyStates[key] = keyState{unusable: true, hadStartTime: previous.hadStartTime, offset: n.Offset}
+			l.registerLog.record(n.Offset, key)
+		}
+		return isNew
 	case n.Gone:
 		delete(l.keyStates, key)
+		l.registerLog.remove(now, n)
 		return true
 	}
 	if known && !previous.unusable && previous.Equal(n.Entry) && previous.offset < from {
 		return false
 	}
 	l.keyStates[key] = keyState{Entry: n.Entry, hadStartTime: previous.hadStartTime || n.Entry.Born != 0, offset: n.Offset}
+	l.registerLog.record(n.Offset, key)
 	return true
 }
 
@@ -316,7 +363,7 @@
 func (l *learner) applyPeerRead(now time.Time, r RegisterRead) {
 	for _, n := range r.News {
 		l.applyNews(now, n)
-		l.recordState(n, r.From)
+		l.recordState(now, n, r.From)
 	}
 	if len(r.News) > 0 {
 		l.refresh(now)
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -38,8 +38,13 @@
 	}
 }
 
-// broadcastRegister sends the other nodes what this node has just read from the register.
-func (p *peers) broadcastRegister(r RegisterRead) { p.callAll("Entries", r) }
+// reportRegister sends the other nodes what this node has just read from the register. In a large fleet
+// they ask for it.
+func (p *peers) reportRegister(r RegisterRead) {
+	if _, fleet := p.readers.near(clock.BoottimeNow()); fleet < registerRelayMinNodes {
+		p.callAll("Entries", r)
+	}
+}
 
 // broadcastHolder sends the other nodes a sign that this node holds the duty.
 func (p *peers) broadcastHolder() { p.callAll("Holder", Heard{}) }
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -41,6 +41,14 @@
 	// there at once and then contacts the others, so these need the directory only after a
 	// partition.
 	directoryInterval = 10 * time.Second
+	// directoryCheckInterval is the time between two checks whether a lookup is due.
+	directoryCheckInterval = time.Second
+	// enterTimeout bounds the entry into the directory. When a large fleet starts at once, its entries
+	// wait for each other at the platform for seconds, and each one that is given up comes again.
+	enterTimeout = 6 * time.Second
+	// maxLocateTime is how long a node that starts waits to know which others there are, before it
+	// reads the register itself.
+	maxLocateTime = time.Second
 )
 
 // errNotJoined means that this node does not know the other nodes yet.
@@ -73,6 +81,12 @@
 	// The followers of the platform's topics; nil: not started yet.
 	configuration, register atomic.Pointer[keyed.Follower]
 
+	roles   *roles
+	readers *readers
+	// located is closed when this node knows which others there are, or has waited for it long enough.
+	located     chan struct{}
+	locatedOnce sync.Once
+
 	mu             sync.Mutex // guards all below
 	members        *member.Runner
 	client         *peer.Client
@@ -92,7 +106,13 @@
 		learner: do.MustInvoke[*learner](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), fleet: do.MustInvoke[*fleetload.Tracker](i),
 		relays: do.MustInvoke[*relay.Server](i), paths: do.MustInvoke[*path.Monitor](i), metrics: do.MustInvoke[*metric.Metrics](i), seed: g.seed(), cancel: cancel, lastHolderSign: clock.BoottimeNow(),
 	}
-	self := platform.VM{Name: g.settings.Node, Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre}
+	self := platform.VM{Name: g.settings.Node, Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre, Cores: g.settings.Cores, LinkMbps: g.settings.LinkMbps}
+	ps.roles = newRoles(self, ps.known)
+	ps.readers, ps.located = newReaders(ps.roles, self.Name), make(chan struct{})
+	ps.work.Go(func() {
+		clock.Wait(ctx.Done(), maxLocateTime)
+		ps.setLocated()
+	})
 	ps.work.Go(func() { ps.enter(ctx, p.Directory, self) })
 	g.onClose("peers", ps.close)
 	return ps
@@ -162,9 +182,35 @@
 }
 
 func (p *peers) enterDirectory(ctx context.Context, d Directory, self platform.VM) (EnterResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	ctx, cancel := context.WithTimeout(ctx, enterTimeout)
 	defer cancel()
-	return d.Enter(ctx, self)
+	return d.Enter(ctx, self, func(vms []platform.VM) { p.roles.setListed(clock.BoottimeNow(), vms) })
+}
+
+// setListed records what the directory lists.
+func (p *peers) setListed(vms []platform.VM) {
+	p.roles.setListed(clock.BoottimeNow(), vms)
+	p.setLocated()
+}
+
+// setLocated records that this node knows which others there are, or has waited for it long enough.
+func (p *peers) setLocated() { p.locatedOnce.Do(func() { close(p.located) }) }
+
+// known returns the other nodes that the membership knows now, in any state.
+func (p *peers) known() []member.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members == nil {
+		return nil
+	}
+	return p.members.Members(time.Now())
+}
+
+// shuffledLive returns the other live nodes in a random order.
+func (p *peers) shuffledLive(now time.Time) []member.Member {
+	others := p.live(now)
+	mutable.Shuffle(others)
+	return others
 }
 
 // join connects to the other nodes and starts the membership. After a failure it stops what it has
@@ -193,8 +239,8 @@
 	p.closers.Add("peer server", server.Close)
 	members, err := member.NewRunner(member.Config{
 		Name: self.Name, Address: self.Address, DataCentre: self.DataCentre,
-		Incarnation: time.Now().UnixNano(), VMListInterval: directoryInterval,
-	}, client, &throttledVMList{list: d, fleetSize: func() int { return len(p.live(time.Now())) + 1 }}, p.log)
+		Incarnation: time.Now().UnixNano(), VMListInterval: directoryCheckInterval,
+	}, client, &throttledVMList{list: d, fleetSize: func() int { return len(p.live(time.Now())) + 1 }, listed: p.setListed, unlisted: p.roles.countUnlisted}, p.log)
 	if err != nil {
 		return err
 	}
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -88,7 +88,8 @@
 		return strings.Count(b.String(), "member.(*Runner)")
 	}
 	before := running()
-	p := &peers{log: zap.NewNop()}
+	p := &peers{log: zap.NewNop(), located: make(chan struct{})}
+	p.roles = newRoles(platform.VM{Name: "n1"}, p.known)
 	self := platform.VM{Name: "n1", Address: ln.Addr().String(), DataCentre: "dc"}
 	if err := p.join(emptyDirectory{}, self, bytes.Repeat([]byte("s"), 32)); err == nil {
 		t.Fatal("joined on a port that is taken")
@@ -101,7 +102,7 @@
 // emptyDirectory is a directory without nodes.
 type emptyDirectory struct{}
 
-func (emptyDirectory) Enter(context.Context, platform.VM) (EnterResult, error) {
+func (emptyDirectory) Enter(context.Context, platform.VM, func([]platform.VM)) (EnterResult, error) {
 	return EnterResult{}, nil
 }
 func (emptyDirectory) VMs(context.Context) ([]platform.VM, error) { return nil, nil }
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -353,12 +353,15 @@
 	configPolling, registerPolling := pace, pace
 	configPolling.HoldTime = configWait
 	configPolling.Peers, configPolling.PeerPause, configPolling.MaxPeerProofAge = configRelay{others}, readerQueryPause, maxRelayedProofAge
+	configPolling.AnswersPeers = true
+	registerPolling.Peers, registerPolling.PeerPause, registerPolling.MaxPeerProofAge = registerRelay{others}, registerQueryPause, maxRegisterProofAge
+	registerPolling.Started, registerPolling.PeerPatience = others.located, registerPatience
 	registerPolling.Pause, registerPolling.Spread, registerPolling.PauseFactor = registerPause, registerSpread, configRelay{others}.registerPauseFactor
 	registerPolling.OthersRead = configRelay{others}.Preferred
 	registerPolling.AnswerAwaited, registerPolling.AwaitedPause = do.MustInvoke[*roster.Roster](i).HasLapsed, lapsedPause
 	f := followers{
 		configuration: keyed.New(configPolling, p.Configuration, &configurationHandler{learner: l}),
-		register:      keyed.New(registerPolling, p.Register, &registerHandler{learner: l, tellPeers: others.broadcastRegister}),
+		register:      keyed.New(registerPolling, p.Register, &registerHandler{learner: l, tellPeers: others.reportRegister}),
 	}
 	others.setFollowers(f)
 	g.onClose("configuration follower", f.configuration.Close)
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -1,16 +1,16 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 	"github.com/samber/lo/mutable"
 
-	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
 
@@ -19,6 +19,11 @@
 	// others. A node's own queries cost half a call a second, and price and rate limit of the calls
 	// apply to the whole fleet.
 	relayMinNodes = 16
+	// registerRelayMinNodes is the size from which they get the register from them as well. Below it,
+	// who reads the register reports to all others. A report to each of many nodes takes longer than
+	// the time until the next one, and each node that it does not reach in time reads for itself: the
+	// heartbeats of thousands of upstreams, which are more than a small VM's link carries.
+	registerRelayMinNodes = aggregateMinNodes
 	// readersPerDataCentre is how many nodes of a data centre query the platform, so that one of
 	// them may be down.
 	readersPerDataCentre = 2
@@ -43,8 +48,58 @@
 	// platform itself although it relies on others. The answer then arrives before the proof is 3 s
 	// old.
 	maxRelayedProofAge = 2600 * time.Millisecond
+	// readerAvoidTime is how long a reader that did not answer is asked after all others.
+	readerAvoidTime = 2 * time.Second
 )
 
+// readers chooses the nodes that this node asks in place of the platform.
+type readers struct {
+	roles *roles
+	name  string // of this node
+
+	mu           sync.Mutex
+	avoidedUntil map[string]time.Time // by name
+}
+
+func newReaders(r *roles, name string) *readers {
+	return &readers{roles: r, name: name, avoidedUntil: map[string]time.Time{}}
+}
+
+// near returns the nodes of this data centre that query the platform, as far as they come before this
+// node; there are fewer than readersPerDataCentre if this node is a reader. fleet is the number of all
+// nodes.
+func (r *readers) near(now time.Time) (near []roleNode, fleet int) {
+	all, fleet := r.roles.nodes(now, r.roles.self.DataCentre)
+	before := slices.IndexFunc(all, func(n roleNode) bool { return n.Name == r.name })
+	return all[:min(max(0, before), readersPerDataCentre)], fleet
+}
+
+// leavesToOthers reports whether this node leaves the queries to others in a fleet of a least size.
+func (r *readers) leavesToOthers(now time.Time, minNodes int) bool {
+	near, fleet := r.near(now)
+	return fleet >= minNodes && len(near) == readersPerDataCentre
+}
+
+// avoid makes a node that did not answer come last for a while.
+func (r *readers) avoid(now time.Time, name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoidedUntil[name] = now.Add(readerAvoidTime)
+}
+
+// order returns the readers of this data centre and then those of others, at most count. Those that
+// have not answered lately come last, and are asked again if nobody else is left.
+func (r *readers) order(now time.Time, count int) []roleNode {
+	near, _ := r.near(now)
+	far := r.roles.others(now, r.roles.self.DataCentre, 1)
+	mutable.Shuffle(far)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	avoided, usable := lo.FilterReject(append(slices.Clone(near), far...), func(n roleNode, _ int) bool { return now.Before(r.avoidedUntil[n.Name]) })
+	all := append(usable, avoided...)
+	return all[:min(len(all), count)]
+}
+
 // configRelay gets the configuration from other nodes.
 type configRelay struct {
 	peers *peers
@@ -54,51 +109,48 @@
 
 // Preferred reports whether this node leaves the queries to the platform to others.
 func (r configRelay) Preferred() bool {
-	others := r.peers.live(time.Now())
-	if len(others)+1 < relayMinNodes {
-		return false
-	}
-	return len(r.readers(others)) == readersPerDataCentre
+	return r.peers.readers.leavesToOthers(clock.BoottimeNow(), relayMinNodes)
 }
 
 // registerPauseFactor returns the factor for this node's pause between two reads of the register.
-func (r configRelay) registerPauseFactor() float64 { return r.pauseFactor(r.peers.live(time.Now())) }
+func (r configRelay) registerPauseFactor() float64 {
+	near, fleet := r.peers.readers.near(clock.BoottimeNow())
+	return pauseFactor(len(near), fleet)
+}
 
-func (r configRelay) pauseFactor(others []member.Member) float64 {
+// pauseFactor returns the factor for a node before which a number of readers come, in a fleet of a
+// number of nodes.
+func pauseFactor(readersBefore, fleet int) float64 {
 	switch {
-	case len(others)+1 < relayMinNodes:
+	case fleet < relayMinNodes:
 		return 1
-	case len(r.readers(others)) == readersPerDataCentre:
+	case readersBefore == readersPerDataCentre:
 		return nonReaderPauseFactor
 	}
 	return readerPauseFactor
 }
 
-// readers returns the nodes of this data centre that query the platform, as far as they come before
-// this node; there are fewer than readersPerDataCentre if this node is a reader. All nodes select
-// the same ones: those with the highest hashes of their names.
-func (r configRelay) readers(others []member.Member) []member.Member {
-	near := lo.Filter(others, func(m member.Member, _ int) bool {
-		return m.DataCentre == r.peers.dataCentre && nameHash(m.Name) > nameHash(r.peers.name)
-	})
-	slices.SortFunc(near, func(a, b member.Member) int { return cmp.Compare(nameHash(b.Name), nameHash(a.Name)) })
-	return near[:min(len(near), readersPerDataCentre)]
-}
-
 func nameHash(name string) uint64 { return xxhash.Sum64String(name) }
 
 // Ask returns the state of the first peer whose proof is younger than freshProofAge, otherwise the
 // one with the youngest proof. It asks the readers first, then others in an order that differs
 // between nodes.
 func (r configRelay) Ask(ctx context.Context, from uint64) (keyed.PeerAnswer, error) {
-	others := r.peers.live(time.Now())
-	readers := r.readers(others)
-	mutable.Shuffle(others)
-	order := lo.UniqBy(append(readers, others...), func(m member.Member) string { return m.Name })
+	now := clock.BoottimeNow()
+	order := r.peers.readers.order(now, maxRelayPeers)
+	for _, m := range r.peers.shuffledLive(time.Now()) {
+		if len(order) >= maxRelayPeers {
+			break
+		}
+		if !slices.ContainsFunc(order, func(n roleNode) bool { return n.Name == m.Name }) {
+			order = append(order, roleNode{Name: m.Name, Address: m.Address})
+		}
+	}
 	best, err := keyed.PeerAnswer{}, error(errNotJoined)
-	for _, m := range order[:min(len(order), maxRelayPeers)] {
+	for _, n := range order {
 		var w keyed.PeerAnswer
-		if callErr := r.peers.call(ctx, m.Address, "Newest", from, &w); callErr != nil {
+		if callErr := r.peers.call(ctx, n.Address, "Newest", from, &w); callErr != nil {
+			r.peers.readers.avoid(now, n.Name)
 			err = callErr
 			continue
 		}
--- a/process/gateway/relay_test.go
+++ b/process/gateway/relay_test.go
@@ -2,13 +2,24 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/member"
 )
 
+var start = time.Unix(1_790_000_000, 0)
+
+// newTestReaders returns the readers as a node chooses them that knows all nodes of a fleet, none of
+// which states its size.
+func newTestReaders(self member.Member, fleet []member.Member) *readers {
+	others := lo.Reject(fleet, func(m member.Member, _ int) bool { return m.Name == self.Name })
+	return newReaders(newRoles(platform.VM{Name: self.Name, Address: self.Address, DataCentre: self.DataCentre}, func() []member.Member { return others }), self.Name)
+}
+
 // Of 20 nodes in four data centres, two in each query the platform and the others ask these. All
 // nodes must select the same ones without messages. With a single reader, a data centre would lose
 // its proofs when that reader is cut off.
@@ -18,9 +29,8 @@
 		fleet = append(fleet, member.Member{Name: fmt.Sprint("n", i), DataCentre: fmt.Sprint("dc", i%4)})
 	}
 	asking := map[string][]string{}
-	for i, m := range fleet {
-		others := slices.Delete(slices.Clone(fleet), i, i+1)
-		readers := configRelay{&peers{name: m.Name, dataCentre: m.DataCentre}}.readers(others)
+	for _, m := range fleet {
+		readers, _ := newTestReaders(m, fleet).near(start)
 		if len(readers) < readersPerDataCentre {
 			asking[m.DataCentre] = append(asking[m.DataCentre], m.Name)
 		}
@@ -59,8 +69,8 @@
 		f := newSharingFleet(c.nodes, 1, 6)
 		readers, commonPace := 0, 0
 		for _, n := range f.nodes {
-			others := slices.DeleteFunc(f.live(), func(m member.Member) bool { return m.Name == n.Name })
-			switch (configRelay{&peers{name: n.Name, dataCentre: n.DataCentre}}).pauseFactor(others) {
+			before, fleet := newTestReaders(n.Member, f.live()).near(start)
+			switch pauseFactor(len(before), fleet) {
 			case readerPauseFactor:
 				readers++
 			case 1:
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -20,6 +20,8 @@
 	ErrTrimmed = errors.New("keyed: records are trimmed")
 	// ErrStale means that an answer is older than what is known already.
 	ErrStale = errors.New("keyed: answer older than what is known")
+	// errAwaitingPeers means that no peer has the newest records yet, and the platform is not asked.
+	errAwaitingPeers = errors.New("keyed: no peer has the newest records yet")
 )
 
 // Record is one write to a key.
@@ -28,6 +30,9 @@
 	Value   []byte
 	Dropped bool // the key has no value any more
 	Offset  uint64
+	// Decoded is what the record says, from a peer that has read it and passes no Value on; nil: the
+	// record is from the platform, or from a peer that passes on what it has read.
+	Decoded any
 }
 
 // Topic is the platform's interface to one topic. Its methods return by the end of
@@ -54,8 +59,9 @@
 	// AsOf is a time on the follower's clock: everything accepted before it is known
 	// now.
 	AsOf time.Time
-	// Relayed means that a peer gave the answer because the platform did not.
-	Relayed bool
+	// FromPeer means that a peer gave the answer; Relayed, that it did because the
+	// platform did not.
+	FromPeer, Relayed bool
 }
 
 // Consumer receives what is read. Its methods are called by one goroutine.
@@ -92,6 +98,13 @@
 	Peers           Peers
 	PeerPause       time.Duration
 	MaxPeerProofAge time.Duration
+	// AnswersPeers means that this follower keeps the newest record of each key for AnswerPeer.
+	AnswersPeers bool
+	// Started is closed when the first question may be asked; nil: at once.
+	Started <-chan struct{}
+	// PeerPatience is how long from then on only the preferred peers are asked for the newest records,
+	// as the platform gives them to many nodes at once more slowly than to a few that pass them on.
+	PeerPatience time.Duration
 }
 
 // Follower reads one topic until Close.
@@ -106,10 +119,12 @@
 	hasNewest bool       // the newest record of each key is known
 	next      uint64     // offset to read from
 	knownAt   time.Time  // when everything was last known; the pause to the next question counts from it
-	// proof is the latest AsOf, and newest the newest record of each key; both are
-	// kept for peers, and newest is nil if there are none.
+	// proof is the latest AsOf, and newest the newest record of each key, which is
+	// kept for peers.
 	proof  time.Time
 	newest map[string]Record
+	// patientUntil is the end of PeerPatience; zero before the first question.
+	patientUntil time.Time
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -151,11 +166,22 @@
 }
 
 func (f *Follower) run(ctx context.Context) {
+	if f.cfg.Started != nil {
+		select {
+		case <-f.cfg.Started:
+		case <-ctx.Done():
+			return
+		}
+	}
 	for ctx.Err() == nil {
 		err := f.askOnce(ctx, f.cfg.Clock())
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errAwaitingPeers) {
+			clock.Sleep(ctx, f.cfg.Retry)
+			continue
+		}
 		if err != nil {
 			f.consumer.ReadFailed(f.cfg.Clock(), errors.Join(err, f.askPeers(ctx, true)))
 			clock.Sleep(ctx, f.cfg.retryPause())
@@ -216,9 +242,13 @@
 // askOnce asks the platform or the peers one question.
 func (f *Follower) askOnce(ctx context.Context, askedAt time.Time) error {
 	if f.cfg.prefersPeers() {
-		if f.askPeers(ctx, false) == nil || f.provenRecently(askedAt) {
+		err := f.askPeers(ctx, false)
+		if err == nil || f.provenRecently(askedAt) {
 			return nil
 		}
+		if f.waitsForPeers(askedAt) {
+			return errors.Join(errAwaitingPeers, err)
+		}
 		f.lastFailed = true // a question to the platform is not held then, as after a failure
 	}
 	ask := f.readNext
@@ -230,6 +260,24 @@
 	return err
 }
 
+// waitsForPeers reports whether the newest records of all keys are still left to the peers.
+func (f *Follower) waitsForPeers(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.patientUntil.IsZero() {
+		f.patientUntil = now.Add(f.cfg.PeerPatience)
+	}
+	return !f.hasNewest && now.Before(f.patientUntil)
+}
+
+// Position returns the offset up to which everything is known and the time up to which that is
+// everything; false if the newest record of each key is not known.
+func (f *Follower) Position() (next uint64, proof time.Time, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next, f.proof, f.hasNewest
+}
+
 // position returns the offset to read from, and whether the newest record of each key
 // is known.
 func (f *Follower) position() (next uint64, known bool) {
--- a/version/keyed/peers.go
+++ b/version/keyed/peers.go
@@ -30,6 +30,9 @@
 	// requested offset and Next.
 	Records []Record
 	Next    uint64
+	// Complete means that Records has the newest record of every key, wherever it lies. Such an answer
+	// is used however old it is, as the next one brings what has changed since.
+	Complete bool
 	// Sound is the time, relative to the arrival of the question, up to which
 	// everything accepted is known; it is mostly negative, that is, before the
 	// arrival.
@@ -66,12 +69,12 @@
 
 // storeForPeers stores an update for peers that ask. mu must be held.
 func (f *Follower) storeForPeers(u Update) {
-	if f.cfg.Peers == nil {
-		return
-	}
 	if u.AsOf.After(f.proof) {
 		f.proof = u.AsOf
 	}
+	if !f.cfg.AnswersPeers {
+		return
+	}
 	if u.Complete || f.newest == nil {
 		f.newest = make(map[string]Record, len(u.Records))
 	}
@@ -118,17 +121,17 @@
 	switch {
 	case !w.Known:
 		return ErrTopicUnknown
-	case !platformFailed && askedAt.Sub(w.proofTime(askedAt)) > f.cfg.MaxPeerProofAge:
+	case !platformFailed && !w.Complete && askedAt.Sub(w.proofTime(askedAt)) > f.cfg.MaxPeerProofAge:
 		return fmt.Errorf("ask peers: their proof is %v old: %w", -w.Sound, ErrStale)
 	case !hasNewest && w.Next < knownUpTo:
 		return fmt.Errorf("ask peers: end %d, known up to %d: %w", w.Next, knownUpTo, ErrStale)
 	case w.Next < knownUpTo:
 		// The peer knows less than this node. Its proof is still valid: this node
 		// knows everything that was accepted before it.
-		w.Next, w.Records = knownUpTo, nil
+		w.Next, w.Records, w.Complete = knownUpTo, nil, false
 	}
 	now := f.cfg.Clock()
-	u := Update{Records: w.Records, From: from, Next: w.Next, Complete: !hasNewest, AsOf: w.proofTime(askedAt), Relayed: platformFailed}
+	u := Update{Records: w.Records, From: from, Next: w.Next, Complete: !hasNewest || w.Complete, AsOf: w.proofTime(askedAt), Relayed: platformFailed, FromPeer: true}
 	f.consumer.Consume(now, u)
 	f.recordProgress(w.Next, now, u)
 	return nil
--- a/version/keyed/peers_test.go
+++ b/version/keyed/peers_test.go
@@ -144,7 +144,7 @@
 	}
 	k := &recorder{}
 	f := k.follower(tp)
-	f.cfg.Peers = &scriptedPeers{}
+	f.cfg.Peers, f.cfg.AnswersPeers = &scriptedPeers{}, true
 	if w := f.AnswerPeer(start, 0); w.Known {
 		t.Errorf("%+v before anything was read", w)
 	}
