Count the nodes of the directory while the membership does not know them yet

The membership of hundreds of nodes needs a minute after a start of all to know them. By what it knew until then, each node took itself for one of few: the holder's sign reached few, the others asked the platform each second who has the duty, and each node followed the caches of 32 engines.

Who passes news on, whom it reaches, who asks for the duty first and how engines are divided goes by the directory too for two minutes, from 40 nodes on. A node that knows no entry of the register leaves it to the readers for 9 s while one of them answers, and for 3 s if none does.

--- a/process/gateway/caches.go
+++ b/process/gateway/caches.go
@@ -127,7 +127,7 @@
 		return
 	}
 	cfg := f.view.Config()
-	nodes := append(f.peers.live(now), member.Member{Name: f.node, DataCentre: f.peers.dataCentre})
+	nodes := f.nodes(now)
 	slices.SortFunc(nodes, func(a, b member.Member) int { return cmp.Compare(a.Name, b.Name) })
 	names := lo.Map(nodes, func(m member.Member, _ int) string { return m.Name })
 	if f.lastInputs.cfg == cfg.Offset && slices.Equal(f.lastInputs.nodes, names) {
@@ -150,6 +150,18 @@
 	}
 }
 
+// nodes returns the nodes among which the engines are divided, this one included. In a large fleet these
+// are those of the directory too that the membership has not heard from yet: after a start of all nodes,
+// each would follow the engines of the others as well.
+func (f *cacheFollower) nodes(now time.Time) []member.Member {
+	if all := f.peers.roles.all(clock.BoottimeNow()); len(all) >= aggregateMinNodes {
+		return lo.Map(all, func(n roleNode, _ int) member.Member {
+			return member.Member{Name: n.Name, Address: n.Address, DataCentre: n.DataCentre}
+		})
+	}
+	return append(f.peers.live(now), member.Member{Name: f.node, DataCentre: f.peers.dataCentre})
+}
+
 // startFollowing follows an engine unless it is followed already or doesn't report its cache.
 func (f *cacheFollower) startFollowing(ctx context.Context, u config.Upstream) {
 	at := endpoint{u.Name, u.Address}
--- a/process/gateway/joiner.go
+++ b/process/gateway/joiner.go
@@ -22,8 +22,9 @@
 	// takeoverStagger is how much longer each node waits than the node before it by rank. One takes
 	// the duty, and the next one sees that it is taken.
 	takeoverStagger = 300 * time.Millisecond
-	// maxStaggeredRanks limits the total stagger in a large fleet.
-	maxStaggeredRanks = 10
+	// maxStaggeredRanks limits the total stagger in a large fleet, where each of hundreds of nodes would
+	// ask the platform at the same moment otherwise.
+	maxStaggeredRanks = 30
 	// dutyCheckPause is the time between two checks whether to take the duty.
 	dutyCheckPause = 100 * time.Millisecond
 	// groupQueryPause is the pause after a query to the platform, successful or not. The platform
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -331,9 +331,14 @@
 	return boot.Sub(p.lastHolderSign)
 }
 
-// rank returns this node's position among the live nodes that are not leaving, latest start first.
-// During rolling restarts, the node that started last is the last to be stopped again.
+// rank returns this node's position among the nodes that may take the duty. In a small fleet it is the
+// one among the live nodes that are not leaving, latest start first: during rolling restarts, the node
+// that started last is the last to be stopped again. In a large one it is the one for roles in its data
+// centre, so that a few large VMs come first, also while the nodes don't know each other yet.
 func (p *peers) rank(now time.Time) int {
+	if boot := clock.BoottimeNow(); p.roles.fleetSize(boot) >= aggregateMinNodes {
+		return p.roles.position(boot)
+	}
 	others := p.live(now)
 	if len(others) == 0 {
 		return 0
--- a/process/gateway/registerrelay.go
+++ b/process/gateway/registerrelay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/samber/lo"
@@ -26,13 +27,13 @@
 	// maxRegisterPeers is how many readers a node asks before that. The platform may turn away a third
 	// of the nodes.
 	maxRegisterPeers = 5
-	// registerPatience is how long a node that starts leaves the whole register to the readers. When a
-	// fleet starts at once, they have it after a second or two.
-	registerPatience = 6 * time.Second
+	// registerPatience is how long a node that starts leaves the whole register to the readers, if these
+	// answer. When a fleet starts at once, they have it after a few seconds.
+	registerPatience = 9 * time.Second
 )
 
 // errRegisterUnknown means that a node does not know the register.
-var errRegisterUnknown = errors.New("gateway: the register is not known")
+var errRegisterUnknown = fmt.Errorf("gateway: the register is not known: %w", keyed.ErrTopicUnknown)
 
 // RegisterQuery asks a node for the register.
 type RegisterQuery struct {
@@ -129,10 +130,14 @@
 	best, err := keyed.PeerAnswer{}, error(errNotJoined)
 	for _, n := range order {
 		a, askErr := ask(n)
-		if askErr != nil {
+		switch {
+		case errors.Is(askErr, errRegisterUnknown):
 			err = askErr
-			if !errors.Is(askErr, errRegisterUnknown) {
-				r.peers.readers.avoid(clock.BoottimeNow(), n.Name)
+			continue
+		case askErr != nil:
+			r.peers.readers.avoid(clock.BoottimeNow(), n.Name)
+			if !errors.Is(err, errRegisterUnknown) {
+				err = askErr
 			}
 			continue
 		}
--- a/process/gateway/roles.go
+++ b/process/gateway/roles.go
@@ -15,9 +15,9 @@
 
 const (
 	// unheardLife is how long a node that the directory lists, and that the membership has not heard
-	// from, may be chosen for a role. After a start of the whole fleet the membership needs longer than
-	// that to know all nodes; later such an entry is of a node that has gone.
-	unheardLife = 30 * time.Second
+	// from, counts as one of the fleet. After a start of a whole fleet of hundreds of nodes the membership
+	// needs that long to know all of them; later such an entry is of a node that has gone.
+	unheardLife = 2 * time.Minute
 	// rolesInterval is how long a choice of nodes is used.
 	rolesInterval = 500 * time.Millisecond
 )
@@ -130,6 +130,34 @@
 	})
 }
 
+// fleetSize returns the number of nodes.
+func (r *roles) fleetSize(now time.Time) int {
+	_, n := r.nodes(now, r.self.DataCentre)
+	return n
+}
+
+// all returns all nodes, this one included.
+func (r *roles) all(now time.Time) []roleNode {
+	r.nodes(now, r.self.DataCentre)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Concat(slices.Collect(maps.Values(r.ranked))...)
+}
+
+// dataCentres returns the names of all data centres that have nodes.
+func (r *roles) dataCentres(now time.Time) []string {
+	r.nodes(now, r.self.DataCentre)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.ranked))
+}
+
+// position returns how many nodes of this data centre come before this one.
+func (r *roles) position(now time.Time) int {
+	near, _ := r.nodes(now, r.self.DataCentre)
+	return max(0, slices.IndexFunc(near, func(n roleNode) bool { return n.Name == r.self.Name }))
+}
+
 // others returns the first nodes with roles of the other data centres, a number of each.
 func (r *roles) others(now time.Time, dataCentre string, each int) []roleNode {
 	r.nodes(now, dataCentre)
--- a/process/gateway/spread.go
+++ b/process/gateway/spread.go
@@ -33,22 +33,27 @@
 	Missed []string // nodes that did not answer
 }
 
-// spread tells all live nodes, and returns the names of those that did not answer when the others have
-// or the time is over. In a large fleet one node of each data centre tells the others there: with calls
-// to all of a thousand nodes at once, most of them are over time at a small VM.
+// spread tells all nodes, and returns the names of those that did not answer when the others have or the
+// time is over. In a large fleet one node of each data centre tells the others there: with calls to all
+// of a thousand nodes at once, most of them are over time at a small VM.
 func (p *peers) spread(n News) (missed []string) {
-	others := p.live(time.Now())
 	n.From = p.name
-	if len(others)+1 < aggregateMinNodes {
-		return p.tellEach(others, n)
+	now := clock.BoottimeNow()
+	if p.roles.fleetSize(now) < aggregateMinNodes {
+		return p.tellEach(roleNodesOf(p.live(time.Now())), n)
 	}
-	groups := lo.Values(lo.GroupBy(others, func(m member.Member) string { return m.DataCentre }))
-	return lo.Flatten(waitAll(groups, func(group []member.Member) []string { return p.tellGroup(group, n) }))
+	return lo.Flatten(waitAll(p.roles.dataCentres(now), func(dataCentre string) []string { return p.tellDataCentre(now, dataCentre, n) }))
+}
+
+func roleNodesOf(members []member.Member) []roleNode {
+	return lo.Map(members, func(m member.Member, _ int) roleNode {
+		return roleNode{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre}
+	})
 }
 
 // tellEach tells each node.
-func (p *peers) tellEach(nodes []member.Member, n News) (missed []string) {
-	return lo.Compact(waitAll(nodes, func(m member.Member) string {
+func (p *peers) tellEach(nodes []roleNode, n News) (missed []string) {
+	return lo.Compact(waitAll(nodes, func(m roleNode) string {
 		err := p.call(context.Background(), m.Address, "News", n, &SpreadResult{})
 		if errors.Is(err, peer.ErrRemote) {
 			err = p.tellOlder(m, n)
@@ -61,7 +66,7 @@
 }
 
 // tellOlder tells a node of an older build, which has a method for each kind of news.
-func (p *peers) tellOlder(m member.Member, n News) error {
+func (p *peers) tellOlder(m roleNode, n News) error {
 	ctx := context.Background()
 	switch {
 	case n.Engine != nil:
@@ -72,26 +77,25 @@
 	return p.call(ctx, m.Address, "Holder", Heard{}, &Heard{})
 }
 
-// tellGroup tells the nodes of one data centre through one of those with roles there. If neither of the
-// first two answers, as after a cut or in a fleet that still runs an older build, it tells each node.
-func (p *peers) tellGroup(group []member.Member, n News) (missed []string) {
-	byName := lo.KeyBy(group, func(m member.Member) string { return m.Name })
-	ranked, _ := p.roles.nodes(clock.BoottimeNow(), group[0].DataCentre)
-	tried := 0
-	for _, r := range ranked {
-		m, live := byName[r.Name]
-		if !live || tried == aggregatorsPerDataCentre {
-			continue
-		}
-		tried++
-		n.PassOn = true
+// tellDataCentre tells the nodes of one data centre through one of those with roles there. If neither of
+// the first two answers, as after a cut or in a fleet that still runs an older build, it tells each node.
+func (p *peers) tellDataCentre(now time.Time, dataCentre string, n News) (missed []string) {
+	all := p.near(now, dataCentre, n.From)
+	n.PassOn = true
+	for _, first := range all[:min(len(all), aggregatorsPerDataCentre)] {
 		var result SpreadResult
-		if p.callWithin(context.Background(), spreadTimeout, m.Address, "News", n, &result) == nil {
+		if p.callWithin(context.Background(), spreadTimeout, first.Address, "News", n, &result) == nil {
 			return result.Missed
 		}
 	}
 	n.PassOn = false
-	return p.tellEach(group, n)
+	return p.tellEach(all, n)
+}
+
+// near returns the nodes of a data centre but for this one and the one from which news comes.
+func (p *peers) near(now time.Time, dataCentre, from string) []roleNode {
+	all, _ := p.roles.nodes(now, dataCentre)
+	return lo.Reject(all, func(m roleNode, _ int) bool { return m.Name == p.name || m.Name == from })
 }
 
 // News applies what another node tells, and passes it on if that node asks for it.
@@ -101,10 +105,7 @@
 		return nil
 	}
 	n.PassOn = false
-	near := lo.Filter(h.peers.live(time.Now()), func(m member.Member, _ int) bool {
-		return m.DataCentre == h.peers.dataCentre && m.Name != n.From
-	})
-	r.Missed = h.peers.tellEach(near, n)
+	r.Missed = h.peers.tellEach(h.peers.near(clock.BoottimeNow(), h.peers.dataCentre, n.From), n)
 	return nil
 }
 
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -103,7 +103,8 @@
 	// Started is closed when the first question may be asked; nil: at once.
 	Started <-chan struct{}
 	// PeerPatience is how long from then on only the preferred peers are asked for the newest records,
-	// as the platform gives them to many nodes at once more slowly than to a few that pass them on.
+	// as the platform gives them to many nodes at once more slowly than to a few that pass them on. It is
+	// a third of that if no peer answers.
 	PeerPatience time.Duration
 }
 
@@ -121,10 +122,9 @@
 	knownAt   time.Time  // when everything was last known; the pause to the next question counts from it
 	// proof is the latest AsOf, and newest the newest record of each key, which is
 	// kept for peers.
-	proof  time.Time
-	newest map[string]Record
-	// patientUntil is the end of PeerPatience; zero before the first question.
-	patientUntil time.Time
+	proof        time.Time
+	newest       map[string]Record
+	askedFirstAt time.Time // when the preferred peers were first asked; zero: never
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -246,7 +246,7 @@
 		if err == nil || f.provenRecently(askedAt) {
 			return nil
 		}
-		if f.waitsForPeers(askedAt) {
+		if f.waitsForPeers(askedAt, errors.Is(err, ErrTopicUnknown)) {
 			return errors.Join(errAwaitingPeers, err)
 		}
 		f.lastFailed = true // a question to the platform is not held then, as after a failure
@@ -260,14 +260,19 @@
 	return err
 }
 
-// waitsForPeers reports whether the newest records of all keys are still left to the peers.
-func (f *Follower) waitsForPeers(now time.Time) bool {
+// waitsForPeers reports whether the newest records of all keys are still left to the peers. answered
+// means that one has answered that it does not know them yet.
+func (f *Follower) waitsForPeers(now time.Time, answered bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.patientUntil.IsZero() {
-		f.patientUntil = now.Add(f.cfg.PeerPatience)
+	if f.askedFirstAt.IsZero() {
+		f.askedFirstAt = now
 	}
-	return !f.hasNewest && now.Before(f.patientUntil)
+	patience := f.cfg.PeerPatience
+	if !answered {
+		patience /= 3
+	}
+	return !f.hasNewest && now.Sub(f.askedFirstAt) < patience
 }
 
 // Position returns the offset up to which everything is known and the time up to which that is
--- a/version/keyed/peers_test.go
+++ b/version/keyed/peers_test.go
@@ -161,3 +161,30 @@
 		t.Errorf("%d records from 5 on, want 1", len(w.Records))
 	}
 }
+
+// Guards against a fleet whose nodes all read a large topic from the platform as they start together,
+// and against a node that waits for peers that are gone.
+func TestNewestRecordsAreLeftToPeersForAWhile(t *testing.T) {
+	const patience = 9 * time.Second
+	cases := []struct {
+		name  string
+		err   error // of the peers
+		after time.Duration
+		waits bool
+	}{
+		{"at first", errors.New("unreachable"), 0, true},
+		{"no peer answers for a while", errors.New("unreachable"), patience / 3, false},
+		{"a peer does not know them yet", ErrTopicUnknown, patience / 3, true},
+		{"nor for long", ErrTopicUnknown, patience, false},
+	}
+	for _, c := range cases {
+		k := &recorder{}
+		f := k.follower(&scriptedTopic{newest: []answer{{end: 5}}})
+		f.cfg.Peers, f.cfg.PeerPatience = &scriptedPeers{err: c.err, rely: true}, patience
+		f.askedFirstAt = start
+		err := f.askOnce(context.Background(), start.Add(c.after))
+		if errors.Is(err, errAwaitingPeers) != c.waits || !c.waits && (err != nil || !f.hasNewest) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
