Ask others than the first readers when the platform turns nodes away

A follower whose read brings nothing although the topic goes on waits as before, where it would have asked again at once for good.

--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -132,20 +132,30 @@
 
 func nameHash(name string) uint64 { return xxhash.Sum64String(name) }
 
-// Ask returns the state of the first peer whose proof is younger than freshProofAge, otherwise the
-// one with the youngest proof. It asks the readers first, then others in an order that differs
-// between nodes.
-func (r configRelay) Ask(ctx context.Context, from uint64) (keyed.PeerAnswer, error) {
-	now := clock.BoottimeNow()
+// order returns the nodes to ask: the readers first, then others in an order that differs between
+// nodes and questions, since the platform may turn away those that come first.
+func (r configRelay) order(now time.Time) []roleNode {
 	order := r.peers.readers.order(now, maxRelayPeers)
-	for _, m := range r.peers.shuffledLive(time.Now()) {
+	if near, fleet := r.peers.readers.near(now); fleet < registerRelayMinNodes {
+		order = near
+	}
+	for _, n := range roleNodesOf(r.peers.shuffledLive(time.Now())) {
 		if len(order) >= maxRelayPeers {
 			break
 		}
-		if !slices.ContainsFunc(order, func(n roleNode) bool { return n.Name == m.Name }) {
-			order = append(order, roleNode{Name: m.Name, Address: m.Address})
+		if !slices.ContainsFunc(order, func(o roleNode) bool { return o.Name == n.Name }) {
+			order = append(slices.Clip(order), n)
 		}
 	}
+	return order
+}
+
+// Ask returns the state of the first peer whose proof is younger than freshProofAge, otherwise the
+// one with the youngest proof. It asks the readers first, then others in an order that differs
+// between nodes.
+func (r configRelay) Ask(ctx context.Context, from uint64) (keyed.PeerAnswer, error) {
+	now := clock.BoottimeNow()
+	order := r.order(now)
 	best, err := keyed.PeerAnswer{}, error(errNotJoined)
 	for _, n := range order {
 		var w keyed.PeerAnswer
--- a/process/gateway/roles.go
+++ b/process/gateway/roles.go
@@ -39,7 +39,8 @@
 }
 
 // roles chooses the nodes of each data centre that have a role for the others there. It goes by the
-// membership and, for nodes that this has not heard from yet, by the directory. mu guards its fields.
+// membership and, for nodes that this has not heard from yet, by the directory. mu guards its fields; it is
+// held while the membership is asked, whose locks come after it.
 type roles struct {
 	self roleNode
 	// members returns the other nodes that the membership knows now, in any state.
@@ -84,11 +85,10 @@
 // nodes returns the nodes of a data centre in the order in which they have roles, and the number of
 // nodes of the fleet.
 func (r *roles) nodes(now time.Time, dataCentre string) ([]roleNode, int) {
-	members := r.members()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.rankedAt.IsZero() || now.Sub(r.rankedAt) >= rolesInterval {
-		r.rank(now, members)
+		r.rank(now, r.members())
 	}
 	return r.ranked[dataCentre], r.count
 }
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -320,7 +320,7 @@
 	}
 	now := f.cfg.Clock()
 	next := from + uint64(len(records))
-	f.behind = next < end
+	f.behind = len(records) > 0 && next < end
 	u := Update{Records: records, From: from, Next: next, AsOf: proofTime(now, askedAt, wait, len(records) > 0)}
 	f.consumer.Consume(now, u)
 	f.recordProgress(next, now, u)
--- a/version/keyed/keyed_test.go
+++ b/version/keyed/keyed_test.go
@@ -124,6 +124,7 @@
 		reads: []answer{
 			{records: []Record{newRecord("a", "1", 1), newRecord("b", "1", 2)}, end: 9},
 			{records: []Record{newRecord("c", "1", 3)}, end: 4},
+			{end: 9}, // nothing can be read yet of what has been written
 		},
 	}
 	k := &recorder{}
@@ -131,7 +132,7 @@
 	f.cfg.Pause = time.Hour
 	cancelled, cancel := context.WithCancel(context.Background())
 	cancel()
-	for i, behind := range []bool{false, true, false} {
+	for i, behind := range []bool{false, true, false, false} {
 		if err := f.askOnce(context.Background(), start); err != nil {
 			t.Fatal(err)
 		}
