Withhold no version that serves because of an order that was given up

By reading: an order that names the serving version and can't be carried out, or is removed after it was complete, would have kept all requests from the service. Only a version that was judged, or ran out of time, is withheld whatever else serves. The states that nodes send each other are called updates, and the step of the deciding node is divided into its cases.

--- a/process/gateway/releasedecider.go
+++ b/process/gateway/releasedecider.go
@@ -27,8 +27,8 @@
 	// releaseTellMin is the size of a fleet from which the deciding node asks one node of each data
 	// centre to ask the others there.
 	releaseTellMin = aggregateMinNodes
-	// releaseRecordPause is the time after which a node reads how a roll-out has ended that nobody has
-	// told it about, and between two such reads.
+	// releaseRecordPause is the time after which a node reads how a roll-out has ended that it has not
+	// learnt of, and between two such reads.
 	releaseRecordPause = 2 * time.Second
 )
 
@@ -44,7 +44,7 @@
 	cfg      release.Config
 
 	// The following are used only by the goroutine that decides.
-	step       uint64                    // number of this node's tellings
+	step       uint64                    // number of this node's updates
 	recorded   map[string]release.Record // as this node has written them, by service
 	lastRound  time.Time                 // zero: this node has not decided since it got the duty
 	recordRead time.Time                 // when the records were last read without the duty
@@ -69,7 +69,7 @@
 
 func (d *releaseDecider) run(ctx context.Context) {
 	for clock.Sleep(ctx, releaseRound) {
-		open := d.releases.board.Open()
+		open := d.releases.tracker.Open()
 		now := clock.BoottimeNow()
 		switch {
 		case len(open) == 0:
@@ -83,15 +83,15 @@
 	}
 }
 
-// decide is one round: it asks all nodes for their reports, decides, and tells them at once if something
+// decide is one round: it asks all nodes for their reports, decides, and informs them at once if something
 // has changed. A node that takes the duty up first learns what the others know.
 func (d *releaseDecider) decide(ctx context.Context, now time.Time, open []release.Open) {
 	a := d.ask(ctx, now, open)
 	for _, t := range a.Known {
-		d.releases.hear(clock.BoottimeNow(), t)
+		d.releases.merge(clock.BoottimeNow(), t)
 	}
 	changed := false
-	for _, o := range d.releases.board.Open() {
+	for _, o := range d.releases.tracker.Open() {
 		changed = d.decideOne(ctx, clock.BoottimeNow(), o, a) || changed
 	}
 	d.lastRound = clock.BoottimeNow()
@@ -100,11 +100,11 @@
 	}
 }
 
-// ask tells all nodes what this node knows, and returns their reports.
+// ask sends all nodes what this node knows, and returns their reports.
 func (d *releaseDecider) ask(ctx context.Context, now time.Time, open []release.Open) ReleaseAnswer {
 	q := ReleaseQuery{
-		From:     d.peers.name,
-		Tellings: d.releases.board.Tellings(now),
+		From:    d.peers.name,
+		Updates: d.releases.tracker.Updates(now),
 		Orders: lo.Map(open, func(o release.Open, _ int) releaseOrder {
 			return releaseOrder{Service: o.Order.Service, Software: o.Order.Software, ID: o.Order.ID}
 		}),
@@ -119,51 +119,72 @@
 	if s.ID == 0 {
 		return ended
 	}
-	if !s.Phase.IsFinal() {
-		d.record(ctx, s)
+	next := d.cfg.Next(now, s, d.situation(s.Order, a))
+	d.logJudgement(s, next)
+	u := release.Update{State: next, Term: d.keeper.Generation(), Step: o.Latest.Step}
+	if next != s || !o.IsKnown() {
+		d.step++
+		u.Step = d.step
 	}
-	in := d.situation(s.Order, a)
-	next := d.cfg.Next(now, s, in)
-	if next.Phase != s.Phase && next.Finding.Of > 0 {
-		f := next.Finding
-		event.Info(d.log, event.ReleaseJudged, zap.String("Service", s.Service), zap.String("Software", s.Software), zap.Uint64("Order", s.ID),
-			zap.Stringer("Test", f.Test), zap.String("Route", f.Route), zap.Int("Worse", f.Worse), zap.Int("Of", f.Of), zap.Float64("Expected", f.Expected), zap.Float64("P", f.P))
+	switch {
+	case next.Phase == release.Complete:
+		return d.complete(ctx, now, u)
+	case next.Phase == release.RolledBack:
+		d.rollBack(ctx, now, u)
+	default:
+		d.releases.merge(now, u.Sent(now))
+		d.record(ctx, next)
+	}
+	return next.Phase != s.Phase
+}
+
+// complete records that a roll-out is complete, and only then applies it: the former upstreams stop as
+// soon as it is recorded. It returns false if that was not possible in this round.
+func (d *releaseDecider) complete(ctx context.Context, now time.Time, u release.Update) bool {
+	recorded, other := d.record(ctx, u.State)
+	if other != nil {
+		d.releases.merge(now, *other)
+		return true
+	}
+	if !recorded {
+		return false
+	}
+	u.Recorded = true
+	d.releases.merge(now, u.Sent(now))
+	return true
+}
+
+// rollBack applies that a version was rolled back, and then records it.
+func (d *releaseDecider) rollBack(ctx context.Context, now time.Time, u release.Update) {
+	d.releases.merge(now, u.Sent(now))
+	recorded, other := d.record(ctx, u.State)
+	switch {
+	case other != nil:
+		d.releases.merge(now, *other)
+	case recorded:
+		u.Recorded = true
+		d.releases.merge(now, u.Sent(now))
 	}
-	t := release.Telling{State: next, Term: d.keeper.Generation(), Step: o.Told.Step}
-	if next != s || !o.IsTold() {
-		d.step++
-		t.Step = d.step
-	}
-	if next.Phase == release.Complete {
-		// The former upstreams stop as soon as this is recorded.
-		ok, conflict := d.record(ctx, next)
-		if conflict != nil {
-			t = *conflict
-		} else if !ok {
-			return false
-		}
-		t.Recorded = true
-	}
-	d.releases.hear(now, t.Sent(now))
-	if next.Phase == release.RolledBack {
-		if ok, conflict := d.record(ctx, next); ok {
-			t.Recorded = true
-			d.releases.hear(now, t.Sent(now))
-		} else if conflict != nil {
-			d.releases.hear(now, *conflict)
-		}
+}
+
+// logJudgement logs the comparison that a new phase rests on.
+func (d *releaseDecider) logJudgement(before, next release.State) {
+	f := next.Finding
+	if next.Phase == before.Phase || f.Of == 0 {
+		return
 	}
-	return t.Phase != s.Phase
+	event.Info(d.log, event.ReleaseJudged, zap.String("Service", next.Service), zap.String("Software", next.Software), zap.Uint64("Order", next.ID),
+		zap.Stringer("Test", f.Test), zap.String("Route", f.Route), zap.Int("Worse", f.Worse), zap.Int("Of", f.Of), zap.Float64("Expected", f.Expected), zap.Float64("P", f.P))
 }
 
 // currentState returns the state to decide from; an empty one if it is not known yet, or if the roll-out
 // has ended already, which ended then says.
 func (d *releaseDecider) currentState(ctx context.Context, now time.Time, o release.Open) (s release.State, ended bool) {
 	switch {
-	case o.IsTold() && !d.lastRound.IsZero() && now.Sub(d.lastRound) < release.Lease:
-		return o.Told.State, false
-	case o.IsTold():
-		return o.Told.State.Resumed(now), false
+	case o.IsKnown() && !d.lastRound.IsZero() && now.Sub(d.lastRound) < release.Lease:
+		return o.Latest.State, false
+	case o.IsKnown():
+		return o.Latest.State.Resumed(now), false
 	}
 	records, _, err := d.readRecords(ctx)
 	if err != nil {
@@ -171,11 +192,11 @@
 	}
 	r, known := records[o.Order.Service]
 	if t, ended := r.Ended(o.Order); known && ended {
-		d.releases.hear(now, t)
+		d.releases.merge(now, t)
 		return release.State{}, true
 	}
-	if !o.ToldAt.IsZero() {
-		return o.Told.State.WithOrder(o.ReadAt, o.Order), false
+	if !o.ReceivedAt.IsZero() {
+		return o.Latest.State.WithOrder(o.ReadAt, o.Order), false
 	}
 	s = release.New(o.ReadAt, o.Order)
 	if known && r.ID == o.Order.ID && o.AtStart {
@@ -215,9 +236,9 @@
 	return records, at, err
 }
 
-// record records a state, unless it is recorded. If the platform's record says that the roll-out has
-// ended another way, it returns that.
-func (d *releaseDecider) record(ctx context.Context, s release.State) (ok bool, conflict *release.Telling) {
+// record writes the platform's record of a state, unless it is written, and reports whether it is. If the
+// record says that the roll-out has ended another way, it returns that.
+func (d *releaseDecider) record(ctx context.Context, s release.State) (recorded bool, other *release.Update) {
 	r := release.RecordOf(s)
 	if d.recorded[s.Service] == r {
 		return true, nil
@@ -248,11 +269,11 @@
 	return nil
 }
 
-// readEnded reads from the platform's records how roll-outs have ended that nobody has told this node
-// about, as it has started since.
+// readEnded reads from the platform's records how roll-outs have ended that this node has not learnt
+// of, as it has started since.
 func (d *releaseDecider) readEnded(ctx context.Context, now time.Time, open []release.Open) {
-	untold := lo.Filter(open, func(o release.Open, _ int) bool { return !o.IsTold() && now.Sub(o.ReadAt) >= releaseRecordPause })
-	if len(untold) == 0 || now.Sub(d.recordRead) < releaseRecordPause+rand.N(releaseRecordPause) {
+	unknown := lo.Filter(open, func(o release.Open, _ int) bool { return !o.IsKnown() && now.Sub(o.ReadAt) >= releaseRecordPause })
+	if len(unknown) == 0 || now.Sub(d.recordRead) < releaseRecordPause+rand.N(releaseRecordPause) {
 		return
 	}
 	d.recordRead = now
@@ -260,9 +281,9 @@
 	if err != nil {
 		return
 	}
-	for _, o := range untold {
+	for _, o := range unknown {
 		if t, ended := records[o.Order.Service].Ended(o.Order); ended {
-			d.releases.hear(now, t)
+			d.releases.merge(now, t)
 		}
 	}
 }
@@ -308,7 +329,7 @@
 	return ReleaseAnswer{Missed: count}
 }
 
-// Releases applies the states of roll-outs that the deciding node tells, and answers with this node's
+// Releases applies the states of roll-outs that the deciding node sends, and answers with this node's
 // reports, or with those of its data centre.
 func (h *enginesHandler) Releases(q ReleaseQuery, a *ReleaseAnswer) error {
 	r := h.peers.releases.Load()
--- a/process/gateway/releases.go
+++ b/process/gateway/releases.go
@@ -40,7 +40,7 @@
 // their roll-out. It counts the answers of both for the node that decides.
 type releases struct {
 	enabled bool // operators order roll-outs on this platform
-	board   *release.Board
+	tracker *release.Tracker
 	book    *accepted.Tracker
 	view    *view
 	guards  guard.Pair
@@ -50,23 +50,23 @@
 
 func (g *Gateway) newReleases(i do.Injector) (*releases, error) {
 	return &releases{
-		enabled: g.settings.Releases, board: release.NewBoard(g.seed()), book: do.MustInvoke[*accepted.Tracker](i), view: do.MustInvoke[*view](i),
+		enabled: g.settings.Releases, tracker: release.NewTracker(g.seed()), book: do.MustInvoke[*accepted.Tracker](i), view: do.MustInvoke[*view](i),
 		guards: do.MustInvoke[guard.Pair](i), metrics: do.MustInvoke[*metric.Metrics](i), log: g.log,
 	}, nil
 }
 
 // putOrder records an order. atStart means that it was there when this node began to read.
 func (r *releases) putOrder(now time.Time, o release.Order, atStart bool) {
-	if !r.enabled || !r.board.PutOrder(now, o, atStart) {
+	if !r.enabled || !r.tracker.PutOrder(now, o, atStart) {
 		return
 	}
 	event.Info(r.log, event.ReleaseOrdered, zap.String("Service", o.Service), zap.String("Software", o.Software), zap.Duration("Duration", o.Duration),
 		zap.Uint64("Order", o.ID), zap.String("Invalid", o.Invalid), zap.Bool("Withdrawn", o.Withdrawn))
 }
 
-// hear applies a telling, and logs a new phase.
-func (r *releases) hear(now time.Time, t release.Telling) {
-	if !r.board.Hear(now, t) {
+// merge applies an update, and logs a new phase.
+func (r *releases) merge(now time.Time, t release.Update) {
+	if !r.tracker.Merge(now, t) {
 		return
 	}
 	r.metrics.SetReleasePhase(t.Service, t.Software, int(t.Phase))
@@ -92,7 +92,7 @@
 			versions[u.Pool] = append(versions[u.Pool], u.Software)
 		}
 	}
-	r.board.Observe(now, versions)
+	r.tracker.Observe(now, versions)
 }
 
 // upstreamsOf returns those of the named upstreams that are configured, by service.
@@ -129,17 +129,17 @@
 	}
 	var all []string
 	for service, upstreams := range r.upstreamsOf(names) {
-		all = append(all, r.board.Withheld(now, now.Add(-age), service, upstreams)...)
+		all = append(all, r.tracker.Withheld(now, now.Add(-age), service, upstreams)...)
 	}
 	return all
 }
 
 // divide counts a request of a service, and says which upstreams it is not to be sent to.
 func (r *releases) divide(service string) release.Division {
-	if !r.enabled || !r.board.HasOrder(service) {
+	if !r.enabled || !r.tracker.HasOrder(service) {
 		return release.Division{}
 	}
-	return r.board.Divide(clock.BoottimeNow(), service, r.active(service))
+	return r.tracker.Divide(clock.BoottimeNow(), service, r.active(service))
 }
 
 var (
@@ -158,18 +158,18 @@
 }
 
 func (r *releases) record(service string, a canary.Answer) {
-	if !r.enabled || !r.board.HasOrder(service) {
+	if !r.enabled || !r.tracker.HasOrder(service) {
 		return
 	}
 	software := r.view.Config().Upstreams[a.Upstream].Software
-	if goesOn, fromNew := r.board.Record(clock.BoottimeNow(), service, software, a); goesOn {
+	if goesOn, fromNew := r.tracker.Record(clock.BoottimeNow(), service, software, a); goesOn {
 		r.metrics.RecordReleaseSend(service, fromNew)
 	}
 }
 
 // report returns what this node has counted for an order; false if it does not know the order.
 func (r *releases) report(now time.Time, o releaseOrder) (release.Report, bool) {
-	total, recent, ok := r.board.Evidence(now, o.Service, o.ID)
+	total, recent, ok := r.tracker.Evidence(now, o.Service, o.ID)
 	if !ok {
 		return release.Report{}, false
 	}
@@ -237,9 +237,9 @@
 
 // ReleaseQuery tells a node the states of roll-outs, and asks it for its reports.
 type ReleaseQuery struct {
-	From     string // node that decides
-	Tellings []release.Telling
-	Orders   []releaseOrder
+	From    string // node that decides
+	Updates []release.Update
+	Orders  []releaseOrder
 	// Forward makes the node ask the others of its data centre as well.
 	Forward bool
 }
@@ -248,7 +248,7 @@
 type ReleaseAnswer struct {
 	Reports []ReleaseReport
 	// Known are the states that the nodes know.
-	Known []release.Telling
+	Known []release.Update
 	// Missed is the number of nodes that did not answer.
 	Missed int
 }
@@ -261,9 +261,9 @@
 
 // answer applies a query to this node, and answers it.
 func (r *releases) answer(now time.Time, q ReleaseQuery) ReleaseAnswer {
-	a := ReleaseAnswer{Known: r.board.Tellings(now)}
-	for _, t := range q.Tellings {
-		r.hear(now, t)
+	a := ReleaseAnswer{Known: r.tracker.Updates(now)}
+	for _, t := range q.Updates {
+		r.merge(now, t)
 	}
 	for _, o := range q.Orders {
 		if report, ok := r.report(now, o); ok {
@@ -276,7 +276,7 @@
 // sumReleaseAnswers returns the sum of the answers of several nodes.
 func sumReleaseAnswers(all []ReleaseAnswer) ReleaseAnswer {
 	var sum ReleaseAnswer
-	reports, known := map[string][]release.Report{}, map[string]release.Telling{}
+	reports, known := map[string][]release.Report{}, map[string]release.Update{}
 	for _, a := range all {
 		sum.Missed += a.Missed
 		for _, r := range a.Reports {
--- a/version/release/fleet_test.go
+++ b/version/release/fleet_test.go
@@ -108,13 +108,13 @@
 }
 
 type simNode struct {
-	recorder  *canary.Recorder
-	allowance *canary.Allowance
-	state     State     // as it was told last
-	toldAt    time.Time // when that was; zero: never
-	downUntil time.Time
-	cut       bool
-	serving   map[*sending]bool // under way at the serving version
+	recorder   *canary.Recorder
+	allowance  *canary.Allowance
+	state      State     // as last received
+	receivedAt time.Time // when that was; zero: never
+	downUntil  time.Time
+	cut        bool
+	serving    map[*sending]bool // under way at the serving version
 }
 
 // sending is one request at an upstream.
@@ -154,7 +154,7 @@
 	serving, new []*simUpstream
 	running      sendings
 	state        State
-	tellings     []delivery
+	updates      []delivery
 	nextRound    time.Time
 
 	requests, toNew int
@@ -205,7 +205,7 @@
 }
 
 func (r *rollout) startNode(n *simNode) {
-	n.recorder, n.allowance, n.serving, n.toldAt = canary.NewRecorder(), canary.NewAllowance(r.rand), map[*sending]bool{}, time.Time{}
+	n.recorder, n.allowance, n.serving, n.receivedAt = canary.NewRecorder(), canary.NewAllowance(r.rand), map[*sending]bool{}, time.Time{}
 }
 
 func (r *rollout) isDuring(from, until time.Time) bool {
@@ -259,16 +259,16 @@
 
 func (r *rollout) deliver() {
 	var rest []delivery
-	for _, t := range r.tellings {
+	for _, t := range r.updates {
 		if r.now.Before(t.at) {
 			rest = append(rest, t)
 			continue
 		}
 		if !t.to.cut && !r.now.Before(t.to.downUntil) {
-			t.to.state, t.to.toldAt = t.state, r.now
+			t.to.state, t.to.receivedAt = t.state, r.now
 		}
 	}
-	r.tellings = rest
+	r.updates = rest
 }
 
 // decide is one round of the deciding node.
@@ -296,13 +296,13 @@
 		}
 	}
 	for _, n := range r.nodes {
-		r.tellings = append(r.tellings, delivery{at: r.now.Add(r.between(5*time.Millisecond, maxTellTime)), to: n, state: r.state})
+		r.updates = append(r.updates, delivery{at: r.now.Add(r.between(5*time.Millisecond, maxTellTime)), to: n, state: r.state})
 	}
 }
 
 // choose returns the upstream of a request of a node.
 func (r *rollout) choose(n *simNode) *simUpstream {
-	fresh := !n.toldAt.IsZero() && r.now.Sub(n.toldAt) < leaseTime
+	fresh := !n.receivedAt.IsZero() && r.now.Sub(n.receivedAt) < leaseTime
 	if n.state.Phase == Complete {
 		return r.new[r.rand.IntN(len(r.new))]
 	}
--- a/version/release/record.go
+++ b/version/release/record.go
@@ -35,14 +35,14 @@
 	return r
 }
 
-// Ended returns the telling of a roll-out that has ended by its record; false if it has not.
-func (r Record) Ended(o Order) (Telling, bool) {
+// Ended returns the update of a roll-out that has ended by its record; false if it has not.
+func (r Record) Ended(o Order) (Update, bool) {
 	if r.ID != o.ID || r.Outcome == InProgress {
-		return Telling{}, false
+		return Update{}, false
 	}
 	phase := Complete
 	if r.Outcome == Reverted {
 		phase = RolledBack
 	}
-	return Telling{State: State{Order: o, Phase: phase, Reason: "by the platform's record"}, Recorded: true}, true
+	return Update{State: State{Order: o, Phase: phase, Reason: "by the platform's record"}, Recorded: true}, true
 }
--- a/version/release/board.go
+++ b/version/release/tracker.go
@@ -13,7 +13,7 @@
 	"github.com/dunlinmill/dunlinmill/request/canary"
 )
 
-// Lease is how long a node goes by what the deciding node has told it. Without a newer telling it sends
+// Lease is how long a node goes by the deciding node's last update. Without a newer one it sends
 // nothing to an unproven version, as it would not learn that this has been rolled back.
 const Lease = 1500 * time.Millisecond
 
@@ -23,12 +23,12 @@
 	Software string // version
 }
 
-// Telling is the state of a roll-out as nodes tell it to each other. The times of the state count as
+// Update is the state of a roll-out as nodes send it to each other. The times of the state count as
 // ages while it is on its way.
-type Telling struct {
+type Update struct {
 	State
 	OrderAge, PhaseAge time.Duration
-	// Term and Step order the tellings about one order: the number of the deciding node's duty, and a
+	// Term and Step order the updates about one order: the number of the deciding node's duty, and a
 	// count of that node.
 	Term, Step uint64
 	// Recorded means that the platform has the record that the roll-out has ended.
@@ -37,7 +37,7 @@
 
 // Supersedes reports whether t is newer than o. An end that is recorded is never superseded but by
 // another order.
-func (t Telling) Supersedes(o Telling) bool {
+func (t Update) Supersedes(o Update) bool {
 	if t.ID != o.ID {
 		return t.ID > o.ID
 	}
@@ -47,22 +47,22 @@
 	return cmp.Or(cmp.Compare(t.Term, o.Term), cmp.Compare(t.Step, o.Step)) > 0
 }
 
-// received returns the telling with its times by this node's clock.
-func (t Telling) received(now time.Time) Telling {
+// received returns the update with its times by this node's clock.
+func (t Update) received(now time.Time) Update {
 	t.OrderedAt, t.Since = now.Add(-t.OrderAge), now.Add(-t.PhaseAge)
 	return t
 }
 
-// Sent returns the telling with its times as ages.
-func (t Telling) Sent(now time.Time) Telling {
+// Sent returns the update with its times as ages.
+func (t Update) Sent(now time.Time) Update {
 	t.OrderAge, t.PhaseAge = now.Sub(t.OrderedAt), now.Sub(t.Since)
 	t.OrderedAt, t.Since = time.Time{}, time.Time{}
 	return t
 }
 
-// Board is what one node knows of the roll-outs. It says which upstreams a request may go to, and counts
+// Tracker is what one node knows of the roll-outs. It says which upstreams a request may go to, and counts
 // their answers. All times are by one clock. mu guards all of its fields.
-type Board struct {
+type Tracker struct {
 	mu       sync.Mutex
 	random   *rand.Rand
 	services map[string]*entry
@@ -75,42 +75,46 @@
 	order  Order
 	readAt time.Time
 	// atStart means that the order was there when this node began to read, so that its age is unknown.
-	atStart   bool
-	told      Telling
-	toldAt    time.Time // zero: nothing was told about the order
-	recorder  *canary.Recorder
-	allowance *canary.Allowance
+	atStart    bool
+	latest     Update
+	receivedAt time.Time // zero: there is no update on the order
+	recorder   *canary.Recorder
+	allowance  *canary.Allowance
 	// rejected has the versions of former orders that were not completed.
 	rejected map[string]bool
 }
 
-// NewBoard returns a Board without orders.
-func NewBoard(seed uint64) *Board {
-	return &Board{random: rand.New(rand.NewPCG(seed, 0)), services: map[string]*entry{}, seen: map[string]map[string]time.Time{}}
+// NewTracker returns a Tracker without orders.
+func NewTracker(seed uint64) *Tracker {
+	return &Tracker{random: rand.New(rand.NewPCG(seed, 0)), services: map[string]*entry{}, seen: map[string]map[string]time.Time{}}
 }
 
 // PutOrder records the newest order for a service, and reports whether it is new.
-func (b *Board) PutOrder(now time.Time, o Order, atStart bool) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.services[o.Service]
+func (tr *Tracker) PutOrder(now time.Time, o Order, atStart bool) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	e := tr.services[o.Service]
 	if e == nil {
 		if o.Withdrawn {
 			return false
 		}
 		e = &entry{rejected: map[string]bool{}}
-		b.services[o.Service] = e
+		tr.services[o.Service] = e
 	} else if o.ID <= e.order.ID {
 		return false
 	}
+	if o.Withdrawn && e.hasEnded(Complete) {
+		delete(tr.services, o.Service) // the version serves, and there is nothing to give up
+		return true
+	}
 	if o.Withdrawn {
 		o.Software, o.Duration = e.order.Software, e.order.Duration
 	}
 	if former := e.order.Software; former != "" && former != o.Software && !e.hasEnded(Complete) {
 		e.rejected[former] = true
 	}
-	if o.Software != e.order.Software || e.told.Phase.IsFinal() {
-		e.recorder, e.allowance = canary.NewRecorder(), canary.NewAllowance(b.random)
+	if o.Software != e.order.Software || e.latest.Phase.IsFinal() {
+		e.recorder, e.allowance = canary.NewRecorder(), canary.NewAllowance(tr.random)
 	}
 	delete(e.rejected, o.Software)
 	e.order, e.readAt, e.atStart = o, now, atStart
@@ -118,39 +122,39 @@
 }
 
 // hasEnded reports whether the roll-out of the newest order has ended that way.
-func (e *entry) hasEnded(p Phase) bool { return e.isTold() && e.told.Phase == p }
+func (e *entry) hasEnded(p Phase) bool { return e.isKnown() && e.latest.Phase == p }
 
-// isTold reports whether a state of the newest order is known.
-func (e *entry) isTold() bool { return !e.toldAt.IsZero() && e.told.ID == e.order.ID }
+// isKnown reports whether a state of the newest order is known.
+func (e *entry) isKnown() bool { return !e.receivedAt.IsZero() && e.latest.ID == e.order.ID }
 
-// Hear records a telling, and reports whether it changes the phase. A telling about an older order than
+// Merge records an update, and reports whether it changes the phase. An update about an older order than
 // the newest one has no effect.
-func (b *Board) Hear(now time.Time, t Telling) (changed bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.services[t.Service]
+func (tr *Tracker) Merge(now time.Time, t Update) (changed bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	e := tr.services[t.Service]
 	if e == nil || t.ID != e.order.ID {
 		return false
 	}
-	if e.isTold() && !t.Supersedes(e.told) {
-		if t.ID == e.told.ID && t.Term == e.told.Term && t.Step == e.told.Step {
-			e.toldAt = now
+	if e.isKnown() && !t.Supersedes(e.latest) {
+		if t.ID == e.latest.ID && t.Term == e.latest.Term && t.Step == e.latest.Step {
+			e.receivedAt = now
 		}
 		return false
 	}
-	changed = !e.isTold() || e.told.Phase != t.Phase
-	e.told, e.toldAt = t.received(now), now
+	changed = !e.isKnown() || e.latest.Phase != t.Phase
+	e.latest, e.receivedAt = t.received(now), now
 	return changed
 }
 
-// Tellings returns what this node knows of the roll-outs that have been decided about.
-func (b *Board) Tellings(now time.Time) []Telling {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var all []Telling
-	for _, e := range b.services {
-		if !e.toldAt.IsZero() {
-			all = append(all, e.told.Sent(now))
+// Updates returns what this node knows of the roll-outs that have been decided about.
+func (tr *Tracker) Updates(now time.Time) []Update {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var all []Update
+	for _, e := range tr.services {
+		if !e.receivedAt.IsZero() {
+			all = append(all, e.latest.Sent(now))
 		}
 	}
 	return all
@@ -161,30 +165,30 @@
 	Order   Order
 	ReadAt  time.Time
 	AtStart bool
-	// Told is the newest telling about the order, or about the one before it that it repeats, at ToldAt;
-	// ToldAt is zero if there is none.
-	Told   Telling
-	ToldAt time.Time
+	// Latest is the newest update on the order, or on the one before it that it repeats, at ReceivedAt;
+	// ReceivedAt is zero if there is none.
+	Latest     Update
+	ReceivedAt time.Time
 }
 
-// IsTold reports whether a state of the newest order is known.
-func (o Open) IsTold() bool { return !o.ToldAt.IsZero() && o.Told.ID == o.Order.ID }
+// IsKnown reports whether a state of the newest order is known.
+func (o Open) IsKnown() bool { return !o.ReceivedAt.IsZero() && o.Latest.ID == o.Order.ID }
 
 // HasOrder reports whether a service has an order.
-func (b *Board) HasOrder(service string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.services[service] != nil
+func (tr *Tracker) HasOrder(service string) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return tr.services[service] != nil
 }
 
 // Open returns the roll-outs that have to be decided about, by service.
-func (b *Board) Open() []Open {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (tr *Tracker) Open() []Open {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
 	var all []Open
-	for _, e := range b.services {
-		if !e.isTold() || !e.told.Recorded {
-			all = append(all, Open{Order: e.order, ReadAt: e.readAt, AtStart: e.atStart, Told: e.told, ToldAt: e.toldAt})
+	for _, e := range tr.services {
+		if !e.isKnown() || !e.latest.Recorded {
+			all = append(all, Open{Order: e.order, ReadAt: e.readAt, AtStart: e.atStart, Latest: e.latest, ReceivedAt: e.receivedAt})
 		}
 	}
 	slices.SortFunc(all, func(x, y Open) int { return cmp.Compare(x.Order.Service, y.Order.Service) })
@@ -192,46 +196,52 @@
 }
 
 // Observe records which software versions the upstreams of each service have now.
-func (b *Board) Observe(now time.Time, versions map[string][]string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (tr *Tracker) Observe(now time.Time, versions map[string][]string) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
 	for service, all := range versions {
-		if b.seen[service] == nil {
-			b.seen[service] = map[string]time.Time{}
+		if tr.seen[service] == nil {
+			tr.seen[service] = map[string]time.Time{}
 		}
 		for _, v := range all {
-			if _, known := b.seen[service][v]; !known {
-				b.seen[service][v] = now
+			if _, known := tr.seen[service][v]; !known {
+				tr.seen[service][v] = now
 			}
 		}
 	}
 }
 
 // Withheld returns the upstreams of a service that must get no requests: those of a version that was
-// rolled back or whose order was replaced, and those of an unproven one while this node does not know
-// that it may get some. orderedBefore is the time up to which all orders are known; a version that was
-// first seen later may belong to an order that this node has not read yet.
-func (b *Board) Withheld(now, orderedBefore time.Time, service string, upstreams []Upstream) []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.services[service]
-	var rejected, unproven []string
+// rolled back, and, while others serve, those of a former order that was not completed and those of a
+// version that is not proven. orderedBefore is the time up to which all orders are known; a version that
+// was first seen later may belong to an order that this node has not read yet.
+func (tr *Tracker) Withheld(now, orderedBefore time.Time, service string, upstreams []Upstream) []string {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	e := tr.services[service]
+	var withheld, rejected, unproven []string
 	for _, u := range upstreams {
 		switch {
-		case e != nil && e.isRejected(u.Software):
+		case e != nil && e.isRolledBack(u.Software):
+			withheld = append(withheld, u.Name)
+		case e != nil && e.rejected[u.Software]:
 			rejected = append(rejected, u.Name)
-		case e != nil && e.isUnproven(now, u.Software), b.isUnexplained(orderedBefore, service, u.Software):
+		case e != nil && e.isUnproven(now, u.Software), tr.isUnexplained(orderedBefore, service, u.Software):
 			unproven = append(unproven, u.Name)
 		}
 	}
-	if len(rejected)+len(unproven) == len(upstreams) {
-		return rejected // nothing else serves
+	for _, names := range [][]string{rejected, unproven} {
+		if len(withheld)+len(names) < len(upstreams) {
+			withheld = append(withheld, names...)
+		}
 	}
-	return append(rejected, unproven...)
+	return withheld
 }
 
-func (e *entry) isRejected(software string) bool {
-	return e.rejected[software] || software == e.order.Software && (e.hasEnded(RolledBack) || e.order.Withdrawn || e.order.Invalid != "")
+// isRolledBack reports whether a version was found wanting. An order that could not be carried out or was
+// withdrawn says nothing of its version, which may be the one that serves.
+func (e *entry) isRolledBack(software string) bool {
+	return software == e.order.Software && e.hasEnded(RolledBack) && e.order.Invalid == "" && !e.order.Withdrawn
 }
 
 // isUnproven reports whether a version is that of the order, and this node does not know that it may
@@ -240,13 +250,13 @@
 	if software != e.order.Software || e.hasEnded(Complete) {
 		return false
 	}
-	return !e.isTold() || e.told.Phase == Pending || now.Sub(e.toldAt) >= Lease
+	return !e.isKnown() || e.latest.Phase == Pending || e.latest.Phase == RolledBack || now.Sub(e.receivedAt) >= Lease
 }
 
 // isUnexplained reports whether a version was first seen after orderedBefore, while another one was
 // there before.
-func (b *Board) isUnexplained(orderedBefore time.Time, service, software string) bool {
-	seen := b.seen[service]
+func (tr *Tracker) isUnexplained(orderedBefore time.Time, service, software string) bool {
+	seen := tr.seen[service]
 	at, known := seen[software]
 	return known && at.After(orderedBefore) && lo.SomeBy(lo.Values(seen), func(other time.Time) bool { return other.Before(at) })
 }
@@ -259,11 +269,11 @@
 
 // Divide counts a request of a service, and returns its division; the zero value if there is no
 // roll-out that may send requests to either version.
-func (b *Board) Divide(now time.Time, service string, upstreams []Upstream) Division {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.services[service]
-	if e == nil || !e.isTold() || e.told.Phase.IsFinal() || e.told.Phase == Pending || now.Sub(e.toldAt) >= Lease {
+func (tr *Tracker) Divide(now time.Time, service string, upstreams []Upstream) Division {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	e := tr.services[service]
+	if e == nil || !e.isKnown() || e.latest.Phase.IsFinal() || e.latest.Phase == Pending || now.Sub(e.receivedAt) >= Lease {
 		return Division{}
 	}
 	isNew := func(u Upstream, _ int) bool { return u.Software == e.order.Software }
@@ -271,12 +281,12 @@
 	if len(fresh) == 0 || len(serving) == 0 {
 		return Division{}
 	}
-	if !e.allowance.Take(e.told.Share) {
+	if !e.allowance.Take(e.latest.Share) {
 		return Division{First: fresh, Later: fresh}
 	}
-	chosen := chooseUpstreams(fresh, e.told.Upstreams, e.order.ID)
+	chosen := chooseUpstreams(fresh, e.latest.Upstreams, e.order.ID)
 	d := Division{First: append(serving, lo.Without(fresh, chosen...)...), Later: fresh}
-	if e.told.Phase == Draining {
+	if e.latest.Phase == Draining {
 		d.Later = nil
 	}
 	return d
@@ -310,8 +320,8 @@
 
 // Record counts an answer of an upstream with a software version. It reports whether the service has a
 // roll-out that goes on, and whether the answer is of the new version.
-func (b *Board) Record(now time.Time, service, software string, a canary.Answer) (goesOn, fromNew bool) {
-	r, ordered := b.openRecorder(service)
+func (tr *Tracker) Record(now time.Time, service, software string, a canary.Answer) (goesOn, fromNew bool) {
+	r, ordered := tr.openRecorder(service)
 	if r == nil {
 		return false, false
 	}
@@ -322,19 +332,19 @@
 
 // openRecorder returns the recorder of a service's roll-out and the version that is ordered; nil if
 // there is none that goes on.
-func (b *Board) openRecorder(service string) (r *canary.Recorder, ordered string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.services[service]
-	if e == nil || e.isTold() && e.told.Phase.IsFinal() {
+func (tr *Tracker) openRecorder(service string) (r *canary.Recorder, ordered string) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	e := tr.services[service]
+	if e == nil || e.isKnown() && e.latest.Phase.IsFinal() {
 		return nil, ""
 	}
 	return e.recorder, e.order.Software
 }
 
 // Evidence returns what this node has counted for an order; false if it does not know the order.
-func (b *Board) Evidence(now time.Time, service string, id uint64) (total, recent canary.Evidence, ok bool) {
-	r := b.recorderOf(service, id)
+func (tr *Tracker) Evidence(now time.Time, service string, id uint64) (total, recent canary.Evidence, ok bool) {
+	r := tr.recorderOf(service, id)
 	if r == nil {
 		return nil, nil, false
 	}
@@ -343,10 +353,10 @@
 }
 
 // recorderOf returns the recorder of an order; nil if it is not the newest one.
-func (b *Board) recorderOf(service string, id uint64) *canary.Recorder {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if e := b.services[service]; e != nil && e.order.ID == id {
+func (tr *Tracker) recorderOf(service string, id uint64) *canary.Recorder {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if e := tr.services[service]; e != nil && e.order.ID == id {
 		return e.recorder
 	}
 	return nil
--- a/version/release/board_test.go
+++ b/version/release/tracker_test.go
@@ -22,17 +22,17 @@
 	newOnes = []string{"b1", "b2"}
 )
 
-// telling returns that an order's roll-out is in a phase.
-func telling(o Order, p Phase, step uint64) Telling {
-	return Telling{State: State{Order: o, Phase: p, Share: 0.5}, Term: 1, Step: step}
+// update returns that an order's roll-out is in a phase.
+func update(o Order, p Phase, step uint64) Update {
+	return Update{State: State{Order: o, Phase: p, Share: 0.5}, Term: 1, Step: step}
 }
 
-// newBoardWith returns a board that has read an order and heard tellings, all at start.
-func newBoardWith(o Order, tellings ...Telling) *Board {
-	b := NewBoard(1)
+// newTrackerWith returns a tracker that has read an order and received updates, all at start.
+func newTrackerWith(o Order, updates ...Update) *Tracker {
+	b := NewTracker(1)
 	b.PutOrder(start, o, false)
-	for _, t := range tellings {
-		b.Hear(start, t)
+	for _, t := range updates {
+		b.Merge(start, t)
 	}
 	return b
 }
@@ -41,52 +41,62 @@
 // and against a service without upstreams because the only version is taken for an unproven one.
 func TestWithheld(t *testing.T) {
 	v2 := order(1, "v2")
-	recorded := telling(v2, Complete, 2)
+	recorded := update(v2, Complete, 2)
 	recorded.Recorded = true
 	cases := []struct {
 		name      string
-		board     *Board
+		tracker   *Tracker
 		after     time.Duration
 		upstreams []Upstream
 		want      []string
 	}{
-		{"no order", NewBoard(1), 0, both, nil},
-		{"ordered", newBoardWith(v2), 0, both, newOnes},
-		{"nothing else serves", newBoardWith(v2), 0, both[2:], nil},
-		{"pending", newBoardWith(v2, telling(v2, Pending, 1)), 0, both, newOnes},
-		{"watched", newBoardWith(v2, telling(v2, Watching, 1)), 0, both, nil},
-		{"watched, not heard for a while", newBoardWith(v2, telling(v2, Watching, 1)), Lease, both, newOnes},
-		{"draining, not heard for a while, the others have gone", newBoardWith(v2, telling(v2, Draining, 1)), Lease, both[2:], nil},
-		{"rolled back", newBoardWith(v2, telling(v2, RolledBack, 1)), time.Hour, both, newOnes},
-		{"rolled back, nothing else serves", newBoardWith(v2, telling(v2, RolledBack, 1)), time.Hour, both[2:], newOnes},
-		{"complete", newBoardWith(v2, telling(v2, Complete, 1)), time.Hour, both, nil},
-		{"complete and an older telling", newBoardWith(v2, recorded, telling(v2, Watching, 3)), time.Hour, both, nil},
-		{"a late telling of an older phase", newBoardWith(v2, telling(v2, RolledBack, 2), telling(v2, Watching, 1)), 0, both, newOnes},
-		{"withdrawn", func() *Board {
-			b := newBoardWith(v2, telling(v2, Watching, 1))
+		{"no order", NewTracker(1), 0, both, nil},
+		{"ordered", newTrackerWith(v2), 0, both, newOnes},
+		{"nothing else serves", newTrackerWith(v2), 0, both[2:], nil},
+		{"pending", newTrackerWith(v2, update(v2, Pending, 1)), 0, both, newOnes},
+		{"watched", newTrackerWith(v2, update(v2, Watching, 1)), 0, both, nil},
+		{"watched, no update for a while", newTrackerWith(v2, update(v2, Watching, 1)), Lease, both, newOnes},
+		{"draining, no update for a while, the others have gone", newTrackerWith(v2, update(v2, Draining, 1)), Lease, both[2:], nil},
+		{"rolled back", newTrackerWith(v2, update(v2, RolledBack, 1)), time.Hour, both, newOnes},
+		{"rolled back, nothing else serves", newTrackerWith(v2, update(v2, RolledBack, 1)), time.Hour, both[2:], newOnes},
+		{"complete", newTrackerWith(v2, update(v2, Complete, 1)), time.Hour, both, nil},
+		{"complete and an older update", newTrackerWith(v2, recorded, update(v2, Watching, 3)), time.Hour, both, nil},
+		{"a late update of an older phase", newTrackerWith(v2, update(v2, RolledBack, 2), update(v2, Watching, 1)), 0, both, newOnes},
+		{"withdrawn", func() *Tracker {
+			b := newTrackerWith(v2, update(v2, Watching, 1))
 			b.PutOrder(start, Order{Service: "lm", ID: 2, Withdrawn: true}, false)
 			return b
 		}(), 0, both, newOnes},
-		{"replaced by an order of the serving version", func() *Board {
-			b := newBoardWith(v2, telling(v2, Watching, 1))
+		{"withdrawn as it was complete", func() *Tracker {
+			b := newTrackerWith(v2, update(v2, Complete, 1))
+			b.PutOrder(start, Order{Service: "lm", ID: 2, Withdrawn: true}, false)
+			return b
+		}(), 0, both[2:], nil},
+		{"rolled back as the order of the only version can't be carried out", func() *Tracker {
+			o := Order{Service: "lm", Software: "v1", ID: 1, Invalid: "no time"}
+			return newTrackerWith(o, update(o, RolledBack, 1))
+		}(), 0, serving, nil},
+		{"an order without a version", newTrackerWith(Order{Service: "lm", ID: 1, Invalid: "no version"}), 0, []Upstream{{"a1", ""}}, nil},
+		{"replaced by an order of the serving version", func() *Tracker {
+			b := newTrackerWith(v2, update(v2, Watching, 1))
 			b.PutOrder(start, order(2, "v1"), false)
 			return b
 		}(), 0, both, newOnes},
-		{"replaced and ordered again", func() *Board {
-			b := newBoardWith(v2, telling(v2, Watching, 1))
+		{"replaced and ordered again", func() *Tracker {
+			b := newTrackerWith(v2, update(v2, Watching, 1))
 			b.PutOrder(start, order(2, "v3"), false)
 			b.PutOrder(start, order(3, "v2"), false)
-			b.Hear(start, telling(order(3, "v2"), Watching, 1))
+			b.Merge(start, update(order(3, "v2"), Watching, 1))
 			return b
 		}(), 0, both, nil},
-		{"an older order arrives late", func() *Board {
-			b := newBoardWith(order(5, "v1"), telling(order(5, "v1"), Complete, 1))
+		{"an older order arrives late", func() *Tracker {
+			b := newTrackerWith(order(5, "v1"), update(order(5, "v1"), Complete, 1))
 			b.PutOrder(start, v2, false)
 			return b
 		}(), 0, both, nil},
 	}
 	for _, c := range cases {
-		got := c.board.Withheld(after(c.after), start, "lm", c.upstreams)
+		got := c.tracker.Withheld(after(c.after), start, "lm", c.upstreams)
 		if slices.Sort(got); !slices.Equal(got, c.want) {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
@@ -95,7 +105,7 @@
 
 // Guards against requests to a version whose upstreams registered before this node has read the order.
 func TestVersionSeenBeforeItsOrderIsWithheld(t *testing.T) {
-	b := NewBoard(1)
+	b := NewTracker(1)
 	b.Observe(start, map[string][]string{"lm": {"v1"}})
 	b.Observe(after(time.Second), map[string][]string{"lm": {"v1", "v2"}})
 	if got := b.Withheld(after(time.Second), after(500*time.Millisecond), "lm", both); !slices.Equal(got, newOnes) {
@@ -104,7 +114,7 @@
 	if got := b.Withheld(after(2*time.Second), after(1500*time.Millisecond), "lm", both); len(got) > 0 {
 		t.Errorf("without an order: %v", got)
 	}
-	b = NewBoard(1)
+	b = NewTracker(1)
 	b.Observe(start, map[string][]string{"lm": {"v1", "v2"}})
 	if got := b.Withheld(start, start.Add(-time.Hour), "lm", both); len(got) > 0 {
 		t.Errorf("two versions at the start: %v", got)
@@ -119,9 +129,9 @@
 		many = append(many, Upstream{name, "v2"})
 	}
 	v2 := order(1, "v2")
-	watching := telling(v2, Watching, 1)
+	watching := update(v2, Watching, 1)
 	watching.Share, watching.Upstreams = 0.1, 2
-	b := newBoardWith(v2, watching)
+	b := newTrackerWith(v2, watching)
 	toNew, allowed := 0, map[string]bool{}
 	for range 1000 {
 		d := b.Divide(start, "lm", many)
@@ -142,35 +152,35 @@
 		t.Errorf("%d of 1000 requests, to %v", toNew, allowed)
 	}
 	for _, c := range []struct {
-		name  string
-		board *Board
-		after time.Duration
+		name    string
+		tracker *Tracker
+		after   time.Duration
 	}{
-		{"no order", NewBoard(1), 0},
-		{"pending", newBoardWith(v2, telling(v2, Pending, 1)), 0},
-		{"not heard for a while", b, Lease},
-		{"complete", newBoardWith(v2, telling(v2, Complete, 1)), 0},
+		{"no order", NewTracker(1), 0},
+		{"pending", newTrackerWith(v2, update(v2, Pending, 1)), 0},
+		{"no update for a while", b, Lease},
+		{"complete", newTrackerWith(v2, update(v2, Complete, 1)), 0},
 	} {
-		if d := c.board.Divide(after(c.after), "lm", many); len(d.First) > 0 || len(d.Later) > 0 {
+		if d := c.tracker.Divide(after(c.after), "lm", many); len(d.First) > 0 || len(d.Later) > 0 {
 			t.Errorf("%s: %+v", c.name, d)
 		}
 	}
 }
 
 // Guards against a node that goes by a state whose age it does not know, as clocks differ.
-func TestTellingKeepsAges(t *testing.T) {
+func TestUpdateKeepsAges(t *testing.T) {
 	v2 := order(1, "v2")
-	a := newBoardWith(v2)
+	a := newTrackerWith(v2)
 	s := New(start, v2)
 	s.Phase, s.Since = Watching, after(2*time.Second)
-	a.Hear(after(2*time.Second), Telling{State: s, Term: 1, Step: 1}.Sent(after(2*time.Second)))
-	b := NewBoard(2)
+	a.Merge(after(2*time.Second), Update{State: s, Term: 1, Step: 1}.Sent(after(2*time.Second)))
+	b := NewTracker(2)
 	other := start.Add(1000 * time.Hour) // the other node's clock
 	b.PutOrder(other, v2, false)
-	for _, t := range a.Tellings(after(5 * time.Second)) {
-		b.Hear(other, t)
+	for _, t := range a.Updates(after(5 * time.Second)) {
+		b.Merge(other, t)
 	}
-	got := b.Open()[0].Told
+	got := b.Open()[0].Latest
 	if !got.OrderedAt.Equal(other.Add(-5*time.Second)) || !got.Since.Equal(other.Add(-3*time.Second)) {
 		t.Errorf("ordered %v ago, in its phase for %v", other.Sub(got.OrderedAt), other.Sub(got.Since))
 	}
@@ -180,33 +190,33 @@
 // end is not recorded.
 func TestOpen(t *testing.T) {
 	v2 := order(1, "v2")
-	recorded := telling(v2, RolledBack, 2)
+	recorded := update(v2, RolledBack, 2)
 	recorded.Recorded = true
 	for _, c := range []struct {
-		name  string
-		board *Board
-		open  int
+		name    string
+		tracker *Tracker
+		open    int
 	}{
-		{"ordered", newBoardWith(v2), 1},
-		{"under way", newBoardWith(v2, telling(v2, Watching, 1)), 1},
-		{"rolled back", newBoardWith(v2, telling(v2, RolledBack, 1)), 1},
-		{"recorded", newBoardWith(v2, recorded), 0},
-		{"by the record alone", func() *Board {
-			b := newBoardWith(v2)
+		{"ordered", newTrackerWith(v2), 1},
+		{"under way", newTrackerWith(v2, update(v2, Watching, 1)), 1},
+		{"rolled back", newTrackerWith(v2, update(v2, RolledBack, 1)), 1},
+		{"recorded", newTrackerWith(v2, recorded), 0},
+		{"by the record alone", func() *Tracker {
+			b := newTrackerWith(v2)
 			end, ended := Record{Service: "lm", Software: "v2", ID: 1, Outcome: Completed}.Ended(v2)
 			if !ended {
 				t.Error("a record of an end is none")
 			}
-			b.Hear(start, end)
+			b.Merge(start, end)
 			return b
 		}(), 0},
-		{"recorded for an older order", func() *Board {
-			b := newBoardWith(v2, recorded)
+		{"recorded for an older order", func() *Tracker {
+			b := newTrackerWith(v2, recorded)
 			b.PutOrder(start, order(2, "v2"), false)
 			return b
 		}(), 1},
 	} {
-		if got := c.board.Open(); len(got) != c.open {
+		if got := c.tracker.Open(); len(got) != c.open {
 			t.Errorf("%s: %+v", c.name, got)
 		}
 	}
