--- a/version/release/decide.go
+++ b/version/release/decide.go
@@ -51,7 +51,7 @@
 var DefaultConfig = Config{
 	MaxExposure: 0.05, ExposedRequests: 50, WatchPart: 0.7, UnloadedPart: 0.35, MinShare: 0.005, MaxShare: 0.08,
 	MinWatch: 2 * time.Second, MaxWatch: time.Minute, MinAnswers: 6, RareRoute: 0.05,
-	LoadTime: 1200 * time.Millisecond, LoadLag: 700 * time.Millisecond, LoadedUpstreams: 2, MaxLoadShare: 0.5, ShiftTime: 1800 * time.Millisecond, FirstShift: time.Second,
+	LoadTime: 2 * time.Second, LoadLag: 700 * time.Millisecond, LoadedUpstreams: 2, MaxLoadShare: 0.5, ShiftTime: 1800 * time.Millisecond, FirstShift: time.Second,
 	FirstShiftShare: 0.25, ShiftShare: 0.9, DrainTime: 2 * time.Second, MinDrain: 800 * time.Millisecond,
 	EndMargin: 600 * time.Millisecond, MinCapacity: 0.75,
 }
@@ -91,7 +91,7 @@
 	case Loading:
 		return c.afterLoading(now, s, f)
 	case Shifting:
-		return c.afterShifting(now, s)
+		return c.afterShifting(now, s, f)
 	case Draining:
 		return c.afterDraining(now, s, in)
 	}
@@ -237,7 +237,13 @@
 	return s.enter(now, Watching, c.MinShare, c.LoadedUpstreams, "its upstreams were under load")
 }
 
-func (c Config) afterShifting(now time.Time, s State) State {
+// afterShifting goes back to Watching while the version is suspect: it would get most of the requests
+// before enough answers are known to find it bad.
+func (c Config) afterShifting(now time.Time, s State, f canary.Finding) State {
+	if f.Suspect {
+		s.Loaded = true
+		return s.enter(now, Watching, c.MinShare, c.LoadedUpstreams, "it is suspect")
+	}
 	switch in := now.Sub(s.Since); {
 	case in >= c.ShiftTime:
 		return s.enter(now, Draining, 1, 0, "its answers are as good with most requests")
--- a/version/release/decide_test.go
+++ b/version/release/decide_test.go
@@ -69,7 +69,7 @@
 		{"too few answers", 8 * time.Second, in(Watching, 5*time.Second), with(evidence(t, 400, 4, 0)), Watching, ""},
 		{"too few upstreams", 8 * time.Second, in(Watching, 5*time.Second), with(good, func(s *Situation) { s.New = 10 }), Watching, ""},
 		{"not loaded as those that serve", 8 * time.Second, in(Watching, 5*time.Second), with(good, func(s *Situation) { s.Serving, s.New = 6, 6 }), Loading, "as good"},
-		{"loaded", 8 * time.Second, in(Loading, 1300*time.Millisecond), with(good), Watching, "under load"},
+		{"loaded", 8 * time.Second, in(Loading, 2100*time.Millisecond), with(good), Watching, "under load"},
 		{"answers under load are not known yet", 8 * time.Second, in(Watching, 500*time.Millisecond, func(s *State) { s.Loaded = true }), with(good), Watching, ""},
 		{"good under load", 8 * time.Second, in(Watching, time.Second, func(s *State) { s.Loaded = true }), with(good), Shifting, "as good"},
 		{"shifted", 8 * time.Second, in(Shifting, 1900*time.Millisecond), with(good), Draining, "most requests"},
