Name the question for the register's changes so that no older build is answered

A former build sent its reads by a method named Register; a node of that build would have had its reads taken for questions during a rolling update.

--- a/process/gateway/registerrelay.go
+++ b/process/gateway/registerrelay.go
@@ -82,8 +82,8 @@
 	return a, nil
 }
 
-// Register answers a node that gets the register from this one.
-func (h *enginesHandler) Register(q RegisterQuery, r *RegisterReply) error {
+// RegisterChanges answers a node that gets the register from this one.
+func (h *enginesHandler) RegisterChanges(q RegisterQuery, r *RegisterReply) error {
 	f := h.peers.register.Load()
 	if f == nil {
 		return errRegisterUnknown
@@ -166,7 +166,7 @@
 // tell them.
 func (r registerRelay) askChanges(ctx context.Context, n roleNode, from uint64) (keyed.PeerAnswer, error) {
 	var a RegisterReply
-	if err := r.peers.callWithin(ctx, registerQueryTimeout, n.Address, "Register", RegisterQuery{Known: true, From: from}, &a); err != nil {
+	if err := r.peers.callWithin(ctx, registerQueryTimeout, n.Address, "RegisterChanges", RegisterQuery{Known: true, From: from}, &a); err != nil {
 		return keyed.PeerAnswer{}, err
 	}
 	if !a.Known || a.Whole {
@@ -180,7 +180,7 @@
 	answer := keyed.PeerAnswer{Complete: true}
 	for page, pages := 0, 1; page < pages; page++ {
 		var a RegisterReply
-		if err := r.peers.callWithin(ctx, registerPageTimeout, n.Address, "Register", RegisterQuery{Page: page, Snapshot: answer.Next}, &a); err != nil {
+		if err := r.peers.callWithin(ctx, registerPageTimeout, n.Address, "RegisterChanges", RegisterQuery{Page: page, Snapshot: answer.Next}, &a); err != nil {
 			return keyed.PeerAnswer{}, err
 		}
 		if !a.Known || page > 0 && a.Read.Next != answer.Next {
