Close what a node has started for its peers without their lock

TestStopUsesReloadedGrace failed once beside load: the process did not end within 30 s after it had logged its stop. The membership was closed under the lock of the peers and waited for a lookup in the directory, which asks for the live nodes under the same lock.

The parts are taken out under the lock and closed without it, also after a join that has failed. The test of it does not end on the code before (10 s).

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -216,15 +216,29 @@
 // join connects to the other nodes and starts the membership. After a failure it stops what it has
 // started, as the next try starts its own.
 func (p *peers) join(d Directory, self platform.VM, secret []byte) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	err := p.start(d, self, secret)
+	err := p.startLocked(d, self, secret)
 	if err != nil {
-		p.closers.CloseAll(p.log)
+		p.closeParts()
 	}
 	return err
 }
 
+func (p *peers) startLocked(d Directory, self platform.VM, secret []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.start(d, self, secret)
+}
+
+// closeParts closes what join has started, without the lock: the membership waits for its goroutines,
+// which ask for the live nodes.
+func (p *peers) closeParts() {
+	p.mu.Lock()
+	parts := p.closers
+	p.closers = closer.List{}
+	p.mu.Unlock()
+	parts.CloseAll(p.log)
+}
+
 func (p *peers) start(d Directory, self platform.VM, secret []byte) error {
 	secrets := [][]byte{secret}
 	client, err := peer.NewClient(peer.ClientConfig{Secrets: secrets})
@@ -264,9 +278,7 @@
 	p.cancel()
 	p.work.Wait()
 	p.relays.Close() // the peer server waits for the connections that are passed on
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closers.CloseAll(p.log)
+	p.closeParts()
 }
 
 func (p *peers) leave() {
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
+	"github.com/dunlinmill/dunlinmill/connection/relay"
 	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/roster"
@@ -99,6 +100,26 @@
 	}
 }
 
+// Guards against a process that does not end: as it closes, the membership waits for a lookup in the
+// directory, which asks how many nodes live.
+func TestPartsMayAskForLiveNodesAsTheyClose(t *testing.T) {
+	p := &peers{log: zap.NewNop(), cancel: func() {}, relays: relay.NewServer(nil)}
+	p.closers.Add("membership", func() error {
+		p.live(time.Now())
+		return nil
+	})
+	done := make(chan struct{})
+	go func() {
+		p.close()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the parts are not closed")
+	}
+}
+
 // emptyDirectory is a directory without nodes.
 type emptyDirectory struct{}
 
