Keep the former ways in fleets of less than 500 nodes

Below, roles go by hashes over the live nodes, reads of the register are reported, and nodes call each other as before.

--- a/process/gateway/caches.go
+++ b/process/gateway/caches.go
@@ -123,7 +123,7 @@
 // others. It hashes each engine with each node, so it returns at once while neither the
 // configuration nor the nodes have changed.
 func (f *cacheFollower) selectEngines(ctx context.Context, now time.Time) {
-	if len(f.lastInputs.nodes) >= aggregateMinNodes && now.Sub(f.lastInputs.at) < followSelectInterval {
+	if len(f.lastInputs.nodes) >= f.peers.roles.largeFrom && now.Sub(f.lastInputs.at) < followSelectInterval {
 		return
 	}
 	cfg := f.view.Config()
@@ -154,7 +154,7 @@
 // are those of the directory too that the membership has not heard from yet: after a start of all nodes,
 // each would follow the engines of the others as well.
 func (f *cacheFollower) nodes(now time.Time) []member.Member {
-	if all := f.peers.roles.all(clock.BoottimeNow()); len(all) >= aggregateMinNodes {
+	if all := f.peers.roles.all(clock.BoottimeNow()); len(all) >= f.peers.roles.largeFrom {
 		return lo.Map(all, func(n roleNode, _ int) member.Member {
 			return member.Member{Name: n.Name, Address: n.Address, DataCentre: n.DataCentre}
 		})
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -42,6 +42,8 @@
 	// Mbit/s; 0: not stated. Larger VMs get the roles that cost more.
 	Cores    float64
 	LinkMbps float64
+	// LargeFleetNodes is the size from which the fleet counts as large; 0: the usual one.
+	LargeFleetNodes int
 	// AdmitByGoal means that under overload requests are admitted by the goals of their routes and
 	// by what all nodes know of the load. Otherwise each node goes by the time that the callers
 	// still wait.
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -30,7 +30,7 @@
 // reportRegister sends the other nodes what this node has just read from the register. In a large fleet
 // they ask for it.
 func (p *peers) reportRegister(r RegisterRead) {
-	if _, fleet := p.readers.near(clock.BoottimeNow()); fleet < registerRelayMinNodes {
+	if !p.roles.isLarge(clock.BoottimeNow()) {
 		p.callAll("Entries", r)
 	}
 }
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -108,6 +109,7 @@
 	}
 	self := platform.VM{Name: g.settings.Node, Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre, Cores: g.settings.Cores, LinkMbps: g.settings.LinkMbps}
 	ps.roles = newRoles(self, ps.known)
+	ps.roles.largeFrom = cmp.Or(g.settings.LargeFleetNodes, largeFleetMinNodes)
 	ps.readers, ps.located = newReaders(ps.roles, self.Name), make(chan struct{})
 	ps.work.Go(func() {
 		clock.Wait(ctx.Done(), maxLocateTime)
@@ -348,7 +350,7 @@
 // that started last is the last to be stopped again. In a large one it is the one for roles in its data
 // centre, so that a few large VMs come first, also while the nodes don't know each other yet.
 func (p *peers) rank(now time.Time) int {
-	if boot := clock.BoottimeNow(); p.roles.fleetSize(boot) >= aggregateMinNodes {
+	if boot := clock.BoottimeNow(); p.roles.isLarge(boot) {
 		return p.roles.position(boot)
 	}
 	others := p.live(now)
--- a/process/gateway/registerlog_test.go
+++ b/process/gateway/registerlog_test.go
@@ -218,7 +218,7 @@
 	for _, c := range []struct {
 		nodes int
 		asks  bool
-	}{{8, false}, {39, false}, {40, true}, {986, true}} {
+	}{{8, false}, {39, false}, {360, false}, {986, true}} {
 		vms := testVMs(c.nodes, 1)
 		asking := 0
 		for _, vm := range vms {
@@ -230,7 +230,7 @@
 			}
 			r := newRoles(vm, func() []member.Member { return members })
 			r.setListed(start, vms)
-			if newReaders(r, vm.Name).leavesToOthers(start, registerRelayMinNodes) {
+			if newReaders(r, vm.Name).leavesToOthers(start, largeFleetMinNodes) {
 				asking++
 			}
 			if c.nodes > 100 && asking > 20 {
--- a/process/gateway/registerrelay.go
+++ b/process/gateway/registerrelay.go
@@ -106,7 +106,7 @@
 
 // Preferred reports whether this node leaves the reads of the register to others.
 func (r registerRelay) Preferred() bool {
-	return r.peers.readers.leavesToOthers(clock.BoottimeNow(), registerRelayMinNodes)
+	return r.peers.readers.leavesToOthers(clock.BoottimeNow(), r.peers.roles.largeFrom)
 }
 
 // Ask returns what the first reader knows whose knowledge is young enough, otherwise the youngest. It
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -19,11 +19,6 @@
 	// others. A node's own queries cost half a call a second, and price and rate limit of the calls
 	// apply to the whole fleet.
 	relayMinNodes = 16
-	// registerRelayMinNodes is the size from which they get the register from them as well. Below it,
-	// who reads the register reports to all others. A report to each of many nodes takes longer than
-	// the time until the next one, and each node that it does not reach in time reads for itself: the
-	// heartbeats of thousands of upstreams, which are more than a small VM's link carries.
-	registerRelayMinNodes = aggregateMinNodes
 	// readersPerDataCentre is how many nodes of a data centre query the platform, so that one of
 	// them may be down.
 	readersPerDataCentre = 2
@@ -136,7 +131,7 @@
 // nodes and questions, since the platform may turn away those that come first.
 func (r configRelay) order(now time.Time) []roleNode {
 	order := r.peers.readers.order(now, maxRelayPeers)
-	if near, fleet := r.peers.readers.near(now); fleet < registerRelayMinNodes {
+	if near, fleet := r.peers.readers.near(now); fleet < r.peers.roles.largeFrom {
 		order = near
 	}
 	for _, n := range roleNodesOf(r.peers.shuffledLive(time.Now())) {
--- a/process/gateway/roles.go
+++ b/process/gateway/roles.go
@@ -18,6 +18,9 @@
 	// from, counts as one of the fleet. After a start of a whole fleet of hundreds of nodes the membership
 	// needs that long to know all of them; later such an entry is of a node that has gone.
 	unheardLife = 2 * time.Minute
+	// largeFleetMinNodes is the size of a fleet from which roles go by the size of VMs and by the
+	// directory, a few nodes read the register for the others, and news is passed on.
+	largeFleetMinNodes = 500
 	// rolesInterval is how long a choice of nodes is used.
 	rolesInterval = 500 * time.Millisecond
 )
@@ -43,6 +46,8 @@
 // held while the membership is asked, whose locks come after it.
 type roles struct {
 	self roleNode
+	// largeFrom is the size of a large fleet: largeFleetMinNodes, except in tests.
+	largeFrom int
 	// members returns the other nodes that the membership knows now, in any state.
 	members func() []member.Member
 
@@ -60,7 +65,7 @@
 }
 
 func newRoles(self platform.VM, members func() []member.Member) *roles {
-	return &roles{self: roleNodeOf(self), members: members, listed: map[string]listedNode{}}
+	return &roles{self: roleNodeOf(self), largeFrom: largeFleetMinNodes, members: members, listed: map[string]listedNode{}}
 }
 
 func roleNodeOf(vm platform.VM) roleNode {
@@ -111,6 +116,9 @@
 		}
 		all[m.Name] = n
 	}
+	if len(all) < r.largeFrom {
+		all = r.live(members)
+	}
 	r.ranked = lo.GroupBy(slices.Collect(maps.Values(all)), func(n roleNode) string { return n.DataCentre })
 	for _, near := range r.ranked {
 		slices.SortFunc(near, compareForRoles)
@@ -118,6 +126,20 @@
 	r.count, r.rankedAt = len(all), now
 }
 
+// live returns the nodes that the membership knows to live, without their sizes.
+func (r *roles) live(members []member.Member) map[string]roleNode {
+	all := map[string]roleNode{r.self.Name: {Name: r.self.Name, Address: r.self.Address, DataCentre: r.self.DataCentre}}
+	for _, m := range members {
+		if m.State == member.Alive || m.State == member.Suspect {
+			all[m.Name] = roleNode{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre}
+		}
+	}
+	return all
+}
+
+// isLarge reports whether the fleet is large.
+func (r *roles) isLarge(now time.Time) bool { return r.fleetSize(now) >= r.largeFrom }
+
 // first returns the first nodes with roles of each data centre, a number of each.
 func (r *roles) first(now time.Time, each int) map[string][]member.Member {
 	r.nodes(now, r.self.DataCentre)
--- a/process/gateway/roles_test.go
+++ b/process/gateway/roles_test.go
@@ -64,7 +64,7 @@
 	r := newRoles(self, func() []member.Member { return []member.Member{memberOf(vms[7], member.Alive)} })
 	r.setListed(start, vms)
 	readers := newReaders(r, self.Name)
-	if !readers.leavesToOthers(start.Add(time.Second), registerRelayMinNodes) {
+	if !readers.leavesToOthers(start.Add(time.Second), largeFleetMinNodes) {
 		t.Error("a small node reads for itself")
 	}
 	near, _ := readers.near(start.Add(time.Second))
@@ -72,7 +72,7 @@
 		t.Errorf("%+v", near[0])
 	}
 	// Entries that nobody has heard from since are of nodes that have gone.
-	if readers.leavesToOthers(start.Add(unheardLife), registerRelayMinNodes) {
+	if readers.leavesToOthers(start.Add(unheardLife), largeFleetMinNodes) {
 		t.Error("the node leaves its reads to nodes that it has never heard from")
 	}
 }
@@ -80,7 +80,7 @@
 // Guards against asking nodes that are dead or leave, and against asking a reader that does not answer
 // again and again before the others.
 func TestReadersAreReplaced(t *testing.T) {
-	vms := testVMs(300, 3)
+	vms := testVMs(900, 3)
 	states := map[string]member.State{}
 	r := newRoles(vms[0], func() []member.Member {
 		return lo.Map(vms[1:], func(vm platform.VM, _ int) member.Member { return memberOf(vm, states[vm.Name]) })
--- a/process/gateway/spread.go
+++ b/process/gateway/spread.go
@@ -39,7 +39,7 @@
 func (p *peers) spread(n News) (missed []string) {
 	n.From = p.name
 	now := clock.BoottimeNow()
-	if p.roles.fleetSize(now) < aggregateMinNodes {
+	if !p.roles.isLarge(now) {
 		return p.tellEach(roleNodesOf(p.live(time.Now())), n)
 	}
 	return lo.Flatten(waitAll(p.roles.dataCentres(now), func(dataCentre string) []string { return p.tellDataCentre(now, dataCentre, n) }))
