--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,7 +23,7 @@
 )
 
 // cases by the name of their folder.
-var cases = map[string]func(*world) (verdict, error){"kill": runKill, "wall": runWall, "tenants": runTenants}
+var cases = map[string]func(*world) (verdict, error){"kill": runKill, "wall": runWall}
 
 // world is a small deployment: the store, the runners and the nodes.
 type world struct {
