Log how a topic's records are read, restarted and refused

The logs had one line for the first failed read of the configuration and none until it could be read again, so that four cases looked alike: never asked, asked and refused as stale, skipped, and read but not applied. TopicRestarted (332) tells that the platform lacks the position, TopicRead (333) that the newest records were taken and from whom, TopicAnswerRefused (334) that an answer was turned down as older than what is known; each has the topic and the position. No decision changes.

--- a/process/event/version.go
+++ b/process/event/version.go
@@ -66,4 +66,10 @@
 	ReleaseRolledBack
 	// ReleaseNotRecorded: the state of a roll-out could not be read from the platform or recorded there; this is retried. To do: if it continues, check the platform; the roll-out goes on all the same, but can't be completed.
 	ReleaseNotRecorded
+	// TopicRestarted: the platform does not have the records of a topic from Position on, so that its newest records are read again.
+	TopicRestarted
+	// TopicRead: the newest record of each key of a topic was read, up to Position, from the platform or from a peer.
+	TopicRead
+	// TopicAnswerRefused: answers about a topic are refused, as they end before Position, up to which this node has read it; logged for the first one of several. To do: if it continues, compare the platform's records with what this node has in force; a restarted node reads them anew.
+	TopicAnswerRefused
 )
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -349,8 +349,9 @@
 func (g *Gateway) newFollowers(i do.Injector, p Platform) followers {
 	l := do.MustInvoke[*learner](i)
 	others := do.MustInvoke[*peers](i)
-	pace := keyed.Config{Retry: retryPause, Timeout: platformTimeout, Clock: clock.BoottimeNow}
+	pace := keyed.Config{Retry: retryPause, Timeout: platformTimeout, Clock: clock.BoottimeNow, Log: g.log}
 	configPolling, registerPolling := pace, pace
+	configPolling.Name, registerPolling.Name = "configuration", "register"
 	configPolling.HoldTime = configWait
 	configPolling.Peers, configPolling.PeerPause, configPolling.MaxPeerProofAge = configRelay{others}, readerQueryPause, maxRelayedProofAge
 	configPolling.AnswersPeers = true
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -12,7 +12,10 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/event"
 )
 
 var (
@@ -106,6 +109,8 @@
 	// as the platform gives them to many nodes at once more slowly than to a few that pass them on. It is
 	// a third of that if no peer answers.
 	PeerPatience time.Duration
+	Log          *zap.Logger // nil: nothing is logged
+	Name         string      // of the topic, for the log
 }
 
 // Follower reads one topic until Close.
@@ -115,6 +120,7 @@
 	consumer   Consumer
 	lastFailed bool // the last question got no answer; used by the reading goroutine only
 	behind     bool // the last answer did not reach the end of the topic; the same
+	refused    bool // the last answer was refused as older than what is known; the same
 
 	mu        sync.Mutex // guards the fields below
 	hasNewest bool       // the newest record of each key is known
@@ -257,9 +263,28 @@
 	}
 	err := ask(ctx, askedAt)
 	f.lastFailed = err != nil
+	f.logRefusal(err)
 	return err
 }
 
+// logRefusal logs the first of several answers that are refused as older than what is known.
+func (f *Follower) logRefusal(err error) {
+	refused := errors.Is(err, ErrStale)
+	if refused && !f.refused {
+		event.Info(f.logger(), event.TopicAnswerRefused, zap.Error(err))
+	}
+	f.refused = refused
+}
+
+// logger returns a logger with the topic and the position up to which it was read.
+func (f *Follower) logger() *zap.Logger {
+	if f.cfg.Log == nil {
+		return zap.NewNop()
+	}
+	next, _ := f.position()
+	return f.cfg.Log.With(zap.String("Topic", f.cfg.Name), zap.Uint64("Position", next))
+}
+
 // waitsForPeers reports whether the newest records of all keys are still left to the peers. answered
 // means that one has answered that it does not know them yet.
 func (f *Follower) waitsForPeers(now time.Time, answered bool) bool {
@@ -309,6 +334,7 @@
 	defer cancel()
 	records, end, err := f.topic.Read(ctx, from, wait)
 	if errors.Is(err, ErrTrimmed) {
+		event.Info(f.logger(), event.TopicRestarted)
 		f.restart()
 		return nil
 	}
@@ -378,5 +404,6 @@
 	u := Update{Records: records, Complete: true, AsOf: askedAt}
 	f.consumer.Consume(now, u)
 	f.recordProgress(next, now, u)
+	event.Info(f.logger(), event.TopicRead, zap.Int("Records", len(records)), zap.Bool("FromPeer", false))
 	return nil
 }
--- a/version/keyed/peers.go
+++ b/version/keyed/peers.go
@@ -6,6 +6,10 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dunlinmill/dunlinmill/process/event"
 )
 
 // ErrTopicUnknown means that no peer knows the topic's newest records.
@@ -134,5 +138,8 @@
 	u := Update{Records: w.Records, From: from, Next: w.Next, Complete: !hasNewest || w.Complete, AsOf: w.proofTime(askedAt), Relayed: platformFailed, FromPeer: true}
 	f.consumer.Consume(now, u)
 	f.recordProgress(w.Next, now, u)
+	if u.Complete {
+		event.Info(f.logger(), event.TopicRead, zap.Int("Records", len(w.Records)), zap.Bool("FromPeer", true))
+	}
 	return nil
 }
