--- a/process/event/version.go
+++ b/process/event/version.go
@@ -66,7 +66,7 @@
 	ReleaseRolledBack
 	// ReleaseNotRecorded: the state of a roll-out could not be read from the platform or recorded there; this is retried. To do: if it continues, check the platform; the roll-out goes on all the same, but can't be completed.
 	ReleaseNotRecorded
-	// TopicRestarted: the platform does not have the records of a topic from Position on, so that its newest records are read again.
+	// TopicRestarted: the platform does not have the records of a topic from Position on, which is its era and the offset, or has returned from an older copy; its newest records are read again.
 	TopicRestarted
 	// TopicRead: the newest record of each key of a topic was read, up to Position, from the platform or from a peer.
 	TopicRead
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -51,7 +51,7 @@
 	roster.Entry
 	unusable     bool // the record names no upstream that can be used
 	hadStartTime bool // some record of the key since its last deletion had a start time
-	offset       uint64
+	position     keyed.Position
 }
 
 // refresh updates the parts that keep lists of upstreams if the view has changed.
@@ -124,7 +124,7 @@
 		p, err := t.decoder.Configuration(r)
 		if err != nil {
 			allDecoded = false
-			event.Error(t.log, event.PublicationUnreadable, zap.String("Key", r.Key), zap.Uint64("Offset", r.Offset), zap.Error(err))
+			event.Error(t.log, event.PublicationUnreadable, zap.String("Key", r.Key), zap.Stringer("Position", r.Position), zap.Error(err))
 			continue
 		}
 		t.applyPublication(now, r, p, u.Complete)
@@ -143,14 +143,14 @@
 
 func (t *configurationHandler) applyPublication(now time.Time, r keyed.Record, p Publication, complete bool) {
 	if c := p.Configuration; c != nil && t.book.Accept(*c) {
-		event.Info(t.log, event.ConfigInForce, zap.Uint64("Version", c.Version), zap.Uint64("Offset", r.Offset),
+		event.Info(t.log, event.ConfigInForce, zap.Uint64("Version", c.Version), zap.Stringer("Position", r.Position),
 			zap.Int("Routes", len(c.Routes)), zap.Int("Workspaces", len(c.Workspaces)))
 	}
 	if p.Release != nil {
 		t.releases.putOrder(clock.BoottimeNow(), *p.Release, complete)
 	}
 	if p.Model != "" && t.book.RecordVersion(now, p.Model, p.Version, complete) {
-		event.Info(t.log, event.WeightsNamed, zap.String("Model", p.Model), zap.Uint64("Version", p.Version), zap.Uint64("Offset", r.Offset))
+		event.Info(t.log, event.WeightsNamed, zap.String("Model", p.Model), zap.Uint64("Version", p.Version), zap.Stringer("Position", r.Position))
 	}
 }
 
@@ -179,11 +179,11 @@
 	}
 	t.roster.SetReachable(now)
 	if u.Complete {
-		t.retainOnly(now, u.Records)
+		t.retainOnly(now, u.Records, u.Next)
 	}
 	if u.Complete {
 		// The records come in the order of their keys.
-		slices.SortFunc(u.Records, func(a, b keyed.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+		slices.SortFunc(u.Records, func(a, b keyed.Record) int { return cmp.Compare(a.Position, b.Position) })
 	}
 	read := RegisterRead{From: u.From, Next: u.Next}
 	latest := map[string]RegisterNews{} // by key: one read may hold several heartbeats of an upstream
@@ -204,7 +204,7 @@
 }
 
 // retainOnly drops all entries that the newest records of all keys don't have.
-func (t *registerHandler) retainOnly(now time.Time, records []keyed.Record) {
+func (t *registerHandler) retainOnly(now time.Time, records []keyed.Record, next keyed.Position) {
 	listed := make(map[string]bool, len(records))
 	for _, r := range records {
 		listed[r.Key] = true
@@ -218,14 +218,14 @@
 		}
 	}
 	// Who knows what was there before can't be told what is missing since.
-	t.registerLog = registerLog{prunedBefore: lastOffset(records) + 1}
+	t.registerLog = registerLog{prunedBefore: max(lastPosition(records)+1, keyed.At(next.Era(), 0))}
 }
 
-// lastOffset returns the greatest offset of the records.
-func lastOffset(records []keyed.Record) uint64 {
-	last := uint64(0)
+// lastPosition returns the greatest position of the records.
+func lastPosition(records []keyed.Record) keyed.Position {
+	last := keyed.Position(0)
 	for _, r := range records {
-		last = max(last, r.Offset)
+		last = max(last, r.Position)
 	}
 	return last
 }
@@ -254,7 +254,7 @@
 	if n, ok := r.Decoded.(RegisterNews); ok {
 		return n
 	}
-	n := RegisterNews{Entry: roster.Entry{ID: r.Key, Key: r.Key}, Gone: r.Dropped, Offset: r.Offset}
+	n := RegisterNews{Entry: roster.Entry{ID: r.Key, Key: r.Key}, Gone: r.Dropped, Position: r.Position}
 	if r.Dropped {
 		return n
 	}
@@ -269,7 +269,7 @@
 	n.Gone, n.Unusable = true, true
 	// Logs a writer that repeats an unreadable record only once.
 	if !t.previousState(r.Key).unusable {
-		event.Warn(t.log, event.EntryUnreadable, zap.String("Key", r.Key), zap.Uint64("Offset", r.Offset), zap.Error(err))
+		event.Warn(t.log, event.EntryUnreadable, zap.String("Key", r.Key), zap.Stringer("Position", r.Position), zap.Error(err))
 	}
 	return n
 }
@@ -283,7 +283,7 @@
 
 // RegisterRead is what a node has just read from the register.
 type RegisterRead struct {
-	From, Next uint64 // offsets
+	From, Next keyed.Position
 	// News holds the records in between that differ from the previous record of the same upstream.
 	// All others are heartbeats.
 	News []RegisterNews
@@ -291,9 +291,9 @@
 
 // RegisterNews is one record of the register that has changed something.
 type RegisterNews struct {
-	Entry  roster.Entry // only the key if Gone
-	Gone   bool
-	Offset uint64
+	Entry    roster.Entry // only the key if Gone
+	Gone     bool
+	Position keyed.Position
 	// Unusable means that the record exists and names no upstream to use. It counts as gone, even
 	// while the register itself is unreachable at times.
 	Unusable bool
@@ -311,39 +311,39 @@
 // for good.
 func (l *learner) applyNews(now time.Time, n RegisterNews) (gone bool) {
 	if n.Gone {
-		changed, gone := l.roster.Drop(now, n.Entry.RegisterKey(), n.Offset, n.Sure || n.Unusable)
+		changed, gone := l.roster.Drop(now, n.Entry.RegisterKey(), n.Position, n.Sure || n.Unusable)
 		if changed {
-			event.Info(l.log, event.UpstreamLeft, zap.String("Upstream", n.Entry.RegisterKey()), zap.Uint64("Offset", n.Offset), zap.Bool("MayComeBack", !gone))
+			event.Info(l.log, event.UpstreamLeft, zap.String("Upstream", n.Entry.RegisterKey()), zap.Stringer("Position", n.Position), zap.Bool("MayComeBack", !gone))
 		}
 		return gone
 	}
 	e := n.Entry
-	if l.roster.Put(e, n.Offset) {
+	if l.roster.Put(e, n.Position) {
 		event.Info(l.log, event.UpstreamEntered, zap.String("Upstream", e.ID), zap.String("Service", e.Service),
-			zap.String("Address", e.Address), zap.String("Software", e.Software), zap.Bool("Leaving", e.Leaving), zap.Any("Weights", e.Weights), zap.Uint64("Offset", n.Offset))
+			zap.String("Address", e.Address), zap.String("Software", e.Software), zap.Bool("Leaving", e.Leaving), zap.Any("Weights", e.Weights), zap.Stringer("Position", n.Position))
 	}
 	return false
 }
 
 // recordState stores what a record says of its upstream, and reports whether that is new to a node
-// that knows all records before the offset from. Whether it changes anything on this node does not
+// that knows all records before the position from. Whether it changes anything on this node does not
 // matter. This node may know the weights from an answer that its peers have not got, or the record
 // itself from a peer's report that other nodes may have missed.
-func (l *learner) recordState(now time.Time, n RegisterNews, from uint64) bool {
+func (l *learner) recordState(now time.Time, n RegisterNews, from keyed.Position) bool {
 	l.keyStatesMu.Lock()
 	defer l.keyStatesMu.Unlock()
 	key := n.Entry.RegisterKey()
 	previous, known := l.keyStates[key]
-	if n.Offset < max(previous.offset, l.registerLog.gone[key].offset) {
+	if n.Position < max(previous.position, l.registerLog.gone[key].position) {
 		return false // a peer's late report
 	}
 	l.registerLog.compact(now, l.keyStates)
 	switch {
 	case n.Unusable:
-		isNew := !previous.unusable || previous.offset >= from
+		isNew := !previous.unusable || previous.position >= from
 		if !previous.unusable {
-			l.keyStates[key] = keyState{unusable: true, hadStartTime: previous.hadStartTime, offset: n.Offset}
-			l.registerLog.record(n.Offset, key)
+			l.keyStates[key] = keyState{unusable: true, hadStartTime: previous.hadStartTime, position: n.Position}
+			l.registerLog.record(n.Position, key)
 		}
 		return isNew
 	case n.Gone:
@@ -351,11 +351,11 @@
 		l.registerLog.remove(now, n)
 		return true
 	}
-	if known && !previous.unusable && previous.Equal(n.Entry) && previous.offset < from {
+	if known && !previous.unusable && previous.Equal(n.Entry) && previous.position < from {
 		return false
 	}
-	l.keyStates[key] = keyState{Entry: n.Entry, hadStartTime: previous.hadStartTime || n.Entry.Born != 0, offset: n.Offset}
-	l.registerLog.record(n.Offset, key)
+	l.keyStates[key] = keyState{Entry: n.Entry, hadStartTime: previous.hadStartTime || n.Entry.Born != 0, position: n.Position}
+	l.registerLog.record(n.Position, key)
 	return true
 }
 
--- a/process/gateway/learn_test.go
+++ b/process/gateway/learn_test.go
@@ -32,10 +32,10 @@
 	l := newLearner()
 	var reported []RegisterRead
 	handler := &registerHandler{learner: l, tellPeers: func(r RegisterRead) { reported = append(reported, r) }}
-	take := func(from uint64, values ...string) {
-		u := keyed.Update{From: from, Next: from + uint64(len(values))}
+	take := func(from keyed.Position, values ...string) {
+		u := keyed.Update{From: from, Next: from + keyed.Position(len(values))}
 		for i, v := range values {
-			u.Records = append(u.Records, keyed.Record{Key: "a", Value: []byte(v), Dropped: v == "", Offset: from + uint64(i)})
+			u.Records = append(u.Records, keyed.Record{Key: "a", Value: []byte(v), Dropped: v == "", Position: from + keyed.Position(i)})
 		}
 		handler.Consume(time.Unix(1000, 0), u)
 	}
@@ -65,14 +65,14 @@
 	var reported []RegisterRead
 	handler := &registerHandler{learner: l, tellPeers: func(r RegisterRead) { reported = append(reported, r) }}
 	now := time.Unix(1000, 0)
-	entry := func(id string, offset uint64) RegisterNews {
-		return RegisterNews{Entry: roster.Entry{ID: id, Address: id, Weights: map[string]uint64{"m": 1}}, Offset: offset}
+	entry := func(id string, position keyed.Position) RegisterNews {
+		return RegisterNews{Entry: roster.Entry{ID: id, Address: id, Weights: map[string]uint64{"m": 1}}, Position: position}
 	}
 	l.applyPeerRead(now, RegisterRead{From: 0, Next: 2, News: []RegisterNews{entry("a", 0), entry("b", 1)}})
-	read := func(from uint64, ids ...string) {
-		u := keyed.Update{From: from, Next: from + uint64(len(ids))}
+	read := func(from keyed.Position, ids ...string) {
+		u := keyed.Update{From: from, Next: from + keyed.Position(len(ids))}
 		for i, id := range ids {
-			u.Records = append(u.Records, keyed.Record{Key: id, Value: []byte(id), Offset: from + uint64(i)})
+			u.Records = append(u.Records, keyed.Record{Key: id, Value: []byte(id), Position: from + keyed.Position(i)})
 		}
 		handler.Consume(now, u)
 	}
@@ -101,13 +101,13 @@
 		l := newLearner()
 		var reported []RegisterRead
 		handler := &registerHandler{learner: l, tellPeers: func(r RegisterRead) { reported = append(reported, r) }}
-		next := uint64(1)
+		next := keyed.Position(1)
 		read := func(n int, value string) {
-			u := keyed.Update{From: next, Next: next + uint64(n)}
+			u := keyed.Update{From: next, Next: next + keyed.Position(n)}
 			for i := range n {
-				u.Records = append(u.Records, keyed.Record{Key: fmt.Sprint("u", i), Value: []byte(value), Offset: next + uint64(i)})
+				u.Records = append(u.Records, keyed.Record{Key: fmt.Sprint("u", i), Value: []byte(value), Position: next + keyed.Position(i)})
 			}
-			next += uint64(n)
+			next += keyed.Position(n)
 			handler.Consume(time.Unix(1000, 0), u)
 		}
 		read(c.upstreams, "x")
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -31,7 +31,7 @@
 // they ask for it.
 func (p *peers) reportRegister(r RegisterRead) {
 	if !p.roles.isLarge(clock.BoottimeNow()) {
-		p.callAll("Entries", r)
+		p.callAll("RegisterRead", r)
 	}
 }
 
@@ -40,10 +40,9 @@
 	peers *peers
 }
 
-// Entries applies what a peer has read from the register. Nodes of an older build, whose entries lack
-// the software version, call another method, so that during a rolling update each node reads by
-// itself.
-func (h *enginesHandler) Entries(r RegisterRead, _ *Heard) error {
+// RegisterRead applies what a peer has read from the register. Nodes of an older build, whose offsets lack
+// the store's era, call another method, so that during a rolling update each node reads by itself.
+func (h *enginesHandler) RegisterRead(r RegisterRead, _ *Heard) error {
 	h.peers.learner.applyPeerRead(clock.BoottimeNow(), r)
 	if f := h.peers.register.Load(); f != nil {
 		f.RecordPeerRead(r.From, r.Next)
@@ -125,8 +124,9 @@
 	return nil
 }
 
-// Newest returns what this node knows of the configuration.
-func (h *enginesHandler) Newest(from uint64, w *keyed.PeerAnswer) error {
+// Configuration returns what this node knows of the configuration. Nodes of an older build, whose offsets
+// lack the store's era, call another method.
+func (h *enginesHandler) Configuration(from keyed.Position, w *keyed.PeerAnswer) error {
 	if f := h.peers.configuration.Load(); f != nil {
 		*w = f.AnswerPeer(clock.BoottimeNow(), from)
 	}
--- a/process/gateway/origins_test.go
+++ b/process/gateway/origins_test.go
@@ -84,10 +84,12 @@
 	}
 }
 
-// Guards against entries without a software version, which nodes of an older build send during a rolling
-// update.
+// Guards against entries without a software version, and offsets without the store's era, which nodes of an
+// older build send and ask for during a rolling update.
 func TestEntriesOfOlderBuildAreNotTaken(t *testing.T) {
-	if _, found := reflect.TypeFor[*enginesHandler]().MethodByName("Register"); found {
-		t.Error("nodes of an older build can send their entries")
+	for _, method := range []string{"Register", "Entries", "RegisterChanges", "Newest"} {
+		if _, found := reflect.TypeFor[*enginesHandler]().MethodByName(method); found {
+			t.Errorf("nodes of an older build can call %s", method)
+		}
 	}
 }
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -17,7 +17,7 @@
 // QuarantineRecords is the platform's store of the quarantine.
 type QuarantineRecords interface {
 	// Newest returns the newest record of each key.
-	Newest(ctx context.Context, pageTimeout time.Duration) ([]keyed.Record, uint64, error)
+	Newest(ctx context.Context, pageTimeout time.Duration) ([]keyed.Record, keyed.Position, error)
 	// Append adds records.
 	Append(ctx context.Context, records ...keyed.Record) error
 }
--- a/process/gateway/refresh_bench_test.go
+++ b/process/gateway/refresh_bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/catalogue"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
 
 // newFullLearner returns a learner with all parts that follow the upstreams, and a number of engines.
@@ -30,7 +31,7 @@
 	l.paths, l.versions = path.NewMonitor(nil, nil, nil), origin.NewReleases()
 	l.book.Accept(accepted.Configuration{Version: 1, Services: map[string]accepted.Service{"lm": {Name: "lm", Engine: &accepted.Engine{Slots: 64, Models: []string{"m"}}}}})
 	for i := range upstreams {
-		l.roster.Put(benchEntry(i, 0), uint64(i))
+		l.roster.Put(benchEntry(i, 0), keyed.Position(i))
 	}
 	l.roster.MarkRead()
 	l.refresh(time.Unix(1000, 0))
@@ -52,7 +53,7 @@
 			current := catalogue.NewCurrent(l.view)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				l.roster.Put(benchEntry(i%n, i+1), uint64(n+i))
+				l.roster.Put(benchEntry(i%n, i+1), keyed.Position(n+i))
 				l.refresh(time.Unix(1000, 0))
 				current.Catalogue()
 			}
--- a/process/gateway/register_bench_test.go
+++ b/process/gateway/register_bench_test.go
@@ -27,9 +27,9 @@
 	t := &registerHandler{learner: l, tellPeers: func(RegisterRead) {}}
 	records := make([]keyed.Record, upstreams)
 	for i := range records {
-		records[i] = keyed.Record{Key: fmt.Sprintf("i-%d", i), Value: []byte("x"), Offset: uint64(i)}
+		records[i] = keyed.Record{Key: fmt.Sprintf("i-%d", i), Value: []byte("x"), Position: keyed.Position(i)}
 	}
-	t.Consume(time.Unix(1000, 0), keyed.Update{Records: records, Complete: true, Next: uint64(upstreams)})
+	t.Consume(time.Unix(1000, 0), keyed.Update{Records: records, Complete: true, Next: keyed.Position(upstreams)})
 	return t, records
 }
 
@@ -45,13 +45,13 @@
 		b.Run(fmt.Sprint(n, "/Heartbeats"), func(b *testing.B) {
 			t, records := benchRegister(b, n)
 			for b.Loop() {
-				t.Consume(time.Unix(1001, 0), keyed.Update{Records: records, From: uint64(n), Next: uint64(2 * n)})
+				t.Consume(time.Unix(1001, 0), keyed.Update{Records: records, From: keyed.Position(n), Next: keyed.Position(2 * n)})
 			}
 		})
 		b.Run(fmt.Sprint(n, "/Nothing"), func(b *testing.B) {
 			t, _ := benchRegister(b, n)
 			for b.Loop() {
-				t.Consume(time.Unix(1001, 0), keyed.Update{From: uint64(n), Next: uint64(n)})
+				t.Consume(time.Unix(1001, 0), keyed.Update{From: keyed.Position(n), Next: keyed.Position(n)})
 			}
 		})
 	}
--- a/process/gateway/registerlog.go
+++ b/process/gateway/registerlog.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
 
 const (
@@ -25,43 +26,43 @@
 	maxSnapshots = 3
 )
 
-// registerChange is one change of an entry, for answers to nodes that know the register up to an
-// offset.
+// registerChange is one change of an entry, for answers to nodes that know the register up to a
+// position.
 type registerChange struct {
-	offset uint64
-	key    string
+	position keyed.Position
+	key      string
 }
 
 // goneEntry is an entry that was removed.
 type goneEntry struct {
-	offset uint64
-	sure   bool // see RegisterNews.Sure
-	at     time.Time
+	position keyed.Position
+	sure     bool // see RegisterNews.Sure
+	at       time.Time
 }
 
 // registerLog has the changes of the register, next to the states of its entries. The learner's
 // keyStatesMu guards it.
 type registerLog struct {
-	changes []registerChange // by offset
+	changes []registerChange // by position
 	gone    map[string]goneEntry
-	// prunedBefore is the offset up to which removed entries are not known any more.
-	prunedBefore uint64
+	// prunedBefore is the position up to which removed entries are not known any more.
+	prunedBefore keyed.Position
 	snapshots    []*registerSnapshot // newest first
 }
 
 // registerSnapshot has all entries as of a position, encoded in pages.
 type registerSnapshot struct {
-	next   uint64
+	next   keyed.Position
 	madeAt time.Time
 	proof  time.Time // up to which everything is known
 	pages  [][]byte
 }
 
-// record adds a change. Changes mostly come in the order of their offsets.
-func (r *registerLog) record(offset uint64, key string) {
-	c := registerChange{offset, key}
+// record adds a change. Changes mostly come in the order of their positions.
+func (r *registerLog) record(position keyed.Position, key string) {
+	c := registerChange{position, key}
 	at := len(r.changes)
-	for at > 0 && r.changes[at-1].offset > offset {
+	for at > 0 && r.changes[at-1].position > position {
 		at--
 	}
 	r.changes = slices.Insert(r.changes, at, c)
@@ -72,8 +73,8 @@
 	if r.gone == nil {
 		r.gone = map[string]goneEntry{}
 	}
-	r.gone[n.Entry.RegisterKey()] = goneEntry{offset: n.Offset, sure: n.Sure, at: now}
-	r.record(n.Offset, n.Entry.RegisterKey())
+	r.gone[n.Entry.RegisterKey()] = goneEntry{position: n.Position, sure: n.Sure, at: now}
+	r.record(n.Position, n.Entry.RegisterKey())
 }
 
 // compact drops entries that were encoded long ago, and, once there are twice as many changes as
@@ -88,7 +89,7 @@
 	for key, g := range r.gone {
 		if now.Sub(g.at) > goneLife {
 			delete(r.gone, key)
-			r.prunedBefore = max(r.prunedBefore, g.offset+1)
+			r.prunedBefore = max(r.prunedBefore, g.position+1)
 		}
 	}
 	r.changes = slices.DeleteFunc(r.changes, func(c registerChange) bool {
@@ -100,35 +101,35 @@
 // newsOf returns what a change has made of its entry; false if a later change has replaced it.
 func (r *registerLog) newsOf(c registerChange, states map[string]keyState) (RegisterNews, bool) {
 	if s, ok := states[c.key]; ok {
-		return s.news(c.key), s.offset == c.offset
+		return s.news(c.key), s.position == c.position
 	}
 	g, ok := r.gone[c.key]
-	return RegisterNews{Entry: roster.Entry{ID: c.key, Key: c.key}, Gone: true, Offset: g.offset, Sure: g.sure}, ok && g.offset == c.offset
+	return RegisterNews{Entry: roster.Entry{ID: c.key, Key: c.key}, Gone: true, Position: g.position, Sure: g.sure}, ok && g.position == c.position
 }
 
 // news returns the state as it is told to another node.
 func (s keyState) news(key string) RegisterNews {
 	if s.unusable {
-		return RegisterNews{Entry: roster.Entry{ID: key, Key: key}, Gone: true, Unusable: true, Offset: s.offset}
+		return RegisterNews{Entry: roster.Entry{ID: key, Key: key}, Gone: true, Unusable: true, Position: s.position}
 	}
-	return RegisterNews{Entry: s.Entry, Offset: s.offset}
+	return RegisterNews{Entry: s.Entry, Position: s.position}
 }
 
-// since returns the changes from an offset on, and the offset up to which they go: next, or less if
+// since returns the changes from a position on, and the position up to which they go: next, or less if
 // there are more than maxRegisterNews of them. It returns false if removals may be missing.
-func (r *registerLog) since(from, next uint64, states map[string]keyState) (RegisterRead, bool) {
+func (r *registerLog) since(from, next keyed.Position, states map[string]keyState) (RegisterRead, bool) {
 	if from < r.prunedBefore {
 		return RegisterRead{}, false
 	}
 	read := RegisterRead{From: from, Next: next}
-	first := sort.Search(len(r.changes), func(i int) bool { return r.changes[i].offset >= from })
+	first := sort.Search(len(r.changes), func(i int) bool { return r.changes[i].position >= from })
 	for _, c := range r.changes[first:] {
 		n, current := r.newsOf(c, states)
 		if !current {
 			continue
 		}
 		if len(read.News) == maxRegisterNews {
-			read.Next = c.offset
+			read.Next = c.position
 			break
 		}
 		read.News = append(read.News, n)
@@ -138,7 +139,7 @@
 
 // allEntries returns the pages of all entries: those at a position if there are any, else the newest
 // ones.
-func (r *registerLog) allEntries(now time.Time, position, next uint64, proof time.Time, states map[string]keyState) (*registerSnapshot, error) {
+func (r *registerLog) allEntries(now time.Time, position, next keyed.Position, proof time.Time, states map[string]keyState) (*registerSnapshot, error) {
 	r.snapshots = slices.DeleteFunc(r.snapshots, func(s *registerSnapshot) bool { return now.Sub(s.madeAt) > snapshotKept })
 	for _, s := range r.snapshots {
 		if position == s.next || position == 0 && now.Sub(s.madeAt) < snapshotLife {
--- a/process/gateway/registerlog_test.go
+++ b/process/gateway/registerlog_test.go
@@ -20,7 +20,7 @@
 	t              *testing.T
 	now            time.Time
 	reader, node   *registerHandler
-	next, nodeNext uint64 // offsets up to which they know all
+	next, nodeNext keyed.Position // positions up to which they know all
 	keys           []string
 	bytes          int // that the node has received
 }
@@ -32,9 +32,9 @@
 	for i := range records {
 		key := fmt.Sprintf("i-%06d", i)
 		f.keys = append(f.keys, key)
-		records[i] = keyed.Record{Key: key, Value: fmt.Appendf(nil, "10.1.%d.%d:8080", i/250, i%250), Offset: uint64((i * 7919) % upstreams)}
+		records[i] = keyed.Record{Key: key, Value: fmt.Appendf(nil, "10.1.%d.%d:8080", i/250, i%250), Position: keyed.Position((i * 7919) % upstreams)}
 	}
-	f.next = uint64(upstreams)
+	f.next = keyed.Position(upstreams)
 	f.reader.Consume(f.now, keyed.Update{Records: records, Complete: true})
 	return f
 }
@@ -54,7 +54,7 @@
 func (f *registerFleet) write(heartbeats int, changed map[string]string) {
 	u := keyed.Update{From: f.next}
 	add := func(key, value string) {
-		u.Records = append(u.Records, keyed.Record{Key: key, Value: []byte(value), Dropped: value == "", Offset: f.next})
+		u.Records = append(u.Records, keyed.Record{Key: key, Value: []byte(value), Dropped: value == "", Position: f.next})
 		f.next++
 	}
 	for i := range heartbeats {
@@ -82,7 +82,7 @@
 		return false
 	}
 	var records []keyed.Record
-	next := uint64(0)
+	next := keyed.Position(0)
 	for page, pages := 0, 1; page < pages; page++ {
 		a := f.query(RegisterQuery{Page: page, Snapshot: next})
 		news, err := decodeRegisterPage(a.Entries)
--- a/process/gateway/registerrelay.go
+++ b/process/gateway/registerrelay.go
@@ -37,13 +37,13 @@
 
 // RegisterQuery asks a node for the register.
 type RegisterQuery struct {
-	// Known means that the asking node knows all before the offset From; else it asks for all entries,
+	// Known means that the asking node knows all before the position From; else it asks for all entries,
 	// the given Page of them.
 	Known bool
-	From  uint64
+	From  keyed.Position
 	Page  int
 	// Snapshot is the position of the pages that have been read so far; 0 with the first one.
-	Snapshot uint64
+	Snapshot keyed.Position
 }
 
 // RegisterReply is the answer to a RegisterQuery.
@@ -61,8 +61,8 @@
 	Sound time.Duration
 }
 
-// answerRegister answers a query from what this node knows up to an offset, with a proof of its own.
-func (l *learner) answerRegister(now time.Time, q RegisterQuery, next uint64, proof time.Time) (RegisterReply, error) {
+// answerRegister answers a query from what this node knows up to a position, with a proof of its own.
+func (l *learner) answerRegister(now time.Time, q RegisterQuery, next keyed.Position, proof time.Time) (RegisterReply, error) {
 	l.keyStatesMu.Lock()
 	defer l.keyStatesMu.Unlock()
 	a := RegisterReply{Known: true, Sound: proof.Sub(now)}
@@ -82,8 +82,8 @@
 	return a, nil
 }
 
-// RegisterChanges answers a node that gets the register from this one.
-func (h *enginesHandler) RegisterChanges(q RegisterQuery, r *RegisterReply) error {
+// RegisterSince answers a node that gets the register from this one.
+func (h *enginesHandler) RegisterSince(q RegisterQuery, r *RegisterReply) error {
 	f := h.peers.register.Load()
 	if f == nil {
 		return errRegisterUnknown
@@ -111,7 +111,7 @@
 
 // Ask returns what the first reader knows whose knowledge is young enough, otherwise the youngest. It
 // asks for all entries if this node knows none, or if no reader can tell what has changed.
-func (r registerRelay) Ask(ctx context.Context, from uint64) (keyed.PeerAnswer, error) {
+func (r registerRelay) Ask(ctx context.Context, from keyed.Position) (keyed.PeerAnswer, error) {
 	if !r.Preferred() {
 		return keyed.PeerAnswer{}, errNotJoined
 	}
@@ -154,7 +154,7 @@
 	return best, err
 }
 
-func (r registerRelay) position() (uint64, time.Time, bool) {
+func (r registerRelay) position() (keyed.Position, time.Time, bool) {
 	f := r.peers.register.Load()
 	if f == nil {
 		return 0, time.Time{}, false
@@ -162,11 +162,11 @@
 	return f.Position()
 }
 
-// askChanges asks one node for the changes since an offset. The error is errRegisterUnknown if it can't
+// askChanges asks one node for the changes since a position. The error is errRegisterUnknown if it can't
 // tell them.
-func (r registerRelay) askChanges(ctx context.Context, n roleNode, from uint64) (keyed.PeerAnswer, error) {
+func (r registerRelay) askChanges(ctx context.Context, n roleNode, from keyed.Position) (keyed.PeerAnswer, error) {
 	var a RegisterReply
-	if err := r.peers.callWithin(ctx, registerQueryTimeout, n.Address, "RegisterChanges", RegisterQuery{Known: true, From: from}, &a); err != nil {
+	if err := r.peers.callWithin(ctx, registerQueryTimeout, n.Address, "RegisterSince", RegisterQuery{Known: true, From: from}, &a); err != nil {
 		return keyed.PeerAnswer{}, err
 	}
 	if !a.Known || a.Whole {
@@ -180,7 +180,7 @@
 	answer := keyed.PeerAnswer{Complete: true}
 	for page, pages := 0, 1; page < pages; page++ {
 		var a RegisterReply
-		if err := r.peers.callWithin(ctx, registerPageTimeout, n.Address, "RegisterChanges", RegisterQuery{Page: page, Snapshot: answer.Next}, &a); err != nil {
+		if err := r.peers.callWithin(ctx, registerPageTimeout, n.Address, "RegisterSince", RegisterQuery{Page: page, Snapshot: answer.Next}, &a); err != nil {
 			return keyed.PeerAnswer{}, err
 		}
 		if !a.Known || page > 0 && a.Read.Next != answer.Next {
@@ -198,6 +198,6 @@
 
 func recordsOf(news []RegisterNews) []keyed.Record {
 	return lo.Map(news, func(n RegisterNews, _ int) keyed.Record {
-		return keyed.Record{Key: n.Entry.RegisterKey(), Offset: n.Offset, Dropped: n.Gone && !n.Unusable, Decoded: n}
+		return keyed.Record{Key: n.Entry.RegisterKey(), Position: n.Position, Dropped: n.Gone && !n.Unusable, Decoded: n}
 	})
 }
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -148,13 +148,13 @@
 // Ask returns the state of the first peer whose proof is younger than freshProofAge, otherwise the
 // one with the youngest proof. It asks the readers first, then others in an order that differs
 // between nodes.
-func (r configRelay) Ask(ctx context.Context, from uint64) (keyed.PeerAnswer, error) {
+func (r configRelay) Ask(ctx context.Context, from keyed.Position) (keyed.PeerAnswer, error) {
 	now := clock.BoottimeNow()
 	order := r.order(now)
 	best, err := keyed.PeerAnswer{}, error(errNotJoined)
 	for _, n := range order {
 		var w keyed.PeerAnswer
-		if callErr := r.peers.call(ctx, n.Address, "Newest", from, &w); callErr != nil {
+		if callErr := r.peers.call(ctx, n.Address, "Configuration", from, &w); callErr != nil {
 			r.peers.readers.avoid(now, n.Name)
 			err = callErr
 			continue
--- a/process/gateway/releasedecider.go
+++ b/process/gateway/releasedecider.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/member"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
 	"github.com/dunlinmill/dunlinmill/version/release"
 )
 
@@ -226,7 +227,7 @@
 	return in
 }
 
-func (d *releaseDecider) readRecords(ctx context.Context) (map[string]release.Record, uint64, error) {
+func (d *releaseDecider) readRecords(ctx context.Context) (map[string]release.Record, keyed.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	records, at, err := d.records.Read(ctx)
@@ -260,7 +261,7 @@
 	return true, nil
 }
 
-func (d *releaseDecider) write(ctx context.Context, at uint64, r release.Record) error {
+func (d *releaseDecider) write(ctx context.Context, at keyed.Position, r release.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	if err := d.records.Write(ctx, at, r); err != nil {
--- a/process/gateway/releases.go
+++ b/process/gateway/releases.go
@@ -20,6 +20,7 @@
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/config"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
 	"github.com/dunlinmill/dunlinmill/version/release"
 )
 
@@ -30,10 +31,10 @@
 // ReleaseRecords is the platform's store of the states of roll-outs.
 type ReleaseRecords interface {
 	// Read returns the records, by service, and the position of their end.
-	Read(ctx context.Context) (map[string]release.Record, uint64, error)
+	Read(ctx context.Context) (map[string]release.Record, keyed.Position, error)
 	// Write writes a record if no other one was written since the position. Otherwise the error is
 	// ErrRecordsChanged.
-	Write(ctx context.Context, at uint64, r release.Record) error
+	Write(ctx context.Context, at keyed.Position, r release.Record) error
 }
 
 // releases divides the requests of services between software versions, as far as operators have ordered
--- a/process/gateway/unusable_test.go
+++ b/process/gateway/unusable_test.go
@@ -40,11 +40,11 @@
 	l, peer := newLearner(), newLearner()
 	l.log, l.decoder = zap.New(core), startDecoder{}
 	handler := &registerHandler{learner: l, tellPeers: func(r RegisterRead) { peer.applyPeerRead(time.Unix(1000, 0), r) }}
-	offset := uint64(1)
+	offset := keyed.Position(1)
 	for _, read := range reads {
 		u := keyed.Update{From: offset}
 		for _, r := range read {
-			u.Records = append(u.Records, keyed.Record{Key: r[0], Value: []byte(r[1]), Dropped: r[1] == "", Offset: offset})
+			u.Records = append(u.Records, keyed.Record{Key: r[0], Value: []byte(r[1]), Dropped: r[1] == "", Position: offset})
 			offset++
 		}
 		u.Next = offset
@@ -109,9 +109,9 @@
 	l.decoder = startDecoder{}
 	handler := &registerHandler{learner: l, tellPeers: func(RegisterRead) {}}
 	now := time.Unix(1000, 0)
-	handler.Consume(now, keyed.Update{From: 1, Next: 2, Records: []keyed.Record{{Key: "a", Value: []byte("10"), Offset: 1}}})
+	handler.Consume(now, keyed.Update{From: 1, Next: 2, Records: []keyed.Record{{Key: "a", Value: []byte("10"), Position: 1}}})
 	handler.ReadFailed(now, nil)
-	handler.Consume(now, keyed.Update{From: 2, Next: 3, Records: []keyed.Record{{Key: "a", Value: []byte("?"), Offset: 2}}})
+	handler.Consume(now, keyed.Update{From: 2, Next: 3, Records: []keyed.Record{{Key: "a", Value: []byte("?"), Position: 2}}})
 	if got := rosterIDs(l.roster); len(got) != 0 {
 		t.Errorf("still in use: %v", got)
 	}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
 
 // Entry is an upstream's own description of itself.
@@ -71,13 +73,13 @@
 	// address or under their key. A late heartbeat of theirs must not displace
 	// the later one.
 	superseded map[string]bool
-	// newestOffset is the offset of the newest record of each key, removed
+	// newestPosition is the position of the newest record of each key, removed
 	// ones included: an update that a peer sends late must not restore a
 	// removed entry.
-	newestOffset map[string]uint64
-	// offsetsPruneAt is the size of newestOffset at which it loses what belongs to no present entry.
-	offsetsPruneAt int
-	busy           map[string]time.Time // until when an upstream takes no requests
+	newestPosition map[string]keyed.Position
+	// positionsPruneAt is the size of newestPosition at which it loses what belongs to no present entry.
+	positionsPruneAt int
+	busy             map[string]time.Time // until when an upstream takes no requests
 	// leaving holds the starts whose answers said that they leave, and when
 	// each was first recorded. It outlives their entries, since an outdated
 	// entry that arrives again would otherwise make them usable.
@@ -85,26 +87,26 @@
 }
 
 // maxSuperseded is the size at which superseded is cleared, and the least one at
-// which newestOffset and leaving lose what belongs to no present entry. A late
+// which newestPosition and leaving lose what belongs to no present entry. A late
 // heartbeat is only seconds old, and the upstreams of a fleet start fewer times
 // than this within minutes.
 const maxSuperseded = 4096
 
 // New returns a Roster without upstreams.
 func New() *Roster {
-	return &Roster{entries: map[string]record{}, latestStart: map[string]string{}, byAddress: map[string][]string{}, superseded: map[string]bool{}, newestOffset: map[string]uint64{}, busy: map[string]time.Time{}, leaving: map[string]time.Time{}}
+	return &Roster{entries: map[string]record{}, latestStart: map[string]string{}, byAddress: map[string][]string{}, superseded: map[string]bool{}, newestPosition: map[string]keyed.Position{}, busy: map[string]time.Time{}, leaving: map[string]time.Time{}}
 }
 
 // Put adds or updates an entry. Once a start is known to be leaving it stays
 // so, whatever entries of it follow, and its versions of weights only grow.
-// offset is the offset of the entry's record; a record older than the newest
+// position is the position of the entry's record; a record older than the newest
 // known one of its key is ignored, as is any record of a superseded start. Put
 // reports whether anything changed.
-func (r *Roster) Put(e Entry, offset uint64) bool {
+func (r *Roster) Put(e Entry, position keyed.Position) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := e.RegisterKey()
-	if r.superseded[e.ID] || !r.recordOffset(key, offset) {
+	if r.superseded[e.ID] || !r.recordPosition(key, position) {
 		return false
 	}
 	// Another start under the same key has none of the previous one's state,
@@ -137,21 +139,21 @@
 	return true
 }
 
-// recordOffset records the offset of a key's record and reports whether the
+// recordPosition records the position of a key's record and reports whether the
 // record is not older than the newest known one.
-func (r *Roster) recordOffset(key string, offset uint64) bool {
-	if offset < r.newestOffset[key] {
+func (r *Roster) recordPosition(key string, position keyed.Position) bool {
+	if position < r.newestPosition[key] {
 		return false
 	}
-	if len(r.newestOffset) >= max(maxSuperseded, r.offsetsPruneAt) {
-		maps.DeleteFunc(r.newestOffset, func(key string, _ uint64) bool {
+	if len(r.newestPosition) >= max(maxSuperseded, r.positionsPruneAt) {
+		maps.DeleteFunc(r.newestPosition, func(key string, _ keyed.Position) bool {
 			_, known := r.latestStart[key]
 			return !known
 		})
 		// In a register with more entries than maxSuperseded, each heartbeat would prune otherwise.
-		r.offsetsPruneAt = 2 * len(r.newestOffset)
+		r.positionsPruneAt = 2 * len(r.newestPosition)
 	}
-	r.newestOffset[key] = offset
+	r.newestPosition[key] = position
 	return true
 }
 
@@ -234,12 +236,12 @@
 // Drop applies the record that a key's entry was removed. It reports whether
 // this is new and whether the upstream is now out of use. The entry may only
 // have lapsed with the register, unless sure is set.
-func (r *Roster) Drop(now time.Time, key string, offset uint64, sure bool) (changed, gone bool) {
+func (r *Roster) Drop(now time.Time, key string, position keyed.Position, sure bool) (changed, gone bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id := r.latestStart[key]
 	e, known := r.entries[id]
-	if !r.recordOffset(key, offset) || !known {
+	if !r.recordPosition(key, position) || !known {
 		return false, false
 	}
 	gone = r.dropEntry(now, id, sure)
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
 
 var start = time.Unix(1000, 0)
@@ -327,26 +329,26 @@
 	const upstreams, heartbeats = 3 * maxSuperseded, 5 * maxSuperseded
 	r := New()
 	put := func(i, offset int) {
-		r.Put(Entry{ID: fmt.Sprint("i-", i), Address: fmt.Sprint("10.0.0.1:", i)}, uint64(offset))
+		r.Put(Entry{ID: fmt.Sprint("i-", i), Address: fmt.Sprint("10.0.0.1:", i)}, keyed.Position(offset))
 	}
 	for i := range upstreams {
 		put(i, i)
 	}
-	searches, last := 0, r.offsetsPruneAt
+	searches, last := 0, r.positionsPruneAt
 	for i := range heartbeats {
 		put(i%upstreams, upstreams+i)
-		if r.offsetsPruneAt != last || len(r.newestOffset) >= r.offsetsPruneAt {
-			searches, last = searches+1, r.offsetsPruneAt
+		if r.positionsPruneAt != last || len(r.newestPosition) >= r.positionsPruneAt {
+			searches, last = searches+1, r.positionsPruneAt
 		}
 	}
 	if searches > 0 {
 		t.Errorf("%d searches with %d heartbeats", searches, heartbeats)
 	}
 	for i := range maxSuperseded {
-		r.Drop(time.Unix(1000, 0), fmt.Sprint("i-", i), uint64(10*upstreams+i), true)
+		r.Drop(time.Unix(1000, 0), fmt.Sprint("i-", i), keyed.Position(10*upstreams+i), true)
 		put(2*upstreams+i, 20*upstreams+i)
 	}
-	if len(r.newestOffset) > 2*upstreams+maxSuperseded {
-		t.Errorf("%d offsets are kept for %d entries", len(r.newestOffset), len(r.entries))
+	if len(r.newestPosition) > 2*upstreams+maxSuperseded {
+		t.Errorf("%d offsets are kept for %d entries", len(r.newestPosition), len(r.entries))
 	}
 }
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -21,6 +21,9 @@
 var (
 	// ErrTrimmed means that the platform no longer has the records asked for.
 	ErrTrimmed = errors.New("keyed: records are trimmed")
+	// ErrEraOver means that the platform has returned from an older copy, so that a position names
+	// no place in its topics any more.
+	ErrEraOver = errors.New("keyed: the platform has returned from an older copy")
 	// ErrStale means that an answer is older than what is known already.
 	ErrStale = errors.New("keyed: answer older than what is known")
 	// errAwaitingPeers means that no peer has the newest records yet, and the platform is not asked.
@@ -32,7 +35,8 @@
 	Key     string
 	Value   []byte
 	Dropped bool // the key has no value any more
-	Offset  uint64
+	// Position is where the record lies in the topic.
+	Position Position
 	// Decoded is what the record says, from a peer that has read it and passes no Value on; nil: the
 	// record is from the platform, or from a peer that passes on what it has read.
 	Decoded any
@@ -41,13 +45,14 @@
 // Topic is the platform's interface to one topic. Its methods return by the end of
 // ctx. A read returns as many records as the platform gives at once.
 type Topic interface {
-	// Newest returns the newest record of each key, and the offset from which on
+	// Newest returns the newest record of each key, and the position from which on
 	// records may have been missed while the pages were read. Each page is bounded by
-	// pageTimeout.
-	Newest(ctx context.Context, pageTimeout time.Duration) (records []Record, next uint64, err error)
-	// Read returns the records from an offset on without a gap; none if none arrives
-	// within wait. end is the offset after the last record of the topic.
-	Read(ctx context.Context, from uint64, wait time.Duration) (records []Record, end uint64, err error)
+	// pageTimeout. All pages are of one era.
+	Newest(ctx context.Context, pageTimeout time.Duration) (records []Record, next Position, err error)
+	// Read returns the records from a position on without a gap; none if none arrives
+	// within wait. end is the position after the last record of the topic. The error is
+	// ErrEraOver if the era of from is over.
+	Read(ctx context.Context, from Position, wait time.Duration) (records []Record, end Position, err error)
 }
 
 // Update holds the result of one answer.
@@ -56,9 +61,9 @@
 	// Complete means that Records holds the newest record of every key: all other
 	// keys have no value.
 	Complete bool
-	// If Complete is not set, Records holds all records from the offset From up to
-	// but not including Next.
-	From, Next uint64
+	// Next is the position up to which, but not including it, the update goes. If Complete is not
+	// set, Records holds all records from From up to there.
+	From, Next Position
 	// AsOf is a time on the follower's clock: everything accepted before it is known
 	// now.
 	AsOf time.Time
@@ -119,12 +124,12 @@
 	topic      Topic
 	consumer   Consumer
 	lastFailed bool // the last question got no answer; used by the reading goroutine only
-	behind     bool // the last answer did not reach the end of the topic; the same
+	behind     bool // the next question is due at once; the same
 	refused    bool // the last answer was refused as older than what is known; the same
 
 	mu        sync.Mutex // guards the fields below
 	hasNewest bool       // the newest record of each key is known
-	next      uint64     // offset to read from
+	next      Position   // to read from
 	knownAt   time.Time  // when everything was last known; the pause to the next question counts from it
 	// proof is the latest AsOf, and newest the newest record of each key, which is
 	// kept for peers.
@@ -148,11 +153,11 @@
 }
 
 // RecordPeerRead records that another reader of the topic has just got all records
-// from one offset up to another, and that this node has applied them. If this node
+// from one position up to another, and that this node has applied them. If this node
 // knew everything before them, its next question waits as after an answer of its own,
 // so that a fleet asks about as often as one node does. A node that no such read is
 // reported to, or that missed an earlier one, asks by itself.
-func (f *Follower) RecordPeerRead(from, next uint64) {
+func (f *Follower) RecordPeerRead(from, next Position) {
 	if f.cfg.awaitsAnswer() {
 		return
 	}
@@ -198,7 +203,8 @@
 }
 
 // waitUntilDue waits until the next question is due. It is due at once while the platform has more
-// records than it gives with one answer: the follower would fall behind further with each pause.
+// records than it gives with one answer, as the follower would fall behind further with each pause, and
+// while the newest records are not known.
 func (f *Follower) waitUntilDue(ctx context.Context) {
 	if f.behind {
 		return
@@ -282,7 +288,7 @@
 		return zap.NewNop()
 	}
 	next, _ := f.position()
-	return f.cfg.Log.With(zap.String("Topic", f.cfg.Name), zap.Uint64("Position", next))
+	return f.cfg.Log.With(zap.String("Topic", f.cfg.Name), zap.Stringer("Position", next))
 }
 
 // waitsForPeers reports whether the newest records of all keys are still left to the peers. answered
@@ -300,24 +306,24 @@
 	return !f.hasNewest && now.Sub(f.askedFirstAt) < patience
 }
 
-// Position returns the offset up to which everything is known and the time up to which that is
+// Position returns the position up to which everything is known and the time up to which that is
 // everything; false if the newest record of each key is not known.
-func (f *Follower) Position() (next uint64, proof time.Time, known bool) {
+func (f *Follower) Position() (next Position, proof time.Time, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.next, f.proof, f.hasNewest
 }
 
-// position returns the offset to read from, and whether the newest record of each key
+// position returns the position to read from, and whether the newest record of each key
 // is known.
-func (f *Follower) position() (next uint64, known bool) {
+func (f *Follower) position() (next Position, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.next, f.hasNewest
 }
 
-// recordProgress records that everything before offset next is known.
-func (f *Follower) recordProgress(next uint64, now time.Time, u Update) {
+// recordProgress records that everything before next is known.
+func (f *Follower) recordProgress(next Position, now time.Time, u Update) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hasNewest = true
@@ -333,19 +339,19 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.Timeout)
 	defer cancel()
 	records, end, err := f.topic.Read(ctx, from, wait)
-	if errors.Is(err, ErrTrimmed) {
-		event.Info(f.logger(), event.TopicRestarted)
+	if errors.Is(err, ErrTrimmed) || errors.Is(err, ErrEraOver) {
+		event.Info(f.logger(), event.TopicRestarted, zap.Error(err))
 		f.restart()
 		return nil
 	}
 	if err != nil {
-		return fmt.Errorf("read from %d: %w", from, err)
+		return fmt.Errorf("read from %s: %w", from, err)
 	}
 	if end < from {
-		return fmt.Errorf("read from %d: end %d: %w", from, end, ErrStale)
+		return fmt.Errorf("read from %s: end %s: %w", from, end, ErrStale)
 	}
 	now := f.cfg.Clock()
-	next := from + uint64(len(records))
+	next := from + Position(len(records))
 	f.behind = len(records) > 0 && next < end
 	u := Update{Records: records, From: from, Next: next, AsOf: proofTime(now, askedAt, wait, len(records) > 0)}
 	f.consumer.Consume(now, u)
@@ -353,8 +359,9 @@
 	return nil
 }
 
-// restart makes the next question ask for the newest record of each key.
+// restart makes the next question ask for the newest record of each key, at once.
 func (f *Follower) restart() {
+	f.behind = true
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hasNewest = false
@@ -389,7 +396,7 @@
 }
 
 // readNewest reads the newest record of each key. The pages are no snapshot, so that
-// the records written meanwhile are read afterwards: next is the offset that came
+// the records written meanwhile are read afterwards: next is the position that came
 // with the first page. An answer older than what is known already is rejected,
 // because it would bring back replaced values.
 func (f *Follower) readNewest(ctx context.Context, askedAt time.Time) error {
@@ -398,10 +405,11 @@
 		return fmt.Errorf("read the newest: %w", err)
 	}
 	if known, _ := f.position(); next < known {
-		return fmt.Errorf("read the newest: end %d, known up to %d: %w", next, known, ErrStale)
+		return fmt.Errorf("read the newest: end %s, known up to %s: %w", next, known, ErrStale)
 	}
 	now := f.cfg.Clock()
-	u := Update{Records: records, Complete: true, AsOf: askedAt}
+	f.behind = false
+	u := Update{Records: records, Complete: true, Next: next, AsOf: askedAt}
 	f.consumer.Consume(now, u)
 	f.recordProgress(next, now, u)
 	event.Info(f.logger(), event.TopicRead, zap.Int("Records", len(records)), zap.Bool("FromPeer", false))
--- a/version/keyed/keyed_test.go
+++ b/version/keyed/keyed_test.go
@@ -14,7 +14,7 @@
 type scriptedTopic struct {
 	newest []answer
 	reads  []answer
-	from   []uint64 // offsets of the reads
+	from   []Position // positions of the reads
 	waits  []time.Duration
 	// duringRead is called during each read.
 	duringRead func()
@@ -22,17 +22,17 @@
 
 type answer struct {
 	records []Record
-	end     uint64
+	end     Position
 	err     error
 }
 
-func (t *scriptedTopic) Newest(context.Context, time.Duration) ([]Record, uint64, error) {
+func (t *scriptedTopic) Newest(context.Context, time.Duration) ([]Record, Position, error) {
 	a := t.newest[0]
 	t.newest = t.newest[1:]
 	return a.records, a.end, a.err
 }
 
-func (t *scriptedTopic) Read(_ context.Context, from uint64, wait time.Duration) ([]Record, uint64, error) {
+func (t *scriptedTopic) Read(_ context.Context, from Position, wait time.Duration) ([]Record, Position, error) {
 	t.waits = append(t.waits, wait)
 	if t.duringRead != nil {
 		t.duringRead()
@@ -50,8 +50,8 @@
 func (k *recorder) follower(tp Topic) *Follower {
 	return &Follower{cfg: Config{Clock: func() time.Time { return start }}, topic: tp, consumer: k}
 }
-func newRecord(key, value string, at uint64) Record {
-	return Record{Key: key, Value: []byte(value), Offset: at}
+func newRecord(key, value string, at Position) Record {
+	return Record{Key: key, Value: []byte(value), Position: at}
 }
 
 // Guards against missing what is written while the pages of the newest records are
@@ -170,9 +170,9 @@
 func TestPeerReadReplacesOwnQuestion(t *testing.T) {
 	cases := []struct {
 		name       string
-		from, next uint64
+		from, next Position
 		hurry      bool
-		want       uint64 // offset of the next question
+		want       Position // position of the next question
 	}{
 		{"all records that follow", 9, 12, false, 12},
 		{"records before that too", 7, 12, false, 12},
--- a/version/keyed/peers.go
+++ b/version/keyed/peers.go
@@ -1,6 +1,7 @@
 package keyed
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -20,8 +21,8 @@
 // the proof is that nothing is missed. In a large fleet a few nodes ask the platform
 // and the others ask them.
 type Peers interface {
-	// Ask returns what a peer knows of the records from an offset on.
-	Ask(ctx context.Context, from uint64) (PeerAnswer, error)
+	// Ask returns what a peer knows of the records from a position on.
+	Ask(ctx context.Context, from Position) (PeerAnswer, error)
 	// Preferred reports whether this node is to ask peers instead of the platform.
 	Preferred() bool
 }
@@ -31,9 +32,9 @@
 	// Known means that the answering follower knows the newest record of each key.
 	Known bool
 	// Records holds the newest record of each key, as far as it lies between the
-	// requested offset and Next.
+	// requested position and Next.
 	Records []Record
-	Next    uint64
+	Next    Position
 	// Complete means that Records has the newest record of every key, wherever it lies. Such an answer
 	// is used however old it is, as the next one brings what has changed since.
 	Complete bool
@@ -88,19 +89,20 @@
 }
 
 // AnswerPeer returns what this follower knows, for a question that has just arrived.
-func (f *Follower) AnswerPeer(now time.Time, from uint64) PeerAnswer {
+func (f *Follower) AnswerPeer(now time.Time, from Position) PeerAnswer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.hasNewest {
 		return PeerAnswer{}
 	}
-	w := PeerAnswer{Known: true, Next: f.next, Sound: f.proof.Sub(now)}
+	// An asker that stands in an earlier era can't be told what its position lacks.
+	w := PeerAnswer{Known: true, Next: f.next, Complete: from.Era() < f.next.Era(), Sound: f.proof.Sub(now)}
 	for _, r := range f.newest {
-		if r.Offset >= from {
+		if r.Position >= from {
 			w.Records = append(w.Records, r)
 		}
 	}
-	slices.SortFunc(w.Records, func(a, b Record) int { return int(a.Offset) - int(b.Offset) })
+	slices.SortFunc(w.Records, func(a, b Record) int { return cmp.Compare(a.Position, b.Position) })
 	return w
 }
 
@@ -128,7 +130,10 @@
 	case !platformFailed && !w.Complete && askedAt.Sub(w.proofTime(askedAt)) > f.cfg.MaxPeerProofAge:
 		return fmt.Errorf("ask peers: their proof is %v old: %w", -w.Sound, ErrStale)
 	case !hasNewest && w.Next < knownUpTo:
-		return fmt.Errorf("ask peers: end %d, known up to %d: %w", w.Next, knownUpTo, ErrStale)
+		return fmt.Errorf("ask peers: end %s, known up to %s: %w", w.Next, knownUpTo, ErrStale)
+	case w.Next.Era() < knownUpTo.Era():
+		// What was accepted before the peer's proof may be missing from the copy that this node has read.
+		return fmt.Errorf("ask peers: end %s, known up to %s: %w", w.Next, knownUpTo, ErrEraOver)
 	case w.Next < knownUpTo:
 		// The peer knows less than this node. Its proof is still valid: this node
 		// knows everything that was accepted before it.
--- a/version/keyed/peers_test.go
+++ b/version/keyed/peers_test.go
@@ -12,10 +12,10 @@
 	word PeerAnswer
 	err  error
 	rely bool
-	from []uint64 // offsets of the questions
+	from []Position // positions of the questions
 }
 
-func (p *scriptedPeers) Ask(_ context.Context, from uint64) (PeerAnswer, error) {
+func (p *scriptedPeers) Ask(_ context.Context, from Position) (PeerAnswer, error) {
 	p.from = append(p.from, from)
 	return p.word, p.err
 }
@@ -33,7 +33,7 @@
 		name    string
 		word    PeerAnswer
 		err     error
-		next    uint64        // offset known afterwards
+		next    Position      // position known afterwards
 		records int           // number of records consumed
 		asOf    time.Duration // relative to the question; 0: nothing is consumed
 	}{
@@ -73,7 +73,7 @@
 func TestPeersReturnEverythingAfterAGap(t *testing.T) {
 	word := PeerAnswer{Known: true, Records: []Record{newRecord("a", "2", 11), newRecord("b", "1", 3)}, Next: 12}
 	for _, c := range []struct {
-		known uint64 // offset known before the node fell behind
+		known Position // position known before the node fell behind
 		want  error
 	}{{0, nil}, {9, nil}, {30, ErrStale}} {
 		k := &recorder{}
