Keep what is known of upstreams until an older copy is made good

What callers saw: a node that did not reach the platform since its return went on calling an upstream that was gone, for good; and an upstream whose entry the copy lacked was out of use at once on all nodes, or one that had left was used again, until the register was written again.

Cause: a read of all entries changes the register without a record for each change. It was taken at its word, as the register had been reached all the time, and what it changed was not reported. Nor was an entry reported that was missing at the return and had not come back in time: the record of its removal had said that it might. Last, a start that was gone came back by an entry of the lost era's past.

Change: a return counts as one of the register too, so that missing entries have two seconds to come back. The differences of the first read after it, and entries that did not come back, are reported to the peers with the position as of which they hold. A start that was out of use stays so when a later era lists it.

Evidence: TestOlderCopyOfRegisterIsMadeGood and TestExpiredEntryIsReportedToPeers fail without it.

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -169,6 +169,7 @@
 	*learner
 	tellPeers func(r RegisterRead) // sends the peers what they have not read yet
 	lost      bool                 // the last query failed
+	position  keyed.Position       // up to which the register is known; 0: it has not been read
 }
 
 // Consume applies the entries.
@@ -177,15 +178,29 @@
 		t.lost = false
 		event.Info(t.log, event.RegisterBack)
 	}
-	t.roster.SetReachable(now)
+	returned := t.hasReturned(u)
+	if returned {
+		// The copy lacks entries whose upstreams write them again, as after an outage.
+		t.roster.SetUnreachable()
+	}
+	asOf := u.From
+	if u.Complete {
+		asOf = u.Next
+	}
+	expired := t.readExpired(now, t.roster.SetReachable(now), asOf)
 	if u.Complete {
-		t.retainOnly(now, u.Records, u.Next)
+		expired = append(expired, t.retainOnly(now, u.Records, u.Next)...)
 	}
 	if u.Complete {
 		// The records come in the order of their keys.
 		slices.SortFunc(u.Records, func(a, b keyed.Record) int { return cmp.Compare(a.Position, b.Position) })
 	}
-	read := RegisterRead{From: u.From, Next: u.Next}
+	read := RegisterRead{From: u.From, Next: u.Next, News: expired}
+	if returned {
+		// No peer that has read less may take this for its own read.
+		read.From = u.Next
+		u.From = keyed.At(u.Next.Era(), 0)
+	}
 	latest := map[string]RegisterNews{} // by key: one read may hold several heartbeats of an upstream
 	for _, r := range u.Records {
 		n := t.readRecord(r)
@@ -198,18 +213,39 @@
 	}
 	t.roster.MarkRead()
 	t.refresh(now)
-	if !u.Complete && !u.FromPeer && !t.isInitialRead(len(latest)) {
+	if (!u.Complete || returned) && !u.FromPeer && !t.isInitialRead(len(latest)) {
 		t.tellPeers(read)
 	}
 }
 
-// retainOnly drops all entries that the newest records of all keys don't have.
-func (t *registerHandler) retainOnly(now time.Time, records []keyed.Record, next keyed.Position) {
+// hasReturned reports whether the platform has returned from an older copy since the last update.
+func (t *registerHandler) hasReturned(u keyed.Update) bool {
+	before := t.position
+	t.position = max(t.position, u.Next)
+	return before > 0 && u.Next.Era() > before.Era()
+}
+
+// readExpired returns the news of entries that are gone although no record says so. Nodes that don't reach
+// the register use their upstreams until they are told.
+func (t *registerHandler) readExpired(now time.Time, keys []string, asOf keyed.Position) []RegisterNews {
+	var news []RegisterNews
+	for _, key := range keys {
+		n := RegisterNews{Entry: roster.Entry{ID: key, Key: key}, Gone: true, Position: asOf - 1, Sure: true}
+		event.Info(t.log, event.UpstreamLeft, zap.String("Upstream", key), zap.Stringer("Position", n.Position), zap.Bool("MayComeBack", false))
+		t.recordState(now, n, asOf)
+		news = append(news, n)
+	}
+	return news
+}
+
+// retainOnly drops all entries that the newest records of all keys don't have, and returns the news of those
+// that are gone.
+func (t *registerHandler) retainOnly(now time.Time, records []keyed.Record, next keyed.Position) []RegisterNews {
 	listed := make(map[string]bool, len(records))
 	for _, r := range records {
 		listed[r.Key] = true
 	}
-	t.roster.RetainOnly(now, listed)
+	gone := t.readExpired(now, t.roster.RetainOnly(now, listed), next)
 	t.keyStatesMu.Lock()
 	defer t.keyStatesMu.Unlock()
 	for key := range t.keyStates {
@@ -219,6 +255,7 @@
 	}
 	// Who knows what was there before can't be told what is missing since.
 	t.registerLog = registerLog{prunedBefore: max(lastPosition(records)+1, keyed.At(next.Era(), 0))}
+	return gone
 }
 
 // lastPosition returns the greatest position of the records.
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -84,6 +84,9 @@
 	// each was first recorded. It outlives their entries, since an outdated
 	// entry that arrives again would otherwise make them usable.
 	leaving map[string]time.Time
+	// departed holds the starts that are out of use for good, and the position
+	// that showed it. An older copy of the register may list them again.
+	departed map[string]keyed.Position
 }
 
 // maxSuperseded is the size at which superseded is cleared, and the least one at
@@ -94,7 +97,7 @@
 
 // New returns a Roster without upstreams.
 func New() *Roster {
-	return &Roster{entries: map[string]record{}, latestStart: map[string]string{}, byAddress: map[string][]string{}, superseded: map[string]bool{}, newestPosition: map[string]keyed.Position{}, busy: map[string]time.Time{}, leaving: map[string]time.Time{}}
+	return &Roster{entries: map[string]record{}, latestStart: map[string]string{}, byAddress: map[string][]string{}, superseded: map[string]bool{}, newestPosition: map[string]keyed.Position{}, busy: map[string]time.Time{}, leaving: map[string]time.Time{}, departed: map[string]keyed.Position{}}
 }
 
 // Put adds or updates an entry. Once a start is known to be leaving it stays
@@ -117,6 +120,11 @@
 		r.displace(r.entries[previous].Entry, e)
 	}
 	r.latestStart[key] = e.ID
+	if at, departed := r.departed[e.ID]; departed && position.Era() > at.Era() {
+		e.Leaving = true // an older copy of the register lists it again
+	} else {
+		delete(r.departed, e.ID)
+	}
 	if _, leaving := r.leaving[e.ID]; leaving {
 		e.Leaving = true
 	}
@@ -157,6 +165,14 @@
 	return true
 }
 
+// recordDeparture records that a start is out of use for good.
+func (r *Roster) recordDeparture(id string) {
+	if len(r.departed) >= maxSuperseded {
+		clear(r.departed)
+	}
+	r.departed[id] = r.newestPosition[r.entries[id].RegisterKey()]
+}
+
 // displace drops the previous start under the key of e. If e states an earlier
 // start, it may be a late heartbeat of a start that this node has not seen, so
 // that the next entry of the previous start is accepted again.
@@ -258,6 +274,7 @@
 		r.entries[id] = e
 		return false
 	}
+	r.recordDeparture(id)
 	r.remove(id)
 	r.changes++
 	return true
@@ -323,15 +340,18 @@
 	return ids
 }
 
-// RetainOnly drops all entries except those with the given keys.
-func (r *Roster) RetainOnly(now time.Time, keys map[string]bool) {
+// RetainOnly drops all entries except those with the given keys. It returns the
+// keys of those that are now out of use.
+func (r *Roster) RetainOnly(now time.Time, keys map[string]bool) (gone []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, e := range r.entries {
-		if !keys[e.RegisterKey()] {
-			r.dropEntry(now, id, false)
+		if key := e.RegisterKey(); !keys[key] && r.dropEntry(now, id, false) {
+			gone = append(gone, key)
 		}
 	}
+	slices.Sort(gone)
+	return gone
 }
 
 // SetUnreachable records that the register cannot be reached.
@@ -365,8 +385,9 @@
 }
 
 // SetReachable records that the register answers. It drops the entries that
-// have not reappeared in time since the register's return.
-func (r *Roster) SetReachable(now time.Time) {
+// have not reappeared in time since the register's return, and returns their
+// keys.
+func (r *Roster) SetReachable(now time.Time) (gone []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.unreachable {
@@ -374,14 +395,18 @@
 		r.lapseDeadline = now.Add(returnGrace)
 	}
 	if now.Before(r.lapseDeadline) {
-		return
+		return nil
 	}
 	for id, e := range r.entries {
 		if e.lapsed {
+			r.recordDeparture(id)
 			r.remove(id)
 			r.changes++
+			gone = append(gone, e.RegisterKey())
 		}
 	}
+	slices.Sort(gone)
+	return gone
 }
 
 // Entries returns all upstreams and a number that changes whenever they
