Prove no configuration by an older copy before it is made good

What callers could see: a key that had been taken away right before the platform was lost is accepted again, as the copy's end counts as a proof that nothing is missing.

Cause: a read up to the end proves that everything accepted before is known only if the platform has everything that it accepted. After a return it lacks some of it until the operators write it again. The configuration itself never went back: versions rise.

Change: after a return the proof of the configuration rests until the platform lists a version as new as the one in force and half a second has passed in which operators write again what no node may know. Meanwhile the age of the last proof decides about keys, as while the platform is away; questions aren't held then, so that the proof comes as soon as it can.

Evidence: TestOlderCopyProvesNothingUntilMadeGood, six cases; without the change the three in which the copy is not made good count as proven at once.

--- a/process/event/version.go
+++ b/process/event/version.go
@@ -72,4 +72,8 @@
 	TopicRead
 	// TopicAnswerRefused: answers about a topic are refused, as they end before Position, up to which this node has read it; logged for the first one of several. To do: if it continues, compare the platform's records with what this node has in force; a restarted node reads them anew.
 	TopicAnswerRefused
+	// PlatformReturned: the platform has returned from an older copy, in the era Era; what it lost is written again, by this node too, and the configuration counts as the newest one only once the operators' part is. To do: check that the operators' newest records are there; ConfigMadeGood tells when the configuration is.
+	PlatformReturned
+	// ConfigMadeGood: the platform lists a configuration again that is as new as the one in force, After its return.
+	ConfigMadeGood
 )
--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -108,7 +108,10 @@
 // configurationHandler applies the records that operators publish.
 type configurationHandler struct {
 	*learner
-	lost bool // the last query failed
+	lost     bool           // the last query failed
+	position keyed.Position // up to which the topic is known; 0: it has not been read
+	copied   *olderCopy     // nil: the topic has all that was accepted
+	returned func()         // is called when the platform has returned from an older copy
 }
 
 // Consume applies the records and confirms the configuration in force. A record that can't be decoded
@@ -119,6 +122,14 @@
 		t.lost = false
 		event.Info(t.log, event.ConfigLogBack)
 	}
+	if t.position > 0 && u.Next.Era() > t.position.Era() {
+		event.Warn(t.log, event.PlatformReturned, zap.Uint64("Era", u.Next.Era()), zap.Stringer("Position", t.position))
+		t.metrics.RecordStoreReturn()
+		t.copied = &olderCopy{since: now}
+		t.returned()
+	}
+	t.position = max(t.position, u.Next)
+	t.metrics.SetStoreEra(t.position.Era())
 	allDecoded := true
 	for _, r := range u.Records {
 		p, err := t.decoder.Configuration(r)
@@ -129,7 +140,12 @@
 		}
 		t.applyPublication(now, r, p, u.Complete)
 	}
+	if t.copied != nil && t.copied.isMadeGood(u.AsOf, t.book.InForce()) {
+		event.Info(t.log, event.ConfigMadeGood, zap.Duration("After", now.Sub(t.copied.since)))
+		t.copied = nil
+	}
 	switch {
+	case t.copied != nil:
 	case allDecoded && u.Relayed:
 		t.book.Confirm(u.AsOf)
 	case allDecoded:
@@ -141,7 +157,16 @@
 	}
 }
 
+// awaitsProof reports whether the operators' part of an older copy is made good as far as this node can tell,
+// and only the time to prove it is missing. It is called by the goroutine that calls Consume.
+func (t *configurationHandler) awaitsProof() bool {
+	return t.copied != nil && t.copied.isListed(t.book.InForce())
+}
+
 func (t *configurationHandler) applyPublication(now time.Time, r keyed.Record, p Publication, complete bool) {
+	if t.copied != nil && p.Configuration != nil {
+		t.copied.listed = max(t.copied.listed, p.Configuration.Version)
+	}
 	if c := p.Configuration; c != nil && t.book.Accept(*c) {
 		event.Info(t.log, event.ConfigInForce, zap.Uint64("Version", c.Version), zap.Stringer("Position", r.Position),
 			zap.Int("Routes", len(c.Routes)), zap.Int("Workspaces", len(c.Workspaces)))
--- /dev/null
+++ b/process/gateway/oldercopy.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/version/accepted"
+)
+
+// rewriteTime is how long operators may take to write again what the platform's copy lacks, from when this
+// node learns of the return. A configuration that was accepted right before the return may be known to no
+// node. A longer time would exceed the age up to which keys are honoured, as the platform was away before.
+const rewriteTime = 500 * time.Millisecond
+
+// rewritePause is the time between two queries until then.
+const rewritePause = 200 * time.Millisecond
+
+// olderCopy is what a node knows of the operators' records since the platform has returned from an older
+// copy. Until the copy is made good, reading it to its end proves nothing about what was accepted before.
+type olderCopy struct {
+	since  time.Time // when this node learnt of the return
+	listed uint64    // newest version of a configuration that was read since then
+}
+
+// isMadeGood reports whether what was known as of a time, read since the return, has all that was accepted.
+func (c *olderCopy) isMadeGood(asOf time.Time, inForce *accepted.IndexedConfiguration) bool {
+	return c.isListed(inForce) && asOf.Sub(c.since) >= rewriteTime
+}
+
+// isListed reports whether the platform has the configuration in force again, or a newer one.
+func (c *olderCopy) isListed(inForce *accepted.IndexedConfiguration) bool {
+	return inForce == nil || c.listed >= inForce.Version
+}
--- /dev/null
+++ b/process/gateway/oldercopy_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/dunlinmill/dunlinmill/process/metric"
+	"github.com/dunlinmill/dunlinmill/process/roster"
+	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
+)
+
+// versionDecoder decodes records whose value is the version of a configuration.
+type versionDecoder struct{}
+
+func (versionDecoder) Configuration(r keyed.Record) (Publication, error) {
+	n, err := strconv.ParseUint(string(r.Value), 10, 64)
+	return Publication{Configuration: &accepted.Configuration{Version: n}}, err
+}
+
+func (versionDecoder) Upstream(keyed.Record) (roster.Entry, error) { return roster.Entry{}, nil }
+
+// Guards against a configuration that goes back, or counts as the newest one, while an older copy of the
+// platform lacks what was accepted right before.
+func TestOlderCopyProvesNothingUntilMadeGood(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		copied  string // version that the copy has
+		later   string // version that is written again; empty: none
+		after   time.Duration
+		version uint64 // in force then
+		proven  bool
+		awaits  bool // the proof needs nothing but time
+	}{
+		{"the copy lacks the version in force", "5", "", 10 * time.Second, 8, false, false},
+		{"it is written again, just now", "5", "8", rewriteTime / 2, 8, false, true},
+		{"it is written again", "5", "8", rewriteTime, 8, true, false},
+		{"one is written that no node knew", "5", "9", rewriteTime, 9, true, false},
+		{"the copy has it, and may lack a newer one", "8", "", rewriteTime / 2, 8, false, true},
+		{"the copy has it, and nothing followed", "8", "", rewriteTime, 8, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLearner()
+			l.decoder, l.metrics = versionDecoder{}, metric.New()
+			l.view = newView(accepted.NewTracker(), l.roster) // the request paths stay without a configuration
+			returns := 0
+			handler := &configurationHandler{learner: l, returned: func() { returns++ }}
+			handler.Consume(start, keyed.Update{Complete: true, Next: keyed.At(1, 9), AsOf: start, Records: []keyed.Record{{Value: []byte("8"), Position: keyed.At(1, 8)}}})
+			back := start.Add(time.Minute)
+			handler.Consume(back, keyed.Update{Complete: true, Next: keyed.At(2, 6), AsOf: back, Records: []keyed.Record{{Value: []byte(c.copied), Position: keyed.At(2, 5)}}})
+			u := keyed.Update{From: keyed.At(2, 6), Next: keyed.At(2, 6), AsOf: back.Add(c.after)}
+			if c.later != "" {
+				u.Records = []keyed.Record{{Value: []byte(c.later), Position: u.From}}
+				u.Next++
+			}
+			handler.Consume(u.AsOf, u)
+			age, _ := l.book.ProofAge(u.AsOf)
+			if got := l.book.InForce().Version; got != c.version || (age == 0) != c.proven || handler.awaitsProof() != c.awaits || returns != 1 {
+				t.Errorf("version %d, proof %s old, awaits the proof: %t, %d returns", got, age, handler.awaitsProof(), returns)
+			}
+		})
+	}
+}
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -360,8 +360,10 @@
 	registerPolling.Pause, registerPolling.Spread, registerPolling.PauseFactor = registerPause, registerSpread, configRelay{others}.registerPauseFactor
 	registerPolling.OthersRead = configRelay{others}.Preferred
 	registerPolling.AnswerAwaited, registerPolling.AwaitedPause = do.MustInvoke[*roster.Roster](i).HasLapsed, lapsedPause
+	handler := &configurationHandler{learner: l, returned: func() {}}
+	configPolling.AnswerAwaited, configPolling.AwaitedPause = handler.awaitsProof, rewritePause
 	f := followers{
-		configuration: keyed.New(configPolling, p.Configuration, &configurationHandler{learner: l}),
+		configuration: keyed.New(configPolling, p.Configuration, handler),
 		register:      keyed.New(registerPolling, p.Register, &registerHandler{learner: l, tellPeers: others.reportRegister}),
 	}
 	others.setFollowers(f)
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -135,6 +135,8 @@
 	logReachable   prometheus.Gauge
 	peers          *prometheus.GaugeVec
 	dutyHeld       prometheus.Gauge
+	storeEra       prometheus.Gauge
+	storeReturns   prometheus.Counter
 	rateLimit      *prometheus.GaugeVec
 	fleetOverload  prometheus.Gauge
 	pathLost       *prometheus.GaugeVec
@@ -166,6 +168,8 @@
 		configRead:     newGauge("config_read_timestamp_seconds", "When this node last knew its configuration to be the newest, in Unix time."),
 		logReachable:   newGauge("log_reachable", "1 if the last call to the platform's log succeeded, else 0."),
 		fleetOverload:  newGauge("fleet_overload", "Overload of the engines by the forecasts of all nodes, from 0 to 1; 0 where requests are not admitted by goals."),
+		storeEra:       newGauge("store_era", "Era of the platform's store as this node has last read it; 0: not stated."),
+		storeReturns:   newCounter("store_returns_total", "Returns of the platform's store from an older copy that this node has learnt of."),
 		dutyHeld:       newGauge("duty_held", "1 while this node has the duty to give orders, else 0."),
 		peers:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "peers", Help: "Other nodes by state."}, []string{"state"}),
 		rateLimit:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "upstream_rate_limit", Help: "Requests a second that an upstream takes from all nodes together, while it states so."}, []string{"upstream"}),
@@ -180,7 +184,7 @@
 	}
 	m.classes.Store(&Classes{})
 	m.registry.MustRegister(m.requests, m.refusals, m.firstToken, m.promptTokens, m.promptLength, m.retries, m.imports, m.quarantine,
-		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.rateLimit, m.fleetOverload, m.pathLost, m.upstreams, m.resumes, m.relays, m.releasePhase, m.releaseSends, m.peers,
+		m.inFlight, m.queueLength, m.configOffset, m.configRead, m.logReachable, m.dutyHeld, m.storeEra, m.storeReturns, m.rateLimit, m.fleetOverload, m.pathLost, m.upstreams, m.resumes, m.relays, m.releasePhase, m.releaseSends, m.peers,
 		m.journalAppends, m.journalLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -194,6 +198,10 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
 
+func newCounter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
 func newHistogramVec(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
 }
@@ -287,6 +295,12 @@
 	m.dutyHeld.Set(value)
 }
 
+// SetStoreEra sets the era of the platform's store.
+func (m *Metrics) SetStoreEra(era uint64) { m.storeEra.Set(float64(era)) }
+
+// RecordStoreReturn counts a return of the platform's store from an older copy.
+func (m *Metrics) RecordStoreReturn() { m.storeReturns.Inc() }
+
 // SetFleetOverload sets the overload of the engines, from 0 to 1.
 func (m *Metrics) SetFleetOverload(overload float64) { m.fleetOverload.Set(overload) }
 
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -94,7 +94,7 @@
 	// longer than Retry. nil: never.
 	OthersRead func() bool
 	// AnswerAwaited reports whether something waits for the next answer; the pause is
-	// then AwaitedPause. nil: never.
+	// then AwaitedPause, and the platform doesn't hold the question. nil: never.
 	AnswerAwaited func() bool
 	AwaitedPause  time.Duration
 	Timeout       time.Duration // bounds a question, or each page of its answer, in addition to HoldTime
@@ -373,7 +373,7 @@
 // was missed. A held question would leave that open for as long as it is held, and
 // callers with keys would be refused for 2 s longer.
 func (f *Follower) nextHold() time.Duration {
-	if f.lastFailed {
+	if f.lastFailed || f.cfg.awaitsAnswer() {
 		return 0
 	}
 	return f.cfg.HoldTime
