Enter the directory again after a return from an older copy

What operators would see: nodes that start after a return find no others and make a secret of their own, so that the fleet falls in two and stays so: news of upstreams, quotas and the duty's holder don't cross.

Cause: nodes enter the platform's directory once. What it lost, nobody wrote again.

Change: each node enters again when it learns of a return, spread over the fleet, and offers the secret that it has if the directory has none. Where a node that had just started was quicker with one of its own, all prefer that one and accept both.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -107,8 +107,9 @@
 // Directory is where nodes find each other.
 type Directory interface {
 	// Enter registers the address at which other nodes reach this one. The nodes that have entered before
-	// are passed to listed, which happens before their answer to this entry.
-	Enter(ctx context.Context, self platform.VM, listed func([]platform.VM)) (EnterResult, error)
+	// are passed to listed, which happens before their answer to this entry. secret is the one that this
+	// node has; nil: none. It is registered if the directory has none.
+	Enter(ctx context.Context, self platform.VM, secret []byte, listed func([]platform.VM)) (EnterResult, error)
 	platform.VMList
 }
 
--- a/process/gateway/paths.go
+++ b/process/gateway/paths.go
@@ -126,7 +126,7 @@
 // pathRelay opens connections to upstreams through other nodes.
 type pathRelay struct {
 	peers   *peers
-	secrets [][]byte
+	secrets func() [][]byte
 	picker  *relay.Picker
 	metrics *metric.Metrics
 	log     *zap.Logger
@@ -161,7 +161,7 @@
 	refused := 0
 	ordered := r.picker.Order(time.Now(), nodes)
 	for _, n := range ordered[:min(maxRelayTries, len(ordered))] {
-		c, err := relay.Open(ctx, d, r.secrets, n.Address, address)
+		c, err := relay.Open(ctx, d, r.secrets(), n.Address, address)
 		asked++
 		if err == nil {
 			r.picker.Record(time.Now(), n.Name, true)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +49,9 @@
 	// enterTimeout bounds the entry into the directory. When a large fleet starts at once, its entries
 	// wait for each other at the platform for seconds, and each one that is given up comes again.
 	enterTimeout = 6 * time.Second
+	// reenterSpread is the time for each node of the fleet over which their entries are spread after the
+	// platform has returned from an older copy.
+	reenterSpread = 5 * time.Millisecond
 	// maxLocateTime is how long a node that starts waits to know which others there are, before it
 	// reads the register itself.
 	maxLocateTime = time.Second
@@ -91,9 +96,14 @@
 	mu             sync.Mutex // guards all below
 	members        *member.Runner
 	client         *peer.Client
+	server         *peer.Server
+	secrets        [][]byte // shared secrets of the nodes, the directory's first
 	closers        closer.List
 	lastHolderSign time.Time // last sign of a holder of the duty, by the boot clock
 
+	// returned holds a value once the platform has returned from an older copy, which may lack this node.
+	returned chan struct{}
+
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 }
@@ -105,7 +115,7 @@
 		roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i),
 		book: do.MustInvoke[*accepted.Tracker](i), policies: do.MustInvoke[*policy.Table](i),
 		learner: do.MustInvoke[*learner](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), fleet: do.MustInvoke[*fleetload.Tracker](i),
-		relays: do.MustInvoke[*relay.Server](i), paths: do.MustInvoke[*path.Monitor](i), metrics: do.MustInvoke[*metric.Metrics](i), seed: g.seed(), cancel: cancel, lastHolderSign: clock.BoottimeNow(),
+		relays: do.MustInvoke[*relay.Server](i), paths: do.MustInvoke[*path.Monitor](i), metrics: do.MustInvoke[*metric.Metrics](i), seed: g.seed(), cancel: cancel, returned: make(chan struct{}, 1), lastHolderSign: clock.BoottimeNow(),
 	}
 	self := platform.VM{Name: g.settings.Node, Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre, Cores: g.settings.Cores, LinkMbps: g.settings.LinkMbps}
 	ps.roles = newRoles(self, ps.known)
@@ -127,16 +137,43 @@
 	p.register.Store(f.register)
 }
 
-// enter enters the directory, with retries, and then joins the other nodes.
+// enter enters the directory, with retries, and then joins the other nodes. It enters again whenever the
+// platform has returned from an older copy.
 func (p *peers) enter(ctx context.Context, d Directory, self platform.VM) {
-	for ctx.Err() == nil {
+	p.retryEnter(ctx, func() error {
 		entered, err := p.enterDirectory(ctx, d, self)
 		if err == nil {
 			err = p.join(d, self, entered.Secret)
 		}
 		if err == nil {
 			p.entered.Store(&entered)
-			p.catchUp(ctx)
+		}
+		return err
+	})
+	p.catchUp(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.returned:
+		}
+		nodes, _ := p.count(time.Now())
+		clock.Sleep(ctx, rand.N(time.Duration(nodes+1)*reenterSpread))
+		p.retryEnter(ctx, func() error {
+			entered, err := p.enterDirectory(ctx, d, self)
+			if err != nil {
+				return err
+			}
+			return p.preferSecret(entered.Secret)
+		})
+	}
+}
+
+// retryEnter calls f until it succeeds.
+func (p *peers) retryEnter(ctx context.Context, f func() error) {
+	for ctx.Err() == nil {
+		err := f()
+		if err == nil {
 			return
 		}
 		event.Info(p.log, event.PeersNotJoined, zap.Error(err))
@@ -144,6 +181,39 @@
 	}
 }
 
+// signalReturn records that the platform has returned from an older copy.
+func (p *peers) signalReturn() {
+	select {
+	case p.returned <- struct{}{}:
+	default: // it is about to be read
+	}
+}
+
+// preferSecret puts the directory's secret first. It differs from the known one if a node that has just
+// started found none in the older copy and made its own before the others had entered again. Nodes that
+// have yet to learn it are accepted by the former one.
+func (p *peers) preferSecret(secret []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if bytes.Equal(secret, p.secrets[0]) {
+		return nil
+	}
+	former := lo.Reject(p.secrets, func(s []byte, _ int) bool { return bytes.Equal(s, secret) })
+	secrets := append([][]byte{secret}, former...)
+	p.secrets = secrets[:min(len(secrets), peer.MaxSecrets)]
+	if err := p.server.SetSecrets(p.secrets); err != nil {
+		return err
+	}
+	return p.client.SetSecrets(p.secrets)
+}
+
+// currentSecrets returns the secrets of the nodes, the preferred one first.
+func (p *peers) currentSecrets() [][]byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.secrets
+}
+
 // catchUpTries is how often a node that has started asks whether a peer knows more. The membership
 // is complete within about a second.
 const catchUpTries = 12
@@ -186,7 +256,11 @@
 func (p *peers) enterDirectory(ctx context.Context, d Directory, self platform.VM) (EnterResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, enterTimeout)
 	defer cancel()
-	return d.Enter(ctx, self, func(vms []platform.VM) { p.roles.setListed(clock.BoottimeNow(), vms) })
+	var secret []byte
+	if known := p.currentSecrets(); len(known) > 0 {
+		secret = known[0]
+	}
+	return d.Enter(ctx, self, secret, func(vms []platform.VM) { p.roles.setListed(clock.BoottimeNow(), vms) })
 }
 
 // setListed records what the directory lists.
@@ -271,8 +345,8 @@
 	if _, err := server.Start(self.Address); err != nil {
 		return err
 	}
-	p.client, p.members = client, members
-	p.paths.SetRelay(&pathRelay{peers: p, secrets: secrets, picker: relay.NewPicker(p.dataCentre, p.seed), metrics: p.metrics, log: p.log})
+	p.client, p.server, p.members, p.secrets = client, server, members, secrets
+	p.paths.SetRelay(&pathRelay{peers: p, secrets: p.currentSecrets, picker: relay.NewPicker(p.dataCentre, p.seed), metrics: p.metrics, log: p.log})
 	return nil
 }
 
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -123,7 +123,7 @@
 // emptyDirectory is a directory without nodes.
 type emptyDirectory struct{}
 
-func (emptyDirectory) Enter(context.Context, platform.VM, func([]platform.VM)) (EnterResult, error) {
+func (emptyDirectory) Enter(context.Context, platform.VM, []byte, func([]platform.VM)) (EnterResult, error) {
 	return EnterResult{}, nil
 }
 func (emptyDirectory) VMs(context.Context) ([]platform.VM, error) { return nil, nil }
