Write the quarantine again that an older copy lacks

What callers would see: after a return of the platform and the loss of all nodes, a request that ends the upstreams that run it is accepted again and ends a few more; or one that was cleared is refused again.

Cause: a held request's record is written once. What the platform lost of these records nobody wrote again, and a deletion was lost as well.

--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -360,7 +360,7 @@
 	registerPolling.Pause, registerPolling.Spread, registerPolling.PauseFactor = registerPause, registerSpread, configRelay{others}.registerPauseFactor
 	registerPolling.OthersRead = configRelay{others}.Preferred
 	registerPolling.AnswerAwaited, registerPolling.AwaitedPause = do.MustInvoke[*roster.Roster](i).HasLapsed, lapsedPause
-	handler := &configurationHandler{learner: l, returned: others.signalReturn}
+	handler := &configurationHandler{learner: l, returned: g.signalReturn(i)}
 	configPolling.AnswerAwaited, configPolling.AwaitedPause = handler.awaitsProof, rewritePause
 	f := followers{
 		configuration: keyed.New(configPolling, p.Configuration, handler),
@@ -372,6 +372,15 @@
 	return f
 }
 
+// signalReturn returns a function that has the parts write again what the platform has lost of theirs.
+func (g *Gateway) signalReturn(i do.Injector) func() {
+	others, held := do.MustInvoke[*peers](i), do.MustInvoke[*quarantineKeeper](i)
+	return func() {
+		others.signalReturn()
+		held.signalReturn()
+	}
+}
+
 func (g *Gateway) newRollout(i do.Injector) (*rollout.Driver, error) {
 	cfg := rollout.DefaultConfig
 	cfg.Clock = clock.BoottimeNow
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -33,10 +34,12 @@
 	book    *quarantine.Tracker
 	records QuarantineRecords
 	log     *zap.Logger
+	// returned holds a value once the platform has returned from an older copy of the records.
+	returned chan struct{}
 }
 
 func (g *Gateway) newQuarantineKeeper(i do.Injector, r QuarantineRecords) *quarantineKeeper {
-	k := &quarantineKeeper{book: do.MustInvoke[*quarantine.Tracker](i), records: r, log: g.log}
+	k := &quarantineKeeper{book: do.MustInvoke[*quarantine.Tracker](i), records: r, log: g.log, returned: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -50,7 +53,16 @@
 	return k
 }
 
-// run reads the records once and then writes each change.
+// signalReturn records that the platform has returned from an older copy.
+func (k *quarantineKeeper) signalReturn() {
+	select {
+	case k.returned <- struct{}{}:
+	default: // it is about to be read
+	}
+}
+
+// run reads the records once and then writes each change, and after a return of the platform what its copy
+// lacks.
 func (k *quarantineKeeper) run(ctx context.Context) {
 	for k.read(ctx) != nil {
 		if !clock.Sleep(ctx, quarantineRetry) {
@@ -62,6 +74,10 @@
 		case <-ctx.Done():
 			return
 		case <-k.book.UnsavedReady():
+		case <-k.returned:
+			if k.reconcile(ctx) != nil {
+				k.signalReturn()
+			}
 		}
 		if k.write(ctx) != nil && !clock.Sleep(ctx, quarantineRetry) {
 			return
@@ -70,18 +86,36 @@
 }
 
 func (k *quarantineKeeper) read(ctx context.Context) error {
-	stored, _, err := k.records.Newest(ctx, platformTimeout)
+	stored, err := k.stored(ctx)
 	if err != nil {
-		event.Info(k.log, event.QuarantineMissed, zap.Error(err))
 		return err
 	}
-	held, err := k.book.Restore(time.Now(), lo.Map(stored, func(r keyed.Record, _ int) quarantine.Record {
-		return quarantine.Record{Key: r.Key, Value: r.Value}
-	}))
+	held, err := k.book.Restore(time.Now(), stored)
 	event.Info(k.log, event.QuarantineRead, zap.Int("Held", held), zap.Error(err))
 	return nil
 }
 
+// reconcile queues what the platform's copy lacks.
+func (k *quarantineKeeper) reconcile(ctx context.Context) error {
+	clock.Sleep(ctx, rand.N(quarantineRetry))
+	stored, err := k.stored(ctx)
+	if err == nil {
+		k.book.Reconcile(stored)
+	}
+	return err
+}
+
+func (k *quarantineKeeper) stored(ctx context.Context) ([]quarantine.Record, error) {
+	stored, _, err := k.records.Newest(ctx, platformTimeout)
+	if err != nil {
+		event.Info(k.log, event.QuarantineMissed, zap.Error(err))
+		return nil, err
+	}
+	return lo.Map(stored, func(r keyed.Record, _ int) quarantine.Record {
+		return quarantine.Record{Key: r.Key, Value: r.Value}
+	}), nil
+}
+
 func (k *quarantineKeeper) write(ctx context.Context) error {
 	records := k.book.TakeUnsaved(time.Now())
 	if len(records) == 0 {
--- a/request/quarantine/record.go
+++ b/request/quarantine/record.go
@@ -78,6 +78,27 @@
 	}
 }
 
+// Reconcile queues what an older copy of the stored records lacks, or still has although its request is no
+// longer held.
+func (b *Tracker) Reconcile(stored []Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c, e := range b.entries {
+		if e.isHeld() {
+			b.queueOwnSave(c, e)
+		}
+	}
+	for _, r := range stored {
+		var s recordValue
+		if json.Unmarshal(r.Value, &s) != nil {
+			continue
+		}
+		if e := b.entries[s.News.Content]; e != nil && !e.isHeld() && !e.survivedAt.IsZero() {
+			b.queueSave(s.News.Content)
+		}
+	}
+}
+
 // Restore adds the stored records, and returns how many of the requests are still held.
 // The error lists the records that can't be read; the others are added all the same.
 func (b *Tracker) Restore(now time.Time, records []Record) (int, error) {
--- a/request/quarantine/record_test.go
+++ b/request/quarantine/record_test.go
@@ -57,6 +57,25 @@
 	}
 }
 
+// Guards against a store that returns from an older copy and has lost a held request, or brings back one that
+// was cleared.
+func TestOlderCopyOfRecordsIsReconciled(t *testing.T) {
+	b, held, cleared := newTestTracker("n1"), digest("x"), digest("y")
+	endUpstreams(b, start, cleared, "a", "b", "c")
+	older := b.TakeUnsaved(after(9 * time.Second))
+	b.ReportSurvival(after(10*time.Second), cleared)
+	now := endUpstreams(b, after(11*time.Second), held, "d", "e", "f")
+	b.TakeUnsaved(now)
+	b.Reconcile(older)
+	values := map[Digest]bool{}
+	for _, r := range b.TakeUnsaved(now) {
+		values[r.Content] = len(r.Value) > 0
+	}
+	if isHeld, queued := values[held.Request], len(values); !isHeld || queued != 2 || values[cleared.Request] {
+		t.Errorf("%v", values)
+	}
+}
+
 // Only nodes that observed an end write the record. Guards against hundreds of writes in
 // a large fleet.
 func TestNodeThatSawNoEndDoesNotRecordHold(t *testing.T) {
