Let roll-outs go on across a return from an older copy

What operators would see: a roll-out that was complete or rolled back begins again when its order is written again, former orders in the copy are carried out for a moment, and the state of a roll-out disappears.

Cause: an order is known by its position, which differs in the new era; the records of states are written once; and what the copy lists was taken for the operators' will.

Change: an order of a later era with the same content is the same order, and its roll-out goes on under its new number. Orders that a copy lists wait until it is made good, so that the newest one counts. The node that decides then writes the records of ended roll-outs again; a record of an earlier era counts for the same version.

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -112,6 +112,7 @@
 	position keyed.Position // up to which the topic is known; 0: it has not been read
 	copied   *olderCopy     // nil: the topic has all that was accepted
 	returned func()         // is called when the platform has returned from an older copy
+	madeGood func()         // is called once the operators have written again what the copy lacks
 }
 
 // Consume applies the records and confirms the configuration in force. A record that can't be decoded
@@ -125,7 +126,7 @@
 	if t.position > 0 && u.Next.Era() > t.position.Era() {
 		event.Warn(t.log, event.PlatformReturned, zap.Uint64("Era", u.Next.Era()), zap.Stringer("Position", t.position))
 		t.metrics.RecordStoreReturn()
-		t.copied = &olderCopy{since: now}
+		t.copied = newOlderCopy(now)
 		t.returned()
 	}
 	t.position = max(t.position, u.Next)
@@ -142,7 +143,11 @@
 	}
 	if t.copied != nil && t.copied.isMadeGood(u.AsOf, t.book.InForce()) {
 		event.Info(t.log, event.ConfigMadeGood, zap.Duration("After", now.Sub(t.copied.since)))
+		for _, o := range t.copied.orders {
+			t.releases.putOrder(clock.BoottimeNow(), o, false)
+		}
 		t.copied = nil
+		t.madeGood()
 	}
 	switch {
 	case t.copied != nil:
@@ -171,7 +176,11 @@
 		event.Info(t.log, event.ConfigInForce, zap.Uint64("Version", c.Version), zap.Stringer("Position", r.Position),
 			zap.Int("Routes", len(c.Routes)), zap.Int("Workspaces", len(c.Workspaces)))
 	}
-	if p.Release != nil {
+	switch {
+	case p.Release == nil:
+	case t.copied != nil:
+		t.copied.orders[p.Release.Service] = *p.Release
+	default:
 		t.releases.putOrder(clock.BoottimeNow(), *p.Release, complete)
 	}
 	if p.Model != "" && t.book.RecordVersion(now, p.Model, p.Version, complete) {
--- a/process/gateway/oldercopy.go
+++ b/process/gateway/oldercopy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/release"
 )
 
 // rewriteTime is how long operators may take to write again what the platform's copy lacks, from when this
@@ -19,6 +20,13 @@
 type olderCopy struct {
 	since  time.Time // when this node learnt of the return
 	listed uint64    // newest version of a configuration that was read since then
+	// orders are the newest ones for the services' roll-outs that were read since then. The copy may list
+	// former orders that operators are about to replace.
+	orders map[string]release.Order
+}
+
+func newOlderCopy(now time.Time) *olderCopy {
+	return &olderCopy{since: now, orders: map[string]release.Order{}}
 }
 
 // isMadeGood reports whether what was known as of a time, read since the return, has all that was accepted.
--- a/process/gateway/oldercopy_test.go
+++ b/process/gateway/oldercopy_test.go
@@ -46,7 +46,7 @@
 			l.decoder, l.metrics = versionDecoder{}, metric.New()
 			l.view = newView(accepted.NewTracker(), l.roster) // the request paths stay without a configuration
 			returns := 0
-			handler := &configurationHandler{learner: l, returned: func() { returns++ }}
+			handler := &configurationHandler{learner: l, returned: func() { returns++ }, madeGood: func() {}}
 			handler.Consume(start, keyed.Update{Complete: true, Next: keyed.At(1, 9), AsOf: start, Records: []keyed.Record{{Value: []byte("8"), Position: keyed.At(1, 8)}}})
 			back := start.Add(time.Minute)
 			handler.Consume(back, keyed.Update{Complete: true, Next: keyed.At(2, 6), AsOf: back, Records: []keyed.Record{{Value: []byte(c.copied), Position: keyed.At(2, 5)}}})
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -360,7 +360,7 @@
 	registerPolling.Pause, registerPolling.Spread, registerPolling.PauseFactor = registerPause, registerSpread, configRelay{others}.registerPauseFactor
 	registerPolling.OthersRead = configRelay{others}.Preferred
 	registerPolling.AnswerAwaited, registerPolling.AwaitedPause = do.MustInvoke[*roster.Roster](i).HasLapsed, lapsedPause
-	handler := &configurationHandler{learner: l, returned: g.signalReturn(i)}
+	handler := &configurationHandler{learner: l, returned: g.signalReturn(i), madeGood: func() { do.MustInvoke[*releaseDecider](i).copyMadeGood.Store(true) }}
 	configPolling.AnswerAwaited, configPolling.AwaitedPause = handler.awaitsProof, rewritePause
 	f := followers{
 		configuration: keyed.New(configPolling, p.Configuration, handler),
--- a/process/gateway/releasedecider.go
+++ b/process/gateway/releasedecider.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -50,6 +51,10 @@
 	lastRound  time.Time                 // zero: this node has not decided since it got the duty
 	recordRead time.Time                 // when the records were last read without the duty
 
+	// copyMadeGood is set once operators have written their orders again after a return of the platform from
+	// an older copy, and the records of roll-outs may be missing.
+	copyMadeGood atomic.Bool
+
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 }
@@ -70,6 +75,9 @@
 
 func (d *releaseDecider) run(ctx context.Context) {
 	for clock.Sleep(ctx, releaseRound) {
+		if d.copyMadeGood.Load() && d.keeper.Holds(clock.BoottimeNow()) {
+			d.recordAgain(ctx)
+		}
 		open := d.releases.tracker.Open()
 		now := clock.BoottimeNow()
 		switch {
@@ -84,6 +92,21 @@
 	}
 }
 
+// recordAgain writes the records of roll-outs that have ended, as far as the platform's copy lacks them. Those
+// of the others are written as they go on.
+func (d *releaseDecider) recordAgain(ctx context.Context) {
+	clear(d.recorded)
+	for _, t := range d.releases.tracker.Updates(clock.BoottimeNow()) {
+		if !t.Recorded {
+			continue
+		}
+		if recorded, _ := d.record(ctx, t.State); !recorded {
+			return
+		}
+	}
+	d.copyMadeGood.Store(false)
+}
+
 // decide is one round: it asks all nodes for their reports, decides, and informs them at once if something
 // has changed. A node that takes the duty up first learns what the others know.
 func (d *releaseDecider) decide(ctx context.Context, now time.Time, open []release.Open) {
--- a/version/release/record.go
+++ b/version/release/record.go
@@ -20,12 +20,13 @@
 	Service  string
 	Software string
 	ID       uint64 // of the order
+	Era      uint64 // of the order
 	Outcome  Outcome
 }
 
 // RecordOf returns the record of a state.
 func RecordOf(s State) Record {
-	r := Record{Service: s.Service, Software: s.Software, ID: s.ID}
+	r := Record{Service: s.Service, Software: s.Software, ID: s.ID, Era: s.Era}
 	switch s.Phase {
 	case Complete:
 		r.Outcome = Completed
@@ -37,7 +38,8 @@
 
 // Ended returns the update of a roll-out that has ended by its record; false if it has not.
 func (r Record) Ended(o Order) (Update, bool) {
-	if r.ID != o.ID || r.Outcome == InProgress {
+	repeated := r.Era < o.Era && r.Software == o.Software
+	if r.ID != o.ID && !repeated || r.Outcome == InProgress {
 		return Update{}, false
 	}
 	phase := Complete
--- a/version/release/release.go
+++ b/version/release/release.go
@@ -23,12 +23,21 @@
 	Duration time.Duration // time for the roll-out, from the order on
 	// ID differs between orders and grows; 0: no order.
 	ID uint64
+	// Era is the era of the platform in which the order was written. In a later one operators write their
+	// newest order again, under another ID.
+	Era uint64
 	// Invalid says why the order can't be carried out; empty: it can.
 	Invalid string
 	// Withdrawn means that the operator has removed the order.
 	Withdrawn bool
 }
 
+// Repeats reports whether an order is the same as one of an earlier era.
+func (o Order) Repeats(former Order) bool {
+	return o.Era > former.Era && o.Software == former.Software && o.Duration == former.Duration &&
+		o.Withdrawn == former.Withdrawn && o.Invalid == former.Invalid
+}
+
 //go:generate go tool stringer -type=Phase -output=release_string.go
 
 // Phase is how far a roll-out has come.
--- a/version/release/tracker.go
+++ b/version/release/tracker.go
@@ -89,7 +89,8 @@
 	return &Tracker{random: rand.New(rand.NewPCG(seed, 0)), services: map[string]*entry{}, seen: map[string]map[string]time.Time{}}
 }
 
-// PutOrder records the newest order for a service, and reports whether it is new.
+// PutOrder records the newest order for a service, and reports whether it is new. The roll-out of an order
+// that operators have written again goes on.
 func (tr *Tracker) PutOrder(now time.Time, o Order, atStart bool) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -103,6 +104,13 @@
 	} else if o.ID <= e.order.ID {
 		return false
 	}
+	if o.Repeats(e.order) {
+		if e.isKnown() {
+			e.latest.Order = o
+		}
+		e.order = o
+		return false
+	}
 	if o.Withdrawn && e.hasEnded(Complete) {
 		delete(tr.services, o.Service) // the version serves, and there is nothing to give up
 		return true
