Know how old weights are that were named during a return

What callers would see: after a return of the platform, or a loss of its history, most engines get no requests for seconds, and one with new weights gets all.

Cause: a version that a list of the newest records brings counted as named an unknown time ago. That is so for a node that has just started. One that knew everything up to its last proof knows that the version was named after it.

Change: such a version counts as named at the time of the last proof, the earliest possible one, so that no request begins later on replaced weights than allowed.

--- a/process/gateway/learn.go
+++ b/process/gateway/learn.go
@@ -183,11 +183,25 @@
 	default:
 		t.releases.putOrder(clock.BoottimeNow(), *p.Release, complete)
 	}
-	if p.Model != "" && t.book.RecordVersion(now, p.Model, p.Version, complete) {
+	namedAt, sinceUnknown := t.namedAt(now, complete)
+	if p.Model != "" && t.book.RecordVersion(namedAt, p.Model, p.Version, sinceUnknown) {
 		event.Info(t.log, event.WeightsNamed, zap.String("Model", p.Model), zap.Uint64("Version", p.Version), zap.Stringer("Position", r.Position))
 	}
 }
 
+// namedAt returns when a version was named that an update brings, at the earliest. If the update is a list of
+// the newest records, that is when this node last knew all of them; unknown means that it never did.
+func (t *configurationHandler) namedAt(now time.Time, complete bool) (at time.Time, unknown bool) {
+	if !complete {
+		return now, false
+	}
+	age, known := t.book.ProofAge(now)
+	if !known {
+		return now, true
+	}
+	return now.Add(-age), false
+}
+
 // ReadFailed records that the platform did not answer.
 func (t *configurationHandler) ReadFailed(now time.Time, err error) {
 	if !t.lost {
--- a/process/gateway/oldercopy_test.go
+++ b/process/gateway/oldercopy_test.go
@@ -19,6 +19,34 @@
 	return Publication{Configuration: &accepted.Configuration{Version: n}}, err
 }
 
+// weightsDecoder decodes records whose value is a version of weights.
+type weightsDecoder struct{ versionDecoder }
+
+func (weightsDecoder) Configuration(r keyed.Record) (Publication, error) {
+	n, err := strconv.ParseUint(string(r.Value), 10, 64)
+	return Publication{Model: "m", Version: n}, err
+}
+
+// Guards against weights that were named while the platform was away, and that count as replaced an unknown
+// time ago, so that most engines get no requests.
+func TestAgeOfWeightsNamedDuringReturnIsKnown(t *testing.T) {
+	start := time.Unix(1000, 0)
+	l := newLearner()
+	l.decoder, l.metrics = weightsDecoder{}, metric.New()
+	handler := &configurationHandler{learner: l, returned: func() {}, madeGood: func() {}}
+	read := func(now time.Time, era uint64, version string) {
+		handler.Consume(now, keyed.Update{Complete: true, Next: keyed.At(era, 9), AsOf: now, Records: []keyed.Record{{Value: []byte(version), Position: keyed.At(era, 8)}}})
+	}
+	read(start, 1, "1")
+	read(start.Add(3*time.Second), 2, "2")
+	if age, exact := l.book.OutdatedFor(start.Add(4*time.Second), "m", 1); age != 4*time.Second || !exact {
+		t.Errorf("named %s ago, exact: %t", age, exact)
+	}
+	if _, exact := l.book.OutdatedFor(start.Add(4*time.Second), "m", 0); exact {
+		t.Error("the age of what was named before the start counts as known")
+	}
+}
+
 func (versionDecoder) Upstream(keyed.Record) (roster.Entry, error) { return roster.Entry{}, nil }
 
 // Guards against a configuration that goes back, or counts as the newest one, while an older copy of the
