--- a/process/duty/duty_test.go
+++ b/process/duty/duty_test.go
@@ -117,52 +117,68 @@
 // members must never act within the lease of each other, and a later holder must never have a lower
 // fencing number.
 func TestHoldersNeverActWithinTheLease(t *testing.T) {
-	for seed := range uint64(200) {
-		rnd := rand.New(rand.NewPCG(seed, 1))
-		members := []*Keeper{NewKeeper(testConfig), NewKeeper(testConfig), NewKeeper(testConfig)}
-		frozen := make([]time.Time, len(members))
-		holder, generation := 0, uint64(1)
-		lastMember, lastAct, lastFencing := -1, time.Time{}, uint64(0)
-		for d := time.Duration(0); d < time.Minute; d += 50 * time.Millisecond {
-			now := sinceStart(d)
-			if rnd.IntN(80) == 0 {
-				holder = rnd.IntN(len(members))
-				generation++
+	for _, returns := range []bool{false, true} {
+		for seed := range uint64(200) {
+			simulateHolders(t, seed, returns)
+		}
+	}
+}
+
+// simulateHolders lets members compete for a minute. With returns, the platform comes back from older copies: an
+// earlier holder has the duty again, and the generations of a new era begin with an earlier one.
+func simulateHolders(t *testing.T, seed uint64, returns bool) {
+	t.Helper()
+	const eraBits = 32
+	era := uint64(1)
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	members := []*Keeper{NewKeeper(testConfig), NewKeeper(testConfig), NewKeeper(testConfig)}
+	frozen := make([]time.Time, len(members))
+	holder, generation := 0, uint64(1)
+	lastMember, lastAct, lastFencing := -1, time.Time{}, uint64(0)
+	for d := time.Duration(0); d < time.Minute; d += 50 * time.Millisecond {
+		now := sinceStart(d)
+		if rnd.IntN(80) == 0 {
+			holder = rnd.IntN(len(members))
+			generation++
+		}
+		if returns && rnd.IntN(100) == 0 {
+			era++
+			holder = rnd.IntN(len(members))
+			generation = max(1, generation-min(generation, rnd.Uint64N(8)))
+		}
+		for i, k := range members {
+			if now.Before(frozen[i]) {
+				continue
 			}
-			for i, k := range members {
-				if now.Before(frozen[i]) {
-					continue
-				}
-				if rnd.IntN(400) == 0 {
-					frozen[i] = now.Add(time.Duration(rnd.IntN(8000)) * time.Millisecond)
-					continue
-				}
-				if rnd.IntN(6) == 0 {
-					k.RecordJoin(now, now, Grant{Generation: generation, Holds: holder == i})
-				}
-				if holder == i && rnd.IntN(100) == 0 {
-					if r, wasHolder := k.Resign(now); wasHolder {
-						for _, other := range members {
-							if rnd.IntN(2) == 0 {
-								other.RecordResignation(now, r)
-							}
+			if rnd.IntN(400) == 0 {
+				frozen[i] = now.Add(time.Duration(rnd.IntN(8000)) * time.Millisecond)
+				continue
+			}
+			if rnd.IntN(6) == 0 {
+				k.RecordJoin(now, now, Grant{Generation: era<<eraBits | generation, Holds: holder == i})
+			}
+			if holder == i && rnd.IntN(100) == 0 {
+				if r, wasHolder := k.Resign(now); wasHolder {
+					for _, other := range members {
+						if rnd.IntN(2) == 0 {
+							other.RecordResignation(now, r)
 						}
-						holder = rnd.IntN(len(members))
-						generation += 2
 					}
+					holder = rnd.IntN(len(members))
+					generation += 2
 				}
-				fencing, ok := k.BeginAct(now)
-				if !ok {
-					continue
-				}
-				if lastMember >= 0 && lastMember != i && now.Sub(lastAct) < testConfig.Lease+testConfig.ActTransit {
-					t.Fatalf("seed %d: %d acts %v after %d", seed, i, now.Sub(lastAct), lastMember)
-				}
-				if fencing < lastFencing || lastMember != i && fencing == lastFencing {
-					t.Fatalf("seed %d: %d acts with %d after %d", seed, i, fencing, lastFencing)
-				}
-				lastMember, lastAct, lastFencing = i, now, fencing
 			}
+			fencing, ok := k.BeginAct(now)
+			if !ok {
+				continue
+			}
+			if lastMember >= 0 && lastMember != i && now.Sub(lastAct) < testConfig.Lease+testConfig.ActTransit {
+				t.Fatalf("seed %d, returns %t: %d acts %v after %d", seed, returns, i, now.Sub(lastAct), lastMember)
+			}
+			if fencing < lastFencing || lastMember != i && fencing == lastFencing {
+				t.Fatalf("seed %d, returns %t: %d acts with %d after %d", seed, returns, i, fencing, lastFencing)
+			}
+			lastMember, lastAct, lastFencing = i, now, fencing
 		}
 	}
 }
