Begin a new shared cache scope when a workspace is isolated or no longer so

What callers saw: requests of other workspaces went on using cached parts that a workspace had made before operators isolated it, for as long as they used them.

Cause: all workspaces that are not isolated shared one cache scope for good. A workspace that left it left its parts behind.

Change: the shared scope follows from the set of isolated workspaces, so that each change of the set begins a new one. It comes from the configuration alone: nodes agree without telling each other, also after a restart or a return of the platform, and a node that has yet to read the change writes into the former scope, which nobody uses that has. Weighed: an age of the scope kept by nodes, which a node that starts can't know, and parts that remember their maker, which engines don't tell. The cost is that the others read their shared parts once more at each such change, and none otherwise: the scope of an unchanged set stays the same.

--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -80,9 +80,11 @@
 	route     route.Route
 	workspace accepted.Workspace // of the key; the zero value on a public route
 	service   accepted.Service
-	content   quarantine.Digest
-	status    int // status passed on; 0: none yet
-	charged   quotaCharge
+	// cacheScope is the scope within which the request may use cached prefixes of others.
+	cacheScope string
+	content    quarantine.Digest
+	status     int // status passed on; 0: none yet
+	charged    quotaCharge
 
 	configVersion uint64        // of the configuration that decided on the request; 0: none known
 	proofAge      time.Duration // age of the proof that the configuration is the newest
@@ -152,6 +154,7 @@
 			return x.notFound(failure.ErrUnauthenticated)
 		}
 	}
+	x.cacheScope = f.CacheScope(x.workspace)
 	if x.service, ok = f.Services[r.Choose(x.in.ID)]; !ok {
 		return x.unavailable()
 	}
@@ -239,17 +242,6 @@
 	return x.route.Priority
 }
 
-// sharedScope is the scope of the workspaces that may use each other's prefixes. No workspace can
-// have this name, as the operators' names begin with a letter.
-const sharedScope = "*"
-
-func (x *servedRequest) scope() string {
-	if x.workspace.Isolated {
-		return x.workspace.Name
-	}
-	return sharedScope
-}
-
 // generate serves a request for generated text.
 func (x *servedRequest) generate(ctx context.Context) error {
 	deadline, end := x.deadline(), x.answerEnd()
@@ -279,7 +271,7 @@
 		Passage:       x.upstreamCall(end),
 		DeclaredParts: x.in.Parts,
 		Pool:          x.service.Name,
-		CacheScope:    x.scope(),
+		CacheScope:    x.cacheScope,
 		MaxRuns:       max(1, x.route.MaxRuns),
 		LastEventID:   x.in.LastEventID,
 		Software:      pin,
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -8,6 +8,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -75,13 +76,14 @@
 	Configuration
 	table     route.Table
 	keyOwners map[string]string // workspace name by key hash
+	sharedScope string // see CacheScope
 	// hasQuotas reports whether any workspace has a quota.
 	hasQuotas bool
 }
 
 // New builds the lookup tables of a configuration.
 func New(c Configuration) *IndexedConfiguration {
-	f := &IndexedConfiguration{Configuration: c, table: route.NewTable(c.Routes), keyOwners: map[string]string{}}
+	f := &IndexedConfiguration{Configuration: c, table: route.NewTable(c.Routes), keyOwners: map[string]string{}, sharedScope: sharedScopeOf(c.Workspaces)}
 	for name, w := range c.Workspaces {
 		f.hasQuotas = f.hasQuotas || w.Quota.Limited()
 		for _, hash := range w.Keys {
@@ -96,6 +98,31 @@
 	return f.table.Find(host, path)
 }
 
+// sharedScopePrefix begins the scope of the workspaces that may use each other's cached prefixes. No workspace
+// can have such a name, as the operators' names begin with a letter.
+const sharedScopePrefix = "*"
+
+// sharedScopeOf returns the scope of the workspaces that are not isolated. It differs for each set of isolated
+// ones: a workspace leaves prefixes behind in the scope that it shared, so that the others begin a new one. It
+// follows from the configuration alone, so that all nodes come to the same one, also after a restart.
+func sharedScopeOf(workspaces map[string]Workspace) string {
+	isolated := slices.Sorted(maps.Keys(workspaces))
+	isolated = slices.DeleteFunc(isolated, func(name string) bool { return !workspaces[name].Isolated })
+	scope := sharedScopePrefix
+	for _, name := range isolated {
+		scope += strconv.Itoa(len(name)) + ":" + name
+	}
+	return scope
+}
+
+// CacheScope returns the scope within which a workspace's requests may use cached prefixes of each other.
+func (f *IndexedConfiguration) CacheScope(w Workspace) string {
+	if w.Isolated {
+		return w.Name
+	}
+	return f.sharedScope
+}
+
 // Limited reports whether any workspace has a quota.
 func (f *IndexedConfiguration) Limited() bool { return f.hasQuotas }
 
