Frame answers towards callers however upstreams mark their end

What callers saw: status 200, the runner's signature and half of the body, ended in order, as the node that passed the answer on was killed.

Cause: an answer without a length was passed on as it came, so that the end of the node's own connection marked its end; the kernel closes the connections of a killed process in order. A cut by the runner that is orderly can't be told with either framing, so that the reason given in the code did not hold.

Change: whole answers get a length and streams come in chunks, whatever the upstream sent; the connection to the caller stays open.

--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -125,10 +125,6 @@
 type PassthroughHead struct {
 	Status int
 	Header []Field // without the hop-by-hop fields
-	// Unframed reports that only the end of the connection marks the end of the answer.
-	// The answer must be forwarded the same way. If the router added framing, a
-	// truncated answer would look complete.
-	Unframed bool
 }
 
 // Token is one event of a stream. Index counts from 0 without gaps.
@@ -273,8 +269,6 @@
 	Status int
 	Header []Field
 	Body   []byte
-	// Unframed has the meaning of PassthroughHead.Unframed.
-	Unframed bool
 }
 
 // FailedReply is the error for a complete answer in which an upstream reports that it
