Let upstreams come back that write their entries late after a return

What callers would see: an upstream whose entry an older copy lacked, and that wrote it again more than two seconds after the return, gets no requests until it starts anew.

Cause: a start that was dropped counts as relisted by a copy if its entry comes in a later era than it was dropped in. The era was that of its last record, and not the one up to which the register was known when it did not come back.

Change: a departure is remembered with the newest position of all. Beside it, a roll-out whose record says that it ended another way is not written again for ever.

Evidence: the new last step of TestOlderCopyOfRegisterIsMadeGood failed before.

--- a/process/gateway/expired_test.go
+++ b/process/gateway/expired_test.go
@@ -45,6 +45,10 @@
 			t.Errorf("later: %s", got)
 		}
 	}
+	handler.Consume(back.Add(5*time.Second), keyed.Update{From: keyed.At(2, 6), Next: keyed.At(2, 7), Records: []keyed.Record{record("lost", keyed.At(2, 6))}})
+	if got := usable(reader); got != "late lost new stays" {
+		t.Errorf("after an upstream has written its entry late: %s", got)
+	}
 }
 
 // usable returns the names of the upstreams that take new requests.
--- a/process/gateway/releasedecider.go
+++ b/process/gateway/releasedecider.go
@@ -100,8 +100,8 @@
 		if !t.Recorded {
 			continue
 		}
-		if recorded, _ := d.record(ctx, t.State); !recorded {
-			return
+		if recorded, other := d.record(ctx, t.State); !recorded && other == nil {
+			return // tried again in the next round
 		}
 	}
 	d.copyMadeGood.Store(false)
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -77,6 +77,7 @@
 	// ones included: an update that a peer sends late must not restore a
 	// removed entry.
 	newestPosition map[string]keyed.Position
+	latest         keyed.Position // the newest position of all
 	// positionsPruneAt is the size of newestPosition at which it loses what belongs to no present entry.
 	positionsPruneAt int
 	busy             map[string]time.Time // until when an upstream takes no requests
@@ -85,7 +86,8 @@
 	// entry that arrives again would otherwise make them usable.
 	leaving map[string]time.Time
 	// departed holds the starts that are out of use for good, and the position
-	// that showed it. An older copy of the register may list them again.
+	// up to which the register was known then. An older copy of the register
+	// may list them again.
 	departed map[string]keyed.Position
 }
 
@@ -162,6 +164,7 @@
 		r.positionsPruneAt = 2 * len(r.newestPosition)
 	}
 	r.newestPosition[key] = position
+	r.latest = max(r.latest, position)
 	return true
 }
 
@@ -170,7 +173,7 @@
 	if len(r.departed) >= maxSuperseded {
 		clear(r.departed)
 	}
-	r.departed[id] = r.newestPosition[r.entries[id].RegisterKey()]
+	r.departed[id] = r.latest
 }
 
 // displace drops the previous start under the key of e. If e states an earlier
