--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -74,9 +74,9 @@
 // IndexedConfiguration is a Configuration with its lookup tables.
 type IndexedConfiguration struct {
 	Configuration
-	table     route.Table
-	keyOwners map[string]string // workspace name by key hash
-	sharedScope string // see CacheScope
+	table       route.Table
+	keyOwners   map[string]string // workspace name by key hash
+	sharedScope string            // see CacheScope
 	// hasQuotas reports whether any workspace has a quota.
 	hasQuotas bool
 }
