Ask peers once at once after a restart of a topic

What operators would see: for up to 2.6 s after a return of the platform, the nodes of a fleet that get the configuration from others ask them without a pause.

Cause: a follower whose era is over asks for the newest records at once, and went on doing so for as long as it had not got them. A peer of a former era gives none, and the age of the node's own proof counts as an answer.

Change: one question is due at once; after it the usual pauses hold.

Evidence: TestRestartAsksPeersOnceAtOnce failed before.

--- a/version/keyed/era_test.go
+++ b/version/keyed/era_test.go
@@ -94,3 +94,18 @@
 		t.Errorf("next %s", f.next)
 	}
 }
+
+// Guards against a node that asks its peers without a pause, as they have yet to learn of the new era.
+func TestRestartAsksPeersOnceAtOnce(t *testing.T) {
+	peers := &scriptedPeers{word: PeerAnswer{Known: true, Next: At(1, 90)}, rely: true}
+	f := (&recorder{}).follower(&scriptedTopic{})
+	f.cfg.Peers, f.cfg.PeerPause, f.cfg.MaxPeerProofAge = peers, time.Second, time.Minute
+	f.next, f.proof = At(2, 4), start
+	f.restart()
+	if !f.behind {
+		t.Error("the first question waits")
+	}
+	if err := f.askOnce(context.Background(), start); err != nil || f.behind {
+		t.Errorf("the next question is due at once, %v", err)
+	}
+}
--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -204,7 +204,7 @@
 
 // waitUntilDue waits until the next question is due. It is due at once while the platform has more
 // records than it gives with one answer, as the follower would fall behind further with each pause, and
-// while the newest records are not known.
+// once after it was found that the newest records have to be read again.
 func (f *Follower) waitUntilDue(ctx context.Context) {
 	if f.behind {
 		return
@@ -253,6 +253,7 @@
 
 // askOnce asks the platform or the peers one question.
 func (f *Follower) askOnce(ctx context.Context, askedAt time.Time) error {
+	f.behind = false
 	if f.cfg.prefersPeers() {
 		err := f.askPeers(ctx, false)
 		if err == nil || f.provenRecently(askedAt) {
@@ -408,7 +409,6 @@
 		return fmt.Errorf("read the newest: end %s, known up to %s: %w", next, known, ErrStale)
 	}
 	now := f.cfg.Clock()
-	f.behind = false
 	u := Update{Records: records, Complete: true, Next: next, AsOf: askedAt}
 	f.consumer.Consume(now, u)
 	f.recordProgress(next, now, u)
