--- a/connection/relay/client.go
+++ b/connection/relay/client.go
@@ -32,7 +32,7 @@
 		reset(c)
 		return nil, fmt.Errorf("relay %s to %s: %w", peerAddress, upstream, err)
 	}
-	return &framedConn{TCPConn: c.(*net.TCPConn)}, nil
+	return c, nil
 }
 
 func request(ctx context.Context, c net.Conn, secrets [][]byte, upstream string) error {
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -5,11 +5,6 @@
 // After the handshake of package peer, the asking node sends one byte with the length of the
 // upstream's address, and the address. The other node answers with one byte, its result, and then
 // passes bytes on in both directions until both ends have closed or one has failed.
-//
-// If framedBit is set in the first byte, what the upstream sends comes in frames: two bytes with a
-// length, and that many bytes. A frame of length 0 is the upstream's orderly end. Without it, the
-// connection ends in order also if the other node's process is killed, and an answer whose end is the
-// end of its connection would look whole. A node of an older build doesn't set the bit.
 package relay
 
 import (
@@ -55,22 +50,19 @@
 	return fmt.Errorf("%w: %v", ErrUnusable, r)
 }
 
-// framedBit of the request's first byte asks for frames. Addresses are shorter than it.
-const framedBit = 0x80
-
 func writeRequest(w io.Writer, address string) error {
-	_, err := w.Write(append([]byte{framedBit | byte(len(address))}, address...))
+	_, err := w.Write(append([]byte{byte(len(address))}, address...))
 	return err
 }
 
-func readRequest(r io.Reader) (address string, framed bool, err error) {
-	var first [1]byte
-	if _, err := io.ReadFull(r, first[:]); err != nil {
-		return "", false, err
+func readRequest(r io.Reader) (address string, err error) {
+	var length [1]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return "", err
 	}
-	b := make([]byte, first[0]&^framedBit)
+	b := make([]byte, length[0])
 	_, err = io.ReadFull(r, b)
-	return string(b), first[0]&framedBit != 0, err
+	return string(b), err
 }
 
 // reset closes a connection so that the other end sees a failure and not an orderly end.
--- a/connection/relay/server.go
+++ b/connection/relay/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -67,7 +66,7 @@
 	if tcp, ok := node.(*net.TCPConn); ok && tcp.SetKeepAliveConfig(nodeKeepAlive) != nil {
 		return
 	}
-	address, framed, err := readRequest(node)
+	address, err := readRequest(node)
 	if err != nil {
 		return
 	}
@@ -81,7 +80,7 @@
 		reset(upstream)
 		return
 	}
-	s.pass(node, upstream, framed)
+	s.pass(node, upstream)
 }
 
 // connect connects to the upstream and counts the connection as open if that succeeds.
@@ -128,42 +127,34 @@
 	}
 }
 
-// pass copies in both directions until both have ended. If framed is set, the node gets frames.
-func (s *Server) pass(node, upstream net.Conn, framed bool) {
+// pass copies in both directions until both have ended.
+func (s *Server) pass(node, upstream net.Conn) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		s.copy(upstream, node, false)
+		s.copy(upstream, node)
 	}()
-	s.copy(node, upstream, framed)
+	s.copy(node, upstream)
 	<-done
 	_ = upstream.Close() // fails only if the connection is already closed
 }
 
 // copy passes on what src sends. An orderly end ends the other connection's direction only; a
-// failure resets both connections, so that no cut looks like an end. If framed is set, what is passed on
-// and the orderly end are frames.
-func (s *Server) copy(dst, src net.Conn, framed bool) {
-	buffer := s.buffers.Get().(*[]byte)
-	defer s.buffers.Put(buffer)
-	header, body := (*buffer)[:frameHeaderBytes], (*buffer)[frameHeaderBytes:]
+// failure resets both connections, so that no cut looks like an end.
+func (s *Server) copy(dst, src net.Conn) {
+	b := s.buffers.Get().(*[]byte)
+	defer s.buffers.Put(b)
 	for {
-		n, err := src.Read(body)
-		ended := errors.Is(err, io.EOF)
-		out := body[:n]
-		if framed {
-			binary.BigEndian.PutUint16(header, uint16(n))
-			out = (*buffer)[:frameHeaderBytes+n]
-		}
-		if n > 0 || framed && ended {
-			if writeErr := s.write(dst, out); writeErr != nil {
-				err, ended = writeErr, false
+		n, err := src.Read(*b)
+		if n > 0 {
+			if writeErr := s.write(dst, (*b)[:n]); writeErr != nil {
+				err = writeErr
 			}
 		}
 		switch {
 		case err == nil:
 			continue
-		case ended && closeWrite(dst):
+		case errors.Is(err, io.EOF) && closeWrite(dst):
 		default:
 			reset(src)
 			reset(dst)
