Log what a new holder's wait is derived from

LeaseTaken could not tell a holder that knows nothing of the one before from one that knows of a resignation but is no direct successor. It says how long the holder waits, from what, and whether the node is stopping. No decision changes.

--- a/process/duty/duty.go
+++ b/process/duty/duty.go
@@ -49,6 +49,22 @@
 // holder came in between and may have acted.
 const maxSuccessorSteps = 2
 
+//go:generate go tool stringer -type=Basis -output=duty_string.go
+
+// Basis is what a new holder derives its wait from.
+type Basis uint8
+
+// Bases.
+const (
+	// NothingKnown means that this node knows nothing of the acts of earlier holders.
+	NothingKnown Basis = iota
+	// Resigned means that the direct predecessor has told when it last acted.
+	Resigned
+	// ResignedBefore means that an earlier holder has told it, after which the generation has grown too much
+	// for a direct successor.
+	ResignedBefore
+)
+
 // Keeper is one node's view of the duty. mu guards the other fields.
 type Keeper struct {
 	cfg Config
@@ -111,8 +127,7 @@
 // a holder that has resigned, this is derived from that holder's last act, as no other node's acts
 // have to expire.
 func (k *Keeper) startOfWait(now time.Time, generation uint64) time.Time {
-	directSuccessor := !k.formerResignationAt.IsZero() && generation > k.formerResignation.Generation && generation <= k.formerResignation.Generation+maxSuccessorSteps
-	if !directSuccessor {
+	if !k.isDirectSuccessor(generation) {
 		return now
 	}
 	lastAct := k.formerResignationAt.Add(-k.formerResignation.Idle)
@@ -120,6 +135,25 @@
 	return lastAct.Add(-k.cfg.JoinValidity)
 }
 
+func (k *Keeper) isDirectSuccessor(generation uint64) bool {
+	former := k.formerResignation.Generation
+	return !k.formerResignationAt.IsZero() && generation > former && generation <= former+maxSuccessorSteps
+}
+
+// WaitLeft returns how long a holder still has to wait, and what that is derived from.
+func (k *Keeper) WaitLeft(now time.Time) (time.Duration, Basis) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	basis := NothingKnown
+	switch {
+	case k.isDirectSuccessor(k.fencing):
+		basis = Resigned
+	case !k.formerResignationAt.IsZero():
+		basis = ResignedBefore
+	}
+	return max(0, k.cfg.Wait()-now.Sub(k.waitStart)), basis
+}
+
 // RecordResignation stores what a holder has told when it gave the duty back or lost it. If this
 // node is already the direct successor, it waits only from that holder's last act.
 func (k *Keeper) RecordResignation(now time.Time, r Resignation) {
--- a/process/gateway/joiner.go
+++ b/process/gateway/joiner.go
@@ -126,7 +126,8 @@
 	changed := j.keeper.RecordJoin(clock.BoottimeNow(), begun, grant)
 	switch {
 	case changed && grant.Holds:
-		event.Info(j.log, event.LeaseTaken, zap.Uint64("Fencing", grant.Generation))
+		wait, basis := j.keeper.WaitLeft(clock.BoottimeNow())
+		event.Info(j.log, event.LeaseTaken, zap.Uint64("Fencing", grant.Generation), zap.Duration("Wait", wait), zap.Stringer("Basis", basis), zap.Bool("Leaving", j.isLeaving()))
 	case changed:
 		event.Warn(j.log, event.LeaseLost, zap.Uint64("Generation", grant.Generation))
 	}
