Do not take the duty after a node was told to stop

Callers saw: upstreams keep old weights for longer during restarts. Cause: the call that gives the duty back and the one that takes it came from different goroutines, and whether the node is stopping was checked before the question only. Now one goroutine makes all calls to the group, checks after the question, waits for a join under way and then leaves the group, as its last call.

--- a/process/gateway/joiner.go
+++ b/process/gateway/joiner.go
@@ -35,6 +35,8 @@
 // joiner takes the duty when nobody holds it, and keeps it. Only the holder is in the platform's
 // group. With others in it, the platform would reassign the duty each time one of them joins or
 // leaves, and each new holder has to wait until the orders of the previous one have expired.
+//
+// All calls to the group come from one goroutine, so that none follows the one that leaves it.
 type joiner struct {
 	group   Group
 	keeper  *duty.Keeper
@@ -43,46 +45,64 @@
 	metrics *metric.Metrics
 	log     *zap.Logger
 
-	mu      sync.Mutex // guards all below
-	leaving bool       // this node must not take the duty any more
+	mu       sync.Mutex // guards all below
+	retireAt time.Time  // when this node was told to stop, by the boot clock; zero: never
 
-	cancel context.CancelFunc
-	work   sync.WaitGroup
+	retired chan struct{} // closed by leave
+	cancel  context.CancelFunc
+	work    sync.WaitGroup
 }
 
 func (g *Gateway) newJoiner(i do.Injector, p Platform) *joiner {
-	ctx, cancel := context.WithCancel(context.Background())
-	j := &joiner{
+	j := startJoiner(&joiner{
 		group: p.Group, keeper: do.MustInvoke[*duty.Keeper](i), peers: do.MustInvoke[*peers](i),
 		paths:   enginePaths{view: do.MustInvoke[*view](i), monitor: do.MustInvoke[*path.Monitor](i)},
-		metrics: do.MustInvoke[*metric.Metrics](i), log: g.log, cancel: cancel,
-	}
-	j.work.Go(func() { j.run(ctx) })
+		metrics: do.MustInvoke[*metric.Metrics](i), log: g.log,
+	})
 	g.onClose("duty", j.close)
 	return j
 }
 
+// startJoiner starts j, whose parts are set.
+func startJoiner(j *joiner) *joiner {
+	ctx, cancel := context.WithCancel(context.Background())
+	j.cancel, j.retired = cancel, make(chan struct{})
+	j.work.Go(func() {
+		j.run(ctx)
+		j.giveBack()
+	})
+	return j
+}
+
+// run takes part until ctx ends or this node retires.
 func (j *joiner) run(ctx context.Context) {
-	for !j.isLeaving() {
+	for ctx.Err() == nil && !j.isRetired() {
 		pause := dutyCheckPause
 		j.metrics.SetDutyHeld(j.keeper.Holds(clock.BoottimeNow()))
 		switch {
 		case j.keeper.Holds(clock.BoottimeNow()) && j.paths.onlyOthersReach(ctx, time.Now()):
 			j.giveBack()
 		case j.keeper.Holds(clock.BoottimeNow()):
-			j.join(ctx)
+			j.join()
 			pause = joinPause
 		case j.keeper.Lapsed(clock.BoottimeNow()):
 			j.resign()
 		case j.takeoverDue():
-			if j.dutyFree(ctx) {
-				j.join(ctx)
+			if j.dutyFree(ctx) && !j.isRetired() {
+				j.join()
 			}
 			pause = groupQueryPause
 		}
-		if !clock.Sleep(ctx, pause) {
-			return
-		}
+		j.sleep(ctx, pause)
+	}
+}
+
+// sleep waits for d, or until this node retires.
+func (j *joiner) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-j.retired:
+	case <-time.After(d):
 	}
 }
 
@@ -93,12 +113,16 @@
 	return j.peers.sinceHolderSign(clock.BoottimeNow()) > holderSilence+wait && !j.paths.lost()
 }
 
+// isLeaving reports whether this node was told to stop.
 func (j *joiner) isLeaving() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.leaving
+	return !j.retireAt.IsZero()
 }
 
+// isRetired reports whether this node no longer takes or keeps the duty.
+func (j *joiner) isRetired() bool { return j.isLeaving() }
+
 // dutyFree asks the platform whether nobody holds the duty. A duty that is held without any sign of
 // its holder will lapse soon, so the next check comes after groupQueryPause.
 func (j *joiner) dutyFree(ctx context.Context) bool {
@@ -113,12 +137,14 @@
 }
 
 // join asks for the duty once, or renews it. Without an answer the duty expires by itself. join
-// does not wait for an answer for longer than the answer would be valid.
-func (j *joiner) join(ctx context.Context) {
-	joinCtx, cancel := context.WithTimeout(ctx, joinValid)
+// does not wait for an answer for longer than the answer would be valid. It isn't abandoned when the
+// node is closed: a join that arrives after the call that leaves the group would add a member that
+// keeps the duty from others.
+func (j *joiner) join() {
+	ctx, cancel := context.WithTimeout(context.Background(), joinValid)
 	defer cancel()
 	begun := clock.BoottimeNow()
-	grant, err := j.group.Join(joinCtx, j.keeper.Generation())
+	grant, err := j.group.Join(ctx, j.keeper.Generation())
 	if err != nil {
 		event.Info(j.log, event.LeaseNotConfirmed, zap.Uint64("Generation", j.keeper.Generation()), zap.Error(err))
 		return
@@ -150,11 +176,13 @@
 }
 
 // leave gives the duty back, so that another node can take it at once.
-func (j *joiner) leave() {
+func (j *joiner) leave(now time.Time) {
 	j.mu.Lock()
-	j.leaving = true
-	j.mu.Unlock()
-	j.work.Go(j.giveBack)
+	defer j.mu.Unlock()
+	if j.retireAt.IsZero() {
+		j.retireAt = now
+		close(j.retired)
+	}
 }
 
 // giveBack gives the duty back if this node holds it.
@@ -182,7 +210,6 @@
 }
 
 func (j *joiner) close() {
-	j.leave()
 	j.cancel()
 	j.work.Wait()
 }
