Keep the duty on a stopping node until its requests have to end

Cause: a node gave the duty back as soon as it was told to stop, though it runs for up to 7 s more, and no stopping node took a free one. With all nodes stopping at once nobody held the duty for 2.2 to 5.3 s, and then the node that had started last did, which is the next to be stopped in such rounds. Now a stopping node keeps and renews the duty until 1 s before its requests have to end, and takes a free one after the nodes that go on. TestStoppingNodeKeepsDutyUntilItsRequestsEnd and TestStoppingNodeTakesFreeDuty fail on the code before.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -251,7 +251,7 @@
 	if !g.stop.Begin(now, sch) {
 		return
 	}
-	do.MustInvoke[*joiner](g.injector).leave(clock.BoottimeNow())
+	do.MustInvoke[*joiner](g.injector).leave(clock.BoottimeNow(), sch)
 	do.MustInvoke[*relay.Server](g.injector).Leave()
 	do.MustInvoke[*peers](g.injector).leave()
 }
--- a/process/gateway/joiner.go
+++ b/process/gateway/joiner.go
@@ -10,6 +10,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream/path"
 	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/drain"
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/process/metric"
@@ -30,12 +31,19 @@
 	// groupQueryPause is the pause after a query to the platform, successful or not. The platform
 	// charges for each call.
 	groupQueryPause = 800 * time.Millisecond
+	// retireReserve is how long before the end of its requests a stopping node gives the duty back. An
+	// unanswered call to the platform and the news to the other nodes have to fit in.
+	retireReserve = time.Second
+	// maxRetireReserveFraction limits retireReserve where little time is granted for the stop.
+	maxRetireReserveFraction = 0.5
 )
 
 // joiner takes the duty when nobody holds it, and keeps it. Only the holder is in the platform's
 // group. With others in it, the platform would reassign the duty each time one of them joins or
 // leaves, and each new holder has to wait until the orders of the previous one have expired.
 //
+// A node that is told to stop keeps the duty until shortly before its end, and takes it if only
+// stopping nodes are left: when all nodes are restarted, nobody else could give orders for seconds.
 // All calls to the group come from one goroutine, so that none follows the one that leaves it.
 type joiner struct {
 	group   Group
@@ -46,11 +54,10 @@
 	log     *zap.Logger
 
 	mu       sync.Mutex // guards all below
-	retireAt time.Time  // when this node was told to stop, by the boot clock; zero: never
+	retireAt time.Time  // when this node gives the duty back for good, by the boot clock; zero: it is not stopping
 
-	retired chan struct{} // closed by leave
-	cancel  context.CancelFunc
-	work    sync.WaitGroup
+	cancel context.CancelFunc
+	work   sync.WaitGroup
 }
 
 func (g *Gateway) newJoiner(i do.Injector, p Platform) *joiner {
@@ -66,7 +73,7 @@
 // startJoiner starts j, whose parts are set.
 func startJoiner(j *joiner) *joiner {
 	ctx, cancel := context.WithCancel(context.Background())
-	j.cancel, j.retired = cancel, make(chan struct{})
+	j.cancel = cancel
 	j.work.Go(func() {
 		j.run(ctx)
 		j.giveBack()
@@ -97,19 +104,18 @@
 	}
 }
 
-// sleep waits for d, or until this node retires.
+// sleep waits for d, but not past the time at which this node retires.
 func (j *joiner) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-j.retired:
-	case <-time.After(d):
+	if j.isLeaving() {
+		d = min(d, j.untilRetired())
 	}
+	clock.Sleep(ctx, d)
 }
 
 // takeoverDue reports whether it is this node's turn to check who holds the duty. A node that reaches
 // no engine could give no orders.
 func (j *joiner) takeoverDue() bool {
-	wait := time.Duration(min(maxStaggeredRanks, j.peers.rank(time.Now()))) * takeoverStagger
+	wait := time.Duration(min(maxStaggeredRanks, j.peers.rank())) * takeoverStagger
 	return j.peers.sinceHolderSign(clock.BoottimeNow()) > holderSilence+wait && !j.paths.lost()
 }
 
@@ -121,7 +127,13 @@
 }
 
 // isRetired reports whether this node no longer takes or keeps the duty.
-func (j *joiner) isRetired() bool { return j.isLeaving() }
+func (j *joiner) isRetired() bool { return j.isLeaving() && j.untilRetired() <= 0 }
+
+func (j *joiner) untilRetired() time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.retireAt.Sub(clock.BoottimeNow())
+}
 
 // dutyFree asks the platform whether nobody holds the duty. A duty that is held without any sign of
 // its holder will lapse soon, so the next check comes after groupQueryPause.
@@ -175,13 +187,13 @@
 	}
 }
 
-// leave gives the duty back, so that another node can take it at once.
-func (j *joiner) leave(now time.Time) {
+// leave is called when this node begins to stop. It keeps the duty until the requests have to end.
+func (j *joiner) leave(now time.Time, sch drain.Schedule) {
+	reserve := min(retireReserve, time.Duration(maxRetireReserveFraction*float64(sch.Finish)))
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.retireAt.IsZero() {
-		j.retireAt = now
-		close(j.retired)
+		j.retireAt = now.Add(sch.Finish - reserve)
 	}
 }
 
--- a/process/gateway/joiner_test.go
+++ b/process/gateway/joiner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/process/clock"
+	"github.com/dunlinmill/dunlinmill/process/drain"
 	"github.com/dunlinmill/dunlinmill/process/duty"
 	"github.com/dunlinmill/dunlinmill/process/member"
 	"github.com/dunlinmill/dunlinmill/process/metric"
@@ -74,6 +75,46 @@
 	return j
 }
 
+// eventually waits until holds returns true.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
+// Guards against orders that wait until another node has started, because the holder of the duty gave it
+// back as it was told to stop, though all other nodes were stopping too.
+func TestStoppingNodeKeepsDutyUntilItsRequestsEnd(t *testing.T) {
+	g := &fakeGroup{}
+	j := newTestJoiner(t, g)
+	eventually(t, "the node holds the duty", func() bool { return j.keeper.Holds(clock.BoottimeNow()) })
+	begun := clock.BoottimeNow()
+	j.leave(begun, drain.Schedule{Finish: 3 * time.Second})
+	_, _ = g.take()
+	eventually(t, "the duty is given back", func() bool { _, isMember := g.take(); return !isMember })
+	if kept := clock.BoottimeNow().Sub(begun); kept < time.Second {
+		t.Errorf("given back after %v, while requests had 3 s to end", kept)
+	}
+	time.Sleep(2 * joinPause)
+	if calls, _ := g.take(); len(calls) > 0 {
+		t.Errorf("calls after the duty was given back: %q", calls)
+	}
+}
+
+// Guards against upstreams that keep old weights because only stopping nodes are left and none of them takes
+// the duty that another one has lost.
+func TestStoppingNodeTakesFreeDuty(t *testing.T) {
+	g := &fakeGroup{isMember: true}
+	j := newTestJoiner(t, g)
+	j.leave(clock.BoottimeNow(), drain.Schedule{Finish: time.Minute})
+	g.record("leave", false) // the one that held the duty
+	j.peers.noteHolderSign(clock.BoottimeNow().Add(-time.Hour))
+	eventually(t, "the node holds the duty", func() bool { return j.keeper.Holds(clock.BoottimeNow()) })
+}
+
 // Guards against a duty that nobody renews: a node that is told to stop, while it asks whether the duty is
 // free, takes it after its end.
 func TestNodeDoesNotTakeDutyAfterItsEnd(t *testing.T) {
@@ -85,7 +126,7 @@
 	g.lookedAt = func() {
 		<-started
 		once.Do(func() {
-			j.leave(clock.BoottimeNow())
+			j.leave(clock.BoottimeNow(), drain.Schedule{})
 			close(looked)
 		})
 	}
@@ -98,3 +139,22 @@
 		t.Errorf("member %t after %q", isMember, calls)
 	}
 }
+
+// Guards against several stopping nodes that ask for the duty at the same moment, and against one that takes it
+// while a node that goes on could.
+func TestOrderOfNodesThatTakeTheDuty(t *testing.T) {
+	node := func(name string, incarnation int64, s member.State) member.Member {
+		return member.Member{Name: name, Incarnation: incarnation, State: s}
+	}
+	order := []member.Member{
+		node("d", 9, member.Alive), node("c", 5, member.Suspect), node("a", 3, member.Alive), node("b", 3, member.Alive),
+		node("f", 8, member.Leaving), node("e", 4, member.Leaving),
+	}
+	for i, a := range order {
+		for k, b := range order {
+			if got := takesDutyBefore(a, b); got != (i < k) {
+				t.Errorf("%s before %s: %t", a.Name, b.Name, got)
+			}
+		}
+	}
+}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -376,6 +376,21 @@
 	return lo.Reject(p.members.Live(now), func(m member.Member, _ int) bool { return m.Name == self })
 }
 
+// self returns this node as the others see it.
+func (p *peers) self() member.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members == nil {
+		return member.Member{}
+	}
+	return p.members.Self()
+}
+
+// running returns the other nodes that have not ended: the live ones and those that are stopping.
+func (p *peers) running() []member.Member {
+	return lo.Reject(p.known(), func(m member.Member, _ int) bool { return m.State == member.Dead })
+}
+
 // hasJoined reports whether this node knows the others.
 func (p *peers) hasJoined() bool {
 	p.mu.Lock()
@@ -420,21 +435,29 @@
 }
 
 // rank returns this node's position among the nodes that may take the duty. In a small fleet it is the
-// one among the live nodes that are not leaving, latest start first: during rolling restarts, the node
-// that started last is the last to be stopped again. In a large one it is the one for roles in its data
-// centre, so that a few large VMs come first, also while the nodes don't know each other yet.
-func (p *peers) rank(now time.Time) int {
-	if boot := clock.BoottimeNow(); p.roles.isLarge(boot) {
+// one among the nodes that have not ended, latest start first: during rolling restarts, the node that
+// started last is the last to be stopped again. Those that are stopping come last. In a large fleet it
+// is the one for roles in its data centre, so that a few large VMs come first, also while the nodes don't
+// know each other yet.
+func (p *peers) rank() int {
+	boot, self := clock.BoottimeNow(), p.self()
+	switch {
+	case p.roles.isLarge(boot) && self.State == member.Leaving:
+		return maxStaggeredRanks
+	case p.roles.isLarge(boot):
 		return p.roles.position(boot)
 	}
-	others := p.live(now)
-	if len(others) == 0 {
-		return 0
+	others := p.running()
+	return lo.CountBy(others, func(m member.Member) bool { return takesDutyBefore(m, self) })
+}
+
+// takesDutyBefore reports whether a comes before b among the nodes that may take the duty.
+func takesDutyBefore(a, b member.Member) bool {
+	aLeaving, bLeaving := a.State == member.Leaving, b.State == member.Leaving
+	if aLeaving != bLeaving {
+		return bLeaving
 	}
-	self := p.members.Self()
-	return lo.CountBy(others, func(m member.Member) bool {
-		return m.Incarnation > self.Incarnation || m.Incarnation == self.Incarnation && m.Name < self.Name
-	})
+	return a.Incarnation > b.Incarnation || a.Incarnation == b.Incarnation && a.Name < b.Name
 }
 
 // call calls a method of one node with peerCallTimeout.
