Let nodes that start learn from stopping ones

Callers saw: during overlapping rounds of stops upstreams keep old weights for longer. A node that starts asks the live nodes what happened before; while all others are stopping it asks nobody, so that it doesn't know since when the weights are named. Now it asks all nodes that have not ended. TestStartingNodeLearnsFromStoppingOnes fails before (not within 30 s).

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -222,10 +222,11 @@
 // the peers have survived, and each knows only what it saw.
 const catchUpPeers = 8
 
-// catchUp asks peers for what happened before this node started.
+// catchUp asks peers for what happened before this node started, stopping ones as well: nobody else may
+// know it when all nodes are restarted.
 func (p *peers) catchUp(ctx context.Context) {
 	for range catchUpTries {
-		others := p.live(time.Now())
+		others := p.running()
 		mutable.Shuffle(others)
 		caughtUp := false
 		for _, m := range others[:min(len(others), catchUpPeers)] {
