Do not hold upstreams back after the start of a new holder

A roll-out brings half of the upstreams to new weights at once and the others 5 s after the version was named. Weights that were named at an unknown time are not held back now. TestWeightsNamedAtUnknownTimeAreNotHeldBack fails with the former comparison.

--- a/process/gateway/weights.go
+++ b/process/gateway/weights.go
@@ -70,14 +70,14 @@
 // Newest returns the newest version that was named.
 func (f *fleet) Newest(model string) uint64 { return f.book.Weights()[model] }
 
-// NewestAge returns how long ago the newest version was named, as far as this node knows.
-func (f *fleet) NewestAge(model string) time.Duration {
+// NamedWithin reports whether this node knows that the newest version was named less than d ago.
+func (f *fleet) NamedWithin(model string, d time.Duration) bool {
 	newest := f.Newest(model)
 	if newest == 0 {
-		return 0
+		return false
 	}
-	age, _ := f.book.OutdatedFor(clock.BoottimeNow(), model, newest-1)
-	return age
+	age, known := f.book.OutdatedFor(clock.BoottimeNow(), model, newest-1)
+	return known && age < d
 }
 
 // Client returns an engine's client.
--- a/process/gateway/weights_test.go
+++ b/process/gateway/weights_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/process/clock"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
@@ -85,3 +86,26 @@
 		t.Errorf("%v excluded beside a busy engine", got)
 	}
 }
+
+// Guards against a holder of the duty that holds half of the upstreams back for seconds after its start,
+// because it takes weights that were named at an unknown time before for ones that were just named.
+func TestWeightsNamedAtUnknownTimeAreNotHeldBack(t *testing.T) {
+	const settle = 5 * time.Second
+	cases := []struct {
+		name         string
+		age          time.Duration
+		sinceUnknown bool
+		want         bool
+	}{
+		{"named while the node follows", time.Second, false, true},
+		{"named long ago", settle, false, false},
+		{"named before the node started", time.Second, true, false},
+	}
+	for _, c := range cases {
+		f := &fleet{book: accepted.NewTracker()}
+		f.book.RecordVersion(clock.BoottimeNow().Add(-c.age), "m", 2, c.sinceUnknown)
+		if got := f.NamedWithin("m", settle); got != c.want {
+			t.Errorf("%s: %t", c.name, got)
+		}
+	}
+}
--- a/version/rollout/rollout.go
+++ b/version/rollout/rollout.go
@@ -40,8 +40,9 @@
 	Engines() []Engine
 	// Newest returns the newest named version of a model's weights; 0: none.
 	Newest(model string) uint64
-	// NewestAge returns how long ago the newest version was named.
-	NewestAge(model string) time.Duration
+	// NamedWithin reports whether the newest version is known to have been named less than d ago. If the
+	// time is not known, it may have been named long ago.
+	NamedWithin(model string, d time.Duration) bool
 	// Client returns an engine's client; false if the engine has left.
 	Client(name string) (upstream.Engine, bool)
 	// RecordHeld records that an engine holds a version.
@@ -105,12 +106,12 @@
 // stays small, and among these the ones with the fewest requests, which finish the
 // soonest. An engine with many requests delays its load, and with it the next
 // engine's turn, by up to three seconds.
-func NextEngines(cfg Config, engines []Engine, newest func(model string) uint64, age func(model string) time.Duration, changing []string) []Engine {
+func NextEngines(cfg Config, engines []Engine, newest func(model string) uint64, namedWithin func(model string, d time.Duration) bool, changing []string) []Engine {
 	free := max(cfg.MinConcurrent, int(cfg.ConcurrentPart*float64(len(engines)))) - len(changing)
 	outdated := lo.Filter(engines, func(e Engine, _ int) bool {
 		return e.Held < newest(e.Model) && !slices.Contains(changing, e.Name)
 	})
-	if currentOrChanging := len(engines) - len(outdated); lo.EveryBy(outdated, func(e Engine) bool { return age(e.Model) < cfg.Settle }) {
+	if currentOrChanging := len(engines) - len(outdated); lo.EveryBy(outdated, func(e Engine) bool { return namedWithin(e.Model, cfg.Settle) }) {
 		free = min(free, int(math.Ceil(cfg.EarlyPart*float64(len(engines))))-currentOrChanging)
 	}
 	slices.SortFunc(outdated, func(a, b Engine) int {
@@ -169,7 +170,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, e := range NextEngines(r.cfg, r.withoutResting(r.fleet.Engines()), r.fleet.Newest, r.fleet.NewestAge, lo.Keys(r.changing)) {
+	for _, e := range NextEngines(r.cfg, r.withoutResting(r.fleet.Engines()), r.fleet.Newest, r.fleet.NamedWithin, lo.Keys(r.changing)) {
 		r.changing[e.Name] = true
 		r.work.Go(func() {
 			err := r.changeWeights(ctx, e)
--- a/version/rollout/rollout_test.go
+++ b/version/rollout/rollout_test.go
@@ -61,7 +61,7 @@
 }
 
 func (f *fleet) Engines() []Engine                            { return []Engine{{Name: "a", Model: "m", Held: f.held}} }
-func (f *fleet) NewestAge(string) time.Duration               { return 0 }
+func (f *fleet) NamedWithin(_ string, d time.Duration) bool   { return d > 0 }
 func (f *fleet) Newest(string) uint64                         { return f.newest }
 func (f *fleet) Client(string) (upstream.Engine, bool)        { return f.e, f.e != nil }
 func (f *fleet) RecordHeld(_, _ string, v uint64)             { f.held = v }
@@ -90,7 +90,7 @@
 		{[]string{"f", "b"}, ""},
 	}
 	for _, c := range cases {
-		got := NextEngines(Config{ConcurrentPart: 0.34, MinConcurrent: 1, EarlyPart: 1}, engines, newest, age(time.Second), c.changing)
+		got := NextEngines(Config{ConcurrentPart: 0.34, MinConcurrent: 1, EarlyPart: 1}, engines, newest, namedAgo(time.Second), c.changing)
 		if names := lo.Reduce(got, func(s string, e Engine, _ int) string { return s + e.Name }, ""); names != c.want {
 			t.Errorf("changing %v: %q, want %q", c.changing, names, c.want)
 		}
@@ -107,14 +107,14 @@
 		{Name: "e", Model: "m", Held: 1, InFlight: 30},
 	}
 	newest := func(string) uint64 { return 3 }
-	got := NextEngines(Config{ConcurrentPart: 0.6, MinConcurrent: 1, EarlyPart: 1}, engines, newest, age(time.Second), nil)
+	got := NextEngines(Config{ConcurrentPart: 0.6, MinConcurrent: 1, EarlyPart: 1}, engines, newest, namedAgo(time.Second), nil)
 	if names := lo.Reduce(got, func(s string, e Engine, _ int) string { return s + e.Name }, ""); names != "edb" {
 		t.Errorf("%q", names)
 	}
 }
 
-func age(d time.Duration) func(string) time.Duration {
-	return func(string) time.Duration { return d }
+func namedAgo(ago time.Duration) func(string, time.Duration) bool {
+	return func(_ string, d time.Duration) bool { return ago < d }
 }
 
 // Guards against needless loads, each of which empties a cache, when versions are
@@ -138,7 +138,7 @@
 		{"settled", 5 * time.Second, []string{"b", "c"}, 2},
 	}
 	for _, c := range cases {
-		if got := NextEngines(cfg, engines, newest, age(c.age), c.changing); len(got) != c.want {
+		if got := NextEngines(cfg, engines, newest, namedAgo(c.age), c.changing); len(got) != c.want {
 			t.Errorf("%s: %+v", c.name, got)
 		}
 	}
