Count a new holder's wait from the last order, whoever held the duty since

Cause: a holder waited 3.9 s for orders of the one before, unless that one had told it in person when it last acted. The word went once, to nodes that were not stopping, and counted for a direct successor by the generation alone. Change: before its first order a holder appends a tenure to a topic of the platform, only if the topic still ends where it was read, and the end of it later, with how long nobody has acted. The next one waits from that. What is known of the last act under a tenure goes with the signs of the holder, at a resignation and to nodes that start, and counts for whoever finds that tenure to be the newest. Generations say nothing about who acted any more; a new one takes a new tenure, as another node may have held the duty unnoticed. A tenure that is not used for 3.3 s ends, so a kill later than that costs no wait.

--- a/process/event/version.go
+++ b/process/event/version.go
@@ -76,4 +76,12 @@
 	PlatformReturned
 	// ConfigMadeGood: the platform lists a configuration again that is as new as the one in force, After its return.
 	ConfigMadeGood
+	// TenureRead: this node holds the duty and has read who acted last; it may act after Wait, which is derived from Basis.
+	TenureRead
+	// TenureBegun: this node has recorded on the platform that it may act.
+	TenureBegun
+	// TenureEnded: this node has recorded on the platform that nobody has acted for Idle, so that its successor waits that much less.
+	TenureEnded
+	// TenureCallFailed: the record of who may act could not be read or written; this is retried. To do: if it continues, check the platform; upstreams get no orders meanwhile.
+	TenureCallFailed
 )
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -104,6 +104,15 @@
 	Leave(ctx context.Context) error
 }
 
+// Tenures is where the holders of the duty record when they may act, see package duty.
+type Tenures interface {
+	// Newest returns the newest record.
+	Newest(ctx context.Context) (duty.Entry, error)
+	// Append adds a record if the records end at a position. After an error it may be added all the same, as
+	// long as they end there.
+	Append(ctx context.Context, at keyed.Position, t duty.Tenure) error
+}
+
 // Directory is where nodes find each other.
 type Directory interface {
 	// Enter registers the address at which other nodes reach this one. The nodes that have entered before
@@ -125,6 +134,7 @@
 	Register      keyed.Topic
 	Decoder       Decoder
 	Group         Group
+	Tenures       Tenures
 	Directory     Directory
 	Quarantine    QuarantineRecords
 	Releases      ReleaseRecords
--- a/process/gateway/joiner.go
+++ b/process/gateway/joiner.go
@@ -34,6 +34,8 @@
 	// retireReserve is how long before the end of its requests a stopping node gives the duty back. An
 	// unanswered call to the platform and the news to the other nodes have to fit in.
 	retireReserve = time.Second
+	// minTenure is the least time for which a stopping node takes the duty.
+	minTenure = time.Second
 	// maxRetireReserveFraction limits retireReserve where little time is granted for the stop.
 	maxRetireReserveFraction = 0.5
 )
@@ -45,14 +47,20 @@
 // A node that is told to stop keeps the duty until shortly before its end, and takes it if only
 // stopping nodes are left: when all nodes are restarted, nobody else could give orders for seconds.
 // All calls to the group come from one goroutine, so that none follows the one that leaves it.
+//
+// A second goroutine records the holder's tenure, as its calls must not delay the next join.
+// Lock order: recording, mu.
 type joiner struct {
 	group   Group
+	tenures Tenures
 	keeper  *duty.Keeper
 	peers   *peers
 	paths   enginePaths
 	metrics *metric.Metrics
 	log     *zap.Logger
 
+	recording sync.Mutex // held during a call to tenures and until its outcome is known to keeper
+
 	mu       sync.Mutex // guards all below
 	retireAt time.Time  // when this node gives the duty back for good, by the boot clock; zero: it is not stopping
 
@@ -62,7 +70,7 @@
 
 func (g *Gateway) newJoiner(i do.Injector, p Platform) *joiner {
 	j := startJoiner(&joiner{
-		group: p.Group, keeper: do.MustInvoke[*duty.Keeper](i), peers: do.MustInvoke[*peers](i),
+		group: p.Group, tenures: p.Tenures, keeper: do.MustInvoke[*duty.Keeper](i), peers: do.MustInvoke[*peers](i),
 		paths:   enginePaths{view: do.MustInvoke[*view](i), monitor: do.MustInvoke[*path.Monitor](i)},
 		metrics: do.MustInvoke[*metric.Metrics](i), log: g.log,
 	})
@@ -78,6 +86,7 @@
 		j.run(ctx)
 		j.giveBack()
 	})
+	j.work.Go(func() { j.recordTenures(ctx) })
 	return j
 }
 
@@ -113,8 +122,11 @@
 }
 
 // takeoverDue reports whether it is this node's turn to check who holds the duty. A node that reaches
-// no engine could give no orders.
+// no engine could give no orders, and neither could one whose end is near.
 func (j *joiner) takeoverDue() bool {
+	if j.isLeaving() && j.untilRetired() < minTenure {
+		return false
+	}
 	wait := time.Duration(min(maxStaggeredRanks, j.peers.rank())) * takeoverStagger
 	return j.peers.sinceHolderSign(clock.BoottimeNow()) > holderSilence+wait && !j.paths.lost()
 }
@@ -164,10 +176,9 @@
 	changed := j.keeper.RecordJoin(clock.BoottimeNow(), begun, grant)
 	switch {
 	case changed && grant.Holds:
-		wait, basis := j.keeper.WaitLeft(clock.BoottimeNow())
-		event.Info(j.log, event.LeaseTaken, zap.Uint64("Fencing", grant.Generation), zap.Duration("Wait", wait), zap.Stringer("Basis", basis), zap.Bool("Leaving", j.isLeaving()))
+		event.Info(j.log, event.LeaseTaken, zap.Uint64("Fencing", grant.Generation), zap.Bool("Leaving", j.isLeaving()))
 	case changed:
-		event.Warn(j.log, event.LeaseLost, zap.Uint64("Generation", grant.Generation))
+		j.resign()
 	}
 	if grant.Holds {
 		j.work.Go(j.peers.spreadHolder)
@@ -199,26 +210,38 @@
 
 // giveBack gives the duty back if this node holds it.
 func (j *joiner) giveBack() {
-	if r, wasHolder := j.keeper.Resign(clock.BoottimeNow()); wasHolder {
-		event.Info(j.log, event.LeaseGivenBack, zap.Uint64("Generation", r.Generation), zap.Duration("Idle", r.Idle))
-		j.leaveGroup()
-		j.peers.spreadResignation(r)
+	j.recording.Lock()
+	defer j.recording.Unlock()
+	h, wasHolder := j.keeper.Resign(clock.BoottimeNow())
+	if !wasHolder {
+		return
 	}
+	event.Info(j.log, event.LeaseGivenBack, zap.Uint64("Generation", h.Generation), zap.Duration("Idle", h.Idle))
+	j.recordEnd(h)
+	j.leaveGroup()
+	j.peers.spreadResignation(h.Resignation)
 }
 
-// resign tells the other nodes that this node, which the platform does not answer, no longer acts,
-// and when it last did. A successor that doesn't know has to wait for acts that nobody makes. In
-// one such case engines kept old weights for 8 s, until the one engine with new weights got all the
-// requests.
+// resign tells the other nodes and the platform that this node has lost the duty and no longer acts, and
+// when it last did. A successor that doesn't know has to wait for acts that nobody makes. The other nodes
+// come first, as the platform may not answer this node.
 func (j *joiner) resign() {
-	now := clock.BoottimeNow()
-	r, wasHolder := j.keeper.Resign(now)
+	j.recording.Lock()
+	defer j.recording.Unlock()
+	h, wasHolder := j.keeper.Resign(clock.BoottimeNow())
 	if !wasHolder {
 		return
 	}
-	event.Warn(j.log, event.LeaseLost, zap.Uint64("Generation", r.Generation), zap.Duration("Idle", r.Idle))
-	j.keeper.RecordResignation(now, r) // this node may be its own successor
-	j.peers.spreadResignation(r)
+	event.Warn(j.log, event.LeaseLost, zap.Uint64("Generation", h.Generation), zap.Duration("Idle", h.Idle))
+	j.peers.spreadResignation(h.Resignation)
+	j.recordEnd(h)
+}
+
+// recordEnd records what a holder leaves to the next one.
+func (j *joiner) recordEnd(h duty.Handover) {
+	if h.Record != nil {
+		j.appendEnd(*h.Record, h.At)
+	}
 }
 
 func (j *joiner) close() {
--- a/process/gateway/joiner_test.go
+++ b/process/gateway/joiner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/process/roster"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
+	"github.com/dunlinmill/dunlinmill/version/keyed"
 )
 
 // fakeGroup is a group of this node alone, which records its calls.
@@ -60,15 +62,37 @@
 	return calls, g.isMember
 }
 
+// fakeTenures keeps the records of tenures.
+type fakeTenures struct {
+	mu     sync.Mutex
+	newest duty.Entry
+}
+
+func (f *fakeTenures) Newest(context.Context) (duty.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest, nil
+}
+
+func (f *fakeTenures) Append(_ context.Context, at keyed.Position, t duty.Tenure) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at != f.newest.End {
+		return errors.New("the records end elsewhere")
+	}
+	f.newest = duty.Entry{Tenure: &t, Position: at, End: at + 1}
+	return nil
+}
+
 // newTestJoiner starts the joiner of a node that knows no others and takes the duty at once.
 func newTestJoiner(t *testing.T, g *fakeGroup) *joiner {
 	r := roster.New()
-	keeper := duty.NewKeeper(duty.Config{JoinValidity: joinValid, MemberTimeout: joinLife, Lease: 3 * time.Second, ActTransit: maxActTransit})
+	keeper := duty.NewKeeper(duty.Config{JoinValidity: joinValid, MemberTimeout: joinLife, Lease: 3 * time.Second, ActTransit: maxActTransit}, "a")
 	ps := &peers{roster: r, keeper: keeper, lastHolderSign: clock.BoottimeNow().Add(-time.Hour), log: zap.NewNop()}
 	ps.roles = newRoles(platform.VM{Name: "a"}, func() []member.Member { return nil })
 	ps.roles.largeFrom = largeFleetMinNodes
 	j := startJoiner(&joiner{
-		group: g, keeper: keeper, peers: ps, paths: enginePaths{view: newView(accepted.NewTracker(), r)},
+		group: g, tenures: &fakeTenures{}, keeper: keeper, peers: ps, paths: enginePaths{view: newView(accepted.NewTracker(), r)},
 		metrics: metric.New(), log: zap.NewNop(),
 	})
 	t.Cleanup(j.close)
--- a/process/gateway/news.go
+++ b/process/gateway/news.go
@@ -115,12 +115,14 @@
 type Known struct {
 	Namings    []accepted.VersionAge
 	Quarantine []quarantine.Update
+	LastAct    *duty.LastAct // of the duty's holders; nil: not known
 }
 
 // Known returns what this node knows.
 func (h *enginesHandler) Known(_ Heard, k *Known) error {
 	k.Namings = h.peers.book.VersionAges(clock.BoottimeNow())
 	k.Quarantine = h.peers.endings.quarantine.KnownUpdates(time.Now())
+	k.LastAct = h.peers.lastAct()
 	return nil
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -246,6 +246,9 @@
 		return false
 	}
 	p.endings.quarantine.Merge(time.Now(), k.Quarantine)
+	if k.LastAct != nil {
+		p.keeper.RecordLastAct(clock.BoottimeNow(), *k.LastAct)
+	}
 	if len(k.Namings) == 0 {
 		return false
 	}
@@ -421,6 +424,15 @@
 	return append(others, p.members.UntriedNodes()...)
 }
 
+// lastAct returns what this node knows of the last act of a holder of the duty; nil if nothing.
+func (p *peers) lastAct() *duty.LastAct {
+	a, known := p.keeper.KnownLastAct(clock.BoottimeNow())
+	if !known {
+		return nil
+	}
+	return &a
+}
+
 // noteHolderSign records a sign that a node holds the duty.
 func (p *peers) noteHolderSign(boot time.Time) {
 	p.mu.Lock()
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -19,7 +19,7 @@
 )
 
 func newTestHandler() *enginesHandler {
-	return &enginesHandler{peers: &peers{roster: roster.New(), keeper: duty.NewKeeper(duty.Config{MemberTimeout: joinLife}), lastHolderSign: clock.BoottimeNow().Add(-time.Hour)}}
+	return &enginesHandler{peers: &peers{roster: roster.New(), keeper: duty.NewKeeper(duty.Config{MemberTimeout: joinLife}, "a"), lastHolderSign: clock.BoottimeNow().Add(-time.Hour)}}
 }
 
 // The holder is cut off from the platform while an engine loads weights, and reports the end of the
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"hash/fnv"
+	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -81,7 +83,7 @@
 	do.Provide(i, func(do.Injector) (*accepted.Tracker, error) { return accepted.NewTracker(), nil })
 	do.Provide(i, func(do.Injector) (*roster.Roster, error) { return roster.New(), nil })
 	do.Provide(i, func(do.Injector) (*duty.Keeper, error) {
-		return duty.NewKeeper(duty.Config{JoinValidity: joinValid, MemberTimeout: joinLife, Lease: g.settings.Bounds.Lease, ActTransit: maxActTransit}), nil
+		return duty.NewKeeper(duty.Config{JoinValidity: joinValid, MemberTimeout: joinLife, Lease: g.settings.Bounds.Lease, ActTransit: maxActTransit}, g.processName()), nil
 	})
 	do.Provide(i, g.newView)
 	do.Provide(i, func(i do.Injector) (*catalogue.Current, error) {
@@ -129,6 +131,11 @@
 	return h.Sum64()
 }
 
+// processName returns a name for this process that no other start of a node has.
+func (g *Gateway) processName() string {
+	return g.settings.Node + "/" + strconv.FormatUint(rand.Uint64(), 36)
+}
+
 // resendConfig lets each node's resends add a tenth of its requests, and a few more. The platform's
 // limit counts the resends of all nodes over some seconds: a fifth of the requests and about 50.
 // Twelve nodes that all restart within that time stay below it without coordination.
--- a/process/gateway/spread.go
+++ b/process/gateway/spread.go
@@ -23,6 +23,7 @@
 	Engine   *EngineNews       // nil: none
 	Holder   bool              // the sender holds the duty
 	Resigned *duty.Resignation // nil: none
+	LastAct  *duty.LastAct     // what the sender knows of the last act of a holder; nil: nothing
 	// PassOn makes a node tell the others of its data centre, but for From, which has told it.
 	PassOn bool
 	From   string
@@ -33,14 +34,14 @@
 	Missed []string // nodes that did not answer
 }
 
-// spread tells all nodes, and returns the names of those that did not answer when the others have or the
-// time is over. In a large fleet one node of each data centre tells the others there: with calls to all
-// of a thousand nodes at once, most of them are over time at a small VM.
+// spread tells all nodes, stopping ones as well, and returns the names of those that did not answer when
+// the others have or the time is over. In a large fleet one node of each data centre tells the others
+// there: with calls to all of a thousand nodes at once, most of them are over time at a small VM.
 func (p *peers) spread(n News) (missed []string) {
 	n.From = p.name
 	now := clock.BoottimeNow()
 	if !p.roles.isLarge(now) {
-		return p.tellEach(roleNodesOf(p.live(time.Now())), n)
+		return p.tellEach(roleNodesOf(p.running()), n)
 	}
 	return lo.Flatten(waitAll(p.roles.dataCentres(now), func(dataCentre string) []string { return p.tellDataCentre(now, dataCentre, n) }))
 }
@@ -118,10 +119,11 @@
 	}
 	if n.Holder {
 		h.peers.noteHolderSign(now)
-		h.peers.keeper.RecordHolderSign()
+	}
+	if n.LastAct != nil {
+		h.peers.keeper.RecordLastAct(now, *n.LastAct)
 	}
 	if n.Resigned != nil {
-		h.peers.keeper.RecordResignation(now, *n.Resigned)
 		h.peers.noteHolderSign(now.Add(-holderSilence)) // the first node by rank asks for the duty at once
 	}
 }
@@ -134,8 +136,11 @@
 	}
 }
 
-// spreadHolder sends the other nodes a sign that this node holds the duty.
-func (p *peers) spreadHolder() { p.spread(News{Holder: true}) }
+// spreadHolder sends the other nodes a sign that this node holds the duty, with what it knows of the last act:
+// nodes that take the duty after its sudden end go on with its wait.
+func (p *peers) spreadHolder() { p.spread(News{Holder: true, LastAct: p.lastAct()}) }
 
 // spreadResignation tells the other nodes that this node no longer holds the duty.
-func (p *peers) spreadResignation(r duty.Resignation) { p.spread(News{Resigned: &r}) }
+func (p *peers) spreadResignation(r duty.Resignation) {
+	p.spread(News{Resigned: &r, LastAct: p.lastAct()})
+}
--- a/version/rollout/rollout.go
+++ b/version/rollout/rollout.go
@@ -58,7 +58,9 @@
 	// BeginAct is called right before each order, and only then. It returns the
 	// fencing number for the order.
 	BeginAct(now time.Time) (fencing uint64, ok bool)
-	// CanAct is called before each check for engines to change.
+	// Holds reports whether this node may be able to act.
+	Holds(now time.Time) bool
+	// CanAct is called when there are engines to change. If it returns false, the duty prepares for acts.
 	CanAct(now time.Time) bool
 }
 
@@ -165,12 +167,16 @@
 
 // beginChanges begins the changes that may begin now.
 func (r *Driver) beginChanges(ctx context.Context) {
-	if !r.duty.CanAct(r.cfg.Clock()) {
+	if !r.duty.Holds(r.cfg.Clock()) {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, e := range NextEngines(r.cfg, r.withoutResting(r.fleet.Engines()), r.fleet.Newest, r.fleet.NamedWithin, lo.Keys(r.changing)) {
+	next := NextEngines(r.cfg, r.withoutResting(r.fleet.Engines()), r.fleet.Newest, r.fleet.NamedWithin, lo.Keys(r.changing))
+	if len(next) == 0 || !r.duty.CanAct(r.cfg.Clock()) {
+		return
+	}
+	for _, e := range next {
 		r.changing[e.Name] = true
 		r.work.Go(func() {
 			err := r.changeWeights(ctx, e)
--- a/version/rollout/rollout_test.go
+++ b/version/rollout/rollout_test.go
@@ -68,6 +68,7 @@
 func (f *fleet) AnnounceChange(string, string, bool)          {}
 func (f *fleet) BeginAct(time.Time) (fencing uint64, ok bool) { return 7, f.hasDuty }
 func (f *fleet) CanAct(time.Time) bool                        { return f.hasDuty }
+func (f *fleet) Holds(time.Time) bool                         { return f.hasDuty }
 
 func (f *fleet) driver() *Driver {
 	cfg := DefaultConfig
