Ask stopping nodes too where a resumed stream began

Callers saw: a stream that is resumed after a restart of its node is refused with NotResumable. Now the candidates are all nodes that have not ended. Telling is as before. TestStartingNodeLearnsOriginsFromStoppingOnes fails before (6 of 6 refused). A stopping node that has ended and is not yet known to be dead costs a resumed stream 0.15 s at most, as a dead live one does.

--- a/process/gateway/origins.go
+++ b/process/gateway/origins.go
@@ -152,10 +152,13 @@
 
 // nodes returns this node and the other live ones.
 func (o *origins) nodes() (self origin.Node, others []origin.Node) {
-	others = lo.Map(o.peers.live(time.Now()), func(m member.Member, _ int) origin.Node {
+	return origin.Node{Name: o.peers.name, DataCentre: o.peers.dataCentre}, originNodesOf(o.peers.live(time.Now()))
+}
+
+func originNodesOf(members []member.Member) []origin.Node {
+	return lo.Map(members, func(m member.Member, _ int) origin.Node {
 		return origin.Node{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre}
 	})
-	return origin.Node{Name: o.peers.name, DataCentre: o.peers.dataCentre}, others
 }
 
 // OriginQuery asks a node where a stream began.
@@ -239,10 +242,10 @@
 	return metric.OriginUnknown
 }
 
-// ask asks the nodes that may know a stream, all at once, until one knows it or all have answered.
+// ask asks the nodes that may know a stream, all at once, until one knows it or all have answered. Stopping
+// ones may have been told of it before.
 func (o *origins) ask(ctx context.Context, q OriginQuery, own OriginReply) resolution {
-	_, others := o.nodes()
-	candidates := origin.Candidates(q.Key, others)
+	candidates := origin.Candidates(q.Key, originNodesOf(o.peers.running()))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan *OriginReply, len(candidates)) // nil: no answer
