Ask an engine that refuses a request for its weights which ones it holds

Callers saw: some upstreams keep old weights for good and refuse the requests that come to them. After a 421 a node took the engine to hold the newest named version, while it may hold one in between, as two versions were named shortly after each other or the engine is about to load. Now the node asks the engine, which other requests that are refused at the same time share, and records its word, also if that is older. An engine that does not answer changes nothing. The event WeightsAsked tells both versions.

--- a/process/event/upstream.go
+++ b/process/event/upstream.go
@@ -37,4 +37,6 @@
 	UpstreamRejectsLimited
 	// ConnectionRelayed: this node has lost its path to the upstream at Address and asked other nodes for a connection: Asked of them, and Peer opened it; without Peer none did, for the given Error. To do: see PathLost.
 	ConnectionRelayed
+	// WeightsAsked: an engine refused Request, as it does not hold the weights Believed; it was asked and has reported Held. To do: if it continues for one upstream, see whether its entry in the register is written.
+	WeightsAsked
 )
--- a/process/gateway/weights.go
+++ b/process/gateway/weights.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// Reported records the version that an engine has reported itself.
+func (u upstreams) Reported(_ time.Time, name, model, version string) {
+	if v, err := strconv.ParseUint(version, 10, 64); err == nil {
+		u.roster.SetWeights(name, model, v)
+	}
+}
+
 // fleet gives the roll-out of weights access to the engines.
 type fleet struct {
 	view      *view
--- a/process/inventory/inventory.go
+++ b/process/inventory/inventory.go
@@ -205,6 +205,11 @@
 	n.statuses[name] = s
 }
 
+// Reported records the version of a model that an engine has just reported to a request.
+func (n *Inventory) Reported(now time.Time, name, model, version string) {
+	n.Holds(now, name, model, version)
+}
+
 // Usable reports whether an upstream is thought to be up. An upstream without a status counts as
 // up: a node that has just started has to serve requests before it has queried any engine.
 func (n *Inventory) Usable(_ time.Time, name string) bool {
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -252,6 +252,24 @@
 	r.changes++
 }
 
+// SetWeights records the version of a model that an upstream has just reported itself, also if it is older
+// than the one that it was believed to hold.
+func (r *Roster) SetWeights(id, model string, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[id]
+	if !ok || version == e.Weights[model] {
+		return
+	}
+	e.Weights = maps.Clone(e.Weights)
+	if e.Weights == nil {
+		e.Weights = map[string]uint64{}
+	}
+	e.Weights[model] = version
+	r.entries[id] = e
+	r.changes++
+}
+
 // Drop applies the record that a key's entry was removed. It reports whether
 // this is new and whether the upstream is now out of use. The entry may only
 // have lapsed with the register, unless sure is set.
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -352,3 +352,22 @@
 		t.Errorf("%d offsets are kept for %d entries", len(r.newestPosition), len(r.entries))
 	}
 }
+
+// Guards against an upstream that is believed for good to hold newer weights than it does, and gets neither orders
+// nor requests that it accepts.
+func TestReportedWeightsMayBeOlder(t *testing.T) {
+	r := New()
+	r.Put(Entry{ID: "a", Service: "lm", Address: "10.0.0.1:80", Weights: map[string]uint64{"m": 5}}, 1)
+	for _, c := range []struct {
+		set  func(id, model string, version uint64)
+		v    uint64
+		want uint64
+	}{{r.RecordWeights, 4, 5}, {r.SetWeights, 4, 4}, {r.RecordWeights, 6, 6}, {r.SetWeights, 6, 6}} {
+		if c.set("a", "m", c.v); r.WeightsVersion("a", "m") != c.want {
+			t.Errorf("version %d is set: %d, want %d", c.v, r.WeightsVersion("a", "m"), c.want)
+		}
+	}
+	if r.SetWeights("b", "m", 4); r.WeightsVersion("b", "m") != 0 {
+		t.Error("an unknown upstream has weights")
+	}
+}
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -36,6 +36,7 @@
 	frozen      bool  // accepts the request and never answers
 	processEnds bool  // the process ends, at the cut or before any answer
 	confirmErr  error // returned by checks of its start
+	reportErr   error // returned instead of a report
 
 	exportErr     error // returned by exports
 	exportBytes   int   // size of an export
@@ -109,8 +110,10 @@
 	return nil
 }
 
-func (e *fakeEngine) Report(context.Context) (upstream.Report, error) { return upstream.Report{}, nil }
-func (e *fakeEngine) ConfirmStart(context.Context) error              { return e.confirmErr }
+func (e *fakeEngine) Report(context.Context) (upstream.Report, error) {
+	return upstream.Report{Models: []upstream.LoadedModel{{Model: "base", Version: e.version}}}, e.reportErr
+}
+func (e *fakeEngine) ConfirmStart(context.Context) error { return e.confirmErr }
 func (e *fakeEngine) Events(context.Context, uint64) (upstream.CacheEvents, error) {
 	return upstream.CacheEvents{}, nil
 }
@@ -235,6 +238,7 @@
 func (s *fixture) Engine(u config.Upstream) upstream.Engine            { return s.engines[u.Name] }
 func (s *fixture) Version(name, _ string) string                       { return s.versions[name] }
 func (s *fixture) Holds(_ time.Time, name, _, version string)          { s.versions[name] = version }
+func (s *fixture) Reported(_ time.Time, name, _, version string)       { s.versions[name] = version }
 func (s *fixture) Record(time.Time, prefix.Identity, []prefix.Message) {}
 func (s *fixture) Answered(Request, Info, time.Duration)               {}
 func (s *fixture) Judged(int, bool)                                    {}
--- a/request/completion/router.go
+++ b/request/completion/router.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
@@ -35,6 +36,9 @@
 	// Holds records that an engine turned out to hold another version than it
 	// last reported.
 	Holds(now time.Time, name, model, version string)
+	// Reported records the version that an engine has just reported, also if it is
+	// older than the one that it was believed to hold.
+	Reported(now time.Time, name, model, version string)
 }
 
 // Policies provides the placement policy of a group of engines.
@@ -208,6 +212,7 @@
 	SoftwareDiffers func() bool
 
 	transfers transfers
+	questions singleflight.Group // to engines, about their weights
 }
 
 // chain returns the request's prefix levels.
--- a/request/completion/weights.go
+++ b/request/completion/weights.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/samber/lo"
+	"go.uber.org/zap"
 
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
+	"github.com/dunlinmill/dunlinmill/process/event"
 	"github.com/dunlinmill/dunlinmill/version/config"
 )
 
@@ -27,9 +29,8 @@
 	g := s.generation(u, version)
 	g.Priority = s.enginePriority(u)
 	stream, err := e.Generate(ctx, g)
-	if m.Any && version != m.Version && errors.Is(err, upstream.ErrWrongVersion) {
-		// The engine has most likely loaded the newest weights since its last report.
-		s.rt.Upstreams.Holds(time.Now(), u.Name, s.r.Model, m.Version)
+	if m.Any && errors.Is(err, upstream.ErrWrongVersion) {
+		s.askVersion(ctx, u, e, version)
 	}
 	other := otherAcceptedVersion(m, version)
 	if other == "" || !errors.Is(err, upstream.ErrWrongVersion) || !errors.Is(err, upstream.ErrRefused) {
@@ -43,6 +44,30 @@
 	return g, stream, err
 }
 
+// askVersionTimeout bounds the question to an engine, which answers at once or is not reached.
+const askVersionTimeout = 200 * time.Millisecond
+
+// askVersion asks an engine that holds other weights than it was believed to, which ones these are: it may
+// hold any of several versions that were named shortly after each other. Requests that ask at the same time
+// share one question.
+func (s *requestState) askVersion(ctx context.Context, u config.Upstream, e upstream.Engine, believed string) {
+	held, err, _ := s.rt.questions.Do(u.Name+"/"+s.r.Model, func() (any, error) {
+		ctx, cancel := context.WithTimeout(ctx, askVersionTimeout)
+		defer cancel()
+		report, err := e.Report(ctx)
+		if err != nil {
+			return "", err
+		}
+		loaded, _ := lo.Find(report.Models, func(l upstream.LoadedModel) bool { return l.Model == s.r.Model })
+		if loaded.Version != "" {
+			s.rt.Upstreams.Reported(time.Now(), u.Name, s.r.Model, loaded.Version)
+		}
+		return loaded.Version, nil
+	})
+	event.Info(s.rt.Log, event.WeightsAsked, zap.String("Request", s.r.ID), zap.String("Upstream", u.Name), zap.String("Model", s.r.Model),
+		zap.String("Believed", believed), zap.Any("Held", held), zap.Error(err))
+}
+
 // model returns the current configuration of the request's model; a roll-out may have
 // begun since the request arrived.
 func (s *requestState) model() config.Model {
