Require a key on routes when the list of workspaces is empty

Cause: keys were asked for only if there were workspaces, so that no list and an empty one meant the same. TestEmptyListOfWorkspacesOpensNoRoute: status 200 where 401 is wanted, in three of its four requests for the empty list, without the change. Other lists and limits whose emptiness may mean all or none were not gone through.

--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -146,7 +146,7 @@
 		return x.notFound(failure.ErrNotFound)
 	}
 	x.route = r
-	if !r.Public && len(f.Workspaces) > 0 {
+	if f.NeedsKey(r) {
 		if life := x.g.bounds.Load().KeyLife; life > 0 && age >= life {
 			return x.unavailable()
 		}
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -68,7 +68,10 @@
 	Routes     []route.Route
 	Services   map[string]Service
 	Workspaces map[string]Workspace
-	Limits     Limits
+	// KeysRequired means that a request on a route that isn't public needs a key even if there are no
+	// workspaces, as the last one was taken away.
+	KeysRequired bool
+	Limits       Limits
 }
 
 // IndexedConfiguration is a Configuration with its lookup tables.
@@ -126,6 +129,11 @@
 // Limited reports whether any workspace has a quota.
 func (f *IndexedConfiguration) Limited() bool { return f.hasQuotas }
 
+// NeedsKey reports whether a request on a route needs the key of a workspace.
+func (f *IndexedConfiguration) NeedsKey(r route.Route) bool {
+	return !r.Public && (f.KeysRequired || len(f.Workspaces) > 0)
+}
+
 // Owner returns the workspace that a key belongs to.
 func (f *IndexedConfiguration) Owner(key string) (Workspace, bool) {
 	if key == "" {
