Take no answer for a proof that does not reach the end of its topic

The platform cuts an answer at 1 MB. The rest is asked for at once, but the first part counted as a proof that all that was accepted before the question is known, so that a key that the rest takes away was honoured until the next answer. Now such an answer proves nothing, and neither does one without records that ends before the topic does. TestAnswerThatIsCutProvesNothing fails for both without the change.

--- a/version/keyed/keyed.go
+++ b/version/keyed/keyed.go
@@ -65,7 +65,7 @@
 	// set, Records holds all records from From up to there.
 	From, Next Position
 	// AsOf is a time on the follower's clock: everything accepted before it is known
-	// now.
+	// now. Zero: the answer proves nothing, as it does not reach the end of the topic.
 	AsOf time.Time
 	// FromPeer means that a peer gave the answer; Relayed, that it did because the
 	// platform did not.
@@ -354,7 +354,10 @@
 	now := f.cfg.Clock()
 	next := from + Position(len(records))
 	f.behind = len(records) > 0 && next < end
-	u := Update{Records: records, From: from, Next: next, AsOf: proofTime(now, askedAt, wait, len(records) > 0)}
+	u := Update{Records: records, From: from, Next: next}
+	if next >= end {
+		u.AsOf = proofTime(now, askedAt, wait, len(records) > 0)
+	}
 	f.consumer.Consume(now, u)
 	f.recordProgress(next, now, u)
 	return nil
--- a/version/keyed/keyed_test.go
+++ b/version/keyed/keyed_test.go
@@ -116,6 +116,32 @@
 	}
 }
 
+// Guards against a key that is accepted after it was taken away: more was written than the platform gives with
+// one answer, and the answer counts as a proof that nothing else was.
+func TestAnswerThatIsCutProvesNothing(t *testing.T) {
+	tp := &scriptedTopic{
+		newest: []answer{{end: 1}},
+		reads: []answer{
+			{records: []Record{newRecord("a", "1", 1), newRecord("b", "1", 2)}, end: 9},
+			{end: 9},
+			{records: []Record{newRecord("c", "1", 3)}, end: 4},
+		},
+	}
+	k := &recorder{}
+	f := k.follower(tp)
+	for i, proves := range []bool{true, false, false, true} {
+		if err := f.askOnce(context.Background(), start); err != nil {
+			t.Fatal(err)
+		}
+		if got := !k.updates[i].AsOf.IsZero(); got != proves {
+			t.Errorf("answer %d: proves what was accepted until then: %t", i, got)
+		}
+	}
+	if _, proof, _ := f.Position(); proof.IsZero() {
+		t.Error("peers are told that nothing is proved")
+	}
+}
+
 // Guards against a node that falls behind, and learns seconds late that an upstream leaves, as more
 // is written during a pause than the platform gives with one answer.
 func TestFollowerBehindTheEndAsksAtOnce(t *testing.T) {
