--- a/process/duty/duty.go
+++ b/process/duty/duty.go
@@ -54,10 +54,10 @@
 	Idle time.Duration
 }
 
-// Handover is what a holder that gives the duty back, or has lost it, leaves to the next one.
+// Handover is what a holder that gives the duty back, or has lost it, leaves to the next one, beside what
+// KnownLastAct returns.
 type Handover struct {
 	Resignation
-	LastAct LastAct // Position is zero if nothing is known
 	// Record is to be written where the records end at At; nil: the newest record says as much.
 	Record *Tenure
 	At     keyed.Position
@@ -75,7 +75,7 @@
 
 // state is what a Keeper knows. All times are of the boot clock.
 type state struct {
-	held        bool      // this node holds the duty, or has lost it and not resigned yet
+	mustResign  bool      // this node has got the duty, and not resigned since
 	holds       bool      // this node holds the duty, by the platform's last answer
 	generation  uint64    // generation for the next join
 	fencing     uint64    // generation in which this node got the duty
@@ -137,7 +137,7 @@
 	changed = !wasHolder || g.Generation != s.fencing
 	if changed {
 		s.abandon()
-		s.held, s.fencing, s.grantedAt, s.hasRead, s.isNewest = true, g.Generation, now, false, false
+		s.mustResign, s.fencing, s.grantedAt, s.hasRead, s.isNewest = true, g.Generation, now, false, false
 	}
 	s.confirmedAt = begun
 	return changed
@@ -352,7 +352,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := &k.state
-	if !s.held {
+	if !s.mustResign {
 		s.resignedAt = now
 		return Handover{}, false
 	}
@@ -367,9 +367,8 @@
 	s.abandon()
 	if s.hasRead && s.entry.Tenure != nil {
 		s.known = s.known.merge(knownAct{position: s.entry.Position, at: s.lastAct})
-		h.LastAct = LastAct{Position: s.entry.Position, Idle: h.Idle}
 	}
-	s.held, s.holds, s.due, s.isNewest, s.resignedAt = false, false, false, false, now
+	s.mustResign, s.holds, s.due, s.isNewest, s.resignedAt = false, false, false, false, now
 	return h, true
 }
 
--- a/process/duty/model_test.go
+++ b/process/duty/model_test.go
@@ -271,7 +271,7 @@
 		add(usual, func(m *model) { m.join(i); m.joined(i) })
 		add(rare, func(m *model) { m.nodes[i].lateJoin = true })
 	}
-	if n.k.state.held {
+	if n.k.state.mustResign {
 		m.tenureSteps(i, add)
 	}
 	// What this node knows reaches another one.
@@ -532,7 +532,7 @@
 		e.call(m, n.join)
 		e.call(m, n.read)
 		e.call(m, n.w)
-		for _, b := range []bool{s.held, s.holds, s.due, s.hasRead, s.isNewest, s.open} {
+		for _, b := range []bool{s.mustResign, s.holds, s.due, s.hasRead, s.isNewest, s.open} {
 			e.flag(b)
 		}
 		e.generation(s.generation)
