Log whether an answer has a length and whether it comes through another node

Nothing in the logs told an answer that ends with its connection from one with a length or chunks, or one through another node from a direct one, so that of a stream whose rest is missing nobody could say afterwards which of the three hypotheses holds: a killed upstream (EndsWithConnection, not Relayed), a killed node between (both), or runs that don't fit together (StreamContinued before it, with or without them). RequestAnswered and StreamContinued state both now. No decision is changed.

--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -74,6 +74,9 @@
 		s.resp.Header.ContentLength() == lengthUnknown
 }
 
+// Relayed reports whether the answer comes through another node.
+func (s *Stream) Relayed() bool { return !s.conn.direct }
+
 func (s *Stream) chunked() bool {
 	return !s.resp.SkipBody && s.resp.Header.ContentLength() == lengthChunked
 }
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -116,6 +116,11 @@
 	// CacheUnknown reports that the engine does not state how many tokens it had
 	// cached. CachedTokens is 0 then and has no meaning.
 	CacheUnknown bool
+	// EndsWithConnection reports that the answer has neither a length nor chunks, so that the end of
+	// its connection marks its own.
+	EndsWithConnection bool
+	// Relayed reports that the answer comes through another node.
+	Relayed bool
 	// Passage is the head of an answer that is forwarded unchanged. It is nil for an
 	// answer in the router's own form.
 	Passage *PassthroughHead
--- a/process/event/request.go
+++ b/process/event/request.go
@@ -4,7 +4,7 @@
 const (
 	// RequestPlaced: an upstream was chosen for a request, for the given reason; Content is the same for all tries of the same request, whatever their ids, Parts are the parts of its prompt that other requests may have too; CachedTokens is what the upstream's cache is expected to hold, Idle is the time that an engine without other work would take, Floored means that the request is sent although its wait exceeds the allowed one, because too few requests of its length were sent.
 	RequestPlaced Event = iota + 100
-	// RequestAnswered: the first token has arrived; CachedTokens is what the engine reports it had cached, Software its software version.
+	// RequestAnswered: the first token has arrived; CachedTokens is what the engine reports it had cached, Software its software version, EndsWithConnection that the answer has neither a length nor chunks, Relayed that it comes through another node.
 	RequestAnswered
 	// RequestRefused: the caller got a typed error before any answer; if the node had been told to stop, Leaving is the time from then to the refusal, and BegunAfterLeaving the time from then to the request's arrival.
 	RequestRefused
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -235,7 +235,8 @@
 	a.resumeFailed = false
 	event.Info(a.state.rt.Log, event.StreamContinued, zap.String("Request", a.state.r.ID),
 		zap.String("Upstream", a.engine.Name), zap.Int("Tokens", a.delivered.count),
-		zap.String("Software", a.engine.Software), zap.String("FormerSoftware", formerSoftware))
+		zap.String("Software", a.engine.Software), zap.String("FormerSoftware", formerSoftware),
+		zap.Bool("EndsWithConnection", a.stream.Head().EndsWithConnection), zap.Bool("Relayed", a.stream.Head().Relayed))
 	return nil
 }
 
--- a/request/completion/send.go
+++ b/request/completion/send.go
@@ -228,5 +228,6 @@
 	event.Info(s.rt.Log, event.RequestAnswered, zap.String("Request", s.r.ID),
 		zap.String("Upstream", a.info.Upstream), zap.String("Version", a.info.Version), zap.String("Software", a.info.Software),
 		zap.Int("CachedTokens", a.info.CachedTokens), zap.Int("PromptTokens", a.info.PromptTokens),
-		zap.Duration("FirstToken", firstToken), zap.Int("Attempts", a.info.Attempts))
+		zap.Duration("FirstToken", firstToken), zap.Int("Attempts", a.info.Attempts),
+		zap.Bool("EndsWithConnection", a.stream.Head().EndsWithConnection), zap.Bool("Relayed", a.stream.Head().Relayed))
 }
