Ask an upstream whether it has outlived an answer that ends with its connection

Callers saw: an answer without a length ends after some of its events or half of its body and looks whole, as its upstream is killed. Cause: the orderly end of the connection stood for the end of the answer, and the kernel closes a killed process's connections in the same order as a program does. Evidence: TestAnswerOfKilledRunnerDoesNotLookWhole, with processes that are killed, 3 of 6 events whole on both kinds of route; the same with chunks is cut on the one and goes on elsewhere on the other.

Now the node asks after such an end who answers at the upstream's address, naming the process. A dead one can't, another one says so by its ID or its start. Without that proof the answer is a cut one and takes the ways that cut answers had before. It works because the question is asked after the end was seen: who answers it then can't have ended with it. What was read within an event is cut off without a question.

TestUnframedAnswerPassesOnEachRoute passes as before.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -59,6 +59,10 @@
 	// AllowUnframed accepts an answer that has neither a length nor chunks and ends
 	// with an orderly close of the connection. Otherwise such an answer is an error.
 	AllowUnframed bool
+	// ProveEnd is asked after the orderly end of such an answer's connection. It returns nil if the
+	// process that sent the answer is known to have outlived it, and so to have ended it. Without a
+	// proof, Stream takes the answer for cut off. nil: no proof is needed.
+	ProveEnd func(ctx context.Context) error
 	// DetectProcessEnd makes the client connect again after the other end has closed or
 	// reset the connection during an exchange. If the address refuses the connection,
 	// the error wraps upstream.ErrProcessEnded, because the process has ended and not
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -212,7 +212,7 @@
 // abandon closes a connection whose answer was not read to its end. With ResetAbandoned
 // it resets the connection.
 func (c *connection) abandon() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.cfg.ResetAbandoned {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.cfg.ResetAbandoned {
 		_ = tcp.SetLinger(0) // fails only if the connection is already closed
 	}
 	_ = c.Close() // fails only if the connection is already closed
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -27,14 +27,20 @@
 	complete    bool
 	closed      bool
 	noReuse     bool // the connection must not be reused
+	// checkEnd is asked at the orderly end of an unframed answer, see SetEndCheck.
+	checkEnd func() error
 }
 
 // Read reads the next bytes of the body. It returns io.EOF only after the end that the
-// framing of the answer declares.
+// framing of the answer declares, or that is proved if there is no framing.
 func (s *Stream) Read(p []byte) (int, error) {
 	n, err := s.body.Read(p)
-	if err == io.EOF && s.chunked() && !s.complete {
+	switch {
+	case err != io.EOF || s.complete:
+	case s.chunked():
 		err = s.readTrailer()
+	case s.Unframed():
+		err = s.unframedEnd()
 	}
 	switch err {
 	case nil:
@@ -47,11 +53,9 @@
 	}
 }
 
-// CutError returns the error of an answer whose end shows that it was cut off, though its framing
-// allows that end.
-func (s *Stream) CutError(cause error) error {
-	return s.wrapError("read body", fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, cause))
-}
+// SetEndCheck sets a function that is called when the connection of an unframed answer has ended in
+// order. An error means that what was read can't be the whole answer.
+func (s *Stream) SetEndCheck(check func() error) { s.checkEnd = check }
 
 // readTrailer reads the trailer after the last chunk. It returns io.EOF if the trailer
 // is complete.
