Ask the node between how an answer's connection has ended

Callers saw: an answer without a length that passes through another node, as its own node has lost the path, ends after some of its events and looks whole, as the node between is killed. Cause: a node between ends its side in order only if the upstream did, but the kernel does so too for a killed one. Evidence: TestAnswerThroughKilledNodeDoesNotLookWhole, 3 of 6 events whole on both kinds of route. The question to the upstream alone does not help, as the upstream lives: without the question to the node the test fails in the same two cases.

Now the asking node, which keeps its side open, asks the node between whether the upstream has ended that connection in order, naming the address it was opened from. A killed node, one that started again and one of an older build know of none, and the answer is a cut one. The bytes that are passed on stay as they were, so that nothing is framed.

--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -5,6 +5,10 @@
 // After the handshake of package peer, the asking node sends one byte with the length of the
 // upstream's address, and the address. The other node answers with one byte, its result, and then
 // passes bytes on in both directions until both ends have closed or one has failed.
+//
+// In place of an upstream's address the asking node may send a question mark and its own address on a
+// connection that is open: whether the upstream has ended that one in order. Nothing follows the result
+// then. A node of an older build knows no upstream by such an address.
 package relay
 
 import (
@@ -21,8 +25,13 @@
 	ErrUnusable = errors.New("relay: the other node cannot connect")
 	// ErrUpstream means that the other node tried to connect and the upstream did not accept.
 	ErrUpstream = errors.New("relay: not accepted by the upstream")
+	// ErrNotEnded means that the other node does not know that the upstream has ended a connection in order.
+	ErrNotEnded = errors.New("relay: the upstream is not known to have ended the connection")
 )
 
+// endQuestion begins the request of a node that asks how one of its connections has ended.
+const endQuestion = "?"
+
 // result is the other node's answer.
 type result uint8
 
@@ -38,6 +47,8 @@
 	busy
 	// leaving: that node is stopping.
 	leaving
+	// ended: the upstream has ended the connection in order.
+	ended
 )
 
 func (r result) err() error {
--- a/connection/relay/relay_string.go
+++ b/connection/relay/relay_string.go
@@ -14,11 +14,12 @@
 	_ = x[unknown-3]
 	_ = x[busy-4]
 	_ = x[leaving-5]
+	_ = x[ended-6]
 }
 
-const _result_name = "connectedfailednoPathunknownbusyleaving"
+const _result_name = "connectedfailednoPathunknownbusyleavingended"
 
-var _result_index = [...]uint8{0, 9, 15, 21, 28, 32, 39}
+var _result_index = [...]uint8{0, 9, 15, 21, 28, 32, 39, 44}
 
 func (i result) String() string {
 	idx := int(i) - 0
--- a/connection/relay/server.go
+++ b/connection/relay/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 )
@@ -45,14 +46,19 @@
 	writeTimeout time.Duration // the constant writeTimeout, except in tests
 
 	mu      sync.Mutex // guards the fields below
-	open    map[net.Conn]struct{}
+	open    map[net.Conn]*passedOn
 	leaving bool
-	ended   chan struct{} // replaced by each Await; closed when open becomes empty
+	idle    chan struct{} // replaced by each Await; closed when open becomes empty
+}
+
+// passedOn is a connection that is passed on.
+type passedOn struct {
+	upstreamEnded bool // in order
 }
 
 // NewServer returns a server that connects to the given upstreams.
 func NewServer(u Upstreams) *Server {
-	s := &Server{upstreams: u, writeTimeout: writeTimeout, open: map[net.Conn]struct{}{}}
+	s := &Server{upstreams: u, writeTimeout: writeTimeout, open: map[net.Conn]*passedOn{}}
 	s.buffers.New = func() any { b := make([]byte, bufferBytes); return &b }
 	return s
 }
@@ -70,6 +76,10 @@
 	if err != nil {
 		return
 	}
+	if asked, ok := strings.CutPrefix(address, endQuestion); ok {
+		_, _ = node.Write([]byte{byte(s.resultOfEnd(asked))}) // without an answer, the end counts as not proved
+		return
+	}
 	upstream, r := s.connect(node, address)
 	_, err = node.Write([]byte{byte(r)})
 	if upstream == nil {
@@ -113,7 +123,7 @@
 	case len(s.open) >= maxOpen:
 		return busy
 	}
-	s.open[node] = struct{}{}
+	s.open[node] = &passedOn{}
 	return connected
 }
 
@@ -121,27 +131,47 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, node)
-	if len(s.open) == 0 && s.ended != nil {
-		close(s.ended)
-		s.ended = nil
+	if len(s.open) == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
 	}
 }
 
+// recordEnd records that the upstream has ended the connection that is passed on for a node.
+func (s *Server) recordEnd(node net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[node].upstreamEnded = true
+}
+
+// resultOfEnd returns whether the upstream has ended the connection that a node opened from an address.
+// The node keeps the connection open on its side until it knows.
+func (s *Server) resultOfEnd(address string) result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for node, c := range s.open {
+		if c.upstreamEnded && node.RemoteAddr().String() == address {
+			return ended
+		}
+	}
+	return unknown
+}
+
 // pass copies in both directions until both have ended.
 func (s *Server) pass(node, upstream net.Conn) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		s.copy(upstream, node)
+		s.copy(upstream, node, func() {})
 	}()
-	s.copy(node, upstream)
+	s.copy(node, upstream, func() { s.recordEnd(node) })
 	<-done
 	_ = upstream.Close() // fails only if the connection is already closed
 }
 
-// copy passes on what src sends. An orderly end ends the other connection's direction only; a
-// failure resets both connections, so that no cut looks like an end.
-func (s *Server) copy(dst, src net.Conn) {
+// copy passes on what src sends. An orderly end ends the other connection's direction only, after
+// atEnd; a failure resets both connections, so that no cut looks like an end.
+func (s *Server) copy(dst, src net.Conn, atEnd func()) {
 	b := s.buffers.Get().(*[]byte)
 	defer s.buffers.Put(b)
 	for {
@@ -151,6 +181,9 @@
 				err = writeErr
 			}
 		}
+		if errors.Is(err, io.EOF) {
+			atEnd()
+		}
 		switch {
 		case err == nil:
 			continue
@@ -190,13 +223,13 @@
 		s.mu.Unlock()
 		return
 	}
-	if s.ended == nil {
-		s.ended = make(chan struct{})
+	if s.idle == nil {
+		s.idle = make(chan struct{})
 	}
-	ended := s.ended
+	idle := s.idle
 	s.mu.Unlock()
 	select {
-	case <-ended:
+	case <-idle:
 	case <-time.After(until.Sub(now)):
 	}
 }
