Bind each run of a stream to the place that its caller has

Callers would see events twice, or two runs joined, with status 200 and a proper end:

- A caller resumes after event 2, its engine sends a comment or an event without an id and breaks: the next engine was asked to go on after nothing, and began with event 1.
- A new stream passes on a comment, an event without an id or a body that has no events, and its engine breaks: another engine began anew behind it.
- The last event passed on has no id, or one that is not a number: the next engine was asked to go on after the last event with a number, and repeated what came behind it.

The cause: a stream knew only the ids of its own run.

Now a run is created with the place that it goes on from: the caller's Last-Event-Id, or the last event passed on. Each token states the place after it; comments leave it as it is, and after an event without a usable id there is none. An answer that breaks where it has no place is cut visibly.

--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -137,7 +137,8 @@
 	Index  int
 	Text   string
 	Finish string // set only on the last event: "stop", "length" or "end"
-	// Event is the ID of the event in an answer that is forwarded unchanged.
+	// Event is the place in an answer that is forwarded unchanged: the ID after which
+	// another engine goes on once the caller has this token. If it is empty, none can.
 	Event string
 }
 
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -1,7 +1,6 @@
 package completion
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -47,9 +46,9 @@
 // deliveredOutput is what was returned over all streams of an answer, as far as
 // a continuation on another engine needs it.
 type deliveredOutput struct {
-	count     int             // tokens
-	text      strings.Builder // all text; empty for a passthrough answer
-	lastEvent string          // ID of the last event of a passthrough answer
+	count int             // tokens
+	text  strings.Builder // all text; empty for a passthrough answer
+	place string          // in a passthrough answer, see upstream.Token.Event
 }
 
 func newAnswer(state *requestState, send *engineSend, engine config.Upstream, generation upstream.Generation, stream upstream.Stream, cancel context.CancelFunc) *Answer {
@@ -142,12 +141,16 @@
 	if a.state.r.Passage == nil {
 		a.delivered.text.WriteString(t.Text)
 	}
-	a.delivered.lastEvent = cmp.Or(t.Event, a.delivered.lastEvent)
+	a.delivered.place = t.Event
 	a.finishReason = t.Finish
 	a.finished = t.Finish != ""
 	return out
 }
 
+// errNoPlace means that a broken answer has no place after which an engine could go on. One that began
+// anew would repeat what the caller has.
+var errNoPlace = errors.New("completion: the answer has no event to go on after")
+
 // recoverStream replaces a broken stream. It first resumes the stream on the
 // same engine, which still holds it if only the connection broke. Otherwise it
 // continues the answer on another engine after the text already returned.
@@ -166,6 +169,9 @@
 		}
 		return a.cutError(cause)
 	}
+	if a.state.r.Passage != nil && a.delivered.place == "" {
+		return a.cutError(errors.Join(cause, errNoPlace))
+	}
 	v := a.state.decideRetry(a.engine.Name, cause, a.delivered.count, canResume)
 	switch v.Action {
 	case retry.Resume:
--- a/request/completion/continue.go
+++ b/request/completion/continue.go
@@ -56,7 +56,7 @@
 	g := s.generation(u, version)
 	g.Priority = s.enginePriority(u)
 	if s.r.Passage != nil {
-		g.After = delivered.lastEvent
+		g.After = delivered.place
 	} else {
 		g.Continue = delivered.text.String()
 		g.MaxTokens -= delivered.count
--- a/request/completion/fake_test.go
+++ b/request/completion/fake_test.go
@@ -30,6 +30,7 @@
 	generateErr error // returned instead of a stream
 	version     string
 	cutAfter    int   // tokens of a new stream before it breaks; 0: never
+	placeless   bool  // no other engine can go on after its tokens
 	resumable   bool  // a cut stream can be resumed
 	restarted   bool  // a resumed stream has another incarnation
 	endsEarly   bool  // the cut looks like the end of the stream
@@ -180,6 +181,9 @@
 		return upstream.Token{}, io.EOF
 	}
 	t := upstream.Token{Index: s.next, Text: s.rest[0], Event: strconv.Itoa(len(answerWords) - len(s.rest) + 1)}
+	if s.engine.placeless {
+		t.Event = ""
+	}
 	s.rest = s.rest[1:]
 	s.next++
 	if len(s.rest) == 0 {
--- a/request/completion/passthrough_test.go
+++ b/request/completion/passthrough_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -40,6 +41,60 @@
 	}
 }
 
+// Guards against a stream in which events are repeated, as an engine is not asked to go on at the last
+// event that the caller has.
+func TestEachRunGoesOnAtPlaceOfCaller(t *testing.T) {
+	cut := func(after int) engineScript { return engineScript{cutAfter: after} }
+	cases := []struct {
+		name        string
+		lastEventID string // of the caller's request
+		engines     []*fakeEngine
+		places      []string // after which each engine is asked to go on
+	}{
+		{"continued twice", "",
+			[]*fakeEngine{{name: "a", engineScript: cut(1)}, {name: "b", engineScript: cut(2)}, {name: "c"}}, []string{"", "1", "3"}},
+		{"resumed", "2", []*fakeEngine{{name: "a"}}, []string{"2"}},
+		{"resumed, broken before the first event", "2",
+			[]*fakeEngine{{name: "a", engineScript: engineScript{generateErr: upstream.ErrFailedAfterSend}}, {name: "b"}}, []string{"2", "2"}},
+		{"resumed, continued", "2",
+			[]*fakeEngine{{name: "a", engineScript: cut(1)}, {name: "b"}}, []string{"2", "3"}},
+	}
+	for _, c := range cases {
+		r := passthroughRequest()
+		r.LastEventID = c.lastEventID
+		a, err := newFixture(c.engines...).router().Start(context.Background(), r)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		before, _ := strconv.Atoi(c.lastEventID) // 0: the caller has no event
+		if got, err := readAnswer(a); err != nil || got != strings.Join(answerWords[before:], "") {
+			t.Errorf("%s: got %q, error %v", c.name, got, err)
+		}
+		for i, e := range c.engines {
+			if len(e.sends) != 1 || e.sends[0].After != c.places[i] {
+				t.Errorf("%s: engine %s got %+v, want one send after %q", c.name, e.name, e.sends, c.places[i])
+			}
+		}
+	}
+}
+
+// Guards against a stream that begins again in the middle of an answer, as the caller has no event after
+// which another engine could go on.
+func TestStreamWithoutPlaceIsCut(t *testing.T) {
+	for _, lastEventID := range []string{"", "2"} {
+		dying, other := &fakeEngine{name: "a", engineScript: engineScript{cutAfter: 1, placeless: true}}, &fakeEngine{name: "b"}
+		r := passthroughRequest()
+		r.LastEventID = lastEventID
+		a, err := newFixture(dying, other).router().Start(context.Background(), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := readAnswer(a); !errors.Is(err, failure.ErrStreamCut) || len(other.sends) != 0 {
+			t.Errorf("after %q: got %q, %d sends to the other engine, %v", lastEventID, got, len(other.sends), err)
+		}
+	}
+}
+
 // The engine of a stream that may run at most once, and that no other node has,
 // dies. The stream must end with an error and not be sent to another engine.
 func TestRunOncePassthroughIsCut(t *testing.T) {
