--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -54,8 +55,8 @@
 	Unreadable     bool // stated, but not as two numbers
 }
 
-// Sink receives an answer that is passed through. An error from it means that the caller can't be
-// reached any more.
+// Sink receives an answer that is passed through. An error from it that is no *failure.Error means
+// that the caller can't be reached any more.
 type Sink interface {
 	// WriteReply writes a whole answer.
 	WriteReply(r upstream.Reply) error
@@ -68,7 +69,7 @@
 }
 
 // ErrAnswerCut means that an answer has begun and was not passed on whole. The connection has to be
-// closed in a way that shows it.
+// closed in a way that shows it, unless the sink still holds all of the answer.
 var ErrAnswerCut = errors.New("gateway: answer was cut off")
 
 // servedRequest is one request while this node serves it.
@@ -90,8 +91,8 @@
 	proofAge      time.Duration // age of the proof that the configuration is the newest
 }
 
-// Serve serves one request. The error is a *failure.Error if nothing has reached the sink,
-// ErrAnswerCut if part of an answer has. The end of ctx means that the caller went away.
+// Serve serves one request. The error is a *failure.Error, which ErrAnswerCut wraps if part of an answer
+// has reached the sink. The end of ctx means that the caller went away.
 func (g *Gateway) Serve(ctx context.Context, now time.Time, in Inbound, out Sink) error {
 	g.metrics.RequestStarted()
 	g.limiter.RecordRequest(now)
@@ -357,9 +358,14 @@
 	}
 }
 
+// cancelledBySink returns the failure of a request whose sink has returned an error.
 func (x *servedRequest) cancelledBySink(err error) error {
-	if err == nil {
+	var e *failure.Error
+	switch {
+	case err == nil:
 		return nil
+	case errors.As(err, &e):
+		return e
 	}
 	return failure.ErrCancelled.WithRan(failure.Unknown).WithCause(err)
 }
@@ -429,7 +435,7 @@
 	}
 	if x.status != 0 {
 		event.Info(x.g.log, event.RequestFailed, append(fields, zap.Int("Status", x.status))...)
-		return ErrAnswerCut
+		return fmt.Errorf("%w: %w", ErrAnswerCut, e)
 	}
 	e = e.WithRetryAfter(x.retryAfter(e))
 	event.Info(x.g.log, event.RequestRefused, append(fields, zap.Duration("RetryAfter", e.RetryAfter))...)
