Take only a word of the same process for the proof of an answer's end

The other way round whole answers looked cut, as the client had been closed because the upstream left the register, as the question waited a second on a kept connection that had gone silent, as this node's path began to refuse connections; an upstream that stops listening before its last answers have ended was taken for one that the request had ended, so that the fourth such request was refused; and a full upstream got 54 connections for one end.

Now an engine proves itself by a report with its start, if it states one, a plain upstream by a health answer that names it; refusals are asked again. The question is limited to 0.25 s and repeated for 1 s, with growing pauses, on new connections, also past a client that was closed. A refused connection decides only if other upstreams are reached, and an end without proof is no end of a process. An end shortly before the deadline is not proved. The node between is asked twice if it does not answer. One setting accepts answers without a length and says how their end is proved, so that there is none without a proof.

Stand-ins answer health questions, as runners do.

--- a/connection/relay/client.go
+++ b/connection/relay/client.go
@@ -44,6 +44,19 @@
 // ProveEnd asks the node whether the upstream has ended the connection in order. The kernel of a node
 // that was killed ends it as well, and then nobody knows of the connection.
 func (c *Conn) ProveEnd(ctx context.Context) error {
+	var err error
+	for range maxEndTries {
+		if err = c.askForEnd(ctx); err == nil || errors.Is(err, ErrNotEnded) {
+			break
+		}
+	}
+	return err
+}
+
+// maxEndTries is how many times a node is asked that doesn't answer.
+const maxEndTries = 2
+
+func (c *Conn) askForEnd(ctx context.Context) error {
 	peerAddress := c.RemoteAddr().String()
 	asked, r, err := ask(ctx, c.dialer, c.secrets, peerAddress, endQuestion+c.LocalAddr().String())
 	if err != nil {
--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -111,7 +111,7 @@
 }
 
 // Guards against the end of a connection that counts as the upstream's although the node between has
-// ended it, does not know of it any more, or has it open.
+// ended it, does not know of it any more, or has it open, and against the end of another connection.
 func TestOnlyUpstreamsEndIsProved(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -124,24 +124,76 @@
 		{"open", nil, ErrNotEnded},
 	} {
 		s, node := startNode(t, dialUpstream)
-		serving, done := make(chan *net.TCPConn), make(chan struct{})
-		address := startUpstream(t, func(u *net.TCPConn) { serving <- u; <-done })
-		conn, err := open(t, node, address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		upstream := <-serving
-		if c.end != nil {
-			c.end(s, upstream)
-			_, _ = conn.Read(make([]byte, 1)) // until the end arrives
-		}
+		ended := openAndEnd(t, node, func(u *net.TCPConn) { _ = u.Close() })
+		conn := openAndEnd(t, node, func(u *net.TCPConn) {
+			if c.end != nil {
+				c.end(s, u)
+			}
+		})
 		if err := conn.ProveEnd(context.Background()); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", c.name, err, c.want)
 		}
-		close(done)
+		_ = ended.Close()
+	}
+}
+
+// openAndEnd opens a connection through a node, has its upstream's side ended, and waits until the end
+// has arrived, if there is one.
+func openAndEnd(t *testing.T, node string, end func(upstream *net.TCPConn)) *Conn {
+	t.Helper()
+	serving, done := make(chan *net.TCPConn), make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	conn, err := open(t, node, startUpstream(t, func(u *net.TCPConn) { serving <- u; <-done }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	end(<-serving)
+	const unlessOpen = 200 * time.Millisecond
+	_ = conn.SetReadDeadline(time.Now().Add(unlessOpen))
+	_, _ = conn.Read(make([]byte, 1))
+	return conn
+}
+
+// Guards against an end that is passed on before it can be asked for, and against a reset or a caller's
+// end that is taken for one.
+func TestEndIsKnownBeforeItArrives(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  error // of the upstream's side
+		want result
+	}{{"in order", io.EOF, ended}, {"reset", syscall.ECONNRESET, unknown}} {
+		s := NewServer(upstreamsFunc(dialUpstream))
+		asker, node := net.Pipe()
+		watched := &closeWatch{Conn: node}
+		watched.onClose = func() { watched.known = s.resultOfEnd(node.RemoteAddr().String()) }
+		s.add(watched)
+		s.copy(watched, failingConn{err: c.end}, func() { s.recordEnd(watched) })
+		if watched.known != c.want {
+			t.Errorf("%s: %v known as the connection is closed, want %v", c.name, watched.known, c.want)
+		}
+		_ = asker.Close()
 	}
 }
 
+// closeWatch reports the end of a connection.
+type closeWatch struct {
+	net.Conn
+	onClose func()
+	known   result
+}
+
+func (c *closeWatch) CloseWrite() error { c.onClose(); return nil }
+func (c *closeWatch) Close() error      { c.onClose(); return c.Conn.Close() }
+
+// failingConn is a connection whose reads fail.
+type failingConn struct {
+	net.Conn
+	err error
+}
+
+func (c failingConn) Read([]byte) (int, error) { return 0, c.err }
+func (failingConn) Close() error               { return nil }
+
 // Guards against an upstream that goes on with a request whose caller has gone.
 func TestLeavingCallerReachesUpstream(t *testing.T) {
 	_, node := startNode(t, dialUpstream)
--- a/connection/upstream/overhttp/exchange/endproof.go
+++ b/connection/upstream/overhttp/exchange/endproof.go
@@ -5,15 +5,46 @@
 	"errors"
 	"fmt"
 	"io"
+	"syscall"
 	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// endProofTimeout limits how long the end of an answer waits for the upstream's proof, and for that
+	// of a process between.
+	endProofTimeout = time.Second
+	// endQuestionTimeout limits one question. A kept connection may have gone silent.
+	endQuestionTimeout = 250 * time.Millisecond
+	// endQuestionPause is the time before the second question. It doubles with each further one, as new
+	// connections to a full upstream don't help it.
+	endQuestionPause = 20 * time.Millisecond
+	// deadlineMargin is how long before the deadline an upstream may take it for over. It is told whole
+	// milliseconds.
+	deadlineMargin = 10 * time.Millisecond
 )
 
-// endProofTimeout limits how long the end of an answer waits for its proof.
-const endProofTimeout = time.Second
+var (
+	// ErrEndUnproved means that an answer without a length or chunks may have been cut off: the kernel
+	// closes the connections of a process that is killed as orderly as the process itself would.
+	ErrEndUnproved = errors.New("nothing proves that the end of the connection is the end of the answer")
+	// ErrOtherProcess means that another process has the upstream's address now.
+	ErrOtherProcess = errors.New("another process has the address")
 
-// errEndUnproved means that an answer without a length or chunks may have been cut off: the kernel
-// closes the connections of a process that is killed as orderly as the process itself would.
-var errEndUnproved = errors.New("nothing proves that the end of the connection is the end of the answer")
+	errAtDeadline = errors.New("the upstream may have stopped at the deadline")
+	errNoProver   = errors.New("the process between can't be asked")
+)
+
+// EndProof is how an upstream proves that it has ended an answer itself. An answer that ends with its
+// connection is whole only if the process that sent it is there afterwards.
+type EndProof interface {
+	// Question returns a request that names the process and that it answers at once.
+	Question() *fasthttp.Request
+	// Check returns nil if an answer to the question shows that the process is the same, an error that
+	// wraps ErrOtherProcess if it shows another one, and any other error if it shows neither.
+	Check(answer *fasthttp.Response) error
+}
 
 // EndProver is implemented by connections that pass through another process, which may end as well.
 type EndProver interface {
@@ -28,22 +59,66 @@
 			return fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
 		}
 	}
-	if err := s.proveEnd(); err != nil {
-		return fmt.Errorf("%w: %w: %w", io.ErrUnexpectedEOF, errEndUnproved, err)
+	if deadline, ok := s.ctx.Deadline(); ok && time.Until(deadline) < deadlineMargin {
+		return fmt.Errorf("%w: %w", ErrEndUnproved, errAtDeadline)
+	}
+	if err := s.proveEndBetween(); err != nil {
+		return fmt.Errorf("%w: %v", ErrEndUnproved, err)
+	}
+	if err := s.client.proveEnd(s.ctx); err != nil {
+		return fmt.Errorf("%w: %v", ErrEndUnproved, err)
 	}
 	return io.EOF
 }
 
-func (s *Stream) proveEnd() error {
+// proveEndBetween asks the process that the connection passes through, if there is one.
+func (s *Stream) proveEndBetween() error {
+	if s.conn.direct {
+		return nil
+	}
+	p, ok := s.conn.Conn.(EndProver)
+	if !ok {
+		return errNoProver
+	}
 	ctx, cancel := context.WithTimeout(s.ctx, endProofTimeout)
 	defer cancel()
-	if p, ok := s.conn.Conn.(EndProver); ok {
-		if err := p.ProveEnd(ctx); err != nil {
+	return p.ProveEnd(ctx)
+}
+
+// proveEnd asks the upstream until an answer decides, or nobody listens at its address, or the time is
+// over.
+func (c *Client) proveEnd(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, endProofTimeout)
+	defer cancel()
+	acquire := c.pool.acquire
+	for pause := endQuestionPause; ; pause *= 2 {
+		err := c.askForEnd(ctx, acquire)
+		if err == nil || errors.Is(err, ErrOtherProcess) || c.isRefusedByHost(err) {
 			return err
 		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pause):
+		}
+		// The client may have been closed since, as the upstream has left.
+		acquire = c.pool.dial
 	}
-	if s.client.cfg.ProveEnd == nil {
-		return nil
+}
+
+// askForEnd asks the upstream once.
+func (c *Client) askForEnd(ctx context.Context, acquire acquireFunc) error {
+	ctx, cancel := context.WithTimeout(ctx, endQuestionTimeout)
+	defer cancel()
+	s := &Stream{client: c, ctx: ctx, resp: &fasthttp.Response{}, isQuestion: true}
+	if err := s.exchange(acquire, c.cfg.EndProof.Question()); err != nil {
+		return err
 	}
-	return s.client.cfg.ProveEnd(ctx)
+	return c.cfg.EndProof.Check(s.resp)
+}
+
+// isRefusedByHost reports whether nothing listens at the upstream's address. Where no other upstream can
+// be reached, it is the path that refuses.
+func (c *Client) isRefusedByHost(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) && (c.cfg.Path == nil || c.cfg.Path.ReachesOthers())
 }
--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -56,13 +56,11 @@
 	// a request that was delayed by a network failure would still reach the other end
 	// when the network recovers, seconds after its sender gave up.
 	ResetAbandoned bool
-	// AllowUnframed accepts an answer that has neither a length nor chunks and ends
-	// with an orderly close of the connection. Otherwise such an answer is an error.
-	AllowUnframed bool
-	// ProveEnd is asked after the orderly end of such an answer's connection. It returns nil if the
-	// process that sent the answer is known to have outlived it, and so to have ended it. Without a
-	// proof, Stream takes the answer for cut off. nil: no proof is needed.
-	ProveEnd func(ctx context.Context) error
+	// EndProof accepts an answer that has neither a length nor chunks and ends with an
+	// orderly close of the connection, and says how the upstream proves that end. Stream
+	// asks for the proof, Do leaves it to its caller to see whether the answer is whole.
+	// nil: such an answer is an error.
+	EndProof EndProof
 	// DetectProcessEnd makes the client connect again after the other end has closed or
 	// reset the connection during an exchange. If the address refuses the connection,
 	// the error wraps upstream.ErrProcessEnded, because the process has ended and not
@@ -144,24 +142,28 @@
 }
 
 func (c *Client) do(ctx context.Context, acquire acquireFunc, req *fasthttp.Request, resp *fasthttp.Response) error {
-	s, err := c.startExchange(ctx, acquire, req, resp)
-	if err != nil {
+	s := &Stream{client: c, ctx: ctx, resp: resp}
+	return s.exchange(acquire, req)
+}
+
+// exchange sends req and reads the complete answer.
+func (s *Stream) exchange(acquire acquireFunc, req *fasthttp.Request) error {
+	if err := s.start(acquire, req); err != nil {
 		return err
 	}
-	if err := s.readBody(c.cfg.MaxBody); err != nil {
-		s.Close()
+	defer s.Close()
+	if err := s.readBody(s.client.cfg.MaxBody); err != nil {
 		return s.wrapError("read answer", err)
 	}
 	s.complete = true
-	s.Close()
 	return nil
 }
 
 // Stream sends req once and reads the header of the answer into resp. The returned
 // Stream reads the body. The caller must close it.
 func (c *Client) Stream(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (*Stream, error) {
-	s, err := c.startExchange(ctx, c.pool.acquire, req, resp)
-	if err != nil {
+	s := &Stream{client: c, ctx: ctx, resp: resp}
+	if err := s.start(c.pool.acquire, req); err != nil {
 		return nil, err
 	}
 	if s.Unframed() {
@@ -183,37 +185,38 @@
 	return s, nil
 }
 
-// startExchange sends req and reads the header of its answer.
-func (c *Client) startExchange(ctx context.Context, acquire acquireFunc, req *fasthttp.Request, resp *fasthttp.Response) (*Stream, error) {
-	conn, err := acquire(ctx)
+// start sends req and reads the header of its answer. After an error the connection is closed.
+func (s *Stream) start(acquire acquireFunc, req *fasthttp.Request) error {
+	address := s.client.pool.address
+	conn, err := acquire(s.ctx)
 	if err != nil {
-		return nil, fmt.Errorf("connect to %s: %w: %w", c.pool.address, ErrNotSent, err)
+		return fmt.Errorf("connect to %s: %w: %w", address, ErrNotSent, err)
 	}
-	s := &Stream{client: c, ctx: ctx, conn: conn, resp: resp}
+	s.conn = conn
 	// Closing the connection unblocks a reader whose context has ended, and prevents a
 	// late answer from being read by the next request.
-	s.stopAbandon = context.AfterFunc(ctx, conn.abandon)
+	s.stopAbandon = context.AfterFunc(s.ctx, conn.abandon)
 	sent, err := s.send(req)
 	if err != nil {
 		s.Close()
 		if conn.written == 0 {
-			return nil, fmt.Errorf("send to %s: %w: %w", c.pool.address, ErrNotSent, err)
+			return fmt.Errorf("send to %s: %w: %w", address, ErrNotSent, err)
 		}
-		return nil, s.wrapError("send", err)
+		return s.wrapError("send", err)
 	}
 	s.conn.recordSent()
 	if err := s.readMatchingHeader(req); err != nil {
 		s.Close()
-		return nil, s.wrapError("read header", err)
+		return s.wrapError("read header", err)
 	}
 	// The answer arrived before the whole request was sent. The upstream still expects
 	// the rest of the request on this connection and would read another request as a
 	// part of this body.
 	s.noReuse = s.noReuse || !sent()
 	if req.Header.IsHead() {
-		resp.SkipBody = true
+		s.resp.SkipBody = true
 	}
-	return s, nil
+	return nil
 }
 
 // maxInlineBody is the size of the largest body that is sent before the answer is read.
--- a/connection/upstream/overhttp/exchange/reuse_test.go
+++ b/connection/upstream/overhttp/exchange/reuse_test.go
@@ -122,8 +122,11 @@
 			if reset {
 				_ = c.(*net.TCPConn).SetLinger(0)
 			}
+		}, func(c net.Conn, br *bufio.Reader) {
+			readRequest(t, br)
+			answer(c, emptyWord)
 		})
-		cl := New(at, Config{AllowUnframed: true})
+		cl := New(at, Config{EndProof: alwaysProved{}})
 		var resp fasthttp.Response
 		s, err := cl.Stream(context.Background(), requestWith("a", nil), &resp)
 		var got []byte
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -29,6 +29,8 @@
 	noReuse     bool // the connection must not be reused
 	// checkEnd is asked at the orderly end of an unframed answer, see SetEndCheck.
 	checkEnd func() error
+	// isQuestion says that the exchange asks for a proof, see EndProof.
+	isQuestion bool
 }
 
 // Read reads the next bytes of the body. It returns io.EOF only after the end that the
@@ -71,10 +73,10 @@
 	}
 }
 
-// Unframed reports whether the body ends with the connection and Config.AllowUnframed
+// Unframed reports whether the body ends with the connection and Config.EndProof
 // permits this.
 func (s *Stream) Unframed() bool {
-	return s.client.cfg.AllowUnframed && !s.resp.SkipBody && !hasNoBody(s.resp.StatusCode()) &&
+	return s.client.cfg.EndProof != nil && !s.resp.SkipBody && !hasNoBody(s.resp.StatusCode()) &&
 		s.resp.Header.ContentLength() == lengthUnknown
 }
 
@@ -120,7 +122,7 @@
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF // io.EOF means the end of a complete answer
 	}
-	if s.client.cfg.DetectProcessEnd && closedByPeer(err) && s.client.pool.processEnded() {
+	if s.client.cfg.DetectProcessEnd && !s.isQuestion && closedByPeer(err) && s.client.pool.processEnded() {
 		err = fmt.Errorf("%w: %w", upstream.ErrProcessEnded, err)
 	}
 	if s.conn.pathLost() {
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -113,6 +113,7 @@
 		Address:    e.Address,
 		DataCentre: e.DataCentre,
 		Software:   e.Software,
+		HealthPath: s.HealthPath,
 		Pool:       s.Name,
 		Service:    s.Name,
 		Slots:      e.Slots,
--- a/version/accepted/accepted.go
+++ b/version/accepted/accepted.go
@@ -37,6 +37,7 @@
 // Service is a pool of engines, a store of their KV caches, or a plain service.
 type Service struct {
 	Name       string
+	HealthPath string      // where an upstream tells whether it is healthy
 	Engine     *Engine     // nil: not a pool of engines
 	CacheStore *CacheStore // nil: not a cache store
 }
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -88,6 +88,8 @@
 	// Software is the version of the upstream's program; empty if it is not known. Versions
 	// are compared only, as they have no order.
 	Software string `json:",omitempty"`
+	// HealthPath is where a plain service's upstream tells whether it is healthy, if that is known.
+	HealthPath string `json:",omitempty"`
 	// Slots is how many requests run at once in an engine's batch.
 	Slots int
 	// PrefillRate is how many prompt tokens a second the engine computes.
