--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -36,6 +36,9 @@
 	// ErrOutOfOrder means that an event of a stream is missing, repeated or belongs to
 	// another stream.
 	ErrOutOfOrder = errors.New("upstream: event out of order")
+	// ErrOverlong means that a stream is longer than any answer to its request, so that what came of it
+	// is no part of one.
+	ErrOverlong = errors.New("upstream: stream longer than any answer")
 	// ErrUnknownStream means that the engine no longer has the stream.
 	ErrUnknownStream = errors.New("upstream: unknown stream")
 	// ErrAddressReused means that another upstream now has the address and refused the
--- a/request/completion/answer.go
+++ b/request/completion/answer.go
@@ -159,6 +159,10 @@
 	if err := a.state.ctx.Err(); err != nil {
 		return failure.FromContext(a.state.ctx).WithRan(failure.Unknown).WithCause(err)
 	}
+	if errors.Is(cause, upstream.ErrOverlong) && a.delivered.count > 0 {
+		// Another engine would go on after text that belongs to no answer.
+		return a.cutError(cause)
+	}
 	// The engine of a passthrough answer holds no stream to resume.
 	canResume := a.state.r.Passage == nil && a.resumes < a.state.rt.Config.MaxResumes && !a.resumeFailed
 	if !a.state.r.mayRepeat() {
