Bound what an upstream sends beside the body of its answer

Callers saw: a runner that sends interim answers (100 Continue), or an answer to another request in chunks, without end kept a request until the caller's deadline: 38 to 40 MiB in 5 to 44 s, where the runner of the test stops by itself, and 5 MiB in 20 s over a slow connection. A size line of a chunk without end did the same, in an answer to another request and in a report or a list. An answer to another request with a length took memory of up to 16 MiB for each caller at once, 522 MiB at forty.

Cause: readHeader skipped interim answers for ever. maxForeignAnswers bounds the number of answers to other requests; their bodies were read into memory up to MaxBody each, by fasthttp's chunk reader, which bounds no line and allocates a declared length at once. Trailers were parsed anew from their begin at each read, each time adding their fields once more, and became fields of the head that is passed on.

Change: all that comes before the head of the answer is at most maxDiscardedBytes (1 MiB), counted where the connection reads, whatever it is; bodies of other requests are read and not held. A trailer is at most 64 KiB, is read line by line once and is dropped; a line that is no field is an error. All bodies in chunks are read by net/http's reader, which bounds lines. A body's buffer grows with what has arrived. The new file limits.go has the limits. An answer to another request of more than 1 MiB, which was discarded before, now ends the exchange.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -172,8 +172,6 @@
 		return s, nil
 	}
 	if s.chunked() {
-		// fasthttp's chunk reader would take a connection that closes between two
-		// chunks for the end of the body.
 		s.body = httputil.NewChunkedReader(s.conn.br)
 		return s, nil
 	}
@@ -205,6 +203,7 @@
 		return s.wrapError("send", err)
 	}
 	s.conn.recordSent()
+	s.conn.allowance = maxDiscardedBytes
 	if err := s.readMatchingHeader(req); err != nil {
 		s.Close()
 		return s.wrapError("read header", err)
@@ -251,13 +250,14 @@
 			return err
 		}
 		if s.client.cfg.IsForeign == nil || !s.client.cfg.IsForeign(req, &s.resp.Header) {
+			s.conn.allowance = unlimitedBytes
 			return nil
 		}
 		s.noReuse = true
 		if s.Unframed() {
 			return errUnframed // the foreign answer ends only with the connection
 		}
-		if err := s.readBody(s.client.cfg.MaxBody); err != nil {
+		if err := s.discardBody(); err != nil {
 			return err
 		}
 		s.resp.Reset()
--- /dev/null
+++ b/connection/upstream/overhttp/exchange/limits.go
@@ -0,0 +1,186 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http/httputil"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Limits of what an upstream may send beside the body of an answer. The timeouts bound no bytes: an
+// upstream may send them as fast as the network takes them.
+const (
+	// connBufferBytes is the size of a connection's buffer, and bounds one head with the blank lines
+	// before it, and one line of a body's framing.
+	connBufferBytes = 4 << 10
+	// maxDiscardedBytes bounds what comes before the head of the answer: interim answers and answers to
+	// other requests.
+	maxDiscardedBytes = 1 << 20
+	// maxTrailerBytes bounds the fields after the last chunk.
+	maxTrailerBytes = 64 << 10
+	// unlimitedBytes is for a body, whose reader has a limit.
+	unlimitedBytes = math.MaxInt
+)
+
+var (
+	errOverlong      = errors.New("the upstream sends more than an answer may have outside its body")
+	errBrokenTrailer = errors.New("a line of the trailer is no field")
+)
+
+// limitedBytes is the number of bytes that may still be received.
+type limitedBytes int
+
+// take returns how many bytes a read of n may receive.
+func (l limitedBytes) take(n int) (int, error) {
+	if l <= 0 {
+		return 0, errOverlong
+	}
+	return min(n, int(l)), nil
+}
+
+// readHeader reads the head of a final answer.
+func (s *Stream) readHeader() error {
+	for {
+		if err := s.resp.Header.Read(s.conn.br); err != nil {
+			return err
+		}
+		if s.resp.StatusCode() != fasthttp.StatusContinue {
+			return nil
+		}
+	}
+}
+
+// discardBody reads the body of an answer to another request.
+func (s *Stream) discardBody() error {
+	if s.hasNoBody() {
+		return nil
+	}
+	body, err := s.bodyReader()
+	if err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, body)
+	if err != nil {
+		return err
+	}
+	return s.endBody(int(n))
+}
+
+// bodyReader returns a reader of the body without its framing.
+func (s *Stream) bodyReader() (io.Reader, error) {
+	switch length := s.resp.Header.ContentLength(); {
+	case length >= 0:
+		return io.LimitReader(s.conn.br, int64(length)), nil
+	case length == lengthChunked:
+		// fasthttp's chunk reader bounds no line, and would take a connection that closes between
+		// two chunks for the end of the body.
+		return httputil.NewChunkedReader(s.conn.br), nil
+	case s.Unframed():
+		return s.conn.br, nil
+	}
+	return nil, errUnframed
+}
+
+// endBody checks the end of a body of n bytes.
+func (s *Stream) endBody(n int) error {
+	switch length := s.resp.Header.ContentLength(); {
+	case length >= 0 && n < length:
+		return io.ErrUnexpectedEOF
+	case length == lengthChunked:
+		if err := s.readTrailer(); err != io.EOF {
+			return err
+		}
+	case length == lengthUnknown:
+		s.noReuse = true
+	}
+	return nil
+}
+
+// readBody reads the whole body of an answer.
+func (s *Stream) readBody(limit int) error {
+	if s.hasNoBody() {
+		s.resp.SkipBody = true
+		return nil
+	}
+	if s.resp.Header.ContentLength() > limit {
+		return fasthttp.ErrBodyTooLarge
+	}
+	r, err := s.bodyReader()
+	if err != nil {
+		return err
+	}
+	body, err := s.readAll(r, max(s.resp.Header.ContentLength(), 0), limit)
+	if err != nil {
+		return err
+	}
+	s.resp.SetBodyRaw(body)
+	return s.endBody(len(body))
+}
+
+func (s *Stream) hasNoBody() bool { return s.resp.SkipBody || hasNoBody(s.resp.StatusCode()) }
+
+// readTrailer reads the trailer after the last chunk and drops its fields. It returns io.EOF if the
+// trailer is complete.
+func (s *Stream) readTrailer() error {
+	reserve := max(0, s.conn.allowance-maxTrailerBytes)
+	s.conn.allowance -= reserve
+	defer func() { s.conn.allowance += reserve }()
+	for {
+		line, err := s.conn.br.ReadSlice('\n')
+		switch {
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
+		case errors.Is(err, bufio.ErrBufferFull):
+			return fmt.Errorf("%w: a line of the trailer of more than %d bytes", errOverlong, len(line))
+		case err != nil:
+			return err
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return io.EOF
+		case !bytes.Contains(line, []byte(":")):
+			return errBrokenTrailer
+		}
+	}
+}
+
+// ReadAll reads the whole body, at most limit bytes.
+func (s *Stream) ReadAll(limit int) ([]byte, error) {
+	if _, read := s.body.(*bytes.Reader); read {
+		if len(s.resp.Body()) > limit {
+			return nil, fasthttp.ErrBodyTooLarge
+		}
+		s.complete = true
+		return s.resp.Body(), nil
+	}
+	return s.readAll(s, 0, limit)
+}
+
+const (
+	// minBufferBytes and maxFirstBufferBytes bound a body's first buffer, whatever length is declared.
+	minBufferBytes, maxFirstBufferBytes = 512, 64 << 10
+)
+
+// readAll reads a body whose length is declared, or 0.
+func (s *Stream) readAll(r io.Reader, declared, limit int) ([]byte, error) {
+	body := make([]byte, 0, max(minBufferBytes, min(declared+1, maxFirstBufferBytes)))
+	for {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), limit+1)
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > limit:
+			return nil, fasthttp.ErrBodyTooLarge
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
--- /dev/null
+++ b/connection/upstream/overhttp/exchange/limits_test.go
@@ -0,0 +1,170 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+// countingPath counts the bytes that are received.
+type countingPath struct {
+	directPath
+	received *atomic.Int64
+}
+
+type countingConn struct {
+	*net.TCPConn
+	received *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+func (p countingPath) Connect(ctx context.Context, d *net.Dialer) (net.Conn, bool, error) {
+	c, err := p.ConnectDirect(ctx, d)
+	return c, true, err
+}
+
+func (p countingPath) ConnectDirect(ctx context.Context, d *net.Dialer) (net.Conn, error) {
+	c, err := p.directPath.ConnectDirect(ctx, d)
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{c.(*net.TCPConn), p.received}, nil
+}
+
+// serveEndless answers with begin and repeats a piece until the connection closes, or up to a bound that
+// no client should reach. Each end of a connection is reported.
+func serveEndless(t *testing.T, begin, piece string) (address string, ended <-chan bool) {
+	const bound = 64 << 20
+	ends := make(chan bool, 1)
+	piece = strings.Repeat(piece, 1+(4<<10)/len(piece))
+	return serveRaw(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		_, _ = c.Read(make([]byte, 4<<10))
+		n, err := io.WriteString(c, begin)
+		for err == nil && n < bound {
+			var m int
+			m, err = io.WriteString(c, piece)
+			n += m
+		}
+		ends <- err != nil
+	}), ends
+}
+
+const testBodyLimit = 100 << 10
+
+var endlessTests = []struct {
+	name, begin, piece string
+	limit              int64 // bytes received
+}{
+	{"status line", "HTTP/1.1 200 ", "z", connBufferBytes},
+	{"header line", "HTTP/1.1 200 OK\r\nId: a\r\nX: ", "z", connBufferBytes},
+	{"header lines", "HTTP/1.1 200 OK\r\nId: a\r\n", "X: z\r\n", connBufferBytes},
+	{"blank lines", "", "\r\n", connBufferBytes},
+	{"bare blank lines", "", "\n", connBufferBytes},
+	{"spaces", "", " ", connBufferBytes},
+	{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", maxDiscardedBytes},
+	{"interim answers with fields", "", "HTTP/1.1 100 Continue\r\nX: " + strings.Repeat("z", 2000) + "\r\n\r\n", maxDiscardedBytes},
+	{"foreign answers", "", "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nz", maxDiscardedBytes},
+	{"foreign answer with a length", "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 99999999\r\n\r\n", "z", maxDiscardedBytes},
+	{"foreign answer in chunks", "HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nz\r\n", maxDiscardedBytes},
+	{"foreign answer in a chunk", "HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n", "z", maxDiscardedBytes},
+	{"foreign answer, trailer", "HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: z\r\n", maxTrailerBytes},
+	{"size line of a chunk", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1;z", "z", 2 * connBufferBytes},
+	{"size lines of chunks", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("z", 1000) + "\r\nz\r\n", 10 * connBufferBytes},
+	{"size of a chunk in digits", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "0", 2 * connBufferBytes},
+	{"trailer line", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", "z", maxTrailerBytes},
+	{"trailer lines", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: z\r\n", maxTrailerBytes},
+	{"body in chunks", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "10\r\nzzzzzzzzzzzzzzzz\r\n", 2 * testBodyLimit},
+	{"body in a chunk", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n", "z", testBodyLimit},
+	{"body without a length", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", "z", testBodyLimit},
+	{"body with a length", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 999999999\r\n\r\n", "z", 0},
+}
+
+// Guards against an exchange that reads on for as long as its upstream sends.
+func TestEndlessBytesEndExchange(t *testing.T) {
+	t.Parallel()
+	for _, test := range endlessTests {
+		for _, whole := range []bool{true, false} {
+			t.Run(test.name, func(t *testing.T) {
+				t.Parallel()
+				at, ended := serveEndless(t, test.begin, test.piece)
+				var received atomic.Int64
+				cl := New(at, Config{
+					IsForeign: isForeign, EndProof: alwaysProved{}, MaxBody: testBodyLimit,
+					Path: countingPath{directPath{address: at}, &received},
+				})
+				defer cl.Close()
+				var resp fasthttp.Response
+				err := readWhole(cl, &resp, whole)
+				if !errors.Is(err, ErrFailedAfterSend) && !errors.Is(err, fasthttp.ErrBodyTooLarge) {
+					t.Errorf("%v", err)
+				}
+				if n := received.Load(); n > test.limit+2*connBufferBytes {
+					t.Errorf("%d bytes were received, want at most %d", n, test.limit+2*connBufferBytes)
+				}
+				if !<-ended {
+					t.Error("the connection stayed open")
+				}
+			})
+		}
+	}
+}
+
+// readWhole reads an answer by Do or by Stream.
+func readWhole(cl *Client, resp *fasthttp.Response, byDo bool) error {
+	if byDo {
+		return cl.Do(context.Background(), requestWith("a", nil), resp)
+	}
+	s, err := cl.Stream(context.Background(), requestWith("a", nil), resp)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	_, err = s.ReadAll(testBodyLimit)
+	return err
+}
+
+// Guards against fields after a body that pass for fields of its head.
+func TestTrailerFieldsAreDropped(t *testing.T) {
+	at := serveScript(t, func(c net.Conn, br *bufio.Reader) {
+		for range 2 {
+			readRequest(t, br)
+			answer(c, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nSeal: x\r\nId: b\r\n\r\n")
+		}
+	})
+	cl := New(at, Config{})
+	defer cl.Close()
+	for range 2 { // the second answer shows that the trailer was read to its end
+		var resp fasthttp.Response
+		err := cl.Do(context.Background(), requestWith("a", nil), &resp)
+		if err != nil || string(resp.Body()) != "ok" || len(resp.Header.Peek("Seal")) > 0 || string(resp.Header.Peek("Id")) != "a" {
+			t.Errorf("%q, %v, %s", resp.Body(), err, &resp.Header)
+		}
+	}
+}
+
+// Guards against a line after the last chunk that is neither a field nor the end.
+func TestBrokenTrailerIsNoEnd(t *testing.T) {
+	at := serveScript(t, func(c net.Conn, br *bufio.Reader) {
+		readRequest(t, br)
+		answer(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n")
+	})
+	cl := New(at, Config{})
+	defer cl.Close()
+	var resp fasthttp.Response
+	if err := cl.Do(context.Background(), requestWith("a", nil), &resp); !errors.Is(err, errBrokenTrailer) {
+		t.Errorf("%q, %v", resp.Body(), err)
+	}
+}
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -119,7 +119,7 @@
 
 func (p *pool) newConnection(nc net.Conn, direct bool) *connection {
 	c := &connection{Conn: nc, cfg: p.cfg, direct: direct}
-	c.br = bufio.NewReader(c)
+	c.br = bufio.NewReaderSize(c, connBufferBytes)
 	c.bw = bufio.NewWriter(c)
 	return c
 }
@@ -227,9 +227,10 @@
 	// written is the number of bytes sent of the current request. Only the sending
 	// goroutine accesses it.
 	written       int
-	direct        bool // straight to the upstream
-	awaited       bool // a request was sent whose end was not recorded yet
-	unwatched     bool // its silence is no sign of a lost path, as the other end may hold the answer back
+	allowance     limitedBytes // what may still be received
+	direct        bool         // straight to the upstream
+	awaited       bool         // a request was sent whose end was not recorded yet
+	unwatched     bool         // its silence is no sign of a lost path, as the other end may hold the answer back
 	idleSince     time.Time
 	peerKeepAlive time.Duration // idle time after which the other end closes it; 0 if unknown
 }
@@ -253,7 +254,12 @@
 	if err := c.SetReadDeadline(time.Now().Add(c.cfg.ReadTimeout)); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Read(p)
+	most, err := c.allowance.take(len(p))
+	if err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p[:most])
+	c.allowance -= limitedBytes(n)
 	if n > 0 && c.observed() {
 		c.cfg.Path.Received()
 	}
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -59,20 +59,6 @@
 // order. An error means that what was read can't be the whole answer.
 func (s *Stream) SetEndCheck(check func() error) { s.checkEnd = check }
 
-// readTrailer reads the trailer after the last chunk. It returns io.EOF if the trailer
-// is complete.
-func (s *Stream) readTrailer() error {
-	err := s.resp.Header.ReadTrailer(s.conn.br)
-	switch err {
-	case nil:
-		return io.EOF
-	case io.EOF:
-		return io.ErrUnexpectedEOF
-	default:
-		return err
-	}
-}
-
 // Unframed reports whether the body ends with the connection and Config.EndProof
 // permits this.
 func (s *Stream) Unframed() bool {
@@ -139,17 +125,6 @@
 		errors.Is(err, net.ErrClosed) // the goroutine that sends a large request closes the connection on a failure
 }
 
-func (s *Stream) readHeader() error {
-	for {
-		if err := s.resp.Header.Read(s.conn.br); err != nil {
-			return err
-		}
-		if s.resp.StatusCode() != fasthttp.StatusContinue {
-			return nil
-		}
-	}
-}
-
 // errUnframed is returned for a body that ends with the connection. Its end cannot be
 // distinguished from an interruption, so that a truncated answer would look complete.
 var errUnframed = errors.New("the answer has neither a length nor chunks")
@@ -160,42 +135,6 @@
 	lengthUnknown = -2
 )
 
-func (s *Stream) readBody(limit int) error {
-	if s.resp.SkipBody || hasNoBody(s.resp.StatusCode()) {
-		s.resp.SkipBody = true
-		return nil
-	}
-	length := s.resp.Header.ContentLength()
-	if length == lengthUnknown {
-		return s.readToEnd(limit)
-	}
-	if err := s.resp.ReadBody(s.conn.br, limit); err != nil {
-		return err
-	}
-	if length == lengthChunked {
-		return s.resp.Header.ReadTrailer(s.conn.br)
-	}
-	return nil
-}
-
-// readToEnd reads a body that ends with an orderly close of the connection. A reset is
-// an error because the rest of the answer may be missing.
-func (s *Stream) readToEnd(limit int) error {
-	if !s.Unframed() {
-		return errUnframed
-	}
-	body, err := io.ReadAll(io.LimitReader(s.conn.br, int64(limit)+1))
-	if err != nil {
-		return err
-	}
-	if len(body) > limit {
-		return fasthttp.ErrBodyTooLarge
-	}
-	s.noReuse = true
-	s.resp.SetBodyRaw(body)
-	return nil
-}
-
 // keepAliveTimeout returns the idle time after which the other end closes a connection,
 // according to its Keep-Alive field, or 0 if there is none.
 func keepAliveTimeout(h *fasthttp.ResponseHeader) time.Duration {
