--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -43,6 +43,7 @@
 	IdleTimeout  time.Duration // longest time that a connection stays idle
 	MaxIdle      int           // maximum number of idle connections
 	MaxBody      int           // maximum bytes of an answer that is read completely
+	MaxDoBody    int           // the same for Do and DoDirect; 0 means MaxBody
 	// AckTimeout limits how long sent bytes may remain unacknowledged by the other
 	// end's TCP. 0 means the system's limit, which is many minutes. A connection that
 	// is interrupted by a network failure is ended by this timeout, and not only by the
@@ -108,6 +109,7 @@
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
 	c.MaxIdle = cmp.Or(c.MaxIdle, DefaultMaxIdle)
 	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
+	c.MaxDoBody = cmp.Or(c.MaxDoBody, c.MaxBody)
 	return c
 }
 
@@ -152,7 +154,7 @@
 		return err
 	}
 	defer s.Close()
-	if err := s.readBody(s.client.cfg.MaxBody); err != nil {
+	if err := s.readBody(s.client.cfg.MaxDoBody); err != nil {
 		return s.wrapError("read answer", err)
 	}
 	s.complete = true
