Bound the memory for large answers that are being read

What is seen: forty callers at once of a plain route whose runner's answer never ends took 431 MiB (without a length) and 499 MiB (in chunks) of heap, at a limit of 200 MB, beyond which the platform kills the process.

Cause: each answer that is read whole has a limit, 16 MiB, and together they have none.

Change: exchange.Budget bounds what the clients that share it hold of bodies of more than 256 KiB while these are read; smaller ones are not counted, so that an answer of usual size is read whatever others hold. An answer that finds no room fails as one that breaks off.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -44,6 +44,9 @@
 	MaxIdle      int           // maximum number of idle connections
 	MaxBody      int           // maximum bytes of an answer that is read completely
 	MaxDoBody    int           // the same for Do and DoDirect; 0 means MaxBody
+	// Budget bounds the memory for answers that are read completely, over all clients that share it.
+	// If it is nil, only MaxBody bounds each.
+	Budget *Budget
 	// AckTimeout limits how long sent bytes may remain unacknowledged by the other
 	// end's TCP. 0 means the system's limit, which is many minutes. A connection that
 	// is interrupted by a network failure is ended by this timeout, and not only by the
--- a/connection/upstream/overhttp/exchange/limits.go
+++ b/connection/upstream/overhttp/exchange/limits.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net/http/httputil"
+	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 )
@@ -28,8 +29,9 @@
 )
 
 var (
-	errOverlong      = errors.New("the upstream sends more than an answer may have outside its body")
-	errBrokenTrailer = errors.New("a line of the trailer is no field")
+	errOverlong        = errors.New("the upstream sends more than an answer may have outside its body")
+	errBrokenTrailer   = errors.New("a line of the trailer is no field")
+	errBudgetExhausted = errors.New("no memory is left for answers of this size")
 )
 
 // limitedBytes is the number of bytes that may still be received.
@@ -147,7 +149,8 @@
 	}
 }
 
-// ReadAll reads the whole body, at most limit bytes.
+// ReadAll reads the whole body, at most limit bytes. What is held of it counts to the Budget until the
+// Stream is closed.
 func (s *Stream) ReadAll(limit int) ([]byte, error) {
 	if _, read := s.body.(*bytes.Reader); read {
 		if len(s.resp.Body()) > limit {
@@ -162,6 +165,9 @@
 const (
 	// minBufferBytes and maxFirstBufferBytes bound a body's first buffer, whatever length is declared.
 	minBufferBytes, maxFirstBufferBytes = 512, 64 << 10
+	// uncountedBytes of each body are not counted to the Budget, so that an answer of usual size is
+	// read whatever others hold.
+	uncountedBytes = 256 << 10
 )
 
 // readAll reads a body whose length is declared, or 0.
@@ -170,6 +176,9 @@
 	for {
 		if len(body) == cap(body) {
 			size := min(2*cap(body), limit+1)
+			if err := s.hold(size); err != nil {
+				return nil, err
+			}
 			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
@@ -184,3 +193,35 @@
 		}
 	}
 }
+
+// Budget bounds the memory that clients hold for bodies that are read whole. It is safe for concurrent
+// use.
+type Budget struct {
+	limit int64 // bytes
+	held  atomic.Int64
+}
+
+// NewBudget returns a Budget of limit bytes.
+func NewBudget(limit int) *Budget { return &Budget{limit: int64(limit)} }
+
+// hold counts a body's buffer of size bytes in place of its former one.
+func (s *Stream) hold(size int) error {
+	b, more := s.client.cfg.Budget, int64(size)-s.held
+	if b == nil || size <= uncountedBytes {
+		return nil
+	}
+	if b.held.Add(more) > b.limit {
+		b.held.Add(-more)
+		return errBudgetExhausted
+	}
+	s.held += more
+	return nil
+}
+
+// releaseHeld ends the count of the body.
+func (s *Stream) releaseHeld() {
+	if s.held > 0 {
+		s.client.cfg.Budget.held.Add(-s.held)
+		s.held = 0
+	}
+}
--- a/connection/upstream/overhttp/exchange/limits_test.go
+++ b/connection/upstream/overhttp/exchange/limits_test.go
@@ -168,3 +168,57 @@
 		t.Errorf("%q, %v", resp.Body(), err)
 	}
 }
+
+// Guards against large answers that use up the memory together, each within its own limit.
+func TestBudgetBoundsLargeAnswers(t *testing.T) {
+	const size = 1 << 20
+	stop := make(chan struct{})
+	defer close(stop)
+	at := serveRaw(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		br := bufio.NewReader(c)
+		for {
+			line, err := br.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if strings.HasPrefix(line, "Id: small") {
+				answer(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"+strings.Repeat("z", 1000))
+			}
+			if strings.HasPrefix(line, "Id: large") {
+				answer(c, "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n"+strings.Repeat("z", size-1))
+				<-stop
+				return
+			}
+		}
+	})
+	cl := New(at, Config{Budget: NewBudget(3 * size)})
+	defer cl.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	const callers = 8
+	errs := make(chan error, callers)
+	for range callers {
+		go func() { errs <- cl.Do(ctx, requestWith("large", nil), &fasthttp.Response{}) }()
+	}
+	for range callers - 3 { // three are held
+		if err := <-errs; !errors.Is(err, errBudgetExhausted) {
+			t.Errorf("%v", err)
+		}
+	}
+	if held := cl.cfg.Budget.held.Load(); held > 3*size {
+		t.Errorf("%d bytes are held", held)
+	}
+	var resp fasthttp.Response
+	if err := cl.Do(ctx, requestWith("small", nil), &resp); err != nil || len(resp.Body()) != 1000 {
+		t.Errorf("%d bytes, %v", len(resp.Body()), err)
+	}
+	cancel()
+	for range 3 {
+		if err := <-errs; !errors.Is(err, context.Canceled) {
+			t.Errorf("%v", err)
+		}
+	}
+	if held := cl.cfg.Budget.held.Load(); held != 0 {
+		t.Errorf("%d bytes are held after the end", held)
+	}
+}
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -26,7 +26,8 @@
 	stopAbandon func() bool
 	complete    bool
 	closed      bool
-	noReuse     bool // the connection must not be reused
+	noReuse     bool  // the connection must not be reused
+	held        int64 // bytes of the body that count to the Budget
 	// checkEnd is asked at the orderly end of an unframed answer, see SetEndCheck.
 	checkEnd func() error
 	// isQuestion says that the exchange asks for a proof, see EndProof.
@@ -87,6 +88,7 @@
 		return
 	}
 	s.closed = true
+	s.releaseHeld()
 	s.conn.recordEnd()
 	abandoned := !s.stopAbandon()
 	if !s.complete {
