Read heads of up to 64 KiB, each byte once

Callers would see: a sound answer whose head has more than 4 KiB fails after it was sent, as 502 where it may not be repeated; the runner counts as failed.

Cause: fasthttp parses a head within the connection's buffer, which has bufio's default size. It parses an incomplete head anew after each read, so that a larger buffer alone would let the time grow with the square of a head's size. It also takes blank lines that fill the buffer for the end of the connection, which the client then checks by connecting once more.

Evidence: TestLongHead, run on the code before, failed at 4 KiB and 32 KiB ("small read buffer"), and passed at 100 bytes.

Change: a head that the buffer holds whole is parsed there, as before. A longer or divided one is gathered first, by lines, up to maxHeadBytes (64 KiB), and parsed once. Blank lines before a head are skipped, up to the same bound.

Result: TestLongHead passes in steps of 7 bytes, 1,500 bytes and at once; the rows of heads of TestEndlessBytesEndExchange receive at most 64 KiB and two buffers, and those of TestEndlessAnswer pass on all routes.

--- a/connection/upstream/overhttp/exchange/limits.go
+++ b/connection/upstream/overhttp/exchange/limits.go
@@ -16,9 +16,10 @@
 // Limits of what an upstream may send beside the body of an answer. The timeouts bound no bytes: an
 // upstream may send them as fast as the network takes them.
 const (
-	// connBufferBytes is the size of a connection's buffer, and bounds one head with the blank lines
-	// before it, and one line of a body's framing.
+	// connBufferBytes is the size of a connection's buffer, and bounds one line of a body's framing.
 	connBufferBytes = 4 << 10
+	// maxHeadBytes bounds one head, with the blank lines before it.
+	maxHeadBytes = 64 << 10
 	// maxDiscardedBytes bounds what comes before the head of the answer: interim answers and answers to
 	// other requests.
 	maxDiscardedBytes = 1 << 20
@@ -48,7 +49,7 @@
 // readHeader reads the head of a final answer.
 func (s *Stream) readHeader() error {
 	for {
-		if err := s.resp.Header.Read(s.conn.br); err != nil {
+		if err := s.readHead(); err != nil {
 			return err
 		}
 		if s.resp.StatusCode() != fasthttp.StatusContinue {
@@ -57,6 +58,67 @@
 	}
 }
 
+// readHead reads one head. fasthttp parses all of an incomplete head again after each read, and takes
+// none that is longer than the connection's buffer, so it gets whole heads only.
+func (s *Stream) readHead() error {
+	br := s.conn.br
+	if err := skipBlankLines(br); err != nil {
+		return err
+	}
+	if buffered, _ := br.Peek(br.Buffered()); endsHead(buffered) {
+		return s.resp.Header.Read(br)
+	}
+	head, err := gatherHead(br)
+	if err != nil {
+		return err
+	}
+	return s.resp.Header.Read(bufio.NewReaderSize(bytes.NewReader(head), len(head)))
+}
+
+// endsHead reports whether b may hold the end of a head.
+func endsHead(b []byte) bool {
+	return bytes.Contains(b, []byte("\n\r\n")) || bytes.Contains(b, []byte("\n\n"))
+}
+
+// skipBlankLines skips the line ends before a head.
+func skipBlankLines(br *bufio.Reader) error {
+	for range maxHeadBytes {
+		b, err := br.Peek(1)
+		if err != nil {
+			return err
+		}
+		if b[0] != '\r' && b[0] != '\n' {
+			return nil
+		}
+		if _, err := br.Discard(1); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("%w: more than %d bytes of blank lines", errOverlong, maxHeadBytes)
+}
+
+// gatherHead returns the lines up to the blank one that ends a head.
+func gatherHead(br *bufio.Reader) ([]byte, error) {
+	var head []byte
+	lineStart := 0
+	for len(head) <= maxHeadBytes {
+		piece, err := br.ReadSlice('\n')
+		head = append(head, piece...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err == io.EOF:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		case len(bytes.TrimRight(head[lineStart:], "\r\n")) == 0:
+			return head, nil
+		}
+		lineStart = len(head)
+	}
+	return nil, fmt.Errorf("%w: a head of more than %d bytes", errOverlong, maxHeadBytes)
+}
+
 // discardBody reads the body of an answer to another request.
 func (s *Stream) discardBody() error {
 	if s.hasNoBody() {
