--- a/connection/upstream/overhttp/exchange/limits_test.go
+++ b/connection/upstream/overhttp/exchange/limits_test.go
@@ -247,3 +247,26 @@
 		}
 	}
 }
+
+// Guards against blank lines without end that pass for the end of the connection, after which the client
+// would connect once more to see whether the process has ended.
+func TestBlankLinesAreNoEndOfConnection(t *testing.T) {
+	var connections atomic.Int64
+	at := serveRaw(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		connections.Add(1)
+		_, _ = c.Read(make([]byte, 4<<10))
+		for {
+			if _, err := io.WriteString(c, strings.Repeat("\r\n", 2<<10)); err != nil {
+				return
+			}
+		}
+	})
+	cl := New(at, Config{DetectProcessEnd: true})
+	defer cl.Close()
+	var resp fasthttp.Response
+	err := cl.Do(context.Background(), requestWith("a", nil), &resp)
+	if n := connections.Load(); n != 1 || !errors.Is(err, ErrFailedAfterSend) || errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("%d connections, %v", n, err)
+	}
+}
