Avoid former upstreams for a while after a roll-out has been completed

Callers would see a refusal as a roll-out is completed: the former upstreams stop at once, without draining, but the register lists them for some time more, and a node that knew of the completion placed requests on either version alike. Ruled out: the proofs of ends, which took no part (the connections were refused before anything was sent).

Now first tries avoid the former upstreams for 10 s after the completion; later ones may go to any, as while the former ones drain. TestCompletionLeavesNoFirstTryToFormerUpstreams holds it. The row "complete" of TestDivide asked for no division from the moment of the completion on; it asks for none once that time is over.

--- a/version/release/tracker.go
+++ b/version/release/tracker.go
@@ -281,7 +281,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	e := tr.services[service]
-	if e == nil || !e.isKnown() || e.latest.Phase.IsFinal() || e.latest.Phase == Pending || now.Sub(e.receivedAt) >= Lease {
+	if e == nil || !e.isKnown() || !e.divides(now) {
 		return Division{}
 	}
 	isNew := func(u Upstream, _ int) bool { return u.Software == e.order.Software }
@@ -294,12 +294,27 @@
 	}
 	chosen := chooseUpstreams(fresh, e.latest.Upstreams, e.order.ID)
 	d := Division{First: append(serving, lo.Without(fresh, chosen...)...), Later: fresh}
-	if e.latest.Phase == Draining {
+	if e.latest.Phase == Draining || e.latest.Phase == Complete {
 		d.Later = nil
 	}
 	return d
 }
 
+// formerListedTime is how long after a roll-out's completion the former upstreams may still be listed. They
+// stop at its completion, without draining.
+const formerListedTime = 10 * time.Second
+
+// divides reports whether the two versions are not to be treated alike.
+func (e *entry) divides(now time.Time) bool {
+	switch e.latest.Phase {
+	case Pending, RolledBack:
+		return false
+	case Complete:
+		return now.Sub(e.latest.Since) < formerListedTime
+	}
+	return now.Sub(e.receivedAt) < Lease
+}
+
 func namesOf(upstreams []Upstream) []string {
 	return lo.Map(upstreams, func(u Upstream, _ int) string { return u.Name })
 }
