Take a refused connection for no process's end once the path is lost

An upstream had really ended, which noted that others were reached; 37 ms later a node lost its path, and the resets of three streams under way counted as ends of their upstreams' processes, as that note holds for 100 ms. The errors said both, that the path was lost and that the process had ended.

Now a refused connection counts only while the path is not judged lost, for a process's end and for the proof of an answer's end alike, by one function. The third case of TestLostPathIsNoProcessEnd fails without it.

--- a/connection/upstream/overhttp/exchange/endproof.go
+++ b/connection/upstream/overhttp/exchange/endproof.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -93,7 +92,7 @@
 	acquire := c.pool.acquire
 	for pause := endQuestionPause; ; pause *= 2 {
 		err := c.askForEnd(ctx, acquire)
-		if err == nil || errors.Is(err, ErrOtherProcess) || c.isRefusedByHost(err) {
+		if err == nil || errors.Is(err, ErrOtherProcess) || c.pool.isRefusedByHost(err) {
 			return err
 		}
 		select {
@@ -116,9 +115,3 @@
 	}
 	return c.cfg.EndProof.Check(s.resp)
 }
-
-// isRefusedByHost reports whether nothing listens at the upstream's address. Where no other upstream can
-// be reached, it is the path that refuses.
-func (c *Client) isRefusedByHost(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) && (c.cfg.Path == nil || c.cfg.Path.ReachesOthers())
-}
--- a/connection/upstream/overhttp/exchange/path_test.go
+++ b/connection/upstream/overhttp/exchange/path_test.go
@@ -15,7 +15,8 @@
 // directPath is a Path that connects directly to an address and may be found to be lost.
 type directPath struct {
 	address string
-	lost    bool
+	lost    bool // no other upstream is reached
+	judged  bool // as lost, while others were reached just before
 }
 
 func (p directPath) Connect(ctx context.Context, d *net.Dialer) (net.Conn, bool, error) {
@@ -28,16 +29,20 @@
 }
 
 func (directPath) Silent() bool          { return false }
-func (directPath) Lost() bool            { return false }
+func (p directPath) Lost() bool          { return p.judged }
 func (p directPath) ReachesOthers() bool { return !p.lost }
 func (directPath) Received()             {}
 func (directPath) Sent()                 {}
 func (directPath) Ended()                {}
 
 // Guards against requests that are held on all nodes because one node lost its path while they were
-// in progress.
+// in progress, also right after another upstream's process has ended.
 func TestLostPathIsNoProcessEnd(t *testing.T) {
-	for _, lost := range []bool{false, true} {
+	for _, c := range []struct{ lost, judged, ended bool }{
+		{false, false, true},
+		{true, false, false},
+		{false, true, false},
+	} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -52,10 +57,10 @@
 			_ = conn.Close()
 		}()
 		address := ln.Addr().String()
-		cl := New(address, Config{DetectProcessEnd: true, Path: directPath{address: address, lost: lost}})
+		cl := New(address, Config{DetectProcessEnd: true, Path: directPath{address: address, lost: c.lost, judged: c.judged}})
 		var resp fasthttp.Response
-		if _, err := cl.Stream(context.Background(), requestWith("a", nil), &resp); errors.Is(err, upstream.ErrProcessEnded) == lost {
-			t.Errorf("path lost %v: %v", lost, err)
+		if _, err := cl.Stream(context.Background(), requestWith("a", nil), &resp); errors.Is(err, upstream.ErrProcessEnded) != c.ended {
+			t.Errorf("%+v: %v", c, err)
 		}
 		cl.Close()
 	}
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -144,12 +144,18 @@
 	defer cancel()
 	c, err := p.dialDirect(ctx)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) && (p.cfg.Path == nil || p.cfg.Path.ReachesOthers())
+		return p.isRefusedByHost(err)
 	}
 	p.put(c)
 	return false
 }
 
+// isRefusedByHost reports whether nothing listens at the upstream's address. Where the path is lost, or no
+// other upstream can be reached, it is the path that refuses.
+func (p *pool) isRefusedByHost(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) && (p.cfg.Path == nil || !p.cfg.Path.Lost() && p.cfg.Path.ReachesOthers())
+}
+
 // keepAliveProbes is the number of unanswered probes after which TCP closes a
 // connection.
 const keepAliveProbes = 2
