--- a/connection/upstream/overhttp/exchange/endproof_test.go
+++ b/connection/upstream/overhttp/exchange/endproof_test.go
@@ -36,7 +36,7 @@
 type endingUpstream struct {
 	ln     net.Listener
 	answer func(c net.Conn) // to the request
-	word   func(c net.Conn) // to each question; nil: the listener is closed with the answer
+	reply  func(c net.Conn) // to each question; nil: the listener is closed with the answer
 	mu     sync.Mutex       // guards the fields below
 	conns  int              // accepted after the answer has ended
 	ended  bool             // the answer has
@@ -55,14 +55,14 @@
 			return
 		}
 		if strings.HasSuffix(string(req.RequestURI()), questionPath) {
-			u.word(c)
+			u.reply(c)
 			continue
 		}
 		u.answer(c)
 		u.mu.Lock()
 		u.ended = true
 		u.mu.Unlock()
-		if u.word == nil {
+		if u.reply == nil {
 			_ = u.ln.Close()
 		}
 		_ = c.Close()
@@ -70,13 +70,13 @@
 	}
 }
 
-func startEndingUpstream(t *testing.T, answer, word func(c net.Conn)) *endingUpstream {
+func startEndingUpstream(t *testing.T, answer, reply func(c net.Conn)) *endingUpstream {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &endingUpstream{ln: ln, answer: answer, word: word}
+	u := &endingUpstream{ln: ln, answer: answer, reply: reply}
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
 		for {
@@ -106,7 +106,7 @@
 const (
 	unframedHalf = "HTTP/1.1 200 OK\r\n\r\nhalf"
 	chunkedHalf  = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n"
-	emptyWord    = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	emptyReply   = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 )
 
 // Guards against half an answer without a length that counts as whole because its connection ended in
@@ -120,7 +120,7 @@
 			silent := false
 			once.Do(func() { silent = true })
 			if !silent {
-				answer(c, emptyWord)
+				answer(c, emptyReply)
 			}
 		}
 	}
@@ -131,7 +131,7 @@
 	failsOnce := func() checkedProof {
 		var once sync.Once
 		return func(*fasthttp.Response) (err error) {
-			once.Do(func() { err = errors.New("no word") })
+			once.Do(func() { err = errors.New("unidentified") })
 			return err
 		}
 	}
@@ -140,26 +140,26 @@
 	cases := []struct {
 		name     string
 		answer   string
-		word     func(net.Conn)
+		reply    func(net.Conn)
 		proof    checkedProof
 		check    error // of what was read
 		maxConns int   // opened after the end
 		whole    bool
 	}{
-		{"proved", unframedHalf, writes(emptyWord), says(nil), nil, 1, true},
-		{"another process", unframedHalf, writes(emptyWord), says(ErrOtherProcess), nil, 1, false},
-		{"no word at first", unframedHalf, writes(emptyWord), failsOnce(), nil, 2, true},
-		{"no word at all", unframedHalf, writes(emptyWord), says(errors.New("no word")), nil, many, false},
+		{"proved", unframedHalf, writes(emptyReply), says(nil), nil, 1, true},
+		{"another process", unframedHalf, writes(emptyReply), says(ErrOtherProcess), nil, 1, false},
+		{"unidentified at first", unframedHalf, writes(emptyReply), failsOnce(), nil, 2, true},
+		{"unidentified", unframedHalf, writes(emptyReply), says(errors.New("unidentified")), nil, many, false},
 		{"silent at first", unframedHalf, silentOnce(), says(nil), nil, 2, true},
 		{"full", unframedHalf, resets, says(nil), nil, many, false},
 		{"nobody listens", unframedHalf, nil, says(nil), nil, 0, false},
-		{"cut off by what was read", unframedHalf, writes(emptyWord), says(nil), errors.New("cut"), 1, false},
-		{"chunks prove themselves", chunkedHalf, writes(emptyWord), says(errors.New("no word")), nil, 0, true},
+		{"cut off by what was read", unframedHalf, writes(emptyReply), says(nil), errors.New("cut"), 1, false},
+		{"chunks prove themselves", chunkedHalf, writes(emptyReply), says(errors.New("unidentified")), nil, 0, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			u := startEndingUpstream(t, writes(c.answer), c.word)
+			u := startEndingUpstream(t, writes(c.answer), c.reply)
 			cl := New(u.ln.Addr().String(), Config{EndProof: c.proof})
 			defer cl.Close()
 			got, err := readStream(t, cl, func(s *Stream) { s.SetEndCheck(func() error { return c.check }) })
@@ -197,7 +197,7 @@
 	u := startEndingUpstream(t, func(c net.Conn) {
 		answer(c, unframedHalf)
 		<-closed
-	}, writes(emptyWord))
+	}, writes(emptyReply))
 	cl := New(u.ln.Addr().String(), Config{EndProof: alwaysProved{}})
 	got, err := readStream(t, cl, func(*Stream) {
 		cl.Close()
@@ -219,7 +219,7 @@
 		answer(c, unframedHalf)
 		end, _ := ctx.Deadline()
 		time.Sleep(time.Until(end) - deadlineMargin/2)
-	}, writes(emptyWord))
+	}, writes(emptyReply))
 	cl := New(u.ln.Addr().String(), Config{EndProof: alwaysProved{}})
 	defer cl.Close()
 	var resp fasthttp.Response
--- a/connection/upstream/overhttp/exchange/reuse_test.go
+++ b/connection/upstream/overhttp/exchange/reuse_test.go
@@ -124,7 +124,7 @@
 			}
 		}, func(c net.Conn, br *bufio.Reader) {
 			readRequest(t, br)
-			answer(c, emptyWord)
+			answer(c, emptyReply)
 		})
 		cl := New(at, Config{EndProof: alwaysProved{}})
 		var resp fasthttp.Response
