Say whether an upstream that refuses connections counts as ended

An end of an upstream's process that does not count left no line: it could not be told from an answer that was only cut. 819 UpstreamRefused gives both, with what decided it, once a second for each upstream at the most. Nothing is decided otherwise than before; package path now makes the whole decision.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -91,8 +91,9 @@
 	Lost() bool
 	// Silent reports whether the upstream is to get no further requests for now.
 	Silent() bool
-	// ReachesOthers reports whether other upstreams can be reached now.
-	ReachesOthers() bool
+	// HostRefuses reports whether a connection that was just refused was refused by the upstream's host, and not
+	// by the path to it.
+	HostRefuses() bool
 	// Received is called when bytes of an answer were received on a direct connection.
 	// Sent and Ended are called for requests on direct connections that are answered
 	// without delay, which those of DoDirect may not be.
--- a/connection/upstream/overhttp/exchange/path_test.go
+++ b/connection/upstream/overhttp/exchange/path_test.go
@@ -28,12 +28,12 @@
 	return d.DialContext(ctx, "tcp", p.address)
 }
 
-func (directPath) Silent() bool          { return false }
-func (p directPath) Lost() bool          { return p.judged }
-func (p directPath) ReachesOthers() bool { return !p.lost }
-func (directPath) Received()             {}
-func (directPath) Sent()                 {}
-func (directPath) Ended()                {}
+func (directPath) Silent() bool        { return false }
+func (p directPath) Lost() bool        { return p.judged }
+func (p directPath) HostRefuses() bool { return !p.judged && !p.lost }
+func (directPath) Received()           {}
+func (directPath) Sent()               {}
+func (directPath) Ended()              {}
 
 // Guards against requests that are held on all nodes because one node lost its path while they were
 // in progress, also right after another upstream's process has ended.
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -150,10 +150,9 @@
 	return false
 }
 
-// isRefusedByHost reports whether nothing listens at the upstream's address. Where the path is lost, or no
-// other upstream can be reached, it is the path that refuses.
+// isRefusedByHost reports whether nothing listens at the upstream's address.
 func (p *pool) isRefusedByHost(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) && (p.cfg.Path == nil || !p.cfg.Path.Lost() && p.cfg.Path.ReachesOthers())
+	return errors.Is(err, syscall.ECONNREFUSED) && (p.cfg.Path == nil || p.cfg.Path.HostRefuses())
 }
 
 // keepAliveProbes is the number of unanswered probes after which TCP closes a
--- a/connection/upstream/path/monitor.go
+++ b/connection/upstream/path/monitor.go
@@ -38,14 +38,44 @@
 	Silent           bool
 }
 
+// Refusal is a connection to an upstream that was refused after an answer of it had broken off.
+type Refusal struct {
+	Service, Address string
+	// Ended says that the refusal shows that the upstream's process has ended.
+	Ended bool
+	// Lost says that this node had lost the path to the upstream, and OthersReached that it reached other
+	// upstreams, which is not tried on a lost path.
+	Lost, OthersReached bool
+}
+
+// Observer is told of what a Monitor finds. Each function may be nil.
+type Observer struct {
+	Change  func(Change)  // for each change of a path
+	Silence func(Silence) // for each change of an upstream
+	Refusal func(Refusal) // for some refusals of each upstream, and for each change of what they show
+}
+
+// withDefaults returns the observer with functions that do nothing for those that are nil.
+func (o Observer) withDefaults() Observer {
+	if o.Change == nil {
+		o.Change = func(Change) {}
+	}
+	if o.Silence == nil {
+		o.Silence = func(Silence) {}
+	}
+	if o.Refusal == nil {
+		o.Refusal = func(Refusal) {}
+	}
+	return o
+}
+
 // Monitor holds the judgements of all services, and checks paths in the background. Its mutex is
 // never held together with that of a group.
 type Monitor struct {
-	dial      DialFunc
-	onChange  func(Change)
-	onSilence func(Silence)
-	checks    singleflight.Group
-	relay     atomic.Pointer[Relay] // nil: there are no other nodes
+	dial     DialFunc
+	observer Observer
+	checks   singleflight.Group
+	relay    atomic.Pointer[Relay] // nil: there are no other nodes
 	// relayedAt is when another node last opened a connection for this one; nil: never.
 	relayedAt atomic.Pointer[time.Time]
 
@@ -56,11 +86,10 @@
 	work   sync.WaitGroup
 }
 
-// NewMonitor starts a monitor. onChange is called for each change of a path, onSilence for each of an
-// upstream.
-func NewMonitor(dial DialFunc, onChange func(Change), onSilence func(Silence)) *Monitor {
+// NewMonitor starts a monitor.
+func NewMonitor(dial DialFunc, o Observer) *Monitor {
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &Monitor{dial: dial, onChange: onChange, onSilence: onSilence, groups: map[string]*group{}, cancel: cancel}
+	m := &Monitor{dial: dial, observer: o.withDefaults(), groups: map[string]*group{}, cancel: cancel}
 	m.work.Go(func() {
 		tick := time.NewTicker(tickInterval)
 		defer tick.Stop()
@@ -158,7 +187,7 @@
 		changed, lostFor := g.recordCheck(time.Now(), results)
 		if changed {
 			lost := lostFor == 0
-			m.onChange(Change{Service: service, Lost: lost, Reached: countTrue(results), Tried: len(results), LostFor: lostFor})
+			m.observer.Change(Change{Service: service, Lost: lost, Reached: countTrue(results), Tried: len(results), LostFor: lostFor})
 			if lost {
 				m.checkOthers(service)
 			}
@@ -176,7 +205,7 @@
 func (m *Monitor) checkSilent(service string, g *group, address string) {
 	reached := m.connectEach([]string{address})[address]
 	if g.recordSilence(time.Now(), address, reached) {
-		m.onSilence(Silence{Service: service, Address: address, Silent: !reached})
+		m.observer.Silence(Silence{Service: service, Address: address, Silent: !reached})
 	}
 }
 
--- a/connection/upstream/path/path.go
+++ b/connection/upstream/path/path.go
@@ -55,6 +55,9 @@
 	checkedAt time.Time
 	// reach tells whether the last direct connection could be opened since the path was lost.
 	reach reach
+	// refusal is the last one that the observer was told of, at refusalAt.
+	refusal   Refusal
+	refusalAt time.Time
 }
 
 // reach is what is known of direct connections to one upstream.
@@ -197,6 +200,21 @@
 	g.othersReachedAt = now
 }
 
+// refusalInterval is the least time between two equal refusals of an upstream that the observer is told of.
+const refusalInterval = time.Second
+
+// refusalIsNews reports whether the observer is to be told of a refusal.
+func (g *group) refusalIsNews(now time.Time, r Refusal) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.state(r.Address)
+	if s.refusal == r && now.Sub(s.refusalAt) < refusalInterval {
+		return false
+	}
+	s.refusal, s.refusalAt = r, now
+	return true
+}
+
 // pick returns up to n of the addresses, at random.
 func pick(addresses []string, n int) []string {
 	n = min(n, len(addresses))
--- a/connection/upstream/path/path_test.go
+++ b/connection/upstream/path/path_test.go
@@ -194,7 +194,7 @@
 	addresses := []string{"a", "b", "c", "d"}
 	n := &network{}
 	changes := make(chan Change, 10)
-	m := NewMonitor(n.dial, func(c Change) { changes <- c }, func(Silence) {})
+	m := NewMonitor(n.dial, Observer{Change: func(c Change) { changes <- c }})
 	defer m.Close()
 	m.SetUpstreams(map[string][]string{"lm": addresses, "app": {"x", "y"}})
 	n.refuse("a", "b", "c", "d", "x", "y")
@@ -216,7 +216,7 @@
 func TestOnlyUpstreamDownIsNoLostPath(t *testing.T) {
 	n := &network{}
 	n.refuse("x")
-	m := NewMonitor(n.dial, func(c Change) { t.Errorf("unexpected change %+v", c) }, func(Silence) {})
+	m := NewMonitor(n.dial, Observer{Change: func(c Change) { t.Errorf("unexpected change %+v", c) }})
 	defer m.Close()
 	m.SetUpstreams(map[string][]string{"lm": {"a", "b", "c"}, "app": {"x"}})
 	u := m.Upstream("app", "x")
@@ -245,7 +245,7 @@
 		{"no others known", []string{"a"}, []string{"a"}, true},
 	} {
 		n := &network{}
-		m := NewMonitor(n.dial, func(Change) {}, func(Silence) {})
+		m := NewMonitor(n.dial, Observer{})
 		m.SetUpstreams(map[string][]string{"lm": c.addresses})
 		n.refuse(c.refused...)
 		if c.want {
@@ -253,7 +253,7 @@
 				_, _ = m.Upstream("lm", address).ConnectDirect(context.Background(), &net.Dialer{})
 			}
 		}
-		if got := m.Upstream("lm", "a").ReachesOthers(); got != c.want {
+		if got := m.Upstream("lm", "a").reachesOthers(); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
 		m.Close()
@@ -263,13 +263,13 @@
 // Guards against a connection to three other upstreams for each request that one had when it ended.
 func TestRequestsOfEndedUpstreamShareOneCheck(t *testing.T) {
 	n := &network{}
-	m := NewMonitor(n.dial, func(Change) {}, func(Silence) {})
+	m := NewMonitor(n.dial, Observer{})
 	defer m.Close()
 	m.SetUpstreams(map[string][]string{"lm": {"a", "b", "c", "d"}})
 	n.refuse("a")
 	const requests = 50
 	for range requests {
-		if !m.Upstream("lm", "a").ReachesOthers() {
+		if !m.Upstream("lm", "a").reachesOthers() {
 			t.Fatal("no other upstream is reached")
 		}
 	}
@@ -303,7 +303,7 @@
 	} {
 		n := &network{}
 		n.refuse("a", "b", "c", "d")
-		m := NewMonitor(n.dial, func(Change) {}, func(Silence) {})
+		m := NewMonitor(n.dial, Observer{})
 		m.SetUpstreams(map[string][]string{"lm": {"a", "b", "c", "d"}})
 		m.SetRelay(c.relay)
 		a := m.Upstream("lm", "a")
--- a/connection/upstream/path/upstream.go
+++ b/connection/upstream/path/upstream.go
@@ -31,9 +31,21 @@
 // on after a pause, so those in progress are not given up.
 func (u *Upstream) Silent() bool { return u.group.isSilent(u.address) }
 
-// ReachesOthers tries to connect to other upstreams, and reports whether one was reached, which shows
-// that a refused connection comes from the upstream's host. Without others it reports true.
-func (u *Upstream) ReachesOthers() bool {
+// HostRefuses reports whether a connection that was just refused was refused by the upstream's host, so that
+// nothing listens there, and not by the path to it.
+func (u *Upstream) HostRefuses() bool {
+	r := Refusal{Service: u.service, Address: u.address, Lost: u.Lost()}
+	r.OthersReached = !r.Lost && u.reachesOthers()
+	r.Ended = r.OthersReached
+	if u.group.refusalIsNews(time.Now(), r) {
+		u.monitor.observer.Refusal(r)
+	}
+	return r.Ended
+}
+
+// reachesOthers tries to connect to other upstreams, and reports whether one was reached. Without others it
+// reports true.
+func (u *Upstream) reachesOthers() bool {
 	if u.group.othersReachedLately(time.Now()) {
 		return true
 	}
--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -102,6 +102,7 @@
 	_ = x[UpstreamRejectsLimited-816]
 	_ = x[ConnectionRelayed-817]
 	_ = x[WeightsAsked-818]
+	_ = x[UpstreamRefused-819]
 	_ = x[ConfigInForce-300]
 	_ = x[ConfigFromSnapshot-301]
 	_ = x[ConfigFromPeer-302]
@@ -153,7 +154,7 @@
 	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedSecretReloadedSecretReloadFailedAcceptFailedSettingsReloadedSettingsNotReloadedSettingsNeedRestart"
 	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsedOperatorCallFailed"
 	_Event_name_6 = "UpstreamEnteredUpstreamLeftEntryUnreadableRegisterLostRegisterBack"
-	_Event_name_7 = "CacheListedCacheFollowedRateLearntUpstreamLeavingUpstreamLimitedUpstreamLimitUnreadableEngineRatesLearntPathLostPathRestoredUpstreamSilentUpstreamRejectsLimitedConnectionRelayedWeightsAsked"
+	_Event_name_7 = "CacheListedCacheFollowedRateLearntUpstreamLeavingUpstreamLimitedUpstreamLimitUnreadableEngineRatesLearntPathLostPathRestoredUpstreamSilentUpstreamRejectsLimitedConnectionRelayedWeightsAskedUpstreamRefused"
 )
 
 var (
@@ -164,7 +165,7 @@
 	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 107, 125, 137, 153, 172, 191}
 	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90, 108}
 	_Event_index_6 = [...]uint8{0, 15, 27, 42, 54, 66}
-	_Event_index_7 = [...]uint8{0, 11, 24, 34, 49, 64, 87, 104, 112, 124, 138, 160, 177, 189}
+	_Event_index_7 = [...]uint8{0, 11, 24, 34, 49, 64, 87, 104, 112, 124, 138, 160, 177, 189, 204}
 )
 
 func (i Event) String() string {
@@ -190,7 +191,7 @@
 	case 800 <= i && i <= 804:
 		i -= 800
 		return _Event_name_6[_Event_index_6[i]:_Event_index_6[i+1]]
-	case 806 <= i && i <= 818:
+	case 806 <= i && i <= 819:
 		i -= 806
 		return _Event_name_7[_Event_index_7[i]:_Event_index_7[i+1]]
 	default:
--- a/process/gateway/paths.go
+++ b/process/gateway/paths.go
@@ -23,15 +23,22 @@
 // newPaths starts to judge this node's paths to the upstreams.
 func (g *Gateway) newPaths(i do.Injector, dial path.DialFunc) *path.Monitor {
 	metrics := do.MustInvoke[*metric.Metrics](i)
-	m := path.NewMonitor(dial, func(c path.Change) {
-		metrics.SetPathLost(c.Service, c.Lost)
-		if c.Lost {
-			event.Warn(g.log, event.PathLost, zap.String("Service", c.Service), zap.Int("Reached", c.Reached), zap.Int("Tried", c.Tried))
-			return
-		}
-		event.Info(g.log, event.PathRestored, zap.String("Service", c.Service), zap.Duration("LostFor", c.LostFor))
-	}, func(s path.Silence) {
-		event.Info(g.log, event.UpstreamSilent, zap.String("Service", s.Service), zap.String("Address", s.Address), zap.Bool("Silent", s.Silent))
+	m := path.NewMonitor(dial, path.Observer{
+		Change: func(c path.Change) {
+			metrics.SetPathLost(c.Service, c.Lost)
+			if c.Lost {
+				event.Warn(g.log, event.PathLost, zap.String("Service", c.Service), zap.Int("Reached", c.Reached), zap.Int("Tried", c.Tried))
+				return
+			}
+			event.Info(g.log, event.PathRestored, zap.String("Service", c.Service), zap.Duration("LostFor", c.LostFor))
+		},
+		Silence: func(s path.Silence) {
+			event.Info(g.log, event.UpstreamSilent, zap.String("Service", s.Service), zap.String("Address", s.Address), zap.Bool("Silent", s.Silent))
+		},
+		Refusal: func(r path.Refusal) {
+			event.Info(g.log, event.UpstreamRefused, zap.String("Service", r.Service), zap.String("Address", r.Address),
+				zap.Bool("Ended", r.Ended), zap.Bool("Lost", r.Lost), zap.Bool("OthersReached", r.OthersReached))
+		},
 	})
 	g.onClose("paths", m.Close)
 	return m
--- a/process/gateway/refresh_bench_test.go
+++ b/process/gateway/refresh_bench_test.go
@@ -27,7 +27,7 @@
 	}
 	l.guards, l.metrics, l.log, l.releases = guards, metric.New(), zap.NewNop(), &releases{}
 	l.limiter, l.rejects = ratelimit.New("n1"), newRejectLimits("n1", nil)
-	l.paths = path.NewMonitor(nil, nil, nil)
+	l.paths = path.NewMonitor(nil, path.Observer{})
 	l.origins.Store(newTestOrigins(&fakeLedger{}))
 	l.book.Accept(accepted.Configuration{Version: 1, Services: map[string]accepted.Service{"lm": {Name: "lm", Engine: &accepted.Engine{Slots: 64, Models: []string{"m"}}}}})
 	for i := range upstreams {
