Ask other nodes whether a refused upstream has ended

Callers saw one request end the upstreams of a small service one after the other, with what ran beside it: up to 50 ends and 18 sends of a request that was known for more than 3 s to do so, of three that are allowed.

Cause: an end counted only while the path to the service was not judged lost, and the judgement is the majority of three upstreams. Two of three that the request has ended make a lost path, and nothing counts any more. Ruled out: losses between nodes (all three nodes had the same judgement by themselves), entries cleared by answers (no RequestCleared).

The condition was a safeguard for requests that a cut resets: a note that others had been reached, up to 0.1 s old, made ends of them. Now what was found out before the connection broke counts for nothing, and in doubt other nodes are asked: one that connects says it is no end, one that is refused and reaches others says it is one. Where nobody can tell, what goes down one by one has ended, what breaks off together was cut. Both kinds of evidence are kept; the path is judged as before. Answers that came through another node are judged in the same way.

--- a/connection/relay/client.go
+++ b/connection/relay/client.go
@@ -69,6 +69,16 @@
 	return nil
 }
 
+// Probe asks the node at peerAddress whether the upstream at an address accepts connections.
+func Probe(ctx context.Context, secrets [][]byte, peerAddress, upstream string) Reach {
+	c, r, err := ask(ctx, &net.Dialer{}, secrets, peerAddress, reachQuestion+upstream)
+	if err != nil {
+		return ReachUnknown // as from a node that can't tell
+	}
+	_ = c.Close() // nothing follows the result
+	return r.reach()
+}
+
 // ask sends a request to the node at peerAddress and returns its result, with the connection.
 func ask(ctx context.Context, d *net.Dialer, secrets [][]byte, peerAddress, address string) (*net.TCPConn, result, error) {
 	toPeer := *d
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -8,7 +8,8 @@
 //
 // In place of an upstream's address the asking node may send a question mark and its own address on a
 // connection that is open: whether the upstream has ended that one in order. Nothing follows the result
-// then. A node of an older build knows no upstream by such an address.
+// then. An exclamation mark and the address of an upstream ask whether that one accepts connections. A node
+// of an older build knows no upstream by such an address.
 package relay
 
 import (
@@ -18,7 +19,7 @@
 	"net"
 )
 
-//go:generate go tool stringer -type=result -output=relay_string.go
+//go:generate go tool stringer -type=result,Reach -output=relay_string.go
 
 var (
 	// ErrUnusable means that the other node can't help with any upstream of the service now.
@@ -32,6 +33,32 @@
 // endQuestion begins the request of a node that asks how one of its connections has ended.
 const endQuestion = "?"
 
+// reachQuestion begins the request of a node that asks whether an upstream accepts connections.
+const reachQuestion = "!"
+
+// Reach is what a node says of an upstream that another one asks about.
+type Reach uint8
+
+const (
+	// ReachUnknown means that the node can't tell.
+	ReachUnknown Reach = iota
+	// Refused means that the upstream's host refuses connections.
+	Refused
+	// Accepted means that the upstream accepts connections.
+	Accepted
+)
+
+// result returns the answer to a question.
+func (r Reach) result() result {
+	switch r {
+	case Accepted:
+		return connected
+	case Refused:
+		return failed
+	}
+	return unknown
+}
+
 // result is the other node's answer.
 type result uint8
 
@@ -61,6 +88,17 @@
 	return fmt.Errorf("%w: %v", ErrUnusable, r)
 }
 
+// reach returns what the answer to a question says.
+func (r result) reach() Reach {
+	switch r {
+	case connected:
+		return Accepted
+	case failed:
+		return Refused
+	}
+	return ReachUnknown
+}
+
 func writeRequest(w io.Writer, address string) error {
 	_, err := w.Write(append([]byte{byte(len(address))}, address...))
 	return err
--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -24,6 +24,19 @@
 	return f(ctx, address)
 }
 
+// Probe says of each upstream that it refuses connections, unless it accepts one.
+func (f upstreamsFunc) Probe(ctx context.Context, address string) Reach {
+	c, err := f(ctx, address)
+	switch {
+	case err == nil:
+		_ = c.Close()
+		return Accepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	}
+	return ReachUnknown
+}
+
 // dialUpstream connects to any address.
 func dialUpstream(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
@@ -236,6 +249,29 @@
 	}
 }
 
+// Guards against an upstream that counts as down because a node can't tell, and against one that counts as up.
+func TestProbeTellsWhetherUpstreamAccepts(t *testing.T) {
+	up := startUpstream(t, func(*net.TCPConn) {})
+	for _, c := range []struct {
+		name    string
+		connect upstreamsFunc
+		want    Reach
+	}{
+		{"accepts", func(ctx context.Context, _ string) (net.Conn, error) { return dialUpstream(ctx, up) }, Accepted},
+		{"refuses", func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }, Refused},
+		{"node has no path", func(context.Context, string) (net.Conn, error) { return nil, ErrNoPath }, ReachUnknown},
+		{"not an upstream", func(context.Context, string) (net.Conn, error) { return nil, ErrUnknownUpstream }, ReachUnknown},
+	} {
+		_, node := startNode(t, c.connect)
+		if got := Probe(context.Background(), secrets, node, "127.0.0.1:1"); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	if got := Probe(context.Background(), secrets, "127.0.0.1:1", up); got != ReachUnknown {
+		t.Errorf("node is not reached: %v", got)
+	}
+}
+
 // Guards against a node that connects strangers to upstreams.
 func TestOtherSecretIsRefused(t *testing.T) {
 	var connections atomic.Int32
--- a/connection/relay/server.go
+++ b/connection/relay/server.go
@@ -37,6 +37,8 @@
 type Upstreams interface {
 	// Connect opens a direct connection to the upstream at an address.
 	Connect(ctx context.Context, address string) (net.Conn, error)
+	// Probe reports whether the upstream at an address accepts connections.
+	Probe(ctx context.Context, address string) Reach
 }
 
 // Server passes connections on for other nodes. Its methods are safe for concurrent use.
@@ -80,6 +82,12 @@
 		_, _ = node.Write([]byte{byte(s.resultOfEnd(asked))}) // without an answer, the end counts as not proved
 		return
 	}
+	if asked, ok := strings.CutPrefix(address, reachQuestion); ok {
+		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+		defer cancel()
+		_, _ = node.Write([]byte{byte(s.upstreams.Probe(ctx, asked).result())}) // without an answer, nothing is known
+		return
+	}
 	upstream, r := s.connect(node, address)
 	_, err = node.Write([]byte{byte(r)})
 	if upstream == nil {
--- a/connection/upstream/overhttp/exchange/endproof.go
+++ b/connection/upstream/overhttp/exchange/endproof.go
@@ -101,8 +101,9 @@
 	defer cancel()
 	acquire := c.pool.acquire
 	for pause := endQuestionPause; ; pause *= 2 {
+		askedAt := time.Now()
 		err := c.askForEnd(ctx, acquire)
-		if err == nil || errors.Is(err, ErrOtherProcess) || c.pool.isRefusedByHost(err) {
+		if err == nil || errors.Is(err, ErrOtherProcess) || c.pool.isRefusedByHost(askedAt, err) {
 			return err
 		}
 		select {
--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -91,9 +91,11 @@
 	Lost() bool
 	// Silent reports whether the upstream is to get no further requests for now.
 	Silent() bool
-	// HostRefuses reports whether a connection that was just refused was refused by the upstream's host, and not
-	// by the path to it.
-	HostRefuses() bool
+	// HostRefuses reports whether a direct connection that was refused after a time was refused by the upstream's
+	// host, and not by the path to it.
+	HostRefuses(since time.Time) bool
+	// OthersRefused reports whether other nodes that have their path are refused by the upstream's host after a time.
+	OthersRefused(since time.Time) bool
 	// Received is called when bytes of an answer were received on a direct connection.
 	// Sent and Ended are called for requests on direct connections that are answered
 	// without delay, which those of DoDirect may not be.
--- a/connection/upstream/overhttp/exchange/path_test.go
+++ b/connection/upstream/overhttp/exchange/path_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -17,31 +18,40 @@
 	address string
 	lost    bool // no other upstream is reached
 	judged  bool // as lost, while others were reached just before
+	ended   bool // other nodes are refused as well
+	relayed bool // connections go through another node
 }
 
 func (p directPath) Connect(ctx context.Context, d *net.Dialer) (net.Conn, bool, error) {
 	c, err := p.ConnectDirect(ctx, d)
-	return c, true, err
+	return c, !p.relayed, err
 }
 
 func (p directPath) ConnectDirect(ctx context.Context, d *net.Dialer) (net.Conn, error) {
 	return d.DialContext(ctx, "tcp", p.address)
 }
 
-func (directPath) Silent() bool        { return false }
-func (p directPath) Lost() bool        { return p.judged }
-func (p directPath) HostRefuses() bool { return !p.judged && !p.lost }
-func (directPath) Received()           {}
-func (directPath) Sent()               {}
-func (directPath) Ended()              {}
+func (directPath) Silent() bool                   { return false }
+func (p directPath) Lost() bool                   { return p.judged }
+func (p directPath) HostRefuses(time.Time) bool   { return p.ended || !p.judged && !p.lost }
+func (p directPath) OthersRefused(time.Time) bool { return p.ended }
+func (directPath) Received()                      {}
+func (directPath) Sent()                          {}
+func (directPath) Ended()                         {}
 
 // Guards against requests that are held on all nodes because one node lost its path while they were
 // in progress, also right after another upstream's process has ended.
 func TestLostPathIsNoProcessEnd(t *testing.T) {
-	for _, c := range []struct{ lost, judged, ended bool }{
-		{false, false, true},
-		{true, false, false},
-		{false, true, false},
+	for _, c := range []struct {
+		path  directPath
+		ended bool
+	}{
+		{directPath{}, true},
+		{directPath{lost: true}, false},
+		{directPath{judged: true}, false},
+		{directPath{judged: true, ended: true}, true},
+		{directPath{judged: true, relayed: true}, false},
+		{directPath{judged: true, relayed: true, ended: true}, true},
 	} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -57,11 +67,16 @@
 			_ = conn.Close()
 		}()
 		address := ln.Addr().String()
-		cl := New(address, Config{DetectProcessEnd: true, Path: directPath{address: address, lost: c.lost, judged: c.judged}})
+		c.path.address = address
+		cl := New(address, Config{DetectProcessEnd: true, Path: c.path})
 		var resp fasthttp.Response
-		if _, err := cl.Stream(context.Background(), requestWith("a", nil), &resp); errors.Is(err, upstream.ErrProcessEnded) != c.ended {
+		_, err = cl.Stream(context.Background(), requestWith("a", nil), &resp)
+		if errors.Is(err, upstream.ErrProcessEnded) != c.ended {
 			t.Errorf("%+v: %v", c, err)
 		}
+		if c.ended && errors.Is(err, upstream.ErrPathLost) {
+			t.Errorf("%+v: the end counts as a lost path: %v", c, err)
+		}
 		cl.Close()
 	}
 }
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -137,22 +137,24 @@
 // ended. The host sent a packet just before, so the check takes one round trip.
 const processEndTimeout = 100 * time.Millisecond
 
-// processEnded connects to the address and reports whether the connection was refused by
-// the upstream's host. A node that has lost its path may be refused as well.
-func (p *pool) processEnded() bool {
+// processEnded connects to the address, after a connection has broken at a time, and reports whether nothing
+// listens there any more. If the broken one was not direct, this node may have no path that tells, so others are
+// asked.
+func (p *pool) processEnded(brokenAt time.Time, direct bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), processEndTimeout)
 	defer cancel()
 	c, err := p.dialDirect(ctx)
-	if err != nil {
-		return p.isRefusedByHost(err)
+	if err == nil {
+		p.put(c)
+		return false
 	}
-	p.put(c)
-	return false
+	return p.isRefusedByHost(brokenAt, err) || !direct && p.cfg.Path.OthersRefused(brokenAt)
 }
 
-// isRefusedByHost reports whether nothing listens at the upstream's address.
-func (p *pool) isRefusedByHost(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) && (p.cfg.Path == nil || p.cfg.Path.HostRefuses())
+// isRefusedByHost reports whether nothing listens at the upstream's address, after a connection to it has failed. A
+// node that has lost its path is refused as well.
+func (p *pool) isRefusedByHost(since time.Time, err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) && (p.cfg.Path == nil || p.cfg.Path.HostRefuses(since))
 }
 
 // keepAliveProbes is the number of unanswered probes after which TCP closes a
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -115,16 +115,17 @@
 }
 
 func (s *Stream) wrapError(step string, err error) error {
+	brokenAt := time.Now()
 	if ctxErr := s.ctx.Err(); ctxErr != nil {
 		err = ctxErr
 	}
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF // io.EOF means the end of a complete answer
 	}
-	if s.client.cfg.DetectProcessEnd && !s.isQuestion && closedByPeer(err) && s.client.pool.processEnded() {
+	switch {
+	case s.client.cfg.DetectProcessEnd && !s.isQuestion && closedByPeer(err) && s.client.pool.processEnded(brokenAt, s.conn.direct):
 		err = fmt.Errorf("%w: %w", upstream.ErrProcessEnded, err)
-	}
-	if s.conn.pathLost() {
+	case s.conn.pathLost():
 		err = fmt.Errorf("%w: %w", upstream.ErrPathLost, err)
 	}
 	return fmt.Errorf("%s %s: %w: %w", step, s.client.pool.address, ErrFailedAfterSend, err)
--- a/connection/upstream/path/monitor.go
+++ b/connection/upstream/path/monitor.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sync/singleflight"
+
+	"github.com/dunlinmill/dunlinmill/connection/relay"
 )
 
 const (
@@ -44,8 +46,10 @@
 	// Ended says that the refusal shows that the upstream's process has ended.
 	Ended bool
 	// Lost says that this node had lost the path to the upstream, and OthersReached that it reached other
-	// upstreams, which is not tried on a lost path.
+	// upstreams of the service.
 	Lost, OthersReached bool
+	// Peers is what other nodes say of the upstream; ReachUnknown if they were not asked.
+	Peers relay.Reach
 }
 
 // Observer is told of what a Monitor finds. Each function may be nil.
@@ -110,6 +114,8 @@
 	// Connect opens a connection to the upstream at an address, with the options of d. The error
 	// wraps ErrNoNodes if there are no other nodes, and upstream.ErrPathLost if none can connect.
 	Connect(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
+	// Probe asks other nodes whether the upstream at an address accepts connections.
+	Probe(ctx context.Context, address string) relay.Reach
 }
 
 // ErrNoNodes means that this node knows no others.
@@ -220,6 +226,9 @@
 	return targets
 }
 
+// hasOtherServices reports whether upstreams of other services are known.
+func (m *Monitor) hasOtherServices(service string) bool { return len(m.withOthers(service, nil)) > 0 }
+
 // checkOthers makes the paths to the other services be checked at once, as they probably share the
 // fault of this one.
 func (m *Monitor) checkOthers(service string) {
--- a/connection/upstream/path/path.go
+++ b/connection/upstream/path/path.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/samber/lo"
+
+	"github.com/dunlinmill/dunlinmill/connection/relay"
 )
 
 const (
@@ -42,10 +44,11 @@
 	succeeded int       // checks in a row that succeeded while it is lost
 	checkedAt time.Time
 	requested bool // a check is due whatever the other fields say
-	// othersReachedAt is when connections that were tried beside a refused one last succeeded.
-	othersReachedAt time.Time
-	waitTimer                                 // of all requests on direct connections
-	upstreams       map[string]*upstreamState // by address
+	// othersCheck and otherServicesCheck tell whether connections that were tried beside a refused one, to other
+	// upstreams of the service and of other services, succeeded.
+	othersCheck, otherServicesCheck dated[bool]
+	waitTimer                                                 // of all requests on direct connections
+	upstreams                       map[string]*upstreamState // by address
 }
 
 // upstreamState is what a group knows of one upstream.
@@ -55,6 +58,10 @@
 	checkedAt time.Time
 	// reach tells whether the last direct connection could be opened since the path was lost.
 	reach reach
+	// reachedAt is when a direct connection to it was last opened, or brought bytes.
+	reachedAt time.Time
+	// peers is what other nodes last said of it.
+	peers dated[relay.Reach]
 	// refusal is the last one that the observer was told of, at refusalAt.
 	refusal   Refusal
 	refusalAt time.Time
@@ -117,11 +124,12 @@
 }
 
 // recordSuccess records a connection to an address that was opened directly.
-func (g *group) recordSuccess(address string) {
+func (g *group) recordSuccess(now time.Time, address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.failed = nil
-	g.state(address).reach = reached
+	s := g.state(address)
+	s.reach, s.reachedAt = reached, now
 }
 
 // recordFailure records that a direct connection to an address could not be opened, and reports
@@ -184,22 +192,6 @@
 	return pick(others, checkTargets)
 }
 
-// othersReachedMemory is how long a result of othersReachedLately is used.
-const othersReachedMemory = 100 * time.Millisecond
-
-// othersReachedLately reports whether other upstreams were reached just now.
-func (g *group) othersReachedLately(now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return now.Sub(g.othersReachedAt) < othersReachedMemory
-}
-
-func (g *group) recordOthersReached(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.othersReachedAt = now
-}
-
 // refusalInterval is the least time between two equal refusals of an upstream that the observer is told of.
 const refusalInterval = time.Second
 
--- a/connection/upstream/path/path_test.go
+++ b/connection/upstream/path/path_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/dunlinmill/dunlinmill/connection/relay"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 )
 
@@ -114,7 +117,7 @@
 	if _, decides := g.recordFailure(start, "b"); !decides {
 		t.Error("failures at two upstreams don't decide")
 	}
-	g.recordSuccess("a")
+	g.recordSuccess(start, "a")
 	if _, decides := g.recordFailure(start, "b"); decides {
 		t.Error("a failure at one upstream decides after a success")
 	}
@@ -163,7 +166,7 @@
 	dials   int
 }
 
-var errRefused = errors.New("refused")
+var errRefused = fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 
 func (n *network) refuse(addresses ...string) {
 	n.mu.Lock()
@@ -230,59 +233,13 @@
 	}
 }
 
-// Guards against a request that ends one upstream after the other and is not held because those that
-// have ended count as out of reach, and against one that is held because this node was cut off.
-func TestReachOfOtherUpstreams(t *testing.T) {
-	for _, c := range []struct {
-		name      string
-		addresses []string
-		refused   []string
-		want      bool
-	}{
-		{"this one has ended", []string{"a", "b", "c", "d"}, []string{"a"}, true},
-		{"most have ended one after the other", []string{"a", "b", "c", "d"}, []string{"a", "b", "c"}, true},
-		{"cut off", []string{"a", "b", "c", "d"}, []string{"a", "b", "c", "d"}, false},
-		{"no others known", []string{"a"}, []string{"a"}, true},
-	} {
-		n := &network{}
-		m := NewMonitor(n.dial, Observer{})
-		m.SetUpstreams(map[string][]string{"lm": c.addresses})
-		n.refuse(c.refused...)
-		if c.want {
-			for _, address := range c.refused {
-				_, _ = m.Upstream("lm", address).ConnectDirect(context.Background(), &net.Dialer{})
-			}
-		}
-		if got := m.Upstream("lm", "a").reachesOthers(); got != c.want {
-			t.Errorf("%s: %v", c.name, got)
-		}
-		m.Close()
-	}
-}
-
-// Guards against a connection to three other upstreams for each request that one had when it ended.
-func TestRequestsOfEndedUpstreamShareOneCheck(t *testing.T) {
-	n := &network{}
-	m := NewMonitor(n.dial, Observer{})
-	defer m.Close()
-	m.SetUpstreams(map[string][]string{"lm": {"a", "b", "c", "d"}})
-	n.refuse("a")
-	const requests = 50
-	for range requests {
-		if !m.Upstream("lm", "a").reachesOthers() {
-			t.Fatal("no other upstream is reached")
-		}
-	}
-	if dials := n.count(); dials > checkTargets {
-		t.Errorf("%d connections for %d requests", dials, requests)
-	}
-}
-
 // relayFunc is a Relay as a function.
 type relayFunc func() (net.Conn, error)
 
 func (f relayFunc) Connect(context.Context, *net.Dialer, string) (net.Conn, error) { return f() }
 
+func (relayFunc) Probe(context.Context, string) relay.Reach { return relay.ReachUnknown }
+
 // Guards against a data centre that is cut off and refuses requests that its own upstreams could
 // serve, and against a way through other nodes that is not used.
 func TestWayToUpstreamOnLostPath(t *testing.T) {
--- a/connection/upstream/path/silence.go
+++ b/connection/upstream/path/silence.go
@@ -87,7 +87,7 @@
 	g.received(now)
 	s := g.state(address)
 	s.received(now)
-	s.silent = false
+	s.silent, s.reachedAt = false, now
 }
 
 // recordEnd records the end of a request that was sent on a direct connection.
--- a/connection/upstream/path/upstream.go
+++ b/connection/upstream/path/upstream.go
@@ -31,42 +31,12 @@
 // on after a pause, so those in progress are not given up.
 func (u *Upstream) Silent() bool { return u.group.isSilent(u.address) }
 
-// HostRefuses reports whether a connection that was just refused was refused by the upstream's host, so that
-// nothing listens there, and not by the path to it.
-func (u *Upstream) HostRefuses() bool {
-	r := Refusal{Service: u.service, Address: u.address, Lost: u.Lost()}
-	r.OthersReached = !r.Lost && u.reachesOthers()
-	r.Ended = r.OthersReached
-	if u.group.refusalIsNews(time.Now(), r) {
-		u.monitor.observer.Refusal(r)
-	}
-	return r.Ended
-}
-
-// reachesOthers tries to connect to other upstreams, and reports whether one was reached. Without others it
-// reports true.
-func (u *Upstream) reachesOthers() bool {
-	if u.group.othersReachedLately(time.Now()) {
-		return true
-	}
-	// The requests that an upstream had when it ended ask at once.
-	reached, _, _ := u.monitor.checks.Do("others of "+u.service, func() (any, error) {
-		results := u.monitor.connectEach(u.monitor.withOthers(u.service, u.group.sampleOthers(u.address)))
-		if len(results) > 0 && countTrue(results) == 0 {
-			return false, nil
-		}
-		u.group.recordOthersReached(time.Now())
-		return true, nil
-	})
-	return reached.(bool)
-}
-
 // ConnectDirect opens a connection from this node to the upstream. After failures at several
 // upstreams of the service it returns once it is known whether the path is lost.
 func (u *Upstream) ConnectDirect(ctx context.Context, d *net.Dialer) (net.Conn, error) {
 	c, err := u.monitor.dial(ctx, d, u.address)
 	if err == nil {
-		u.group.recordSuccess(u.address)
+		u.group.recordSuccess(time.Now(), u.address)
 		return c, nil
 	}
 	if ctx.Err() != nil {
--- a/process/event/upstream.go
+++ b/process/event/upstream.go
@@ -39,6 +39,6 @@
 	ConnectionRelayed
 	// WeightsAsked: an engine refused Request, as it does not hold the weights Believed; it was asked and has reported Held. To do: if it continues for one upstream, see whether its entry in the register is written.
 	WeightsAsked
-	// UpstreamRefused: an answer of the upstream at Address broke off, and it refuses connections since. Ended says whether that counts as the end of its process, which RequestSuspected lines follow; if not, this node has lost its path to Service (Lost) or has reached no other upstream (OthersReached false). The same is logged once a second at the most. To do: if processes have ended that do not count, see PathLost.
+	// UpstreamRefused: an answer of the upstream at Address broke off, and it refuses connections since. Ended says whether that counts as the end of its process, which RequestSuspected lines follow; Lost says that this node has lost its path to Service, OthersReached that it reached other upstreams of Service, and Peers what other nodes found, if they were asked: Accepted means that only the connection or this node's path was lost. The same is logged once a second at the most. To do: if processes have ended that do not count, see PathLost.
 	UpstreamRefused
 )
--- a/process/gateway/paths.go
+++ b/process/gateway/paths.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -37,7 +39,7 @@
 		},
 		Refusal: func(r path.Refusal) {
 			event.Info(g.log, event.UpstreamRefused, zap.String("Service", r.Service), zap.String("Address", r.Address),
-				zap.Bool("Ended", r.Ended), zap.Bool("Lost", r.Lost), zap.Bool("OthersReached", r.OthersReached))
+				zap.Bool("Ended", r.Ended), zap.Bool("Lost", r.Lost), zap.Bool("OthersReached", r.OthersReached), zap.Stringer("Peers", r.Peers))
 		},
 	})
 	g.onClose("paths", m.Close)
@@ -101,7 +103,7 @@
 // Connect opens a direct connection. A failure that goes with a lost path is this node's, not the
 // upstream's.
 func (d directUpstreams) Connect(ctx context.Context, address string) (net.Conn, error) {
-	u, ok := lo.Find(lo.Values(d.view.Config().Upstreams), func(u config.Upstream) bool { return u.Address == address && u.Pool != "" })
+	u, ok := d.find(address)
 	if !ok {
 		return nil, relay.ErrUnknownUpstream
 	}
@@ -119,6 +121,20 @@
 	return c, err
 }
 
+// Probe reports whether the upstream accepts connections.
+func (d directUpstreams) Probe(ctx context.Context, address string) relay.Reach {
+	u, ok := d.find(address)
+	if !ok {
+		return relay.ReachUnknown
+	}
+	return d.paths.Upstream(u.Pool, address).Probe(ctx)
+}
+
+// find returns the upstream at an address.
+func (d directUpstreams) find(address string) (config.Upstream, bool) {
+	return lo.Find(lo.Values(d.view.Config().Upstreams), func(u config.Upstream) bool { return u.Address == address && u.Pool != "" })
+}
+
 const (
 	// relayTimeout limits how long a request looks for a node that connects it.
 	relayTimeout = 500 * time.Millisecond
@@ -128,6 +144,11 @@
 	// maxRefusedTries is how many nodes have to report that the upstream does not accept a
 	// connection. The path of one may just have been lost.
 	maxRefusedTries = 2
+	// probeTimeout limits how long other nodes are asked whether an upstream accepts connections. An answer
+	// that has broken off waits for it.
+	probeTimeout = 250 * time.Millisecond
+	// probedAtOnce is how many nodes are asked at a time. Some may have lost their paths together.
+	probedAtOnce = 3
 )
 
 // pathRelay opens connections to upstreams through other nodes.
@@ -143,9 +164,7 @@
 
 // Connect asks one node after the other.
 func (r *pathRelay) Connect(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
-	nodes := lo.Map(r.peers.live(time.Now()), func(m member.Member, _ int) relay.Peer {
-		return relay.Peer{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre}
-	})
+	nodes := r.nodes(time.Now())
 	if len(nodes) == 0 {
 		return nil, path.ErrNoNodes
 	}
@@ -163,6 +182,33 @@
 	return c, nil
 }
 
+// nodes returns the other live nodes.
+func (r *pathRelay) nodes(now time.Time) []relay.Peer {
+	return lo.Map(r.peers.live(now), func(m member.Member, _ int) relay.Peer {
+		return relay.Peer{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre}
+	})
+}
+
+// Probe asks a few nodes at a time until one can tell. One that is accepted goes before one that is refused, as the
+// path of that one may have been lost as well.
+func (r *pathRelay) Probe(ctx context.Context, address string) relay.Reach {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	ordered := r.picker.Order(time.Now(), r.nodes(time.Now()))
+	for asked := range slices.Chunk(ordered[:min(maxRelayTries, len(ordered))], probedAtOnce) {
+		answers := make([]relay.Reach, len(asked))
+		var calls sync.WaitGroup
+		for i, n := range asked {
+			calls.Go(func() { answers[i] = relay.Probe(ctx, r.secrets(), n.Address, address) })
+		}
+		calls.Wait()
+		if reach := slices.Max(answers); reach != relay.ReachUnknown {
+			return reach
+		}
+	}
+	return relay.ReachUnknown
+}
+
 func (r *pathRelay) ask(ctx context.Context, d *net.Dialer, address string, nodes []relay.Peer) (c net.Conn, by string, asked int, err error) {
 	var failures []error
 	refused := 0
