Divide the resends that the platform allows by the size of the fleet

Callers of a fleet whose nodes all start again would see the platform's bound on resends broken: 1,170 by 195 nodes in 10 s, 926 allowed, in a test that was known to fail. Upstreams in trouble get that much more work.

Cause: each process began with two resends and saved four, whatever the size of its fleet. What one process may have used and what the next one begins with grow with the number of nodes three times as fast as the bound. The class: what a process has not seen is taken for what has not been.

Now a node's part of what the platform allows beside the ratio (bounds.budget_extra, read from the settings like bounds.budget_ratio) is divided between the two: a process begins with one, or with a third of the part up to two, and saves the rest up to four. It begins with one until it knows the fleet. Fleets of up to eight nodes keep two and four. Weighed: counts that nodes tell each other, which none has after a start of all.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/dunlinmill/dunlinmill/process/policy"
 	"github.com/dunlinmill/dunlinmill/request/cachenews"
 	"github.com/dunlinmill/dunlinmill/request/fleetload"
+	"github.com/dunlinmill/dunlinmill/request/guard"
 	"github.com/dunlinmill/dunlinmill/request/placement"
 	"github.com/dunlinmill/dunlinmill/request/ratelimit"
 	"github.com/dunlinmill/dunlinmill/request/shedding"
@@ -66,6 +67,8 @@
 	fleet             *fleetload.Tracker
 	sharer            *sharer
 	origins           *origins
+	guards            guard.Pair
+	bounds            func() *Bounds
 	metrics           *metric.Metrics
 	log               *zap.Logger
 	loggedRates       map[catalogue.Group]float64               // by pool and model, as last logged
@@ -84,6 +87,7 @@
 		log: g.log, loggedRates: map[catalogue.Group]float64{}, loggedEngineRates: map[catalogue.Group]placement.RateSummary{},
 	}
 	e.origins = do.MustInvoke[*origins](i)
+	e.guards, e.bounds = do.MustInvoke[guard.Pair](i), g.bounds.Load
 	e.sharer = newSharer(e.node, g.settings.DataCentre, g.log, e.policies, do.MustInvoke[*cachenews.Contents](i), do.MustInvoke[*view](i), e.endings, e.lengths, e.fleet)
 	e.sharer.choose = func() map[string][]member.Member {
 		return e.peers.roles.first(clock.BoottimeNow(), aggregatorsPerDataCentre)
@@ -109,6 +113,7 @@
 			nodes := append(lo.Map(others, func(m member.Member, _ int) string { return m.Name }), e.node)
 			e.limiter.SetNodes(nodes)
 			e.rejects.SetNodes(nodes)
+			e.guards.SetAllowance(e.bounds().Resends.Allowance(e.peers.roles.widestSize(clock.BoottimeNow())))
 		}
 		pause = e.exchangeOnce(ctx, now, turn, others)
 		e.policies.SetNodes(len(others) + 1)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/dunlinmill/dunlinmill/request/call"
 	"github.com/dunlinmill/dunlinmill/request/completion"
 	"github.com/dunlinmill/dunlinmill/request/ratelimit"
+	"github.com/dunlinmill/dunlinmill/request/retry"
 	"github.com/dunlinmill/dunlinmill/version/accepted"
 	"github.com/dunlinmill/dunlinmill/version/keyed"
 	"github.com/dunlinmill/dunlinmill/version/release"
@@ -76,6 +77,8 @@
 	// Transit is subtracted from the time that a caller grants, to allow for the transfer of the
 	// answer.
 	Transit time.Duration
+	// Resends bounds the resends of all nodes together.
+	Resends retry.FleetLimit
 }
 
 // Decoder decodes the platform's records.
--- a/process/gateway/provide.go
+++ b/process/gateway/provide.go
@@ -137,11 +137,9 @@
 	return g.settings.Node + "/" + strconv.FormatUint(rand.Uint64(), 36)
 }
 
-// resendConfig lets each node's resends add a tenth of its requests, and a few more. The platform's
-// limit counts the resends of all nodes over some seconds: a fifth of the requests and about 50.
-// Twelve nodes that all restart within that time stay below it without coordination.
+// resendConfig is that of a node that does not know the size of its fleet yet, see Bounds.Resends.
 var resendConfig = retry.Config{
-	MaxTries: 4, Ratio: 0.1, Reserve: 2, Burst: 2, MaxKeys: 1024,
+	MaxTries: 4, Ratio: 0.1, Reserve: retry.MinStart, Burst: 2, MaxKeys: 1024,
 	Backoff:       retry.Backoff{Base: 20 * time.Millisecond, Max: 200 * time.Millisecond},
 	TrustRefusals: true, ChargeContinuations: true,
 }
--- a/process/gateway/resends_test.go
+++ b/process/gateway/resends_test.go
@@ -10,6 +10,7 @@
 // resendingFleet counts the resends of nodes whose requests all fail.
 type resendingFleet struct {
 	t       *testing.T
+	limit   retry.FleetLimit
 	budgets []*retry.Budget
 	resends int
 }
@@ -21,6 +22,7 @@
 		if err != nil {
 			f.t.Fatal(err)
 		}
+		b.SetAllowance(f.limit.Allowance(n))
 		f.budgets = append(f.budgets, b)
 	}
 }
@@ -49,9 +51,10 @@
 		restarts     int
 	}{
 		{8, 56, 400, 0}, {60, 160, 1680, 0}, {68, 176, 2010, 0}, {85, 210, 3100, 0}, {195, 430, 2480, 0},
+		{6, 52, 230, 2}, {195, 430, 600, 1}, {360, 760, 76000, 1}, {360, 760, 76000, 2}, {360, 760, 1100, 1},
 		{8, 56, 400, 1}, {60, 160, 1680, 1}, {68, 176, 2010, 1}, {85, 210, 3100, 1}, {195, 430, 2480, 1},
 	} {
-		f := &resendingFleet{t: t}
+		f := &resendingFleet{t: t, limit: retry.FleetLimit{Ratio: ratio, Extra: float64(c.extra)}}
 		f.start(c.nodes)
 		for _, b := range f.budgets {
 			for i := range 100 {
--- a/process/gateway/roles.go
+++ b/process/gateway/roles.go
@@ -55,6 +55,7 @@
 	listed   map[string]listedNode // by name
 	ranked   map[string][]roleNode // by data centre, this node included
 	count    int                   // of the nodes in ranked
+	widest   int                   // nodes that the membership knows or the directory lists
 	rankedAt time.Time             // zero: ranked has to be determined
 }
 
@@ -116,6 +117,7 @@
 		}
 		all[m.Name] = n
 	}
+	r.widest = len(all)
 	if len(all) < r.largeFrom {
 		all = r.live(members)
 	}
@@ -158,6 +160,15 @@
 	return n
 }
 
+// widestSize returns the number of nodes, those included that the directory lists and that this node has not heard
+// from yet. A node that has just started, or is cut off, would take its fleet for smaller otherwise.
+func (r *roles) widestSize(now time.Time) int {
+	r.nodes(now, r.self.DataCentre)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.widest
+}
+
 // all returns all nodes, this one included.
 func (r *roles) all(now time.Time) []roleNode {
 	r.nodes(now, r.self.DataCentre)
--- a/request/guard/guard.go
+++ b/request/guard/guard.go
@@ -414,6 +414,9 @@
 	g.detector.RecordRestart(now, name, incarnation)
 }
 
+// SetAllowance replaces what this node may resend.
+func (g *Guard) SetAllowance(a retry.Allowance) { g.retrier.SetAllowance(a) }
+
 // RecordRequest records a request's first send, which adds to the retry budget.
 func (g *Guard) RecordRequest(workspace, name string) { g.retrier.RecordRequest(workspace, name) }
 
--- a/request/guard/pair.go
+++ b/request/guard/pair.go
@@ -1,5 +1,7 @@
 package guard
 
+import "github.com/dunlinmill/dunlinmill/request/retry"
+
 // Pair holds the guards of the two kinds of upstreams.
 type Pair struct {
 	Engines  *Guard
@@ -17,6 +19,12 @@
 	return Pair{Engines: engines, Services: services}, err
 }
 
+// SetAllowance replaces what this node may resend, for each kind by itself.
+func (p Pair) SetAllowance(a retry.Allowance) {
+	p.Engines.SetAllowance(a)
+	p.Services.SetAllowance(a)
+}
+
 func newAdjusted(c Config, adjust func(c *Config)) (*Guard, error) {
 	adjust(&c)
 	return New(c)
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -10,13 +10,17 @@
 // takes one from the budget of the node, of the workspace and of the failed
 // upstream. The node's budget bounds the total; the other two keep one
 // workspace or one upstream from using all of it. MaxKeys bounds the number of
-// workspaces and of upstreams held in memory.
+// workspaces and of upstreams held in memory. An Allowance replaces what the
+// Config says of the node.
 //
 // mu guards all fields; there is no other lock.
 type Budget struct {
 	cfg        Config
 	mu         sync.Mutex
 	node       float64
+	maxNode    float64
+	ratio      float64
+	allowed    bool // an Allowance was set
 	workspaces *lru.Cache[string, *float64]
 	upstreams  *lru.Cache[string, *float64]
 }
@@ -32,14 +36,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Budget{cfg: cfg, node: cfg.Reserve, workspaces: workspaces, upstreams: upstreams}, nil
+	return &Budget{cfg: cfg, node: cfg.Reserve, maxNode: cfg.Reserve + cfg.Burst, ratio: cfg.Ratio, workspaces: workspaces, upstreams: upstreams}, nil
+}
+
+// SetAllowance replaces what the node may resend. The first one adds what its Start exceeds the Config's Reserve by.
+func (b *Budget) SetAllowance(a Allowance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.allowed {
+		b.allowed = true
+		b.node += max(0, a.Start-b.cfg.Reserve)
+	}
+	b.ratio, b.maxNode = a.Ratio, a.Saved
+	b.node = min(b.node, b.maxNode)
 }
 
 // RecordRequest adds the share of a request's first try.
 func (b *Budget) RecordRequest(workspace, upstream string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.node = min(b.cfg.Reserve+b.cfg.Burst, b.node+b.cfg.Ratio)
+	b.node = min(b.maxNode, b.node+b.ratio)
 	b.credit(b.workspaces, workspace)
 	b.credit(b.upstreams, upstream)
 }
@@ -62,7 +78,7 @@
 
 func (b *Budget) credit(c *lru.Cache[string, *float64], key string) {
 	v := b.balance(c, key)
-	*v = min(b.cfg.Burst, *v+b.cfg.Ratio)
+	*v = min(b.cfg.Burst, *v+b.ratio)
 }
 
 func (b *Budget) balance(c *lru.Cache[string, *float64], key string) *float64 {
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -22,6 +22,9 @@
 	return &Retrier{cfg: cfg, budget: b}, nil
 }
 
+// SetAllowance replaces what this node may resend.
+func (r *Retrier) SetAllowance(a Allowance) { r.budget.SetAllowance(a) }
+
 // RecordRequest records the first try of a request, which adds to the budget.
 func (r *Retrier) RecordRequest(workspace, upstream string) {
 	r.budget.RecordRequest(workspace, upstream)
