Refuse at a stopping node what usually outlasts it

Callers whose requests came during the notice of a node's stop got 502 at its end, ran or not, and may not repeat those that may run once: 2 of 16 requests of 2.5 s that were passed on in a grace of 4 s.

Cause: during the notice a node took each request, as callers can't know of the stop yet, and asked only after it whether one ends in time. Now it knows how long the last 32 served requests of each route took. One that takes as long as nine in ten of them, and a tenth more, and would outlast the node, is refused at once as not run; another node has the time for it.

TestStoppingNodeTakesNothingThatOutlastsIt failed before and passes.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -180,13 +180,14 @@
 	keeper      *duty.Keeper
 	group       Group
 	stop        *drain.Stop
+	durations   *drain.Durations // of served requests, by route
 
 	closers closer.List
 }
 
 // New makes a node and starts to follow the platform.
 func New(s Settings, p Platform, log *zap.Logger) (*Gateway, error) {
-	g := &Gateway{settings: s, bounds: &atomic.Pointer[Bounds]{}, log: log, injector: do.New(), group: p.Group, stop: drain.New()}
+	g := &Gateway{settings: s, bounds: &atomic.Pointer[Bounds]{}, log: log, injector: do.New(), group: p.Group, stop: drain.New(), durations: drain.NewDurations()}
 	g.bounds.Store(&s.Bounds)
 	g.provide(p)
 	if err := g.build(); err != nil {
--- a/process/gateway/ready_test.go
+++ b/process/gateway/ready_test.go
@@ -17,7 +17,7 @@
 // must not be ready, and must ask callers that come all the same to retry soon.
 func TestNodeIsNotReadyBeforeItHasReadTheRegister(t *testing.T) {
 	book, r := accepted.NewTracker(), roster.New()
-	g := &Gateway{book: book, roster: r, view: newView(book, r), bounds: &atomic.Pointer[Bounds]{}, stop: drain.New()}
+	g := &Gateway{book: book, roster: r, view: newView(book, r), bounds: &atomic.Pointer[Bounds]{}, stop: drain.New(), durations: drain.NewDurations()}
 	g.bounds.Store(&Bounds{ConfigLag: time.Hour})
 	now := Boot()
 	g.book.Accept(accepted.Configuration{Version: 1})
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -105,6 +105,7 @@
 	err := x.serve(ctx)
 	if err == nil {
 		g.metrics.RecordAnswer(x.workspace.Name)
+		g.durations.Record(x.route.Name, time.Since(now))
 		event.Info(g.log, event.RequestServed, zap.String("Request", in.ID), zap.String("Workspace", x.workspace.Name),
 			zap.String("Route", x.route.Name), zap.Int("Status", x.status), zap.Duration("Took", time.Since(now)))
 		return nil
@@ -165,12 +166,20 @@
 	return nil
 }
 
-// mayOutlastNode reports whether the request came after the notice of the node's stop and may not
-// end before the node does. Another node has the time for it.
+// durationMargin is by how much the usual duration of a request may be exceeded.
+const durationMargin = 1.1
+
+// mayOutlastNode reports whether the request came after the begin of the node's stop and may not end before the
+// node does. Another node has the time for it. During the notice, callers can't know of the stop yet, and only those
+// are refused that usually take too long; after it, the time that the caller has granted has to fit.
 func (x *servedRequest) mayOutlastNode() bool {
-	finish, noticed := x.g.stop.NoticeOver(x.began)
-	end := x.answerEnd()
-	return noticed && (end.IsZero() || end.After(finish))
+	if finish, noticed := x.g.stop.NoticeOver(x.began); noticed {
+		end := x.answerEnd()
+		return end.IsZero() || end.After(finish)
+	}
+	finish, leaving := x.g.stop.FinishAt()
+	usual := time.Duration(durationMargin * float64(x.g.durations.Usual(x.route.Name)))
+	return leaving && x.began.Add(usual).After(finish)
 }
 
 // unavailable returns the failure of a node that does not know enough to decide. Other nodes do, so
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -34,7 +34,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := &Gateway{bounds: &atomic.Pointer[Bounds]{}, stop: drain.New()}
+				g := &Gateway{bounds: &atomic.Pointer[Bounds]{}, stop: drain.New(), durations: drain.NewDurations()}
 				defer g.stop.Close()
 				g.bounds.Store(&Bounds{Transit: s})
 				g.stop.Begin(time.Now(), schedule)
