Ask an upstream for its start after an answer broke off

Callers saw one request end upstreams of a service of any size without end, if these are back at their addresses at once, as under a supervisor: 88 ends in 9 s at nine upstreams, 27 sends of a request that was known for more than 3 s to end them, of three that are allowed; 23 ends and 13 late sends at three.

Cause: after an answer broke off, a connection that is accepted meant that the process goes on. It may be the next one's.

Now the upstream is asked, over that connection and for 0.1 s at the most, by the question that proves the ends of answers, and another start than the one known is an end. All exchanges that broke by then share the answer. Without an answer it counts as a lost connection, as before.

TestRestartedProcessIsProcessEnd shows it without nodes.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -66,10 +66,10 @@
 	// nil: such an answer is an error.
 	EndProof EndProof
 	// DetectProcessEnd makes the client connect again after the other end has closed or
-	// reset the connection during an exchange. If the address refuses the connection,
-	// the error wraps upstream.ErrProcessEnded, because the process has ended and not
-	// only dropped a connection, unless the Path reaches no other upstream. A connection
-	// that is established serves a later exchange.
+	// reset the connection during an exchange. If the address refuses the connection, or
+	// the EndProof shows another process there, the error wraps upstream.ErrProcessEnded,
+	// because the process has ended and not only dropped a connection, unless the Path
+	// refuses it. A connection that is established serves a later exchange.
 	DetectProcessEnd bool
 	// Path opens the connections and is told how they are used; nil: they are opened
 	// directly.
@@ -121,8 +121,9 @@
 
 // Client exchanges messages with one address. Its methods are safe for concurrent use.
 type Client struct {
-	cfg  Config
-	pool pool
+	cfg      Config
+	pool     pool
+	restarts restartCheck
 }
 
 // New returns a client for the upstream at address, an IP:port.
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -137,18 +137,15 @@
 // ended. The host sent a packet just before, so the check takes one round trip.
 const processEndTimeout = 100 * time.Millisecond
 
-// processEnded connects to the address, after a connection has broken at a time, and reports whether nothing
-// listens there any more. If the broken one was not direct, this node may have no path that tells, so others are
-// asked.
-func (p *pool) processEnded(brokenAt time.Time, direct bool) bool {
+// reconnect connects to the address to check whether a process listens there.
+func (p *pool) reconnect() error {
 	ctx, cancel := context.WithTimeout(context.Background(), processEndTimeout)
 	defer cancel()
 	c, err := p.dialDirect(ctx)
 	if err == nil {
 		p.put(c)
-		return false
 	}
-	return p.isRefusedByHost(brokenAt, err) || !direct && p.cfg.Path.OthersRefused(brokenAt)
+	return err
 }
 
 // isRefusedByHost reports whether nothing listens at the upstream's address, after a connection to it has failed. A
--- a/connection/upstream/overhttp/exchange/process_end_test.go
+++ b/connection/upstream/overhttp/exchange/process_end_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -79,3 +81,46 @@
 		t.Error(err)
 	}
 }
+
+// Guards against the end of a process that passes for a lost connection, as its successor listens at once, and against a
+// question for each of the requests that it had.
+func TestRestartedProcessIsProcessEnd(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		check error
+		want  bool
+	}{
+		{"another process", ErrOtherProcess, true},
+		{"the same process", nil, false},
+		{"unknown", errors.New("unknown"), false},
+	} {
+		var questions atomic.Int64
+		serve := func(conn net.Conn, br *bufio.Reader) {
+			for {
+				var req fasthttp.Request
+				if req.Read(br) != nil || string(req.URI().Path()) != questionPath {
+					return // the connection breaks
+				}
+				questions.Add(1)
+				answer(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+		at := serveScript(t, serve, serve)
+		cl := New(at, Config{DetectProcessEnd: true, EndProof: checkedProof(func(*fasthttp.Response) error { return c.check })})
+		var resp fasthttp.Response
+		if _, err := cl.Stream(context.Background(), requestWith("a", nil), &resp); errors.Is(err, upstream.ErrProcessEnded) != c.want {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		questions.Store(0)
+		brokenAt := time.Now()
+		for range 10 {
+			if cl.hasOtherProcess(brokenAt) != c.want {
+				t.Errorf("%s: not %v for all requests", c.name, c.want)
+			}
+		}
+		if n := questions.Load(); n != 1 {
+			t.Errorf("%s: %d questions for ten requests", c.name, n)
+		}
+		cl.Close()
+	}
+}
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -123,7 +123,7 @@
 		err = io.ErrUnexpectedEOF // io.EOF means the end of a complete answer
 	}
 	switch {
-	case s.client.cfg.DetectProcessEnd && !s.isQuestion && closedByPeer(err) && s.client.pool.processEnded(brokenAt, s.conn.direct):
+	case s.client.cfg.DetectProcessEnd && !s.isQuestion && closedByPeer(err) && s.client.processEnded(brokenAt, s.conn.direct):
 		err = fmt.Errorf("%w: %w", upstream.ErrProcessEnded, err)
 	case s.conn.pathLost():
 		err = fmt.Errorf("%w: %w", upstream.ErrPathLost, err)
