--- a/connection/upstream/path/refusal.go
+++ b/connection/upstream/path/refusal.go
@@ -44,10 +44,8 @@
 // together, by a cut, or one upstream after the other.
 func (u *Upstream) HostRefuses(since time.Time) bool {
 	r := Refusal{Service: u.service, Address: u.address, Lost: u.Lost(), OthersReached: u.reachesOthers(since)}
-	switch {
-	case r.OthersReached && !r.Lost:
-		r.Ended = true
-	default:
+	r.Ended = r.OthersReached && !r.Lost
+	if !r.Ended {
 		r.Peers = u.askPeers(since)
 		r.Ended = r.Peers == relay.Refused || r.Peers == relay.ReachUnknown && (r.OthersReached || u.isLastOfService(since))
 	}
