Ask for an upstream's start after callers' requests only

A node's own calls, such as those that follow a cache, broke with each restart of an upstream as well, and the question after them took the upstream out of the other nodes' views before the requests that came through them had asked for the end of their answers. What looks cut is whole, so that a caller resumes for nothing; without the question, upstreams that restart at once are ended by one request without end.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -151,7 +151,7 @@
 }
 
 func (c *Client) do(ctx context.Context, acquire acquireFunc, req *fasthttp.Request, resp *fasthttp.Response) error {
-	s := &Stream{client: c, ctx: ctx, resp: resp}
+	s := &Stream{client: c, ctx: ctx, resp: resp, isOwnCall: true}
 	return s.exchange(acquire, req)
 }
 
--- a/connection/upstream/overhttp/exchange/processend.go
+++ b/connection/upstream/overhttp/exchange/processend.go
@@ -19,14 +19,15 @@
 	other   bool
 }
 
-// processEnded reports whether the process has ended with which an exchange had a connection that broke at a time:
+// processEnded reports whether the process has ended with which the exchange had a connection that broke at a time:
 // nothing listens at the address any more, or another process does. If the connection was not direct, this node may
 // have no path that tells, so other nodes are asked.
-func (c *Client) processEnded(brokenAt time.Time, direct bool) bool {
+func (s *Stream) processEnded(brokenAt time.Time) bool {
+	c := s.client
 	if err := c.pool.reconnect(); err != nil {
-		return c.pool.isRefusedByHost(brokenAt, err) || !direct && c.cfg.Path.OthersRefused(brokenAt)
+		return c.pool.isRefusedByHost(brokenAt, err) || !s.conn.direct && c.cfg.Path.OthersRefused(brokenAt)
 	}
-	return c.cfg.EndProof != nil && c.hasOtherProcess(brokenAt)
+	return c.cfg.EndProof != nil && !s.isOwnCall && c.hasOtherProcess(brokenAt)
 }
 
 // hasOtherProcess asks which process has the address, unless an answer is from after a time.
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -31,6 +31,8 @@
 	held        int64 // bytes of the body that count to the Budget
 	// checkEnd is asked at the orderly end of an unframed answer, see SetEndCheck.
 	checkEnd func() error
+	// isOwnCall says that the exchange is a call of Do, which no answer to a caller depends on.
+	isOwnCall bool
 	// isQuestion says that the exchange asks for a proof, see EndProof.
 	isQuestion bool
 }
@@ -123,7 +125,7 @@
 		err = io.ErrUnexpectedEOF // io.EOF means the end of a complete answer
 	}
 	switch {
-	case s.client.cfg.DetectProcessEnd && !s.isQuestion && closedByPeer(err) && s.client.processEnded(brokenAt, s.conn.direct):
+	case s.client.cfg.DetectProcessEnd && !s.isQuestion && closedByPeer(err) && s.processEnded(brokenAt):
 		err = fmt.Errorf("%w: %w", upstream.ErrProcessEnded, err)
 	case s.conn.pathLost():
 		err = fmt.Errorf("%w: %w", upstream.ErrPathLost, err)
