Share checks of broken connections by one type

Cause: packages path and exchange each had their own way to share the result of a check among requests whose connections broke together: a loop around singleflight with six accessors, and a mutex with a time. Change: upstream.SharedCheck serves both, with a test of its own. Nothing is decided otherwise.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
 )
 
 var (
@@ -121,9 +123,10 @@
 
 // Client exchanges messages with one address. Its methods are safe for concurrent use.
 type Client struct {
-	cfg      Config
-	pool     pool
-	restarts restartCheck
+	cfg  Config
+	pool pool
+	// otherProcess tells whether another process has the address than the one that the client is for.
+	otherProcess upstream.SharedCheck[bool]
 }
 
 // New returns a client for the upstream at address, an IP:port.
--- a/connection/upstream/path/path.go
+++ b/connection/upstream/path/path.go
@@ -14,6 +14,7 @@
 	"github.com/samber/lo"
 
 	"github.com/dunlinmill/dunlinmill/connection/relay"
+	"github.com/dunlinmill/dunlinmill/connection/upstream"
 )
 
 const (
@@ -46,7 +47,8 @@
 	requested bool // a check is due whatever the other fields say
 	// othersCheck and otherServicesCheck tell whether connections that were tried beside a refused one, to other
 	// upstreams of the service and of other services, succeeded.
-	othersCheck, otherServicesCheck dated[bool]
+	// They guard themselves.
+	othersCheck, otherServicesCheck upstream.SharedCheck[bool]
 	waitTimer                                                 // of all requests on direct connections
 	upstreams                       map[string]*upstreamState // by address
 }
@@ -61,7 +63,7 @@
 	// reachedAt is when a direct connection to it was last opened, or brought bytes.
 	reachedAt time.Time
 	// peers is what other nodes last said of it.
-	peers dated[relay.Reach]
+	peers upstream.SharedCheck[relay.Reach]
 	// refusal is the last one that the observer was told of, at refusalAt.
 	refusal   Refusal
 	refusalAt time.Time
