--- a/connection/upstream/overhttp/exchange/endproof.go
+++ b/connection/upstream/overhttp/exchange/endproof.go
@@ -103,9 +103,10 @@
 	for pause := endQuestionPause; ; pause *= 2 {
 		askedAt := time.Now()
 		err := c.askForEnd(ctx, acquire)
-		if err == nil || errors.Is(err, ErrOtherProcess) || !c.pathLost() && c.pool.isRefusedByHost(askedAt, err) {
+		if err == nil || errors.Is(err, ErrOtherProcess) || !c.cfg.pathLost() && c.pool.isRefusedByHost(askedAt, err) {
 			return err
 		}
+		// On a lost path the question may find another way soon.
 		select {
 		case <-ctx.Done():
 			return err
@@ -116,9 +117,6 @@
 	}
 }
 
-// pathLost reports whether the path to the upstream is lost. The question may find another way soon.
-func (c *Client) pathLost() bool { return c.cfg.Path != nil && c.cfg.Path.Lost() }
-
 // askForEnd asks the upstream once.
 func (c *Client) askForEnd(ctx context.Context, acquire acquireFunc) error {
 	ctx, cancel := context.WithTimeout(ctx, endQuestionTimeout)
--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -110,6 +110,9 @@
 // discarded before the matching answer.
 const maxForeignAnswers = 3
 
+// pathLost reports whether the path to the upstream is lost.
+func (c Config) pathLost() bool { return c.Path != nil && c.Path.Lost() }
+
 func (c Config) withDefaults() Config {
 	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -57,7 +57,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	if p.cfg.Path != nil && p.cfg.Path.Lost() {
+	if p.cfg.pathLost() {
 		p.closeIdle()
 	}
 	for {
@@ -277,7 +277,7 @@
 // pathLost reports whether a failure of the connection may be that of the path to the
 // upstream: the path is lost, or another node that the connection goes through.
 func (c *connection) pathLost() bool {
-	return !c.direct || c.cfg.Path != nil && c.cfg.Path.Lost()
+	return !c.direct || c.cfg.pathLost()
 }
 
 func (c *connection) recordSent() {
