Keep a retry budget's allowance as one value

Cause: a budget copied two of an allowance's fields beside the configuration's. Change: it holds the allowance, which the configuration gives at first. Measured: the tests of retry, guard and the gateway's resends pass.

--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -18,9 +18,8 @@
 	cfg        Config
 	mu         sync.Mutex
 	node       float64
-	maxNode    float64
-	ratio      float64
-	allowed    bool // an Allowance was set
+	allowance  Allowance
+	allowed    bool // by SetAllowance, and no more by the Config
 	workspaces *lru.Cache[string, *float64]
 	upstreams  *lru.Cache[string, *float64]
 }
@@ -36,7 +35,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Budget{cfg: cfg, node: cfg.Reserve, maxNode: cfg.Reserve + cfg.Burst, ratio: cfg.Ratio, workspaces: workspaces, upstreams: upstreams}, nil
+	a := Allowance{Ratio: cfg.Ratio, Start: cfg.Reserve, Saved: cfg.Reserve + cfg.Burst}
+	return &Budget{cfg: cfg, node: a.Start, allowance: a, workspaces: workspaces, upstreams: upstreams}, nil
 }
 
 // SetAllowance replaces what the node may resend. The first one adds what its Start exceeds the Config's Reserve by.
@@ -45,17 +45,17 @@
 	defer b.mu.Unlock()
 	if !b.allowed {
 		b.allowed = true
-		b.node += max(0, a.Start-b.cfg.Reserve)
+		b.node += max(0, a.Start-b.allowance.Start)
 	}
-	b.ratio, b.maxNode = a.Ratio, a.Saved
-	b.node = min(b.node, b.maxNode)
+	b.allowance = a
+	b.node = min(b.node, a.Saved)
 }
 
 // RecordRequest adds the share of a request's first try.
 func (b *Budget) RecordRequest(workspace, upstream string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.node = min(b.maxNode, b.node+b.ratio)
+	b.node = min(b.allowance.Saved, b.node+b.allowance.Ratio)
 	b.credit(b.workspaces, workspace)
 	b.credit(b.upstreams, upstream)
 }
@@ -78,7 +78,7 @@
 
 func (b *Budget) credit(c *lru.Cache[string, *float64], key string) {
 	v := b.balance(c, key)
-	*v = min(b.cfg.Burst, *v+b.ratio)
+	*v = min(b.cfg.Burst, *v+b.allowance.Ratio)
 }
 
 func (b *Budget) balance(c *lru.Cache[string, *float64], key string) *float64 {
