--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -104,7 +104,9 @@
 		defer c.Close()
 		c.AwaitSent()
 	}
+	s.meter.Sample()
 	s.serves("ordinary")
+	s.meter.Sample()
 	for _, c := range crowds {
 		c.Close()
 	}
@@ -196,3 +198,15 @@
 		t.Error(err)
 	}
 }
+
+// Guards against connections to the peers' port that take all descriptors without a handshake.
+func TestCrowdOfIdleConnectionsAtPeersPort(t *testing.T) {
+	s := newCrowdSite(t, crowdDescriptors)
+	s.withstands(crowd.Open(s.nodes[0].peers, 500, func(int, io.Writer) error { return nil }))
+}
+
+// Guards against connections without a request to the callers' port that take all descriptors.
+func TestCrowdOfIdleConnectionsAtCallersPort(t *testing.T) {
+	s := newCrowdSite(t, crowdDescriptors)
+	s.withstands(crowd.Open(s.nodes[0].callers, 500, func(int, io.Writer) error { return nil }))
+}
--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -106,6 +106,24 @@
 	}
 }
 
+// Unread returns a Send of whole requests that waits for the first byte of the answer and reads no more.
+func Unread(request func(client int) string) Send {
+	return func(client int, w io.Writer) error {
+		if _, err := io.WriteString(w, request(client)); err != nil {
+			return err
+		}
+		conn, ok := w.(net.Conn)
+		if !ok {
+			return nil
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(sendTimeout)); err != nil {
+			return err
+		}
+		_, err := conn.Read(make([]byte, 1))
+		return err
+	}
+}
+
 const writeBytesAtOnce = 64 << 10
 
 var filler = []byte(strings.Repeat("x", writeBytesAtOnce))
--- a/standin/crowd/meter.go
+++ b/standin/crowd/meter.go
@@ -34,7 +34,9 @@
 	ports map[string]bool // listening ports, in the kernel's notation
 	stop  chan struct{}
 	done  sync.WaitGroup
-	peak  Usage // owned by the measuring goroutine until done
+
+	mu   sync.Mutex // guards peak
+	peak Usage
 }
 
 // NewMeter measures a process that listens on the given ports. Connections that it has not accepted yet
@@ -52,7 +54,7 @@
 			case <-m.stop:
 				return
 			case <-tick.C:
-				m.sample()
+				m.Sample()
 			}
 		}
 	})
@@ -64,12 +66,15 @@
 func (m *Meter) Stop() Usage {
 	close(m.stop)
 	m.done.Wait()
-	m.sample()
+	m.Sample()
 	m.peak.Bytes = max(m.peak.Bytes, m.residentBytes("VmHWM:"))
 	return m.peak
 }
 
-func (m *Meter) sample() {
+// Sample measures now, beside the measurements at intervals.
+func (m *Meter) Sample() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	inodes := m.sockets()
 	unread := m.unreadBytes(inodes)
 	m.peak = Usage{
