Bound connections of clients, and outlast failures to accept

Callers saw: while 500 clients each began a small body at a node that may open 300 descriptors, no ordinary request was answered, and then the process ended by itself (ProcessFailed, accept4: too many open files).

Cause: nothing bounded the callers' connections, so that they took every descriptor, those of upstreams, other nodes, the platform and the readiness checks among them. The library behind the readiness listener takes any failure to accept but a timeout for permanent and ends, and with it the process.

Change: a table for each listener bounds its connections to a part of the descriptors (limits.max_fds, which was not read) and of the memory. Once it is full, a new connection replaces the one that is idle longest, or else the one whose request is unfinished longest; one whose request was received whole is never replaced. The listeners outlast every failure to accept but their close, and log one line a second at most (a hundred before). What refused clients still send is read away for 32 connections and 64 MiB a second in all. Events 513, 514 and intake_refusals_total say why and whom, and who holds most.

--- a/connection/transport/drain.go
+++ b/connection/transport/drain.go
@@ -6,15 +6,21 @@
 	"io"
 	"net"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
-// Limits of DrainBody and DrainHeader.
+// Limits of DrainBody, DrainHeader and Drainer.
 const (
 	maxDrainBytes = 64 << 20
 	maxDrainTime  = 5 * time.Second
 	// drainQuietPeriod is how long a client must send nothing for its body to count as
 	// complete. TCP retransmits a lost packet after 0.2 s.
 	drainQuietPeriod = 200 * time.Millisecond
+	// maxDrains and maxDrainRate bound what a Drainer reads away for all connections together: how many at a time,
+	// and how many bytes a second.
+	maxDrains    = 32
+	maxDrainRate = 64 << 20
 	// maxAlreadyRead is the number of bytes of a body that may have been read together
 	// with the header.
 	maxAlreadyRead = 64 << 10
@@ -28,6 +34,42 @@
 // client on a VM that was short of processor time paused for a third of a second and
 // got the reset.
 func DrainBody(conn net.Conn, declared int) {
+	drainBody(conn, declared, func(int) bool { return true })
+}
+
+// Drainer drains refused requests, within limits for all of them together. Its methods are safe for concurrent use.
+type Drainer struct {
+	places chan struct{}
+	bytes  *rate.Limiter
+}
+
+// NewDrainer returns a Drainer.
+func NewDrainer() *Drainer {
+	return &Drainer{places: make(chan struct{}, maxDrains), bytes: rate.NewLimiter(maxDrainRate, maxDrainRate)}
+}
+
+// Body is DrainBody. It returns at once if a limit is reached.
+func (d *Drainer) Body(conn net.Conn, declared int) {
+	select {
+	case d.places <- struct{}{}:
+		defer func() { <-d.places }()
+		drainBody(conn, declared, func(n int) bool { return d.bytes.AllowN(time.Now(), n) })
+	default:
+	}
+}
+
+// Header is DrainHeader. It returns at once if a limit is reached.
+func (d *Drainer) Header(conn net.Conn) {
+	select {
+	case d.places <- struct{}{}:
+		defer func() { <-d.places }()
+		DrainHeader(conn)
+	default:
+	}
+}
+
+// drainBody drains a body as long as allow permits what was read last.
+func drainBody(conn net.Conn, declared int, allow func(n int) bool) {
 	end := time.Now().Add(maxDrainTime)
 	for n := int64(0); n < maxDrainBytes; {
 		quiet := end
@@ -39,6 +81,9 @@
 		}
 		m, err := io.CopyN(io.Discard, conn, min(drainChunkBytes, max(maxAlreadyRead, int64(declared)-maxAlreadyRead-n)))
 		n += m
+		if !allow(int(m)) {
+			return
+		}
 		var timeout net.Error
 		if err != nil && (m == 0 || !errors.As(err, &timeout) || !timeout.Timeout()) {
 			return
--- a/process/event/process.go
+++ b/process/event/process.go
@@ -20,7 +20,7 @@
 	SecretReloaded
 	// SecretReloadFailed: a changed file of secrets could not be used; the previous secrets stay in use. To do: correct the file, since nodes with other secrets will refuse this one.
 	SecretReloadFailed
-	// AcceptFailed: a connection could not be accepted. To do: for "too many open files", look for callers that keep opening connections.
+	// AcceptFailed: a connection could not be accepted; one line a second at most. To do: for "too many open files", look for callers that keep opening connections.
 	AcceptFailed
 	// SettingsReloaded: the settings file was read again, after a signal or a change; the settings that may change while the process runs are in force.
 	SettingsReloaded
@@ -28,4 +28,8 @@
 	SettingsNotReloaded
 	// SettingsNeedRestart: the settings file names another node or other listeners, which a running process does not change. To do: restart the process.
 	SettingsNeedRestart
+	// IntakeRefused: a request or connection was refused before the request was received whole, to bound what clients take of the process; one line a second at most. Reason is MemoryExhausted, GaveWay, ConnectionReplaced or ConnectionRefused; Address is the client's. Held of Limit bytes are taken, most of them (TopHeld) by TopWorkspace (empty: by callers that have shown no key yet), and Connections of MaxConnections. To do: look for clients that keep requests unfinished; intake_refusals_total has the counts.
+	IntakeRefused
+	// DescriptorsUnknown: the system doesn't say how many descriptors this process may open; clients get a share of the Assumed ones. To do: check that Assumed is what the VM allows.
+	DescriptorsUnknown
 )
