Bound connections of nodes that have not authenticated

500 connections that send nothing to the port for other nodes took all descriptors of a node for the 2 s of a handshake: up to 1,024 connections were accepted, whatever the process may open, and counted only in goroutines of their own, after the accept. Each refusal was logged.

PeerConnectionRefused is logged once a second at most, with the count of all.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -40,6 +40,7 @@
 	DefaultMessageTimeout   = 5 * time.Second
 	DefaultIdleTimeout      = 5 * time.Minute
 	DefaultMaxConnections   = 1024
+	DefaultMaxHandshakes    = 256
 	DefaultMaxInFlight      = 64
 	DefaultMaxMessageBytes  = 1 << 20
 	DefaultGrace            = 5 * time.Second
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -15,7 +15,9 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
+	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/process/event"
 )
 
@@ -27,6 +29,7 @@
 	MessageTimeout   time.Duration // from the first byte of a message to its last, and for each write
 	IdleTimeout      time.Duration // between two messages on a connection
 	MaxConnections   int
+	MaxHandshakes    int // connections that have not authenticated; the oldest gives way to a new one
 	MaxInFlight      int // concurrent calls on one connection
 	MaxMessageBytes  int
 	Grace            time.Duration // for calls in progress on Close
@@ -38,6 +41,7 @@
 	c.MessageTimeout = cmp.Or(c.MessageTimeout, DefaultMessageTimeout)
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
 	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
+	c.MaxHandshakes = cmp.Or(c.MaxHandshakes, DefaultMaxHandshakes)
 	c.MaxInFlight = cmp.Or(c.MaxInFlight, DefaultMaxInFlight)
 	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
 	c.Grace = cmp.Or(c.Grace, DefaultGrace)
@@ -53,6 +57,9 @@
 	rpc      *rpc.Server
 	counters counters
 	streams  func(net.Conn) // nil: streams are refused
+	// handshakes holds the connections that have not authenticated.
+	handshakes      *transport.Table
+	refusalLogLimit rate.Sometimes
 
 	mu       sync.Mutex // protects the fields below
 	secrets  [][]byte
@@ -68,12 +75,15 @@
 	if err := checkSecrets(cfg.Secrets); err != nil {
 		return nil, err
 	}
+	cfg = cfg.withDefaults()
 	return &Server{
-		cfg:     cfg.withDefaults(),
-		rpc:     rpc.NewServer(),
-		secrets: cfg.Secrets,
-		conns:   map[*serverCodec]struct{}{},
-		pending: map[net.Conn]struct{}{},
+		cfg:             cfg,
+		rpc:             rpc.NewServer(),
+		handshakes:      transport.NewTable(cfg.MaxHandshakes),
+		refusalLogLimit: rate.Sometimes{First: refusalLogBurst, Interval: refusalLogInterval},
+		secrets:         cfg.Secrets,
+		conns:           map[*serverCodec]struct{}{},
+		pending:         map[net.Conn]struct{}{},
 	}, nil
 }
 
@@ -108,7 +118,7 @@
 // Start listens on address, accepts connections in the background and returns the
 // address with the bound port.
 func (s *Server) Start(address string) (string, error) {
-	lc := net.ListenConfig{KeepAlive: noKeepAlive}
+	lc := net.ListenConfig{KeepAlive: noKeepAlive, Control: transport.LimitReceiveBuffer}
 	l, err := lc.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return "", fmt.Errorf("peer listener: %w", err)
@@ -136,13 +146,24 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.done.Go(func() { s.serve(conn) })
+		handshake, ok := s.handshakes.Add(time.Now(), func() { _ = conn.Close() })
+		if !ok {
+			_ = conn.Close() // never: a handshake gives way
+			continue
+		}
+		s.done.Go(func() {
+			defer handshake.Remove()
+			s.serve(conn, handshake)
+		})
 	}
 }
 
 const acceptRetryDelay = 20 * time.Millisecond
 
-func (s *Server) serve(raw net.Conn) {
+// receiveBufferBytes is the receive buffer of a connection that has authenticated.
+const receiveBufferBytes = 64 << 10
+
+func (s *Server) serve(raw net.Conn, handshake *transport.Tracked) {
 	counted := newCountedConn(raw, &s.counters, s.cfg.MessageTimeout)
 	defer counted.Close()
 	var conn net.Conn = counted
@@ -162,6 +183,15 @@
 		s.recordRefusal(raw, err)
 		return
 	}
+	if !handshake.SetStage(time.Now(), transport.Serving) {
+		s.removePending(conn)
+		s.recordRefusal(raw, errTooManyHandshakes)
+		return
+	}
+	handshake.Remove()
+	if t, ok := raw.(*net.TCPConn); ok {
+		_ = t.SetReadBuffer(receiveBufferBytes) // only makes transfers faster
+	}
 	if stream {
 		s.removePending(conn)
 		s.streams(raw)
@@ -179,12 +209,23 @@
 
 var errNoStreams = errors.New("no streams are served")
 
-var errTooManyConnections = errors.New("too many connections")
+var (
+	errTooManyConnections = errors.New("too many connections")
+	errTooManyHandshakes  = errors.New("too many connections that have not authenticated")
+)
+
+// Limits on logging refused connections: the first refusalLogBurst are logged, then one in each interval.
+const (
+	refusalLogBurst    = 10
+	refusalLogInterval = time.Second
+)
 
 func (s *Server) recordRefusal(conn net.Conn, err error) {
 	s.counters.refused.Add(1)
-	event.Warn(s.cfg.Logger, event.PeerConnectionRefused,
-		zap.String("Address", conn.RemoteAddr().String()), zap.Error(err))
+	s.refusalLogLimit.Do(func() {
+		event.Warn(s.cfg.Logger, event.PeerConnectionRefused,
+			zap.String("Address", conn.RemoteAddr().String()), zap.Error(err), zap.Uint64("Refused", s.counters.refused.Load()))
+	})
 }
 
 func (s *Server) currentSecrets() [][]byte {
--- a/process/event/member.go
+++ b/process/event/member.go
@@ -2,7 +2,7 @@
 
 // Events of the connections between nodes, of membership and of certificates.
 const (
-	// PeerConnectionRefused: a connection to the peer listener was refused because of its secret, its protocol or the limit on connections. To do: if it continues, compare Peers.Secret and the program versions of the two nodes.
+	// PeerConnectionRefused: a connection to the peer listener was refused because of its secret, its protocol or a limit on connections; one line a second at most, Refused counts all. To do: if it continues, compare Peers.Secret and the program versions of the two nodes.
 	PeerConnectionRefused Event = iota + 200
 	// MemberJoined: a node was seen for the first time. To do: nothing.
 	MemberJoined
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -52,6 +52,8 @@
 	// EnginesCrashWhenFull means that an engine crashes if the requests that it holds exceed its
 	// memory. Otherwise it preempts some of them.
 	EnginesCrashWhenFull bool
+	// MaxHandshakes bounds the connections of other nodes that have not authenticated; 0: peer.DefaultMaxHandshakes.
+	MaxHandshakes int
 	// FirstStart means that no node of the system has run before it was started.
 	FirstStart bool
 	// Releases means that operators order services to be moved to new software versions.
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -63,8 +63,9 @@
 // peers holds the connections to the other nodes, which it finds through the platform's directory.
 // Until the directory answers, this node knows no others and still serves requests.
 type peers struct {
-	name       string // of this node
-	dataCentre string
+	name          string // of this node
+	dataCentre    string
+	maxHandshakes int // connections of other nodes that have not authenticated
 
 	log      *zap.Logger
 	roster   *roster.Roster
@@ -111,7 +112,7 @@
 func (g *Gateway) newPeers(i do.Injector, p Platform) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	ps := &peers{
-		name: g.settings.Node, dataCentre: g.settings.DataCentre, log: g.log,
+		name: g.settings.Node, dataCentre: g.settings.DataCentre, maxHandshakes: g.settings.MaxHandshakes, log: g.log,
 		roster: do.MustInvoke[*roster.Roster](i), keeper: do.MustInvoke[*duty.Keeper](i),
 		book: do.MustInvoke[*accepted.Tracker](i), policies: do.MustInvoke[*policy.Table](i),
 		learner: do.MustInvoke[*learner](i), endings: newEndingsStore(i), lengths: do.MustInvoke[*shedding.Shedder](i), fleet: do.MustInvoke[*fleetload.Tracker](i),
@@ -326,7 +327,7 @@
 		return err
 	}
 	p.closers.Add("peer client", client.Close)
-	server, err := peer.NewServer(peer.ServerConfig{Secrets: secrets, Logger: p.log})
+	server, err := peer.NewServer(peer.ServerConfig{Secrets: secrets, MaxHandshakes: p.maxHandshakes, Logger: p.log})
 	if err != nil {
 		return err
 	}
