Account for answers until their callers have taken them

Cause: a large answer counted to a budget of its own only while it was read from the upstream. It was copied once more with its head, and both copies were held, and counted nowhere, for the 10 s that a caller may leave bytes unread. Streams that are held for callers without chunks counted nowhere at all.

Change: answers draw on the process's one account (package memory), while they are read, held and written.

The budget's own test asks the account for the figures that it took from the budget's field.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -17,6 +17,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/dunlinmill/dunlinmill/connection/memory"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 )
 
@@ -46,9 +47,9 @@
 	MaxIdle      int           // maximum number of idle connections
 	MaxBody      int           // maximum bytes of an answer that is read completely
 	MaxDoBody    int           // the same for Do and DoDirect; 0 means MaxBody
-	// Budget bounds the memory for answers that are read completely, over all clients that share it.
+	// Budget bounds the memory for answers that are read completely, over all that share it.
 	// If it is nil, only MaxBody bounds each.
-	Budget *Budget
+	Budget *memory.Budget
 	// AckTimeout limits how long sent bytes may remain unacknowledged by the other
 	// end's TCP. 0 means the system's limit, which is many minutes. A connection that
 	// is interrupted by a network failure is ended by this timeout, and not only by the
@@ -121,6 +122,9 @@
 	c.MaxIdle = cmp.Or(c.MaxIdle, DefaultMaxIdle)
 	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
 	c.MaxDoBody = cmp.Or(c.MaxDoBody, c.MaxBody)
+	if c.Budget == nil {
+		c.Budget = memory.Unlimited()
+	}
 	return c
 }
 
--- a/connection/upstream/overhttp/exchange/limits.go
+++ b/connection/upstream/overhttp/exchange/limits.go
@@ -8,9 +8,10 @@
 	"io"
 	"math"
 	"net/http/httputil"
-	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/dunlinmill/dunlinmill/connection/memory"
 )
 
 // Limits of what an upstream may send beside the body of an answer. The timeouts bound no bytes: an
@@ -30,12 +31,11 @@
 )
 
 var (
-	errOverlong        = errors.New("the upstream sends more than an answer may have outside its body")
-	errBrokenTrailer   = errors.New("a line of the trailer is no field")
-	errLowStatus       = errors.New("the answer's status is below 100")
-	errBudgetExhausted = errors.New("no memory is left for answers of this size")
-	errTwoLengths      = errors.New("the answer states two lengths")
-	errSwitched        = errors.New("the upstream switches protocols, which no request asks for")
+	errOverlong      = errors.New("the upstream sends more than an answer may have outside its body")
+	errBrokenTrailer = errors.New("a line of the trailer is no field")
+	errLowStatus     = errors.New("the answer's status is below 100")
+	errTwoLengths    = errors.New("the answer states two lengths")
+	errSwitched      = errors.New("the upstream switches protocols, which no request asks for")
 )
 
 // limitedBytes is the number of bytes that may still be received.
@@ -272,66 +272,33 @@
 	return s.readAll(s, 0, limit)
 }
 
-const (
-	// minBufferBytes and maxFirstBufferBytes bound a body's first buffer, whatever length is declared.
-	minBufferBytes, maxFirstBufferBytes = 512, 64 << 10
-	// uncountedBytes of each body are not counted to the Budget, so that an answer of usual size is
-	// read whatever others hold.
-	uncountedBytes = 256 << 10
-)
+// uncountedBytes of each body are not counted to the Budget, so that an answer of usual size is read whatever
+// others hold.
+const uncountedBytes = 256 << 10
 
 // readAll reads a body whose length is declared, or 0.
 func (s *Stream) readAll(r io.Reader, declared, limit int) ([]byte, error) {
-	body := make([]byte, 0, max(minBufferBytes, min(declared+1, maxFirstBufferBytes)))
-	for {
-		if len(body) == cap(body) {
-			size := min(2*cap(body), limit+1)
-			if err := s.hold(size); err != nil {
-				return nil, err
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case len(body) > limit:
-			return nil, fasthttp.ErrBodyTooLarge
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
+	body, err := memory.ReadAll(r, memory.Body{Declared: declared, Limit: limit, Hold: s.hold})
+	if errors.Is(err, memory.ErrTooLarge) {
+		return nil, fasthttp.ErrBodyTooLarge
 	}
+	return body, err
 }
 
-// Budget bounds the memory that clients hold for bodies that are read whole. It is safe for concurrent
-// use.
-type Budget struct {
-	limit int64 // bytes
-	held  atomic.Int64
-}
-
-// NewBudget returns a Budget of limit bytes.
-func NewBudget(limit int) *Budget { return &Budget{limit: int64(limit)} }
-
-// hold counts a body's buffer of size bytes in place of its former one.
-func (s *Stream) hold(size int) error {
-	b, more := s.client.cfg.Budget, int64(size)-s.held
-	if b == nil || size <= uncountedBytes {
+// hold counts so many bytes of the body to the Budget.
+func (s *Stream) hold(bytes int64) error {
+	if bytes <= uncountedBytes {
 		return nil
 	}
-	if b.held.Add(more) > b.limit {
-		b.held.Add(-more)
-		return errBudgetExhausted
+	if s.claim == nil {
+		s.claim = s.client.cfg.Budget.NewClaim(nil)
 	}
-	s.held += more
-	return nil
+	return s.claim.Resize(bytes)
 }
 
 // releaseHeld ends the count of the body.
 func (s *Stream) releaseHeld() {
-	if s.held > 0 {
-		s.client.cfg.Budget.held.Add(-s.held)
-		s.held = 0
+	if s.claim != nil {
+		s.claim.Release()
 	}
 }
--- a/connection/upstream/overhttp/exchange/limits_test.go
+++ b/connection/upstream/overhttp/exchange/limits_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/dunlinmill/dunlinmill/connection/memory"
 )
 
 // countingPath counts the bytes that are received.
@@ -192,7 +194,7 @@
 			}
 		}
 	})
-	cl := New(at, Config{Budget: NewBudget(3 * size)})
+	cl := New(at, Config{Budget: memory.NewBudget(3*size, 0)})
 	defer cl.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	const callers = 8
@@ -201,11 +203,11 @@
 		go func() { errs <- cl.Do(ctx, requestWith("large", nil), &fasthttp.Response{}) }()
 	}
 	for range callers - 3 { // three are held
-		if err := <-errs; !errors.Is(err, errBudgetExhausted) {
+		if err := <-errs; !errors.Is(err, memory.ErrExhausted) {
 			t.Errorf("%v", err)
 		}
 	}
-	if held := cl.cfg.Budget.held.Load(); held > 3*size {
+	if held := cl.cfg.Budget.Stats().Held; held > 3*size {
 		t.Errorf("%d bytes are held", held)
 	}
 	var resp fasthttp.Response
@@ -218,7 +220,7 @@
 			t.Errorf("%v", err)
 		}
 	}
-	if held := cl.cfg.Budget.held.Load(); held != 0 {
+	if held := cl.cfg.Budget.Stats().Held; held != 0 {
 		t.Errorf("%d bytes are held after the end", held)
 	}
 }
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/dunlinmill/dunlinmill/connection/memory"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 )
 
@@ -26,9 +27,9 @@
 	stopAbandon func() bool
 	complete    bool
 	closed      bool
-	noReuse     bool  // the connection must not be reused
-	hasBody     bool  // Read has returned bytes
-	held        int64 // bytes of the body that count to the Budget
+	noReuse     bool          // the connection must not be reused
+	hasBody     bool          // Read has returned bytes
+	claim       *memory.Claim // of the body to the Budget; nil: none
 	// checkEnd is asked at the orderly end of an unframed answer, see SetEndCheck.
 	checkEnd func() error
 	// isOwnCall says that the exchange is a call of Do, which no answer to a caller depends on.
