--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -113,6 +113,19 @@
 	return x.reportFailure(err)
 }
 
+// Check returns the failure with which Serve would refuse a request whatever its body is, or the workspace of its key. It
+// is for requests whose body is long and not received yet. A request that fails the check counts as served.
+func (g *Gateway) Check(now time.Time, in Inbound) (workspace string, err error) {
+	x := &servedRequest{g: g, in: in, began: now}
+	if err := x.admit(Boot()); err != nil {
+		g.metrics.RequestStarted()
+		defer g.metrics.RequestEnded()
+		g.limiter.RecordRequest(now)
+		return "", x.reportFailure(err)
+	}
+	return x.workspace.Name, nil
+}
+
 func (x *servedRequest) serve(ctx context.Context) error {
 	if err := x.admit(Boot()); err != nil {
 		return err
