Bound what clients may take of the node's own listeners

The library reads a body whole, by its announced length, before a handler can look at the key, and ends its server after any failure to accept. Beside it, a body with a Content-Encoding was expanded without a bound, whole answers had no time limit for a caller that doesn't read them, and what was read away of refused bodies had a bound for each connection only.

Change: bodies are streams, which handlers receive through the process's account once the key is known. The rest of a body that is not received is read away within the bounds for all connections, or the connection closes. Callers, operators and nodes that have not authenticated have tables of connections. Bodies are not expanded any more: a service gets what the caller has sent, with its Content-Encoding, which was passed on beside the expanded body before. Answers count to the account until they are taken, and WriteTimeout is for each 64 KiB of them. New setting Limits.MemoryBytes, by default GOMEMLIMIT or else the VM's memory, which no client meets by itself.

The tests with 300 descriptors start the node with that limit, and no longer lower it once the node runs: a process reads its limit when it starts, and its shares follow from it. Crowds and bounds are as they were.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -17,8 +17,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"github.com/dunlinmill/dunlinmill/connection/intake"
 	"github.com/dunlinmill/dunlinmill/connection/refusal"
-	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
 	"github.com/dunlinmill/dunlinmill/process/drain"
 	"github.com/dunlinmill/dunlinmill/process/event"
@@ -124,6 +124,7 @@
 	presence    Presence
 	counter     Counter
 	stop        Stop
+	intake      *intake.Intake
 	log         *zap.Logger
 	app         *fiber.App
 	watcher     disconnectWatcher
@@ -138,6 +139,7 @@
 	Presence    Presence
 	Counter     Counter
 	Stop        Stop
+	Intake      *intake.Intake
 	Metrics     prometheus.Gatherer
 	Log         *zap.Logger
 }
@@ -153,6 +155,7 @@
 		presence:    s.Presence,
 		counter:     s.Counter,
 		stop:        s.Stop,
+		intake:      s.Intake,
 		log:         s.Log,
 	}
 	l.app = fiber.New(fiber.Config{
@@ -166,6 +169,7 @@
 		UnescapePath:          false,
 		CaseSensitive:         true,
 	})
+	l.intake.StreamBodies(l.app)
 	l.routes(s.Metrics)
 	return l
 }
@@ -185,6 +189,12 @@
 // Serve accepts connections from ln until Shutdown is called.
 func (l *Listener) Serve(ln net.Listener) error { return l.app.Listener(ln) }
 
+// receive reads the body of a request, which is held so many times once it is decoded. The caller calls release at the end
+// of the request.
+func (l *Listener) receive(c *fiber.Ctx, now time.Time, workspace string, copies int) (body []byte, release func(), err error) {
+	return l.intake.Receive(c, now, intake.Reception{Workspace: workspace, Limit: l.cfg.MaxBodyBytes, Copies: copies})
+}
+
 // shutdownRetryAfter is the Retry-After of a node that is shutting down. It is short
 // because the load balancer sends the next attempt to another node.
 const shutdownRetryAfter = time.Second
@@ -248,7 +258,7 @@
 		return l.handleReadTimeout(c)
 	}
 	e := refusal.FromError(err)
-	refusal.DrainOversized(c, e)
+	refusal.DrainOversized(c, e, l.intake.Drainer)
 	return writeFailure(c, e)
 }
 
@@ -261,9 +271,9 @@
 func (l *Listener) handleReadTimeout(c *fiber.Ctx) error {
 	conn := c.Context().Conn()
 	if !hasUnreadData(conn) {
-		return conn.SetWriteDeadline(time.Unix(1, 0))
+		return conn.Close()
 	}
-	transport.DrainBody(conn, 0)
+	l.intake.Drainer.Body(conn, 0)
 	return writeFailure(c, failure.ErrOverloaded.WithMessage("this node was too late to read the request").
 		WithRetryAfter(readTimeoutRetryAfter))
 }
--- a/connection/caller/completions.go
+++ b/connection/caller/completions.go
@@ -97,6 +97,9 @@
 	return b.String(), nil
 }
 
+// copiesOfPrompt is how many times a prompt is held: as it was received, decoded, and encoded for the engine.
+const copiesOfPrompt = 3
+
 // serveCompletion decodes a request, starts it and writes its answer.
 func (l *Listener) serveCompletion(c *fiber.Ctx, f responseFormat, messages func(completionBody) ([]prefix.Message, error)) error {
 	now := time.Now()
@@ -104,14 +107,24 @@
 	if err != nil {
 		return err
 	}
-	r, stream, err := l.completionRequest(c, t, messages)
+	body, release, err := l.receive(c, now, t.workspace, copiesOfPrompt)
+	if err != nil {
+		return err
+	}
+	r, stream, err := l.completionRequest(body, t, messages)
 	if err != nil {
+		release()
 		return err
 	}
 	if err := l.beginRequest(now, r.ID, r.Workspace); err != nil {
+		release()
 		return err
 	}
-	ctx, stop := l.requestContext(c, r)
+	ctx, unbind := l.requestContext(c, r)
+	stop := func() {
+		unbind()
+		release()
+	}
 	a, err := l.completions.Start(ctx, r)
 	if err != nil {
 		stop()
@@ -154,9 +167,9 @@
 	}
 }
 
-func (l *Listener) completionRequest(c *fiber.Ctx, t requestOptions, messages func(completionBody) ([]prefix.Message, error)) (completion.Request, bool, error) {
+func (l *Listener) completionRequest(body []byte, t requestOptions, messages func(completionBody) ([]prefix.Message, error)) (completion.Request, bool, error) {
 	var b completionBody
-	if err := json.Unmarshal(c.Body(), &b); err != nil {
+	if err := json.Unmarshal(body, &b); err != nil {
 		return completion.Request{}, false, failure.ErrMalformedRequest.WithMessage("the body is not the JSON expected: %v", err)
 	}
 	if b.N > 1 {
--- a/connection/caller/service.go
+++ b/connection/caller/service.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"context"
 	"slices"
 	"strings"
@@ -33,12 +32,17 @@
 	if err != nil {
 		return err
 	}
-	r := callRequest(c, t)
-	if err := l.beginRequest(now, r.ID, r.Workspace); err != nil {
+	body, release, err := l.receive(c, now, t.workspace, 1)
+	if err != nil {
 		return err
 	}
-	ctx, release := l.stop.BoundContext(context.Background())
 	defer release()
+	r := callRequest(c, t, body)
+	if err := l.beginRequest(now, r.ID, r.Workspace); err != nil {
+		return err
+	}
+	ctx, unbind := l.stop.BoundContext(context.Background())
+	defer unbind()
 	reply, err := l.calls.Do(ctx, r)
 	if err != nil {
 		l.recordRefusal(r.ID, r.Workspace, err, zap.String("Service", r.Service))
@@ -50,12 +54,12 @@
 			c.Set(f.Name, f.Value)
 		}
 	}
-	return c.Status(reply.Status).Send(reply.Body)
+	return l.intake.Send(c.Status(reply.Status), time.Now(), r.Workspace, reply.Body)
 }
 
 // callRequest copies every string and slice that it keeps, because fiber reuses their
 // memory.
-func callRequest(c *fiber.Ctx, t requestOptions) call.Request {
+func callRequest(c *fiber.Ctx, t requestOptions, body []byte) call.Request {
 	var header []upstream.Field
 	for name, value := range c.Request().Header.All() {
 		if isForwarded(string(name)) {
@@ -70,7 +74,7 @@
 		Path:       "/" + strings.Clone(c.Params("*")),
 		Query:      string(c.Request().URI().QueryString()),
 		Header:     header,
-		Body:       bytes.Clone(c.Body()),
+		Body:       body,
 		Priority:   t.priority,
 		Deadline:   t.deadline,
 		Repeatable: t.repeat == repeatable,
--- a/connection/intake/intake.go
+++ b/connection/intake/intake.go
@@ -46,9 +46,10 @@
 type Intake struct {
 	Limits Limits
 	Budget *memory.Budget
-	// Callers holds the connections of callers, Probes those for readiness checks and metrics.
-	Callers, Probes *transport.Table
-	Drainer         *transport.Drainer
+	// Callers holds the connections of callers, Probes those for readiness checks and metrics, Operators those of
+	// operators.
+	Callers, Probes, Operators *transport.Table
+	Drainer                    *transport.Drainer
 
 	log                      *zap.Logger
 	logLimit, acceptLogLimit rate.Sometimes
@@ -60,12 +61,13 @@
 	return &Intake{
 		Limits: l,
 		Budget: memory.NewBudget(l.Budget, l.Reserve),
-		// Callers and probes have tables of their own, so that neither can take the places of the other.
-		Callers:  transport.NewTable(l.Callers),
-		Probes:   transport.NewTable(l.Probes),
-		Drainer:  transport.NewDrainer(),
-		log:      log,
-		logLimit: rate.Sometimes{First: logBurst, Interval: logInterval}, acceptLogLimit: rate.Sometimes{First: logBurst, Interval: logInterval},
+		// Each has a table of its own, so that none can take the places of others.
+		Callers:   transport.NewTable(l.Callers),
+		Probes:    transport.NewTable(l.Probes),
+		Operators: transport.NewTable(l.Operators),
+		Drainer:   transport.NewDrainer(),
+		log:       log,
+		logLimit:  rate.Sometimes{First: logBurst, Interval: logInterval}, acceptLogLimit: rate.Sometimes{First: logBurst, Interval: logInterval},
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "dunlinmill", Name: "intake_refusals_total",
 			Help: "Requests and connections that were refused before the request was received whole, by reason.",
@@ -127,6 +129,11 @@
 	return transport.NewListener(ln, i.Probes, connectionEvents{i})
 }
 
+// OperatorListener returns a listener for the connections of operators.
+func (i *Intake) OperatorListener(ln net.Listener) *transport.Listener {
+	return transport.NewListener(ln, i.Operators, connectionEvents{i})
+}
+
 // MemoryFailure returns the failure for the caller if err says that there is no memory for its request, and records it.
 // It returns nil for any other error.
 func (i *Intake) MemoryFailure(from net.Addr, err error) *failure.Error {
--- a/connection/intake/limits.go
+++ b/connection/intake/limits.go
@@ -26,6 +26,9 @@
 	// probesShare is the part of the sockets for readiness checks and metrics, maxProbes what those need at most.
 	probesShare = 1.0 / 16
 	maxProbes   = 64
+	// operatorsShare is the part of the sockets for operators, maxOperators what those need at most.
+	operatorsShare = 1.0 / 16
+	maxOperators   = 256
 	// handshakesShare is the part of the sockets for nodes that have not proved yet that they belong to the fleet.
 	handshakesShare = 1.0 / 8
 )
@@ -42,6 +45,7 @@
 	Budget, Reserve int64 // bytes
 	Callers         int   // connections of callers
 	Probes          int   // connections for readiness checks and metrics
+	Operators       int   // connections of operators
 	Handshakes      int   // connections of nodes that have not authenticated
 }
 
@@ -54,13 +58,14 @@
 		Budget: int64(budget), Reserve: int64(reserveShare * budget),
 		Callers:    max(1, int(callers)),
 		Probes:     max(1, min(maxProbes, int(probesShare*sockets))),
+		Operators:  max(1, min(maxOperators, int(operatorsShare*sockets))),
 		Handshakes: max(1, int(handshakesShare*sockets)),
 	}
 }
 
 // Unlimited returns limits that no client reaches.
 func Unlimited() Limits {
-	return Limits{Budget: math.MaxInt64, Callers: math.MaxInt, Probes: math.MaxInt, Handshakes: math.MaxInt}
+	return Limits{Budget: math.MaxInt64, Callers: math.MaxInt, Probes: math.MaxInt, Operators: math.MaxInt, Handshakes: math.MaxInt}
 }
 
 // OpenDescriptors returns how many descriptors the system lets this process open.
--- a/connection/intake/limits_test.go
+++ b/connection/intake/limits_test.go
@@ -17,7 +17,7 @@
 	for _, tt := range cases {
 		l := tt.m.Limits()
 		sockets := tt.m.Descriptors - tt.m.Files
-		if taken := l.Callers + l.Probes + l.Handshakes; taken > sockets*9/10 {
+		if taken := l.Callers + l.Probes + l.Operators + l.Handshakes; taken > sockets*9/10 {
 			t.Errorf("%s: clients may take %d of %d sockets", tt.name, taken, sockets)
 		}
 		if held := l.Budget + int64(l.Callers)*connectionBytes; held > tt.m.Memory*6/10 {
@@ -26,7 +26,7 @@
 		if body := l.Budget - l.Reserve; body < 8*mib {
 			t.Errorf("%s: %d bytes for large bodies", tt.name, body)
 		}
-		if l.Callers < 1 || l.Probes < 1 || l.Handshakes < 1 {
+		if l.Callers < 1 || l.Probes < 1 || l.Operators < 1 || l.Handshakes < 1 {
 			t.Errorf("%s: %+v", tt.name, l)
 		}
 	}
--- a/connection/operator/listener.go
+++ b/connection/operator/listener.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/dunlinmill/dunlinmill/connection/intake"
 	"github.com/dunlinmill/dunlinmill/connection/platform"
 	"github.com/dunlinmill/dunlinmill/connection/refusal"
 	"github.com/dunlinmill/dunlinmill/process/event"
@@ -84,6 +85,7 @@
 	Planner  Planner
 	View     View
 	Reporter Reporter
+	Intake   *intake.Intake // nil: clients are not bounded
 	Log      *zap.Logger
 }
 
@@ -100,6 +102,9 @@
 // NewListener returns a listener that accepts connections once Serve is called.
 func NewListener(cfg Config, s Services) *Listener {
 	cfg = cfg.withDefaults()
+	if s.Intake == nil {
+		s.Intake = intake.New(intake.Unlimited(), s.Log)
+	}
 	l := &Listener{
 		cfg:             cfg,
 		services:        s,
@@ -119,6 +124,7 @@
 		Immutable:    true,
 		ErrorHandler: l.handleError,
 	})
+	s.Intake.StreamBodies(l.app)
 	l.routes()
 	return l
 }
@@ -157,8 +163,13 @@
 }
 
 func (l *Listener) propose(c *fiber.Ctx) error {
+	body, release, err := l.receive(c)
+	if err != nil {
+		return err
+	}
+	defer release()
 	var intent record.Intent
-	if err := decodeStrict(c.Body(), &intent); err != nil {
+	if err := decodeStrict(body, &intent); err != nil {
 		return failure.ErrMalformedIntent.WithMessage("the intent could not be read: %v", err)
 	}
 	ctx, cancel := l.context(c)
@@ -197,8 +208,13 @@
 }
 
 func (l *Listener) confirm(c *fiber.Ctx) error {
+	body, release, err := l.receive(c)
+	if err != nil {
+		return err
+	}
+	defer release()
 	var confirmation Confirmation
-	if err := decodeStrict(c.Body(), &confirmation); err != nil {
+	if err := decodeStrict(body, &confirmation); err != nil {
 		return failure.ErrMalformedRequest.WithMessage("the confirmation could not be read: %v", err)
 	}
 	ctx, cancel := l.context(c)
@@ -213,6 +229,14 @@
 	return c.JSON(PlanOf(p))
 }
 
+// copiesOfIntent is how many times an intent is held: as it was received, decoded, and encoded for the log.
+const copiesOfIntent = 3
+
+// receive reads the body of an operator's call. The caller calls release at the end of the call.
+func (l *Listener) receive(c *fiber.Ctx) (body []byte, release func(), err error) {
+	return l.services.Intake.Receive(c, time.Now(), intake.Reception{Workspace: callingOperator(c), Limit: l.cfg.MaxBodyBytes, Copies: copiesOfIntent})
+}
+
 func (l *Listener) context(c *fiber.Ctx) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(c.UserContext(), l.cfg.CallTimeout)
 }
@@ -220,7 +244,7 @@
 // handleError answers a call with the typed form of its error.
 func (l *Listener) handleError(c *fiber.Ctx, err error) error {
 	e := refusal.FromError(err)
-	refusal.DrainOversized(c, e)
+	refusal.DrainOversized(c, e, l.services.Intake.Drainer)
 	if e.Code == failure.Internal {
 		event.Error(l.log, event.OperatorCallFailed, zap.String("Path", c.Path()), zap.Error(e))
 	}
--- a/connection/refusal/refusal.go
+++ b/connection/refusal/refusal.go
@@ -33,15 +33,12 @@
 	return failure.ErrMalformedRequest.WithCause(err)
 }
 
-// DrainOversized reads and discards the rest of a request that is refused as too large.
+// DrainOversized reads and discards the rest of a header that is refused as too large.
 // If the connection were closed with unread data, it would be reset and the caller
 // would not receive the answer.
-func DrainOversized(c *fiber.Ctx, e *failure.Error) {
-	switch e.Code {
-	case failure.BodyTooLarge:
-		transport.DrainBody(c.Context().Conn(), c.Request().Header.ContentLength())
-	case failure.HeaderTooLarge:
-		transport.DrainHeader(c.Context().Conn())
+func DrainOversized(c *fiber.Ctx, e *failure.Error, d *transport.Drainer) {
+	if e.Code == failure.HeaderTooLarge {
+		d.Header(c.Context().Conn())
 	}
 }
 
--- a/connection/transport/drain.go
+++ b/connection/transport/drain.go
@@ -58,6 +58,28 @@
 	}
 }
 
+// Stream reads a body away to its end, from a connection that is served on. It reports false if a limit is reached or the
+// body is cut off.
+func (d *Drainer) Stream(conn net.Conn, body io.Reader) (whole bool) {
+	select {
+	case d.places <- struct{}{}:
+		defer func() { <-d.places }()
+	default:
+		return false
+	}
+	if conn.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
+		return false
+	}
+	for n := int64(0); n < maxDrainBytes; {
+		m, err := io.CopyN(io.Discard, body, drainChunkBytes)
+		n += m
+		if err != nil || !d.bytes.AllowN(time.Now(), int(m)) {
+			return errors.Is(err, io.EOF)
+		}
+	}
+	return false
+}
+
 // Header is DrainHeader. It returns at once if a limit is reached.
 func (d *Drainer) Header(conn net.Conn) {
 	select {
--- a/connection/transport/listen.go
+++ b/connection/transport/listen.go
@@ -44,6 +44,7 @@
 	net.Listener
 	table  *Table
 	events Events
+	stall  time.Duration // see WithStall; 0: none
 
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -64,6 +65,13 @@
 	return &Listener{Listener: ln, table: t, events: e, closed: make(chan struct{})}
 }
 
+// WithStall returns a listener whose connections fail if a caller takes longer than d to take stallChunkBytes.
+func (l *Listener) WithStall(d time.Duration) *Listener {
+	next := NewListener(l.Listener, l.table, l.events)
+	next.stall = d
+	return next
+}
+
 // Accept returns the next connection, or an error once the listener is closed or its deadline is over.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -93,7 +101,7 @@
 		_ = nc.Close()
 		l.events.Replaced(nc.RemoteAddr())
 	})
-	return &Conn{Conn: nc, tracked: tracked}, ok
+	return &Conn{Conn: nc, tracked: tracked, stall: l.stall}, ok
 }
 
 // SetDeadline sets the time at which Accept ends. Listeners without deadlines return an error.
@@ -115,6 +123,29 @@
 type Conn struct {
 	net.Conn
 	tracked *Tracked
+	stall   time.Duration
+}
+
+// stallChunkBytes is how much a caller has to take within the time for one write.
+const stallChunkBytes = 64 << 10
+
+// Write writes b. If the connection has a stall time, each part of it has that long.
+func (c *Conn) Write(b []byte) (n int, err error) {
+	if c.stall == 0 {
+		return c.Conn.Write(b)
+	}
+	for first := true; first || len(b) > 0; first = false {
+		if err := c.SetWriteDeadline(time.Now().Add(c.stall)); err != nil {
+			return n, err
+		}
+		m, err := c.Conn.Write(b[:min(len(b), stallChunkBytes)])
+		n += m
+		if err != nil {
+			return n, err
+		}
+		b = b[m:]
+	}
+	return n, nil
 }
 
 // Close closes the connection and frees its place.
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/dunlinmill/dunlinmill/standin/crowd"
 )
 
@@ -35,15 +33,9 @@
 	t.Helper()
 	t.Setenv("GOMEMLIMIT", fmt.Sprintf("%dMiB", crowdMemoryMiB))
 	l := smallLayout
-	l.settings = ""
+	l.settings, l.descriptors = "", descriptors
 	s := newSite(t, l)
 	n := s.nodes[0]
-	if descriptors > 0 {
-		limit := unix.Rlimit{Cur: uint64(descriptors), Max: uint64(descriptors)}
-		if err := unix.Prlimit(n.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
-			t.Fatal(err)
-		}
-	}
 	meter := crowd.NewMeter(n.cmd.Process.Pid, portOf(t, n.callers), portOf(t, n.operators), portOf(t, n.peers))
 	return crowdSite{site: s, meter: meter, descriptors: descriptors}
 }
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -46,6 +46,7 @@
 	engineFlags []string
 	nodes       int
 	settings    string // appended to the nodes' settings
+	descriptors int    // that a node may open; 0: the test's own limit
 	grace       string // Shutdown.Grace of the nodes; empty: 30s
 }
 
@@ -167,7 +168,7 @@
 	for i := range s.layout.nodes {
 		n := nodeProcess{callers: addresses[3*i], operators: addresses[3*i+1], peers: addresses[3*i+2]}
 		file := s.writeFile(nodeName(i)+".yaml", s.settings(i, n))
-		n.process = launch(s.t, s.dir, nodeName(i), dunlinmill, "serve", "--settings", file)
+		n.process = s.launchNode(i, "serve", "--settings", file)
 		n.client = load.NewClient([]string{n.callers})
 		s.t.Cleanup(n.client.Close)
 		s.nodes = append(s.nodes, n)
@@ -177,6 +178,15 @@
 	}
 }
 
+// launchNode starts a node, with the layout's limit of descriptors.
+func (s *site) launchNode(i int, args ...string) *process {
+	if s.layout.descriptors == 0 {
+		return launch(s.t, s.dir, nodeName(i), dunlinmill, args...)
+	}
+	limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, s.layout.descriptors)
+	return launch(s.t, s.dir, nodeName(i), "/bin/sh", append([]string{"-c", limited, dunlinmill}, args...)...)
+}
+
 func (s *site) settings(i int, n nodeProcess) string {
 	tlsFields, mutualTLSFields := "", ""
 	if s.tls != nil {
--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -56,6 +56,7 @@
 	_ = x[SettingsNeedRestart-512]
 	_ = x[IntakeRefused-513]
 	_ = x[DescriptorsUnknown-514]
+	_ = x[MachineUnknown-515]
 	_ = x[RequestPlaced-100]
 	_ = x[RequestAnswered-101]
 	_ = x[RequestRefused-102]
@@ -153,7 +154,7 @@
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailedPeersNotJoinedNewsNotHeardCaughtUpAggregatorChosenAggregatorMissed"
 	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepairedPublicationUnreadableWeightsNamedLeaseNotGivenBackLeaseLookedLeaseNotConfirmedLeaseGivenBackReleaseOrderedReleaseStepReleaseJudgedReleaseCompleteReleaseRolledBackReleaseNotRecordedTopicRestartedTopicReadTopicAnswerRefusedPlatformReturnedConfigMadeGoodTenureReadTenureBegunTenureEndedTenureCallFailed"
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
-	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedSecretReloadedSecretReloadFailedAcceptFailedSettingsReloadedSettingsNotReloadedSettingsNeedRestartIntakeRefusedDescriptorsUnknown"
+	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedSecretReloadedSecretReloadFailedAcceptFailedSettingsReloadedSettingsNotReloadedSettingsNeedRestartIntakeRefusedDescriptorsUnknownMachineUnknown"
 	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsedOperatorCallFailed"
 	_Event_name_6 = "UpstreamEnteredUpstreamLeftEntryUnreadableRegisterLostRegisterBack"
 	_Event_name_7 = "CacheListedCacheFollowedRateLearntUpstreamLeavingUpstreamLimitedUpstreamLimitUnreadableEngineRatesLearntPathLostPathRestoredUpstreamSilentUpstreamRejectsLimitedConnectionRelayedWeightsAskedUpstreamRefused"
@@ -164,7 +165,7 @@
 	_Event_index_1 = [...]uint16{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215, 229, 241, 249, 265, 281}
 	_Event_index_2 = [...]uint16{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239, 260, 272, 289, 300, 317, 331, 345, 356, 369, 384, 401, 419, 433, 442, 460, 476, 490, 500, 511, 522, 538}
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
-	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 107, 125, 137, 153, 172, 191, 204, 222}
+	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 107, 125, 137, 153, 172, 191, 204, 222, 236}
 	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90, 108}
 	_Event_index_6 = [...]uint8{0, 15, 27, 42, 54, 66}
 	_Event_index_7 = [...]uint8{0, 11, 24, 34, 49, 64, 87, 104, 112, 124, 138, 160, 177, 189, 204}
@@ -184,7 +185,7 @@
 	case 400 <= i && i <= 406:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 500 <= i && i <= 514:
+	case 500 <= i && i <= 515:
 		i -= 500
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	case 600 <= i && i <= 606:
--- a/process/event/process.go
+++ b/process/event/process.go
@@ -32,4 +32,6 @@
 	IntakeRefused
 	// DescriptorsUnknown: the system doesn't say how many descriptors this process may open; clients get a share of the Assumed ones. To do: check that Assumed is what the VM allows.
 	DescriptorsUnknown
+	// MachineUnknown: the system doesn't say what this process may use; clients are not bounded by it. To do: set Limits.MemoryBytes, and look at Error.
+	MachineUnknown
 )
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -16,7 +16,9 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/dunlinmill/dunlinmill/connection/caller"
+	"github.com/dunlinmill/dunlinmill/connection/intake"
 	"github.com/dunlinmill/dunlinmill/connection/operator"
+	"github.com/dunlinmill/dunlinmill/connection/transport"
 	"github.com/dunlinmill/dunlinmill/process/closer"
 	"github.com/dunlinmill/dunlinmill/process/drain"
 	"github.com/dunlinmill/dunlinmill/process/event"
@@ -43,6 +45,7 @@
 	settings settings.Settings
 	injector *do.RootScope
 	log      *zap.Logger
+	intake   *intake.Intake
 	closers  closer.List
 	stop     *drain.Stop
 
@@ -67,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, injector: do.New(), log: log, stop: drain.New()}
+	n := &Node{settings: s, injector: do.New(), log: log, intake: newIntake(s.Limits, log), stop: drain.New()}
 	event.Info(log, event.ProcessStarting, zap.String("Callers", s.Listen.Callers.Address),
 		zap.String("Operators", s.Listen.Operators.Address), zap.String("Peers", s.Listen.Peers.Address))
 	n.provide()
@@ -90,10 +93,16 @@
 		return err
 	}
 	var err error
-	if n.callers, err = n.openListener("Callers", n.settings.Listen.Callers); err != nil {
+	callers := func(ln net.Listener) net.Listener {
+		return n.intake.Listener(ln).WithStall(n.settings.Limits.WriteTimeout)
+	}
+	if n.callers, err = n.openListener("Callers", n.settings.Listen.Callers, callers); err != nil {
 		return err
 	}
-	if n.operators, err = n.openListener("Operators", n.settings.Listen.Operators); err != nil {
+	operators := func(ln net.Listener) net.Listener {
+		return n.intake.OperatorListener(ln).WithStall(operatorStallTimeout)
+	}
+	if n.operators, err = n.openListener("Operators", n.settings.Listen.Operators, operators); err != nil {
 		return err
 	}
 	n.addresses = Addresses{
@@ -107,12 +116,16 @@
 // Addresses returns the addresses that the node listens on.
 func (n *Node) Addresses() Addresses { return n.addresses }
 
-func (n *Node) openListener(name string, l settings.Listener) (net.Listener, error) {
-	ln, err := net.Listen("tcp", l.Address)
+// operatorStallTimeout limits how long an operator may take to read a part of an answer.
+const operatorStallTimeout = 30 * time.Second
+
+// openListener opens a listener. Bounded limits its connections.
+func (n *Node) openListener(name string, l settings.Listener, bounded func(net.Listener) net.Listener) (net.Listener, error) {
+	ln, err := transport.Listen(l.Address)
 	if err != nil {
 		return nil, fmt.Errorf("listener %s: %w", name, err)
 	}
-	ln, err = n.withTLS(ln, l.TLS)
+	ln, err = n.withTLS(bounded(ln), l.TLS)
 	if err != nil {
 		return nil, fmt.Errorf("listener %s: %w", name, err)
 	}
--- a/process/node/provide.go
+++ b/process/node/provide.go
@@ -37,7 +37,10 @@
 func (n *Node) provide() {
 	i := n.injector
 	do.Provide(i, n.newIdentity)
-	do.Provide(i, func(do.Injector) (*metric.Metrics, error) { return metric.New(), nil })
+	do.Provide(i, func(do.Injector) (*metric.Metrics, error) {
+		m := metric.New()
+		return m, n.intake.Register(m.Registry())
+	})
 	do.Provide(i, func(do.Injector) (*presence, error) { return &presence{}, nil })
 	do.Provide(i, n.newLog)
 	do.Provide(i, n.newWeightStore)
@@ -123,7 +126,7 @@
 	if err != nil {
 		return peerServer{}, fmt.Errorf("peer server: %w", err)
 	}
-	s, err := peer.NewServer(peer.ServerConfig{Secrets: n.settings.Peers.Secrets(), TLS: cfg, Logger: n.log})
+	s, err := peer.NewServer(peer.ServerConfig{Secrets: n.settings.Peers.Secrets(), TLS: cfg, MaxHandshakes: n.intake.Limits.Handshakes, Logger: n.log})
 	if err != nil {
 		return peerServer{}, fmt.Errorf("peer server: %w", err)
 	}
@@ -266,7 +269,7 @@
 }
 
 func (n *Node) newInventory(i do.Injector) (*inventory.Inventory, error) {
-	inv := inventory.New(inventory.Config{}, dialer{cfg: upstreamhttp.Config{}}, do.MustInvoke[configView](i),
+	inv := inventory.New(inventory.Config{}, dialer{cfg: upstreamhttp.Config{Budget: n.intake.Budget}}, do.MustInvoke[configView](i),
 		owner{members: do.MustInvoke[*member.Runner](i)},
 		statusListener{policies: do.MustInvoke[*policy.Table](i), upstreams: do.MustInvoke[*member.UpstreamEvidence](i), guards: do.MustInvoke[guard.Pair](i)})
 	n.closers.Add("inventory", func() error { inv.Close(); return nil })
--- a/process/node/requests.go
+++ b/process/node/requests.go
@@ -84,6 +84,7 @@
 		Presence:    do.MustInvoke[*presence](i),
 		Counter:     do.MustInvoke[*metric.Metrics](i),
 		Stop:        n.stop,
+		Intake:      n.intake,
 		Metrics:     do.MustInvoke[*metric.Metrics](i).Registry(),
 		Log:         n.log,
 	}), nil
@@ -96,6 +97,7 @@
 		Planner:  &planService{follower: do.MustInvoke[*follower.Follower](i), weights: do.MustInvoke[platform.WeightStore](i)},
 		View:     operatorView{configView: do.MustInvoke[configView](i)},
 		Reporter: do.MustInvoke[*statusReporter](i),
+		Intake:   n.intake,
 		Log:      n.log,
 	}), nil
 }
--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"regexp"
@@ -22,6 +23,7 @@
 	MaxBodyBytes        = 64 << 20
 	MaxHeaderBytes      = 1 << 20
 	MaxConnections      = 1 << 20
+	MinMemoryBytes      = 64 << 20
 	MaxQueueLength      = 1 << 20
 	MaxDuration         = time.Hour
 	MaxJournalHorizon   = 24 * time.Hour
@@ -118,6 +120,9 @@
 	checkRange(d, "Limits.MaxBodyBytes", s.Limits.MaxBodyBytes, 1<<10, MaxBodyBytes)
 	checkRange(d, "Limits.MaxHeaderBytes", s.Limits.MaxHeaderBytes, 1<<10, MaxHeaderBytes)
 	checkRange(d, "Limits.MaxConnections", s.Limits.MaxConnections, 1, MaxConnections)
+	if s.Limits.MemoryBytes != 0 {
+		checkRange(d, "Limits.MemoryBytes", s.Limits.MemoryBytes, MinMemoryBytes, math.MaxInt)
+	}
 	checkRange(d, "Queue.Length", s.Queue.Length, 1, MaxQueueLength)
 	checkRange(d, "Placement.ImportRate", s.Placement.ImportRate, 0, MaxImportRate)
 	checkRange(d, "Journal.AppendsPerSecond", s.Journal.AppendsPerSecond, 1, MaxAppendsPerSecond)
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -96,6 +96,7 @@
 	MaxBodyBytes   int
 	MaxHeaderBytes int
 	MaxConnections int
+	MemoryBytes    int           // of the process; 0: GOMEMLIMIT, or else the VM's
 	HeaderTimeout  time.Duration // to read a whole request
 	IdleTimeout    time.Duration // of a keep-alive connection
 	WriteTimeout   time.Duration // without progress in writing to the client
