--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -10,7 +10,9 @@
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
+	"github.com/dunlinmill/dunlinmill/connection/intake"
 	"github.com/dunlinmill/dunlinmill/process/metric"
 	"github.com/dunlinmill/dunlinmill/request/failure"
 )
@@ -37,7 +39,12 @@
 
 func TestAlarmsNameMetricsThatThereAre(t *testing.T) {
 	descriptions := make(chan *prometheus.Desc)
+	clients := prometheus.NewRegistry()
+	if err := intake.New(intake.Unlimited(), zap.NewNop()).Register(clients); err != nil {
+		t.Fatal(err)
+	}
 	go func() {
+		clients.Describe(descriptions)
 		metric.New().Registry().Describe(descriptions)
 		metric.NewDroppedLines(nil).Describe(descriptions)
 		close(descriptions)
