Bound what unread streams of upstreams take

Cause: the receive buffer of a connection to an upstream grew by the system's rule, to several MiB for each stream whose caller doesn't read, and an event that is being written counted to no account, though it is held three times.

--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -50,6 +50,9 @@
 	// Budget bounds the memory for answers that are read completely, over all that share it.
 	// If it is nil, only MaxBody bounds each.
 	Budget *memory.Budget
+	// ReceiveBuffer bounds what the kernel holds of a connection until it is read, in bytes. 0 means the system's
+	// rule, by which it grows to several MiB.
+	ReceiveBuffer int
 	// AckTimeout limits how long sent bytes may remain unacknowledged by the other
 	// end's TCP. 0 means the system's limit, which is many minutes. A connection that
 	// is interrupted by a network failure is ended by this timeout, and not only by the
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -158,16 +158,21 @@
 // connection.
 const keepAliveProbes = 2
 
-// dialControl returns the function that sets TCP_USER_TIMEOUT before a connection is
-// opened, or nil if there is no AckTimeout.
+// dialControl returns the function that sets TCP_USER_TIMEOUT and the receive buffer
+// before a connection is opened, or nil if neither is configured.
 func (c Config) dialControl() func(string, string, syscall.RawConn) error {
-	if c.AckTimeout <= 0 {
+	if c.AckTimeout <= 0 && c.ReceiveBuffer <= 0 {
 		return nil
 	}
 	return func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		if outer := raw.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.AckTimeout.Milliseconds()))
+			if c.AckTimeout > 0 {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.AckTimeout.Milliseconds()))
+			}
+			if c.ReceiveBuffer > 0 && err == nil {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, c.ReceiveBuffer)
+			}
 		}); outer != nil {
 			return outer
 		}
