--- a/connection/transport/transport.go
+++ b/connection/transport/transport.go
@@ -1,5 +1,5 @@
 // Package transport provides the TLS certificates and configurations of the listeners
-// and the peer client, and drains refused requests. Certificates can be replaced while
+// and the peer client, bounds the connections of listeners, and drains refused requests. Certificates can be replaced while
 // connections are open: open connections keep the old certificate, and new ones get the
 // new one.
 package transport
