Drain what has been received of every refused request

Since connections are bounded, only 32 of them were drained at a time, and all others were closed with unread bytes.

Change: of a connection beyond those that are drained, what has been received is read away, up to 64 KiB within 50 ms, which is all of a usual request. 128 connections are drained at a time; what is read in all keeps its bound of 64 MiB a second.

Why it works: a close resets a connection only if bytes are unread.

--- a/connection/transport/drain.go
+++ b/connection/transport/drain.go
@@ -19,8 +19,12 @@
 	drainQuietPeriod = 200 * time.Millisecond
 	// maxDrains and maxDrainRate bound what a Drainer reads away for all connections together: how many at a time,
 	// and how many bytes a second.
-	maxDrains    = 32
+	maxDrains    = 128
 	maxDrainRate = 64 << 20
+	// maxReceivedBytes and receivedTime bound what is read away of each further connection: what the kernel holds of it
+	// already, which is all of a usual request.
+	maxReceivedBytes = 64 << 10
+	receivedTime     = 50 * time.Millisecond
 	// maxAlreadyRead is the number of bytes of a body that may have been read together
 	// with the header.
 	maxAlreadyRead = 64 << 10
@@ -48,25 +52,24 @@
 	return &Drainer{places: make(chan struct{}, maxDrains), bytes: rate.NewLimiter(maxDrainRate, maxDrainRate)}
 }
 
-// Body is DrainBody. It returns at once if a limit is reached.
+// Body is DrainBody. If a limit is reached it drains only what has been received.
 func (d *Drainer) Body(conn net.Conn, declared int) {
-	select {
-	case d.places <- struct{}{}:
-		defer func() { <-d.places }()
-		drainBody(conn, declared, func(n int) bool { return d.bytes.AllowN(time.Now(), n) })
-	default:
+	if !d.enter() {
+		drainReceived(conn)
+		return
 	}
+	defer d.leave()
+	drainBody(conn, declared, func(n int) bool { return d.bytes.AllowN(time.Now(), n) })
 }
 
 // Stream reads a body away to its end, from a connection that is served on. It reports false if a limit is reached or the
 // body is cut off.
 func (d *Drainer) Stream(conn net.Conn, body io.Reader) (whole bool) {
-	select {
-	case d.places <- struct{}{}:
-		defer func() { <-d.places }()
-	default:
+	if !d.enter() {
+		drainReceived(conn)
 		return false
 	}
+	defer d.leave()
 	if conn.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
 		return false
 	}
@@ -80,13 +83,32 @@
 	return false
 }
 
-// Header is DrainHeader. It returns at once if a limit is reached.
+// Header is DrainHeader. If a limit is reached it drains only what has been received.
 func (d *Drainer) Header(conn net.Conn) {
+	if !d.enter() {
+		drainReceived(conn)
+		return
+	}
+	defer d.leave()
+	DrainHeader(conn)
+}
+
+// enter reports whether a connection may be drained. The caller calls leave afterwards.
+func (d *Drainer) enter() bool {
 	select {
 	case d.places <- struct{}{}:
-		defer func() { <-d.places }()
-		DrainHeader(conn)
+		return true
 	default:
+		return false
+	}
+}
+
+func (d *Drainer) leave() { <-d.places }
+
+// drainReceived drains what has been received already.
+func drainReceived(conn net.Conn) {
+	if conn.SetReadDeadline(time.Now().Add(receivedTime)) == nil {
+		_, _ = io.CopyN(io.Discard, conn, maxReceivedBytes) // ends with the deadline
 	}
 }
 
--- a/connection/transport/drain_test.go
+++ b/connection/transport/drain_test.go
@@ -94,3 +94,39 @@
 		_, _ = client.Close(), server.Close()
 	}
 }
+
+// Guards against a reset in place of the refusal for callers whose requests arrive whole, but more at a time than are
+// drained, as after a node was frozen.
+func TestFullDrainerDeliversRefusals(t *testing.T) {
+	d := NewDrainer()
+	for range maxDrains {
+		if !d.enter() {
+			t.Fatal("the drainer is full too early")
+		}
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	if _, err := client.Write(make([]byte, 8<<10)); err != nil {
+		t.Fatal(err)
+	}
+	server, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Body(server, 0)
+	if _, err := io.WriteString(server, "503"); err != nil {
+		t.Fatal(err)
+	}
+	_ = server.Close()
+	if got, err := io.ReadAll(client); string(got) != "503" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
