Let both kinds of listeners receive requests by the same code

Cause: the adapter of the platform and the node's own listeners had each their copy of how a request is received while it may give way, of the errors of a body, and of how an answer that is ready is held; the listener for other nodes had an accept loop of its own beside the one that outlasts failures and bounds connections; the collector's share of the memory stood twice; and two functions that drain a request were called by their tests only.

Change: intake.Read and intake.ReadBody, Claim.HoldReady, Machine.CollectorLimit; the listener for other nodes uses transport.Listener, and logs a failure to accept as the others do; the drains are methods of Drainer alone. Behaviour, limits and what the tests assert stay as they are.

--- a/connection/intake/fiber.go
+++ b/connection/intake/fiber.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"net"
 	"time"
 
@@ -46,17 +45,16 @@
 	conn := c.Context().Conn()
 	claim := i.Budget.NewClaim(func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
 	claim.SetOwner(r.Workspace)
-	claim.AllowRevoke(now)
-	body, err = receive(c, claim, r)
-	if kept := claim.Keep(); kept != nil {
-		err = kept // the read that was interrupted has an error of its own
-	}
+	err = i.Read(claim, now, conn.RemoteAddr(), func() (err error) {
+		body, err = receive(c, claim, r)
+		return err
+	})
 	if err == nil && !transport.SetStage(conn, now, transport.Serving) {
 		err = failure.ErrCancelled
 	}
 	if err != nil {
 		claim.Release()
-		return nil, nil, i.receiveFailure(conn, err)
+		return nil, nil, err
 	}
 	c.Context().SetUserValue(receivedKey, true)
 	return body, claim.Release, nil
@@ -70,26 +68,12 @@
 	case stream == nil:
 		return nil, nil
 	}
-	return memory.ReadAll(stream, memory.Body{
+	return ReadBody(stream, memory.Body{
 		Declared: max(declared, 0), Limit: r.Limit,
 		Hold: func(bytes int64) error { return claim.Resize(int64(r.Copies) * bytes) },
 	})
 }
 
-func (i *Intake) receiveFailure(conn net.Conn, err error) *failure.Error {
-	var e *failure.Error
-	switch {
-	case errors.As(err, &e):
-		return e
-	case errors.Is(err, memory.ErrTooLarge):
-		return failure.ErrBodyTooLarge
-	}
-	if e := i.MemoryFailure(conn.RemoteAddr(), err); e != nil {
-		return e
-	}
-	return failure.ErrMalformedRequest.WithCause(err)
-}
-
 // discardUnread reads away the body of a request that was answered without it, before the answer is sent: its rest would
 // be taken for the next request. The connection closes if that takes too long.
 func (i *Intake) discardUnread(c *fiber.Ctx) error {
@@ -116,10 +100,7 @@
 	conn := c.Context().Conn()
 	claim := i.Budget.NewClaim(func() { _ = conn.Close() })
 	claim.SetOwner(workspace)
-	if claim.Resize(int64(len(body))) != nil {
-		claim.Charge(int64(len(body))) // the answer is ready, and is delivered even if there is no memory for it
-	}
-	claim.AllowRevoke(now)
+	claim.HoldReady(now, int64(len(body)))
 	c.Context().Response.SetBodyStream(&heldBody{Reader: bytes.NewReader(body), claim: claim}, len(body))
 	return nil
 }
--- a/connection/intake/intake.go
+++ b/connection/intake/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -134,6 +135,36 @@
 	return transport.NewListener(ln, i.Operators, connectionEvents{i})
 }
 
+// Read calls read, which receives a request from an address, while the request may have to give way. It returns the failure
+// for the caller if there is no memory for the request, and else the error of read.
+func (i *Intake) Read(c *memory.Claim, now time.Time, from net.Addr, read func() error) error {
+	c.AllowRevoke(now)
+	err := read()
+	if kept := c.Keep(); kept != nil {
+		err = kept // the read that was interrupted has an error of its own
+	}
+	if e := i.MemoryFailure(from, err); e != nil {
+		return e
+	}
+	return err
+}
+
+// ReadBody is memory.ReadAll with the errors of requests: one that a caller can mend is a *failure.Error, and one for want
+// of memory is left to Read.
+func ReadBody(r io.Reader, b memory.Body) ([]byte, error) {
+	body, err := memory.ReadAll(r, b)
+	var e *failure.Error
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, memory.ErrTooLarge):
+		return nil, failure.ErrBodyTooLarge
+	case errors.Is(err, memory.ErrExhausted) || errors.Is(err, memory.ErrRevoked) || errors.As(err, &e):
+		return nil, err
+	}
+	return nil, failure.ErrMalformedRequest.WithCause(err)
+}
+
 // MemoryFailure returns the failure for the caller if err says that there is no memory for its request, and records it.
 // It returns nil for any other error.
 func (i *Intake) MemoryFailure(from net.Addr, err error) *failure.Error {
--- a/connection/intake/limits.go
+++ b/connection/intake/limits.go
@@ -15,6 +15,8 @@
 	budgetShare = 0.25
 	// reserveShare is the part of the budget that only small requests may use.
 	reserveShare = 0.25
+	// collectorShare is the part of the memory from which the garbage collector works harder.
+	collectorShare = 0.7
 	// connectionShare is the part of the memory for callers' connections.
 	connectionShare = 0.3
 	// connectionBytes is what a connection without a request takes at most: its buffer, the stacks of its
@@ -63,6 +65,9 @@
 	}
 }
 
+// CollectorLimit returns the memory limit of the garbage collector, in bytes.
+func (m Machine) CollectorLimit() int64 { return int64(collectorShare * float64(m.Memory)) }
+
 // Unlimited returns limits that no client reaches.
 func Unlimited() Limits {
 	return Limits{Budget: math.MaxInt64, Callers: math.MaxInt, Probes: math.MaxInt, Operators: math.MaxInt, Handshakes: math.MaxInt}
--- a/connection/memory/budget.go
+++ b/connection/memory/budget.go
@@ -181,12 +181,15 @@
 	return revoked, b.changed, nil
 }
 
-// Charge makes the claim hold so many bytes in all, whether the budget allows it or not: for memory that is in use
-// already.
-func (c *Claim) Charge(bytes int64) {
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
-	c.set(bytes)
+// HoldReady makes the claim hold an answer that is ready, and lets it give way from now on. The answer is in memory
+// already, and is delivered even if others don't make room for it.
+func (c *Claim) HoldReady(now time.Time, bytes int64) {
+	if c.Resize(bytes) != nil {
+		c.budget.mu.Lock()
+		c.set(bytes)
+		c.budget.mu.Unlock()
+	}
+	c.AllowRevoke(now)
 }
 
 // Release gives all bytes back. The claim can be used for a further request afterwards.
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -58,12 +58,13 @@
 	counters counters
 	streams  func(net.Conn) // nil: streams are refused
 	// handshakes holds the connections that have not authenticated.
-	handshakes      *transport.Table
-	refusalLogLimit rate.Sometimes
+	handshakes *transport.Table
+
+	refusalLogLimit, acceptLogLimit rate.Sometimes
 
 	mu       sync.Mutex // protects the fields below
 	secrets  [][]byte
-	listener net.Listener
+	listener *transport.Listener
 	conns    map[*serverCodec]struct{}
 	pending  map[net.Conn]struct{} // connections in their handshake
 	closed   bool
@@ -81,6 +82,7 @@
 		rpc:             rpc.NewServer(),
 		handshakes:      transport.NewTable(cfg.MaxHandshakes),
 		refusalLogLimit: rate.Sometimes{First: refusalLogBurst, Interval: refusalLogInterval},
+		acceptLogLimit:  rate.Sometimes{First: refusalLogBurst, Interval: refusalLogInterval},
 		secrets:         cfg.Secrets,
 		conns:           map[*serverCodec]struct{}{},
 		pending:         map[net.Conn]struct{}{},
@@ -129,49 +131,48 @@
 		l.Close()
 		return "", fmt.Errorf("peer listener on %s: already started or closed: %w", address, ErrClosed)
 	}
-	s.listener = l
-	s.done.Go(func() { s.acceptLoop(l) })
+	bounded := transport.NewListener(l, s.handshakes, acceptEvents{s})
+	s.listener = bounded
+	s.done.Go(func() { s.acceptLoop(bounded) })
 	return l.Addr().String(), nil
 }
 
 func (s *Server) acceptLoop(l net.Listener) {
 	for {
 		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
 		if err != nil {
-			// The usual cause is a lack of file descriptors. Accepting again
-			// immediately would busy-loop.
-			time.Sleep(acceptRetryDelay)
-			continue
+			return // closed
 		}
-		handshake, ok := s.handshakes.Add(time.Now(), func() { _ = conn.Close() })
-		if !ok {
-			_ = conn.Close() // never: a handshake gives way
-			continue
-		}
-		s.done.Go(func() {
-			defer handshake.Remove()
-			s.serve(conn, handshake)
-		})
+		s.done.Go(func() { s.serve(conn) })
 	}
 }
 
-const acceptRetryDelay = 20 * time.Millisecond
+// acceptEvents records what becomes of connections before they are served.
+type acceptEvents struct{ server *Server }
+
+var _ transport.Events = acceptEvents{}
+
+func (e acceptEvents) NotAccepted(err error) {
+	e.server.acceptLogLimit.Do(func() { event.Warn(e.server.cfg.Logger, event.AcceptFailed, zap.Error(err)) })
+}
+
+// Replaced does nothing: the handshake fails, which is recorded.
+func (acceptEvents) Replaced(net.Addr) {}
+
+func (e acceptEvents) Refused(from net.Addr) { e.server.recordRefusal(from, errTooManyHandshakes) }
 
 // receiveBufferBytes is the receive buffer of a connection that has authenticated.
 const receiveBufferBytes = 64 << 10
 
-func (s *Server) serve(raw net.Conn, handshake *transport.Tracked) {
-	counted := newCountedConn(raw, &s.counters, s.cfg.MessageTimeout)
+func (s *Server) serve(accepted net.Conn) {
+	counted := newCountedConn(accepted, &s.counters, s.cfg.MessageTimeout)
 	defer counted.Close()
 	var conn net.Conn = counted
 	if s.cfg.TLS != nil {
 		conn = tls.Server(counted, s.cfg.TLS)
 	}
 	if !s.addPending(conn) {
-		s.recordRefusal(raw, errTooManyConnections)
+		s.recordRefusal(accepted.RemoteAddr(), errTooManyConnections)
 		return
 	}
 	stream, err := serverHandshake(conn, s.currentSecrets(), s.cfg.HandshakeTimeout)
@@ -180,15 +181,15 @@
 	}
 	if err != nil {
 		s.removePending(conn)
-		s.recordRefusal(raw, err)
+		s.recordRefusal(accepted.RemoteAddr(), err)
 		return
 	}
-	if !handshake.SetStage(time.Now(), transport.Serving) {
+	raw, ok := transport.Detach(accepted)
+	if !ok {
 		s.removePending(conn)
-		s.recordRefusal(raw, errTooManyHandshakes)
+		s.recordRefusal(accepted.RemoteAddr(), errTooManyHandshakes)
 		return
 	}
-	handshake.Remove()
 	if t, ok := raw.(*net.TCPConn); ok {
 		_ = t.SetReadBuffer(receiveBufferBytes) // only makes transfers faster
 	}
@@ -214,17 +215,17 @@
 	errTooManyHandshakes  = errors.New("too many connections that have not authenticated")
 )
 
-// Limits on logging refused connections: the first refusalLogBurst are logged, then one in each interval.
+// Limits on logging connections that are refused or not accepted: the first refusalLogBurst are logged, then one in each interval.
 const (
 	refusalLogBurst    = 10
 	refusalLogInterval = time.Second
 )
 
-func (s *Server) recordRefusal(conn net.Conn, err error) {
+func (s *Server) recordRefusal(from net.Addr, err error) {
 	s.counters.refused.Add(1)
 	s.refusalLogLimit.Do(func() {
 		event.Warn(s.cfg.Logger, event.PeerConnectionRefused,
-			zap.String("Address", conn.RemoteAddr().String()), zap.Error(err), zap.Uint64("Refused", s.counters.refused.Load()))
+			zap.Stringer("Address", from), zap.Error(err), zap.Uint64("Refused", s.counters.refused.Load()))
 	})
 }
 
--- a/connection/transport/drain.go
+++ b/connection/transport/drain.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 )
 
-// Limits of DrainBody, DrainHeader and Drainer.
+// Limits of a Drainer.
 const (
 	maxDrainBytes = 64 << 20
 	maxDrainTime  = 5 * time.Second
@@ -30,17 +30,6 @@
 	maxAlreadyRead = 64 << 10
 )
 
-// DrainBody reads and discards the rest of a body that is refused as too large. It
-// returns when the client stops sending or a limit is reached. A connection that is
-// closed with unread data is reset, and a client that is still writing would get the
-// reset instead of the refusal. declared is the length of the body, or 0 if it is not
-// known. A pause does not end the read before the declared length was received: a
-// client on a VM that was short of processor time paused for a third of a second and
-// got the reset.
-func DrainBody(conn net.Conn, declared int) {
-	drainBody(conn, declared, func(int) bool { return true })
-}
-
 // Drainer drains refused requests, within limits for all of them together. Its methods are safe for concurrent use.
 type Drainer struct {
 	places chan struct{}
@@ -52,14 +41,20 @@
 	return &Drainer{places: make(chan struct{}, maxDrains), bytes: rate.NewLimiter(maxDrainRate, maxDrainRate)}
 }
 
-// Body is DrainBody. If a limit is reached it drains only what has been received.
+// Body reads and discards the rest of a body that is refused. It returns when the client
+// stops sending or a limit is reached; if other connections use up the limits, it drains
+// only what has been received. A connection that is closed with unread data is reset, and
+// a client that is still writing would get the reset instead of the refusal. declared is
+// the length of the body, or 0 if it is not known. A pause does not end the read before the declared length was received: a
+// client on a VM that was short of processor time paused for a third of a second and
+// got the reset.
 func (d *Drainer) Body(conn net.Conn, declared int) {
 	if !d.enter() {
 		drainReceived(conn)
 		return
 	}
 	defer d.leave()
-	drainBody(conn, declared, func(n int) bool { return d.bytes.AllowN(time.Now(), n) })
+	d.drainBody(conn, declared)
 }
 
 // Stream reads a body away to its end, from a connection that is served on. It reports false if a limit is reached or the
@@ -83,14 +78,15 @@
 	return false
 }
 
-// Header is DrainHeader. If a limit is reached it drains only what has been received.
+// Header reads and discards the rest of a header that is refused as too large, until the
+// end of the header or a limit. Body describes the reason.
 func (d *Drainer) Header(conn net.Conn) {
 	if !d.enter() {
 		drainReceived(conn)
 		return
 	}
 	defer d.leave()
-	DrainHeader(conn)
+	drainHeader(conn)
 }
 
 // enter reports whether a connection may be drained. The caller calls leave afterwards.
@@ -112,8 +108,7 @@
 	}
 }
 
-// drainBody drains a body as long as allow permits what was read last.
-func drainBody(conn net.Conn, declared int, allow func(n int) bool) {
+func (d *Drainer) drainBody(conn net.Conn, declared int) {
 	end := time.Now().Add(maxDrainTime)
 	for n := int64(0); n < maxDrainBytes; {
 		quiet := end
@@ -125,7 +120,7 @@
 		}
 		m, err := io.CopyN(io.Discard, conn, min(drainChunkBytes, max(maxAlreadyRead, int64(declared)-maxAlreadyRead-n)))
 		n += m
-		if !allow(int(m)) {
+		if !d.bytes.AllowN(time.Now(), int(m)) {
 			return
 		}
 		var timeout net.Error
@@ -138,9 +133,7 @@
 // headerTerminator is the end of an HTTP header.
 const headerTerminator = "\r\n\r\n"
 
-// DrainHeader reads and discards the rest of a header that is refused as too large,
-// until the end of the header or the time limit. DrainBody describes the reason.
-func DrainHeader(conn net.Conn) {
+func drainHeader(conn net.Conn) {
 	if conn.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
 		return
 	}
--- a/connection/transport/drain_test.go
+++ b/connection/transport/drain_test.go
@@ -25,7 +25,7 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		DrainBody(conn, refusedBodyBytes)
+		NewDrainer().Body(conn, refusedBodyBytes)
 		_, _ = io.WriteString(conn, refusal)
 	}()
 	conn, err := net.Dial("tcp", ln.Addr().String())
@@ -74,7 +74,7 @@
 	}
 }
 
-// The rest of a header that is too large arrives in parts. If DrainHeader stopped too
+// The rest of a header that is too large arrives in parts. If the drain stopped too
 // early, the client would get a reset; it must not wait for more than the header
 // either.
 func TestDrainHeaderStopsAtHeaderEnd(t *testing.T) {
@@ -83,7 +83,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			DrainHeader(server)
+			NewDrainer().Header(server)
 		}()
 		for _, p := range parts {
 			if _, err := io.WriteString(client, p); err != nil {
--- a/connection/transport/listen.go
+++ b/connection/transport/listen.go
@@ -164,6 +164,15 @@
 	return sc.SyscallConn()
 }
 
+// Detach takes a connection of a Listener off its table and returns the connection under it, which stays open. It reports
+// false if the connection was closed for another one.
+func Detach(c net.Conn) (net.Conn, bool) {
+	if own, ok := c.(*Conn); ok {
+		return own.Conn, own.tracked.detach()
+	}
+	return c, true
+}
+
 // TCP returns the TCP connection under c, which may be one of a Listener.
 func TCP(c net.Conn) (*net.TCPConn, bool) {
 	if own, ok := c.(*Conn); ok {
--- a/connection/transport/table.go
+++ b/connection/transport/table.go
@@ -110,6 +110,17 @@
 	c.remove()
 }
 
+// detach is Remove for a connection that stays open. It reports false if the connection has been replaced.
+func (c *Tracked) detach() bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.removed {
+		return false
+	}
+	c.remove()
+	return true
+}
+
 func (c *Tracked) remove() {
 	c.removed = true
 	delete(c.table.conns, c)
--- a/process/node/intake.go
+++ b/process/node/intake.go
@@ -13,9 +13,6 @@
 	"github.com/dunlinmill/dunlinmill/process/settings"
 )
 
-// memoryLimitShare is the part of the memory from which the garbage collector works harder.
-const memoryLimitShare = 0.7
-
 // newIntake returns the account of the process for its clients, by what the process may use.
 func newIntake(l settings.Limits, log *zap.Logger) *intake.Intake {
 	limits := intake.Unlimited()
@@ -23,7 +20,7 @@
 		event.Warn(log, event.MachineUnknown, zap.Error(err))
 	} else {
 		limits = m.Limits()
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(m.Memory)))
+		debug.SetMemoryLimit(m.CollectorLimit())
 	}
 	limits.Callers = min(limits.Callers, l.MaxConnections)
 	return intake.New(limits, log)
