Tell the reset of a connection from its end while a request is sent

What callers saw: a runner answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a whole answer.

Cause: an answer with neither a length nor chunks ends with its connection. The kernel reports a reset once. The goroutine that writes the upload gets it, and the one that reads the answer gets io.EOF a moment later. The process is alive, so the proof of the end says "the same process".

Change: all writes of a connection go through a transport.Sender, which keeps the error of a write that has failed. A read that gets io.EOF asks it. A write that is in progress at that moment is interrupted by its deadline and continues afterwards, so the question waits for nobody.

Why it works: whoever takes the kernel's report returns it from the write, and the question is answered only when no write is in progress.

--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -11,6 +13,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"github.com/dunlinmill/dunlinmill/connection/transport"
 )
 
 // errClosed is returned by exchanges after Close.
@@ -118,7 +122,7 @@
 }
 
 func (p *pool) newConnection(nc net.Conn, direct bool) *connection {
-	c := &connection{Conn: nc, cfg: p.cfg, direct: direct, openedAt: time.Now()}
+	c := &connection{Conn: nc, sender: transport.NewSender(nc), cfg: p.cfg, direct: direct, openedAt: time.Now()}
 	c.br = bufio.NewReaderSize(c, connBufferBytes)
 	c.bw = bufio.NewWriter(c)
 	return c
@@ -230,9 +234,10 @@
 // connection is a TCP connection with its buffers.
 type connection struct {
 	net.Conn
-	br  *bufio.Reader
-	bw  *bufio.Writer
-	cfg Config
+	sender *transport.Sender
+	br     *bufio.Reader
+	bw     *bufio.Writer
+	cfg    Config
 	// written is the number of bytes sent of the current request. Only the sending
 	// goroutine accesses it.
 	written       int
@@ -259,7 +264,7 @@
 }
 
 // Read sets the ReadTimeout anew for each read, so that it limits the wait for the next
-// bytes and not the duration of an answer.
+// bytes and not the duration of an answer. It returns io.EOF only at an orderly end of the connection.
 func (c *connection) Read(p []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(c.cfg.ReadTimeout)); err != nil {
 		return 0, err
@@ -273,9 +278,20 @@
 	if n > 0 && c.observed() {
 		c.cfg.Path.Received()
 	}
+	if err == io.EOF {
+		err = c.endError()
+	}
 	return n, err
 }
 
+// endError returns io.EOF for an end of the connection that is orderly, and the error of the send otherwise.
+func (c *connection) endError() error {
+	if err := c.sender.Err(); err != nil {
+		return fmt.Errorf("the connection has failed during the send: %w", err)
+	}
+	return io.EOF
+}
+
 // observed reports whether the path is told how the connection is used.
 func (c *connection) observed() bool { return c.direct && c.cfg.Path != nil }
 
@@ -301,14 +317,14 @@
 
 // Write counts the bytes sent.
 func (c *connection) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	n, err := c.sender.Write(p)
 	c.written += n
 	return n, err
 }
 
 func (c *connection) send(req *fasthttp.Request) error {
 	c.written = 0
-	if err := c.SetWriteDeadline(time.Now().Add(c.cfg.WriteTimeout)); err != nil {
+	if err := c.sender.SetDeadline(time.Now().Add(c.cfg.WriteTimeout)); err != nil {
 		return err
 	}
 	if err := req.Write(c.bw); err != nil {
