Tell the reset of a connection from its end behind another node

What callers saw: as with a direct connection, at a node that reaches the runner through another one: half an answer that was reset under its upload came as a whole one.

Cause: the other node copies in both directions. Its write of the upload gets the kernel's report of the reset, and its read of the answer gets io.EOF, records that the runner has ended in order, and says so when asked. The same the other way round: the reset by the asking node reached the runner as an orderly end of the request.

Change: both ends write through a transport.Sender, and an end's io.EOF counts only if no write to it has failed.

Why it works: the end is recorded and passed on after the question, which waits for the write that has the report.

--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -180,7 +180,7 @@
 		watched := &closeWatch{Conn: node}
 		watched.onClose = func() { watched.known = s.resultOfEnd(node.RemoteAddr().String()) }
 		s.add(watched)
-		s.copy(watched, failingConn{err: c.end}, func() { s.recordEnd(watched) })
+		s.copy(newEnd(watched), newEnd(failingConn{err: c.end}), func() { s.recordEnd(watched) })
 		if watched.known != c.want {
 			t.Errorf("%s: %v known as the connection is closed, want %v", c.name, watched.known, c.want)
 		}
--- a/connection/relay/server.go
+++ b/connection/relay/server.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/dunlinmill/dunlinmill/connection/transport"
 )
 
 const (
@@ -165,27 +167,62 @@
 	return unknown
 }
 
+// end is one end of a connection that is passed on: one goroutine reads it, the other one writes to it.
+type end struct {
+	net.Conn
+	sender *transport.Sender
+}
+
+func newEnd(c net.Conn) end { return end{Conn: c, sender: transport.NewSender(c)} }
+
+// Read reads what the end sends. It returns io.EOF only at an orderly end.
+func (e end) Read(b []byte) (int, error) {
+	n, err := e.Conn.Read(b)
+	if err == io.EOF {
+		if sendErr := e.sender.Err(); sendErr != nil {
+			err = sendErr
+		}
+	}
+	return n, err
+}
+
+// write sends b to the end, which has the timeout to take it.
+func (e end) write(b []byte, timeout time.Duration) error {
+	if err := e.sender.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	_, err := e.sender.Write(b)
+	return err
+}
+
+// closeWrite ends what is sent to the end in order.
+func (e end) closeWrite() bool {
+	w, ok := e.Conn.(interface{ CloseWrite() error })
+	return ok && w.CloseWrite() == nil
+}
+
 // pass copies in both directions until both have ended.
 func (s *Server) pass(node, upstream net.Conn) {
 	done := make(chan struct{})
+	nodeEnd, upstreamEnd := newEnd(node), newEnd(upstream)
 	go func() {
 		defer close(done)
-		s.copy(upstream, node, func() {})
+		s.copy(upstreamEnd, nodeEnd, func() {})
 	}()
-	s.copy(node, upstream, func() { s.recordEnd(node) })
+	s.copy(nodeEnd, upstreamEnd, func() { s.recordEnd(node) })
 	<-done
 	_ = upstream.Close() // fails only if the connection is already closed
 }
 
 // copy passes on what src sends. An orderly end ends the other connection's direction only, after
 // atEnd; a failure resets both connections, so that no cut looks like an end.
-func (s *Server) copy(dst, src net.Conn, atEnd func()) {
+func (s *Server) copy(dst, src end, atEnd func()) {
 	b := s.buffers.Get().(*[]byte)
 	defer s.buffers.Put(b)
 	for {
 		n, err := src.Read(*b)
 		if n > 0 {
-			if writeErr := s.write(dst, (*b)[:n]); writeErr != nil {
+			if writeErr := dst.write((*b)[:n], s.writeTimeout); writeErr != nil {
 				err = writeErr
 			}
 		}
@@ -195,28 +232,15 @@
 		switch {
 		case err == nil:
 			continue
-		case errors.Is(err, io.EOF) && closeWrite(dst):
+		case errors.Is(err, io.EOF) && dst.closeWrite():
 		default:
-			reset(src)
-			reset(dst)
+			reset(src.Conn)
+			reset(dst.Conn)
 		}
 		return
 	}
 }
 
-func (s *Server) write(c net.Conn, b []byte) error {
-	if err := c.SetWriteDeadline(time.Now().Add(s.writeTimeout)); err != nil {
-		return err
-	}
-	_, err := c.Write(b)
-	return err
-}
-
-func closeWrite(c net.Conn) bool {
-	w, ok := c.(interface{ CloseWrite() error })
-	return ok && w.CloseWrite() == nil
-}
-
 // Leave makes the server refuse new connections. The open ones are passed on to their end.
 func (s *Server) Leave() {
 	s.mu.Lock()
