Take no answer for whole whose upload is reset behind its end

What callers saw: the same half answer, where the runner closes the connection before the rest of the upload has arrived. The kernel then ends its side in order, and resets the connection as the rest comes.

Cause: an orderly end was judged by the runner's process alone. What becomes of the request that is still being sent was not looked at.

Evidence: TestAnswerResetDuringUploadIsCut, rows "closed" and "ended in order, closed later".

Change: the end of an answer without a length or chunks waits for the end of the send, within the request's deadline and the write timeout, and a send that fails cuts the answer. After the proof by the process, the socket's error is read.

Why it works: a runner that reads the upload to its end lets the send end well. One that has closed the connection makes it fail, or has answered the rest with a reset within the round trip that the proof takes.

--- a/connection/upstream/overhttp/exchange/endproof.go
+++ b/connection/upstream/overhttp/exchange/endproof.go
@@ -66,12 +66,19 @@
 	if deadline, ok := s.ctx.Deadline(); ok && time.Until(deadline) < deadlineMargin {
 		return fmt.Errorf("%w: %w", ErrEndUnproved, errAtDeadline)
 	}
+	if err := s.awaitTaken(); err != nil {
+		return err
+	}
 	if err := s.proveEndBetween(); err != nil {
 		return fmt.Errorf("%w: %v", ErrEndUnproved, err)
 	}
 	if err := s.client.proveEnd(s.ctx); err != nil {
 		return fmt.Errorf("%w: %v", ErrEndUnproved, err)
 	}
+	// The proof takes a round trip, in which the upstream answers what it had not received at the end, with a reset.
+	if err := s.conn.socketError(); err != nil {
+		return fmt.Errorf("reset behind the end of the answer: %w", err)
+	}
 	return io.EOF
 }
 
--- a/connection/upstream/overhttp/exchange/exchange.go
+++ b/connection/upstream/overhttp/exchange/exchange.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"net"
 	"net/http/httputil"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -216,7 +215,7 @@
 	// Closing the connection unblocks a reader whose context has ended, and prevents a
 	// late answer from being read by the next request.
 	s.stopAbandon = context.AfterFunc(s.ctx, conn.abandon)
-	sent, err := s.send(req)
+	s.sending, err = beginSend(conn, req)
 	if err != nil {
 		s.Close()
 		if conn.written == 0 {
@@ -233,37 +232,13 @@
 	// The answer arrived before the whole request was sent. The upstream still expects
 	// the rest of the request on this connection and would read another request as a
 	// part of this body.
-	s.noReuse = s.noReuse || !sent()
+	s.noReuse = s.noReuse || !s.sending.isWhole()
 	if req.Header.IsHead() {
 		s.resp.SkipBody = true
 	}
 	return nil
 }
 
-// maxInlineBody is the size of the largest body that is sent before the answer is read.
-// It fits into the send buffer of a connection. The send of a larger body may block if
-// the upstream answers before it has read the whole body.
-const maxInlineBody = 4 << 10
-
-// send sends the request. It sends a large request in a separate goroutine, so that the
-// answer can be read meanwhile. The returned function reports whether the whole request
-// was sent.
-func (s *Stream) send(req *fasthttp.Request) (sent func() bool, err error) {
-	if len(req.Body()) <= maxInlineBody {
-		return func() bool { return true }, s.conn.send(req)
-	}
-	var done atomic.Bool
-	go func() {
-		// The connection is closed, so that reading the answer reports the failure.
-		if s.conn.send(req) == nil {
-			done.Store(true)
-			return
-		}
-		s.conn.Close()
-	}()
-	return done.Load, nil
-}
-
 // readMatchingHeader reads the header of the answer to req. It discards answers to
 // other requests.
 func (s *Stream) readMatchingHeader(req *fasthttp.Request) error {
--- a/connection/upstream/overhttp/exchange/limits.go
+++ b/connection/upstream/overhttp/exchange/limits.go
@@ -209,6 +209,7 @@
 		}
 	case length == lengthUnknown:
 		s.noReuse = true
+		return s.awaitTaken()
 	}
 	return nil
 }
--- a/connection/upstream/overhttp/exchange/stream.go
+++ b/connection/upstream/overhttp/exchange/stream.go
@@ -22,6 +22,7 @@
 	client      *Client
 	ctx         context.Context
 	conn        *connection
+	sending     *sending
 	resp        *fasthttp.Response
 	body        io.Reader
 	stopAbandon func() bool
--- a/connection/upstream/overhttp/exchange/uploadreset_test.go
+++ b/connection/upstream/overhttp/exchange/uploadreset_test.go
@@ -71,22 +71,35 @@
 // connection and the read gets what looks like its orderly end.
 func TestAnswerResetDuringUploadIsCut(t *testing.T) {
 	const callers, uploads = 8, 10
-	reset := func(pause time.Duration) func(*net.TCPConn, *bufio.Reader) {
+	resetAfter := func(pause time.Duration, linger bool) func(*net.TCPConn, *bufio.Reader) {
 		return func(c *net.TCPConn, _ *bufio.Reader) {
 			time.Sleep(pause)
-			_ = c.SetLinger(0)
+			if linger {
+				_ = c.SetLinger(0)
+			} // otherwise the close resets the connection for the unread upload
 		}
 	}
-	body := make([]byte, uploadBytes)
+	endThenClose := func(c *net.TCPConn, _ *bufio.Reader) {
+		_ = c.CloseWrite()
+		time.Sleep(20 * time.Millisecond)
+	}
 	for _, test := range []struct {
-		name string
-		end  func(*net.TCPConn, *bufio.Reader)
-		byDo bool
+		name  string
+		end   func(*net.TCPConn, *bufio.Reader)
+		bytes int
+		byDo  bool
 	}{
-		{"reset", reset(time.Millisecond), false},
-		{"reset, own call", reset(time.Millisecond), true},
-		{"reset later", reset(5 * time.Millisecond), false},
+		{"closed at once", resetAfter(0, false), uploadBytes, false},
+		{"closed at once, own call", resetAfter(0, false), uploadBytes, true},
+		{"closed", resetAfter(time.Millisecond, false), uploadBytes, false},
+		{"closed, own call", resetAfter(time.Millisecond, false), uploadBytes, true},
+		{"reset", resetAfter(time.Millisecond, true), uploadBytes, false},
+		{"reset, own call", resetAfter(time.Millisecond, true), uploadBytes, true},
+		{"reset later", resetAfter(5*time.Millisecond, true), uploadBytes, false},
+		{"closed at once, short upload", resetAfter(0, false), 64 << 10, false},
+		{"ended in order, closed later", endThenClose, 4 * uploadBytes, false},
 	} {
+		body := make([]byte, test.bytes)
 		cl := New(startEarlyUpstream(t, unframedHalf, test.end), Config{EndProof: alwaysProved{}})
 		var wg sync.WaitGroup
 		for range callers {
