Refuse heads of answers that break the grammar of HTTP/1

What callers saw: a runner in trouble sent an answer in whose head the name of a field held a blank. The client got it as an answer, with that line passed on, or with a body that wasn't the runner's. The same with statuses over 599, other versions of the protocol, a NUL in the reason, and a body coded by gzip below its chunks, of which the client learnt nothing.

Cause: fasthttp parses names of fields without looking at their bytes, takes a name with a blank before the colon for the one without it, reads HTTP/2.0 as HTTP/1, and takes any transfer coding that ends with chunks for chunks.

Change: package head checks the whole head before the library parses it, at the one place where all answers are read: those to callers, own calls, the store's, interim and foreign ones. The checks of statuses and lengths that stood there moved into it. A trailer's lines are checked as fields. Folded values stay allowed, but for the fields that say where the body ends.

Why it works: what passes the check has names that are tokens, one status of the protocol, and one framing.

--- a/connection/upstream/overhttp/exchange/limits.go
+++ b/connection/upstream/overhttp/exchange/limits.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/dunlinmill/dunlinmill/connection/head"
 	"github.com/dunlinmill/dunlinmill/connection/memory"
 )
 
@@ -33,8 +34,6 @@
 var (
 	errOverlong      = errors.New("the upstream sends more than an answer may have outside its body")
 	errBrokenTrailer = errors.New("a line of the trailer is no field")
-	errLowStatus     = errors.New("the answer's status is below 100")
-	errTwoLengths    = errors.New("the answer states two lengths")
 	errSwitched      = errors.New("the upstream switches protocols, which no request asks for")
 )
 
@@ -81,48 +80,23 @@
 	if buffered, _ := br.Peek(br.Buffered()); endsHead(buffered) {
 		return s.parseHead(buffered, br)
 	}
-	head, err := gatherHead(br)
+	b, err := gatherHead(br)
 	if err != nil {
 		return err
 	}
 	// fasthttp looks for this end, but stops at the first blank line.
-	head = append(head, headEnd...)
-	return s.parseHead(head, bufio.NewReaderSize(bytes.NewReader(head), len(head)))
+	b = append(b, headEnd...)
+	return s.parseHead(b, bufio.NewReaderSize(bytes.NewReader(b), len(b)))
 }
 
-// parseHead parses the head that br begins with, as head does.
-func (s *Stream) parseHead(head []byte, br *bufio.Reader) error {
-	// fasthttp takes status 0 for one that was not set, which means 200 there.
-	if _, status, _ := bytes.Cut(head, []byte(" ")); bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("0")) {
-		return errLowStatus
-	}
-	if err := checkLengths(head); err != nil {
+// parseHead parses the head that br begins with, as b does.
+func (s *Stream) parseHead(b []byte, br *bufio.Reader) error {
+	if err := head.CheckResponse(b); err != nil {
 		return err
 	}
 	return s.resp.Header.Read(br)
 }
 
-// checkLengths returns an error if the head that b begins with states two lengths, of which fasthttp takes the
-// last one.
-func checkLengths(b []byte) error {
-	var first []byte
-	for line := range bytes.Lines(b) {
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		if !bytes.EqualFold(bytes.TrimRight(name, " \t"), []byte(fasthttp.HeaderContentLength)) {
-			continue
-		}
-		value = bytes.TrimSpace(value)
-		if first != nil && !bytes.Equal(first, value) {
-			return errTwoLengths
-		}
-		first = value
-	}
-	return nil
-}
-
 var headEnd = []byte("\r\n\r\n")
 
 // endsHead reports whether b, which begins with a head, has the end that fasthttp looks for.
@@ -254,7 +228,7 @@
 			return err
 		case len(bytes.TrimRight(line, "\r\n")) == 0:
 			return io.EOF
-		case !bytes.Contains(line, []byte(":")):
+		case head.CheckField(line) != nil:
 			return errBrokenTrailer
 		}
 	}
