Refuse requests whose fields are malformed

What a runner or a plain service saw: a request with a field "X Foo", "X-Foo " or "Transfer- Encoding", as a client had sent it. One that reads such a name otherwise than the node sees another field, or the body's end elsewhere.

Cause: the heads of requests are parsed by the same library as those of answers, which takes such names; only the fields that state the body's length were compared.

TestCallsWithMalformedFieldsAreRefused, over the product's own listener: 3 of 6 reached the service. After: 400 with the field in the message, and the connection is closed.

Why it works: what passes has the names that its receiver sees too. 400 promises that nothing ran, which holds, as the check comes before the request is placed.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"github.com/dunlinmill/dunlinmill/connection/head"
 	"github.com/dunlinmill/dunlinmill/connection/intake"
 	"github.com/dunlinmill/dunlinmill/connection/refusal"
 	"github.com/dunlinmill/dunlinmill/connection/upstream"
@@ -175,7 +176,7 @@
 }
 
 func (l *Listener) routes(metrics prometheus.Gatherer) {
-	l.app.Use(l.closeWhenLeaving)
+	l.app.Use(l.closeWhenLeaving, refuseMalformedHead)
 	l.app.Get("/health", l.health)
 	l.app.Get("/ready", l.ready)
 	l.app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(metrics, promhttp.HandlerOpts{})))
@@ -243,6 +244,16 @@
 	return c.Next()
 }
 
+// refuseMalformedHead refuses requests whose fields the library has parsed although they are malformed. A plain service
+// that they were forwarded to could read them otherwise.
+func refuseMalformedHead(c *fiber.Ctx) error {
+	if err := head.CheckFields(c.Request().Header.RawHeaders()); err != nil {
+		c.Context().Response.SetConnectionClose() // the body may end elsewhere
+		return failure.ErrMalformedRequest.WithMessage("%v", err)
+	}
+	return c.Next()
+}
+
 func (l *Listener) health(c *fiber.Ctx) error { return c.SendString("ok\n") }
 
 func (l *Listener) ready(c *fiber.Ctx) error {
--- a/e2e/input_test.go
+++ b/e2e/input_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // smallLayout is a site for tests that need no load.
@@ -144,6 +145,28 @@
 	}
 }
 
+// Guards against a call that a plain service reads otherwise than the node, as the name of a field is malformed.
+func TestCallsWithMalformedFieldsAreRefused(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, smallLayout)
+	for _, field := range []string{"X Foo: bar", "X-Foo : bar", "X\x01Foo: bar", "X(Foo: bar", "Transfer- Encoding: chunked", "Transfer-Encoding: gzip, chunked"} {
+		conn, err := net.Dial("tcp", s.nodes[0].callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n", servicePath, keyOf(alpha), field)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second)) // a connection that is served on stays open
+		answer, err := io.ReadAll(conn)
+		if !bytes.HasPrefix(answer, []byte("HTTP/1.1 400 ")) {
+			t.Errorf("%q: %q, %v", field, answer, err)
+		}
+		_ = conn.Close()
+	}
+	if n := s.serviceCounters().Total; n > 0 {
+		t.Errorf("%d calls arrived at the service", n)
+	}
+}
+
 // badCommand is a command line that has to fail.
 type badCommand struct {
 	name string
