--- a/process/event/event_string.go
+++ b/process/event/event_string.go
@@ -147,12 +147,13 @@
 	_ = x[TenureBegun-338]
 	_ = x[TenureEnded-339]
 	_ = x[TenureCallFailed-340]
+	_ = x[OwnRecordUnreadable-341]
 }
 
 const (
 	_Event_name_0 = "RequestPlacedRequestAnsweredRequestRefusedRequestRetriedRequestFailedStreamResumedStreamContinuedStreamCancelledPrefixImportedPrefixNotImportedRequestServedRequestShedUpstreamPassedOverRequestSuspectedRequestHeldRequestTriedRequestClearedQuarantineReadQuarantineMissedQuotaExceededQuotaUsedQuotaAllocatorQuotaMissedStreamResumeResolvedSoftwareNotConfirmedOriginsNotToldLedgerReadLedgerWrittenLedgerMissedOriginNotListed"
 	_Event_name_1 = "PeerConnectionRefusedMemberJoinedMemberRestartedMemberSuspectedMemberDiedMemberRecoveredMemberLeavingMemberRefutedMemberNameTakenMemberPausedVMListUnavailableVMListAvailableCertificateReloadedCertificateReloadFailedPeersNotJoinedNewsNotHeardCaughtUpAggregatorChosenAggregatorMissed"
-	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepairedPublicationUnreadableWeightsNamedLeaseNotGivenBackLeaseLookedLeaseNotConfirmedLeaseGivenBackReleaseOrderedReleaseStepReleaseJudgedReleaseCompleteReleaseRolledBackReleaseNotRecordedTopicRestartedTopicReadTopicAnswerRefusedPlatformReturnedConfigMadeGoodTenureReadTenureBegunTenureEndedTenureCallFailed"
+	_Event_name_2 = "ConfigInForceConfigFromSnapshotConfigFromPeerConfigFromFileConfigLogLostConfigLogBackConfigGapRecordSkippedSnapshotMadeSnapshotFailedLeaseTakenLeaseLostStepBegunStepDoneStepFailedPlanPausedOrderGivenOrderFailedPlannerHeldUpUpstreamRepairedPublicationUnreadableWeightsNamedLeaseNotGivenBackLeaseLookedLeaseNotConfirmedLeaseGivenBackReleaseOrderedReleaseStepReleaseJudgedReleaseCompleteReleaseRolledBackReleaseNotRecordedTopicRestartedTopicReadTopicAnswerRefusedPlatformReturnedConfigMadeGoodTenureReadTenureBegunTenureEndedTenureCallFailedOwnRecordUnreadable"
 	_Event_name_3 = "JournalLogFailedJournalLogBackJournalClaimAbandonedJournalRecordUnreadJournalOutcomeDroppedJournalRetentionShortJournalClocksDiffer"
 	_Event_name_4 = "ProcessStartingListenerOpenProcessReadyProcessLeavingProcessStoppedGraceExceededProcessFailedSecretReloadedSecretReloadFailedAcceptFailedSettingsReloadedSettingsNotReloadedSettingsNeedRestartIntakeRefusedDescriptorsUnknownMachineUnknown"
 	_Event_name_5 = "OperatorRefusedIntentStatedIntentRefusedPlanConfirmedConfirmationRefusedBootstrapTokenUsedOperatorCallFailed"
@@ -163,7 +164,7 @@
 var (
 	_Event_index_0 = [...]uint16{0, 13, 28, 42, 56, 69, 82, 97, 112, 126, 143, 156, 167, 185, 201, 212, 224, 238, 252, 268, 281, 290, 304, 315, 335, 355, 369, 379, 392, 404, 419}
 	_Event_index_1 = [...]uint16{0, 21, 33, 48, 63, 73, 88, 101, 114, 129, 141, 158, 173, 192, 215, 229, 241, 249, 265, 281}
-	_Event_index_2 = [...]uint16{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239, 260, 272, 289, 300, 317, 331, 345, 356, 369, 384, 401, 419, 433, 442, 460, 476, 490, 500, 511, 522, 538}
+	_Event_index_2 = [...]uint16{0, 13, 31, 45, 59, 72, 85, 94, 107, 119, 133, 143, 152, 161, 169, 179, 189, 199, 210, 223, 239, 260, 272, 289, 300, 317, 331, 345, 356, 369, 384, 401, 419, 433, 442, 460, 476, 490, 500, 511, 522, 538, 557}
 	_Event_index_3 = [...]uint8{0, 16, 30, 51, 70, 91, 112, 131}
 	_Event_index_4 = [...]uint8{0, 15, 27, 39, 53, 67, 80, 93, 107, 125, 137, 153, 172, 191, 204, 222, 236}
 	_Event_index_5 = [...]uint8{0, 15, 27, 40, 53, 72, 90, 108}
@@ -179,7 +180,7 @@
 	case 200 <= i && i <= 218:
 		i -= 200
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
-	case 300 <= i && i <= 340:
+	case 300 <= i && i <= 341:
 		i -= 300
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
 	case 400 <= i && i <= 406:
--- a/process/event/version.go
+++ b/process/event/version.go
@@ -84,4 +84,6 @@
 	TenureEnded
 	// TenureCallFailed: the record of who may act could not be read or written; this is retried. To do: if it continues, check the platform; upstreams get no orders meanwhile.
 	TenureCallFailed
+	// OwnRecordUnreadable: the value of Key in a topic that the nodes themselves write cannot be read; it counts as if it were not there, and what else the topic holds stays in use. Logged once for each value. To do: find out who else writes to the topic.
+	OwnRecordUnreadable
 )
