--- a/process/duty/duty.go
+++ b/process/duty/duty.go
@@ -187,7 +187,7 @@
 		return
 	case e.isOpenFor(k.holder):
 		s.basis = OwnTenure
-	case e.Tenure.Ended:
+	case e.Tenure.Ended && e.Tenure.Idle >= now.Sub(lost):
 		s.basis, s.lastAct = EndedTenure, now.Add(-e.Tenure.Idle)
 	default:
 		s.basis, s.lastAct = OpenTenure, lost
--- a/process/duty/duty_test.go
+++ b/process/duty/duty_test.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -97,6 +98,29 @@
 	}
 }
 
+// Guards against a duty that nobody can take any more, and against one that is taken while another holder may act, as the
+// newest record says nothing of its holder or an end that can't be.
+func TestNewHolderOutlastsOddRecord(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		tenure Tenure
+	}{
+		{"unknown holder", Tenure{}},
+		{"act in years to come", Tenure{Holder: "b", Generation: 3, Ended: true, Idle: -math.MaxInt64}},
+		{"the same, by the least number", Tenure{Holder: "b", Generation: 3, Ended: true, Idle: math.MinInt64}},
+		{"act after all holders have lost the duty", Tenure{Holder: "b", Generation: 3, Ended: true, Idle: -testConfig.JoinValidity - 1}},
+	} {
+		r, k := &records{newest: Entry{Tenure: &c.tenure, Position: 7, End: 8}}, NewKeeper(testConfig, "a")
+		end := sinceStart(testConfig.Wait())
+		if first := r.holdUntil(k, start, end.Add(-time.Millisecond), 4); !first.IsZero() {
+			t.Errorf("%s: acts after %v", c.name, first.Sub(start))
+		}
+		if !r.hold(k, end, 4) || r.newest.Tenure.Holder != "a" {
+			t.Errorf("%s: can't act after the wait; the newest record is %+v", c.name, r.newest.Tenure)
+		}
+	}
+}
+
 // Guards against two holders in turn: each change of the group may have given the duty to another node for a
 // time that this one did not notice.
 func TestHolderBeginsNewTenureInNewGeneration(t *testing.T) {
