Replace a ledger of origins that can't be read

What callers saw: streams that could have been resumed were refused with 503 NotResumable at every node that started, for as long as an odd value stood in the ledger's place; nothing was ever written over it. Where the store states no era, an object without routes counted as a ledger that lists nothing, so that a stream could have gone on at another software version than it began at.

Cause: the ledger is read before it is written, and one that can't be decoded failed the read.

Change: a read of something else than a ledger returns ErrRecordUnreadable with the position. The keeper takes it for a lost ledger: it proves nothing, so a node that has not seen all itself refuses as before, and the next write replaces it.

Why it works: what the ledger had listed is unknown, so no claim is made by its absence. Nodes that have watched the register list what they have seen, and after the life of a stream all nodes have.

--- a/process/gateway/ledger.go
+++ b/process/gateway/ledger.go
@@ -47,7 +47,8 @@
 
 // LedgerRecords is the platform's store of the ledger.
 type LedgerRecords interface {
-	// Read returns the ledger, and the position at which its records end; written is false if there is none.
+	// Read returns the ledger, and the position at which its records end; written is false if there is none. The
+	// error is ErrRecordUnreadable for what is no ledger; the position holds then.
 	Read(ctx context.Context) (l origin.Ledger, written bool, end keyed.Position, err error)
 	// Write writes a ledger if no other one was written since the position. Otherwise the error is
 	// ErrRecordsChanged.
@@ -252,11 +253,12 @@
 	defer cancel()
 	askedAt := k.now()
 	l, written, end, err := k.records.Read(ctx)
-	if err != nil {
+	isLost := errors.Is(err, ErrRecordUnreadable)
+	if err != nil && !isLost {
 		k.recordFailure(err)
 		return origin.Ledger{}, 0, err
 	}
-	k.recordRead(askedAt, l, written, end)
+	k.recordRead(askedAt, l, written, isLost, end)
 	return l, end, nil
 }
 
@@ -272,8 +274,9 @@
 }
 
 // recordRead records what was read. A ledger of an earlier era, or none, may lack what has served, unless
-// this node has seen that itself.
-func (k *ledgerKeeper) recordRead(now time.Time, l origin.Ledger, written bool, end keyed.Position) {
+// this node has seen that itself. isLost means that something else stands in the ledger's place, so that what other
+// nodes have listed since this one's last read is gone.
+func (k *ledgerKeeper) recordRead(now time.Time, l origin.Ledger, written, isLost bool, end keyed.Position) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.failed = false
@@ -285,9 +288,9 @@
 		k.history.ForgetLedger()
 	}
 	k.history.Learn(now, l)
-	current := written && l.Era == end.Era()
+	current := written && !isLost && l.Era == end.Era()
 	neverUsed := k.firstStart && !written && end.Offset() == 0 && end.Era() <= firstEra
-	if !current && !neverUsed && (!k.covered || returned) && !k.hasSeenAll(now) {
+	if !current && !neverUsed && (!k.covered || returned || isLost) && !k.hasSeenAll(now) {
 		k.history.AddUnknown(now)
 	}
 	if current || neverUsed {
--- a/process/gateway/ledger_test.go
+++ b/process/gateway/ledger_test.go
@@ -29,6 +29,7 @@
 	late          bool   // writes are not answered, and carried out later if they still can be
 	held          func() // such a write
 	reads, writes int
+	odd           bool // the newest record can't be read
 }
 
 var errLedgerDown = errors.New("the platform is away")
@@ -41,6 +42,9 @@
 		return origin.Ledger{}, false, 0, errLedgerDown
 	}
 	end := keyed.At(f.era, uint64(len(f.records)))
+	if f.odd {
+		return origin.Ledger{}, true, end, ErrRecordUnreadable
+	}
 	if len(f.records) == 0 {
 		return origin.Ledger{}, false, end, nil
 	}
@@ -60,10 +64,17 @@
 	case at != keyed.At(f.era, uint64(len(f.records))):
 		return ErrRecordsChanged
 	}
-	f.records = append(f.records, l)
+	f.records, f.odd = append(f.records, l), false
 	return nil
 }
 
+// overwrite puts something in the ledger's place that is none.
+func (f *fakeLedger) overwrite() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records, f.odd = append(f.records, origin.Ledger{}), true
+}
+
 // returnFrom makes the platform return from a copy with the first records.
 func (f *fakeLedger) returnFrom(records int) {
 	f.mu.Lock()
@@ -332,6 +343,27 @@
 	}
 }
 
+// Guards against streams that can't be resumed any more, as the ledger can't be read, and against a node that takes the
+// unreadable ledger for one that lists nothing.
+func TestUnreadableLedgerIsReplacedAndProvesNothing(t *testing.T) {
+	for _, era := range []uint64{0, firstEra} {
+		now := clock.BoottimeNow()
+		f := &fakeLedger{era: era}
+		running := startedAt(t, f, &now, "v1")
+		f.overwrite()
+		started := startedAt(t, f, &now, "v1")
+		if got := started.only(); got != "" {
+			t.Errorf("era %d: a new node goes on at %s", era, got)
+		}
+		pass(t, &now, 2*started.history.Window()+time.Minute, running, started)
+		for _, o := range []*origins{running, started} {
+			if got := o.only(); got != "v1" || f.odd {
+				t.Errorf("era %d: later goes on at %q, unreadable %t", era, got, f.odd)
+			}
+		}
+	}
+}
+
 // Guards against a read for each of many streams that are resumed at once, and against a read that began before
 // its request.
 func TestReadsOfLedgerAreShared(t *testing.T) {
--- a/process/gateway/releases.go
+++ b/process/gateway/releases.go
@@ -28,6 +28,9 @@
 // read what there is.
 var ErrRecordsChanged = errors.New("gateway: the records have changed")
 
+// ErrRecordUnreadable means that something that can't be read stands in a record's place.
+var ErrRecordUnreadable = errors.New("gateway: the record can't be read")
+
 // ReleaseRecords is the platform's store of the states of roll-outs.
 type ReleaseRecords interface {
 	// Read returns the records, by service, and the position of their end.
