Let the sender judge the errors of reads, and allocate nothing for short requests

Cause: the exchange and the relay each turned io.EOF into the error of a write that had failed, and each short request allocated a channel for a send that had ended already. A system that knows no error of a socket would have cut every answer without a length.

Change: Sender.ReadError does the first for both; requests that are sent before their answer is read share one closed channel; a socket whose error can't be read counts as sound, as before the look at it.

Measured: the tests of the three packages with the race detector, and those of ends of answers in package platform, pass as before.

--- a/connection/relay/server.go
+++ b/connection/relay/server.go
@@ -178,12 +178,7 @@
 // Read reads what the end sends. It returns io.EOF only at an orderly end.
 func (e end) Read(b []byte) (int, error) {
 	n, err := e.Conn.Read(b)
-	if err == io.EOF {
-		if sendErr := e.sender.Err(); sendErr != nil {
-			err = sendErr
-		}
-	}
-	return n, err
+	return n, e.sender.ReadError(err)
 }
 
 // write sends b to the end, which has the timeout to take it.
--- a/connection/transport/sender.go
+++ b/connection/transport/sender.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -10,7 +12,7 @@
 )
 
 // Sender writes to a connection that another goroutine reads. The kernel reports a reset only once. If a write gets the
-// report, the reader gets what looks like the orderly end of the connection, so it asks Err at each end.
+// report, the reader gets what looks like the orderly end of the connection, so it passes its errors through ReadError.
 type Sender struct {
 	conn net.Conn
 
@@ -69,6 +71,17 @@
 	defer s.asking.Unlock()
 }
 
+// ReadError returns the error of a read for one that the connection has returned: io.EOF stays only at an orderly end.
+func (s *Sender) ReadError(err error) error {
+	if err != io.EOF {
+		return err
+	}
+	if writeErr := s.Err(); writeErr != nil {
+		return fmt.Errorf("the connection has failed during a write: %w", writeErr)
+	}
+	return io.EOF
+}
+
 // Err returns the error of a write that has failed, or nil. A write that the other end doesn't take is interrupted, and
 // continues afterwards.
 func (s *Sender) Err() error {
--- a/connection/transport/sender_test.go
+++ b/connection/transport/sender_test.go
@@ -46,10 +46,11 @@
 	if err := <-failed; !errors.Is(err, syscall.ECONNRESET) {
 		t.Fatalf("write: %v", err)
 	}
-	if _, err := near.Read(make([]byte, 1)); err != io.EOF {
+	_, err := near.Read(make([]byte, 1))
+	if err != io.EOF {
 		t.Fatalf("read: %v", err)
 	}
-	if err := s.Err(); !errors.Is(err, syscall.ECONNRESET) {
+	if err := s.ReadError(err); !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("%v", err)
 	}
 }
--- a/connection/upstream/overhttp/exchange/pool.go
+++ b/connection/upstream/overhttp/exchange/pool.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -278,18 +276,7 @@
 	if n > 0 && c.observed() {
 		c.cfg.Path.Received()
 	}
-	if err == io.EOF {
-		err = c.endError()
-	}
-	return n, err
-}
-
-// endError returns io.EOF for an end of the connection that is orderly, and the error of the send otherwise.
-func (c *connection) endError() error {
-	if err := c.sender.Err(); err != nil {
-		return fmt.Errorf("the connection has failed during the send: %w", err)
-	}
-	return io.EOF
+	return n, c.sender.ReadError(err)
 }
 
 // observed reports whether the path is told how the connection is used.
--- a/connection/upstream/overhttp/exchange/sending.go
+++ b/connection/upstream/overhttp/exchange/sending.go
@@ -20,14 +20,20 @@
 	err  error         // of the send; read after done
 }
 
+// sentAtOnce is the done channel of requests that are sent before their answer is read.
+var sentAtOnce = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // beginSend sends a request. It sends a large one in a separate goroutine, so that the answer can be read meanwhile.
 func beginSend(c *connection, req *fasthttp.Request) (*sending, error) {
-	s := &sending{done: make(chan struct{})}
 	if len(req.Body()) <= maxInlineBody {
-		s.err = c.send(req)
-		close(s.done)
-		return s, s.err
+		err := c.send(req)
+		return &sending{done: sentAtOnce, err: err}, err
 	}
+	s := &sending{done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		// The connection is closed, so that reading the answer reports the failure.
@@ -67,7 +73,8 @@
 	return nil
 }
 
-// socketError returns the error of a connection that was reset after its orderly end, or nil.
+// socketError returns the error of a connection that was reset after its orderly end, or nil if there is none or the
+// system can't tell.
 func (c *connection) socketError() error {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -78,14 +85,14 @@
 		return err
 	}
 	var number int
-	var failure error
+	var unknown error
 	if err := raw.Control(func(fd uintptr) {
-		number, failure = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		number, unknown = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
 	}); err != nil {
 		return err
 	}
-	if failure == nil && number != 0 {
-		failure = syscall.Errno(number)
+	if unknown != nil || number == 0 {
+		return nil
 	}
-	return failure
+	return syscall.Errno(number)
 }
