--- a/process/duty/duty_test.go
+++ b/process/duty/duty_test.go
@@ -105,7 +105,7 @@
 		name   string
 		tenure Tenure
 	}{
-		{"unknown holder", Tenure{}},
+		{"unknown holder", UnknownTenure},
 		{"act in years to come", Tenure{Holder: "b", Generation: 3, Ended: true, Idle: -math.MaxInt64}},
 		{"the same, by the least number", Tenure{Holder: "b", Generation: 3, Ended: true, Idle: math.MinInt64}},
 		{"act after all holders have lost the duty", Tenure{Holder: "b", Generation: 3, Ended: true, Idle: -testConfig.JoinValidity - 1}},
--- a/process/duty/tenure.go
+++ b/process/duty/tenure.go
@@ -18,6 +18,9 @@
 	Idle time.Duration
 }
 
+// UnknownTenure stands for a record that can't be read. It is open, and no node's own: whoever wrote it may still act.
+var UnknownTenure = Tenure{}
+
 // Entry is the newest record of a tenure.
 type Entry struct {
 	Tenure   *Tenure        // nil: there is none that counts
